--- /dev/null
+++ b/test/main.cpp
@@ -0,0 +1,7 @@
+#include <CppUTest/CommandLineTestRunner.h>
+
+int
+main(int aCount, char** aValues)
+{
+  return CommandLineTestRunner::RunAllTests(aCount, aValues);
+}
