Interfaces between the parts

Cause: parts that are made side by side need their joints settled first. Change: the wire messages, the engine of one group, the coordinator of a failover, the roster of VMs, the platform's client, the types that they share, and the protocols page. Ruled out: one state machine for requests and failover together (a frozen traffic thread would then stop detection). Measured: builds, lint clean; no behaviour yet.

--- /dev/null
+++ b/src/currantshed/member/roster.hpp
@@ -0,0 +1,114 @@
+#ifndef CURRANTSHED_MEMBER_ROSTER_HPP
+#define CURRANTSHED_MEMBER_ROSTER_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/failover/coordinator.hpp"
+#include "currantshed/member/fwd.hpp"
+#include "currantshed/platform/client.hpp"
+
+namespace currantshed::member {
+
+/// A term of a group and its primary, as passed on between poolers.
+struct term_news
+{
+  group::group_name group;
+  position::term_id term = 0;
+  upstream::server_id primary;
+};
+
+/// What one pooler tells another in one short message.
+struct heartbeat
+{
+  platform::vm sender;
+  failover::incarnation_id incarnation;
+  /// Goes up with each heartbeat of one incarnation.
+  std::uint64_t sequence = 0;
+  /// Version of the configuration in force at the sender.
+  std::uint64_t configuration = 0;
+  /// VMs that the sender has heard of lately, a bounded few.
+  std::vector<platform::vm> heardOf;
+  std::vector<failover::suspicion> suspicions;
+  std::vector<term_news> terms;
+};
+
+/// A heartbeat to be sent to one VM.
+struct send_heartbeat
+{
+  platform::vm to;
+  heartbeat message;
+};
+
+/// Bounds and times of a roster.
+struct roster_settings
+{
+  platform::vm self;
+  failover::incarnation_id incarnation;
+  std::chrono::milliseconds interval{ 100 };
+  /// A VM that sent heartbeats and has been silent for this long is taken
+  /// for dead.
+  std::chrono::milliseconds silentAfter{ 500 };
+  /// Peers that get each heartbeat.
+  unsigned fanout = 8;
+  /// Poolers that own a group, in different failure domains where it can be.
+  unsigned owners = 3;
+};
+
+/// The VMs that one pooler takes for live, from the platform's lagging list
+/// and from heartbeats, and the poolers that own each group. A wrong view
+/// costs speed, never safety. Does no I/O.
+class roster
+{
+public:
+  virtual ~roster() = default;
+
+  /// The platform's list, newly read.
+  virtual void Listed(const std::vector<platform::vm>& aVms,
+                      clock::time_point aNow) = 0;
+
+  virtual void HeartbeatArrived(const heartbeat& aBeat,
+                                clock::time_point aNow) = 0;
+
+  /// Sets what the next heartbeats carry.
+  virtual void SetConfiguration(std::uint64_t aVersion) = 0;
+  virtual void SetSuspicion(const failover::suspicion& aWord) = 0;
+  virtual void SetTerm(const term_news& aNews) = 0;
+
+  /// Marks this VM as leaving: it stops to be an owner.
+  virtual void Leave() = 0;
+
+  virtual void Tick(clock::time_point aNow) = 0;
+  [[nodiscard]] virtual clock::time_point NextTick() const noexcept = 0;
+  [[nodiscard]] virtual std::vector<send_heartbeat> TakeHeartbeats() = 0;
+
+  /// VMs taken for live, this one included, by id.
+  [[nodiscard]] virtual std::vector<platform::vm> Live() const = 0;
+
+  /// Owners of a group in rank order; the first one leads it.
+  [[nodiscard]] virtual std::vector<platform::vm> Owners(
+    const group::group_name& aGroup) const = 0;
+
+  /// Version of this view; goes up with every change of the live VMs.
+  [[nodiscard]] virtual std::uint64_t Version() const noexcept = 0;
+};
+
+/// Makes a roster; aSeed drives the choice of the peers that get heartbeats.
+[[nodiscard]] std::unique_ptr<roster>
+MakeRoster(const roster_settings& aSettings, std::uint64_t aSeed);
+
+/// Owners of a group among the given VMs, in rank order, by rendezvous
+/// hashing and spread over failure domains first. Every process that sees
+/// the same VMs comes to the same answer.
+[[nodiscard]] std::vector<platform::vm>
+ChooseOwners(const group::group_name& aGroup,
+             const std::vector<platform::vm>& aVms,
+             unsigned aOwners);
+
+} // namespace currantshed::member
+
+#endif
--- /dev/null
+++ b/src/currantshed/policy/fwd.hpp
@@ -0,0 +1,11 @@
+#ifndef CURRANTSHED_POLICY_FWD_HPP
+#define CURRANTSHED_POLICY_FWD_HPP
+
+namespace currantshed::policy {
+
+enum class access;
+struct work_class;
+
+} // namespace currantshed::policy
+
+#endif
