Add the checker of a load run's history

Cause: what callers were told has to be judged against what the servers hold, by code that knows nothing of the product's own decisions. Change: history of a run, holdings, and the checker with a table row for each kind of breach, so that a checker that can't fail is seen. Ruled out: dating stale reads by the wall time in the row; the acknowledgement times of one writer on one steady clock need no clock agreement. Conclusion: the load tool can be built on it.

--- /dev/null
+++ b/src/currantshed/load/checker.cpp
@@ -0,0 +1,267 @@
+#include "currantshed/load/checker.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+namespace currantshed::load {
+
+namespace {
+
+constexpr std::size_t kBreachLines = 50;
+constexpr unsigned kPercent = 100;
+constexpr unsigned kMedian = 50;
+constexpr unsigned kTail = 99;
+
+using latency_list = std::vector<std::chrono::microseconds>;
+
+void
+Note(findings& aFindings, std::uint64_t& aCount, std::string aLine)
+{
+  ++aCount;
+  if (aFindings.breaches.size() < kBreachLines) {
+    aFindings.breaches.push_back(std::move(aLine));
+  }
+}
+
+std::map<std::string, const holding*>
+ByGroup(const std::vector<holding>& aHoldings)
+{
+  std::map<std::string, const holding*> byGroup;
+  for (const holding& held : aHoldings) {
+    byGroup.emplace(held.group, &held);
+  }
+  return byGroup;
+}
+
+void
+CountOutcome(findings& aFindings, told aOutcome)
+{
+  switch (aOutcome) {
+    case told::kDone:
+      ++aFindings.acknowledged;
+      break;
+    case told::kNotRun:
+      ++aFindings.notRun;
+      break;
+    case told::kRefused:
+      ++aFindings.refused;
+      break;
+    case told::kUnknown:
+      ++aFindings.unknown;
+      break;
+    case told::kAbandoned:
+      break;
+  }
+}
+
+bool
+MustBeAbsent(told aOutcome)
+{
+  return aOutcome == told::kNotRun || aOutcome == told::kRefused ||
+         aOutcome == told::kAbandoned;
+}
+
+void
+CheckHeld(findings& aFindings, const change_record& aChange, unsigned aTimes)
+{
+  const std::string name = aChange.group + "/" + aChange.change;
+  if (aTimes == 0 && aChange.outcome == told::kDone) {
+    Note(aFindings, aFindings.lost, "lost " + name);
+  }
+  if (aTimes > 1) {
+    Note(aFindings, aFindings.doubled, "doubled " + name);
+  }
+  if (aTimes > 0 && MustBeAbsent(aChange.outcome)) {
+    Note(aFindings, aFindings.falseNotRun, "false not run " + name);
+  }
+}
+
+void
+CheckChanges(findings& aFindings,
+             const history& aHistory,
+             const std::vector<holding>& aHoldings)
+{
+  const auto holdings = ByGroup(aHoldings);
+  for (const change_record& change : aHistory.changes) {
+    CountOutcome(aFindings, change.outcome);
+    const auto held = holdings.find(change.group);
+    if (held == holdings.end()) {
+      ++aFindings.unchecked;
+      continue;
+    }
+    const auto times = held->second->changes.find(change.change);
+    const bool there = times != held->second->changes.end();
+    CheckHeld(aFindings, change, there ? times->second : 0);
+  }
+}
+
+void
+CheckOwnReads(findings& aFindings, const history& aHistory)
+{
+  for (const own_change_read& read : aHistory.ownReads) {
+    if (!read.found) {
+      Note(aFindings,
+           aFindings.readYourWritesBreaches,
+           "own write not read " + read.group + "/" + read.change);
+    }
+  }
+}
+
+/// The acknowledged values of each group's clock row by the time of their
+/// acknowledgement, each with the highest one up to then.
+std::map<std::string, std::vector<clock_write>>
+ClockLog(const history& aHistory)
+{
+  std::map<std::string, std::vector<clock_write>> log;
+  for (const clock_write& write : aHistory.clockWrites) {
+    log[write.group].push_back(write);
+  }
+  for (auto& [group, writes] : log) {
+    std::sort(
+      writes.begin(), writes.end(), [](const auto& aOne, const auto& aOther) {
+        return aOne.acknowledged < aOther.acknowledged;
+      });
+    std::uint64_t highest = 0;
+    for (clock_write& write : writes) {
+      highest = std::max(highest, write.value);
+      write.value = highest;
+    }
+  }
+  return log;
+}
+
+/// The lowest value that a read sent at the time may show: all that had been
+/// acknowledged before the oldest moment that the bound allows.
+std::uint64_t
+LowestAllowed(const std::vector<clock_write>& aLog, moment aOldest)
+{
+  const auto after = std::partition_point(
+    aLog.begin(), aLog.end(), [aOldest](const clock_write& aWrite) {
+      return aWrite.acknowledged < aOldest;
+    });
+  return after == aLog.begin() ? 0 : std::prev(after)->value;
+}
+
+void
+CheckStaleness(findings& aFindings, const history& aHistory)
+{
+  const auto log = ClockLog(aHistory);
+  for (const clock_read& read : aHistory.clockReads) {
+    const auto writes = log.find(read.group);
+    if (writes == log.end()) {
+      continue;
+    }
+    const auto lowest = LowestAllowed(writes->second, read.sent - read.bound);
+    if (read.value < lowest) {
+      Note(aFindings,
+           aFindings.staleBreaches,
+           "stale read of " + read.group + ": " + std::to_string(read.value) +
+             " below " + std::to_string(lowest));
+    }
+  }
+}
+
+void
+CheckTags(findings& aFindings, const std::vector<tag_read>& aReads)
+{
+  for (const tag_read& read : aReads) {
+    if (read.first != read.second) {
+      Note(aFindings,
+           aFindings.mixedTransactions,
+           "mixed in " + read.group + ": " + read.first + " and " +
+             read.second);
+    }
+  }
+}
+
+std::optional<moment>
+FirstAcknowledgedAfter(const history& aHistory, const cut_record& aCut)
+{
+  std::optional<moment> first;
+  for (const change_record& change : aHistory.changes) {
+    const bool counts = change.group == aCut.group &&
+                        change.outcome == told::kDone && change.sent >= aCut.at;
+    if (counts && (!first || change.answered < *first)) {
+      first = change.answered;
+    }
+  }
+  return first;
+}
+
+void
+MeasureGaps(findings& aFindings, const history& aHistory)
+{
+  for (const cut_record& cut : aHistory.cuts) {
+    const auto first = FirstAcknowledgedAfter(aHistory, cut);
+    failover_gap gap{ cut.group, std::nullopt };
+    if (first) {
+      gap.gap = *first - cut.at;
+    }
+    aFindings.gaps.push_back(std::move(gap));
+  }
+}
+
+/// The value below which the given share of a sorted list lies.
+std::chrono::microseconds
+Percentile(const latency_list& aSorted, unsigned aPercent)
+{
+  const std::size_t rank =
+    (aSorted.size() * aPercent + kPercent - 1) / kPercent;
+  return aSorted[std::max<std::size_t>(rank, 1) - 1];
+}
+
+void
+MeasureAnswers(findings& aFindings, const history& aHistory)
+{
+  std::map<std::string, latency_list> latencies;
+  for (const answer_record& answer : aHistory.answers) {
+    ++aFindings.requests;
+    if (answer.outcome != told::kDone) {
+      continue;
+    }
+    aFindings.reads += answer.read ? 1 : 0;
+    aFindings.replicaReads += answer.read && answer.byReplica ? 1 : 0;
+    latencies[answer.work].push_back(answer.latency);
+  }
+  for (auto& [work, list] : latencies) {
+    std::sort(list.begin(), list.end());
+    aFindings.latencies[work] = { list.size(),
+                                  Percentile(list, kMedian),
+                                  Percentile(list, kTail) };
+  }
+}
+
+} // namespace
+
+findings
+Check(const history& aHistory, const std::vector<holding>& aHoldings)
+{
+  findings result;
+  CheckChanges(result, aHistory, aHoldings);
+  CheckOwnReads(result, aHistory);
+  CheckStaleness(result, aHistory);
+  CheckTags(result, aHistory.tagReads);
+  for (const holding& held : aHoldings) {
+    CheckTags(result, held.tags);
+  }
+  MeasureGaps(result, aHistory);
+  MeasureAnswers(result, aHistory);
+  return result;
+}
+
+bool
+Kept(const findings& aFindings)
+{
+  const std::uint64_t breaches =
+    aFindings.lost + aFindings.doubled + aFindings.falseNotRun +
+    aFindings.readYourWritesBreaches + aFindings.staleBreaches +
+    aFindings.mixedTransactions;
+  const bool recovered =
+    std::all_of(aFindings.gaps.begin(),
+                aFindings.gaps.end(),
+                [](const failover_gap& aGap) { return aGap.gap.has_value(); });
+  return breaches == 0 && aFindings.unchecked == 0 && recovered;
+}
+
+} // namespace currantshed::load
--- /dev/null
+++ b/src/currantshed/load/checker.hpp
@@ -0,0 +1,71 @@
+#ifndef CURRANTSHED_LOAD_CHECKER_HPP
+#define CURRANTSHED_LOAD_CHECKER_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "currantshed/load/fwd.hpp"
+#include "currantshed/load/history.hpp"
+
+namespace currantshed::load {
+
+/// Latencies of one class's answered requests.
+struct latency_summary
+{
+  std::uint64_t count = 0;
+  std::chrono::microseconds p50{ 0 };
+  std::chrono::microseconds p99{ 0 };
+};
+
+/// How long one group was without an acknowledged write after a cut.
+struct failover_gap
+{
+  std::string group;
+  /// None when no write was acknowledged after the cut.
+  std::optional<std::chrono::microseconds> gap;
+};
+
+/// Everything that a run is judged by. Counts of changes are of changes as
+/// callers know them; requests counts answers waited for, reads included.
+struct findings
+{
+  std::uint64_t requests = 0;
+  std::uint64_t acknowledged = 0;
+  std::uint64_t notRun = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t refused = 0;
+  /// Acknowledged, and absent from what the group holds.
+  std::uint64_t lost = 0;
+  /// Held more than once.
+  std::uint64_t doubled = 0;
+  /// Told as not run, refused or never committed, and held all the same.
+  std::uint64_t falseNotRun = 0;
+  std::uint64_t readYourWritesBreaches = 0;
+  std::uint64_t staleBreaches = 0;
+  std::uint64_t mixedTransactions = 0;
+  /// Changes of groups whose holding could not be read.
+  std::uint64_t unchecked = 0;
+  std::uint64_t reads = 0;
+  std::uint64_t replicaReads = 0;
+  std::vector<failover_gap> gaps;
+  std::map<std::string, latency_summary> latencies;
+  /// One line for each breach, of the first ones.
+  std::vector<std::string> breaches;
+};
+
+/// Compares what callers saw with what the groups hold at the end.
+[[nodiscard]] findings
+Check(const history& aHistory, const std::vector<holding>& aHoldings);
+
+/// Whether a run kept every promise: nothing lost, doubled, stale, mixed or
+/// falsely told, and all of it checked.
+[[nodiscard]] bool
+Kept(const findings& aFindings);
+
+} // namespace currantshed::load
+
+#endif
--- /dev/null
+++ b/src/currantshed/load/history.hpp
@@ -0,0 +1,126 @@
+#ifndef CURRANTSHED_LOAD_HISTORY_HPP
+#define CURRANTSHED_LOAD_HISTORY_HPP
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "currantshed/load/fwd.hpp"
+
+namespace currantshed::load {
+
+/// What a caller knows of a change at the end.
+enum class told
+{
+  /// The change was acknowledged.
+  kDone,
+  /// The answer said that it did not run and never will.
+  kNotRun,
+  /// The answer refused it.
+  kRefused,
+  /// The caller never asked for the commit, or rolled the change back.
+  kAbandoned,
+  /// No answer told, and asking for the outcome did not either.
+  kUnknown,
+};
+
+/// One change that a caller asked for: one row with a name of its own.
+struct change_record
+{
+  std::string group;
+  /// The name, which the row carries.
+  std::string change;
+  std::string key;
+  told outcome = told::kUnknown;
+  moment sent{ 0 };
+  moment answered{ 0 };
+  /// When the change was sent, as a person reads it: milliseconds since the
+  /// epoch.
+  std::int64_t wallMilliseconds = 0;
+};
+
+/// A read by the session that had been told that the change is done.
+struct own_change_read
+{
+  std::string group;
+  std::string change;
+  /// Whether the row was in the answer.
+  bool found = false;
+};
+
+/// An acknowledged write of a row that one writer alone counts upwards.
+struct clock_write
+{
+  std::string group;
+  std::uint64_t value = 0;
+  moment acknowledged{ 0 };
+};
+
+/// A read of that row.
+struct clock_read
+{
+  std::string group;
+  std::uint64_t value = 0;
+  /// How old the data may be by the read's class.
+  std::chrono::milliseconds bound{ 0 };
+  moment sent{ 0 };
+};
+
+/// A read of two rows that each transaction changes together, in one
+/// statement; or of a row that the reading transaction has just changed, with
+/// the transaction's own tag as the first.
+struct tag_read
+{
+  std::string group;
+  std::string first;
+  std::string second;
+};
+
+/// An answer that a caller waited for.
+struct answer_record
+{
+  std::string work;
+  told outcome = told::kUnknown;
+  bool read = false;
+  bool byReplica = false;
+  std::chrono::microseconds latency{ 0 };
+};
+
+/// The cut of a group's primary.
+struct cut_record
+{
+  std::string group;
+  std::string server;
+  moment at{ 0 };
+};
+
+/// All that callers saw in a run.
+struct history
+{
+  std::vector<change_record> changes;
+  std::vector<own_change_read> ownReads;
+  std::vector<clock_write> clockWrites;
+  std::vector<clock_read> clockReads;
+  std::vector<tag_read> tagReads;
+  std::vector<answer_record> answers;
+  std::vector<cut_record> cuts;
+};
+
+/// What one group's primary holds after the run.
+struct holding
+{
+  std::string group;
+  /// How often the row of each change is there.
+  std::map<std::string, unsigned> changes;
+  /// Pairs of rows that each transaction changes together.
+  std::vector<tag_read> tags;
+};
+
+/// Moves the second history's records to the end of the first.
+void
+Append(history& aTarget, history&& aSource);
+
+} // namespace currantshed::load
+
+#endif
--- /dev/null
+++ b/test/currantshed/load/checker.cpp
@@ -0,0 +1,283 @@
+#include "currantshed/load/checker.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+namespace load = currantshed::load;
+using load::told;
+
+namespace {
+
+/// Counts of every kind of breach, in the order of the findings.
+struct breach_counts
+{
+  std::uint64_t lost = 0;
+  std::uint64_t doubled = 0;
+  std::uint64_t falseNotRun = 0;
+  std::uint64_t ownReads = 0;
+  std::uint64_t stale = 0;
+  std::uint64_t mixed = 0;
+  std::uint64_t unchecked = 0;
+
+  [[nodiscard]] bool operator==(const breach_counts&) const = default;
+};
+
+struct check_row
+{
+  const char* name;
+  load::history given;
+  std::vector<load::holding> held;
+  breach_counts expect;
+  bool kept;
+};
+
+load::history
+Told(told aOutcome)
+{
+  return { .changes = {
+             { .group = "g", .change = "c", .outcome = aOutcome } } };
+}
+
+std::vector<load::holding>
+Held(unsigned aTimes)
+{
+  load::holding held{ .group = "g" };
+  if (aTimes > 0) {
+    held.changes["c"] = aTimes;
+  }
+  return { held };
+}
+
+load::history
+OwnRead(bool aFound)
+{
+  return { .ownReads = { { "g", "c", aFound } } };
+}
+
+/// Writes of 1 at 10 ms and of 2 at 20 ms, and one read.
+load::history
+Clock(std::uint64_t aValue,
+      std::chrono::milliseconds aBound,
+      load::moment aSent,
+      const char* aGroup = "g")
+{
+  return { .clockWrites = { { "g", 2, 20ms }, { "g", 1, 10ms } },
+           .clockReads = { { aGroup, aValue, aBound, aSent } } };
+}
+
+load::history
+Tags(const char* aFirst, const char* aSecond)
+{
+  return { .tagReads = { { "g", aFirst, aSecond } } };
+}
+
+load::history
+Cut(told aOutcome, load::moment aSent, load::moment aAnswered)
+{
+  return { .changes = { { .group = "g",
+                          .change = "c",
+                          .outcome = aOutcome,
+                          .sent = aSent,
+                          .answered = aAnswered } },
+           .cuts = { { "g", "server", 100ms } } };
+}
+
+const check_row kCheckRows[] = {
+  { "acknowledged and held", Told(told::kDone), Held(1), {}, true },
+  { "acknowledged and absent",
+    Told(told::kDone),
+    Held(0),
+    { .lost = 1 },
+    false },
+  { "acknowledged and held twice",
+    Told(told::kDone),
+    Held(2),
+    { .doubled = 1 },
+    false },
+  { "unknown and held", Told(told::kUnknown), Held(1), {}, true },
+  { "unknown and absent", Told(told::kUnknown), Held(0), {}, true },
+  { "unknown and held twice",
+    Told(told::kUnknown),
+    Held(2),
+    { .doubled = 1 },
+    false },
+  { "not run and absent", Told(told::kNotRun), Held(0), {}, true },
+  { "not run and held",
+    Told(told::kNotRun),
+    Held(1),
+    { .falseNotRun = 1 },
+    false },
+  { "refused and held",
+    Told(told::kRefused),
+    Held(1),
+    { .falseNotRun = 1 },
+    false },
+  { "abandoned and held",
+    Told(told::kAbandoned),
+    Held(1),
+    { .falseNotRun = 1 },
+    false },
+  { "a group that could not be read",
+    Told(told::kDone),
+    {},
+    { .unchecked = 1 },
+    false },
+  { "own write read", OwnRead(true), Held(1), {}, true },
+  { "own write not read", OwnRead(false), Held(1), { .ownReads = 1 }, false },
+  { "fresh read shows the last write", Clock(2, 0ms, 30ms), {}, {}, true },
+  { "fresh read shows an older write",
+    Clock(1, 0ms, 30ms),
+    {},
+    { .stale = 1 },
+    false },
+  { "write acknowledged after the read was sent",
+    Clock(1, 0ms, 15ms),
+    {},
+    {},
+    true },
+  { "older by less than the bound", Clock(1, 10ms, 30ms), {}, {}, true },
+  { "older by more than the bound",
+    Clock(1, 9ms, 30ms),
+    {},
+    { .stale = 1 },
+    false },
+  { "nothing read though all may be seen",
+    Clock(0, 5ms, 30ms),
+    {},
+    { .stale = 1 },
+    false },
+  { "writes of another group", Clock(0, 0ms, 30ms, "h"), {}, {}, true },
+  { "tags match", Tags("a", "a"), {}, {}, true },
+  { "tags differ", Tags("a", "b"), {}, { .mixed = 1 }, false },
+  { "tags held differ",
+    {},
+    { { .group = "g", .tags = { { "g", "a", "b" } } } },
+    { .mixed = 1 },
+    false },
+  { "group serves again after a cut",
+    Cut(told::kDone, 150ms, 400ms),
+    Held(1),
+    {},
+    true },
+  { "group never serves again after a cut",
+    Cut(told::kUnknown, 150ms, 400ms),
+    Held(0),
+    {},
+    false },
+};
+
+breach_counts
+CountsOf(const load::findings& aFindings)
+{
+  return { aFindings.lost,          aFindings.doubled,
+           aFindings.falseNotRun,   aFindings.readYourWritesBreaches,
+           aFindings.staleBreaches, aFindings.mixedTransactions,
+           aFindings.unchecked };
+}
+
+struct gap_row
+{
+  const char* name;
+  told outcome;
+  load::moment sent;
+  load::moment answered;
+  std::chrono::microseconds expect;
+};
+
+constexpr std::chrono::microseconds kNoGap{ -1 };
+
+const gap_row kGapRows[] = {
+  { "first write after the cut", told::kDone, 150ms, 400ms, 300ms },
+  { "write on its way at the cut", told::kDone, 90ms, 110ms, kNoGap },
+  { "write without acknowledgement", told::kNotRun, 150ms, 400ms, kNoGap },
+};
+
+struct percentile_row
+{
+  const char* name;
+  unsigned answers;
+  std::chrono::microseconds p50;
+  std::chrono::microseconds p99;
+};
+
+const percentile_row kPercentileRows[] = {
+  { "one answer", 1, 1us, 1us },
+  { "two answers", 2, 1us, 2us },
+  { "a hundred answers", 100, 50us, 99us },
+  { "a thousand answers", 1000, 500us, 990us },
+};
+
+} // namespace
+
+TEST_GROUP(load_checker){};
+
+TEST(load_checker, breaches)
+{
+  for (const auto& row : kCheckRows) {
+    const auto found = load::Check(row.given, row.held);
+    CHECK_TEXT(CountsOf(found) == row.expect, row.name);
+    CHECK_TEXT(load::Kept(found) == row.kept, row.name);
+  }
+}
+
+TEST(load_checker, failover_gap)
+{
+  for (const auto& row : kGapRows) {
+    const auto found =
+      load::Check(Cut(row.outcome, row.sent, row.answered), Held(1));
+    CHECK_TEXT(found.gaps.size() == 1, row.name);
+    CHECK_TEXT(found.gaps[0].gap.value_or(kNoGap) == row.expect, row.name);
+  }
+}
+
+TEST(load_checker, latency)
+{
+  for (const auto& row : kPercentileRows) {
+    load::history given;
+    for (unsigned i = row.answers; i > 0; --i) {
+      given.answers.push_back({ .work = "w",
+                                .outcome = told::kDone,
+                                .latency = std::chrono::microseconds(i) });
+    }
+    const auto found = load::Check(given, {});
+    CHECK_TEXT(found.latencies.at("w").p50 == row.p50, row.name);
+    CHECK_TEXT(found.latencies.at("w").p99 == row.p99, row.name);
+  }
+}
+
+TEST(load_checker, replica_reads_count_done_reads_only)
+{
+  const load::history given{ .answers = {
+                               { "w", told::kDone, true, true, 1us },
+                               { "w", told::kDone, true, false, 1us },
+                               { "w", told::kNotRun, true, true, 1us },
+                               { "w", told::kDone, false, true, 1us } } };
+  const auto found = load::Check(given, {});
+  UNSIGNED_LONGLONGS_EQUAL(4, found.requests);
+  UNSIGNED_LONGLONGS_EQUAL(2, found.reads);
+  UNSIGNED_LONGLONGS_EQUAL(1, found.replicaReads);
+}
+
+TEST(load_checker, counts_by_outcome)
+{
+  load::history given;
+  for (const told outcome : { told::kDone,
+                              told::kDone,
+                              told::kNotRun,
+                              told::kUnknown,
+                              told::kRefused,
+                              told::kAbandoned }) {
+    load::Append(given, Told(outcome));
+  }
+  const auto found = load::Check(given, Held(1));
+  UNSIGNED_LONGLONGS_EQUAL(2, found.acknowledged);
+  UNSIGNED_LONGLONGS_EQUAL(1, found.notRun);
+  UNSIGNED_LONGLONGS_EQUAL(1, found.unknown);
+  UNSIGNED_LONGLONGS_EQUAL(1, found.refused);
+}
