Membership: roster and owners of a group

Cause: no process knew which VMs are live or which pooler serves a group. The roster gets SetGroups (so that co-owners always hear of each other) and the settings a grace time for listed VMs. Ruled out: trusting hearsay as life (a dead VM would be passed round). Conclusion: views may be wrong for a while; nothing rests on them but speed.

--- /dev/null
+++ b/src/currantshed/member/peers.hpp
@@ -0,0 +1,37 @@
+#ifndef CURRANTSHED_MEMBER_PEERS_HPP
+#define CURRANTSHED_MEMBER_PEERS_HPP
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_set.h>
+
+#include "currantshed/platform/client.hpp"
+
+namespace currantshed::member {
+
+/// What the choice of heartbeat receivers rests on.
+struct peer_choice
+{
+  const platform::vm& self;
+  /// The other VMs that may be alive.
+  const std::vector<platform::vm>& others;
+  /// Ids of VMs that own a group together with this one; always chosen.
+  const absl::flat_hash_set<std::string>& coOwners;
+  /// Receivers besides the co-owners.
+  unsigned fanout = 0;
+  std::uint64_t seed = 0;
+  /// Number of the heartbeat: other random peers are drawn for each.
+  std::uint64_t beat = 0;
+};
+
+/// Receivers of one heartbeat: every other VM in a small fleet. In a larger
+/// one the co-owners, the next VMs on the hashed ring of the own failure
+/// domain (half of the fanout), and a random few of the rest.
+[[nodiscard]] std::vector<platform::vm>
+ChoosePeers(const peer_choice& aChoice);
+
+} // namespace currantshed::member
+
+#endif
--- a/src/currantshed/member/roster.hpp
+++ b/src/currantshed/member/roster.hpp
@@ -53,6 +53,9 @@
   /// A VM that sent heartbeats and has been silent for this long is taken
   /// for dead.
   std::chrono::milliseconds silentAfter{ 500 };
+  /// How long a VM that the platform lists counts as live before it has sent
+  /// its first heartbeat.
+  std::chrono::milliseconds grace{ 3000 };
   /// Peers that get each heartbeat.
   unsigned fanout = 8;
   /// Poolers that own a group, in different failure domains where it can be.
@@ -79,6 +82,10 @@
   virtual void SetSuspicion(const failover::suspicion& aWord) = 0;
   virtual void SetTerm(const term_news& aNews) = 0;
 
+  /// Names the groups that the platform lists: co-owners of a group that this
+  /// VM owns always get its heartbeats.
+  virtual void SetGroups(const std::vector<group::group_name>& aGroups) = 0;
+
   /// Marks this VM as leaving: it stops to be an owner.
   virtual void Leave() = 0;
 
--- /dev/null
+++ b/test/currantshed/member/roster.cpp
@@ -0,0 +1,306 @@
+#include "currantshed/member/roster.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "currantshed/member/peers.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+namespace member = currantshed::member;
+namespace failover = currantshed::failover;
+namespace platform = currantshed::platform;
+using currantshed::clock::time_point;
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t kSeed = 7;
+
+platform::vm
+MakeVm(const std::string& aId, const std::string& aDomain)
+{
+  platform::vm vm;
+  vm.id = aId;
+  vm.failureDomain = aDomain;
+  return vm;
+}
+
+time_point
+At(int aMilliseconds)
+{
+  return time_point{} + milliseconds{ aMilliseconds };
+}
+
+enum class event_kind
+{
+  kListed,
+  kUnlisted,
+  kBeat,
+  kLeavingBeat,
+  kRumour,
+  kTick,
+};
+
+struct event_row
+{
+  int at;
+  event_kind kind;
+  const char* incarnation;
+  std::uint64_t sequence;
+};
+
+struct live_row
+{
+  const char* name;
+  std::vector<event_row> events;
+  bool expectLive;
+  bool expectLeaving;
+};
+
+const live_row kLiveRows[] = {
+  { "listed and never heard, within grace",
+    { { 0, event_kind::kListed }, { 2900, event_kind::kTick } },
+    true,
+    false },
+  { "listed and never heard, past grace",
+    { { 0, event_kind::kListed }, { 3100, event_kind::kTick } },
+    false,
+    false },
+  { "listed again does not begin a new grace",
+    { { 0, event_kind::kListed },
+      { 2000, event_kind::kListed },
+      { 3100, event_kind::kTick } },
+    false,
+    false },
+  { "heard and not listed",
+    { { 0, event_kind::kBeat, "i", 1 }, { 400, event_kind::kTick } },
+    true,
+    false },
+  { "listed and silent",
+    { { 0, event_kind::kListed },
+      { 100, event_kind::kBeat, "i", 1 },
+      { 700, event_kind::kTick } },
+    false,
+    false },
+  { "silent, then heard again",
+    { { 0, event_kind::kBeat, "i", 1 },
+      { 700, event_kind::kTick },
+      { 800, event_kind::kBeat, "i", 2 } },
+    true,
+    false },
+  { "a replayed heartbeat does not revive",
+    { { 0, event_kind::kBeat, "i", 5 },
+      { 400, event_kind::kBeat, "i", 5 },
+      { 600, event_kind::kTick } },
+    false,
+    false },
+  { "a late heartbeat of an earlier incarnation does not revive",
+    { { 0, event_kind::kBeat, "i", 5 },
+      { 100, event_kind::kBeat, "j", 1 },
+      { 500, event_kind::kBeat, "i", 6 },
+      { 700, event_kind::kTick } },
+    false,
+    false },
+  { "a new incarnation begins its sequence anew",
+    { { 0, event_kind::kBeat, "i", 500 },
+      { 400, event_kind::kBeat, "j", 1 },
+      { 800, event_kind::kTick } },
+    true,
+    false },
+  { "hearsay alone makes nobody live",
+    { { 0, event_kind::kRumour }, { 10, event_kind::kTick } },
+    false,
+    false },
+  { "hearsay, then heard",
+    { { 0, event_kind::kRumour }, { 10, event_kind::kBeat, "i", 1 } },
+    true,
+    false },
+  { "the sender's own word on leaving counts",
+    { { 0, event_kind::kListed }, { 10, event_kind::kLeavingBeat, "i", 1 } },
+    true,
+    true },
+  { "heard and dropped from the list while it lives",
+    { { 0, event_kind::kListed },
+      { 100, event_kind::kBeat, "i", 1 },
+      { 200, event_kind::kUnlisted },
+      { 300, event_kind::kTick } },
+    true,
+    false },
+};
+
+member::heartbeat
+MakeBeat(const platform::vm& aSender, const event_row& aRow)
+{
+  member::heartbeat beat;
+  beat.sender = aSender;
+  beat.sender.leaving = aRow.kind == event_kind::kLeavingBeat;
+  beat.incarnation = aRow.incarnation;
+  beat.sequence = aRow.sequence;
+  return beat;
+}
+
+void
+Apply(member::roster& aRoster, const event_row& aRow)
+{
+  const auto other = MakeVm("other", "y");
+  switch (aRow.kind) {
+    case event_kind::kListed:
+      aRoster.Listed({ other }, At(aRow.at));
+      break;
+    case event_kind::kUnlisted:
+      aRoster.Listed({}, At(aRow.at));
+      break;
+    case event_kind::kBeat:
+    case event_kind::kLeavingBeat:
+      aRoster.HeartbeatArrived(MakeBeat(other, aRow), At(aRow.at));
+      break;
+    case event_kind::kRumour: {
+      auto beat = MakeBeat(MakeVm("third", "z"), { 0, event_kind::kBeat, "k" });
+      beat.heardOf = { other };
+      aRoster.HeartbeatArrived(beat, At(aRow.at));
+      break;
+    }
+    case event_kind::kTick:
+      aRoster.Tick(At(aRow.at));
+      break;
+  }
+}
+
+const platform::vm*
+Find(const std::vector<platform::vm>& aVms, const std::string& aId)
+{
+  const auto found = std::find_if(
+    aVms.begin(), aVms.end(), [&](const auto& aVm) { return aVm.id == aId; });
+  return found == aVms.end() ? nullptr : &*found;
+}
+
+member::roster_settings
+MakeSettings()
+{
+  member::roster_settings settings;
+  settings.self = MakeVm("self", "x");
+  settings.incarnation = "self-1";
+  return settings;
+}
+
+} // namespace
+
+TEST_GROUP(roster){};
+
+TEST(roster, live)
+{
+  for (const auto& row : kLiveRows) {
+    const auto roster = member::MakeRoster(MakeSettings(), kSeed);
+    for (const auto& event : row.events) {
+      Apply(*roster, event);
+    }
+    const auto live = roster->Live();
+    const auto* other = Find(live, "other");
+    CHECK_TEXT(Find(live, "self") != nullptr, row.name);
+    CHECK_EQUAL_TEXT(row.expectLive, other != nullptr, row.name);
+    const bool leaving = other != nullptr && other->leaving;
+    CHECK_EQUAL_TEXT(row.expectLeaving, leaving, row.name);
+  }
+}
+
+TEST(roster, tick_is_due_when_silence_changes_the_view)
+{
+  const auto roster = member::MakeRoster(MakeSettings(), kSeed);
+  Apply(*roster, { 0, event_kind::kBeat, "i", 1 });
+  const auto version = roster->Version();
+  for (int step = 0; step < 100 && roster->Version() == version; ++step) {
+    roster->Tick(roster->NextTick());
+    static_cast<void>(roster->TakeHeartbeats());
+  }
+  CHECK(Find(roster->Live(), "other") == nullptr);
+  CHECK(roster->NextTick() < At(700));
+}
+
+TEST(roster, news_go_out_at_once_and_a_bounded_number_of_times)
+{
+  const auto roster = member::MakeRoster(MakeSettings(), kSeed);
+  roster->Listed({ MakeVm("other", "y") }, At(0));
+  UNSIGNED_LONGS_EQUAL(1, roster->TakeHeartbeats().size());
+  roster->Tick(At(10));
+  CHECK(roster->TakeHeartbeats().empty());
+  roster->SetTerm({ "g", 4, "s1" });
+  CHECK(roster->NextTick() <= At(10));
+  int carried = 0;
+  for (int beat = 0; beat < 50; ++beat) {
+    roster->Tick(At(10 + beat * 100));
+    for (const auto& send : roster->TakeHeartbeats()) {
+      carried += send.message.terms.empty() ? 0 : 1;
+    }
+    CHECK(beat > 0 || carried == 1);
+  }
+  LONGS_EQUAL(10, carried);
+  roster->SetTerm({ "g", 3, "s2" });
+  CHECK(roster->NextTick() > At(4000));
+}
+
+TEST(roster, suspicion_lasts_until_withdrawn)
+{
+  const auto roster = member::MakeRoster(MakeSettings(), kSeed);
+  roster->Listed({ MakeVm("other", "y") }, At(0));
+  roster->SetSuspicion({ "g", 4, "s1" });
+  for (int beat = 0; beat < 20; ++beat) {
+    roster->Tick(At(beat * 100));
+    const auto sends = roster->TakeHeartbeats();
+    UNSIGNED_LONGS_EQUAL(1, sends.front().message.suspicions.size());
+  }
+  roster->SetSuspicion({ "g", 4, "" });
+  int withdrawn = 0;
+  for (int beat = 20; beat < 40; ++beat) {
+    roster->Tick(At(beat * 100));
+    for (const auto& send : roster->TakeHeartbeats()) {
+      for (const auto& word : send.message.suspicions) {
+        CHECK(word.primary.empty());
+        ++withdrawn;
+      }
+    }
+  }
+  LONGS_EQUAL(5, withdrawn);
+}
+
+TEST(roster, heartbeats_of_a_large_fleet_are_bounded)
+{
+  const auto roster = member::MakeRoster(MakeSettings(), kSeed);
+  std::vector<platform::vm> fleet;
+  fleet.reserve(530);
+  for (int vm = 0; vm < 530; ++vm) {
+    fleet.push_back(
+      MakeVm("vm" + std::to_string(vm), std::string(1, "xyz"[vm % 3])));
+  }
+  roster->Listed(fleet, At(0));
+  roster->SetGroups({ "g1", "g2", "g3" });
+  for (int beat = 0; beat < 10; ++beat) {
+    roster->Tick(At(beat * 100));
+    const auto sends = roster->TakeHeartbeats();
+    CHECK(sends.size() >= 8);
+    CHECK(sends.size() <= 14);
+    for (const auto& send : sends) {
+      CHECK(send.message.heardOf.size() <= 4);
+    }
+  }
+}
+
+TEST(roster, co_owners_always_get_heartbeats)
+{
+  std::vector<platform::vm> others;
+  others.reserve(100);
+  for (int vm = 0; vm < 100; ++vm) {
+    others.push_back(MakeVm("vm" + std::to_string(vm), vm < 50 ? "x" : "y"));
+  }
+  const absl::flat_hash_set<std::string> coOwners{ "vm17", "vm71" };
+  const auto self = MakeVm("self", "x");
+  for (std::uint64_t beat = 0; beat < 20; ++beat) {
+    const auto peers =
+      member::ChoosePeers({ self, others, coOwners, 8, kSeed, beat });
+    UNSIGNED_LONGS_EQUAL(10, peers.size());
+    CHECK(Find(peers, "vm17") != nullptr);
+    CHECK(Find(peers, "vm71") != nullptr);
+  }
+}
