Codec between core types and wire messages

Cause: gateway, pooler and peers need one checked conversion each way. Change: wire/codec with a struct for each message, Encode and Decode; every malformed message is an error of wire_errc, lists and sizes are bounded, and protobuf's own lines on stderr are off, since one bad sender could fill the log. idempotency_key gets its bytes for the wire. Ruled out: protobuf types in other modules, as deadlines and enumerators would be checked in many places. Conclusion: table tests cover each message, garbage, cuts and flipped bytes.

--- a/src/currantshed/outcome/idempotency_key.hpp
+++ b/src/currantshed/outcome/idempotency_key.hpp
@@ -2,6 +2,7 @@
 #define CURRANTSHED_OUTCOME_IDEMPOTENCY_KEY_HPP
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -33,6 +34,33 @@
   [[nodiscard]] static std::optional<idempotency_key> Parse(
     std::string_view aText) noexcept;
 
+  /// Takes the sixteen bytes as another process sent them; none when they
+  /// aren't a UUID of version 7.
+  [[nodiscard]] static std::optional<idempotency_key> FromBytes(
+    std::string_view aBytes) noexcept
+  {
+    idempotency_key key;
+    if (aBytes.size() != key.mBytes.size()) {
+      return std::nullopt;
+    }
+    for (std::size_t place = 0; place < aBytes.size(); ++place) {
+      key.mBytes[place] = static_cast<std::uint8_t>(aBytes[place]);
+    }
+    constexpr unsigned kVersionShift = 4;
+    constexpr unsigned kVersion = 7;
+    constexpr unsigned kVariantShift = 6;
+    constexpr unsigned kVariant = 2;
+    constexpr std::size_t kVersionPlace = 6;
+    constexpr std::size_t kVariantPlace = 8;
+    const bool isVersion7 =
+      (key.mBytes[kVersionPlace] >> kVersionShift) == kVersion &&
+      (key.mBytes[kVariantPlace] >> kVariantShift) == kVariant;
+    return isVersion7 ? std::optional(key) : std::nullopt;
+  }
+
+  /// The sixteen bytes, for another process.
+  [[nodiscard]] const bytes& Bytes() const noexcept { return mBytes; }
+
   /// The time of issue, in whole milliseconds.
   [[nodiscard]] clock::wall_time IssuedAt() const noexcept;
 
--- /dev/null
+++ b/src/currantshed/wire/convert_member.cpp
@@ -0,0 +1,149 @@
+#include "currantshed/wire/convert.hpp"
+
+#include <limits>
+#include <string>
+
+#include <google/protobuf/repeated_ptr_field.h>
+
+#include "currantshed/wire/errors.hpp"
+
+namespace currantshed::wire::internal {
+
+namespace {
+
+constexpr std::uint32_t kHighestPort =
+  std::numeric_limits<std::uint16_t>::max();
+
+void
+PutVm(const platform::vm& aFrom, Vm& aTo)
+{
+  aTo.set_id(aFrom.id);
+  aTo.set_address(aFrom.address);
+  aTo.set_failure_domain(aFrom.failureDomain);
+  aTo.set_pooler_port(aFrom.poolerPort);
+  aTo.set_peer_port(aFrom.peerPort);
+  aTo.set_status_port(aFrom.statusPort);
+  aTo.set_leaving(aFrom.leaving);
+}
+
+std::error_code
+TakeVm(const Vm& aFrom, platform::vm& aTo)
+{
+  const bool portsFit = aFrom.pooler_port() <= kHighestPort &&
+                        aFrom.peer_port() <= kHighestPort &&
+                        aFrom.status_port() <= kHighestPort;
+  if (!portsFit) {
+    return wire_errc::kOutOfRange;
+  }
+  aTo.id = aFrom.id();
+  aTo.address = aFrom.address();
+  aTo.failureDomain = aFrom.failure_domain();
+  aTo.poolerPort = static_cast<std::uint16_t>(aFrom.pooler_port());
+  aTo.peerPort = static_cast<std::uint16_t>(aFrom.peer_port());
+  aTo.statusPort = static_cast<std::uint16_t>(aFrom.status_port());
+  aTo.leaving = aFrom.leaving();
+  return {};
+}
+
+std::error_code
+TakeVms(const google::protobuf::RepeatedPtrField<Vm>& aFrom,
+        std::vector<platform::vm>& aTo)
+{
+  if (aFrom.size() > kMostEntries) {
+    return wire_errc::kTooLarge;
+  }
+  for (const auto& given : aFrom) {
+    if (const auto error = TakeVm(given, aTo.emplace_back())) {
+      return error;
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+void
+Put(const view& aFrom, View& aTo)
+{
+  aTo.set_version(aFrom.version);
+  for (const auto& vm : aFrom.live) {
+    PutVm(vm, *aTo.add_live());
+  }
+  for (const auto& group : aFrom.groups) {
+    aTo.add_groups(group);
+  }
+  aTo.set_owners(aFrom.owners);
+  aTo.set_configuration_version(aFrom.configurationVersion);
+  aTo.set_declaration(aFrom.declaration);
+}
+
+std::error_code
+Take(const View& aFrom, view& aTo)
+{
+  if (const auto error = TakeVms(aFrom.live(), aTo.live)) {
+    return error;
+  }
+  if (aFrom.groups_size() > kMostEntries) {
+    return wire_errc::kTooLarge;
+  }
+  aTo.version = aFrom.version();
+  aTo.groups.assign(aFrom.groups().begin(), aFrom.groups().end());
+  aTo.owners = aFrom.owners();
+  aTo.configurationVersion = aFrom.configuration_version();
+  aTo.declaration = aFrom.declaration();
+  return {};
+}
+
+void
+Put(const member::heartbeat& aFrom, Heartbeat& aTo)
+{
+  PutVm(aFrom.sender, *aTo.mutable_sender());
+  aTo.set_incarnation(aFrom.incarnation);
+  aTo.set_sequence(aFrom.sequence);
+  aTo.set_configuration_version(aFrom.configuration);
+  for (const auto& vm : aFrom.heardOf) {
+    PutVm(vm, *aTo.add_heard_of());
+  }
+  for (const auto& word : aFrom.suspicions) {
+    Suspicion& to = *aTo.add_suspicions();
+    to.set_group(word.group);
+    to.set_term(word.term);
+    to.set_primary(word.primary);
+  }
+  for (const auto& news : aFrom.terms) {
+    TermNews& to = *aTo.add_terms();
+    to.set_group(news.group);
+    to.set_term(news.term);
+    to.set_primary(news.primary);
+  }
+}
+
+std::error_code
+Take(const Heartbeat& aFrom, member::heartbeat& aTo)
+{
+  if (!aFrom.has_sender() || aFrom.sender().id().empty()) {
+    return wire_errc::kMalformed;
+  }
+  if (const auto error = TakeVm(aFrom.sender(), aTo.sender)) {
+    return error;
+  }
+  if (const auto error = TakeVms(aFrom.heard_of(), aTo.heardOf)) {
+    return error;
+  }
+  if (aFrom.suspicions_size() > kMostEntries ||
+      aFrom.terms_size() > kMostEntries) {
+    return wire_errc::kTooLarge;
+  }
+  aTo.incarnation = aFrom.incarnation();
+  aTo.sequence = aFrom.sequence();
+  aTo.configuration = aFrom.configuration_version();
+  for (const auto& word : aFrom.suspicions()) {
+    aTo.suspicions.push_back({ word.group(), word.term(), word.primary() });
+  }
+  for (const auto& news : aFrom.terms()) {
+    aTo.terms.push_back({ news.group(), news.term(), news.primary() });
+  }
+  return {};
+}
+
+} // namespace currantshed::wire::internal
