Statements of a database group and the connection to its servers

Cause: the pooler needs both, and the assumptions on a group belong in one place. Ruled out: one round trip a statement (a read is three statements), and libpq's single-row mode to bound an answer, which makes one result a row; arriving bytes are counted instead.

--- a/src/currantshed/upstream/fwd.hpp
+++ b/src/currantshed/upstream/fwd.hpp
@@ -8,7 +8,10 @@
 /// Name of one database server, unique in its group, as the platform gives it.
 using server_id = std::string;
 
+enum class errc;
 enum class server_role;
+class dialect;
+class pq_connection;
 struct endpoint;
 struct reply;
 struct result_set;
