Speak with the platform's store over libcurl

Everything that coordinates poolers goes through the platform's key-value service, so a client comes first: reads, watches, compare-and-swap and the two lists, on the event loop of the control thread.

A swap whose answer is missing is told as unknown, whatever went wrong, since only two answers prove anything. One wrong entry spoils a whole list: a group short of a member would have its majority counted over too few.

Answers are read apart from the transport, so tables cover them without sockets. Against a real server: not run yet.

--- /dev/null
+++ b/src/currantshed/platform/consul_answers.hpp
@@ -0,0 +1,46 @@
+#ifndef CURRANTSHED_PLATFORM_CONSUL_ANSWERS_HPP
+#define CURRANTSHED_PLATFORM_CONSUL_ANSWERS_HPP
+
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include "currantshed/platform/client.hpp"
+#include "currantshed/platform/transport.hpp"
+
+namespace currantshed::platform {
+
+/// Turns an answer that isn't a success into the platform's error; none for
+/// a success, and none for 404, which each call reads in its own way.
+[[nodiscard]] std::error_code
+StatusError(const http_answer& aAnswer);
+
+/// Reads the answer to GET /v1/kv/{key}; an absent key is an empty entry of
+/// version zero.
+[[nodiscard]] std::error_code
+ReadEntry(const http_answer& aAnswer, entry& aEntry);
+
+/// Reads the answer to a PUT /v1/kv/{key}?cas=N. All but the two answers
+/// that the interface lays down leave the outcome unknown.
+[[nodiscard]] swap_outcome
+ReadSwap(const http_answer& aAnswer);
+
+/// Reads the answer to GET /v1/catalog/service/currantshed. One entry that is
+/// wrong makes the whole list wrong.
+[[nodiscard]] std::error_code
+ReadVms(const http_answer& aAnswer, std::vector<vm>& aVms);
+
+/// Reads the answer to GET /v1/catalog/service/upstream, gathered by group.
+/// One entry that is wrong makes the whole list wrong: a group short of a
+/// member would have its majority counted over too few.
+[[nodiscard]] std::error_code
+ReadGroups(const http_answer& aAnswer,
+           std::vector<group::description>& aGroups);
+
+/// The path of a key, percent-encoded segment by segment.
+[[nodiscard]] std::string
+KeyTarget(const std::string& aKey);
+
+} // namespace currantshed::platform
+
+#endif
--- /dev/null
+++ b/src/currantshed/platform/errors.hpp
@@ -0,0 +1,48 @@
+#ifndef CURRANTSHED_PLATFORM_ERRORS_HPP
+#define CURRANTSHED_PLATFORM_ERRORS_HPP
+
+#include <system_error>
+
+#include "currantshed/platform/fwd.hpp"
+
+namespace currantshed::platform {
+
+/// What may go wrong between a process and the platform.
+enum class errc
+{
+  /// No connection could be made, or it broke.
+  kUnreachable = 1,
+  /// No whole answer came in time.
+  kTimeout,
+  /// The platform answered that it can't serve at the moment.
+  kUnavailable,
+  /// The platform's limit on calls a second was passed.
+  kRateLimited,
+  /// The platform refused the call itself.
+  kRejected,
+  /// The answer passed the limit on its size.
+  kTooLarge,
+  /// The answer isn't what the interface lays down.
+  kMalformed,
+};
+
+/// The category of the platform's errors.
+[[nodiscard]] const std::error_category&
+PlatformCategory() noexcept;
+
+/// Makes std::error_code take the enumerators as they are.
+[[nodiscard]] std::error_code
+make_error_code(errc aError) noexcept;
+
+} // namespace currantshed::platform
+
+namespace std {
+
+template<>
+struct is_error_code_enum<currantshed::platform::errc> : true_type
+{
+};
+
+} // namespace std
+
+#endif
--- a/src/currantshed/platform/fwd.hpp
+++ b/src/currantshed/platform/fwd.hpp
@@ -4,9 +4,14 @@
 namespace currantshed::platform {
 
 class client;
+class transport;
+enum class errc;
 enum class swap_outcome;
 struct entry;
+struct http_answer;
+struct http_request;
 struct listing;
+struct vm;
 
 } // namespace currantshed::platform
 
--- /dev/null
+++ b/src/currantshed/platform/http_client.cpp
@@ -0,0 +1,168 @@
+#include "currantshed/platform/http_client.hpp"
+
+#include <utility>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
+
+#include "currantshed/platform/consul_answers.hpp"
+
+namespace currantshed::platform {
+
+namespace {
+
+constexpr char kVmsTarget[] = "/v1/catalog/service/currantshed";
+constexpr char kGroupsTarget[] = "/v1/catalog/service/upstream";
+
+/// The two halves of a list, as their answers come in.
+struct listing_call
+{
+  listing value;
+  std::error_code error;
+  int missing = 2;
+  client::listing_callback done;
+
+  /// Takes the verdict on one half; tells the caller after the second.
+  void Arrived(std::error_code aError)
+  {
+    if (!error) {
+      error = aError;
+    }
+    if (--missing > 0) {
+      return;
+    }
+    if (error) {
+      value = listing{};
+    }
+    done(error, std::move(value));
+  }
+};
+
+class http_client final : public client
+{
+public:
+  http_client(std::unique_ptr<transport> aTransport,
+              std::chrono::milliseconds aTimeout)
+    : mTimeout(aTimeout)
+    , mTransport(std::move(aTransport))
+  {
+  }
+
+  void Get(std::string aKey, entry_callback aDone) override
+  {
+    auto target = KeyTarget(aKey);
+    Read(std::move(aKey), std::move(target), mTimeout, std::move(aDone));
+  }
+
+  void Watch(std::string aKey,
+             index aKnown,
+             std::chrono::milliseconds aAtMost,
+             entry_callback aDone) override
+  {
+    auto target = KeyTarget(aKey);
+    if (const index known = aKnown != 0 ? aKnown : AbsentSince(aKey)) {
+      absl::StrAppend(
+        &target, "?index=", known, "&wait=", aAtMost.count(), "ms");
+    }
+    Read(
+      std::move(aKey), std::move(target), mTimeout + aAtMost, std::move(aDone));
+  }
+
+  void Swap(std::string aKey,
+            std::string aValue,
+            index aExpected,
+            swap_callback aDone) override
+  {
+    http_request request;
+    request.method = http_method::kPut;
+    request.target = absl::StrCat(KeyTarget(aKey), "?cas=", aExpected);
+    request.body = std::move(aValue);
+    request.timeout = mTimeout;
+    mTransport->Send(std::move(request),
+                     [done = std::move(aDone)](const http_answer& aAnswer) {
+                       done(ReadSwap(aAnswer));
+                     });
+  }
+
+  void List(listing_callback aDone) override
+  {
+    auto call = std::make_shared<listing_call>();
+    call->done = std::move(aDone);
+    mTransport->Send(ReadRequest(kVmsTarget, mTimeout),
+                     [call](const http_answer& aAnswer) {
+                       call->Arrived(ReadVms(aAnswer, call->value.vms));
+                     });
+    mTransport->Send(ReadRequest(kGroupsTarget, mTimeout),
+                     [call](const http_answer& aAnswer) {
+                       call->Arrived(ReadGroups(aAnswer, call->value.groups));
+                     });
+  }
+
+private:
+  static http_request ReadRequest(std::string aTarget,
+                                  std::chrono::milliseconds aTimeout)
+  {
+    http_request request;
+    request.target = std::move(aTarget);
+    request.timeout = aTimeout;
+    return request;
+  }
+
+  void Read(std::string aKey,
+            std::string aTarget,
+            std::chrono::milliseconds aTimeout,
+            entry_callback aDone)
+  {
+    mTransport->Send(ReadRequest(std::move(aTarget), aTimeout),
+                     [this, key = std::move(aKey), done = std::move(aDone)](
+                       const http_answer& aAnswer) {
+                       entry found;
+                       const auto failure = ReadEntry(aAnswer, found);
+                       if (!failure) {
+                         Remember(key, found, aAnswer.index);
+                       }
+                       done(failure, std::move(found));
+                     });
+  }
+
+  /// A key that isn't there has no version to wait on; the store's index at
+  /// its last answer takes that place.
+  void Remember(const std::string& aKey, const entry& aFound, index aIndex)
+  {
+    if (aFound.version != 0) {
+      mAbsentSince.erase(aKey);
+      return;
+    }
+    mAbsentSince[aKey] = aIndex;
+  }
+
+  [[nodiscard]] index AbsentSince(const std::string& aKey) const
+  {
+    const auto found = mAbsentSince.find(aKey);
+    return found == mAbsentSince.end() ? 0 : found->second;
+  }
+
+  std::chrono::milliseconds mTimeout;
+  absl::flat_hash_map<std::string, index> mAbsentSince;
+  /// Last, so that it goes first and runs no callback on what is gone.
+  std::unique_ptr<transport> mTransport;
+};
+
+} // namespace
+
+std::unique_ptr<client>
+MakeClient(std::unique_ptr<transport> aTransport,
+           std::chrono::milliseconds aTimeout)
+{
+  return std::make_unique<http_client>(std::move(aTransport), aTimeout);
+}
+
+std::unique_ptr<client>
+MakeHttpClient(boost::asio::io_context& aLoop,
+               std::string aBaseUrl,
+               std::chrono::milliseconds aTimeout)
+{
+  return MakeClient(MakeCurlTransport(aLoop, std::move(aBaseUrl)), aTimeout);
+}
+
+} // namespace currantshed::platform
--- /dev/null
+++ b/test/currantshed/platform/http_client.cpp
@@ -0,0 +1,155 @@
+#include "currantshed/platform/http_client.hpp"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "currantshed/platform/errors.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using currantshed::platform::client;
+using currantshed::platform::entry;
+using currantshed::platform::errc;
+using currantshed::platform::http_answer;
+using currantshed::platform::http_method;
+using currantshed::platform::http_request;
+using currantshed::platform::listing;
+using currantshed::platform::MakeClient;
+using currantshed::platform::swap_outcome;
+using currantshed::platform::transport;
+
+namespace {
+
+constexpr auto kTimeout = 500ms;
+constexpr char kKey[] = "currantshed/configuration";
+
+struct sent_call
+{
+  http_request request;
+  transport::callback done;
+};
+
+/// Keeps the calls for the test to answer.
+class fake_transport final : public transport
+{
+public:
+  explicit fake_transport(std::vector<sent_call>& aSent)
+    : mSent(aSent)
+  {
+  }
+
+  void Send(http_request aRequest, callback aDone) override
+  {
+    mSent.push_back({ std::move(aRequest), std::move(aDone) });
+  }
+
+private:
+  std::vector<sent_call>& mSent;
+};
+
+http_answer
+Answer(int aStatus, const std::string& aBody, std::uint64_t aIndex = 0)
+{
+  return http_answer{ {}, aStatus, aIndex, aBody };
+}
+
+http_answer
+Failure(errc aError)
+{
+  return http_answer{ aError, 0, 0, {} };
+}
+
+struct list_row
+{
+  const char* name;
+  http_answer vms;
+  http_answer groups;
+  std::error_code error;
+};
+
+const list_row kListRows[] = {
+  { "both", Answer(200, "[]"), Answer(200, "[]"), {} },
+  { "first lost", Failure(errc::kTimeout), Answer(200, "[]"), errc::kTimeout },
+  { "second lost",
+    Answer(200, "[]"),
+    Failure(errc::kUnreachable),
+    errc::kUnreachable },
+  { "the first error counts",
+    Failure(errc::kTimeout),
+    Failure(errc::kUnreachable),
+    errc::kTimeout },
+};
+
+} // namespace
+
+TEST_GROUP(http_client)
+{
+  std::vector<sent_call> sent;
+  std::unique_ptr<client> subject =
+    MakeClient(std::make_unique<fake_transport>(sent), kTimeout);
+
+  void WatchFrom(std::uint64_t aKnown)
+  {
+    subject->Watch(kKey, aKnown, 10s, [](auto, auto) {});
+  }
+};
+
+TEST(http_client, a_swap_says_what_it_expects)
+{
+  auto outcome = swap_outcome::kUnknown;
+  subject->Swap(
+    kKey, "text", 7, [&outcome](auto aOutcome) { outcome = aOutcome; });
+  CHECK(sent[0].request.method == http_method::kPut);
+  STRCMP_EQUAL("/v1/kv/currantshed/configuration?cas=7",
+               sent[0].request.target.c_str());
+  STRCMP_EQUAL("text", sent[0].request.body.c_str());
+  CHECK(sent[0].request.timeout == kTimeout);
+  sent[0].done(Answer(200, "true"));
+  CHECK(outcome == swap_outcome::kApplied);
+}
+
+TEST(http_client, a_watch_waits_for_its_own_time_beside_the_timeout)
+{
+  WatchFrom(7);
+  STRCMP_EQUAL("/v1/kv/currantshed/configuration?index=7&wait=10000ms",
+               sent[0].request.target.c_str());
+  CHECK(sent[0].request.timeout == 10s + kTimeout);
+}
+
+TEST(http_client, a_watch_on_an_absent_key_waits_on_the_stores_index)
+{
+  WatchFrom(0);
+  STRCMP_EQUAL("/v1/kv/currantshed/configuration",
+               sent[0].request.target.c_str());
+  sent[0].done(Answer(404, "", 33));
+  WatchFrom(0);
+  STRCMP_EQUAL("/v1/kv/currantshed/configuration?index=33&wait=10000ms",
+               sent[1].request.target.c_str());
+  sent[1].done(Answer(200, R"([{"Value":"YWJj","ModifyIndex":34}])", 34));
+  WatchFrom(0);
+  STRCMP_EQUAL("/v1/kv/currantshed/configuration",
+               sent[2].request.target.c_str());
+}
+
+TEST(http_client, a_list_needs_both_halves)
+{
+  for (const auto& row : kListRows) {
+    sent.clear();
+    int calls = 0;
+    std::error_code error;
+    subject->List([&](std::error_code aError, const listing&) {
+      ++calls;
+      error = aError;
+    });
+    CHECK_TEXT(sent.size() == 2, row.name);
+    sent[0].done(row.vms);
+    CHECK_TEXT(calls == 0, row.name);
+    sent[1].done(row.groups);
+    CHECK_TEXT(calls == 1, row.name);
+    CHECK_TEXT(error == row.error, row.name);
+  }
+}
