Logs, settings and the status server

Every program needs the same three adapters before it can start: one JSON object a line on stderr, settings from flags and environment checked at once, and HTTP at the status port.

Ruled out: TCLAP's own help and version flags, since they end the process; absl's time zones for the time of a line, since they keep memory that the leak check of the tests reports.

Change: modules log, settings, http and the one source of Boost.JSON. Speed not measured. Conclusion: the daemons can be built on these.

--- /dev/null
+++ b/src/currantshed/http/fwd.hpp
@@ -0,0 +1,12 @@
+#ifndef CURRANTSHED_HTTP_FWD_HPP
+#define CURRANTSHED_HTTP_FWD_HPP
+
+namespace currantshed::http {
+
+struct status_answer;
+struct status_source;
+class status_server;
+
+} // namespace currantshed::http
+
+#endif
--- /dev/null
+++ b/src/currantshed/log/log.hpp
@@ -0,0 +1,69 @@
+#ifndef CURRANTSHED_LOG_LOG_HPP
+#define CURRANTSHED_LOG_LOG_HPP
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/log/fwd.hpp"
+
+namespace currantshed::log {
+
+/// How much a line matters, lowest first.
+enum class level
+{
+  kDebug,
+  kInfo,
+  kWarning,
+  kError,
+};
+
+/// What every line of one process says about the process.
+struct identity
+{
+  std::string program;
+  std::string vm;
+  std::string failureDomain;
+};
+
+/// The content of one field.
+using value = std::variant<std::string, std::int64_t, double, bool>;
+
+/// One field of a line, beside the fixed ones. Statement texts and values of
+/// parameters never go into a field.
+struct field
+{
+  std::string_view name;
+  value content;
+};
+
+/// Names the process and the lowest level that is written; called once,
+/// before the first line. Lines written before have no identity.
+void
+Start(const identity& aSelf, level aLowest);
+
+/// Writes one JSON object on one line of the standard error stream. The fixed
+/// fields come first (time, level, event, program, vm, failure_domain), then
+/// the given ones; a given field can't replace a fixed one. Safe for use by
+/// several threads.
+void
+Write(level aLevel,
+      std::string_view aEvent,
+      std::initializer_list<field> aFields = {});
+
+/// The text of one line, without its end. Always valid JSON: bytes that are
+/// not UTF-8 become the replacement character, and a number that is not
+/// finite becomes null.
+[[nodiscard]] std::string
+FormatLine(clock::wall_time aNow,
+           const identity& aSelf,
+           level aLevel,
+           std::string_view aEvent,
+           std::initializer_list<field> aFields);
+
+} // namespace currantshed::log
+
+#endif
--- /dev/null
+++ b/src/currantshed/log/utf8.hpp
@@ -0,0 +1,16 @@
+#ifndef CURRANTSHED_LOG_UTF8_HPP
+#define CURRANTSHED_LOG_UTF8_HPP
+
+#include <string>
+#include <string_view>
+
+namespace currantshed::log {
+
+/// The text with each byte that is no part of valid UTF-8 (RFC 3629) replaced
+/// by the replacement character U+FFFD.
+[[nodiscard]] std::string
+ToValidUtf8(std::string_view aText);
+
+} // namespace currantshed::log
+
+#endif
--- /dev/null
+++ b/src/currantshed/settings/command_line.cpp
@@ -0,0 +1,147 @@
+#include "currantshed/settings/command_line.hpp"
+
+#include <memory>
+#include <string_view>
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <tclap/CmdLine.h>
+
+namespace currantshed::settings {
+namespace {
+
+constexpr std::string_view kPrefix = "--";
+constexpr const char* kHelp = "help";
+constexpr const char* kVersion = "version";
+constexpr const char* kPrintSettings = "print-settings";
+constexpr const char* kUnit = "value";
+
+using value_flag = TCLAP::MultiArg<std::string>;
+using plain_flag = TCLAP::SwitchArg;
+
+/// The option that a token such as --name names, or none.
+const option*
+FindOption(const std::vector<option>& aOptions, std::string_view aToken)
+{
+  if (aToken.substr(0, kPrefix.size()) != kPrefix) {
+    return nullptr;
+  }
+  const auto flag = aToken.substr(kPrefix.size());
+  for (const auto& one : aOptions) {
+    if (one.flag == flag) {
+      return &one;
+    }
+  }
+  return nullptr;
+}
+
+/// Splits --name=value in two where the name is known.
+std::vector<std::string>
+SplitValues(const std::vector<option>& aOptions,
+            const std::vector<std::string>& aArguments)
+{
+  std::vector<std::string> tokens;
+  for (const auto& argument : aArguments) {
+    const auto equals = argument.find('=');
+    const std::string head = argument.substr(0, equals);
+    const auto* const known = FindOption(aOptions, head);
+    if (equals != std::string::npos && known != nullptr) {
+      tokens.push_back(head);
+      tokens.push_back(argument.substr(equals + 1));
+      continue;
+    }
+    tokens.push_back(argument);
+    if (known != nullptr && known->isSwitch) {
+      tokens.emplace_back("yes");
+    }
+  }
+  return tokens;
+}
+
+/// Drops flags without a value, with a fault for each.
+std::vector<std::string>
+DropUnfinished(const std::vector<option>& aOptions,
+               const std::vector<std::string>& aTokens,
+               std::vector<std::string>& aFaults)
+{
+  std::vector<std::string> kept;
+  for (std::size_t i = 0; i < aTokens.size(); ++i) {
+    if (FindOption(aOptions, aTokens[i]) == nullptr) {
+      kept.push_back(aTokens[i]);
+      continue;
+    }
+    const bool hasValue =
+      i + 1 < aTokens.size() && FindOption(aOptions, aTokens[i + 1]) == nullptr;
+    if (!hasValue) {
+      aFaults.push_back(absl::StrCat(aTokens[i], ": needs a value"));
+      continue;
+    }
+    kept.push_back(aTokens[i]);
+    kept.push_back(aTokens[i + 1]);
+    ++i;
+  }
+  return kept;
+}
+
+/// Tells unknown flags from arguments. What follows an unknown flag is taken
+/// for its value.
+void
+SortRest(const std::vector<std::string>& aRest, command_line& aLine)
+{
+  bool isAfterUnknown = false;
+  for (const auto& token : aRest) {
+    if (absl::StartsWith(token, "-") && token.size() > 1) {
+      aLine.faults.push_back(absl::StrCat("unknown flag ", token));
+      isAfterUnknown = !absl::StrContains(token, "=");
+      continue;
+    }
+    if (!isAfterUnknown) {
+      aLine.arguments.push_back(token);
+    }
+    isAfterUnknown = false;
+  }
+}
+
+} // namespace
+
+command_line
+ReadCommandLine(const std::vector<option>& aOptions,
+                const std::vector<std::string>& aArguments)
+{
+  command_line line;
+  auto tokens =
+    DropUnfinished(aOptions, SplitValues(aOptions, aArguments), line.faults);
+  tokens.insert(tokens.begin(), "currantshed");
+  try {
+    // The flags that TCLAP brings are left out: they end the process.
+    TCLAP::CmdLine reader("", ' ', "", false);
+    reader.setExceptionHandling(false);
+    std::vector<std::unique_ptr<value_flag>> flags;
+    flags.reserve(aOptions.size());
+    for (const auto& one : aOptions) {
+      flags.push_back(std::make_unique<value_flag>(
+        "", one.flag, one.help, false, kUnit, reader));
+    }
+    const plain_flag help("", kHelp, "", reader);
+    const plain_flag version("", kVersion, "", reader);
+    const plain_flag print("", kPrintSettings, "", reader);
+    TCLAP::UnlabeledMultiArg<std::string> rest(
+      "arguments", "what is no flag", false, kUnit, reader);
+    reader.parse(tokens);
+    for (std::size_t i = 0; i < aOptions.size(); ++i) {
+      line.values[aOptions[i].flag] = flags[i]->getValue();
+    }
+    line.wantsHelp = help.isSet();
+    line.wantsVersion = version.isSet();
+    line.wantsSettings = print.isSet();
+    SortRest(rest.getValue(), line);
+  } catch (const TCLAP::ArgException& wrong) {
+    line.faults.push_back(absl::StrCat(wrong.argId(), ": ", wrong.error()));
+  } catch (const TCLAP::ExitException&) {
+    line.faults.emplace_back("the command line can't be read");
+  }
+  return line;
+}
+
+} // namespace currantshed::settings
--- /dev/null
+++ b/src/currantshed/settings/parser.cpp
@@ -0,0 +1,361 @@
+#include "currantshed/settings/parser.hpp"
+
+#include <cstdlib>
+#include <iostream>
+#include <limits>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_replace.h>
+
+#include "currantshed/settings/command_line.hpp"
+#include "currantshed/settings/duration.hpp"
+
+namespace currantshed::settings {
+namespace {
+
+constexpr unsigned kHighestPort = std::numeric_limits<std::uint16_t>::max();
+
+std::optional<std::string>
+ReadVariable(const std::string& aName)
+{
+  const char* const text = std::getenv(aName.c_str());
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  return std::string(text);
+}
+
+std::string
+CheckNumber(const std::string& aText,
+            unsigned aLowest,
+            unsigned aHighest,
+            unsigned& aNumber)
+{
+  const bool isNumber = absl::SimpleAtoi(aText, &aNumber);
+  if (!isNumber || aNumber < aLowest || aNumber > aHighest) {
+    return absl::StrCat(
+      "must be a whole number from ", aLowest, " to ", aHighest);
+  }
+  return {};
+}
+
+std::optional<bool>
+ReadTruth(const std::string& aText)
+{
+  const std::string lower = absl::AsciiStrToLower(aText);
+  if (lower == "yes" || lower == "true" || lower == "1" || lower == "on") {
+    return true;
+  }
+  if (lower == "no" || lower == "false" || lower == "0" || lower == "off") {
+    return false;
+  }
+  return std::nullopt;
+}
+
+/// Sets one option from flags or environment; adds what is wrong.
+void
+Settle(option& aOption,
+       const command_line& aLine,
+       const environment& aEnvironment,
+       std::vector<std::string>& aFaults)
+{
+  const auto given = aLine.values.find(aOption.flag);
+  std::optional<std::string> text;
+  std::string source;
+  if (given != aLine.values.end() && !given->second.empty()) {
+    if (given->second.size() > 1) {
+      aFaults.push_back(
+        absl::StrCat("--", aOption.flag, ": given more than once"));
+    }
+    text = given->second.front();
+    source = absl::StrCat("--", aOption.flag);
+    aOption.origin = "flag";
+  } else {
+    text = aEnvironment(VariableOf(aOption.flag));
+    source = VariableOf(aOption.flag);
+    if (text && text->empty()) {
+      text.reset();
+    }
+    if (text) {
+      aOption.origin = "environment";
+    }
+  }
+  if (text) {
+    const std::string wrong = aOption.assign(*text);
+    if (!wrong.empty()) {
+      const std::string shown =
+        aOption.isSecret ? "" : absl::StrCat(" (is '", *text, "')");
+      aFaults.push_back(absl::StrCat(source, ": ", wrong, shown));
+      return;
+    }
+  }
+  if (aOption.isRequired && aOption.print().empty()) {
+    aFaults.push_back(absl::StrCat(
+      "--", aOption.flag, ": required, or set ", VariableOf(aOption.flag)));
+  }
+}
+
+} // namespace
+
+std::string
+VariableOf(std::string_view aFlag)
+{
+  const std::string flag(aFlag);
+  return absl::StrCat(
+    "CURRANTSHED_",
+    absl::AsciiStrToUpper(absl::StrReplaceAll(flag, { { "-", "_" } })));
+}
+
+parser::parser(std::string aProgram, std::string aSummary)
+  : mProgram(std::move(aProgram))
+  , mSummary(std::move(aSummary))
+{
+}
+
+void
+parser::Add(option aOption)
+{
+  mOptions.push_back(std::move(aOption));
+}
+
+void
+parser::Text(std::string& aTarget,
+             std::string aFlag,
+             std::string aHelp,
+             bool aRequired)
+{
+  option added{ std::move(aFlag), std::move(aHelp), "TEXT", aRequired };
+  added.assign = [&aTarget](const std::string& aText) {
+    aTarget = aText;
+    return std::string();
+  };
+  added.print = [&aTarget] { return aTarget; };
+  Add(std::move(added));
+}
+
+void
+parser::Secret(std::string& aTarget,
+               std::string aFlag,
+               std::string aHelp,
+               bool aRequired)
+{
+  Text(aTarget, std::move(aFlag), std::move(aHelp), aRequired);
+  mOptions.back().isSecret = true;
+  mOptions.back().unit = "SECRET";
+}
+
+void
+parser::Choice(std::string& aTarget,
+               std::string aFlag,
+               std::string aHelp,
+               std::vector<std::string> aWords)
+{
+  const std::string unit = absl::StrJoin(aWords, "|");
+  option added{ std::move(aFlag), std::move(aHelp), unit };
+  added.assign = [&aTarget,
+                  words = std::move(aWords)](const std::string& aText) {
+    for (const auto& word : words) {
+      if (word == aText) {
+        aTarget = aText;
+        return std::string();
+      }
+    }
+    return absl::StrCat("must be one of ", absl::StrJoin(words, ", "));
+  };
+  added.print = [&aTarget] { return aTarget; };
+  Add(std::move(added));
+}
+
+void
+parser::Port(std::uint16_t& aTarget,
+             std::string aFlag,
+             std::string aHelp,
+             bool aRequired)
+{
+  option added{ std::move(aFlag), std::move(aHelp), "PORT", aRequired };
+  const unsigned lowest = aRequired ? 1 : 0;
+  added.assign = [&aTarget, lowest](const std::string& aText) {
+    unsigned number = 0;
+    std::string wrong = CheckNumber(aText, lowest, kHighestPort, number);
+    if (wrong.empty()) {
+      aTarget = static_cast<std::uint16_t>(number);
+    }
+    return wrong;
+  };
+  added.print = [&aTarget, aRequired] {
+    const bool isMissing = aRequired && aTarget == 0;
+    return isMissing ? std::string() : absl::StrCat(aTarget);
+  };
+  Add(std::move(added));
+}
+
+void
+parser::Count(unsigned& aTarget,
+              std::string aFlag,
+              std::string aHelp,
+              unsigned aLowest,
+              unsigned aHighest)
+{
+  option added{ std::move(aFlag), std::move(aHelp), "N" };
+  added.assign = [&aTarget, aLowest, aHighest](const std::string& aText) {
+    unsigned number = 0;
+    std::string wrong = CheckNumber(aText, aLowest, aHighest, number);
+    if (wrong.empty()) {
+      aTarget = number;
+    }
+    return wrong;
+  };
+  added.print = [&aTarget] { return absl::StrCat(aTarget); };
+  Add(std::move(added));
+}
+
+void
+parser::Milliseconds(std::chrono::milliseconds& aTarget,
+                     std::string aFlag,
+                     std::string aHelp,
+                     std::chrono::milliseconds aLowest,
+                     std::chrono::milliseconds aHighest)
+{
+  option added{ std::move(aFlag), std::move(aHelp), "TIME" };
+  added.assign = [&aTarget, aLowest, aHighest](const std::string& aText) {
+    const auto time = ParseDuration(aText, bare_number::kMilliseconds);
+    if (!time || *time < aLowest || *time > aHighest) {
+      return absl::StrCat("must be a time from ",
+                          PrintDuration(aLowest),
+                          " to ",
+                          PrintDuration(aHighest));
+    }
+    aTarget = *time;
+    return std::string();
+  };
+  added.print = [&aTarget] { return PrintDuration(aTarget); };
+  Add(std::move(added));
+}
+
+void
+parser::Switch(bool& aTarget, std::string aFlag, std::string aHelp)
+{
+  option added{ std::move(aFlag), std::move(aHelp) };
+  added.isSwitch = true;
+  added.assign = [&aTarget](const std::string& aText) {
+    const auto truth = ReadTruth(aText);
+    if (!truth) {
+      return std::string("must be yes or no");
+    }
+    aTarget = *truth;
+    return std::string();
+  };
+  added.print = [&aTarget] { return std::string(aTarget ? "yes" : "no"); };
+  Add(std::move(added));
+}
+
+void
+parser::Arguments(std::vector<std::string>& aTarget,
+                  std::string aName,
+                  std::string aHelp)
+{
+  mArguments = &aTarget;
+  mArgumentsName = std::move(aName);
+  mArgumentsHelp = std::move(aHelp);
+}
+
+void
+parser::Epilogue(std::string aText)
+{
+  mEpilogue = std::move(aText);
+}
+
+parse_result
+parser::Parse(int aCount, const char* const* aValues)
+{
+  const std::vector<std::string> arguments(aValues + (aCount > 0 ? 1 : 0),
+                                           aValues + aCount);
+  return Parse(arguments, ReadVariable, std::cout, std::cerr);
+}
+
+parse_result
+parser::Parse(const std::vector<std::string>& aArguments,
+              const environment& aEnvironment,
+              std::ostream& aOut,
+              std::ostream& aErrors)
+{
+  command_line line = ReadCommandLine(mOptions, aArguments);
+  if (line.wantsHelp) {
+    PrintHelp(aOut);
+    return { parse_end::kExit, 0 };
+  }
+  if (line.wantsVersion) {
+    aOut << mProgram << ' ' << CURRANTSHED_VERSION << '\n';
+    return { parse_end::kExit, 0 };
+  }
+  for (auto& one : mOptions) {
+    Settle(one, line, aEnvironment, line.faults);
+  }
+  if (mArguments != nullptr) {
+    *mArguments = line.arguments;
+  } else {
+    for (const auto& argument : line.arguments) {
+      line.faults.push_back(absl::StrCat("unexpected argument ", argument));
+    }
+  }
+  for (const auto& wrong : line.faults) {
+    aErrors << mProgram << ": " << wrong << '\n';
+  }
+  if (!line.faults.empty()) {
+    aErrors << mProgram << ": see --help\n";
+    return { parse_end::kExit, kUsageExitCode };
+  }
+  if (line.wantsSettings) {
+    PrintSettings(aOut);
+    return { parse_end::kExit, 0 };
+  }
+  return { parse_end::kRun, 0 };
+}
+
+void
+parser::PrintHelp(std::ostream& aOut) const
+{
+  aOut << mProgram << ": " << mSummary << "\n\nUsage: " << mProgram
+       << " [flags]";
+  if (mArguments != nullptr) {
+    aOut << ' ' << mArgumentsName << "\n\n" << mArgumentsHelp;
+  }
+  aOut << "\n\nFlags, each with its environment variable; a flag goes before "
+          "its variable:\n";
+  for (const auto& one : mOptions) {
+    const std::string shown =
+      one.isSecret ? "" : absl::StrCat(" (default: ", one.print(), ")");
+    aOut << absl::StreamFormat("  --%s %s, %s\n      %s%s\n",
+                               one.flag,
+                               one.unit,
+                               VariableOf(one.flag),
+                               one.help,
+                               one.isRequired ? " (required)" : shown);
+  }
+  aOut << "  --help\n      prints this text\n"
+          "  --version\n      prints the version\n"
+          "  --print-settings\n      prints every setting, its value and where "
+          "the value came from\n";
+  if (!mEpilogue.empty()) {
+    aOut << '\n' << mEpilogue << '\n';
+  }
+}
+
+void
+parser::PrintSettings(std::ostream& aOut) const
+{
+  for (const auto& one : mOptions) {
+    const std::string present = one.print();
+    const bool isHidden = one.isSecret && !present.empty();
+    aOut << absl::StreamFormat("%-32s %-32s %s\n",
+                               one.flag,
+                               isHidden ? "(hidden)" : present,
+                               std::string(one.origin));
+  }
+}
+
+} // namespace currantshed::settings
--- /dev/null
+++ b/test/currantshed/log/log.cpp
@@ -0,0 +1,83 @@
+#include "currantshed/log/log.hpp"
+
+#include <boost/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+
+namespace {
+
+const log::identity kSelf{ "currantshed-pooler", "vm-1", "marka" };
+
+std::string
+Line(std::string_view aEvent, std::initializer_list<log::field> aFields)
+{
+  const clock::wall_time now{ std::chrono::milliseconds(1700000000123) };
+  return log::FormatLine(now, kSelf, log::level::kWarning, aEvent, aFields);
+}
+
+struct text_row
+{
+  const char* name;
+  std::string given;
+  std::string expect;
+};
+
+const text_row kTextRows[] = {
+  { "plain", "abc", "abc" },
+  { "quotes and backslashes", R"(a"b\c)", R"(a"b\c)" },
+  { "line ends stay within the line", "a\nb\r\nc", "a\nb\r\nc" },
+  { "control characters",
+    std::string("a\0b\x1b", 4),
+    std::string("a\0b\x1b", 4) },
+  { "format letters of the logger", "%msg %v %level", "%msg %v %level" },
+  { "UTF-8", "Ärger 浴", "Ärger 浴" },
+  { "a lone continuation", "a\x80z", "a\xEF\xBF\xBDz" },
+  { "a cut sequence", "a\xE6\xB5", "a\xEF\xBF\xBD\xEF\xBF\xBD" },
+  { "an overlong form", "\xC0\xAF", "\xEF\xBF\xBD\xEF\xBF\xBD" },
+  { "a surrogate", "\xED\xA0\x80", "\xEF\xBF\xBD\xEF\xBF\xBD\xEF\xBF\xBD" },
+};
+
+} // namespace
+
+TEST_GROUP(log){};
+
+TEST(log, fixed_fields_come_first)
+{
+  STRCMP_EQUAL("{\"time\":\"2023-11-14T22:13:20.123Z\",\"level\":\"warning\","
+               "\"event\":\"promoted\",\"program\":\"currantshed-pooler\","
+               "\"vm\":\"vm-1\",\"failure_domain\":\"marka\","
+               "\"group\":\"planner-1\",\"term\":7,\"late\":true}",
+               Line("promoted",
+                    { { "group", "planner-1" },
+                      { "term", std::int64_t{ 7 } },
+                      { "late", true } })
+                 .c_str());
+}
+
+TEST(log, texts_stay_valid_json_on_one_line)
+{
+  for (const auto& row : kTextRows) {
+    const std::string line = Line("e", { { "text", row.given } });
+    CHECK_TEXT(line.find('\n') == std::string::npos, row.name);
+    const auto parsed = boost::json::parse(line).as_object();
+    const auto& read = parsed.at("text").as_string();
+    CHECK_TEXT(std::string(read.data(), read.size()) == row.expect, row.name);
+  }
+}
+
+TEST(log, a_field_does_not_replace_a_fixed_one)
+{
+  const auto parsed =
+    boost::json::parse(Line("e", { { "vm", "other" } })).as_object();
+  CHECK(parsed.at("vm").as_string() == "vm-1");
+}
+
+TEST(log, numbers_that_are_not_finite_become_null)
+{
+  const double nothing = 0;
+  const auto parsed =
+    boost::json::parse(Line("e", { { "x", nothing / nothing } })).as_object();
+  CHECK(parsed.at("x").is_null());
+}
--- /dev/null
+++ b/test/currantshed/settings/duration.cpp
@@ -0,0 +1,58 @@
+#include "currantshed/settings/duration.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using currantshed::settings::bare_number;
+using currantshed::settings::ParseDuration;
+using currantshed::settings::PrintDuration;
+
+namespace {
+
+struct duration_row
+{
+  const char* given;
+  long expect;
+  const char* printed;
+};
+
+constexpr duration_row kGood[] = {
+  { "0s", 0, "0s" },       { "500ms", 500, "500ms" },
+  { "2s", 2000, "2s" },    { "5m", 300000, "5m" },
+  { "1h", 3600000, "1h" }, { "1000ms", 1000, "1s" },
+  { "90s", 90000, "90s" }, { "1500ms", 1500, "1500ms" },
+};
+
+constexpr const char* kBad[] = {
+  "",
+  "ms",
+  "5",
+  "-1s",
+  "1.5s",
+  "5 s",
+  "5S",
+  "5s ",
+  "5d",
+  "99999999999999999999s",
+  "9223372036854775807h",
+};
+
+} // namespace
+
+TEST_GROUP(duration){};
+
+TEST(duration, good)
+{
+  for (const auto& row : kGood) {
+    const auto time = ParseDuration(row.given, bare_number::kRefused);
+    CHECK_TEXT(time.has_value(), row.given);
+    LONGS_EQUAL_TEXT(row.expect, time->count(), row.given);
+    STRCMP_EQUAL_TEXT(row.printed, PrintDuration(*time).c_str(), row.given);
+  }
+}
+
+TEST(duration, bad)
+{
+  for (const auto* text : kBad) {
+    CHECK_TEXT(!ParseDuration(text, bare_number::kRefused), text);
+  }
+}
