Sockets on an io_context

Cause: pooler, gateway and peers speak over ZeroMQ on threads that also hold libpq's, libcurl's and timers' descriptors. Change: net/ with router, dealer, tick_timer and one mapping of errors. A dealer without a connection refuses at once, so that nothing arrives long after it was meant; pings find a silent peer after 1 s. Ruled out: a thread with zmq_poll for each socket, which would add a hop between threads to each message. Conclusion: table tests run over real sockets on ports the system gives.

--- /dev/null
+++ b/src/currantshed/net/zmq_socket.hpp
@@ -0,0 +1,162 @@
+#ifndef CURRANTSHED_NET_ZMQ_SOCKET_HPP
+#define CURRANTSHED_NET_ZMQ_SOCKET_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <zmq.hpp>
+
+#include "currantshed/net/fwd.hpp"
+
+namespace currantshed::net {
+
+/// Bounds and times of one socket.
+struct socket_settings
+{
+  /// Messages queued for one peer, each way; more are refused.
+  int highWater = 20000;
+  /// Longest message taken from a peer, in bytes; a peer that sends more is
+  /// disconnected.
+  std::int64_t longestMessage = std::int64_t{ 16 } * 1024 * 1024;
+  /// Time between the transport's own pings.
+  std::chrono::milliseconds pingInterval{ 250 };
+  /// A peer that has been silent for this long is disconnected.
+  std::chrono::milliseconds pingTimeout{ 1000 };
+  /// Pause between attempts to connect, at first and at most.
+  std::chrono::milliseconds reconnectFirst{ 25 };
+  std::chrono::milliseconds reconnectMost{ 500 };
+};
+
+/// One ZeroMQ socket hung on an io_context. Belongs to the thread that runs
+/// the io_context. Sending never blocks. Nothing lingers after Close.
+///
+/// ZeroMQ's descriptor tells only of changes, and a send may use such a
+/// change up; so the socket is drained after every wake and after every
+/// send.
+class zmq_socket
+{
+public:
+  zmq_socket(boost::asio::io_context& aContext,
+             zmq::context_t& aZmq,
+             zmq::socket_type aType,
+             const socket_settings& aSettings);
+
+  zmq_socket(const zmq_socket&) = delete;
+  zmq_socket& operator=(const zmq_socket&) = delete;
+  virtual ~zmq_socket();
+
+  /// Closes the socket; what is queued is dropped, and no callback comes
+  /// after it.
+  void Close();
+
+protected:
+  /// Begins to hand messages over.
+  void StartReading();
+
+  /// Sends one message of one or two parts, or none of it.
+  [[nodiscard]] std::error_code SendParts(std::string_view aPeer,
+                                          std::string_view aBytes);
+
+  [[nodiscard]] std::error_code BindTo(const std::string& aAddress,
+                                       std::uint16_t aPort);
+  [[nodiscard]] std::error_code ConnectTo(const std::string& aAddress,
+                                          std::uint16_t aPort);
+
+  /// Reads one whole message and hands it over; false when there is none.
+  [[nodiscard]] virtual bool TakeOne() = 0;
+
+  /// Reads the next part; false when there is none.
+  [[nodiscard]] bool Receive(zmq::message_t& aPart);
+
+  /// Reads the rest of a message and keeps its last part; the system's own
+  /// messages have one part, so that all others fail to decode.
+  [[nodiscard]] bool ReceiveLast(zmq::message_t& aPart);
+
+  [[nodiscard]] zmq::socket_t& Socket() noexcept { return mSocket; }
+  [[nodiscard]] boost::asio::io_context& Context() noexcept { return mContext; }
+
+private:
+  void Wait();
+  void Drain();
+  void ScheduleDrain();
+
+  boost::asio::io_context& mContext;
+  zmq::socket_t mSocket;
+  boost::asio::posix::stream_descriptor mDescriptor;
+  bool mDrainScheduled = false;
+  /// Ends with the socket, so that late completions find nothing.
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+/// A socket that many peers connect to; each is named by the bytes that
+/// ZeroMQ gives it for the time of its connection.
+class router final : public zmq_socket
+{
+public:
+  using receiver =
+    std::function<void(std::string_view aPeer, std::string_view aBytes)>;
+
+  router(boost::asio::io_context& aContext,
+         zmq::context_t& aZmq,
+         const socket_settings& aSettings);
+
+  /// Listens at an IP number and port, and hands each message over. Port zero
+  /// stands for any free one.
+  [[nodiscard]] std::error_code Bind(const std::string& aAddress,
+                                     std::uint16_t aPort,
+                                     receiver aReceiver);
+
+  /// The port that Bind took.
+  [[nodiscard]] std::uint16_t Port();
+
+  [[nodiscard]] std::error_code Send(std::string_view aPeer,
+                                     std::string_view aBytes);
+
+private:
+  [[nodiscard]] bool TakeOne() override;
+
+  receiver mReceiver;
+};
+
+/// A socket connected to one router. It connects again by itself. While no
+/// connection stands, messages are refused and none is kept for later.
+class dealer final : public zmq_socket
+{
+public:
+  using receiver = std::function<void(std::string_view aBytes)>;
+
+  dealer(boost::asio::io_context& aContext,
+         zmq::context_t& aZmq,
+         const socket_settings& aSettings);
+  ~dealer() override;
+
+  [[nodiscard]] std::error_code Connect(const std::string& aAddress,
+                                        std::uint16_t aPort,
+                                        receiver aReceiver);
+
+  [[nodiscard]] std::error_code Send(std::string_view aBytes);
+
+  /// Has the callback called whenever a connection begins to stand, with
+  /// true, or is lost, with false. Call before Connect.
+  void OnLink(std::function<void(bool)> aChanged);
+
+private:
+  class link_monitor;
+
+  [[nodiscard]] bool TakeOne() override;
+
+  zmq::context_t& mZmq;
+  receiver mReceiver;
+  std::unique_ptr<link_monitor> mMonitor;
+};
+
+} // namespace currantshed::net
+
+#endif
--- /dev/null
+++ b/test/currantshed/net/tick_timer.cpp
@@ -0,0 +1,62 @@
+#include "currantshed/net/tick_timer.hpp"
+
+#include <chrono>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+namespace net = currantshed::net;
+using currantshed::clock::time_point;
+
+namespace {
+
+struct tick_row
+{
+  const char* name;
+  std::vector<time_point> asked;
+  int expected;
+};
+
+/// Times long past are due at once, without a wait.
+std::vector<tick_row>
+TickRows()
+{
+  constexpr time_point kFirst{ 1s };
+  constexpr time_point kSecond{ 2s };
+  return {
+    { "nothing asked", {}, 0 },
+    { "one time", { kFirst }, 1 },
+    { "an earlier time replaces a later one", { kSecond, kFirst }, 1 },
+    { "a later time is covered", { kFirst, kSecond }, 1 },
+  };
+}
+
+} // namespace
+
+TEST_GROUP(tick_timer){};
+
+TEST(tick_timer, ticks)
+{
+  for (const auto& row : TickRows()) {
+    boost::asio::io_context context;
+    int ticks = 0;
+    net::tick_timer timer(context, [&] { ++ticks; });
+    for (const auto due : row.asked) {
+      timer.At(due);
+    }
+    context.run();
+    CHECK_EQUAL_TEXT(row.expected, ticks, row.name);
+  }
+}
+
+TEST(tick_timer, a_stopped_timer_is_silent)
+{
+  boost::asio::io_context context;
+  int ticks = 0;
+  net::tick_timer timer(context, [&] { ++ticks; });
+  timer.At(time_point::max() - 1h);
+  timer.Stop();
+  context.run();
+  CHECK_EQUAL(0, ticks);
+}
--- /dev/null
+++ b/test/currantshed/net/zmq_socket.cpp
@@ -0,0 +1,166 @@
+#include "currantshed/net/zmq_socket.hpp"
+
+#include <cerrno>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <zmq.h>
+
+#include "currantshed/net/errors.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+namespace net = currantshed::net;
+
+namespace {
+
+constexpr const char* kAddress = "127.0.0.1";
+/// Asks for any free port.
+constexpr std::uint16_t kAnyPort = 0;
+/// A port at which nothing listens.
+constexpr std::uint16_t kSilentPort = 1;
+constexpr auto kBound = 10s;
+
+struct mapping_row
+{
+  const char* name;
+  int number;
+  net::net_errc expected;
+};
+
+constexpr mapping_row kMappingRows[] = {
+  { "port taken", EADDRINUSE, net::net_errc::kInUse },
+  { "foreign address", EADDRNOTAVAIL, net::net_errc::kBadAddress },
+  { "no address", EINVAL, net::net_errc::kBadAddress },
+  { "no device", ENODEV, net::net_errc::kBadAddress },
+  { "queue full", EAGAIN, net::net_errc::kFull },
+  { "peer gone", EHOSTUNREACH, net::net_errc::kUnreachable },
+  { "socket closed", ENOTSOCK, net::net_errc::kClosed },
+  { "context ended", ETERM, net::net_errc::kClosed },
+  { "anything else", EFAULT, net::net_errc::kSystem },
+};
+
+/// Runs the context until the condition holds, at most for the bound.
+template<typename Condition>
+bool
+RunUntil(asio::io_context& aContext, Condition aCondition)
+{
+  const auto last = std::chrono::steady_clock::now() + kBound;
+  while (!aCondition() && std::chrono::steady_clock::now() < last) {
+    aContext.restart();
+    aContext.run_one_for(kBound);
+  }
+  return aCondition();
+}
+
+struct echo_row
+{
+  const char* name;
+  int messages;
+  std::size_t bytes;
+};
+
+constexpr echo_row kEchoRows[] = {
+  { "one message", 1, 10 },
+  { "an empty message", 1, 0 },
+  { "more than are taken at once", 1000, 10 },
+  { "a long message", 1, 1000000 },
+};
+
+} // namespace
+
+TEST_GROUP(zmq_socket)
+{
+  asio::io_context mContext;
+  zmq::context_t mZmq;
+};
+
+TEST(zmq_socket, error_mapping)
+{
+  for (const auto& row : kMappingRows) {
+    CHECK_TEXT(net::FromZmq(row.number) == row.expected, row.name);
+  }
+}
+
+TEST(zmq_socket, every_message_is_echoed_in_order)
+{
+  for (const auto& row : kEchoRows) {
+    net::router router(mContext, mZmq, {});
+    net::dealer dealer(mContext, mZmq, {});
+    int echoed = 0;
+    bool linked = false;
+    CHECK_FALSE_TEXT(
+      router.Bind(kAddress,
+                  kAnyPort,
+                  [&](std::string_view aPeer, std::string_view aBytes) {
+                    CHECK_FALSE(router.Send(aPeer, aBytes));
+                  }),
+      row.name);
+    dealer.OnLink([&](bool aIsUp) { linked = aIsUp; });
+    CHECK_FALSE_TEXT(dealer.Connect(kAddress,
+                                    router.Port(),
+                                    [&](std::string_view aBytes) {
+                                      CHECK_EQUAL(row.bytes, aBytes.size());
+                                      ++echoed;
+                                    }),
+                     row.name);
+    CHECK_TEXT(RunUntil(mContext, [&] { return linked; }), row.name);
+    const std::string bytes(row.bytes, 'x');
+    for (int sent = 0; sent < row.messages; ++sent) {
+      CHECK_FALSE_TEXT(dealer.Send(bytes), row.name);
+    }
+    const bool all = RunUntil(mContext, [&] { return echoed == row.messages; });
+    CHECK_TEXT(all, row.name);
+  }
+}
+
+TEST(zmq_socket, a_dealer_without_connection_refuses_at_once)
+{
+  net::dealer dealer(mContext, mZmq, {});
+  CHECK_FALSE(dealer.Connect(kAddress, kSilentPort, [](std::string_view) {}));
+  CHECK(dealer.Send("x") == make_error_code(net::net_errc::kFull));
+}
+
+TEST(zmq_socket, a_router_refuses_for_a_peer_that_has_gone)
+{
+  net::router router(mContext, mZmq, {});
+  CHECK_FALSE(router.Bind(kAddress, kAnyPort, [](auto, auto) {}));
+  CHECK(router.Send("none", "x") ==
+        make_error_code(net::net_errc::kUnreachable));
+}
+
+TEST(zmq_socket, a_port_is_bound_once)
+{
+  net::router first(mContext, mZmq, {});
+  net::router second(mContext, mZmq, {});
+  CHECK_FALSE(first.Bind(kAddress, kAnyPort, [](auto, auto) {}));
+  CHECK(second.Bind(kAddress, first.Port(), [](auto, auto) {}) ==
+        make_error_code(net::net_errc::kInUse));
+}
+
+TEST(zmq_socket, a_lost_link_is_told)
+{
+  auto router =
+    std::make_unique<net::router>(mContext, mZmq, net::socket_settings{});
+  CHECK_FALSE(router->Bind(kAddress, kAnyPort, [](auto, auto) {}));
+  net::dealer dealer(mContext, mZmq, {});
+  std::vector<bool> changes;
+  dealer.OnLink([&](bool aIsUp) { changes.push_back(aIsUp); });
+  CHECK_FALSE(
+    dealer.Connect(kAddress, router->Port(), [](std::string_view) {}));
+  CHECK(RunUntil(mContext, [&] { return changes.size() == 1; }));
+  router.reset();
+  CHECK(RunUntil(mContext, [&] { return changes.size() >= 2; }));
+  CHECK(changes[0]);
+  CHECK_FALSE(changes[1]);
+}
+
+TEST(zmq_socket, a_closed_socket_refuses)
+{
+  net::dealer dealer(mContext, mZmq, {});
+  dealer.Close();
+  CHECK(dealer.Send("x") == make_error_code(net::net_errc::kClosed));
+}
