Add callers that drive gateways and write down what they are told

Cause: the promises are judged by what callers were told, so a caller is needed that keeps its session, roams, asks on in doubt and records it all. Ruled out: callbacks in place of coroutines (activities of several requests become unreadable); braced lists within co_await expressions (GCC 12 fails on them).

--- /dev/null
+++ b/src/currantshed/load/activity.cpp
@@ -0,0 +1,305 @@
+#include "currantshed/load/activity.hpp"
+
+#include <charconv>
+#include <utility>
+
+#include "currantshed/load/tables.hpp"
+
+// The compiler pairs the frames of Asio's coroutines with the wrong operator
+// where GCC 12 inlines them; the warning is a false one.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+namespace currantshed::load {
+
+namespace {
+
+namespace asio = boost::asio;
+using policy::access;
+using policy::work_class;
+
+constexpr unsigned kHundred = 100;
+
+work_class
+PickClass(caller& aCaller, access aKind)
+{
+  const auto classes = ClassesOf(aCaller.Plan(), aKind);
+  return classes[aCaller.Below(classes.size())];
+}
+
+/// A list of statements made outside of a coroutine's own expressions, where
+/// this compiler fails on braced lists.
+template<typename... statement>
+std::vector<sql_statement>
+Batch(statement... aStatements)
+{
+  return { std::move(aStatements)... };
+}
+
+/// Begins a change's record.
+change_record
+BeginChange(caller& aCaller, const std::string& aGroup)
+{
+  change_record record;
+  record.group = aGroup;
+  record.key = aCaller.NewKey();
+  record.change = "change-" + record.key;
+  record.sent = aCaller.Now();
+  return record;
+}
+
+/// Ends a change's record with what the caller knows now.
+void
+EndChange(caller& aCaller, change_record aRecord, told aOutcome)
+{
+  aRecord.outcome = aOutcome;
+  aRecord.answered = aCaller.Now();
+  progress& counts = aCaller.Progress();
+  counts.acknowledged += aOutcome == told::kDone ? 1 : 0;
+  counts.notRun += aOutcome == told::kNotRun ? 1 : 0;
+  counts.unknown += aOutcome == told::kUnknown ? 1 : 0;
+  aCaller.History().changes.push_back(std::move(aRecord));
+}
+
+/// What a caller knows of a change after the answer, asking on in doubt.
+asio::awaitable<told>
+OutcomeOf(caller& aCaller, const change_record& aRecord, const answer& aReply)
+{
+  if (aReply.end == exchange_end::kNotSent) {
+    co_return told::kAbandoned;
+  }
+  if (aReply.outcome != told::kUnknown) {
+    co_return aReply.outcome;
+  }
+  co_return co_await aCaller.Resolve(aRecord.group, aRecord.key);
+}
+
+class filing : public activity
+{
+public:
+  asio::awaitable<answer> Run(caller& aCaller, std::string aGroup) override
+  {
+    const work_class work = PickClass(aCaller, access::kWrite);
+    const change_record record = BeginChange(aCaller, aGroup);
+    const std::vector<sql_statement> statements =
+      Batch(InsertChange(record.change));
+    answer reply = co_await aCaller.Send(work, aGroup, statements, record.key);
+    const told outcome = co_await OutcomeOf(aCaller, record, reply);
+    EndChange(aCaller, record, outcome);
+    if (outcome == told::kDone) {
+      co_await ReadBack(aCaller, record);
+      if (aCaller.Below(kHundred) < aCaller.Plan().repeatPercent) {
+        (void)co_await aCaller.Send(work, aGroup, statements, record.key);
+      }
+    }
+    co_return reply;
+  }
+
+private:
+  /// Coroutines keep no reference to the record: it is copied.
+  static asio::awaitable<void> ReadBack(caller& aCaller, change_record aRecord)
+  {
+    aCaller.Roam();
+    const work_class work = PickClass(aCaller, access::kRead);
+    const answer reply = co_await aCaller.Send(
+      work, aRecord.group, Batch(CountChange(aRecord.change)), {});
+    if (reply.outcome == told::kDone) {
+      const bool found = SingleValue(reply).value_or("0") != "0";
+      aCaller.History().ownReads.push_back(
+        { aRecord.group, aRecord.change, found });
+    }
+  }
+};
+
+class pairing : public activity
+{
+public:
+  explicit pairing(bool aOpened)
+    : mOpened(aOpened)
+  {
+  }
+
+  asio::awaitable<answer> Run(caller& aCaller, std::string aGroup) override
+  {
+    const work_class work = PickClass(aCaller, access::kWrite);
+    const auto slot = static_cast<unsigned>(aCaller.Below(kTagSlots));
+    if (mOpened) {
+      co_return co_await InTransaction(aCaller, work, aGroup, slot);
+    }
+    const change_record record = BeginChange(aCaller, aGroup);
+    const answer reply =
+      co_await aCaller.Send(work,
+                            aGroup,
+                            Batch(WriteTag(false, slot, record.change),
+                                  WriteTag(true, slot, record.change),
+                                  InsertChange(record.change),
+                                  ReadTag(slot)),
+                            record.key);
+    SeeOwnTag(aCaller, record, reply);
+    const told outcome = co_await OutcomeOf(aCaller, record, reply);
+    EndChange(aCaller, record, outcome);
+    co_return reply;
+  }
+
+private:
+  /// A transaction sees its own change; another's tag is a mixture.
+  static void SeeOwnTag(caller& aCaller,
+                        const change_record& aRecord,
+                        const answer& aReply)
+  {
+    if (aReply.outcome == told::kDone && !aReply.repeated) {
+      aCaller.History().tagReads.push_back(
+        { aRecord.group,
+          aRecord.change,
+          SingleValue(aReply).value_or("nothing") });
+    }
+  }
+
+  /// Before its commit is sent a change is abandoned by any failure.
+  static asio::awaitable<answer> InTransaction(caller& aCaller,
+                                               work_class aWork,
+                                               std::string aGroup,
+                                               unsigned aSlot)
+  {
+    const change_record record = BeginChange(aCaller, aGroup);
+    answer reply = co_await aCaller.Open(
+      aWork, aGroup, Batch(WriteTag(false, aSlot, record.change)));
+    const std::string transaction = reply.transaction;
+    if (reply.outcome == told::kDone) {
+      reply =
+        co_await aCaller.Continue(aWork,
+                                  aGroup,
+                                  transaction,
+                                  Batch(WriteTag(true, aSlot, record.change),
+                                        InsertChange(record.change),
+                                        ReadTag(aSlot)));
+      SeeOwnTag(aCaller, record, reply);
+    }
+    if (reply.outcome != told::kDone) {
+      EndChange(aCaller, record, told::kAbandoned);
+      co_return reply;
+    }
+    const bool keep = aCaller.Below(kHundred) >= kRollbackPercent;
+    const std::string key = keep ? record.key : std::string();
+    reply = co_await aCaller.End(aWork, transaction, key);
+    told outcome = told::kAbandoned;
+    if (keep) {
+      outcome = co_await OutcomeOf(aCaller, record, reply);
+    }
+    EndChange(aCaller, record, outcome);
+    co_return reply;
+  }
+
+  static constexpr unsigned kRollbackPercent = 20;
+  bool mOpened;
+};
+
+class browsing : public activity
+{
+public:
+  asio::awaitable<answer> Run(caller& aCaller, std::string aGroup) override
+  {
+    const work_class work = PickClass(aCaller, access::kRead);
+    if (aCaller.Below(2) == 0) {
+      co_return co_await SeePair(aCaller, work, aGroup);
+    }
+    const moment sent = aCaller.Now();
+    const answer reply =
+      co_await aCaller.Send(work, aGroup, Batch(ReadClock()), {});
+    const auto text = SingleValue(reply);
+    if (reply.outcome == told::kDone) {
+      clock_read read{ aGroup, 0, work.maxStaleness, sent };
+      const std::string digits = text.value_or("0");
+      std::from_chars(digits.data(), digits.data() + digits.size(), read.value);
+      aCaller.History().clockReads.push_back(read);
+    }
+    co_return reply;
+  }
+
+private:
+  static asio::awaitable<answer> SeePair(caller& aCaller,
+                                         work_class aWork,
+                                         std::string aGroup)
+  {
+    const auto slot = static_cast<unsigned>(aCaller.Below(kTagSlots));
+    const answer reply =
+      co_await aCaller.Send(aWork, aGroup, Batch(ReadTagPair(slot)), {});
+    if (reply.outcome == told::kDone && reply.rows.size() == 1 &&
+        reply.rows.front().size() == 2) {
+      const auto& row = reply.rows.front();
+      aCaller.History().tagReads.push_back(
+        { aGroup, row[0].value_or(""), row[1].value_or("") });
+    }
+    co_return reply;
+  }
+};
+
+class counting : public activity
+{
+public:
+  asio::awaitable<answer> Run(caller& aCaller, std::string aGroup) override
+  {
+    const work_class work = PickClass(aCaller, access::kWrite);
+    const change_record record = BeginChange(aCaller, aGroup);
+    ++mValue;
+    const answer reply = co_await aCaller.Send(
+      work,
+      aGroup,
+      Batch(RaiseClock(mValue), InsertChange(record.change)),
+      record.key);
+    const told outcome = co_await OutcomeOf(aCaller, record, reply);
+    EndChange(aCaller, record, outcome);
+    if (outcome == told::kDone) {
+      aCaller.History().clockWrites.push_back(
+        { aGroup, mValue, aCaller.Now() });
+    }
+    co_return reply;
+  }
+
+private:
+  std::uint64_t mValue = 0;
+};
+
+class preparing : public activity
+{
+public:
+  asio::awaitable<answer> Run(caller& aCaller, std::string aGroup) override
+  {
+    const work_class work = PickClass(aCaller, access::kWrite);
+    co_return co_await aCaller.Send(
+      work, aGroup, MakeTables(), aCaller.NewKey());
+  }
+};
+
+} // namespace
+
+std::unique_ptr<activity>
+MakeFiling()
+{
+  return std::make_unique<filing>();
+}
+
+std::unique_ptr<activity>
+MakePairing(bool aOpened)
+{
+  return std::make_unique<pairing>(aOpened);
+}
+
+std::unique_ptr<activity>
+MakeBrowsing()
+{
+  return std::make_unique<browsing>();
+}
+
+std::unique_ptr<activity>
+MakeCounting()
+{
+  return std::make_unique<counting>();
+}
+
+std::unique_ptr<activity>
+MakePreparing()
+{
+  return std::make_unique<preparing>();
+}
+
+} // namespace currantshed::load
--- a/src/currantshed/load/checker.cpp
+++ b/src/currantshed/load/checker.cpp
@@ -217,6 +217,7 @@
   std::map<std::string, latency_list> latencies;
   for (const answer_record& answer : aHistory.answers) {
     ++aFindings.requests;
+    aFindings.cutOff += answer.end == exchange_end::kCutOff ? 1 : 0;
     if (answer.outcome != told::kDone) {
       continue;
     }
--- a/src/currantshed/load/checker.hpp
+++ b/src/currantshed/load/checker.hpp
@@ -47,6 +47,8 @@
   std::uint64_t readYourWritesBreaches = 0;
   std::uint64_t staleBreaches = 0;
   std::uint64_t mixedTransactions = 0;
+  /// Requests sent whose connection ended before their answer came.
+  std::uint64_t cutOff = 0;
   /// Changes of groups whose holding could not be read.
   std::uint64_t unchecked = 0;
   std::uint64_t reads = 0;
--- a/src/currantshed/load/history.hpp
+++ b/src/currantshed/load/history.hpp
@@ -25,6 +25,17 @@
   kUnknown,
 };
 
+/// How far an exchange with a gateway came.
+enum class exchange_end
+{
+  /// A whole answer came.
+  kAnswered,
+  /// No connection could be made: nothing was sent.
+  kNotSent,
+  /// The connection ended, or the time did, before the whole answer came.
+  kCutOff,
+};
+
 /// One change that a caller asked for: one row with a name of its own.
 struct change_record
 {
@@ -35,9 +46,6 @@
   told outcome = told::kUnknown;
   moment sent{ 0 };
   moment answered{ 0 };
-  /// When the change was sent, as a person reads it: milliseconds since the
-  /// epoch.
-  std::int64_t wallMilliseconds = 0;
 };
 
 /// A read by the session that had been told that the change is done.
@@ -85,6 +93,15 @@
   bool read = false;
   bool byReplica = false;
   std::chrono::microseconds latency{ 0 };
+  exchange_end end = exchange_end::kAnswered;
+  std::string reason;
+  std::string servedBy;
+  /// The idempotency key and the session's token that were sent.
+  std::string key;
+  std::string token;
+  moment sent{ 0 };
+  /// When the answer came, as a person reads it: since the epoch.
+  std::chrono::microseconds wall{ 0 };
 };
 
 /// The cut of a group's primary.
--- /dev/null
+++ b/src/currantshed/load/runner.cpp
@@ -0,0 +1,270 @@
+#include "currantshed/load/runner.hpp"
+
+#include <algorithm>
+#include <array>
+#include <exception>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "currantshed/load/activity.hpp"
+
+namespace currantshed::load {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr unsigned kHundred = 100;
+/// The longest that a session rests because an answer asked for it.
+constexpr milliseconds kLongestRest{ 2000 };
+constexpr milliseconds kPreparePause{ 100 };
+
+/// Ends a coroutine's failure where it would vanish: in the process.
+void
+Rethrow(const std::exception_ptr& aFault)
+{
+  if (aFault) {
+    std::rethrow_exception(aFault);
+  }
+}
+
+bool
+Goes(caller& aCaller)
+{
+  const plan& plan = aCaller.Plan();
+  const progress& counts = aCaller.Progress();
+  const bool counted =
+    plan.activities != 0 && counts.activities >= plan.activities;
+  return !counts.stop && !counted && aCaller.Now() < plan.length;
+}
+
+/// Rests after an activity, as long as its answer or the plan asks for.
+asio::awaitable<void>
+RestAfter(caller& aCaller, milliseconds aRetryAfter)
+{
+  const milliseconds plain = aCaller.Plan().rest;
+  const milliseconds asked = std::min(aRetryAfter, kLongestRest);
+  const milliseconds rest = std::max(plain, asked);
+  if (rest.count() > 0) {
+    co_await aCaller.Rest(rest);
+  }
+}
+
+/// The kinds of activity that an ordinary session mixes.
+class mixture
+{
+public:
+  activity& Pick(caller& aCaller)
+  {
+    const plan& plan = aCaller.Plan();
+    const auto draw = aCaller.Below(kHundred);
+    if (draw < plan.readPercent) {
+      return *mBrowsing;
+    }
+    if (draw < plan.readPercent + plan.transactionPercent) {
+      return *mPairing.at(aCaller.Below(mPairing.size()));
+    }
+    return *mFiling;
+  }
+
+private:
+  std::unique_ptr<activity> mBrowsing = MakeBrowsing();
+  std::unique_ptr<activity> mFiling = MakeFiling();
+  std::array<std::unique_ptr<activity>, 2> mPairing{ MakePairing(false),
+                                                     MakePairing(true) };
+};
+
+/// A session in the closed loop: goes on when answered.
+asio::awaitable<void>
+LiveClosed(caller& aCaller)
+{
+  mixture activities;
+  while (Goes(aCaller)) {
+    const auto& groups = aCaller.Plan().groups;
+    const std::string group = groups[aCaller.Below(groups.size())];
+    aCaller.Roam();
+    const answer reply = co_await activities.Pick(aCaller).Run(aCaller, group);
+    ++aCaller.Progress().activities;
+    co_await RestAfter(aCaller, reply.retryAfter);
+  }
+}
+
+/// A session in the open loop: begins at its own times. What it begins late
+/// counts from when it ought to have begun.
+asio::awaitable<void>
+LiveOpen(caller& aCaller)
+{
+  mixture activities;
+  const double each = aCaller.Plan().sessions / aCaller.Plan().rate;
+  const auto interval =
+    std::chrono::duration_cast<moment>(std::chrono::duration<double>(each));
+  moment next{ aCaller.Below(static_cast<std::uint64_t>(interval.count())) };
+  while (Goes(aCaller)) {
+    if (next > aCaller.Now()) {
+      co_await aCaller.Rest(next - aCaller.Now());
+    }
+    const auto& groups = aCaller.Plan().groups;
+    const std::string group = groups[aCaller.Below(groups.size())];
+    aCaller.Roam();
+    aCaller.BeginAt(next);
+    (void)co_await activities.Pick(aCaller).Run(aCaller, group);
+    ++aCaller.Progress().activities;
+    next += interval;
+  }
+}
+
+/// The one session that counts a group's row upwards.
+asio::awaitable<void>
+LiveCounting(caller& aCaller, std::string aGroup)
+{
+  const auto activity = MakeCounting();
+  while (Goes(aCaller)) {
+    const answer reply = co_await activity->Run(aCaller, aGroup);
+    co_await aCaller.Rest(
+      std::max(aCaller.Plan().clockInterval, reply.retryAfter));
+  }
+}
+
+asio::awaitable<void>
+LivePreparing(caller& aCaller, std::string aGroup, milliseconds aAtMost)
+{
+  const auto activity = MakePreparing();
+  while (aCaller.Now() < aAtMost) {
+    const answer reply = co_await activity->Run(aCaller, aGroup);
+    if (reply.outcome == told::kDone) {
+      ++aCaller.Progress().activities;
+      co_return;
+    }
+    aCaller.Roam();
+    co_await aCaller.Rest(kPreparePause);
+  }
+}
+
+} // namespace
+
+struct runner::worker
+{
+  asio::io_context context{ 1 };
+  history seen;
+  std::vector<std::unique_ptr<caller>> callers;
+  std::thread thread;
+  std::atomic<bool> ended{ false };
+
+  caller& Add(const plan& aPlan,
+              clock::time_point aOrigin,
+              std::uint64_t aSeed,
+              progress& aProgress)
+  {
+    callers.push_back(std::make_unique<caller>(
+      context, aPlan, aOrigin, aSeed, seen, aProgress));
+    return *callers.back();
+  }
+
+  void Run()
+  {
+    thread = std::thread([this] {
+      context.run();
+      ended = true;
+    });
+  }
+};
+
+runner::runner(plan aPlan)
+  : mPlan(std::move(aPlan))
+  , mOrigin(std::chrono::steady_clock::now())
+{
+}
+
+runner::~runner()
+{
+  Stop();
+  for (const auto& each : mWorkers) {
+    if (each->thread.joinable()) {
+      each->thread.join();
+    }
+  }
+}
+
+bool
+runner::Prepare(milliseconds aAtMost)
+{
+  worker single;
+  progress counts;
+  std::uint64_t seed = mPlan.seed;
+  const auto origin = std::chrono::steady_clock::now();
+  for (const std::string& group : mPlan.groups) {
+    caller& each = single.Add(mPlan, origin, seed++, counts);
+    asio::co_spawn(
+      single.context, LivePreparing(each, group, aAtMost), Rethrow);
+  }
+  single.context.run();
+  return counts.activities == mPlan.groups.size();
+}
+
+void
+runner::Start()
+{
+  mOrigin = std::chrono::steady_clock::now();
+  for (unsigned i = 0; i < mPlan.threads; ++i) {
+    mWorkers.push_back(std::make_unique<worker>());
+  }
+  std::uint64_t seed = mPlan.seed * kHundred * kHundred;
+  for (unsigned i = 0; i < mPlan.sessions; ++i) {
+    worker& home = *mWorkers[i % mWorkers.size()];
+    caller& each = home.Add(mPlan, mOrigin, seed++, mProgress);
+    asio::co_spawn(home.context,
+                   mPlan.rate > 0 ? LiveOpen(each) : LiveClosed(each),
+                   Rethrow);
+  }
+  for (std::size_t i = 0; i < mPlan.groups.size(); ++i) {
+    worker& home = *mWorkers[i % mWorkers.size()];
+    caller& each = home.Add(mPlan, mOrigin, seed++, mProgress);
+    asio::co_spawn(home.context, LiveCounting(each, mPlan.groups[i]), Rethrow);
+  }
+  for (const auto& each : mWorkers) {
+    each->Run();
+  }
+}
+
+void
+runner::Stop()
+{
+  mProgress.stop = true;
+}
+
+history
+runner::Finish()
+{
+  history all;
+  for (const auto& each : mWorkers) {
+    each->thread.join();
+    Append(all, std::move(each->seen));
+  }
+  return all;
+}
+
+bool
+runner::Ended() const
+{
+  return std::all_of(mWorkers.begin(), mWorkers.end(), [](const auto& aWorker) {
+    return aWorker->ended.load();
+  });
+}
+
+moment
+runner::Now() const
+{
+  return std::chrono::duration_cast<moment>(std::chrono::steady_clock::now() -
+                                            mOrigin);
+}
+
+const progress&
+runner::Progress() const noexcept
+{
+  return mProgress;
+}
+
+} // namespace currantshed::load
--- a/test/currantshed/load/checker.cpp
+++ b/test/currantshed/load/checker.cpp
@@ -251,15 +251,28 @@
   }
 }
 
-TEST(load_checker, replica_reads_count_done_reads_only)
+TEST(load_checker, counts_by_answer)
 {
   const load::history given{ .answers = {
                                { "w", told::kDone, true, true, 1us },
                                { "w", told::kDone, true, false, 1us },
                                { "w", told::kNotRun, true, true, 1us },
-                               { "w", told::kDone, false, true, 1us } } };
+                               { "w", told::kDone, false, true, 1us },
+                               { "w",
+                                 told::kUnknown,
+                                 true,
+                                 false,
+                                 1us,
+                                 load::exchange_end::kCutOff },
+                               { "w",
+                                 told::kUnknown,
+                                 true,
+                                 false,
+                                 1us,
+                                 load::exchange_end::kNotSent } } };
   const auto found = load::Check(given, {});
-  UNSIGNED_LONGLONGS_EQUAL(4, found.requests);
+  UNSIGNED_LONGLONGS_EQUAL(6, found.requests);
+  UNSIGNED_LONGLONGS_EQUAL(1, found.cutOff);
   UNSIGNED_LONGLONGS_EQUAL(2, found.reads);
   UNSIGNED_LONGLONGS_EQUAL(1, found.replicaReads);
 }
