--- a/src/currantshed/policy/fwd.hpp
+++ b/src/currantshed/policy/fwd.hpp
@@ -4,6 +4,10 @@
 namespace currantshed::policy {
 
 enum class access;
+struct declaration;
+struct fault;
+struct group_settings;
+struct parsed;
 struct work_class;
 
 } // namespace currantshed::policy
--- a/src/currantshed/policy/work_class.hpp
+++ b/src/currantshed/policy/work_class.hpp
@@ -32,6 +32,11 @@
   std::chrono::milliseconds deadline{ 2000 };
   /// Share of requests that must meet the deadline, between 0 and 1.
   double objective = 0.999;
+  /// Groups that the class may use; empty for all of them.
+  std::vector<std::string> groups;
+
+  [[nodiscard]] friend bool operator==(const work_class&,
+                                       const work_class&) = default;
 };
 
 } // namespace currantshed::policy
