--- /dev/null
+++ b/test/tools/groups.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Compares the groups that a CppUTest program has with those given:
+#   groups.sh PROGRAM GROUP...
+set -uo pipefail
+program=$1
+shift
+own=$("$program" -lg | tr ' ' '\n' | grep . | sort)
+given=$(printf '%s\n' "$@" | sort)
+diff <(echo "$own") <(echo "$given") && echo "every group is listed"
