Stand in for the platform

Demos and tests with real processes need the platform's service with its faults to order: outages that hang or refuse, slow calls, answers lost before and after the effect, lists that lag, and limits on calls a second.

Calls to the stand-in itself are not counted, so that counts show the system alone.

--- /dev/null
+++ b/standin/platform/call_counter.hpp
@@ -0,0 +1,56 @@
+#ifndef CURRANTSHED_STANDIN_PLATFORM_CALL_COUNTER_HPP
+#define CURRANTSHED_STANDIN_PLATFORM_CALL_COUNTER_HPP
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "currantshed/clock/time.hpp"
+#include "standin/platform/call.hpp"
+
+namespace currantshed::standin {
+
+/// What the platform takes in one second; zero sets no limit.
+struct rate_limits
+{
+  unsigned readsPerSecond = 0;
+  unsigned writesPerSecond = 0;
+};
+
+/// Counts calls in all and in each second, and refuses those above the
+/// limits. Watches and lists count as reads, sessions as writes. The seconds
+/// follow one another from the first call on.
+class call_counter
+{
+public:
+  explicit call_counter(rate_limits aLimits);
+
+  /// Counts a call; false if it is above the limit.
+  [[nodiscard]] bool Admit(call_kind aKind, clock::time_point aNow);
+
+  /// Starts anew, limits apart.
+  void Reset();
+
+  /// The counts as JSON; the watches that wait now come from outside.
+  [[nodiscard]] std::string Json(std::size_t aWaitingWatches,
+                                 clock::time_point aNow);
+
+private:
+  using by_kind = std::array<std::uint64_t, kCountedKinds>;
+
+  void TurnTo(clock::time_point aNow);
+
+  rate_limits mLimits;
+  bool mStarted = false;
+  clock::time_point mSecondStart{};
+  by_kind mTotal{};
+  by_kind mThisSecond{};
+  by_kind mLastSecond{};
+  by_kind mPeak{};
+  std::uint64_t mPeakAll = 0;
+  std::uint64_t mRefused = 0;
+};
+
+} // namespace currantshed::standin
+
+#endif
--- /dev/null
+++ b/standin/platform/catalog.hpp
@@ -0,0 +1,62 @@
+#ifndef CURRANTSHED_STANDIN_PLATFORM_CATALOG_HPP
+#define CURRANTSHED_STANDIN_PLATFORM_CATALOG_HPP
+
+#include <chrono>
+#include <deque>
+#include <string>
+#include <string_view>
+
+#include "currantshed/clock/time.hpp"
+#include "standin/platform/shape.hpp"
+
+namespace currantshed::standin {
+
+/// The platform's lists, which show a change only after a lag.
+class catalog
+{
+public:
+  catalog(catalog_content aContent, std::chrono::milliseconds aLag);
+
+  /// Replaces the lists.
+  void Replace(catalog_content aContent, clock::time_point aNow);
+
+  /// Sets a VM to live, leaving or gone; false if either is unknown.
+  [[nodiscard]] bool SetVm(std::string_view aId,
+                           std::string_view aState,
+                           clock::time_point aNow);
+
+  /// Sets a database server to live or leaving; false if either is unknown.
+  [[nodiscard]] bool SetUpstream(std::string_view aId,
+                                 std::string_view aState,
+                                 clock::time_point aNow);
+
+  /// The lag of changes made from now on.
+  void SetLag(std::chrono::milliseconds aLag);
+
+  /// The answer to GET /v1/catalog/service/currantshed.
+  [[nodiscard]] std::string VmsJson(clock::time_point aNow);
+
+  /// The answer to GET /v1/catalog/service/upstream.
+  [[nodiscard]] std::string UpstreamsJson(clock::time_point aNow);
+
+private:
+  struct change
+  {
+    clock::time_point visible;
+    catalog_content content;
+  };
+
+  void Changed(clock::time_point aNow);
+  void Settle(clock::time_point aNow);
+
+  std::chrono::milliseconds mLag;
+  /// With all changes.
+  catalog_content mNewest;
+  /// As callers see it.
+  catalog_content mShown;
+  std::deque<change> mPending;
+};
+
+} // namespace currantshed::standin
+
+#endif
--- /dev/null
+++ b/standin/platform/shape.hpp
@@ -0,0 +1,60 @@
+#ifndef CURRANTSHED_STANDIN_PLATFORM_SHAPE_HPP
+#define CURRANTSHED_STANDIN_PLATFORM_SHAPE_HPP
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace currantshed::standin {
+
+/// One of the system's VMs, as the platform lists it.
+struct vm_entry
+{
+  std::string id;
+  std::string address;
+  std::string failureDomain;
+  std::uint16_t requestPort = 0;
+  std::uint16_t peerPort = 0;
+  std::uint16_t statusPort = 0;
+  bool leaving = false;
+  /// Left out of the list.
+  bool gone = false;
+};
+
+/// One database server, as the platform lists it.
+struct upstream_entry
+{
+  std::string id;
+  std::string group;
+  std::string address;
+  std::uint16_t port = 0;
+  std::string failureDomain;
+  std::uint32_t slots = 0;
+  std::uint32_t connections = 0;
+  bool leaving = false;
+};
+
+/// Everything that the platform lists.
+struct catalog_content
+{
+  std::vector<vm_entry> vms;
+  std::vector<upstream_entry> upstreams;
+};
+
+/// Reads the lists of a shape file (see shapes/). On a fault, says what is
+/// wrong and leaves the content as it was.
+[[nodiscard]] bool
+ParseShape(std::string_view aJson,
+           catalog_content& aContent,
+           std::string& aFault);
+
+/// Reads a shape file.
+[[nodiscard]] bool
+LoadShape(const std::string& aPath,
+          catalog_content& aContent,
+          std::string& aFault);
+
+} // namespace currantshed::standin
+
+#endif
--- /dev/null
+++ b/standin/platform/waiters.hpp
@@ -0,0 +1,64 @@
+#ifndef CURRANTSHED_STANDIN_PLATFORM_WAITERS_HPP
+#define CURRANTSHED_STANDIN_PLATFORM_WAITERS_HPP
+
+#include <string>
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/steady_timer.hpp>
+
+namespace currantshed::standin {
+
+/// The calls that wait for something. Each has a timer; to wake a call is to
+/// let its timer run out, which also holds when the wait begins later.
+class waiters
+{
+public:
+  /// Keeps one call in the list for as long as it lives.
+  class place
+  {
+  public:
+    place(waiters& aList,
+          boost::asio::steady_timer& aTimer,
+          const std::string& aKey)
+      : mList(aList)
+      , mTimer(aTimer)
+    {
+      mList.mWaiting.emplace(&mTimer, aKey);
+    }
+    place(const place&) = delete;
+    place(place&&) = delete;
+    place& operator=(const place&) = delete;
+    place& operator=(place&&) = delete;
+    ~place() { mList.mWaiting.erase(&mTimer); }
+
+  private:
+    waiters& mList;
+    boost::asio::steady_timer& mTimer;
+  };
+
+  /// Wakes those that wait for a key.
+  void Wake(const std::string& aKey)
+  {
+    for (auto& [timer, key] : mWaiting) {
+      if (key == aKey) {
+        timer->expires_at(boost::asio::steady_timer::time_point::min());
+      }
+    }
+  }
+
+  void WakeAll()
+  {
+    for (auto& [timer, key] : mWaiting) {
+      timer->expires_at(boost::asio::steady_timer::time_point::min());
+    }
+  }
+
+  [[nodiscard]] std::size_t Size() const { return mWaiting.size(); }
+
+private:
+  absl::flat_hash_map<boost::asio::steady_timer*, std::string> mWaiting;
+};
+
+} // namespace currantshed::standin
+
+#endif
