--- /dev/null
+++ b/src/currantshed/admit/drain_meter.cpp
@@ -0,0 +1,51 @@
+#include "currantshed/admit/drain_meter.hpp"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace currantshed::admit {
+
+namespace {
+
+// Weight of the newest gap in the mean.
+constexpr double kNewest = 0.05;
+constexpr std::chrono::milliseconds kShortest{ 1 };
+constexpr std::uint64_t kParts = 1024;
+
+} // namespace
+
+void
+drain_meter::Departed(std::size_t aWaiting, clock::time_point aNow)
+{
+  if (mBusy) {
+    const std::chrono::duration<double> gap = aNow - mLast;
+    mGap = mGap ? *mGap + kNewest * (gap - *mGap) : gap;
+  }
+  mBusy = aWaiting > 0;
+  mLast = aNow;
+}
+
+std::optional<clock::duration>
+drain_meter::TimeFor(std::size_t aRequests) const
+{
+  if (!mGap) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<clock::duration>(
+    *mGap * static_cast<double>(aRequests));
+}
+
+std::chrono::milliseconds
+Spread(clock::duration aTime, std::uint64_t aRequest)
+{
+  const auto hash = XXH3_64bits(&aRequest, sizeof(aRequest));
+  const auto part = static_cast<std::int64_t>(hash % kParts);
+  const auto time = std::chrono::ceil<std::chrono::milliseconds>(aTime);
+  const auto base = std::max(time, kShortest);
+  // Halves are rounded up, so that short times are spread too.
+  const auto jitter = (base.count() + 1) * part / static_cast<std::int64_t>(2 * kParts);
+  return base + std::chrono::milliseconds{ jitter };
+}
+
+} // namespace currantshed::admit
--- /dev/null
+++ b/src/currantshed/admit/fwd.hpp
@@ -0,0 +1,12 @@
+#ifndef CURRANTSHED_ADMIT_FWD_HPP
+#define CURRANTSHED_ADMIT_FWD_HPP
+
+namespace currantshed::admit {
+
+class deadline_queue;
+class drain_meter;
+class retry_budget;
+
+} // namespace currantshed::admit
+
+#endif
--- /dev/null
+++ b/src/currantshed/admit/retry_budget.cpp
@@ -0,0 +1,23 @@
+#include "currantshed/admit/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace currantshed::admit {
+
+void
+retry_budget::Earn() noexcept
+{
+  mRetries = std::min(mRetries + kEarned, kMost);
+}
+
+bool
+retry_budget::Spend() noexcept
+{
+  if (mRetries < 1.0) {
+    return false;
+  }
+  mRetries -= 1.0;
+  return true;
+}
+
+} // namespace currantshed::admit
--- /dev/null
+++ b/src/currantshed/admit/retry_budget.hpp
@@ -0,0 +1,29 @@
+#ifndef CURRANTSHED_ADMIT_RETRY_BUDGET_HPP
+#define CURRANTSHED_ADMIT_RETRY_BUDGET_HPP
+
+#include "currantshed/admit/fwd.hpp"
+
+namespace currantshed::admit {
+
+/// Bounds the work that retries add: each first try earns a part of a retry,
+/// up to a small store, so that retries stay a small share of the load when
+/// much fails, and a single failure is always retried.
+class retry_budget
+{
+public:
+  /// A first try was made.
+  void Earn() noexcept;
+
+  /// Takes one retry if there is one.
+  [[nodiscard]] bool Spend() noexcept;
+
+private:
+  static constexpr double kEarned = 0.1;
+  static constexpr double kMost = 50.0;
+
+  double mRetries = kMost;
+};
+
+} // namespace currantshed::admit
+
+#endif
--- /dev/null
+++ b/src/currantshed/confirm/fwd.hpp
@@ -0,0 +1,14 @@
+#ifndef CURRANTSHED_CONFIRM_FWD_HPP
+#define CURRANTSHED_CONFIRM_FWD_HPP
+
+namespace currantshed::confirm {
+
+class position_samples;
+class status_board;
+struct dated_status;
+struct known_primary;
+struct majority_term;
+
+} // namespace currantshed::confirm
+
+#endif
--- /dev/null
+++ b/src/currantshed/confirm/status_board.cpp
@@ -0,0 +1,216 @@
+#include "currantshed/confirm/status_board.hpp"
+
+#include <algorithm>
+#include <functional>
+
+#include <absl/container/inlined_vector.h>
+
+namespace currantshed::confirm {
+
+namespace {
+
+constexpr std::size_t kUsualMembers = 5;
+// Terms whose confirmed index is kept.
+constexpr std::size_t kMostTerms = 16;
+
+using dates = absl::InlinedVector<clock::time_point, kUsualMembers>;
+
+// The oldest date among the newest ones that make up the majority.
+std::optional<clock::time_point>
+OldestOfMajority(dates aDates, std::size_t aMajority)
+{
+  if (aMajority == 0 || aDates.size() < aMajority) {
+    return std::nullopt;
+  }
+  std::sort(aDates.begin(), aDates.end(), std::greater<>{});
+  return aDates[aMajority - 1];
+}
+
+bool
+IsHeldInTerm(const upstream::server_status& aStatus,
+             const position::log_position& aPosition)
+{
+  return aStatus.term == aPosition.term &&
+         aStatus.stored.term == aPosition.term && aStatus.stored >= aPosition;
+}
+
+} // namespace
+
+status_board::status_board(std::chrono::milliseconds aValidity)
+  : mValidity(aValidity)
+{
+}
+
+void
+status_board::SetMembers(const std::vector<upstream::server_id>& aServers)
+{
+  members kept;
+  for (const auto& server : aServers) {
+    const auto known = mMembers.find(server);
+    kept[server] = known == mMembers.end() ? member{} : known->second;
+  }
+  mMembers = std::move(kept);
+}
+
+void
+status_board::Record(const upstream::server_id& aServer,
+                     const upstream::server_status& aStatus,
+                     clock::time_point aAskedAt)
+{
+  const auto found = mMembers.find(aServer);
+  if (found == mMembers.end()) {
+    return;
+  }
+  auto& member = found->second;
+  if (aStatus.stored.term == aStatus.term) {
+    member.highest = std::max(member.highest, aStatus.stored);
+    NoteConfirmed(aStatus.term);
+  }
+  if (member.heard && aAskedAt < member.latest.askedAt) {
+    return;
+  }
+  member.heard = true;
+  member.latest = { aStatus, aAskedAt };
+  NoteSample();
+}
+
+const dated_status*
+status_board::Find(const upstream::server_id& aServer) const
+{
+  const auto found = mMembers.find(aServer);
+  if (found == mMembers.end() || !found->second.heard) {
+    return nullptr;
+  }
+  return &found->second.latest;
+}
+
+std::optional<majority_term>
+status_board::Term() const
+{
+  std::optional<majority_term> highest;
+  for (const auto& [server, candidate] : mMembers) {
+    const auto term = candidate.latest.status.term;
+    if (!candidate.heard || (highest && term <= highest->term)) {
+      continue;
+    }
+    dates asked;
+    for (const auto& [other, member] : mMembers) {
+      if (member.heard && member.latest.status.term == term) {
+        asked.push_back(member.latest.askedAt);
+      }
+    }
+    if (const auto oldest = OldestOfMajority(std::move(asked), Majority())) {
+      highest = majority_term{ term, *oldest };
+    }
+  }
+  return highest;
+}
+
+std::optional<known_primary>
+status_board::Primary(clock::time_point aNow) const
+{
+  const auto term = Term();
+  if (!term || term->askedAt + mValidity < aNow) {
+    return std::nullopt;
+  }
+  const auto* primary = PrimaryOf(term->term);
+  if (primary == nullptr ||
+      primary->second.latest.askedAt + mValidity < aNow) {
+    return std::nullopt;
+  }
+  return known_primary{ primary->first, term->term };
+}
+
+std::optional<clock::time_point>
+status_board::HeldSince(const position::log_position& aPosition) const
+{
+  dates asked;
+  for (const auto& [server, member] : mMembers) {
+    if (member.heard && IsHeldInTerm(member.latest.status, aPosition)) {
+      asked.push_back(member.latest.askedAt);
+    }
+  }
+  return OldestOfMajority(std::move(asked), Majority());
+}
+
+bool
+status_board::Holds(const position::log_position& aPosition,
+                    clock::time_point aAskedSince,
+                    clock::time_point aNow) const
+{
+  const auto since = HeldSince(aPosition);
+  return since && *since >= aAskedSince && *since + mValidity >= aNow;
+}
+
+bool
+status_board::WasConfirmed(const position::log_position& aPosition) const
+{
+  if (aPosition == position::log_position{}) {
+    // The empty log is a part of every history.
+    return true;
+  }
+  const auto found = mConfirmed.find(aPosition.term);
+  return found != mConfirmed.end() && found->second >= aPosition.index;
+}
+
+const position_samples&
+status_board::Samples() const noexcept
+{
+  return mSamples;
+}
+
+std::size_t
+status_board::Majority() const noexcept
+{
+  return mMembers.empty() ? 0 : mMembers.size() / 2 + 1;
+}
+
+const status_board::members::value_type*
+status_board::PrimaryOf(position::term_id aTerm) const
+{
+  for (const auto& entry : mMembers) {
+    const auto& status = entry.second.latest.status;
+    if (entry.second.heard && status.term == aTerm &&
+        status.role == upstream::server_role::kPrimary) {
+      return &entry;
+    }
+  }
+  return nullptr;
+}
+
+void
+status_board::NoteConfirmed(position::term_id aTerm)
+{
+  absl::InlinedVector<position::log_index, kUsualMembers> held;
+  for (const auto& [server, member] : mMembers) {
+    if (member.highest.term == aTerm) {
+      held.push_back(member.highest.index);
+    }
+  }
+  if (held.size() < Majority()) {
+    return;
+  }
+  std::sort(held.begin(), held.end(), std::greater<>{});
+  auto& confirmed = mConfirmed[aTerm];
+  confirmed = std::max(confirmed, held[Majority() - 1]);
+  if (mConfirmed.size() > kMostTerms) {
+    mConfirmed.erase(mConfirmed.begin());
+  }
+}
+
+void
+status_board::NoteSample()
+{
+  const auto term = Term();
+  if (!term) {
+    return;
+  }
+  const auto* primary = PrimaryOf(term->term);
+  if (primary == nullptr) {
+    return;
+  }
+  const auto& word = primary->second.latest;
+  mSamples.Add(word.status.stored, std::min(word.askedAt, term->askedAt));
+}
+
+} // namespace currantshed::confirm
--- /dev/null
+++ b/src/currantshed/group/changes.cpp
@@ -0,0 +1,333 @@
+#include "currantshed/group/changes.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace currantshed::group {
+
+namespace {
+
+using outcome::reason;
+using outcome::verdict;
+using upstream::batch_end;
+using upstream::server_role;
+
+// Statements after those of the caller: status, commit, status.
+constexpr std::size_t kClosing = 3;
+// Look-up batch: record, status.
+constexpr std::size_t kLookUpRecord = 0;
+constexpr std::size_t kLookUpStatus = 1;
+// Void batch: begin, void, record, status, commit, status.
+constexpr std::size_t kVoidRecord = 2;
+constexpr std::size_t kVoidBefore = 3;
+constexpr std::size_t kVoidAfter = 5;
+
+// Whether a refusal at the commit is certain to have dropped the change:
+// constraints, serialization, and servers that take no changes. The SQL
+// standard's 40003 says that the outcome isn't known.
+bool
+IsCertainAtCommit(const std::string& aSqlState)
+{
+  constexpr std::string_view kCompletionUnknown = "40003";
+  return aSqlState != kCompletionUnknown &&
+         (aSqlState.starts_with("23") || aSqlState.starts_with("40") ||
+          aSqlState == upstream::kStaleTermState ||
+          aSqlState == upstream::kReadOnlyState);
+}
+
+// Whether a server refused because it takes no changes at present.
+bool
+IsNotPrimary(const std::string& aSqlState)
+{
+  return aSqlState == upstream::kStaleTermState ||
+         aSqlState == upstream::kReadOnlyState;
+}
+
+} // namespace
+
+bool
+change_flow::ReadOnly() const
+{
+  return false;
+}
+
+route::choice
+change_flow::Place(const std::vector<route::candidate>& aCandidates,
+                   clock::time_point aNow) const
+{
+  return route::ChoosePrimary(
+    aCandidates, Request().work.servedIn, Shared().board, aNow);
+}
+
+std::optional<answer>
+change_flow::GiveUp(reason aWhy, clock::time_point aNow)
+{
+  if (mDoubtful || mPhase != phase::kApply) {
+    return std::nullopt;
+  }
+  if (aWhy == reason::kNoPlace || HasWaitedLong(aNow)) {
+    return NotRun(Request(), aWhy);
+  }
+  return std::nullopt;
+}
+
+std::vector<upstream::statement>
+change_flow::Compose(const dispatch& aDispatch)
+{
+  mDispatch = aDispatch;
+  const auto term = Shared().board.Term();
+  mTerm = term ? term->term : 0;
+  switch (mPhase) {
+    case phase::kLookUp:
+      return ComposeLookUp();
+    case phase::kVoid:
+      return ComposeVoid();
+    case phase::kApply:
+      break;
+  }
+  return ComposeChange();
+}
+
+bool
+change_flow::IsOvertaken(clock::time_point) const
+{
+  const auto term = Shared().board.Term();
+  return term && term->term > mTerm;
+}
+
+turn
+change_flow::Replied(upstream::reply aReply, clock::time_point aNow)
+{
+  switch (mPhase) {
+    case phase::kLookUp:
+      return LookedUp(aReply, aNow);
+    case phase::kVoid:
+      return Voided(aReply, aNow);
+    case phase::kApply:
+      break;
+  }
+  return ChangeReplied(std::move(aReply), aNow);
+}
+
+std::optional<step>
+change_flow::Heard(clock::time_point aNow)
+{
+  if (Shared().board.Holds(mPosition, mDispatch.sentAt, aNow)) {
+    return finish{ std::move(*mAnswer) };
+  }
+  const auto term = Shared().board.Term();
+  if (term && term->term > mPosition.term) {
+    mAnswer.reset();
+    return Doubt();
+  }
+  return std::nullopt;
+}
+
+answer
+change_flow::Expired(stage aStage) const
+{
+  const auto neverSent =
+    aStage == stage::kQueued && !mDoubtful && mPhase == phase::kApply;
+  return neverSent ? NotRun(Request(), reason::kDeadline)
+                   : Unknown(Request(), reason::kDeadline);
+}
+
+change_flow::phase
+change_flow::Phase() const noexcept
+{
+  return mPhase;
+}
+
+void
+change_flow::SetPhase(phase aPhase) noexcept
+{
+  mPhase = aPhase;
+}
+
+turn
+change_flow::ChangeReplied(upstream::reply aReply, clock::time_point aNow)
+{
+  if (aReply.end == batch_end::kServerError) {
+    return ChangeRefused(aReply);
+  }
+  const auto first = RecordPlace() + 1;
+  const auto size = aReply.results.size();
+  if (aReply.end == batch_end::kTorn || size < first + kClosing) {
+    return { Doubt(), connection_fate::kClose };
+  }
+  const auto after = size - 1;
+  const auto before = size - kClosing;
+  const auto position = PositionOf(aReply, before, after);
+  if (!position) {
+    return { Doubt(), connection_fate::kClose };
+  }
+  auto made = ServedBy(Request(), mDispatch, server_role::kPrimary);
+  const auto begin = aReply.results.begin();
+  const auto offset = static_cast<std::ptrdiff_t>(first);
+  made.results.assign(
+    std::make_move_iterator(begin + offset),
+    std::make_move_iterator(begin + static_cast<std::ptrdiff_t>(before)));
+  return { Confirm(std::move(made), *position, aNow), connection_fate::kKeep };
+}
+
+turn
+change_flow::ChangeRefused(const upstream::reply& aReply)
+{
+  const auto failed = aReply.results.size();
+  const auto size = ComposeChange().size();
+  const auto commit = size - 2;
+  const auto mayHaveCommitted =
+    failed > commit ||
+    (failed == commit && !IsCertainAtCommit(aReply.sqlState));
+  if (mayHaveCommitted) {
+    return { Doubt(), connection_fate::kClose };
+  }
+  if (failed == RecordPlace() &&
+      aReply.sqlState == upstream::kUniqueViolationState) {
+    mPhase = phase::kLookUp;
+    return { queue_again{}, connection_fate::kRollBack };
+  }
+  if (IsNotPrimary(aReply.sqlState) || failed < RecordPlace()) {
+    return { TryAgain(reason::kNoPrimary), connection_fate::kClose };
+  }
+  auto made = StatementRefused(Request(), aReply);
+  if (!mDoubtful) {
+    return { finish{ std::move(made) }, connection_fate::kRollBack };
+  }
+  // An earlier attempt may still run: the void decides.
+  mIfVoid = std::move(made);
+  mPhase = phase::kVoid;
+  return { queue_again{}, connection_fate::kRollBack };
+}
+
+turn
+change_flow::LookedUp(const upstream::reply& aReply, clock::time_point aNow)
+{
+  if (aReply.end != batch_end::kComplete) {
+    return { TryAgain(reason::kNoPrimary), connection_fate::kClose };
+  }
+  const auto position = PositionOf(aReply, kLookUpStatus, kLookUpStatus);
+  if (!position) {
+    return { TryAgain(reason::kNoPrimary), connection_fate::kClose };
+  }
+  const auto record =
+    outcome::ReadStoredOutcome(aReply.results[kLookUpRecord]);
+  if (!record) {
+    // The record went with an unconfirmed history: the change hasn't run.
+    mPhase = MayBeResent() || !mDoubtful ? phase::kApply : phase::kVoid;
+    return { TryAgain(reason::kNoPrimary), connection_fate::kKeep };
+  }
+  return { Confirm(FromRecord(*record), *position, aNow),
+           connection_fate::kKeep };
+}
+
+turn
+change_flow::Voided(const upstream::reply& aReply, clock::time_point aNow)
+{
+  if (aReply.end != batch_end::kComplete) {
+    return { TryAgain(reason::kNoPrimary), connection_fate::kClose };
+  }
+  const auto position = PositionOf(aReply, kVoidBefore, kVoidAfter);
+  if (!position) {
+    return { TryAgain(reason::kNoPrimary), connection_fate::kClose };
+  }
+  const auto record = outcome::ReadStoredOutcome(aReply.results[kVoidRecord]);
+  if (!record) {
+    return { TryAgain(reason::kNoPrimary), connection_fate::kClose };
+  }
+  auto made =
+    record->isVoid && mIfVoid ? std::move(*mIfVoid) : FromRecord(*record);
+  mIfVoid.reset();
+  return { Confirm(std::move(made), *position, aNow), connection_fate::kKeep };
+}
+
+std::optional<position::log_position>
+change_flow::PositionOf(const upstream::reply& aReply,
+                        std::size_t aBefore,
+                        std::size_t aAfter)
+{
+  const auto before = TakeStatus(Shared(), mDispatch, aReply, aBefore);
+  const auto after = TakeStatus(Shared(), mDispatch, aReply, aAfter);
+  if (!before || !after || before->term != after->term ||
+      before->role != server_role::kPrimary ||
+      after->role != server_role::kPrimary) {
+    return std::nullopt;
+  }
+  return after->applied;
+}
+
+step
+change_flow::Confirm(answer aAnswer,
+                     const position::log_position& aPosition,
+                     clock::time_point aNow)
+{
+  mPosition = aPosition;
+  mAnswer = std::move(aAnswer);
+  mAnswer->position = aPosition;
+  if (auto next = Heard(aNow)) {
+    return std::move(*next);
+  }
+  return await_word{};
+}
+
+step
+change_flow::Doubt()
+{
+  mDoubtful = true;
+  const auto resend = MayBeResent() && Request().work.repeatable;
+  mPhase = resend && mPhase != phase::kVoid ? phase::kApply : phase::kVoid;
+  if (!Shared().retries.Spend()) {
+    return finish{ Unknown(Request(), reason::kUnreachable) };
+  }
+  return queue_again{};
+}
+
+step
+change_flow::TryAgain(reason aWhy)
+{
+  if (Shared().retries.Spend()) {
+    return queue_again{};
+  }
+  const auto hasNotRun = !mDoubtful && mPhase == phase::kApply;
+  return finish{ hasNotRun ? NotRun(Request(), aWhy)
+                           : Unknown(Request(), aWhy) };
+}
+
+answer
+change_flow::FromRecord(const outcome::stored_outcome& aRecord) const
+{
+  if (aRecord.isVoid) {
+    return NotRun(Request(), reason::kKeyVoid);
+  }
+  const auto digest = Digest();
+  if (digest && *digest != aRecord.digest) {
+    return Refused(Request(), reason::kKeyReused);
+  }
+  auto made = ServedBy(Request(), mDispatch, server_role::kPrimary);
+  made.repeated = true;
+  return made;
+}
+
+std::vector<upstream::statement>
+change_flow::ComposeLookUp() const
+{
+  const auto& dialect = *Shared().dialect;
+  return { dialect.ReadOutcome(Request().key.Text()), dialect.Status() };
+}
+
+std::vector<upstream::statement>
+change_flow::ComposeVoid() const
+{
+  const auto& dialect = *Shared().dialect;
+  const auto key = Request().key.Text();
+  return { dialect.Begin(false),
+           dialect.VoidOutcome(
+             key, Request().key.IssuedAt(), Digest().value_or("")),
+           dialect.ReadOutcome(key),
+           dialect.Status(),
+           dialect.Commit(),
+           dialect.Status() };
+}
+
+} // namespace currantshed::group
--- /dev/null
+++ b/src/currantshed/group/changes.hpp
@@ -0,0 +1,105 @@
+#ifndef CURRANTSHED_GROUP_CHANGES_HPP
+#define CURRANTSHED_GROUP_CHANGES_HPP
+
+#include "currantshed/group/flow.hpp"
+#include "currantshed/outcome/stored_outcome.hpp"
+
+namespace currantshed::group {
+
+/// The way of a change under an idempotency key, from its first batch to an
+/// answer that holds. Its doubts are resolved on the primary of the term in
+/// force: by the change itself under the same key where the class may be
+/// repeated, else by making the key void, so that the unique key decides
+/// between the change and the void. Whatever is found is told only once a
+/// majority holds it. What can't be resolved in time is told as unknown.
+class change_flow : public flow
+{
+public:
+  using flow::flow;
+
+  [[nodiscard]] bool ReadOnly() const override;
+  [[nodiscard]] route::choice Place(
+    const std::vector<route::candidate>& aCandidates,
+    clock::time_point aNow) const override;
+  [[nodiscard]] std::optional<answer> GiveUp(outcome::reason aWhy,
+                                             clock::time_point aNow) override;
+  [[nodiscard]] std::vector<upstream::statement> Compose(
+    const dispatch& aDispatch) override;
+  [[nodiscard]] bool IsOvertaken(clock::time_point aNow) const override;
+  [[nodiscard]] turn Replied(upstream::reply aReply,
+                             clock::time_point aNow) override;
+  [[nodiscard]] std::optional<step> Heard(clock::time_point aNow) override;
+  [[nodiscard]] answer Expired(stage aStage) const override;
+
+protected:
+  /// What its next batch does.
+  enum class phase
+  {
+    /// Runs the change.
+    kApply,
+    /// Reads what became of a key that is there already.
+    kLookUp,
+    /// Makes the key void unless the change is there.
+    kVoid,
+  };
+
+  /// The batch of the change itself. Its last three statements are a status,
+  /// the commit, and a status.
+  [[nodiscard]] virtual std::vector<upstream::statement> ComposeChange()
+    const = 0;
+
+  /// Place in that batch of the statement that records the outcome.
+  [[nodiscard]] virtual std::size_t RecordPlace() const = 0;
+
+  /// Whether the change's batch may be sent once more.
+  [[nodiscard]] virtual bool MayBeResent() const = 0;
+
+  /// Digest of the change's statements; none when the caller only knows the
+  /// key.
+  [[nodiscard]] virtual std::optional<std::string> Digest() const = 0;
+
+  [[nodiscard]] phase Phase() const noexcept;
+  void SetPhase(phase aPhase) noexcept;
+
+private:
+  [[nodiscard]] turn ChangeReplied(upstream::reply aReply,
+                                   clock::time_point aNow);
+  [[nodiscard]] turn ChangeRefused(const upstream::reply& aReply);
+  [[nodiscard]] turn LookedUp(const upstream::reply& aReply,
+                              clock::time_point aNow);
+  [[nodiscard]] turn Voided(const upstream::reply& aReply,
+                            clock::time_point aNow);
+  /// Reads the words at the two places; none unless the server was primary
+  /// of one term in both.
+  [[nodiscard]] std::optional<position::log_position> PositionOf(
+    const upstream::reply& aReply,
+    std::size_t aBefore,
+    std::size_t aAfter);
+  /// Has the answer to give once the position is confirmed.
+  [[nodiscard]] step Confirm(answer aAnswer,
+                             const position::log_position& aPosition,
+                             clock::time_point aNow);
+  [[nodiscard]] step Doubt();
+  /// The change has certainly not run, for the server's state at the time.
+  [[nodiscard]] step TryAgain(outcome::reason aWhy);
+  /// What the record of the key says.
+  [[nodiscard]] answer FromRecord(
+    const outcome::stored_outcome& aRecord) const;
+  [[nodiscard]] std::vector<upstream::statement> ComposeLookUp() const;
+  [[nodiscard]] std::vector<upstream::statement> ComposeVoid() const;
+
+  phase mPhase = phase::kApply;
+  dispatch mDispatch;
+  position::term_id mTerm = 0;
+  // Whether an attempt was sent of which it isn't known how it ended.
+  bool mDoubtful = false;
+  // What to answer if the doubt turns out as "never ran".
+  std::optional<answer> mIfVoid;
+  // The answer to give once mPosition is confirmed.
+  std::optional<answer> mAnswer;
+  position::log_position mPosition;
+};
+
+} // namespace currantshed::group
+
+#endif
--- /dev/null
+++ b/src/currantshed/group/read_verification.cpp
@@ -0,0 +1,91 @@
+#include "currantshed/group/read_verification.hpp"
+
+namespace currantshed::group {
+
+namespace {
+
+using confirm::status_board;
+using upstream::server_role;
+using upstream::server_status;
+
+// Whether nothing that a statement saw between the two words can have been
+// dropped before the second one. A server drops records only when it begins
+// to follow a new primary; its log then ends lower, or in a later term.
+bool
+HasKeptHistory(const server_status& aBefore,
+               const server_status& aAfter,
+               const status_board& aBoard)
+{
+  if (aBefore.term != aAfter.term || aAfter.applied < aBefore.applied ||
+      aAfter.stored < aBefore.stored) {
+    return false;
+  }
+  return aBefore.stored.term == aAfter.stored.term ||
+         aBoard.WasConfirmed(aBefore.stored);
+}
+
+bool
+IsFreshEnough(const request& aRequest,
+              const server_status& aBefore,
+              const status_board& aBoard,
+              clock::time_point aNow)
+{
+  const auto asOf = aBoard.Samples().CurrentAsOf(aBefore.applied);
+  return asOf && aNow - *asOf <= aRequest.work.maxStaleness;
+}
+
+read_judgement
+JudgeFresh(const read_evidence& aEvidence,
+           const status_board& aBoard,
+           clock::time_point aNow)
+{
+  if (aEvidence.before.role != server_role::kPrimary ||
+      aEvidence.after.role != server_role::kPrimary) {
+    return read_judgement::kBad;
+  }
+  if (aBoard.Holds(aEvidence.after.applied, aEvidence.sentAt, aNow)) {
+    return read_judgement::kGood;
+  }
+  const auto term = aBoard.Term();
+  return term && term->term > aEvidence.after.term
+           ? read_judgement::kBad
+           : read_judgement::kUnconfirmed;
+}
+
+} // namespace
+
+bool
+IsFresh(const request& aRequest) noexcept
+{
+  return aRequest.fresh ||
+         aRequest.work.maxStaleness <= std::chrono::milliseconds{ 0 };
+}
+
+read_judgement
+Judge(const request& aRequest,
+      const read_evidence& aEvidence,
+      const status_board& aBoard,
+      clock::time_point aNow)
+{
+  const auto& before = aEvidence.before;
+  const auto& after = aEvidence.after;
+  if (!HasKeptHistory(before, after, aBoard) ||
+      before.applied < aRequest.floor) {
+    return read_judgement::kBad;
+  }
+  if (IsFresh(aRequest)) {
+    return JudgeFresh(aEvidence, aBoard, aNow);
+  }
+  if (!IsFreshEnough(aRequest, before, aBoard, aNow)) {
+    return read_judgement::kBad;
+  }
+  if (aBoard.WasConfirmed(after.applied)) {
+    return read_judgement::kGood;
+  }
+  const auto term = aBoard.Term();
+  return term && term->term > after.applied.term
+           ? read_judgement::kBad
+           : read_judgement::kUnconfirmed;
+}
+
+} // namespace currantshed::group
--- /dev/null
+++ b/src/currantshed/group/reads.cpp
@@ -0,0 +1,184 @@
+#include "currantshed/group/reads.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace currantshed::group {
+
+namespace {
+
+using outcome::reason;
+using upstream::batch_end;
+
+// Part of its time that a read waits for a replica which could take it,
+// before it goes to the primary.
+constexpr int kSpillPart = 4;
+// Part of the time left that a read waits for one server's reply, before it
+// runs elsewhere.
+constexpr int kAttemptPart = 2;
+
+// Whether the server refused for what it is at the moment, and another one
+// might not.
+bool
+IsRefusalByServer(const std::string& aSqlState)
+{
+  // Classes 53 (resources), 57 (operator) and 58 (system), and a stale term.
+  return aSqlState == upstream::kStaleTermState ||
+         aSqlState.starts_with("53") || aSqlState.starts_with("57") ||
+         aSqlState.starts_with("58");
+}
+
+} // namespace
+
+bool
+read_flow::ReadOnly() const
+{
+  return true;
+}
+
+route::choice
+read_flow::Place(const std::vector<route::candidate>& aCandidates,
+                 clock::time_point aNow) const
+{
+  const auto& request = Request();
+  const auto time = request.deadline - Submitted();
+  const route::read_need need{ request.work.servedIn,
+                               request.floor,
+                               request.work.maxStaleness,
+                               IsFresh(request),
+                               mTried,
+                               aNow >= Submitted() + time / kSpillPart };
+  return route::ChooseForRead(aCandidates, need, Shared().board, aNow);
+}
+
+std::optional<answer>
+read_flow::GiveUp(reason aWhy, clock::time_point aNow)
+{
+  // Servers that were behind may have caught up when it comes to them again.
+  mTried.clear();
+  if (aWhy == reason::kNoPlace || HasWaitedLong(aNow)) {
+    return NotRun(Request(), aWhy);
+  }
+  return std::nullopt;
+}
+
+std::vector<upstream::statement>
+read_flow::Compose(const dispatch& aDispatch)
+{
+  mDispatch = aDispatch;
+  mEvidence = {};
+  mEvidence.sentAt = aDispatch.sentAt;
+  std::vector<upstream::statement> batch;
+  batch.reserve(Request().statements.size() + 2);
+  batch.push_back(Shared().dialect->Status());
+  batch.insert(batch.end(),
+               Request().statements.begin(),
+               Request().statements.end());
+  batch.push_back(Shared().dialect->Status());
+  return batch;
+}
+
+bool
+read_flow::IsOvertaken(clock::time_point aNow) const
+{
+  return aNow >= OvertakenAt();
+}
+
+clock::time_point
+read_flow::OvertakenAt() const
+{
+  return mDispatch.sentAt +
+         (Request().deadline - mDispatch.sentAt) / kAttemptPart;
+}
+
+turn
+read_flow::Replied(upstream::reply aReply, clock::time_point aNow)
+{
+  if (aReply.end == batch_end::kServerError) {
+    return ServerRefused(aReply);
+  }
+  if (aReply.end == batch_end::kTorn) {
+    return Torn(aReply);
+  }
+  const auto last = aReply.results.size() - 1;
+  const auto before = TakeStatus(Shared(), mDispatch, aReply, 0);
+  const auto after = TakeStatus(Shared(), mDispatch, aReply, last);
+  if (!before || !after || last != Request().statements.size() + 1) {
+    return { TryElsewhere(reason::kUnreachable), connection_fate::kClose };
+  }
+  mEvidence.before = *before;
+  mEvidence.after = *after;
+  mAnswer = ServedBy(Request(), mDispatch, after->role);
+  mAnswer.position = after->applied;
+  mAnswer.results.assign(std::make_move_iterator(aReply.results.begin() + 1),
+                         std::make_move_iterator(aReply.results.end() - 1));
+  auto next = Decide(aNow);
+  return { next ? std::move(*next) : step{ await_word{} },
+           connection_fate::kKeep };
+}
+
+std::optional<step>
+read_flow::Heard(clock::time_point aNow)
+{
+  return Decide(aNow);
+}
+
+bool
+read_flow::WantsWord() const
+{
+  return IsFresh(Request());
+}
+
+answer
+read_flow::Expired(stage) const
+{
+  // What a read did is gone with its rows.
+  return NotRun(Request(), reason::kDeadline);
+}
+
+std::optional<step>
+read_flow::Decide(clock::time_point aNow)
+{
+  switch (Judge(Request(), mEvidence, Shared().board, aNow)) {
+    case read_judgement::kGood:
+      return finish{ std::move(mAnswer) };
+    case read_judgement::kBad:
+      return TryElsewhere(reason::kTooStale);
+    case read_judgement::kUnconfirmed:
+      break;
+  }
+  return std::nullopt;
+}
+
+step
+read_flow::TryElsewhere(reason aWhy)
+{
+  mTried.push_back(mDispatch.server);
+  if (!Shared().retries.Spend()) {
+    return finish{ NotRun(Request(), aWhy) };
+  }
+  return queue_again{};
+}
+
+turn
+read_flow::ServerRefused(const upstream::reply& aReply)
+{
+  if (IsRefusalByServer(aReply.sqlState)) {
+    return { TryElsewhere(reason::kUnreachable), connection_fate::kClose };
+  }
+  return { finish{ StatementRefused(Request(), aReply) },
+           connection_fate::kKeep };
+}
+
+turn
+read_flow::Torn(const upstream::reply& aReply)
+{
+  if (aReply.sqlState == upstream::kAnswerLimitState) {
+    return { finish{ Refused(Request(), reason::kAnswerTooLarge) },
+             connection_fate::kClose };
+  }
+  return { TryElsewhere(reason::kUnreachable), connection_fate::kClose };
+}
+
+} // namespace currantshed::group
--- /dev/null
+++ b/src/currantshed/group/reads.hpp
@@ -0,0 +1,50 @@
+#ifndef CURRANTSHED_GROUP_READS_HPP
+#define CURRANTSHED_GROUP_READS_HPP
+
+#include "currantshed/group/flow.hpp"
+#include "currantshed/group/read_verification.hpp"
+
+namespace currantshed::group {
+
+/// A read: its statements run between two questions for the server's status
+/// and its rows are shown only if the evidence is good. Otherwise it runs
+/// again elsewhere, as far as its deadline and the retry budget allow.
+class read_flow : public flow
+{
+public:
+  using flow::flow;
+
+  [[nodiscard]] bool ReadOnly() const override;
+  [[nodiscard]] route::choice Place(
+    const std::vector<route::candidate>& aCandidates,
+    clock::time_point aNow) const override;
+  [[nodiscard]] std::optional<answer> GiveUp(outcome::reason aWhy,
+                                             clock::time_point aNow) override;
+  [[nodiscard]] std::vector<upstream::statement> Compose(
+    const dispatch& aDispatch) override;
+  [[nodiscard]] bool IsOvertaken(clock::time_point aNow) const override;
+  [[nodiscard]] clock::time_point OvertakenAt() const override;
+  [[nodiscard]] turn Replied(upstream::reply aReply,
+                             clock::time_point aNow) override;
+  [[nodiscard]] std::optional<step> Heard(clock::time_point aNow) override;
+  [[nodiscard]] bool WantsWord() const override;
+  [[nodiscard]] answer Expired(stage aStage) const override;
+
+private:
+  /// Goes by what the evidence says now.
+  [[nodiscard]] std::optional<step> Decide(clock::time_point aNow);
+  /// Runs it elsewhere if that may be.
+  [[nodiscard]] step TryElsewhere(outcome::reason aWhy);
+  [[nodiscard]] turn ServerRefused(const upstream::reply& aReply);
+  [[nodiscard]] turn Torn(const upstream::reply& aReply);
+
+  dispatch mDispatch;
+  read_evidence mEvidence;
+  answer mAnswer;
+  // Servers tried in vain; forgotten when all have been.
+  std::vector<upstream::server_id> mTried;
+};
+
+} // namespace currantshed::group
+
+#endif
--- /dev/null
+++ b/src/currantshed/group/transaction_table.cpp
@@ -0,0 +1,97 @@
+#include "currantshed/group/transaction_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace currantshed::group {
+
+transaction_id
+transaction_table::Add(transaction aTransaction, clock::time_point aNow)
+{
+  const auto byClock =
+    static_cast<transaction_id>(aNow.time_since_epoch().count());
+  mLast = std::max(mLast + 1, byClock);
+  aTransaction.id = mLast;
+  aTransaction.lastUsed = aNow;
+  mTransactions.emplace(mLast, std::move(aTransaction));
+  return mLast;
+}
+
+transaction*
+transaction_table::Find(transaction_id aId)
+{
+  const auto found = mTransactions.find(aId);
+  return found == mTransactions.end() ? nullptr : &found->second;
+}
+
+transaction*
+transaction_table::OnConnection(connection_id aConnection)
+{
+  for (auto& [id, transaction] : mTransactions) {
+    if (transaction.connection == aConnection) {
+      return &transaction;
+    }
+  }
+  return nullptr;
+}
+
+void
+transaction_table::Remove(transaction_id aId)
+{
+  mTransactions.erase(aId);
+}
+
+std::vector<transaction_id>
+transaction_table::IdleSince(clock::time_point aTime) const
+{
+  std::vector<transaction_id> found;
+  for (const auto& [id, transaction] : mTransactions) {
+    if (!transaction.user && transaction.lastUsed <= aTime) {
+      found.push_back(id);
+    }
+  }
+  return found;
+}
+
+std::vector<transaction_id>
+transaction_table::Outdated(position::term_id aTerm) const
+{
+  std::vector<transaction_id> found;
+  for (const auto& [id, transaction] : mTransactions) {
+    if (!transaction.readOnly && transaction.term < aTerm) {
+      found.push_back(id);
+    }
+  }
+  return found;
+}
+
+std::optional<clock::time_point>
+transaction_table::OldestUse() const
+{
+  std::optional<clock::time_point> oldest;
+  for (const auto& [id, transaction] : mTransactions) {
+    if (!transaction.user && (!oldest || transaction.lastUsed < *oldest)) {
+      oldest = transaction.lastUsed;
+    }
+  }
+  return oldest;
+}
+
+std::size_t
+transaction_table::CountOn(const upstream::server_id& aServer) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mTransactions.begin(),
+                  mTransactions.end(),
+                  [&aServer](const auto& aEntry) {
+                    return aEntry.second.server == aServer;
+                  }));
+}
+
+std::size_t
+transaction_table::Size() const noexcept
+{
+  return mTransactions.size();
+}
+
+} // namespace currantshed::group
--- /dev/null
+++ b/src/currantshed/group/transaction_table.hpp
@@ -0,0 +1,74 @@
+#ifndef CURRANTSHED_GROUP_TRANSACTION_TABLE_HPP
+#define CURRANTSHED_GROUP_TRANSACTION_TABLE_HPP
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/group/fwd.hpp"
+#include "currantshed/outcome/request_digest.hpp"
+#include "currantshed/position/log_position.hpp"
+#include "currantshed/upstream/status.hpp"
+
+namespace currantshed::group {
+
+/// One open transaction and the connection that it owns.
+struct transaction
+{
+  transaction_id id = 0;
+  connection_id connection = 0;
+  upstream::server_id server;
+  std::string failureDomain;
+  upstream::server_role role = upstream::server_role::kPrimary;
+  bool readOnly = false;
+  /// The server's term when it began.
+  position::term_id term = 0;
+  /// For a read-only one, the confirmed position that it shows.
+  position::log_position position;
+  /// Over the statements that ran in it.
+  outcome::request_digest digest;
+  clock::time_point lastUsed;
+  /// The request that uses it at the moment; it takes one at a time.
+  std::optional<request_id> user;
+};
+
+/// The open transactions of one group.
+class transaction_table
+{
+public:
+  /// Notes an open transaction and gives it its number. Numbers go by the
+  /// clock, so that an engine made later doesn't use an earlier one's again.
+  transaction_id Add(transaction aTransaction, clock::time_point aNow);
+
+  [[nodiscard]] transaction* Find(transaction_id aId);
+  [[nodiscard]] transaction* OnConnection(connection_id aConnection);
+  void Remove(transaction_id aId);
+
+  /// Those that no request uses and that were last used before the time
+  /// given.
+  [[nodiscard]] std::vector<transaction_id> IdleSince(
+    clock::time_point aTime) const;
+
+  /// Those that may change data and whose term is lower than given.
+  [[nodiscard]] std::vector<transaction_id> Outdated(
+    position::term_id aTerm) const;
+
+  /// When the least lately used idle one was used; none without an idle one.
+  [[nodiscard]] std::optional<clock::time_point> OldestUse() const;
+
+  /// Transactions that a server has open.
+  [[nodiscard]] std::size_t CountOn(const upstream::server_id& aServer) const;
+
+  [[nodiscard]] std::size_t Size() const noexcept;
+
+private:
+  absl::flat_hash_map<transaction_id, transaction> mTransactions;
+  transaction_id mLast = 0;
+};
+
+} // namespace currantshed::group
+
+#endif
--- /dev/null
+++ b/src/currantshed/route/read_route.cpp
@@ -0,0 +1,207 @@
+#include "currantshed/route/read_route.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace currantshed::route {
+
+namespace {
+
+using confirm::dated_status;
+using outcome::reason;
+
+// A server that has said nothing for so long gets no reads.
+constexpr std::chrono::milliseconds kSilence{ 1000 };
+// Part of the staleness bound that is left for the read itself to run in.
+constexpr std::chrono::milliseconds kRunAllowance{ 5 };
+
+bool
+Contains(const std::vector<std::string>& aValues, const std::string& aValue)
+{
+  return std::find(aValues.begin(), aValues.end(), aValue) != aValues.end();
+}
+
+// When the data of a server was current, by its last word and the lag that
+// it had then; none when nothing is known.
+std::optional<clock::time_point>
+ExpectedAsOf(const dated_status& aWord,
+             const confirm::status_board& aBoard,
+             clock::time_point aNow)
+{
+  const auto asOf = aBoard.Samples().CurrentAsOf(aWord.status.applied);
+  if (!asOf) {
+    return std::nullopt;
+  }
+  const auto lag = std::max(aWord.askedAt - *asOf, clock::duration{ 0 });
+  return std::max(*asOf, aNow - lag);
+}
+
+bool
+CoversFloor(const dated_status& aWord,
+            const read_need& aNeed,
+            const confirm::status_board& aBoard,
+            std::optional<clock::time_point> aExpectedAsOf)
+{
+  if (aWord.status.applied >= aNeed.floor) {
+    return true;
+  }
+  const auto written = aBoard.Samples().WrittenBy(aNeed.floor);
+  return written && aExpectedAsOf && *written <= *aExpectedAsOf;
+}
+
+// The part of the bound that the read may still use up, leaving some for it
+// to run in.
+clock::duration
+UsableStaleness(std::chrono::milliseconds aBound)
+{
+  return std::max<clock::duration>(aBound - kRunAllowance, aBound / 2);
+}
+
+bool
+IsExpectedToServe(const dated_status& aWord,
+                  const read_need& aNeed,
+                  const confirm::status_board& aBoard,
+                  clock::time_point aNow)
+{
+  if (aWord.askedAt + kSilence < aNow) {
+    return false;
+  }
+  const auto asOf = ExpectedAsOf(aWord, aBoard, aNow);
+  return CoversFloor(aWord, aNeed, aBoard, asOf) && asOf &&
+         aNow - *asOf <= UsableStaleness(aNeed.maxStaleness);
+}
+
+// Whether one would run a read sooner than another: opening a connection
+// takes longer than most reads.
+bool
+IsBetter(const candidate& aLeft, const candidate& aRight)
+{
+  if (aLeft.connected != aRight.connected) {
+    return aLeft.connected;
+  }
+  return static_cast<std::uint64_t>(aLeft.inUse) * aRight.slots <
+         static_cast<std::uint64_t>(aRight.inUse) * aLeft.slots;
+}
+
+bool
+MayServe(const candidate& aCandidate, const read_need& aNeed)
+{
+  return !aCandidate.leaving &&
+         IsServedIn(aNeed.servedIn, aCandidate.failureDomain) &&
+         !Contains(aNeed.tried, aCandidate.server);
+}
+
+// The best among the replicas, or among the primary alone.
+choice
+ChooseAmong(bool aPrimaries,
+            const std::vector<candidate>& aCandidates,
+            const read_need& aNeed,
+            const confirm::status_board& aBoard,
+            clock::time_point aNow)
+{
+  choice best;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const auto& candidate = aCandidates[i];
+    const auto* word = aBoard.Find(candidate.server);
+    if (word == nullptr || !MayServe(candidate, aNeed)) {
+      continue;
+    }
+    const auto isPrimary =
+      word->status.role == upstream::server_role::kPrimary;
+    if (isPrimary != aPrimaries ||
+        !IsExpectedToServe(*word, aNeed, aBoard, aNow)) {
+      continue;
+    }
+    if (!candidate.room) {
+      best.state =
+        best.state == standing::kReady ? standing::kReady : standing::kBusy;
+      continue;
+    }
+    if (best.state != standing::kReady ||
+        IsBetter(candidate, aCandidates[best.index])) {
+      best = { standing::kReady, i, reason::kNone };
+    }
+  }
+  return best;
+}
+
+// Why no server can take a read at present.
+reason
+ReasonForNone(const std::vector<candidate>& aCandidates,
+              const read_need& aNeed,
+              const confirm::status_board& aBoard,
+              clock::time_point aNow)
+{
+  const auto hasPlace = std::any_of(
+    aCandidates.begin(), aCandidates.end(), [&](const candidate& aCandidate) {
+      return !aCandidate.leaving &&
+             IsServedIn(aNeed.servedIn, aCandidate.failureDomain);
+    });
+  if (!hasPlace) {
+    return reason::kNoPlace;
+  }
+  return aBoard.Primary(aNow) ? reason::kTooStale : reason::kNoPrimary;
+}
+
+} // namespace
+
+bool
+IsServedIn(const std::vector<std::string>& aServedIn,
+           const std::string& aFailureDomain)
+{
+  return Contains(aServedIn, aFailureDomain);
+}
+
+choice
+ChooseForRead(const std::vector<candidate>& aCandidates,
+              const read_need& aNeed,
+              const confirm::status_board& aBoard,
+              clock::time_point aNow)
+{
+  if (aNeed.fresh) {
+    return ChoosePrimary(aCandidates, aNeed.servedIn, aBoard, aNow);
+  }
+  const auto replica = ChooseAmong(false, aCandidates, aNeed, aBoard, aNow);
+  const auto useReplica =
+    replica.state == standing::kReady ||
+    (replica.state == standing::kBusy && !aNeed.spill);
+  if (useReplica) {
+    return replica;
+  }
+  auto primary = ChooseAmong(true, aCandidates, aNeed, aBoard, aNow);
+  if (primary.state == standing::kNone && replica.state == standing::kNone) {
+    primary.why = ReasonForNone(aCandidates, aNeed, aBoard, aNow);
+    return primary;
+  }
+  return primary.state == standing::kNone ? replica : primary;
+}
+
+choice
+ChoosePrimary(const std::vector<candidate>& aCandidates,
+              const std::vector<std::string>& aServedIn,
+              const confirm::status_board& aBoard,
+              clock::time_point aNow)
+{
+  const auto primary = aBoard.Primary(aNow);
+  if (!primary) {
+    return { standing::kNone, 0, reason::kNoPrimary };
+  }
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const auto& candidate = aCandidates[i];
+    if (candidate.server != primary->server) {
+      continue;
+    }
+    if (!IsServedIn(aServedIn, candidate.failureDomain)) {
+      return { standing::kNone, 0, reason::kNoPlace };
+    }
+    if (candidate.leaving) {
+      return { standing::kNone, 0, reason::kNoPrimary };
+    }
+    return { candidate.room ? standing::kReady : standing::kBusy,
+             i,
+             reason::kNone };
+  }
+  return { standing::kNone, 0, reason::kNoPrimary };
+}
+
+} // namespace currantshed::route
