--- a/src/currantshed/confirm/status_board.cpp
+++ b/src/currantshed/confirm/status_board.cpp
@@ -114,8 +114,7 @@
     return std::nullopt;
   }
   const auto* primary = PrimaryOf(term->term);
-  if (primary == nullptr ||
-      primary->second.latest.askedAt + mValidity < aNow) {
+  if (primary == nullptr || primary->second.latest.askedAt + mValidity < aNow) {
     return std::nullopt;
   }
   return known_primary{ primary->first, term->term };
