--- a/src/currantshed/admit/deadline_queue.hpp
+++ b/src/currantshed/admit/deadline_queue.hpp
@@ -25,9 +25,8 @@
   [[nodiscard]] friend bool operator<(const waiting& aLeft,
                                       const waiting& aRight) noexcept
   {
-    return aLeft.deadline != aRight.deadline
-             ? aLeft.deadline < aRight.deadline
-             : aLeft.request < aRight.request;
+    return aLeft.deadline != aRight.deadline ? aLeft.deadline < aRight.deadline
+                                             : aLeft.request < aRight.request;
   }
 };
 
--- a/src/currantshed/admit/drain_meter.cpp
+++ b/src/currantshed/admit/drain_meter.cpp
@@ -44,7 +44,8 @@
   const auto time = std::chrono::ceil<std::chrono::milliseconds>(aTime);
   const auto base = std::max(time, kShortest);
   // Halves are rounded up, so that short times are spread too.
-  const auto jitter = (base.count() + 1) * part / static_cast<std::int64_t>(2 * kParts);
+  const auto jitter =
+    (base.count() + 1) * part / static_cast<std::int64_t>(2 * kParts);
   return base + std::chrono::milliseconds{ jitter };
 }
 
--- a/src/currantshed/pool/server_pool.cpp
+++ b/src/currantshed/pool/server_pool.cpp
@@ -66,13 +66,13 @@
 std::size_t
 server_pool::Opening(bool aReadOnly) const noexcept
 {
-  return static_cast<std::size_t>(std::count_if(
-    mConnections.begin(),
-    mConnections.end(),
-    [aReadOnly](const connection& aConnection) {
-      return aConnection.now == state::kOpening &&
-             aConnection.readOnly == aReadOnly;
-    }));
+  return static_cast<std::size_t>(
+    std::count_if(mConnections.begin(),
+                  mConnections.end(),
+                  [aReadOnly](const connection& aConnection) {
+                    return aConnection.now == state::kOpening &&
+                           aConnection.readOnly == aReadOnly;
+                  }));
 }
 
 bool
--- a/src/currantshed/route/read_route.cpp
+++ b/src/currantshed/route/read_route.cpp
@@ -106,8 +106,7 @@
     if (word == nullptr || !MayServe(candidate, aNeed)) {
       continue;
     }
-    const auto isPrimary =
-      word->status.role == upstream::server_role::kPrimary;
+    const auto isPrimary = word->status.role == upstream::server_role::kPrimary;
     if (isPrimary != aPrimaries ||
         !IsExpectedToServe(*word, aNeed, aBoard, aNow)) {
       continue;
@@ -162,9 +161,8 @@
     return ChoosePrimary(aCandidates, aNeed.servedIn, aBoard, aNow);
   }
   const auto replica = ChooseAmong(false, aCandidates, aNeed, aBoard, aNow);
-  const auto useReplica =
-    replica.state == standing::kReady ||
-    (replica.state == standing::kBusy && !aNeed.spill);
+  const auto useReplica = replica.state == standing::kReady ||
+                          (replica.state == standing::kBusy && !aNeed.spill);
   if (useReplica) {
     return replica;
   }
