--- a/src/currantshed/group/changes.cpp
+++ b/src/currantshed/group/changes.cpp
@@ -113,6 +113,10 @@
 std::optional<step>
 change_flow::Heard(clock::time_point aNow)
 {
+  if (mParked) {
+    mParked = false;
+    return queue_again{};
+  }
   if (Shared().board.Holds(mPosition, mDispatch.sentAt, aNow)) {
     return finish{ std::move(*mAnswer) };
   }
@@ -211,11 +215,11 @@
   if (!position) {
     return { TryAgain(reason::kNoPrimary), connection_fate::kClose };
   }
-  const auto record =
-    outcome::ReadStoredOutcome(aReply.results[kLookUpRecord]);
+  const auto record = outcome::ReadStoredOutcome(aReply.results[kLookUpRecord]);
   if (!record) {
     // The record went with an unconfirmed history: the change hasn't run.
-    mPhase = MayBeResent() || !mDoubtful ? phase::kApply : phase::kVoid;
+    mPhase =
+      mDoubtful && !Request().work.repeatable ? phase::kVoid : phase::kApply;
     return { TryAgain(reason::kNoPrimary), connection_fate::kKeep };
   }
   return { Confirm(FromRecord(*record), *position, aNow),
@@ -286,8 +290,12 @@
 step
 change_flow::TryAgain(reason aWhy)
 {
+  if (mPhase == phase::kApply && !MayBeResent()) {
+    return finish{ NotRun(Request(), reason::kTransactionLost) };
+  }
   if (Shared().retries.Spend()) {
-    return queue_again{};
+    mParked = true;
+    return await_word{};
   }
   const auto hasNotRun = !mDoubtful && mPhase == phase::kApply;
   return finish{ hasNotRun ? NotRun(Request(), aWhy)
--- a/src/currantshed/group/changes.hpp
+++ b/src/currantshed/group/changes.hpp
@@ -51,7 +51,8 @@
   /// Place in that batch of the statement that records the outcome.
   [[nodiscard]] virtual std::size_t RecordPlace() const = 0;
 
-  /// Whether the change's batch may be sent once more.
+  /// Whether the change's batch can be sent once more at all; whether it may
+  /// be while a doubt stands is for the class to say.
   [[nodiscard]] virtual bool MayBeResent() const = 0;
 
   /// Digest of the change's statements; none when the caller only knows the
@@ -83,8 +84,7 @@
   /// The change has certainly not run, for the server's state at the time.
   [[nodiscard]] step TryAgain(outcome::reason aWhy);
   /// What the record of the key says.
-  [[nodiscard]] answer FromRecord(
-    const outcome::stored_outcome& aRecord) const;
+  [[nodiscard]] answer FromRecord(const outcome::stored_outcome& aRecord) const;
   [[nodiscard]] std::vector<upstream::statement> ComposeLookUp() const;
   [[nodiscard]] std::vector<upstream::statement> ComposeVoid() const;
 
@@ -93,6 +93,9 @@
   position::term_id mTerm = 0;
   // Whether an attempt was sent of which it isn't known how it ended.
   bool mDoubtful = false;
+  // Whether it waits for any news before it tries again: the server that was
+  // taken for the primary refused.
+  bool mParked = false;
   // What to answer if the doubt turns out as "never ran".
   std::optional<answer> mIfVoid;
   // The answer to give once mPosition is confirmed.
--- a/src/currantshed/group/flow.hpp
+++ b/src/currantshed/group/flow.hpp
@@ -121,7 +121,7 @@
 
   [[nodiscard]] clock::time_point Submitted() const noexcept;
 
-  context& Shared() const noexcept;
+  [[nodiscard]] context& Shared() const noexcept;
 
 private:
   context& mContext;
--- /dev/null
+++ b/src/currantshed/group/group_engine.hpp
@@ -0,0 +1,138 @@
+#ifndef CURRANTSHED_GROUP_GROUP_ENGINE_HPP
+#define CURRANTSHED_GROUP_GROUP_ENGINE_HPP
+
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include "currantshed/admit/deadline_queue.hpp"
+#include "currantshed/group/context.hpp"
+#include "currantshed/group/engine.hpp"
+#include "currantshed/group/flow.hpp"
+#include "currantshed/group/links.hpp"
+#include "currantshed/group/rounds.hpp"
+
+namespace currantshed::group {
+
+/// The engine of one group. It moves requests along: from the queues to
+/// connections, from replies to what comes next, from news to those who wait
+/// for them, and out at the end of their time. What each request does on its
+/// way is for its flow to say.
+class group_engine final : public engine
+{
+public:
+  explicit group_engine(const engine_settings& aSettings);
+
+  void Configure(const description& aGroup, clock::time_point aNow) override;
+  void Submit(request aRequest,
+              clock::time_point aNow,
+              clock::wall_time aWallNow) override;
+  void Cancel(request_id aRequest, clock::time_point aNow) override;
+  void ConnectionOpened(connection_id aConnection,
+                        clock::time_point aNow) override;
+  void ConnectionFailed(connection_id aConnection,
+                        clock::time_point aNow) override;
+  void ConnectionLost(connection_id aConnection,
+                      clock::time_point aNow) override;
+  void Replied(connection_id aConnection,
+               std::uint64_t aBatch,
+               upstream::reply aReply,
+               clock::time_point aNow) override;
+  void StatusArrived(const upstream::server_id& aServer,
+                     const upstream::server_status& aStatus,
+                     clock::time_point aAskedAt,
+                     clock::time_point aNow) override;
+  void StatusFailed(const upstream::server_id& aServer,
+                    clock::time_point aNow) override;
+  void Drain(clock::time_point aNow) override;
+  void Tick(clock::time_point aNow) override;
+  [[nodiscard]] clock::time_point NextTick() const noexcept override;
+  [[nodiscard]] std::size_t Pending() const noexcept override;
+  [[nodiscard]] std::vector<action> TakeActions() override;
+
+private:
+  /// Which queue a request waits in.
+  enum class lane
+  {
+    kReads,
+    kWrites,
+    kTransactions,
+  };
+
+  /// A request on its way.
+  struct entry
+  {
+    std::unique_ptr<flow> way;
+    stage at = stage::kQueued;
+    lane waitsIn = lane::kReads;
+    connection_id connection = 0;
+  };
+
+  using timed_request = std::pair<clock::time_point, request_id>;
+
+  /// The answer that can be given before anything is tried.
+  [[nodiscard]] std::optional<answer> Precheck(request& aRequest,
+                                               clock::time_point aNow,
+                                               clock::wall_time aWallNow);
+  [[nodiscard]] std::optional<answer> PrecheckInTransaction(request& aRequest);
+  [[nodiscard]] std::unique_ptr<flow> MakeFlow(request aRequest,
+                                               clock::time_point aNow);
+  [[nodiscard]] static lane LaneOf(const request& aRequest);
+  [[nodiscard]] static admit::waiting WaitingOf(const request& aRequest);
+  [[nodiscard]] admit::deadline_queue& QueueOf(lane aLane);
+  /// Gives a new request its place, or its refusal.
+  void Enter(entry aEntry, clock::time_point aNow);
+
+  /// Sends what can be sent.
+  void Pump(clock::time_point aNow);
+  void PumpTransactions(clock::time_point aNow);
+  void PumpQueues(clock::time_point aNow);
+  /// Tries to send one waiting request; false when it has to go on waiting.
+  bool TrySend(request_id aRequest, clock::time_point aNow);
+  void Send(request_id aRequest,
+            connection_id aConnection,
+            clock::time_point aNow);
+
+  void Apply(request_id aRequest, step aStep, clock::time_point aNow);
+  void Take(request_id aRequest, turn aTurn, clock::time_point aNow);
+  void Finish(request_id aRequest, answer aAnswer);
+  void Tear(request_id aRequest, clock::time_point aNow);
+  /// Takes a request out of everything; true when there was one.
+  void Forget(request_id aRequest);
+
+  /// Tells those who wait for the servers' words that there are news.
+  void SpreadNews(clock::time_point aNow);
+  void Expire(clock::time_point aNow);
+  void TearOvertaken(clock::time_point aNow);
+  void EndTransactions(clock::time_point aNow);
+  void Ask(clock::time_point aNow);
+  [[nodiscard]] bool SomeoneWaits() const;
+  /// What follows every event.
+  void Follow(clock::time_point aNow);
+
+  std::vector<action> mActions;
+  context mContext;
+  links mLinks;
+  rounds mRounds;
+  bool mDraining = false;
+  absl::flat_hash_map<request_id, entry> mEntries;
+  admit::deadline_queue mReads;
+  admit::deadline_queue mWrites;
+  admit::deadline_queue mTransactions;
+  absl::btree_set<timed_request> mDeadlines;
+  absl::btree_set<timed_request> mOvertaken;
+  absl::btree_set<request_id> mAwaiting;
+  absl::flat_hash_set<request_id> mWanting;
+  position::term_id mTermSeen = 0;
+  // When the queues were last looked at.
+  clock::time_point mLooked{};
+};
+
+} // namespace currantshed::group
+
+#endif
--- /dev/null
+++ b/src/currantshed/group/links.cpp
@@ -0,0 +1,343 @@
+#include "currantshed/group/links.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace currantshed::group {
+
+namespace {
+
+// Connections of a server that open transactions leave to other requests.
+constexpr unsigned kKeptFromTransactions = 2;
+
+unsigned
+MostTransactions(unsigned aConnections)
+{
+  return aConnections > kKeptFromTransactions
+           ? aConnections - kKeptFromTransactions
+           : 1;
+}
+
+} // namespace
+
+links::links(context& aContext, std::vector<action>& aActions)
+  : mContext(aContext)
+  , mActions(aActions)
+{
+}
+
+std::vector<request_id>
+links::Configure(const description& aGroup)
+{
+  std::vector<server> servers;
+  for (const auto& member : aGroup.members) {
+    server next{ member, {} };
+    if (auto* known = Find(member.id)) {
+      next.pool = std::move(known->pool);
+    }
+    next.pool.SetLimits(pool::ShareOf(
+      member.connections, member.slots, mContext.settings.takeoverReserve));
+    servers.push_back(std::move(next));
+  }
+  mServers = std::move(servers);
+  std::vector<request_id> torn;
+  std::vector<connection_id> closed;
+  for (const auto& [id, link] : mLinks) {
+    if (Find(link.server) == nullptr) {
+      closed.push_back(id);
+      if (link.running && link.request) {
+        torn.push_back(*link.request);
+      }
+    }
+  }
+  for (const auto id : closed) {
+    Close(id);
+  }
+  return torn;
+}
+
+std::vector<route::candidate>
+links::Candidates(bool aReadOnly,
+                  bool aForTransaction,
+                  clock::time_point aNow) const
+{
+  std::vector<route::candidate> candidates;
+  candidates.reserve(mServers.size());
+  for (const auto& server : mServers) {
+    const auto& pool = server.pool;
+    const auto hasPlace =
+      !aForTransaction || mContext.transactions.CountOn(server.description.id) <
+                            MostTransactions(pool.Limits().connections);
+    route::candidate candidate;
+    candidate.server = server.description.id;
+    candidate.failureDomain = server.description.failureDomain;
+    candidate.leaving = server.description.leaving;
+    candidate.inUse = pool.Running();
+    candidate.slots = pool.Limits().slots;
+    candidate.room =
+      hasPlace && pool.HasSlot() && pool.CanProvide(aReadOnly, aNow);
+    candidate.connected = pool.Idle(aReadOnly).has_value();
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+bool
+links::HasSlot() const
+{
+  return std::any_of(
+    mServers.begin(), mServers.end(), [](const server& aServer) {
+      return aServer.pool.HasSlot();
+    });
+}
+
+std::optional<connection_id>
+links::Acquire(std::size_t aCandidate, bool aReadOnly, clock::time_point aNow)
+{
+  auto& server = mServers[aCandidate];
+  if (const auto idle = server.pool.Idle(aReadOnly)) {
+    server.pool.Hold(*idle);
+    return idle;
+  }
+  // One that is being opened will serve whoever is first then.
+  if (server.pool.Opening(aReadOnly) > 0) {
+    return std::nullopt;
+  }
+  if (server.pool.MayOpen(aNow)) {
+    Open(server, aReadOnly);
+    return std::nullopt;
+  }
+  const auto other = server.pool.Idle(!aReadOnly);
+  if (other && aNow >= server.pool.RetryAt()) {
+    Close(*other);
+    Open(server, aReadOnly);
+  }
+  return std::nullopt;
+}
+
+bool
+links::CanRun(connection_id aConnection) const
+{
+  const auto found = mLinks.find(aConnection);
+  if (found == mLinks.end()) {
+    return false;
+  }
+  const auto* server = Find(found->second.server);
+  return server != nullptr && server->pool.HasSlot();
+}
+
+std::optional<dispatch>
+links::Dispatch(connection_id aConnection, clock::time_point aNow) const
+{
+  const auto found = mLinks.find(aConnection);
+  if (found == mLinks.end()) {
+    return std::nullopt;
+  }
+  const auto* server = Find(found->second.server);
+  if (server == nullptr) {
+    return std::nullopt;
+  }
+  return dispatch{
+    aConnection, found->second.server, server->description.failureDomain, aNow
+  };
+}
+
+void
+links::Run(connection_id aConnection,
+           request_id aRequest,
+           std::vector<upstream::statement> aStatements)
+{
+  const auto found = mLinks.find(aConnection);
+  if (found != mLinks.end()) {
+    found->second.request = aRequest;
+    Start(aConnection, found->second, std::move(aStatements));
+  }
+}
+
+void
+links::Opened(connection_id aConnection)
+{
+  const auto found = mLinks.find(aConnection);
+  if (found == mLinks.end()) {
+    return;
+  }
+  if (auto* server = Find(found->second.server)) {
+    server->pool.Opened(aConnection);
+  }
+}
+
+void
+links::Failed(connection_id aConnection, clock::time_point aNow)
+{
+  const auto found = mLinks.find(aConnection);
+  if (found == mLinks.end()) {
+    return;
+  }
+  if (auto* server = Find(found->second.server)) {
+    server->pool.Failed(aConnection, aNow);
+  }
+  mLinks.erase(found);
+}
+
+std::optional<ended_batch>
+links::Ended(connection_id aConnection,
+             std::uint64_t aBatch,
+             upstream::batch_end aEnd)
+{
+  const auto found = mLinks.find(aConnection);
+  if (found == mLinks.end() || !found->second.running ||
+      found->second.batch != aBatch) {
+    return std::nullopt;
+  }
+  auto& link = found->second;
+  link.running = false;
+  if (auto* server = Find(link.server)) {
+    server->pool.BatchEnds(aConnection);
+  }
+  const auto request = std::exchange(link.request, std::nullopt);
+  if (std::exchange(link.cleaning, false)) {
+    Settle(aConnection,
+           aEnd == upstream::batch_end::kComplete ? connection_fate::kKeep
+                                                  : connection_fate::kClose);
+    return ended_batch{};
+  }
+  if (link.orphaned) {
+    Close(aConnection);
+    return ended_batch{};
+  }
+  return ended_batch{ request };
+}
+
+void
+links::Settle(connection_id aConnection, connection_fate aFate)
+{
+  const auto found = mLinks.find(aConnection);
+  if (found == mLinks.end()) {
+    return;
+  }
+  auto* server = Find(found->second.server);
+  if (server == nullptr || aFate == connection_fate::kClose) {
+    Close(aConnection);
+    return;
+  }
+  if (aFate == connection_fate::kKeep) {
+    server->pool.Release(aConnection);
+    return;
+  }
+  if (aFate == connection_fate::kRollBack) {
+    found->second.cleaning = true;
+    Start(aConnection, found->second, { mContext.dialect->Rollback() });
+  }
+}
+
+void
+links::Orphan(connection_id aConnection)
+{
+  const auto found = mLinks.find(aConnection);
+  if (found != mLinks.end()) {
+    found->second.orphaned = true;
+    found->second.request.reset();
+  }
+}
+
+void
+links::Close(connection_id aConnection)
+{
+  Lost(aConnection);
+  mActions.emplace_back(close_connection{ aConnection });
+}
+
+void
+links::Lost(connection_id aConnection)
+{
+  const auto found = mLinks.find(aConnection);
+  if (found == mLinks.end()) {
+    return;
+  }
+  if (auto* server = Find(found->second.server)) {
+    server->pool.Remove(aConnection);
+  }
+  mLinks.erase(found);
+}
+
+void
+links::KeepSpares(clock::time_point aNow)
+{
+  const auto primary = mContext.board.Primary(aNow);
+  for (auto& server : mServers) {
+    if (server.description.leaving) {
+      for (const auto readOnly : { true, false }) {
+        while (const auto idle = server.pool.Idle(readOnly)) {
+          Close(*idle);
+        }
+      }
+      continue;
+    }
+    if (mContext.board.Find(server.description.id) == nullptr) {
+      continue;
+    }
+    OpenSpare(server, true, aNow);
+    if (primary && primary->server == server.description.id) {
+      OpenSpare(server, false, aNow);
+    }
+  }
+}
+
+links::server*
+links::Find(const upstream::server_id& aServer)
+{
+  const auto found = std::find_if(
+    mServers.begin(), mServers.end(), [&aServer](const server& aCandidate) {
+      return aCandidate.description.id == aServer;
+    });
+  return found == mServers.end() ? nullptr : &*found;
+}
+
+const links::server*
+links::Find(const upstream::server_id& aServer) const
+{
+  const auto found = std::find_if(
+    mServers.begin(), mServers.end(), [&aServer](const server& aCandidate) {
+      return aCandidate.description.id == aServer;
+    });
+  return found == mServers.end() ? nullptr : &*found;
+}
+
+void
+links::Open(server& aServer, bool aReadOnly)
+{
+  const auto id = ++mLastConnection;
+  aServer.pool.Add(id, aReadOnly);
+  link opened;
+  opened.server = aServer.description.id;
+  opened.readOnly = aReadOnly;
+  mLinks.emplace(id, std::move(opened));
+  mActions.emplace_back(
+    open_connection{ id, aServer.description.id, aReadOnly });
+}
+
+void
+links::OpenSpare(server& aServer, bool aReadOnly, clock::time_point aNow)
+{
+  const auto& pool = aServer.pool;
+  if (!pool.Idle(aReadOnly) && pool.Opening(aReadOnly) == 0 && pool.HasSlot() &&
+      pool.MayOpen(aNow)) {
+    Open(aServer, aReadOnly);
+  }
+}
+
+void
+links::Start(connection_id aConnection,
+             link& aLink,
+             std::vector<upstream::statement> aStatements)
+{
+  aLink.running = true;
+  aLink.batch = ++mLastBatch;
+  if (auto* server = Find(aLink.server)) {
+    server->pool.BatchBegins(aConnection);
+  }
+  mActions.emplace_back(
+    run_batch{ aConnection, aLink.batch, std::move(aStatements) });
+}
+
+} // namespace currantshed::group
--- a/src/currantshed/group/read_verification.cpp
+++ b/src/currantshed/group/read_verification.cpp
@@ -83,9 +83,8 @@
     return read_judgement::kGood;
   }
   const auto term = aBoard.Term();
-  return term && term->term > after.applied.term
-           ? read_judgement::kBad
-           : read_judgement::kUnconfirmed;
+  return term && term->term > after.applied.term ? read_judgement::kBad
+                                                 : read_judgement::kUnconfirmed;
 }
 
 } // namespace currantshed::group
--- a/src/currantshed/group/reads.cpp
+++ b/src/currantshed/group/reads.cpp
@@ -69,13 +69,12 @@
   mDispatch = aDispatch;
   mEvidence = {};
   mEvidence.sentAt = aDispatch.sentAt;
-  std::vector<upstream::statement> batch;
-  batch.reserve(Request().statements.size() + 2);
-  batch.push_back(Shared().dialect->Status());
-  batch.insert(batch.end(),
-               Request().statements.begin(),
-               Request().statements.end());
-  batch.push_back(Shared().dialect->Status());
+  auto batch = Opening();
+  batch.insert(
+    batch.end(), Request().statements.begin(), Request().statements.end());
+  if (StatusAfter()) {
+    batch.push_back(Shared().dialect->Status());
+  }
   return batch;
 }
 
@@ -101,18 +100,22 @@
   if (aReply.end == batch_end::kTorn) {
     return Torn(aReply);
   }
-  const auto last = aReply.results.size() - 1;
+  const auto opening = Opening().size();
+  const auto end = opening + Request().statements.size();
   const auto before = TakeStatus(Shared(), mDispatch, aReply, 0);
-  const auto after = TakeStatus(Shared(), mDispatch, aReply, last);
-  if (!before || !after || last != Request().statements.size() + 1) {
+  const auto after =
+    TakeStatus(Shared(), mDispatch, aReply, StatusAfter() ? end : opening - 1);
+  if (!before || !after || aReply.results.size() < end) {
     return { TryElsewhere(reason::kUnreachable), connection_fate::kClose };
   }
   mEvidence.before = *before;
   mEvidence.after = *after;
   mAnswer = ServedBy(Request(), mDispatch, after->role);
   mAnswer.position = after->applied;
-  mAnswer.results.assign(std::make_move_iterator(aReply.results.begin() + 1),
-                         std::make_move_iterator(aReply.results.end() - 1));
+  const auto begin = aReply.results.begin();
+  mAnswer.results.assign(
+    std::make_move_iterator(begin + static_cast<std::ptrdiff_t>(opening)),
+    std::make_move_iterator(begin + static_cast<std::ptrdiff_t>(end)));
   auto next = Decide(aNow);
   return { next ? std::move(*next) : step{ await_word{} },
            connection_fate::kKeep };
@@ -137,6 +140,30 @@
   return NotRun(Request(), reason::kDeadline);
 }
 
+std::vector<upstream::statement>
+read_flow::Opening() const
+{
+  return { Shared().dialect->Status() };
+}
+
+bool
+read_flow::StatusAfter() const
+{
+  return true;
+}
+
+const dispatch&
+read_flow::Dispatched() const noexcept
+{
+  return mDispatch;
+}
+
+const read_evidence&
+read_flow::Evidence() const noexcept
+{
+  return mEvidence;
+}
+
 std::optional<step>
 read_flow::Decide(clock::time_point aNow)
 {
--- a/src/currantshed/group/reads.hpp
+++ b/src/currantshed/group/reads.hpp
@@ -30,6 +30,20 @@
   [[nodiscard]] bool WantsWord() const override;
   [[nodiscard]] answer Expired(stage aStage) const override;
 
+protected:
+  /// What runs before the statements: a status first.
+  [[nodiscard]] virtual std::vector<upstream::statement> Opening() const;
+
+  /// Whether a status runs after the statements; else the last one of the
+  /// opening stands for it.
+  [[nodiscard]] virtual bool StatusAfter() const;
+
+  /// Where the last batch was sent.
+  [[nodiscard]] const dispatch& Dispatched() const noexcept;
+
+  /// The servers' word around the last batch.
+  [[nodiscard]] const read_evidence& Evidence() const noexcept;
+
 private:
   /// Goes by what the evidence says now.
   [[nodiscard]] std::optional<step> Decide(clock::time_point aNow);
--- /dev/null
+++ b/src/currantshed/group/resolve.cpp
@@ -0,0 +1,91 @@
+#include "currantshed/group/resolve.hpp"
+
+#include <utility>
+
+namespace currantshed::group {
+
+using outcome::reason;
+
+resolve_flow::resolve_flow(context& aContext,
+                           request aRequest,
+                           clock::time_point aNow)
+  : change_flow(aContext, std::move(aRequest), aNow)
+{
+  SetPhase(phase::kVoid);
+}
+
+std::vector<upstream::statement>
+resolve_flow::ComposeChange() const
+{
+  return {};
+}
+
+std::size_t
+resolve_flow::RecordPlace() const
+{
+  return 0;
+}
+
+bool
+resolve_flow::MayBeResent() const
+{
+  return false;
+}
+
+std::optional<std::string>
+resolve_flow::Digest() const
+{
+  return std::nullopt;
+}
+
+bool
+reconfirm_flow::ReadOnly() const
+{
+  return true;
+}
+
+route::choice
+reconfirm_flow::Place(const std::vector<route::candidate>&,
+                      clock::time_point) const
+{
+  return { route::standing::kNone, 0, reason::kNoPlace };
+}
+
+std::vector<upstream::statement>
+reconfirm_flow::Compose(const dispatch&)
+{
+  return {};
+}
+
+turn
+reconfirm_flow::Replied(upstream::reply, clock::time_point)
+{
+  return { await_word{}, connection_fate::kClose };
+}
+
+std::optional<step>
+reconfirm_flow::Heard(clock::time_point aNow)
+{
+  const auto& board = Shared().board;
+  const auto& position = Request().position;
+  if (board.Holds(position, Submitted(), aNow)) {
+    answer made;
+    made.request = Request().id;
+    made.verdict = outcome::verdict::kDone;
+    made.position = position;
+    return finish{ std::move(made) };
+  }
+  const auto term = board.Term();
+  if (term && term->term > position.term) {
+    return finish{ Unknown(Request(), reason::kNoPrimary) };
+  }
+  return std::nullopt;
+}
+
+answer
+reconfirm_flow::Expired(stage) const
+{
+  return Unknown(Request(), reason::kDeadline);
+}
+
+} // namespace currantshed::group
--- /dev/null
+++ b/src/currantshed/group/resolve.hpp
@@ -0,0 +1,43 @@
+#ifndef CURRANTSHED_GROUP_RESOLVE_HPP
+#define CURRANTSHED_GROUP_RESOLVE_HPP
+
+#include "currantshed/group/changes.hpp"
+
+namespace currantshed::group {
+
+/// The question what became of a key: done if its change is there, else the
+/// key is made void, so that the change can never run.
+class resolve_flow : public change_flow
+{
+public:
+  resolve_flow(context& aContext, request aRequest, clock::time_point aNow);
+
+protected:
+  [[nodiscard]] std::vector<upstream::statement> ComposeChange() const override;
+  [[nodiscard]] std::size_t RecordPlace() const override;
+  [[nodiscard]] bool MayBeResent() const override;
+  [[nodiscard]] std::optional<std::string> Digest() const override;
+};
+
+/// The question whether a position is still confirmed in its own term, by
+/// words asked for from now on.
+class reconfirm_flow : public flow
+{
+public:
+  using flow::flow;
+
+  [[nodiscard]] bool ReadOnly() const override;
+  [[nodiscard]] route::choice Place(
+    const std::vector<route::candidate>& aCandidates,
+    clock::time_point aNow) const override;
+  [[nodiscard]] std::vector<upstream::statement> Compose(
+    const dispatch& aDispatch) override;
+  [[nodiscard]] turn Replied(upstream::reply aReply,
+                             clock::time_point aNow) override;
+  [[nodiscard]] std::optional<step> Heard(clock::time_point aNow) override;
+  [[nodiscard]] answer Expired(stage aStage) const override;
+};
+
+} // namespace currantshed::group
+
+#endif
--- /dev/null
+++ b/src/currantshed/group/statement_rules.cpp
@@ -0,0 +1,96 @@
+#include "currantshed/group/statement_rules.hpp"
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+#include <absl/strings/ascii.h>
+
+namespace currantshed::group {
+
+namespace {
+
+constexpr std::string_view kOwnNames = "currantshed_";
+
+constexpr std::array<std::string_view, 26> kRefusedFirstWords{
+  "abort",   "begin",      "call",    "checkpoint", "close",     "commit",
+  "copy",    "deallocate", "declare", "discard",    "do",        "end",
+  "execute", "fetch",      "listen",  "load",       "move",      "notify",
+  "prepare", "release",    "reset",   "rollback",   "savepoint", "set",
+  "start",   "unlisten"
+};
+
+// Cuts a comment off the front of the text, with nested ones inside it.
+std::string_view
+WithoutBlockComment(std::string_view aSql)
+{
+  int depth = 0;
+  std::size_t place = 0;
+  while (place < aSql.size()) {
+    const auto rest = aSql.substr(place);
+    if (rest.starts_with("/*")) {
+      ++depth;
+      place += 2;
+    } else if (rest.starts_with("*/")) {
+      --depth;
+      place += 2;
+    } else {
+      ++place;
+    }
+    if (depth == 0) {
+      break;
+    }
+  }
+  return aSql.substr(place);
+}
+
+// Cuts off what may stand before the first word.
+std::string_view
+FromFirstWord(std::string_view aSql)
+{
+  while (!aSql.empty()) {
+    if (aSql.starts_with("--")) {
+      const auto end = aSql.find('\n');
+      aSql = end == std::string_view::npos ? "" : aSql.substr(end);
+    } else if (aSql.starts_with("/*")) {
+      aSql = WithoutBlockComment(aSql);
+    } else if (absl::ascii_isspace(static_cast<unsigned char>(aSql[0])) ||
+               aSql[0] == ';' || aSql[0] == '(') {
+      aSql.remove_prefix(1);
+    } else {
+      break;
+    }
+  }
+  return aSql;
+}
+
+std::string
+FirstWord(std::string_view aSql)
+{
+  const auto text = FromFirstWord(aSql);
+  const auto* const end =
+    std::find_if_not(text.begin(), text.end(), [](unsigned char aLetter) {
+      return absl::ascii_isalpha(aLetter);
+    });
+  return absl::AsciiStrToLower(std::string(text.begin(), end));
+}
+
+bool
+IsRefused(const std::string& aWord)
+{
+  return std::find(kRefusedFirstWords.begin(),
+                   kRefusedFirstWords.end(),
+                   aWord) != kRefusedFirstWords.end();
+}
+
+} // namespace
+
+bool
+MayCallerRun(const std::string& aSql)
+{
+  const auto word = FirstWord(aSql);
+  return !word.empty() && !IsRefused(word) &&
+         absl::AsciiStrToLower(aSql).find(kOwnNames) == std::string::npos;
+}
+
+} // namespace currantshed::group
--- /dev/null
+++ b/src/currantshed/group/submit.cpp
@@ -0,0 +1,232 @@
+#include <utility>
+
+#include "currantshed/group/group_engine.hpp"
+#include "currantshed/group/reads.hpp"
+#include "currantshed/group/resolve.hpp"
+#include "currantshed/group/statement_rules.hpp"
+#include "currantshed/group/transaction_flows.hpp"
+#include "currantshed/group/writes.hpp"
+#include "currantshed/outcome/stored_outcome.hpp"
+
+namespace currantshed::group {
+
+namespace {
+
+using outcome::reason;
+
+// Requests in all, those under way included, for each that may wait.
+constexpr std::size_t kEntriesForWaiting = 4;
+
+bool
+IsInTransaction(operation aKind)
+{
+  return aKind == operation::kStatement || aKind == operation::kCommit ||
+         aKind == operation::kRollback;
+}
+
+bool
+HasStatements(operation aKind)
+{
+  return aKind == operation::kRead || aKind == operation::kWrite ||
+         aKind == operation::kStatement;
+}
+
+bool
+NeedsWriteClass(operation aKind)
+{
+  return aKind == operation::kWrite;
+}
+
+bool
+IsWellFormed(const request& aRequest)
+{
+  if (HasStatements(aRequest.kind) && aRequest.statements.empty()) {
+    return false;
+  }
+  if (NeedsWriteClass(aRequest.kind) &&
+      aRequest.work.kind != policy::access::kWrite) {
+    return false;
+  }
+  for (const auto& statement : aRequest.statements) {
+    if (!MayCallerRun(statement.sql)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+void
+group_engine::Submit(request aRequest,
+                     clock::time_point aNow,
+                     clock::wall_time aWallNow)
+{
+  if (auto made = Precheck(aRequest, aNow, aWallNow)) {
+    mActions.emplace_back(give_answer{ std::move(*made) });
+    return;
+  }
+  entry entered;
+  entered.waitsIn = LaneOf(aRequest);
+  const auto isQuestion = aRequest.kind == operation::kReconfirm;
+  entered.at = isQuestion ? stage::kAwaiting : stage::kQueued;
+  entered.way = MakeFlow(std::move(aRequest), aNow);
+  Enter(std::move(entered), aNow);
+  Follow(aNow);
+}
+
+std::optional<answer>
+group_engine::Precheck(request& aRequest,
+                       clock::time_point aNow,
+                       clock::wall_time aWallNow)
+{
+  if (aRequest.deadline <= aNow) {
+    return NotRun(aRequest, reason::kDeadline);
+  }
+  if (!IsWellFormed(aRequest)) {
+    return Refused(aRequest, reason::kMalformed);
+  }
+  if (IsInTransaction(aRequest.kind)) {
+    if (auto made = PrecheckInTransaction(aRequest)) {
+      return made;
+    }
+  } else if (mDraining && aRequest.kind != operation::kReconfirm) {
+    return NotRun(aRequest, reason::kLeaving);
+  }
+  const auto changes = aRequest.kind == operation::kWrite ||
+                       aRequest.kind == operation::kResolve ||
+                       (aRequest.kind == operation::kCommit &&
+                        aRequest.work.kind == policy::access::kWrite);
+  if (changes && aRequest.key.empty()) {
+    return Refused(aRequest, reason::kMalformed);
+  }
+  if (changes && !outcome::IsKeyInRetention(
+                   aRequest.key, aWallNow, mContext.settings.keyRetention)) {
+    return Refused(aRequest, reason::kKeyExpired);
+  }
+  return std::nullopt;
+}
+
+std::optional<answer>
+group_engine::PrecheckInTransaction(request& aRequest)
+{
+  const auto* open = mContext.transactions.Find(aRequest.transaction);
+  if (open == nullptr) {
+    return NotRun(aRequest, reason::kTransactionLost);
+  }
+  if (open->user) {
+    return Refused(aRequest, reason::kMalformed);
+  }
+  aRequest.work = open->work;
+  return std::nullopt;
+}
+
+std::unique_ptr<flow>
+group_engine::MakeFlow(request aRequest, clock::time_point aNow)
+{
+  const auto isRead = aRequest.work.kind == policy::access::kRead;
+  switch (aRequest.kind) {
+    case operation::kRead:
+      return std::make_unique<read_flow>(mContext, std::move(aRequest), aNow);
+    case operation::kWrite:
+      return std::make_unique<write_flow>(mContext, std::move(aRequest), aNow);
+    case operation::kBegin:
+      if (isRead) {
+        return std::make_unique<begin_read_flow>(
+          mContext, std::move(aRequest), aNow);
+      }
+      return std::make_unique<begin_write_flow>(
+        mContext, std::move(aRequest), aNow);
+    case operation::kStatement:
+      return std::make_unique<statement_flow>(
+        mContext, std::move(aRequest), aNow);
+    case operation::kCommit:
+      if (isRead) {
+        return std::make_unique<end_flow>(mContext, std::move(aRequest), aNow);
+      }
+      return std::make_unique<commit_flow>(mContext, std::move(aRequest), aNow);
+    case operation::kRollback:
+      return std::make_unique<end_flow>(mContext, std::move(aRequest), aNow);
+    case operation::kResolve:
+      return std::make_unique<resolve_flow>(
+        mContext, std::move(aRequest), aNow);
+    case operation::kReconfirm:
+      break;
+  }
+  return std::make_unique<reconfirm_flow>(mContext, std::move(aRequest), aNow);
+}
+
+group_engine::lane
+group_engine::LaneOf(const request& aRequest)
+{
+  if (IsInTransaction(aRequest.kind)) {
+    return lane::kTransactions;
+  }
+  const auto isRead = aRequest.kind == operation::kRead ||
+                      (aRequest.kind == operation::kBegin &&
+                       aRequest.work.kind == policy::access::kRead);
+  return isRead ? lane::kReads : lane::kWrites;
+}
+
+admit::waiting
+group_engine::WaitingOf(const request& aRequest)
+{
+  return { aRequest.deadline, aRequest.id, aRequest.work.objective };
+}
+
+admit::deadline_queue&
+group_engine::QueueOf(lane aLane)
+{
+  switch (aLane) {
+    case lane::kReads:
+      return mReads;
+    case lane::kWrites:
+      return mWrites;
+    case lane::kTransactions:
+      break;
+  }
+  return mTransactions;
+}
+
+void
+group_engine::Enter(entry aEntry, clock::time_point aNow)
+{
+  const auto& request = aEntry.way->Request();
+  const auto id = request.id;
+  const auto waiting = WaitingOf(request);
+  auto& queue = QueueOf(aEntry.waitsIn);
+  if (aEntry.at == stage::kQueued) {
+    const auto hasRoom =
+      mEntries.size() < kEntriesForWaiting * mContext.settings.queueLimit;
+    const auto offered =
+      hasRoom ? queue.Offer(waiting, aNow) : admit::admission{};
+    if (!offered.admitted) {
+      auto made = NotRun(request, reason::kOverloaded);
+      made.retryAfter = queue.RetryAfter(id);
+      mActions.emplace_back(give_answer{ std::move(made) });
+      return;
+    }
+    for (const auto displaced : offered.displaced) {
+      auto made =
+        NotRun(mEntries.at(displaced).way->Request(), reason::kOverloaded);
+      made.retryAfter = queue.RetryAfter(displaced);
+      Finish(displaced, std::move(made));
+    }
+    mContext.retries.Earn();
+  } else {
+    mAwaiting.insert(id);
+  }
+  if (aEntry.waitsIn == lane::kTransactions) {
+    mContext.transactions.Find(request.transaction)->user = id;
+  }
+  mDeadlines.emplace(request.deadline, id);
+  mEntries.emplace(id, std::move(aEntry));
+}
+
+std::unique_ptr<engine>
+MakeEngine(const engine_settings& aSettings)
+{
+  return std::make_unique<group_engine>(aSettings);
+}
+
+} // namespace currantshed::group
--- a/src/currantshed/group/transaction_table.cpp
+++ b/src/currantshed/group/transaction_table.cpp
@@ -35,6 +35,33 @@
   return nullptr;
 }
 
+transaction*
+transaction_table::UsedBy(request_id aRequest)
+{
+  for (auto& [id, transaction] : mTransactions) {
+    if (transaction.user == aRequest) {
+      return &transaction;
+    }
+  }
+  return nullptr;
+}
+
+void
+transaction_table::Abandon(transaction_id aId)
+{
+  const auto found = mTransactions.find(aId);
+  if (found != mTransactions.end()) {
+    mAbandoned.push_back(found->second.connection);
+    mTransactions.erase(found);
+  }
+}
+
+std::vector<connection_id>
+transaction_table::TakeAbandoned()
+{
+  return std::exchange(mAbandoned, {});
+}
+
 void
 transaction_table::Remove(transaction_id aId)
 {
@@ -80,12 +107,10 @@
 std::size_t
 transaction_table::CountOn(const upstream::server_id& aServer) const
 {
-  return static_cast<std::size_t>(
-    std::count_if(mTransactions.begin(),
-                  mTransactions.end(),
-                  [&aServer](const auto& aEntry) {
-                    return aEntry.second.server == aServer;
-                  }));
+  return static_cast<std::size_t>(std::count_if(
+    mTransactions.begin(), mTransactions.end(), [&aServer](const auto& aEntry) {
+      return aEntry.second.server == aServer;
+    }));
 }
 
 std::size_t
--- a/src/currantshed/group/transaction_table.hpp
+++ b/src/currantshed/group/transaction_table.hpp
@@ -10,6 +10,7 @@
 #include "currantshed/clock/time.hpp"
 #include "currantshed/group/fwd.hpp"
 #include "currantshed/outcome/request_digest.hpp"
+#include "currantshed/policy/work_class.hpp"
 #include "currantshed/position/log_position.hpp"
 #include "currantshed/upstream/status.hpp"
 
@@ -28,6 +29,8 @@
   position::term_id term = 0;
   /// For a read-only one, the confirmed position that it shows.
   position::log_position position;
+  /// The class of work that it was opened for.
+  policy::work_class work;
   /// Over the statements that ran in it.
   outcome::request_digest digest;
   clock::time_point lastUsed;
@@ -45,8 +48,17 @@
 
   [[nodiscard]] transaction* Find(transaction_id aId);
   [[nodiscard]] transaction* OnConnection(connection_id aConnection);
+  [[nodiscard]] transaction* UsedBy(request_id aRequest);
+
+  /// Forgets one that has ended, or whose connection is dealt with.
   void Remove(transaction_id aId);
 
+  /// Forgets one that is still open; its connection is to be rolled back.
+  void Abandon(transaction_id aId);
+
+  /// Connections of those abandoned since the last call.
+  [[nodiscard]] std::vector<connection_id> TakeAbandoned();
+
   /// Those that no request uses and that were last used before the time
   /// given.
   [[nodiscard]] std::vector<transaction_id> IdleSince(
@@ -66,6 +78,7 @@
 
 private:
   absl::flat_hash_map<transaction_id, transaction> mTransactions;
+  std::vector<connection_id> mAbandoned;
   transaction_id mLast = 0;
 };
 
--- /dev/null
+++ b/test/currantshed/group/fake_group.cpp
@@ -0,0 +1,688 @@
+#include "test/currantshed/group/fake_group.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "currantshed/outcome/request_digest.hpp"
+
+namespace currantshed::test {
+
+namespace {
+
+using group::operation;
+using upstream::batch_end;
+using upstream::result_set;
+using upstream::server_role;
+
+constexpr std::chrono::hours kStart{ 1000 };
+constexpr std::chrono::microseconds kLeastStep{ 100 };
+constexpr std::chrono::milliseconds kReplicationInterval{ 2 };
+constexpr std::chrono::milliseconds kConnectTime{ 12 };
+constexpr std::chrono::milliseconds kUsualDeadline{ 2000 };
+constexpr std::chrono::seconds kLongestCall{ 30 };
+constexpr std::string_view kFailState = "22012";
+constexpr std::string_view kAborted = "25P02";
+
+std::string
+RoleName(server_role aRole)
+{
+  switch (aRole) {
+    case server_role::kPrimary:
+      return "primary";
+    case server_role::kFenced:
+      return "fenced";
+    case server_role::kReplica:
+      break;
+  }
+  return "replica";
+}
+
+result_set
+StatusRow(const fake_server& aServer)
+{
+  const auto stored = aServer.Stored();
+  const auto applied = aServer.Applied();
+  result_set row;
+  row.columns = {
+    "term",         "role",          "stored_term",     "stored_index",
+    "applied_term", "applied_index", "since_primary_ms"
+  };
+  row.cells = { std::to_string(aServer.term),
+                RoleName(aServer.role),
+                std::to_string(stored.term),
+                std::to_string(stored.index),
+                std::to_string(applied.term),
+                std::to_string(applied.index),
+                std::nullopt };
+  return row;
+}
+
+position::log_position
+PositionAt(const std::vector<fake_record>& aLog, std::size_t aCount)
+{
+  if (aCount == 0) {
+    return {};
+  }
+  return { aLog[aCount - 1].term, aCount };
+}
+
+const fake_record*
+FindKey(const std::vector<fake_record>& aLog,
+        std::size_t aCount,
+        const std::string& aKey)
+{
+  for (std::size_t i = 0; i < aCount; ++i) {
+    if (aLog[i].key == aKey) {
+      return &aLog[i];
+    }
+  }
+  return nullptr;
+}
+
+bool
+IsOwnStatement(const std::string& aSql)
+{
+  return aSql.find("currantshed_") != std::string::npos || aSql == "COMMIT" ||
+         aSql == "ROLLBACK" || aSql.starts_with("BEGIN");
+}
+
+bool
+HasCallersStatement(const std::vector<upstream::statement>& aStatements)
+{
+  return std::any_of(aStatements.begin(),
+                     aStatements.end(),
+                     [](const upstream::statement& aStatement) {
+                       return !IsOwnStatement(aStatement.sql) ||
+                              aStatement.sql == "COMMIT";
+                     });
+}
+
+} // namespace
+
+position::log_position
+fake_server::Stored() const
+{
+  return PositionAt(log, log.size());
+}
+
+position::log_position
+fake_server::Applied() const
+{
+  return PositionAt(log, applied);
+}
+
+fake_group::fake_group(const group::engine_settings& aSettings,
+                       std::size_t aServers,
+                       unsigned aSlots,
+                       unsigned aConnections)
+  : mEngine(group::MakeEngine(aSettings))
+  , mDialect(upstream::MakePostgresDialect())
+  , mNow(kStart)
+{
+  mDescription.name = "claimsbook-1";
+  for (std::size_t i = 0; i < aServers; ++i) {
+    group::member member;
+    member.id = "s" + std::to_string(i + 1);
+    member.failureDomain = "d" + std::to_string(i + 1);
+    member.slots = aSlots;
+    member.connections = aConnections;
+    mDescription.members.push_back(member);
+    fake_server server;
+    server.following = "s1";
+    server.role = i == 0 ? server_role::kPrimary : server_role::kReplica;
+    server.log.push_back({ 1 });
+    server.applied = 1;
+    mServers[member.id] = std::move(server);
+  }
+  mEngine->Configure(mDescription, mNow);
+  Perform();
+  Replicate();
+}
+
+void
+fake_group::Run(std::chrono::milliseconds aTime)
+{
+  const auto end = mNow + aTime;
+  auto earliestTick = mNow;
+  while (mNow < end) {
+    const auto tick = std::max(mEngine->NextTick(), earliestTick);
+    const auto event =
+      mEvents.empty() ? clock::time_point::max() : mEvents.begin()->first;
+    mNow = std::max(mNow, std::min({ tick, event, end }));
+    if (event <= mNow) {
+      auto due = std::move(mEvents.begin()->second);
+      mEvents.erase(mEvents.begin());
+      due();
+    } else if (tick <= mNow) {
+      mEngine->Tick(mNow);
+      earliestTick = mNow + kLeastStep;
+    }
+    Perform();
+  }
+}
+
+group::request_id
+fake_group::Submit(group::request aRequest)
+{
+  aRequest.id = ++mLastRequest;
+  mEngine->Submit(std::move(aRequest), mNow, WallNow());
+  Perform();
+  return mLastRequest;
+}
+
+const group::answer*
+fake_group::Answer(group::request_id aRequest) const
+{
+  const auto found = mAnswers.find(aRequest);
+  return found == mAnswers.end() ? nullptr : &found->second;
+}
+
+const group::answer*
+fake_group::Wait(group::request_id aRequest, std::chrono::milliseconds aMost)
+{
+  const auto end = mNow + aMost;
+  while (Answer(aRequest) == nullptr && mNow < end) {
+    Run(std::chrono::milliseconds{ 1 });
+  }
+  return Answer(aRequest);
+}
+
+group::answer
+fake_group::Call(group::request aRequest)
+{
+  const auto* made = Wait(Submit(std::move(aRequest)), kLongestCall);
+  return made == nullptr ? group::answer{} : *made;
+}
+
+void
+fake_group::Fence(const upstream::server_id& aServer, position::term_id aTerm)
+{
+  auto& server = mServers.at(aServer);
+  if (aTerm > server.term) {
+    server.term = aTerm;
+    server.role = server_role::kFenced;
+    server.following.clear();
+  }
+}
+
+void
+fake_group::Promote(const upstream::server_id& aServer,
+                    const std::vector<upstream::server_id>& aFenced)
+{
+  position::term_id term = 0;
+  for (const auto& [id, server] : mServers) {
+    term = std::max(term, server.term);
+  }
+  ++term;
+  for (const auto& id : aFenced) {
+    Fence(id, term);
+  }
+  Fence(aServer, term);
+  auto& primary = mServers.at(aServer);
+  primary.role = server_role::kPrimary;
+  primary.log.push_back({ term });
+  primary.applied = primary.log.size();
+  for (const auto& id : aFenced) {
+    if (id != aServer) {
+      mServers.at(id).role = server_role::kReplica;
+      mServers.at(id).following = aServer;
+    }
+  }
+  Replicate(aServer);
+}
+
+void
+fake_group::Thaw(const upstream::server_id& aServer)
+{
+  auto& server = mServers.at(aServer);
+  server.frozen = false;
+  for (auto& batch : std::exchange(server.held, {})) {
+    batch();
+  }
+}
+
+void
+fake_group::SetLeaving(const upstream::server_id& aServer, bool aLeaving)
+{
+  for (auto& member : mDescription.members) {
+    if (member.id == aServer) {
+      member.leaving = aLeaving;
+    }
+  }
+  mEngine->Configure(mDescription, mNow);
+  Perform();
+}
+
+fake_server&
+fake_group::Server(const upstream::server_id& aServer)
+{
+  return mServers.at(aServer);
+}
+
+group::engine&
+fake_group::Engine()
+{
+  return *mEngine;
+}
+
+clock::time_point
+fake_group::Now() const
+{
+  return mNow;
+}
+
+clock::wall_time
+fake_group::WallNow() const
+{
+  return clock::wall_time{
+    std::chrono::duration_cast<clock::wall_time::duration>(
+      mNow.time_since_epoch())
+  };
+}
+
+group::request
+fake_group::Read(std::chrono::milliseconds aMaxStaleness)
+{
+  group::request made;
+  made.kind = operation::kRead;
+  made.work.name = "lookup";
+  made.work.maxStaleness = aMaxStaleness;
+  made.statements = { { "list", {} } };
+  made.deadline = mNow + kUsualDeadline;
+  for (const auto& member : mDescription.members) {
+    made.work.servedIn.push_back(member.failureDomain);
+  }
+  return made;
+}
+
+group::request
+fake_group::Write(const std::string& aValue, bool aRepeatable)
+{
+  auto made = Read(std::chrono::milliseconds{ 0 });
+  made.kind = operation::kWrite;
+  made.work.name = "report";
+  made.work.kind = policy::access::kWrite;
+  made.work.repeatable = aRepeatable;
+  made.statements = { { "add " + aValue, {} } };
+  made.key = NextKey();
+  return made;
+}
+
+group::request
+fake_group::In(operation aKind,
+               group::transaction_id aTransaction,
+               const std::string& aSql)
+{
+  group::request made;
+  made.kind = aKind;
+  made.transaction = aTransaction;
+  made.deadline = mNow + kUsualDeadline;
+  made.work.kind = policy::access::kWrite;
+  if (!aSql.empty()) {
+    made.statements = { { aSql, {} } };
+  }
+  if (aKind == operation::kCommit) {
+    made.key = NextKey();
+  }
+  return made;
+}
+
+outcome::idempotency_key
+fake_group::NextKey()
+{
+  return outcome::idempotency_key::Make(WallNow(), 0, ++mLastKey);
+}
+
+std::vector<std::string>
+fake_group::Values()
+{
+  const fake_server* primary = nullptr;
+  for (const auto& [id, server] : mServers) {
+    const auto isPrimary = server.role == server_role::kPrimary;
+    if (isPrimary && (primary == nullptr || server.term > primary->term)) {
+      primary = &server;
+    }
+  }
+  std::vector<std::string> values;
+  if (primary != nullptr) {
+    for (const auto& record : primary->log) {
+      values.insert(values.end(), record.values.begin(), record.values.end());
+    }
+  }
+  return values;
+}
+
+void
+fake_group::At(clock::time_point aTime, event aEvent)
+{
+  mEvents.emplace(aTime, std::move(aEvent));
+}
+
+void
+fake_group::Perform()
+{
+  for (auto actions = mEngine->TakeActions(); !actions.empty();
+       actions = mEngine->TakeActions()) {
+    for (const auto& action : actions) {
+      Perform(action);
+    }
+  }
+}
+
+void
+fake_group::Perform(const group::action& aAction)
+{
+  if (const auto* open = std::get_if<group::open_connection>(&aAction)) {
+    Open(*open);
+  } else if (const auto* close =
+               std::get_if<group::close_connection>(&aAction)) {
+    Close(close->connection);
+  } else if (const auto* batch = std::get_if<group::run_batch>(&aAction)) {
+    RunBatch(*batch);
+  } else if (const auto* ask = std::get_if<group::ask_status>(&aAction)) {
+    Ask(ask->server);
+  } else if (const auto* given = std::get_if<group::give_answer>(&aAction)) {
+    mAnswers[given->reply.request] = given->reply;
+  }
+}
+
+void
+fake_group::Open(const group::open_connection& aAction)
+{
+  mConnections[aAction.connection] = {
+    aAction.server, false, aAction.readOnly, std::nullopt
+  };
+  auto& server = mServers.at(aAction.server);
+  ++server.connections;
+  server.mostConnections = std::max(server.mostConnections, server.connections);
+  At(mNow + kConnectTime, [this, id = aAction.connection] {
+    const auto found = mConnections.find(id);
+    if (found == mConnections.end()) {
+      return;
+    }
+    const auto& target = mServers.at(found->second.server);
+    if (target.cut || target.frozen || target.refusing) {
+      --mServers.at(found->second.server).connections;
+      mConnections.erase(found);
+      mEngine->ConnectionFailed(id, mNow);
+      return;
+    }
+    found->second.open = true;
+    mEngine->ConnectionOpened(id, mNow);
+  });
+}
+
+void
+fake_group::Close(group::connection_id aConnection)
+{
+  const auto found = mConnections.find(aConnection);
+  if (found != mConnections.end()) {
+    --mServers.at(found->second.server).connections;
+    mConnections.erase(found);
+  }
+}
+
+void
+fake_group::RunBatch(const group::run_batch& aAction)
+{
+  const auto found = mConnections.find(aAction.connection);
+  if (found == mConnections.end() || !found->second.open) {
+    return;
+  }
+  At(mNow + linkDelay, [this, aAction, copy = found->second] {
+    auto& server = mServers.at(copy.server);
+    if (server.cut) {
+      return;
+    }
+    ++server.running;
+    server.mostRunning = std::max(server.mostRunning, server.running);
+    At(mNow + batchTime, [this, aAction, copy] {
+      auto& target = mServers.at(copy.server);
+      if (target.frozen) {
+        target.held.push_back(
+          [this, aAction, copy] { Execute(aAction, copy); });
+        return;
+      }
+      Execute(aAction, copy);
+    });
+  });
+}
+
+void
+fake_group::Execute(const group::run_batch& aAction,
+                    const connection& aConnection)
+{
+  // A batch that is in the server runs even if its connection was closed.
+  const auto found = mConnections.find(aAction.connection);
+  auto alone = aConnection;
+  auto& link = found == mConnections.end() ? alone : found->second;
+  auto& server = mServers.at(link.server);
+  --server.running;
+  const auto isCallers = HasCallersStatement(aAction.statements);
+  upstream::reply reply;
+  const auto isDropped =
+    isCallers && std::exchange(server.tearNextBatch, false);
+  if (!isDropped) {
+    reply = ReplyTo(link, aAction.statements);
+  }
+  if (isDropped || (isCallers && std::exchange(server.tearNextReply, false))) {
+    reply = {};
+    reply.end = batch_end::kTorn;
+    if (server.oversize) {
+      reply.sqlState = upstream::kAnswerLimitState;
+    }
+  }
+  At(mNow + linkDelay, [this, aAction, reply, id = link.server] {
+    const auto isOpen = mConnections.contains(aAction.connection);
+    if (isOpen && !mServers.at(id).cut) {
+      mEngine->Replied(aAction.connection, aAction.batch, reply, mNow);
+    }
+  });
+}
+
+upstream::reply
+fake_group::ReplyTo(connection& aConnection,
+                    const std::vector<upstream::statement>& aStatements)
+{
+  upstream::reply reply;
+  for (const auto& statement : aStatements) {
+    std::string sqlState;
+    auto result = RunStatement(aConnection, statement, sqlState);
+    if (!result) {
+      reply.end = batch_end::kServerError;
+      reply.sqlState = sqlState;
+      if (aConnection.transaction) {
+        aConnection.transaction->failed = true;
+      }
+      return reply;
+    }
+    reply.results.push_back(std::move(*result));
+  }
+  return reply;
+}
+
+std::optional<result_set>
+fake_group::RunStatement(connection& aConnection,
+                         const upstream::statement& aStatement,
+                         std::string& aSqlState)
+{
+  auto& server = mServers.at(aConnection.server);
+  auto& transaction = aConnection.transaction;
+  const auto& sql = aStatement.sql;
+  if (sql == "ROLLBACK") {
+    transaction.reset();
+    return result_set{};
+  }
+  if (transaction && transaction->failed) {
+    aSqlState = kAborted;
+    return std::nullopt;
+  }
+  if (sql == mDialect->Status().sql) {
+    if (transaction && transaction->readOnly && !transaction->sees) {
+      transaction->sees = server.applied;
+    }
+    return StatusRow(server);
+  }
+  if (sql.starts_with("BEGIN")) {
+    transaction.emplace();
+    transaction->readOnly = sql != "BEGIN";
+    transaction->term = server.term;
+    return result_set{};
+  }
+  if (sql == "COMMIT") {
+    aSqlState = Commit(aConnection);
+    return aSqlState.empty() ? std::optional{ result_set{} } : std::nullopt;
+  }
+  if (sql.starts_with("SELECT state, digest")) {
+    const auto& key = *aStatement.parameters[0];
+    const auto* record = FindKey(server.log, server.applied, key);
+    if (record == nullptr && transaction && transaction->record.key == key) {
+      record = &transaction->record;
+    }
+    result_set row;
+    row.columns = { "state", "digest" };
+    if (record != nullptr) {
+      row.cells = { record->state, record->digest };
+    }
+    return row;
+  }
+  if (sql == "list") {
+    server.ran.push_back(sql);
+    return List(aConnection);
+  }
+  const auto takesChange = server.role == server_role::kPrimary &&
+                           !aConnection.readOnly && transaction &&
+                           !transaction->readOnly;
+  if (!takesChange) {
+    aSqlState = upstream::kReadOnlyState;
+    return std::nullopt;
+  }
+  if (sql.starts_with("INSERT INTO currantshed_outcome")) {
+    const auto isVoid = sql.find("'void'") != std::string::npos;
+    const auto& key = *aStatement.parameters[0];
+    if (FindKey(server.log, server.log.size(), key) != nullptr) {
+      aSqlState = upstream::kUniqueViolationState;
+      return isVoid ? std::optional{ result_set{} } : std::nullopt;
+    }
+    transaction->changed = true;
+    transaction->record.key = key;
+    transaction->record.state = isVoid ? "void" : "done";
+    transaction->record.digest = *aStatement.parameters[2];
+    return result_set{ {}, {}, 1 };
+  }
+  server.ran.push_back(sql);
+  if (sql == "fail") {
+    aSqlState = kFailState;
+    return std::nullopt;
+  }
+  transaction->changed = true;
+  transaction->record.values.push_back(sql.substr(sql.find(' ') + 1));
+  return result_set{ {}, {}, 1 };
+}
+
+std::string
+fake_group::Commit(connection& aConnection)
+{
+  auto& server = mServers.at(aConnection.server);
+  auto transaction = std::exchange(aConnection.transaction, std::nullopt);
+  if (!transaction || !transaction->changed) {
+    return {};
+  }
+  if (server.role != server_role::kPrimary ||
+      server.term != transaction->term) {
+    return std::string{ upstream::kStaleTermState };
+  }
+  transaction->record.term = server.term;
+  server.log.push_back(std::move(transaction->record));
+  server.applied = server.log.size();
+  At(mNow + replicationDelay,
+     [this, id = aConnection.server] { Replicate(id); });
+  return {};
+}
+
+result_set
+fake_group::List(const connection& aConnection)
+{
+  const auto& server = mServers.at(aConnection.server);
+  const auto& transaction = aConnection.transaction;
+  auto count = server.applied;
+  if (transaction && transaction->sees) {
+    count = *transaction->sees;
+  }
+  result_set rows;
+  rows.columns = { "value" };
+  for (std::size_t i = 0; i < count; ++i) {
+    for (const auto& value : server.log[i].values) {
+      rows.cells.emplace_back(value);
+    }
+  }
+  if (transaction) {
+    for (const auto& value : transaction->record.values) {
+      rows.cells.emplace_back(value);
+    }
+  }
+  return rows;
+}
+
+void
+fake_group::Ask(const upstream::server_id& aServer)
+{
+  const auto askedAt = mNow;
+  At(mNow + linkDelay, [this, aServer, askedAt] {
+    const auto& server = mServers.at(aServer);
+    if (server.cut || server.frozen) {
+      return;
+    }
+    const auto status = StatusOf(server);
+    At(mNow + linkDelay, [this, aServer, askedAt, status] {
+      if (!mServers.at(aServer).cut) {
+        mEngine->StatusArrived(aServer, status, askedAt, mNow);
+      }
+    });
+  });
+}
+
+void
+fake_group::Replicate()
+{
+  for (const auto& [id, server] : mServers) {
+    if (server.role == server_role::kPrimary) {
+      Replicate(id);
+    }
+  }
+  At(mNow + kReplicationInterval, [this] { Replicate(); });
+}
+
+void
+fake_group::Replicate(const upstream::server_id& aPrimary)
+{
+  const auto& primary = mServers.at(aPrimary);
+  if (primary.cut || primary.frozen || primary.isolated) {
+    return;
+  }
+  for (auto& [id, server] : mServers) {
+    const auto follows = server.role == server_role::kReplica &&
+                         server.following == aPrimary &&
+                         server.term == primary.term;
+    if (!follows || server.cut || server.frozen || server.isolated ||
+        server.lagging) {
+      continue;
+    }
+    server.log = primary.log;
+    server.applied = server.applyPaused
+                       ? std::min(server.applied, server.log.size())
+                       : server.log.size();
+  }
+}
+
+upstream::server_status
+fake_group::StatusOf(const fake_server& aServer)
+{
+  return { aServer.term,
+           aServer.role,
+           aServer.Stored(),
+           aServer.Applied(),
+           std::nullopt };
+}
+
+} // namespace currantshed::test
