Apply a configuration and tell truthfully what became of it

Operators race one another, and the platform may lose an answer after the change has taken effect. The state machine writes against the version that the operator saw, and resolves each lost answer by reading back. Writing again meanwhile is safe: each try expects the same version of the key, so at most one succeeds, however late the others arrive.

A refused write is read back too, since an earlier try of the same change may be what it lost against.

Tables hold the named cases; all 46656 orders of six steps (answer, loss before and after the effect, late arrival, another operator, a garbled key) are checked against what the store held.

--- /dev/null
+++ b/src/currantshed/platform/apply.cpp
@@ -0,0 +1,174 @@
+#include "currantshed/platform/apply.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace currantshed::platform {
+
+namespace {
+
+/// Pause after a call that failed, so that a platform in trouble is spared.
+constexpr std::chrono::milliseconds kReadAgainAfter{ 200 };
+
+} // namespace
+
+applier::applier(apply_request aRequest, clock::time_point aNow)
+  : mRequest(std::move(aRequest))
+  , mGiveUpAt(aNow + mRequest.giveUpAfter)
+  , mInDoubt(mRequest.askedBefore)
+{
+  Read();
+}
+
+void
+applier::ConfigurationRead(std::error_code aError,
+                           const entry& aEntry,
+                           clock::time_point aNow)
+{
+  if (mResult) {
+    return;
+  }
+  if (aError) {
+    mReadAt = aNow + kReadAgainAfter;
+    return;
+  }
+  if (aEntry.version == 0) {
+    Judge(policy::configuration_record{}, 0);
+    return;
+  }
+  const auto found = policy::ParseConfigurationRecord(aEntry.value);
+  if (!found) {
+    Finish(mInDoubt ? apply_outcome::kUnknown : apply_outcome::kUnreadable);
+    return;
+  }
+  Judge(*found, aEntry.version);
+}
+
+void
+applier::ConfigurationSwapped(swap_outcome aOutcome, clock::time_point aNow)
+{
+  if (mResult) {
+    return;
+  }
+  mWriting = false;
+  switch (aOutcome) {
+    case swap_outcome::kApplied:
+      mInForce = NextVersion();
+      Finish(apply_outcome::kApplied);
+      return;
+    case swap_outcome::kConflict:
+      Read();
+      return;
+    case swap_outcome::kUnknown:
+      mInDoubt = true;
+      mReadAt = aNow + kReadAgainAfter;
+      return;
+  }
+}
+
+void
+applier::Tick(clock::time_point aNow)
+{
+  if (mResult) {
+    return;
+  }
+  if (aNow >= mGiveUpAt) {
+    const bool mayBeMade = mInDoubt || mWriting;
+    Finish(mayBeMade ? apply_outcome::kUnknown : apply_outcome::kNotReached);
+    return;
+  }
+  if (mReadAt && aNow >= *mReadAt) {
+    Read();
+  }
+}
+
+clock::time_point
+applier::NextTick() const noexcept
+{
+  return mReadAt ? std::min(*mReadAt, mGiveUpAt) : mGiveUpAt;
+}
+
+std::vector<apply_action>
+applier::TakeActions()
+{
+  return std::exchange(mActions, {});
+}
+
+const std::optional<apply_result>&
+applier::Result() const noexcept
+{
+  return mResult;
+}
+
+std::uint64_t
+applier::NextVersion() const noexcept
+{
+  return mRequest.expectedVersion + 1;
+}
+
+void
+applier::Judge(const policy::configuration_record& aFound, index aKeyVersion)
+{
+  mInForce = aFound.version;
+  if (aFound.version == mRequest.expectedVersion) {
+    Write(aFound, aKeyVersion);
+    return;
+  }
+  if (aFound.version > mRequest.expectedVersion) {
+    JudgeLater(aFound);
+    return;
+  }
+  // The store has gone back behind what the operator saw. A write under way
+  // expects a version of the key that will not come again.
+  Finish(mInDoubt ? apply_outcome::kUnknown : apply_outcome::kLostRace);
+}
+
+void
+applier::JudgeLater(const policy::configuration_record& aFound)
+{
+  using policy::change_trace;
+  switch (policy::TraceChange(aFound, mRequest.change, NextVersion())) {
+    case change_trace::kMade:
+      Finish(apply_outcome::kApplied);
+      return;
+    case change_trace::kNotMade:
+      Finish(apply_outcome::kLostRace);
+      return;
+    case change_trace::kForgotten:
+      Finish(mInDoubt ? apply_outcome::kUnknown : apply_outcome::kLostRace);
+      return;
+  }
+}
+
+void
+applier::Write(const policy::configuration_record& aFormer, index aKeyVersion)
+{
+  auto record = policy::NextConfigurationRecord(
+    aFormer, mRequest.change, mRequest.declaration);
+  record.appliedBy = mRequest.appliedBy;
+  record.appliedAt = mRequest.appliedAt;
+  auto value = policy::PrintConfigurationRecord(record);
+  if (value.size() > kLargestValueBytes) {
+    Finish(apply_outcome::kTooLarge);
+    return;
+  }
+  mWriting = true;
+  mActions.emplace_back(swap_configuration{ std::move(value), aKeyVersion });
+}
+
+void
+applier::Read()
+{
+  mReadAt.reset();
+  mActions.emplace_back(read_configuration{});
+}
+
+void
+applier::Finish(apply_outcome aOutcome)
+{
+  mActions.clear();
+  mReadAt.reset();
+  mResult = apply_result{ aOutcome, NextVersion(), mInForce };
+}
+
+} // namespace currantshed::platform
--- a/src/currantshed/platform/fwd.hpp
+++ b/src/currantshed/platform/fwd.hpp
@@ -3,10 +3,14 @@
 
 namespace currantshed::platform {
 
+class applier;
 class client;
 class transport;
+enum class apply_outcome;
 enum class errc;
 enum class swap_outcome;
+struct apply_request;
+struct apply_result;
 struct entry;
 struct http_answer;
 struct http_request;
--- /dev/null
+++ b/test/currantshed/platform/apply.cpp
@@ -0,0 +1,518 @@
+#include "currantshed/platform/apply.hpp"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "currantshed/platform/errors.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using currantshed::clock::time_point;
+using currantshed::platform::applier;
+using currantshed::platform::apply_action;
+using currantshed::platform::apply_outcome;
+using currantshed::platform::apply_request;
+using currantshed::platform::apply_result;
+using currantshed::platform::entry;
+using currantshed::platform::errc;
+using currantshed::platform::swap_configuration;
+using currantshed::platform::swap_outcome;
+using currantshed::policy::configuration_record;
+using currantshed::policy::kEarlierChanges;
+using currantshed::policy::NextConfigurationRecord;
+using currantshed::policy::ParseConfigurationRecord;
+using currantshed::policy::PrintConfigurationRecord;
+
+namespace {
+
+constexpr char kMine[] = "mine";
+constexpr std::uint64_t kSeen = 3;
+constexpr time_point kStart{ 1h };
+constexpr auto kLongWait = 1min;
+
+/// What happens next: to the call under way, or around it.
+enum class step
+{
+  /// The call is carried out and answered.
+  kAnswer,
+  /// The call fails without effect; a write may still arrive later.
+  kLose,
+  /// The call takes effect, and its answer is lost.
+  kLoseAnswer,
+  /// The first write that was lost arrives after all.
+  kArriveLate,
+  /// Another operator makes a change.
+  kOther,
+  /// The key is overwritten by what is no record.
+  kGarble,
+};
+
+constexpr std::array kAllSteps = { step::kAnswer,     step::kLose,
+                                   step::kLoseAnswer, step::kArriveLate,
+                                   step::kOther,      step::kGarble };
+
+/// The store, other operators, and the way between.
+class world
+{
+public:
+  explicit world(std::uint64_t aVersion)
+  {
+    while (Record().version < aVersion) {
+      ChangeByOther();
+    }
+  }
+
+  [[nodiscard]] const entry& Entry() const { return mEntry; }
+
+  [[nodiscard]] configuration_record Record() const
+  {
+    return ParseConfigurationRecord(mEntry.value).value_or(mLastGood);
+  }
+
+  void ChangeByOther()
+  {
+    const auto former = Record();
+    const auto name = "other-" + std::to_string(former.version + 1);
+    Store(PrintConfigurationRecord(NextConfigurationRecord(former, name, "o")));
+  }
+
+  void Garble() { Store("{"); }
+
+  bool Swap(const swap_configuration& aSwap)
+  {
+    if (aSwap.expected != mEntry.version) {
+      return false;
+    }
+    Store(aSwap.value);
+    mTimesMine += Record().change == kMine ? 1 : 0;
+    return true;
+  }
+
+  void Lose(const swap_configuration& aSwap) { mLost.push_back(aSwap); }
+
+  void ArriveLate()
+  {
+    if (!mLost.empty()) {
+      const auto swap = mLost.front();
+      mLost.erase(mLost.begin());
+      Swap(swap);
+    }
+  }
+
+  void ArriveAll()
+  {
+    while (!mLost.empty()) {
+      ArriveLate();
+    }
+  }
+
+  /// How often the change under test was put in force.
+  [[nodiscard]] int TimesMine() const { return mTimesMine; }
+
+private:
+  void Store(const std::string& aValue)
+  {
+    mLastGood = Record();
+    mEntry = entry{ aValue, mEntry.version + 1 };
+  }
+
+  entry mEntry;
+  configuration_record mLastGood;
+  std::vector<swap_configuration> mLost;
+  int mTimesMine = 0;
+};
+
+/// Runs an applier through the steps.
+class trial
+{
+public:
+  trial(apply_request aRequest, std::uint64_t aVersion)
+    : mWorld(aVersion)
+    , mSubject(std::move(aRequest), kStart)
+  {
+    Take();
+  }
+
+  void Do(step aStep)
+  {
+    switch (aStep) {
+      case step::kArriveLate:
+        mWorld.ArriveLate();
+        return;
+      case step::kOther:
+        mWorld.ChangeByOther();
+        return;
+      case step::kGarble:
+        mWorld.Garble();
+        return;
+      default:
+        EndCall(aStep);
+        return;
+    }
+  }
+
+  /// Lets the time run out, and all that is on its way arrive.
+  void End()
+  {
+    if (mCall && std::holds_alternative<swap_configuration>(*mCall)) {
+      mWorld.Lose(std::get<swap_configuration>(*mCall));
+    }
+    mNow += kLongWait;
+    mSubject.Tick(mNow);
+    mWorld.ArriveAll();
+  }
+
+  [[nodiscard]] const std::optional<apply_result>& Result() const
+  {
+    return mSubject.Result();
+  }
+
+  [[nodiscard]] int TimesMine() const { return mWorld.TimesMine(); }
+
+private:
+  void Take()
+  {
+    auto actions = mSubject.TakeActions();
+    mTooMany = mTooMany || actions.size() + (mCall ? 1 : 0) > 1;
+    if (!actions.empty()) {
+      mCall = actions.front();
+    }
+  }
+
+  void EndCall(step aStep)
+  {
+    if (!mCall && !mSubject.Result()) {
+      mNow = mSubject.NextTick();
+      mSubject.Tick(mNow);
+      Take();
+    }
+    if (!mCall) {
+      return;
+    }
+    const auto call = *mCall;
+    mCall.reset();
+    if (const auto* swap = std::get_if<swap_configuration>(&call)) {
+      mSubject.ConfigurationSwapped(EndSwap(*swap, aStep), mNow);
+    } else if (aStep == step::kAnswer) {
+      mSubject.ConfigurationRead({}, mWorld.Entry(), mNow);
+    } else {
+      mSubject.ConfigurationRead(errc::kTimeout, {}, mNow);
+    }
+    Take();
+    CHECK_FALSE_TEXT(mTooMany, "more than one call under way");
+  }
+
+  swap_outcome EndSwap(const swap_configuration& aSwap, step aStep)
+  {
+    if (aStep == step::kLose) {
+      mWorld.Lose(aSwap);
+      return swap_outcome::kUnknown;
+    }
+    const bool applied = mWorld.Swap(aSwap);
+    if (aStep == step::kLoseAnswer) {
+      return swap_outcome::kUnknown;
+    }
+    return applied ? swap_outcome::kApplied : swap_outcome::kConflict;
+  }
+
+  world mWorld;
+  time_point mNow = kStart;
+  applier mSubject;
+  std::optional<apply_action> mCall;
+  bool mTooMany = false;
+};
+
+apply_request
+Request(std::uint64_t aSeen = kSeen)
+{
+  apply_request request;
+  request.declaration = "d";
+  request.change = kMine;
+  request.expectedVersion = aSeen;
+  return request;
+}
+
+struct apply_row
+{
+  const char* name;
+  std::uint64_t inStore;
+  std::vector<step> steps;
+  apply_outcome outcome;
+  std::uint64_t inForce;
+  int timesMine;
+};
+
+std::vector<step>
+Then(std::vector<step> aFirst, std::size_t aTimes, step aLast)
+{
+  aFirst.insert(aFirst.end(), aTimes, aLast);
+  return aFirst;
+}
+
+std::vector<step>
+LostAnswerThenOthers(std::size_t aOthers)
+{
+  auto steps =
+    Then({ step::kAnswer, step::kLoseAnswer }, aOthers, step::kOther);
+  steps.push_back(step::kAnswer);
+  return steps;
+}
+
+const apply_row kRows[] = {
+  { "no fault",
+    kSeen,
+    { step::kAnswer, step::kAnswer },
+    apply_outcome::kApplied,
+    4,
+    1 },
+  { "race lost before the start",
+    5,
+    { step::kAnswer },
+    apply_outcome::kLostRace,
+    5,
+    0 },
+  { "race lost to the write of another",
+    kSeen,
+    { step::kAnswer, step::kOther, step::kAnswer, step::kAnswer },
+    apply_outcome::kLostRace,
+    4,
+    0 },
+  { "answer lost after the effect",
+    kSeen,
+    { step::kAnswer, step::kLoseAnswer, step::kAnswer },
+    apply_outcome::kApplied,
+    4,
+    1 },
+  { "answer lost, others build on it",
+    kSeen,
+    LostAnswerThenOthers(2),
+    apply_outcome::kApplied,
+    6,
+    1 },
+  { "answer lost, as many build on it as a record names",
+    kSeen,
+    LostAnswerThenOthers(kEarlierChanges),
+    apply_outcome::kApplied,
+    4 + kEarlierChanges,
+    1 },
+  { "answer lost, more build on it than a record names",
+    kSeen,
+    LostAnswerThenOthers(kEarlierChanges + 1),
+    apply_outcome::kUnknown,
+    5 + kEarlierChanges,
+    1 },
+  { "answer lost, race lost",
+    kSeen,
+    { step::kAnswer, step::kOther, step::kLoseAnswer, step::kAnswer },
+    apply_outcome::kLostRace,
+    4,
+    0 },
+  { "lost before the effect, written again",
+    kSeen,
+    { step::kAnswer, step::kLose, step::kAnswer, step::kAnswer },
+    apply_outcome::kApplied,
+    4,
+    1 },
+  { "lost before the effect, race lost",
+    kSeen,
+    { step::kAnswer, step::kLose, step::kOther, step::kAnswer },
+    apply_outcome::kLostRace,
+    4,
+    0 },
+  { "arrives late, between reading back and writing again",
+    kSeen,
+    { step::kAnswer,
+      step::kLose,
+      step::kAnswer,
+      step::kArriveLate,
+      step::kAnswer,
+      step::kAnswer },
+    apply_outcome::kApplied,
+    4,
+    1 },
+  { "lost twice after the effect",
+    kSeen,
+    { step::kAnswer,
+      step::kLose,
+      step::kAnswer,
+      step::kLoseAnswer,
+      step::kAnswer },
+    apply_outcome::kApplied,
+    4,
+    1 },
+  { "outage from the start",
+    kSeen,
+    { step::kLose, step::kLose },
+    apply_outcome::kNotReached,
+    0,
+    0 },
+  { "outage in the middle, effect made",
+    kSeen,
+    { step::kAnswer, step::kLoseAnswer, step::kLose, step::kLose },
+    apply_outcome::kUnknown,
+    3,
+    1 },
+  { "outage in the middle, ends in time",
+    kSeen,
+    { step::kAnswer, step::kLoseAnswer, step::kLose, step::kAnswer },
+    apply_outcome::kApplied,
+    4,
+    1 },
+  { "outage after a refused write",
+    kSeen,
+    { step::kAnswer, step::kOther, step::kAnswer, step::kLose },
+    apply_outcome::kNotReached,
+    3,
+    0 },
+  { "a write without an answer when the time is up",
+    kSeen,
+    { step::kAnswer },
+    apply_outcome::kUnknown,
+    3,
+    0 },
+  { "garbled at the start",
+    kSeen,
+    { step::kGarble, step::kAnswer },
+    apply_outcome::kUnreadable,
+    0,
+    0 },
+  { "garbled while in doubt",
+    kSeen,
+    { step::kAnswer, step::kLoseAnswer, step::kGarble, step::kAnswer },
+    apply_outcome::kUnknown,
+    3,
+    1 },
+  { "the store went back",
+    2,
+    { step::kAnswer },
+    apply_outcome::kLostRace,
+    2,
+    0 },
+};
+
+struct truth
+{
+  apply_outcome outcome;
+  int fewest;
+  int most;
+};
+
+/// How often the change may have been made for each word to the operator.
+constexpr truth kTruths[] = {
+  { apply_outcome::kApplied, 1, 1 },    { apply_outcome::kLostRace, 0, 0 },
+  { apply_outcome::kNotReached, 0, 0 }, { apply_outcome::kUnknown, 0, 1 },
+  { apply_outcome::kUnreadable, 0, 0 }, { apply_outcome::kTooLarge, 0, 0 },
+};
+
+bool
+IsTrue(apply_outcome aOutcome, int aTimesMade)
+{
+  return std::any_of(
+    std::begin(kTruths), std::end(kTruths), [&](const truth& aTruth) {
+      return aTruth.outcome == aOutcome && aTimesMade >= aTruth.fewest &&
+             aTimesMade <= aTruth.most;
+    });
+}
+
+} // namespace
+
+TEST_GROUP(apply){};
+
+TEST(apply, rows)
+{
+  for (const auto& row : kRows) {
+    trial subject(Request(), row.inStore);
+    for (const auto next : row.steps) {
+      subject.Do(next);
+    }
+    const int made = subject.TimesMine();
+    subject.End();
+    CHECK_TEXT(subject.Result()->outcome == row.outcome, row.name);
+    CHECK_TEXT(subject.Result()->inForce == row.inForce, row.name);
+    CHECK_TEXT(subject.Result()->version == kSeen + 1, row.name);
+    LONGS_EQUAL_TEXT(row.timesMine, made, row.name);
+  }
+}
+
+TEST(apply, the_first_configuration)
+{
+  trial subject(Request(0), 0);
+  subject.Do(step::kAnswer);
+  subject.Do(step::kAnswer);
+  CHECK(subject.Result()->outcome == apply_outcome::kApplied);
+  CHECK(subject.Result()->version == 1);
+}
+
+TEST(apply, asked_again_under_the_same_name_is_made_once)
+{
+  apply_request request = Request();
+  request.askedBefore = true;
+  applier subject(request, kStart);
+  const configuration_record mine{ 4, kMine, "d", "", "", {} };
+  subject.ConfigurationRead(
+    {}, entry{ PrintConfigurationRecord(mine), 9 }, kStart);
+  CHECK(subject.Result()->outcome == apply_outcome::kApplied);
+}
+
+TEST(apply, asked_again_without_an_answer_stays_unknown)
+{
+  apply_request request = Request();
+  request.askedBefore = true;
+  applier subject(request, kStart);
+  subject.Tick(kStart + kLongWait);
+  CHECK(subject.Result()->outcome == apply_outcome::kUnknown);
+}
+
+TEST(apply, too_large_is_not_written)
+{
+  apply_request request = Request();
+  request.declaration.assign(currantshed::platform::kLargestValueBytes, 'x');
+  trial subject(request, kSeen);
+  subject.Do(step::kAnswer);
+  CHECK(subject.Result()->outcome == apply_outcome::kTooLarge);
+}
+
+TEST(apply, a_platform_in_trouble_is_not_hurried)
+{
+  applier subject(Request(), kStart);
+  CHECK(subject.TakeActions().size() == 1);
+  subject.ConfigurationRead(errc::kRateLimited, {}, kStart);
+  CHECK(subject.TakeActions().empty());
+  CHECK(subject.NextTick() >= kStart + 100ms);
+  subject.Tick(subject.NextTick());
+  CHECK(subject.TakeActions().size() == 1);
+}
+
+/// Every order of steps up to a length: whatever happens, the operator is
+/// told the truth, also about what arrives afterwards.
+TEST(apply, every_interleaving_is_told_truthfully)
+{
+  constexpr std::size_t kLength = 6;
+  std::array<int, std::size(kTruths)> seen{};
+  std::size_t orders = 1;
+  for (std::size_t at = 0; at < kLength; ++at) {
+    orders *= kAllSteps.size();
+  }
+  for (std::size_t order = 0; order < orders; ++order) {
+    trial subject(Request(), kSeen);
+    auto rest = order;
+    for (std::size_t at = 0; at < kLength; ++at) {
+      subject.Do(kAllSteps.at(rest % kAllSteps.size()));
+      rest /= kAllSteps.size();
+    }
+    subject.End();
+    const auto outcome = subject.Result()->outcome;
+    CHECK_TEXT(IsTrue(outcome, subject.TimesMine()),
+               std::to_string(order).c_str());
+    ++seen.at(static_cast<std::size_t>(outcome));
+  }
+  const auto reached = std::count_if(
+    seen.begin(), seen.end(), [](int aTimes) { return aTimes > 0; });
+  LONGS_EQUAL(5, reached);
+}
