Threads of the pooler around its decisions

Cause: engine, coordinator and roster decide without I/O; something has to put them on connections, sockets, timers and the platform. Change: pooler/ with a traffic and a control thread, one channel a server for questions, release of groups after a grace, a configuration that never goes back, views for gateways, metrics. A router may let its last answers linger. Ruled out: one thread for both, as a slow platform answer or a large request would delay probes. Conclusion: table tests cover what decides; the threads are shown by runs of the program.

--- a/src/currantshed/net/zmq_socket.cpp
+++ b/src/currantshed/net/zmq_socket.cpp
@@ -24,7 +24,7 @@
 void
 Apply(const socket_settings& aSettings, zmq::socket_t& aSocket)
 {
-  aSocket.set(zmq::sockopt::linger, 0);
+  aSocket.set(zmq::sockopt::linger, Count(aSettings.linger));
   aSocket.set(zmq::sockopt::sndhwm, aSettings.highWater);
   aSocket.set(zmq::sockopt::rcvhwm, aSettings.highWater);
   aSocket.set(zmq::sockopt::maxmsgsize, aSettings.longestMessage);
--- a/src/currantshed/net/zmq_socket.hpp
+++ b/src/currantshed/net/zmq_socket.hpp
@@ -20,6 +20,8 @@
 /// Bounds and times of one socket.
 struct socket_settings
 {
+  /// How long a closed socket still sends what is queued.
+  std::chrono::milliseconds linger{ 0 };
   /// Messages queued for one peer, each way; more are refused.
   int highWater = 20000;
   /// Longest message taken from a peer, in bytes; a peer that sends more is
@@ -35,7 +37,7 @@
 };
 
 /// One ZeroMQ socket hung on an io_context. Belongs to the thread that runs
-/// the io_context. Sending never blocks. Nothing lingers after Close.
+/// the io_context. Sending never blocks.
 ///
 /// ZeroMQ's descriptor tells only of changes, and a send may use such a
 /// change up; so the socket is drained after every wake and after every
@@ -52,8 +54,8 @@
   zmq_socket& operator=(const zmq_socket&) = delete;
   virtual ~zmq_socket();
 
-  /// Closes the socket; what is queued is dropped, and no callback comes
-  /// after it.
+  /// Closes the socket; no callback comes after it. What is queued is dropped
+  /// unless the settings let it linger.
   void Close();
 
 protected:
--- /dev/null
+++ b/src/currantshed/pooler/control.hpp
@@ -0,0 +1,112 @@
+#ifndef CURRANTSHED_POOLER_CONTROL_HPP
+#define CURRANTSHED_POOLER_CONTROL_HPP
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <thread>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <zmq.hpp>
+
+#include "currantshed/member/roster.hpp"
+#include "currantshed/net/tick_timer.hpp"
+#include "currantshed/platform/client.hpp"
+#include "currantshed/pooler/configuration_keeper.hpp"
+#include "currantshed/pooler/fwd.hpp"
+#include "currantshed/pooler/group_guard.hpp"
+#include "currantshed/pooler/metrics.hpp"
+#include "currantshed/pooler/ownership.hpp"
+#include "currantshed/pooler/peer_links.hpp"
+#include "currantshed/pooler/settings.hpp"
+#include "currantshed/pooler/status_board.hpp"
+#include "currantshed/pooler/traffic.hpp"
+#include "currantshed/upstream/dialect.hpp"
+
+namespace currantshed::pooler {
+
+/// The control thread: the platform's list and configuration, the heartbeats
+/// between poolers, and one guard for each group that this pooler owns. Tells
+/// the traffic thread which groups there are and what gateways are to know.
+class control
+{
+public:
+  control(const settings& aSettings,
+          zmq::context_t& aZmq,
+          metrics& aMetrics,
+          status_board& aBoard,
+          traffic& aTraffic);
+  control(const control&) = delete;
+  control& operator=(const control&) = delete;
+  ~control();
+
+  /// Listens at the peer port and starts the thread.
+  [[nodiscard]] std::error_code Start();
+
+  /// Tells the peers at once that this VM leaves. May be called on any
+  /// thread.
+  void Leave();
+
+  /// Ends the thread.
+  void Stop();
+
+private:
+  void Received(wire::message aMessage,
+                std::size_t aBytes,
+                const peer_links::responder& aRespond);
+  void Heard(const member::heartbeat& aBeat, std::size_t aBytes);
+  void SendHeartbeats();
+  void AskForConfiguration(const peer_address& aPeer);
+  void AskFirstPeers();
+  void List();
+  void Listed(std::error_code aError, platform::listing aListing);
+  void WatchConfiguration();
+  void ConfigurationRead(std::error_code aError, const platform::entry& aEntry);
+  void Offer(const wire::configuration& aOffered);
+  void TickRoster();
+  void Reconsider();
+  void GuardGroup(const group::description& aGroup,
+                  unsigned aRank,
+                  unsigned aOwners);
+  void ReleaseGroups();
+  void TellTraffic();
+  void TellBoard();
+  void Housekeep();
+  [[nodiscard]] int RankOf(const std::vector<platform::vm>& aOwners) const;
+
+  const settings& mSettings;
+  metrics& mMetrics;
+  status_board& mBoard;
+  traffic& mTraffic;
+  boost::asio::io_context mContext;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    mWork;
+  std::unique_ptr<upstream::dialect> mDialect;
+  std::unique_ptr<platform::client> mPlatform;
+  peer_links mPeers;
+  std::unique_ptr<member::roster> mRoster;
+  std::uint64_t mSeenRoster = 0;
+  configuration_keeper mConfiguration;
+  platform::index mConfigurationIndex = 0;
+  clock::time_point mAskedPeersAt;
+  bool mHasList = false;
+  platform::listing mListing;
+  ownership mOwnership;
+  absl::btree_map<group::group_name, std::unique_ptr<group_guard>> mGuards;
+  bool mIsLeaving = false;
+  net::tick_timer mRosterTimer;
+  net::tick_timer mListTimer;
+  net::tick_timer mWatchTimer;
+  net::tick_timer mHousekeeper;
+  std::thread mThread;
+};
+
+} // namespace currantshed::pooler
+
+#endif
--- /dev/null
+++ b/src/currantshed/pooler/fwd.hpp
@@ -0,0 +1,21 @@
+#ifndef CURRANTSHED_POOLER_FWD_HPP
+#define CURRANTSHED_POOLER_FWD_HPP
+
+namespace currantshed::pooler {
+
+class configuration_keeper;
+class control;
+class group_guard;
+class group_runner;
+class metrics;
+class ownership;
+class peer_links;
+class server_channel;
+class status_board;
+class traffic;
+class view_publisher;
+struct settings;
+
+} // namespace currantshed::pooler
+
+#endif
--- /dev/null
+++ b/src/currantshed/pooler/group_guard.cpp
@@ -0,0 +1,354 @@
+#include "currantshed/pooler/group_guard.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "currantshed/log/log.hpp"
+#include "currantshed/upstream/endpoint.hpp"
+
+namespace currantshed::pooler {
+
+namespace {
+
+/// How long fence, promote and follow may take.
+constexpr std::chrono::milliseconds kCommandTimeout{ 1000 };
+
+clock::time_point
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+std::string
+RecordKey(const group::group_name& aGroup)
+{
+  return "currantshed/groups/" + aGroup + "/terms";
+}
+
+failover::coordinator_settings
+CoordinatorSettings(const settings& aSettings, unsigned aRank, unsigned aOwners)
+{
+  failover::coordinator_settings coordinator;
+  coordinator.vm = aSettings.self.id;
+  coordinator.incarnation = aSettings.incarnation;
+  coordinator.failureDomain = aSettings.self.failureDomain;
+  coordinator.rank = aRank;
+  coordinator.owners = aOwners;
+  coordinator.probeInterval = aSettings.probeInterval;
+  coordinator.suspectAfter = aSettings.suspectAfter;
+  coordinator.validity = aSettings.validity;
+  return coordinator;
+}
+
+std::int64_t
+Number(position::term_id aTerm)
+{
+  return static_cast<std::int64_t>(aTerm);
+}
+
+} // namespace
+
+group_guard::group_guard(const surroundings& aSurroundings,
+                         group::group_name aName,
+                         unsigned aRank,
+                         unsigned aOwners,
+                         listener aListener)
+  : mSurroundings(aSurroundings)
+  , mName(std::move(aName))
+  , mListener(std::move(aListener))
+  , mCoordinator(failover::MakeCoordinator(
+      CoordinatorSettings(aSurroundings.settings, aRank, aOwners)))
+  , mProbeTimeout(failover::coordinator_settings{}.probeTimeout)
+  , mRank(aRank)
+  , mOwners(aOwners)
+  , mNews{ mName, 0, {} }
+  , mTimer(aSurroundings.context, [this] {
+    mCoordinator->Tick(Now());
+    Perform();
+  })
+{
+}
+
+group_guard::~group_guard()
+{
+  *mAlive = false;
+}
+
+void
+group_guard::Configure(const group::description& aGroup,
+                       unsigned aRank,
+                       unsigned aOwners)
+{
+  if (aGroup == mGroup && aRank == mRank && aOwners == mOwners) {
+    return;
+  }
+  for (const auto& member : mGroup.members) {
+    const auto& now = aGroup.members;
+    if (std::find(now.begin(), now.end(), member) == now.end()) {
+      mChannels.erase(member.id);
+    }
+  }
+  mGroup = aGroup;
+  mRank = aRank;
+  mOwners = aOwners;
+  mCoordinator->Configure(aGroup, aRank, aOwners, Now());
+  Perform();
+}
+
+void
+group_guard::Heard(const member::heartbeat& aBeat)
+{
+  const auto now = Now();
+  failover::suspicion word{ mName, 0, {} };
+  for (const auto& told : aBeat.suspicions) {
+    if (told.group == mName) {
+      word = told;
+    }
+  }
+  mCoordinator->PeerSuspects(
+    aBeat.sender.id, aBeat.sender.failureDomain, word, now);
+  for (const auto& news : aBeat.terms) {
+    if (news.group == mName) {
+      mCoordinator->PeerAnnounces(news.term, news.primary, now);
+    }
+  }
+  Perform();
+}
+
+void
+group_guard::Perform()
+{
+  if (mIsPerforming) {
+    return;
+  }
+  mIsPerforming = true;
+  auto actions = mCoordinator->TakeActions();
+  while (!actions.empty()) {
+    for (const auto& action : actions) {
+      Note(action);
+      std::visit([this](const auto& aAction) { Do(aAction); }, action);
+    }
+    actions = mCoordinator->TakeActions();
+  }
+  mIsPerforming = false;
+  mTimer.At(mCoordinator->NextTick());
+}
+
+void
+group_guard::Note(const failover::action& aAction)
+{
+  const auto step = mWatch.Observe(aAction, Now());
+  if (step) {
+    mSurroundings.metrics.FailoverStep(mName, step->name, step->took);
+  }
+}
+
+void
+group_guard::Do(const failover::probe& aAction)
+{
+  const upstream::server_id server = aAction.server;
+  Ask(server,
+      mSurroundings.dialect.Status(),
+      mProbeTimeout,
+      [this, server](const std::optional<upstream::server_status>& aStatus,
+                     bool aAccepted,
+                     clock::time_point aAskedAt) {
+        if (aAccepted) {
+          mCoordinator->StatusArrived(server, *aStatus, aAskedAt, Now());
+        } else {
+          mCoordinator->StatusFailed(server, Now());
+        }
+      });
+}
+
+void
+group_guard::Do(const failover::fence& aAction)
+{
+  log::Write(log::level::kWarning,
+             "fence",
+             { { "group", mName },
+               { "term", Number(aAction.term) },
+               { "server", aAction.server } });
+  Ask(aAction.server,
+      mSurroundings.dialect.Fence(aAction.term),
+      kCommandTimeout,
+      [this, aAction](const std::optional<upstream::server_status>& aStatus,
+                      bool aAccepted,
+                      clock::time_point) {
+        mCoordinator->FenceAnswered(aAction.server,
+                                    aAction.term,
+                                    aAccepted,
+                                    aStatus.value_or(upstream::server_status{}),
+                                    Now());
+      });
+}
+
+void
+group_guard::Do(const failover::promote& aAction)
+{
+  mPromotedTerm = aAction.term;
+  log::Write(log::level::kWarning,
+             "promote",
+             { { "group", mName },
+               { "term", Number(aAction.term) },
+               { "server", aAction.server } });
+  Ask(aAction.server,
+      mSurroundings.dialect.Promote(aAction.term),
+      kCommandTimeout,
+      [this, aAction](const std::optional<upstream::server_status>& aStatus,
+                      bool aAccepted,
+                      clock::time_point) {
+        mCoordinator->PromoteAnswered(
+          aAction.server,
+          aAction.term,
+          aAccepted,
+          aStatus.value_or(upstream::server_status{}),
+          Now());
+      });
+}
+
+void
+group_guard::Do(const failover::follow& aAction)
+{
+  const group::member* primary = Find(aAction.primary);
+  if (primary == nullptr) {
+    mCoordinator->FollowAnswered(
+      aAction.server, aAction.term, false, {}, Now());
+    return;
+  }
+  log::Write(log::level::kInfo,
+             "follow",
+             { { "group", mName },
+               { "term", Number(aAction.term) },
+               { "server", aAction.server },
+               { "primary", aAction.primary } });
+  Ask(
+    aAction.server,
+    mSurroundings.dialect.Follow(aAction.term, primary->address, primary->port),
+    kCommandTimeout,
+    [this, aAction](const std::optional<upstream::server_status>& aStatus,
+                    bool aAccepted,
+                    clock::time_point) {
+      mCoordinator->FollowAnswered(aAction.server,
+                                   aAction.term,
+                                   aAccepted,
+                                   aStatus.value_or(upstream::server_status{}),
+                                   Now());
+    });
+}
+
+void
+group_guard::Do(const failover::read_record& /*aAction*/)
+{
+  mSurroundings.platform.Get(
+    RecordKey(mName),
+    [this, alive = mAlive](std::error_code aError,
+                           const platform::entry& aEntry) {
+      if (!*alive) {
+        return;
+      }
+      mSurroundings.metrics.PlatformCalled("read_terms", !aError);
+      mCoordinator->RecordRead(!aError, aEntry, Now());
+      Perform();
+    });
+}
+
+void
+group_guard::Do(const failover::swap_record& aAction)
+{
+  mSurroundings.platform.Swap(
+    RecordKey(mName),
+    aAction.value,
+    aAction.expected,
+    [this, alive = mAlive](platform::swap_outcome aOutcome) {
+      if (!*alive) {
+        return;
+      }
+      const bool isKnown = aOutcome != platform::swap_outcome::kUnknown;
+      mSurroundings.metrics.PlatformCalled("write_terms", isKnown);
+      mCoordinator->RecordSwapped(aOutcome, Now());
+      Perform();
+    });
+}
+
+void
+group_guard::Do(const failover::announce& aAction)
+{
+  const member::term_news news{ mName, aAction.term, aAction.primary };
+  if (news.term == mNews.term && news.primary == mNews.primary) {
+    return;
+  }
+  mNews = news;
+  log::Write(log::level::kInfo,
+             "primary_known",
+             { { "group", mName },
+               { "term", Number(news.term) },
+               { "primary", news.primary } });
+  if (news.term == mPromotedTerm) {
+    mSurroundings.metrics.FailoverEnded(mName);
+  }
+  mListener.announced(news);
+}
+
+void
+group_guard::Do(const failover::report_suspicion& aAction)
+{
+  log::Write(log::level::kInfo,
+             aAction.word.primary.empty() ? "suspicion_withdrawn"
+                                          : "primary_suspected",
+             { { "group", mName },
+               { "term", Number(aAction.word.term) },
+               { "primary", aAction.word.primary } });
+  mListener.suspected(aAction.word);
+}
+
+void
+group_guard::Ask(const upstream::server_id& aServer,
+                 upstream::statement aQuestion,
+                 std::chrono::milliseconds aAtMost,
+                 answered aDone)
+{
+  const group::member* member = Find(aServer);
+  if (member == nullptr) {
+    aDone(std::nullopt, false, Now());
+    return;
+  }
+  auto& channel = mChannels[aServer];
+  if (!channel) {
+    upstream::endpoint endpoint;
+    endpoint.address = member->address;
+    endpoint.port = member->port;
+    endpoint.vm = mSurroundings.settings.self.id;
+    channel = std::make_unique<server_channel>(mSurroundings.context,
+                                               std::move(endpoint));
+  }
+  channel->Ask(std::move(aQuestion),
+               aAtMost,
+               [this, done = std::move(aDone)](
+                 const std::optional<upstream::reply>& aReply,
+                 clock::time_point aAskedAt) {
+                 std::optional<upstream::server_status> status;
+                 if (aReply && aReply->end == upstream::batch_end::kComplete &&
+                     !aReply->results.empty()) {
+                   status =
+                     mSurroundings.dialect.ReadStatus(aReply->results.front());
+                 }
+                 done(status, status.has_value(), aAskedAt);
+                 Perform();
+               });
+}
+
+const group::member*
+group_guard::Find(const upstream::server_id& aServer) const
+{
+  const auto& members = mGroup.members;
+  const auto found =
+    std::find_if(members.begin(), members.end(), [&](const auto& aMember) {
+      return aMember.id == aServer;
+    });
+  return found == members.end() ? nullptr : &*found;
+}
+
+} // namespace currantshed::pooler
--- /dev/null
+++ b/src/currantshed/pooler/group_guard.hpp
@@ -0,0 +1,113 @@
+#ifndef CURRANTSHED_POOLER_GROUP_GUARD_HPP
+#define CURRANTSHED_POOLER_GROUP_GUARD_HPP
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/io_context.hpp>
+
+#include "currantshed/failover/coordinator.hpp"
+#include "currantshed/member/roster.hpp"
+#include "currantshed/net/tick_timer.hpp"
+#include "currantshed/platform/client.hpp"
+#include "currantshed/pooler/failover_watch.hpp"
+#include "currantshed/pooler/fwd.hpp"
+#include "currantshed/pooler/metrics.hpp"
+#include "currantshed/pooler/server_channel.hpp"
+#include "currantshed/pooler/settings.hpp"
+#include "currantshed/upstream/dialect.hpp"
+
+namespace currantshed::pooler {
+
+/// Drives one owned group's coordinator on the control thread: probes and
+/// commands run on one control connection a server, the term record lives in
+/// the platform's store.
+class group_guard
+{
+public:
+  /// What the rest of the control thread hears from a guard.
+  struct listener
+  {
+    std::function<void(const member::term_news&)> announced;
+    std::function<void(const failover::suspicion&)> suspected;
+  };
+
+  /// What a guard works with; all of it outlives the guard.
+  struct surroundings
+  {
+    boost::asio::io_context& context;
+    const pooler::settings& settings;
+    platform::client& platform;
+    const upstream::dialect& dialect;
+    pooler::metrics& metrics;
+  };
+
+  group_guard(const surroundings& aSurroundings,
+              group::group_name aName,
+              unsigned aRank,
+              unsigned aOwners,
+              listener aListener);
+  group_guard(const group_guard&) = delete;
+  group_guard& operator=(const group_guard&) = delete;
+  ~group_guard();
+
+  void Configure(const group::description& aGroup,
+                 unsigned aRank,
+                 unsigned aOwners);
+
+  /// Takes what another pooler's heartbeat says of this group.
+  void Heard(const member::heartbeat& aBeat);
+
+  /// Who leads the group, as last announced here or heard of.
+  [[nodiscard]] const member::term_news& News() const noexcept { return mNews; }
+
+  [[nodiscard]] unsigned Rank() const noexcept { return mRank; }
+
+private:
+  using answered =
+    std::function<void(const std::optional<upstream::server_status>&,
+                       bool aAccepted,
+                       clock::time_point aAskedAt)>;
+
+  void Perform();
+  void Do(const failover::probe& aAction);
+  void Do(const failover::fence& aAction);
+  void Do(const failover::promote& aAction);
+  void Do(const failover::follow& aAction);
+  void Do(const failover::read_record& aAction);
+  void Do(const failover::swap_record& aAction);
+  void Do(const failover::announce& aAction);
+  void Do(const failover::report_suspicion& aAction);
+  void Note(const failover::action& aAction);
+  void Ask(const upstream::server_id& aServer,
+           upstream::statement aQuestion,
+           std::chrono::milliseconds aAtMost,
+           answered aDone);
+  [[nodiscard]] const group::member* Find(
+    const upstream::server_id& aServer) const;
+
+  surroundings mSurroundings;
+  group::group_name mName;
+  listener mListener;
+  std::unique_ptr<failover::coordinator> mCoordinator;
+  std::chrono::milliseconds mProbeTimeout;
+  group::description mGroup;
+  unsigned mRank;
+  unsigned mOwners;
+  member::term_news mNews;
+  position::term_id mPromotedTerm = 0;
+  failover_watch mWatch;
+  absl::flat_hash_map<upstream::server_id, std::unique_ptr<server_channel>>
+    mChannels;
+  bool mIsPerforming = false;
+  net::tick_timer mTimer;
+  /// Ends with the guard, so that late answers of the platform find nothing.
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+} // namespace currantshed::pooler
+
+#endif
--- /dev/null
+++ b/src/currantshed/pooler/group_runner.hpp
@@ -0,0 +1,94 @@
+#ifndef CURRANTSHED_POOLER_GROUP_RUNNER_HPP
+#define CURRANTSHED_POOLER_GROUP_RUNNER_HPP
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/io_context.hpp>
+
+#include "currantshed/group/engine.hpp"
+#include "currantshed/net/tick_timer.hpp"
+#include "currantshed/pooler/fwd.hpp"
+#include "currantshed/pooler/metrics.hpp"
+#include "currantshed/pooler/server_channel.hpp"
+#include "currantshed/pooler/settings.hpp"
+#include "currantshed/upstream/dialect.hpp"
+#include "currantshed/upstream/pq_connection.hpp"
+
+namespace currantshed::pooler {
+
+/// Drives one group's engine on the traffic thread: does its actions on
+/// connections to the servers, and feeds it what comes back.
+class group_runner
+{
+public:
+  using answer_callback = std::function<void(group::answer)>;
+
+  group_runner(boost::asio::io_context& aContext,
+               const settings& aSettings,
+               const upstream::dialect& aDialect,
+               prometheus::Registry& aMetrics,
+               const group::group_name& aGroup,
+               answer_callback aAnswer);
+  group_runner(const group_runner&) = delete;
+  group_runner& operator=(const group_runner&) = delete;
+  ~group_runner();
+
+  /// Takes the group's servers over; connections to servers that are gone or
+  /// have moved are the engine's to close.
+  void Configure(const group::description& aGroup);
+
+  void Submit(group::request aRequest);
+  void Cancel(group::request_id aRequest);
+  void Drain();
+
+  /// Requests and open transactions that have not ended.
+  [[nodiscard]] std::size_t Pending() const noexcept;
+
+  [[nodiscard]] group_metrics& Metrics() noexcept { return mMetrics; }
+
+private:
+  struct link
+  {
+    std::unique_ptr<upstream::pq_connection> connection;
+    upstream::server_id server;
+  };
+
+  void Perform();
+  void Do(const group::open_connection& aAction);
+  void Do(const group::close_connection& aAction);
+  void Do(group::run_batch& aAction);
+  void Do(const group::ask_status& aAction);
+  void Do(group::give_answer& aAction);
+  void Opened(group::connection_id aConnection, bool aIsOpen);
+  void Lost(group::connection_id aConnection);
+  void Drop(group::connection_id aConnection);
+  void StatusReplied(const upstream::server_id& aServer,
+                     const std::optional<upstream::reply>& aReply,
+                     clock::time_point aAskedAt);
+  [[nodiscard]] const group::member* Find(
+    const upstream::server_id& aServer) const;
+  [[nodiscard]] upstream::endpoint EndpointOf(const group::member& aMember,
+                                              bool aReadOnly) const;
+
+  boost::asio::io_context& mContext;
+  const settings& mSettings;
+  const upstream::dialect& mDialect;
+  group_metrics mMetrics;
+  answer_callback mAnswer;
+  std::unique_ptr<group::engine> mEngine;
+  std::chrono::milliseconds mStatusTimeout;
+  group::description mGroup;
+  absl::flat_hash_map<group::connection_id, link> mLinks;
+  absl::flat_hash_map<upstream::server_id, std::unique_ptr<server_channel>>
+    mChannels;
+  bool mIsPerforming = false;
+  net::tick_timer mTimer;
+};
+
+} // namespace currantshed::pooler
+
+#endif
--- /dev/null
+++ b/src/currantshed/pooler/settings.hpp
@@ -0,0 +1,52 @@
+#ifndef CURRANTSHED_POOLER_SETTINGS_HPP
+#define CURRANTSHED_POOLER_SETTINGS_HPP
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "currantshed/failover/coordinator.hpp"
+#include "currantshed/platform/client.hpp"
+#include "currantshed/pooler/fwd.hpp"
+
+namespace currantshed::pooler {
+
+/// Where a peer listens for heartbeats.
+struct peer_address
+{
+  /// IP number.
+  std::string address;
+  std::uint16_t port = 0;
+
+  [[nodiscard]] friend bool operator==(const peer_address&,
+                                       const peer_address&) = default;
+};
+
+/// All that one pooler is told at its start.
+struct settings
+{
+  /// This VM: name, failure domain, address and ports.
+  platform::vm self;
+  failover::incarnation_id incarnation;
+  std::string platformUrl;
+  /// Peers to ask for the configuration before the platform has told any.
+  std::vector<peer_address> firstPeers;
+  /// How long a majority's word holds.
+  std::chrono::milliseconds validity{ 200 };
+  std::chrono::milliseconds probeInterval{ 50 };
+  std::chrono::milliseconds suspectAfter{ 200 };
+  std::chrono::milliseconds transactionIdle{ 10000 };
+  std::chrono::milliseconds listInterval{ 1000 };
+  std::chrono::milliseconds platformTimeout{ 2000 };
+  std::size_t answerLimitBytes = std::size_t{ 4 } * 1024 * 1024;
+  std::size_t queueLimit = 512;
+  /// Share of a server's connections left for a takeover.
+  double takeoverReserve = 0.5;
+  /// Poolers that own each group.
+  unsigned owners = 3;
+};
+
+} // namespace currantshed::pooler
+
+#endif
--- /dev/null
+++ b/src/currantshed/pooler/status_board.cpp
@@ -0,0 +1,79 @@
+#include "currantshed/pooler/status_board.hpp"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace currantshed::pooler {
+
+namespace {
+
+/// How long the traffic thread may be silent and still count as running.
+constexpr std::chrono::seconds kTrafficSilence{ 2 };
+
+boost::json::object
+Describe(const group_status& aGroup)
+{
+  boost::json::object object;
+  object["group"] = aGroup.news.group;
+  object["term"] = aGroup.news.term;
+  object["primary"] = aGroup.news.primary;
+  if (aGroup.rank >= 0) {
+    object["rank"] = aGroup.rank;
+  }
+  return object;
+}
+
+} // namespace
+
+status_board::status_board(const settings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+void
+status_board::SetControl(control_status aStatus)
+{
+  const absl::MutexLock lock(&mMutex);
+  mControl = std::move(aStatus);
+}
+
+void
+status_board::TrafficRuns(clock::time_point aNow)
+{
+  const absl::MutexLock lock(&mMutex);
+  mTrafficAt = aNow;
+}
+
+bool
+status_board::Ready() const
+{
+  const absl::MutexLock lock(&mMutex);
+  const auto silence = std::chrono::steady_clock::now() - mTrafficAt;
+  const bool hasAll = mControl.configurationVersion > 0 && mControl.hasList;
+  return hasAll && !mControl.isLeaving && silence <= kTrafficSilence;
+}
+
+std::string
+status_board::StatusJson() const
+{
+  const bool isReady = Ready();
+  const absl::MutexLock lock(&mMutex);
+  boost::json::array groups;
+  for (const auto& group : mControl.groups) {
+    groups.push_back(Describe(group));
+  }
+  boost::json::object object;
+  object["vm"] = mSettings.self.id;
+  object["failure_domain"] = mSettings.self.failureDomain;
+  object["incarnation"] = mSettings.incarnation;
+  object["ready"] = isReady;
+  object["configuration_version"] = mControl.configurationVersion;
+  object["groups"] = std::move(groups);
+  return boost::json::serialize(object);
+}
+
+} // namespace currantshed::pooler
--- /dev/null
+++ b/src/currantshed/pooler/status_board.hpp
@@ -0,0 +1,63 @@
+#ifndef CURRANTSHED_POOLER_STATUS_BOARD_HPP
+#define CURRANTSHED_POOLER_STATUS_BOARD_HPP
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/http/status_answer.hpp"
+#include "currantshed/member/roster.hpp"
+#include "currantshed/pooler/fwd.hpp"
+#include "currantshed/pooler/settings.hpp"
+
+namespace currantshed::pooler {
+
+/// What the status page tells of one group.
+struct group_status
+{
+  member::term_news news;
+  /// This pooler's rank among the owners, or a negative number.
+  int rank = -1;
+};
+
+/// What the control thread knows, for the status page.
+struct control_status
+{
+  std::uint64_t configurationVersion = 0;
+  bool hasList = false;
+  bool isLeaving = false;
+  std::vector<group_status> groups;
+};
+
+/// The pooler's word about itself, written by its threads and read by the
+/// status server's.
+class status_board final : public http::status_source
+{
+public:
+  explicit status_board(const settings& aSettings);
+
+  void SetControl(control_status aStatus);
+
+  /// Notes that the traffic thread runs.
+  void TrafficRuns(clock::time_point aNow);
+
+  /// Has a configuration and a list of groups, isn't leaving, and its traffic
+  /// thread has run lately.
+  [[nodiscard]] bool Ready() const override;
+
+  [[nodiscard]] std::string StatusJson() const override;
+
+private:
+  const settings& mSettings;
+  mutable absl::Mutex mMutex;
+  control_status mControl ABSL_GUARDED_BY(mMutex);
+  clock::time_point mTrafficAt ABSL_GUARDED_BY(mMutex);
+};
+
+} // namespace currantshed::pooler
+
+#endif
--- /dev/null
+++ b/test/currantshed/pooler/configuration_keeper.cpp
@@ -0,0 +1,63 @@
+#include "currantshed/pooler/configuration_keeper.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+
+namespace {
+
+struct keeper_row
+{
+  const char* name;
+  /// Versions in the order in which they are offered.
+  std::vector<std::uint64_t> offered;
+  std::uint64_t held;
+  /// Offers that are taken over.
+  int taken;
+};
+
+std::vector<keeper_row>
+KeeperRows()
+{
+  return {
+    { "none offered", {}, 0, 0 },
+    { "the first one", { 3 }, 3, 1 },
+    { "a higher one replaces it", { 3, 4 }, 4, 2 },
+    { "a lower one from a restored store is refused", { 4, 3 }, 4, 1 },
+    { "the same one again", { 3, 3 }, 3, 1 },
+    { "a late answer of an old watch", { 3, 5, 4 }, 5, 2 },
+    { "no version at all", { 0 }, 0, 0 },
+    { "an empty store after an outage", { 7, 0 }, 7, 1 },
+  };
+}
+
+} // namespace
+
+TEST_GROUP(configuration_keeper){};
+
+TEST(configuration_keeper, never_goes_back)
+{
+  for (const auto& row : KeeperRows()) {
+    pooler::configuration_keeper keeper;
+    int taken = 0;
+    for (const auto version : row.offered) {
+      const bool isTaken = keeper.Offer({ version, std::to_string(version) });
+      taken += isTaken ? 1 : 0;
+    }
+    CHECK_EQUAL_TEXT(row.held, keeper.Held().version, row.name);
+    CHECK_EQUAL_TEXT(row.taken, taken, row.name);
+    CHECK_EQUAL_TEXT(row.held != 0, keeper.HasAny(), row.name);
+  }
+}
+
+TEST(configuration_keeper, one_version_keeps_one_text)
+{
+  pooler::configuration_keeper keeper;
+  CHECK(keeper.Offer({ 3, "first" }));
+  CHECK_FALSE(keeper.Offer({ 3, "second" }));
+  STRCMP_EQUAL("first", keeper.Held().declaration.c_str());
+}
