--- /dev/null
+++ b/src/currantshed/failover/coordinator.cpp
@@ -0,0 +1,312 @@
+#include "currantshed/failover/coordinator.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "currantshed/failover/detector.hpp"
+#include "currantshed/failover/follower_repair.hpp"
+#include "currantshed/failover/promoter.hpp"
+#include "currantshed/failover/server_watch.hpp"
+#include "currantshed/failover/term_book.hpp"
+
+namespace currantshed::failover {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// What later ranks wait with work that is not urgent, for each rank.
+constexpr milliseconds kPlannedRankDelay{ 1000 };
+// A pooler that did not promote the primary looks after its publication
+// after this time, for each rank and once more.
+constexpr milliseconds kPublishDelay{ 2000 };
+// Time between two planned moves, so that a group never moves in circles.
+constexpr milliseconds kPlannedPause{ 10000 };
+
+bool
+IsPlanned(cause aCause)
+{
+  return aCause == cause::kLeaving || aCause == cause::kStray;
+}
+
+// Joins detection, terms, promotion and repair for one group.
+class group_coordinator final : public coordinator
+{
+public:
+  explicit group_coordinator(const coordinator_settings& aSettings)
+    : mSettings(aSettings)
+    , mWatch(aSettings)
+    , mDetector(aSettings)
+    , mBook(aSettings)
+    , mPromoter(aSettings, mWatch, mBook)
+    , mRepair(aSettings, mWatch)
+  {
+  }
+
+  void Configure(const group::description& aGroup,
+                 unsigned aRank,
+                 unsigned aOwners,
+                 clock::time_point aNow) override
+  {
+    if (!SameServers(aGroup)) {
+      mPromoter.Abandon();
+    }
+    mGroup = aGroup;
+    mWatch.Configure(aGroup, aNow);
+    mBook.SetGroup(aGroup.name);
+    mDetector.SetOwners(aOwners);
+    mPromoter.SetRank(aRank);
+    mRepair.SetRank(aRank);
+    mSettings.rank = aRank;
+    Evaluate(aNow);
+  }
+
+  void StatusArrived(const upstream::server_id& aServer,
+                     const upstream::server_status& aStatus,
+                     clock::time_point aAskedAt,
+                     clock::time_point aNow) override
+  {
+    mWatch.Answered(aServer, aStatus, aAskedAt, aNow);
+    Evaluate(aNow);
+  }
+
+  void StatusFailed(const upstream::server_id& aServer,
+                    clock::time_point aNow) override
+  {
+    mWatch.Failed(aServer, aNow);
+    Evaluate(aNow);
+  }
+
+  void PeerSuspects(const std::string& aVm,
+                    const std::string& aFailureDomain,
+                    const suspicion& aWord,
+                    clock::time_point aNow) override
+  {
+    mDetector.PeerSuspects(aVm, aFailureDomain, aWord, aNow);
+    Evaluate(aNow);
+  }
+
+  void PeerAnnounces(position::term_id aTerm,
+                     const upstream::server_id& aPrimary,
+                     clock::time_point aNow) override
+  {
+    mBook.See(aTerm);
+    if (aTerm > mPrimary.term && mWatch.Find(aPrimary) != nullptr) {
+      Adopt({ aTerm, aPrimary }, false, aNow);
+    }
+    Evaluate(aNow);
+  }
+
+  void FenceAnswered(const upstream::server_id& aServer,
+                     position::term_id aTerm,
+                     bool aAccepted,
+                     const upstream::server_status& aStatus,
+                     clock::time_point aNow) override
+  {
+    TakeStatus(aServer, aStatus, aNow);
+    mPromoter.FenceAnswered(aServer, aTerm, aAccepted, aStatus, aNow);
+    Evaluate(aNow);
+  }
+
+  void PromoteAnswered(const upstream::server_id& aServer,
+                       position::term_id aTerm,
+                       bool aAccepted,
+                       const upstream::server_status& aStatus,
+                       clock::time_point aNow) override
+  {
+    TakeStatus(aServer, aStatus, aNow);
+    mPromoter.PromoteAnswered(aServer, aTerm, aAccepted, aStatus, aNow);
+    Evaluate(aNow);
+  }
+
+  void FollowAnswered(const upstream::server_id& aServer,
+                      position::term_id /*aTerm*/,
+                      bool /*aAccepted*/,
+                      const upstream::server_status& aStatus,
+                      clock::time_point aNow) override
+  {
+    TakeStatus(aServer, aStatus, aNow);
+    mRepair.FollowAnswered(aServer);
+    Evaluate(aNow);
+  }
+
+  void RecordRead(bool aReached,
+                  const platform::entry& aEntry,
+                  clock::time_point aNow) override
+  {
+    mBook.RecordRead(aReached, aEntry, aNow);
+    Evaluate(aNow);
+  }
+
+  void RecordSwapped(platform::swap_outcome aOutcome,
+                     clock::time_point aNow) override
+  {
+    mBook.RecordSwapped(aOutcome, aNow);
+    Evaluate(aNow);
+  }
+
+  void Tick(clock::time_point aNow) override { Evaluate(aNow); }
+
+  [[nodiscard]] clock::time_point NextTick() const noexcept override
+  {
+    const std::array due{ mWatch.NextTick(),    mDetector.NextTick(),
+                          mPromoter.NextTick(), mRepair.NextTick(),
+                          mBook.NextTick(),     mQuietUntil };
+    auto next = clock::time_point::max();
+    for (const auto time : due) {
+      // What is due already was seen to by the last event, and waits for
+      // another one.
+      next = time > mNow ? std::min(next, time) : next;
+    }
+    return next;
+  }
+
+  [[nodiscard]] std::vector<action> TakeActions() override
+  {
+    return std::exchange(mActions, {});
+  }
+
+private:
+  [[nodiscard]] bool SameServers(const group::description& aGroup) const
+  {
+    const auto& left = mGroup.members;
+    const auto& right = aGroup.members;
+    return left.size() == right.size() &&
+           std::all_of(right.begin(), right.end(), [this](const auto& aMember) {
+             return mWatch.Find(aMember.id) != nullptr;
+           });
+  }
+
+  // An answer to fence, promote or follow shows the server's state after it.
+  void TakeStatus(const upstream::server_id& aServer,
+                  const upstream::server_status& aStatus,
+                  clock::time_point aNow)
+  {
+    if (aStatus.term != 0) {
+      mWatch.Answered(aServer, aStatus, aNow, aNow);
+    }
+  }
+
+  void Evaluate(clock::time_point aNow)
+  {
+    mNow = std::max(mNow, aNow);
+    mWatch.Tick(mNow, mActions);
+    mBook.See(mWatch.HighestTerm());
+    StandBack();
+    mPromoter.Tick(mNow, mActions);
+    FindPrimary();
+    ReportSuspicion();
+    Decide();
+    mPromoter.Tick(mNow, mActions);
+    mRepair.Tick(mNow, mActions);
+    mBook.Tick(mNow, mActions);
+  }
+
+  // Someone else's higher term: leaves the field for a bounded time.
+  void StandBack()
+  {
+    const auto highest = mWatch.HighestTerm();
+    if (highest <= mHighest) {
+      return;
+    }
+    mHighest = highest;
+    if (highest <= mPromoter.Term()) {
+      return;
+    }
+    mPromoter.Stop();
+    const auto patience = mSettings.validity + 2 * mSettings.suspectAfter +
+                          2 * mSettings.probeInterval * mSettings.rank;
+    mQuietUntil = mNow + patience;
+  }
+
+  void FindPrimary()
+  {
+    const auto promoted = mPromoter.TakePromoted();
+    if (promoted.term > mPrimary.term) {
+      Adopt(promoted, true, mNow);
+    }
+    const auto accepted = mWatch.AcceptedPrimary();
+    if (accepted.term > mPrimary.term) {
+      Adopt(accepted, false, mNow);
+    }
+  }
+
+  void Adopt(const primary_ref& aPrimary, bool aOwn, clock::time_point aNow)
+  {
+    mPrimary = aPrimary;
+    mQuietUntil = {};
+    if (mPromoter.Term() < aPrimary.term) {
+      mPromoter.Stop();
+    }
+    mRepair.SetPrimary(aPrimary, aOwn);
+    const auto delay = kPublishDelay * (mSettings.rank + 1);
+    mBook.Publish(aPrimary, aOwn ? aNow : aNow + delay);
+    mActions.emplace_back(announce{ aPrimary.term, aPrimary.server });
+  }
+
+  void ReportSuspicion()
+  {
+    primary_ref suspected;
+    if (mPrimary.term > 0 && mWatch.IsUnreachable(mPrimary.server, mNow)) {
+      suspected = mPrimary;
+    }
+    if (suspected != mSuspected) {
+      mSuspected = suspected;
+      mActions.emplace_back(
+        report_suspicion{ { mGroup.name, suspected.term, suspected.server } });
+    }
+  }
+
+  void Decide()
+  {
+    const auto found = mDetector.Judge(mWatch, mPrimary, mNow);
+    if (found == cause::kNone) {
+      if (mWatch.InForce(mPrimary, mNow)) {
+        mPromoter.Cancel();
+      }
+      const auto at = mPromoter.Step();
+      if (at == step::kRankDelay || at == step::kPickTerm) {
+        mPromoter.Cancel();
+      }
+      return;
+    }
+    if (mPromoter.Step() != step::kIdle || mNow < mQuietUntil) {
+      return;
+    }
+    if (!IsPlanned(found)) {
+      mPromoter.Begin(mPrimary, found == cause::kLost, {}, mNow);
+      return;
+    }
+    if (mNow >= mPlannedFrom) {
+      mPlannedFrom = mNow + kPlannedPause;
+      mPromoter.Begin(
+        mPrimary, false, kPlannedRankDelay * mSettings.rank, mNow);
+    }
+  }
+
+  coordinator_settings mSettings;
+  group::description mGroup;
+  server_watch mWatch;
+  detector mDetector;
+  term_book mBook;
+  promoter mPromoter;
+  follower_repair mRepair;
+  primary_ref mPrimary;
+  primary_ref mSuspected;
+  position::term_id mHighest = 0;
+  clock::time_point mNow;
+  clock::time_point mQuietUntil;
+  clock::time_point mPlannedFrom;
+  std::vector<action> mActions;
+};
+
+} // namespace
+
+std::unique_ptr<coordinator>
+MakeCoordinator(const coordinator_settings& aSettings)
+{
+  return std::make_unique<group_coordinator>(aSettings);
+}
+
+} // namespace currantshed::failover
--- /dev/null
+++ b/src/currantshed/failover/detector.cpp
@@ -0,0 +1,216 @@
+#include "currantshed/failover/detector.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+#include <absl/container/flat_hash_set.h>
+
+namespace currantshed::failover {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A peer repeats its suspicion with each heartbeat; without that it lapses.
+constexpr milliseconds kWordLife{ 500 };
+constexpr std::size_t kFewestPoolers = 2;
+// How long a server may hold a higher term than the primary in force before
+// the group is brought above it.
+constexpr milliseconds kStrayAfter{ 5000 };
+// How long a leaving primary must be in force first, so that a move does not
+// chase another one.
+constexpr milliseconds kLeavingAfter{ 200 };
+// How much longer a primary must be out of reach when its replicas still hear
+// it: a lossy link to the poolers is no reason to depose it.
+constexpr int kHeardPatience = 5;
+// Records that a replica may lack when a planned move begins.
+constexpr position::log_index kCaughtUp = 64;
+
+bool
+HasLost(const upstream::server_status& aStatus,
+        position::term_id aTerm,
+        milliseconds aSuspectAfter)
+{
+  return aStatus.role == upstream::server_role::kReplica &&
+         aStatus.term == aTerm && aStatus.sincePrimary &&
+         *aStatus.sincePrimary > aSuspectAfter;
+}
+
+// Whether servers that stay form a majority and one of them has caught up.
+bool
+CanMove(const server_watch& aWatch,
+        const server_view& aPrimary,
+        clock::time_point aNow)
+{
+  std::size_t staying = 0;
+  bool caughtUp = false;
+  for (const auto& [id, server] : aWatch.Servers()) {
+    if (server.member.leaving || !aWatch.IsFresh(server, aNow)) {
+      continue;
+    }
+    ++staying;
+    const auto& stored = server.status->stored;
+    const auto& goal = aPrimary.status->stored;
+    caughtUp = caughtUp || (stored.term == goal.term &&
+                            stored.index + kCaughtUp >= goal.index);
+  }
+  return caughtUp && staying >= aWatch.Majority();
+}
+
+bool
+HasStray(const server_watch& aWatch,
+         const primary_ref& aPrimary,
+         clock::time_point aNow)
+{
+  const auto& servers = aWatch.Servers();
+  return std::any_of(servers.begin(), servers.end(), [&](const auto& aEntry) {
+    return aWatch.IsFresh(aEntry.second, aNow) &&
+           aEntry.second.status->term > aPrimary.term;
+  });
+}
+
+} // namespace
+
+detector::detector(const coordinator_settings& aSettings)
+  : mDomain(aSettings.failureDomain)
+  , mSuspectAfter(aSettings.suspectAfter)
+  , mLostAfter(aSettings.probeInterval)
+  , mVacantAfter(aSettings.validity + 2 * aSettings.suspectAfter)
+  , mOwners(aSettings.owners)
+{
+}
+
+void
+detector::PeerSuspects(const std::string& aVm,
+                       const std::string& aFailureDomain,
+                       const suspicion& aWord,
+                       clock::time_point aNow)
+{
+  if (aWord.primary.empty()) {
+    mWords.erase(aVm);
+    return;
+  }
+  mWords[aVm] = { aFailureDomain, aWord, aNow };
+}
+
+cause
+detector::Judge(const server_watch& aWatch,
+                const primary_ref& aPrimary,
+                clock::time_point aNow)
+{
+  absl::erase_if(mWords, [&](const auto& aEntry) {
+    return aNow - aEntry.second.heardAt > kWordLife;
+  });
+  // A new primary, perhaps known by a peer's word alone, gets its full time.
+  if (aPrimary != mJudged) {
+    mJudged = aPrimary;
+    mLost = {};
+    mVacant = {};
+    mLeaving = {};
+    mStray = {};
+  }
+  const bool inForce = aWatch.InForce(aPrimary, aNow);
+  const auto* primary = aWatch.Find(aPrimary.server);
+  // Servers that were frozen say once that they lost the primary, before they
+  // read what it sent meanwhile.
+  mLost.Set(aPrimary.term > 0 && LostByServers(aWatch, aPrimary, aNow), aNow);
+  mVacant.Set(!inForce && aWatch.IsVacant(aNow), aNow);
+  mStray.Set(inForce && HasStray(aWatch, aPrimary, aNow), aNow);
+  mLeaving.Set(inForce && primary->member.leaving &&
+                 CanMove(aWatch, *primary, aNow),
+               aNow);
+  if (mLost.For(mLostAfter, aNow) || LostByPoolers(aWatch, aPrimary, aNow)) {
+    return cause::kLost;
+  }
+  if (mVacant.For(mVacantAfter, aNow)) {
+    return cause::kVacant;
+  }
+  if (mLeaving.For(kLeavingAfter, aNow)) {
+    return cause::kLeaving;
+  }
+  if (mStray.For(kStrayAfter, aNow)) {
+    return cause::kStray;
+  }
+  return cause::kNone;
+}
+
+clock::time_point
+detector::NextTick() const noexcept
+{
+  auto next = clock::time_point::max();
+  if (mLost.holds) {
+    next = std::min(next, mLost.since + mLostAfter);
+  }
+  if (mVacant.holds) {
+    next = std::min(next, mVacant.since + mVacantAfter);
+  }
+  if (mLeaving.holds) {
+    next = std::min(next, mLeaving.since + clock::duration{ kLeavingAfter });
+  }
+  if (mStray.holds) {
+    next = std::min(next, mStray.since + clock::duration{ kStrayAfter });
+  }
+  return next;
+}
+
+void
+detector::lasting::Set(bool aHolds, clock::time_point aNow)
+{
+  if (aHolds && !holds) {
+    since = aNow;
+  }
+  holds = aHolds;
+}
+
+bool
+detector::lasting::For(clock::duration aTime, clock::time_point aNow) const
+{
+  return holds && aNow - since >= aTime;
+}
+
+// A majority of the group besides the primary says so directly: whatever the
+// primary believes, nothing more can be confirmed in its term.
+bool
+detector::LostByServers(const server_watch& aWatch,
+                        const primary_ref& aPrimary,
+                        clock::time_point aNow) const
+{
+  const auto& servers = aWatch.Servers();
+  const auto lost =
+    std::count_if(servers.begin(), servers.end(), [&](const auto& aEntry) {
+      return aEntry.first != aPrimary.server &&
+             aWatch.IsFresh(aEntry.second, aNow) &&
+             HasLost(*aEntry.second.status, aPrimary.term, mSuspectAfter);
+    });
+  return static_cast<std::size_t>(lost) >= aWatch.Majority();
+}
+
+bool
+detector::LostByPoolers(const server_watch& aWatch,
+                        const primary_ref& aPrimary,
+                        clock::time_point aNow) const
+{
+  const auto patience = aWatch.IsHeard(aPrimary, aNow) ? kHeardPatience : 1;
+  if (aPrimary.term == 0 || !aWatch.IsUnreachableFor(aPrimary.server,
+                                                     patience * mSuspectAfter,
+                                                     aNow)) {
+    return false;
+  }
+  absl::flat_hash_set<std::string> domains{ mDomain };
+  std::size_t poolers = 1;
+  for (const auto& [vm, word] : mWords) {
+    if (word.word.term == aPrimary.term &&
+        word.word.primary == aPrimary.server) {
+      domains.insert(word.failureDomain);
+      ++poolers;
+    }
+  }
+  absl::flat_hash_set<std::string> serverDomains;
+  for (const auto& [id, server] : aWatch.Servers()) {
+    serverDomains.insert(server.member.failureDomain);
+  }
+  const auto all = std::min<std::size_t>(mOwners, serverDomains.size());
+  return poolers >= kFewestPoolers && domains.size() >= all / 2 + 1;
+}
+
+} // namespace currantshed::failover
--- /dev/null
+++ b/src/currantshed/failover/follower_repair.cpp
@@ -0,0 +1,105 @@
+#include "currantshed/failover/follower_repair.hpp"
+
+#include <algorithm>
+
+namespace currantshed::failover {
+
+namespace {
+
+// Probe intervals that each rank leaves to the one before it.
+constexpr int kRankIntervals = 6;
+// Probe intervals between two tries.
+constexpr int kRetryIntervals = 4;
+
+} // namespace
+
+follower_repair::follower_repair(const coordinator_settings& aSettings,
+                                 const server_watch& aWatch)
+  : mWatch(aWatch)
+  , mProbeInterval(aSettings.probeInterval)
+  , mTimeout(aSettings.probeTimeout)
+  , mRank(aSettings.rank)
+{
+}
+
+void
+follower_repair::SetPrimary(const primary_ref& aPrimary, bool aOwn)
+{
+  if (aPrimary == mPrimary) {
+    mOwn = mOwn || aOwn;
+    return;
+  }
+  mPrimary = aPrimary;
+  mOwn = aOwn;
+  mNeeds.clear();
+}
+
+void
+follower_repair::FollowAnswered(const upstream::server_id& aServer)
+{
+  const auto found = mNeeds.find(aServer);
+  if (found != mNeeds.end()) {
+    found->second.sentAt.reset();
+  }
+}
+
+void
+follower_repair::Tick(clock::time_point aNow, std::vector<action>& aOut)
+{
+  const auto* primary = mWatch.Find(mPrimary.server);
+  // Only a primary that speaks for itself in this term is followed.
+  if (mPrimary.term == 0 || primary == nullptr ||
+      !mWatch.IsFresh(*primary, aNow) ||
+      primary->status->term != mPrimary.term ||
+      primary->status->role != upstream::server_role::kPrimary) {
+    mNeeds.clear();
+    return;
+  }
+  const auto delay =
+    mOwn ? clock::duration{} : kRankIntervals * mProbeInterval * mRank;
+  for (const auto& [id, server] : mWatch.Servers()) {
+    if (id == mPrimary.server || !mWatch.IsFresh(server, aNow) ||
+        !IsAstray(server)) {
+      mNeeds.erase(id);
+      continue;
+    }
+    const auto [place, added] = mNeeds.try_emplace(id);
+    auto& entry = place->second;
+    if (added) {
+      entry.nextTry = aNow + delay;
+    }
+    if (entry.sentAt && aNow - *entry.sentAt >= mTimeout) {
+      entry.sentAt.reset();
+    }
+    if (!entry.sentAt && aNow >= entry.nextTry) {
+      entry.sentAt = aNow;
+      entry.nextTry = aNow + kRetryIntervals * mProbeInterval;
+      aOut.emplace_back(follow{ id, mPrimary.term, mPrimary.server });
+    }
+  }
+}
+
+clock::time_point
+follower_repair::NextTick() const noexcept
+{
+  auto next = clock::time_point::max();
+  for (const auto& [id, entry] : mNeeds) {
+    next =
+      std::min(next, entry.sentAt ? *entry.sentAt + mTimeout : entry.nextTry);
+  }
+  return next;
+}
+
+bool
+follower_repair::IsAstray(const server_view& aServer) const
+{
+  const auto& status = *aServer.status;
+  if (status.term != mPrimary.term) {
+    return status.term < mPrimary.term;
+  }
+  return status.role == upstream::server_role::kFenced ||
+         (status.role == upstream::server_role::kReplica &&
+          !status.sincePrimary);
+}
+
+} // namespace currantshed::failover
--- a/src/currantshed/failover/fwd.hpp
+++ b/src/currantshed/failover/fwd.hpp
@@ -4,7 +4,14 @@
 namespace currantshed::failover {
 
 class coordinator;
+class detector;
+class follower_repair;
+class promoter;
+class server_watch;
+class term_book;
+struct primary_ref;
 struct suspicion;
+struct term_record;
 
 } // namespace currantshed::failover
 
--- /dev/null
+++ b/src/currantshed/failover/promoter.cpp
@@ -0,0 +1,332 @@
+#include "currantshed/failover/promoter.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace currantshed::failover {
+
+namespace {
+
+// Fences are repeated this often before a try ends without a majority.
+constexpr int kFenceRounds = 3;
+// Validities that a server has for its promotion: it first applies all that
+// it has stored.
+constexpr int kPromoteValidities = 5;
+constexpr unsigned kDoublings = 3;
+
+} // namespace
+
+promoter::promoter(const coordinator_settings& aSettings,
+                   const server_watch& aWatch,
+                   term_book& aBook)
+  : mWatch(aWatch)
+  , mBook(aBook)
+  , mProbeInterval(aSettings.probeInterval)
+  , mRetry(aSettings.probeTimeout)
+  , mValidity(aSettings.validity)
+  , mRank(aSettings.rank)
+{
+}
+
+void
+promoter::Begin(const primary_ref& aPrevious,
+                bool aLost,
+                clock::duration aLate,
+                clock::time_point aNow)
+{
+  if (mStep != step::kIdle) {
+    return;
+  }
+  mPrevious = aPrevious;
+  mLost = aLost;
+  mStep = step::kRankDelay;
+  mDue = std::max(aNow + RankDelay() + aLate, mNotBefore);
+}
+
+void
+promoter::Cancel()
+{
+  if (mStep == step::kRankDelay || mStep == step::kPickTerm ||
+      mStep == step::kBackOff) {
+    Stop();
+  }
+}
+
+void
+promoter::Stop()
+{
+  mStep = step::kIdle;
+  mBook.SetUrgent(false);
+}
+
+void
+promoter::Abandon()
+{
+  Stop();
+  mUsed = true;
+}
+
+void
+promoter::FenceAnswered(const upstream::server_id& aServer,
+                        position::term_id aTerm,
+                        bool aAccepted,
+                        const upstream::server_status& aStatus,
+                        clock::time_point aNow)
+{
+  if (aTerm == mTerm && aAccepted) {
+    NoteFenced(aServer, aStatus, aNow);
+  }
+}
+
+void
+promoter::PromoteAnswered(const upstream::server_id& aServer,
+                          position::term_id aTerm,
+                          bool aAccepted,
+                          const upstream::server_status& aStatus,
+                          clock::time_point aNow)
+{
+  if (mStep != step::kPromote || aTerm != mTerm || aServer != mChosen) {
+    return;
+  }
+  if (aAccepted) {
+    Succeed(aServer);
+    return;
+  }
+  // Without any answer the promotion may have taken effect: the server's
+  // status tells.
+  if (aStatus.term != 0) {
+    BackOff(aNow);
+  }
+}
+
+void
+promoter::Tick(clock::time_point aNow, std::vector<action>& aOut)
+{
+  ReadWatch(aNow);
+  if ((mStep == step::kRankDelay || mStep == step::kBackOff) && aNow >= mDue) {
+    mStep = step::kPickTerm;
+  }
+  if (mStep == step::kPickTerm) {
+    PickTerm(aNow);
+  }
+  if (mStep == step::kFence) {
+    if (aNow >= mGiveUp) {
+      GiveUpFence(aNow);
+    } else {
+      SendFences(aNow, aOut);
+    }
+  }
+  if (mStep == step::kWaitOut && aNow >= mDue) {
+    Promote(aNow, aOut);
+  }
+  if (mStep == step::kPromote && aNow >= mDue) {
+    BackOff(aNow);
+  }
+}
+
+clock::time_point
+promoter::NextTick() const noexcept
+{
+  switch (mStep) {
+    case step::kIdle:
+    case step::kPickTerm:
+      return clock::time_point::max();
+    case step::kFence:
+      return std::min(mNextFence, mGiveUp);
+    case step::kRankDelay:
+    case step::kWaitOut:
+    case step::kPromote:
+    case step::kBackOff:
+      return mDue;
+  }
+  return clock::time_point::max();
+}
+
+primary_ref
+promoter::TakePromoted()
+{
+  return std::exchange(mPromoted, {});
+}
+
+// A term that was fenced in vain is still good while nothing above it has
+// been seen.
+void
+promoter::PickTerm(clock::time_point aNow)
+{
+  const bool reuse = !mUsed && mTerm >= mWatch.HighestTerm();
+  if (!reuse) {
+    const auto term = mBook.Lowest();
+    mBook.SetUrgent(!term);
+    if (!term) {
+      return;
+    }
+    mBook.Take(*term);
+    mTerm = *term;
+    mUsed = false;
+    mFenced.clear();
+  }
+  mStep = step::kFence;
+  mNextFence = aNow;
+  mGiveUp = aNow + kFenceRounds * mRetry;
+  // Answers that came after an earlier try had ended count as well.
+  if (mFenced.size() >= mWatch.Majority()) {
+    mStep = step::kWaitOut;
+    mDue = aNow + mValidity;
+  }
+}
+
+void
+promoter::NoteFenced(const upstream::server_id& aServer,
+                     const upstream::server_status& aStatus,
+                     clock::time_point aNow)
+{
+  if (mUsed || aStatus.term != mTerm || mWatch.Find(aServer) == nullptr) {
+    return;
+  }
+  mFenced[aServer] = aStatus.stored;
+  if (mStep == step::kFence && mFenced.size() >= mWatch.Majority()) {
+    mStep = step::kWaitOut;
+    mDue = aNow + mValidity;
+  }
+}
+
+// A number belongs to one process alone, so a server that holds this one and
+// is fenced has accepted it from here, even if its answer was lost.
+void
+promoter::ReadWatch(clock::time_point aNow)
+{
+  if (mStep == step::kIdle || mTerm == 0) {
+    return;
+  }
+  for (const auto& [id, server] : mWatch.Servers()) {
+    if (!server.status || server.status->term != mTerm) {
+      continue;
+    }
+    if (server.status->role == upstream::server_role::kFenced) {
+      NoteFenced(id, *server.status, aNow);
+    }
+    if (server.status->role == upstream::server_role::kPrimary) {
+      Succeed(id);
+      return;
+    }
+  }
+}
+
+void
+promoter::SendFences(clock::time_point aNow, std::vector<action>& aOut)
+{
+  if (aNow < mNextFence) {
+    return;
+  }
+  mNextFence = aNow + mRetry;
+  for (const auto& [id, server] : mWatch.Servers()) {
+    if (!mFenced.contains(id)) {
+      aOut.emplace_back(fence{ id, mTerm });
+    }
+  }
+}
+
+void
+promoter::Promote(clock::time_point aNow, std::vector<action>& aOut)
+{
+  mChosen = Choose();
+  mUsed = true;
+  mStep = step::kPromote;
+  mDue = aNow + kPromoteValidities * mValidity;
+  aOut.emplace_back(promote{ mChosen, mTerm });
+}
+
+void
+promoter::Succeed(const upstream::server_id& aServer)
+{
+  mPromoted = { mTerm, aServer };
+  mUsed = true;
+  mTries = 0;
+  mNotBefore = {};
+  Stop();
+}
+
+void
+promoter::BackOff(clock::time_point aNow)
+{
+  mStep = step::kBackOff;
+  mDue = aNow + NextPause();
+}
+
+// Whether there is still a reason must be judged anew: a pooler that was cut
+// off must not go on with an old one when it is back.
+void
+promoter::GiveUpFence(clock::time_point aNow)
+{
+  mNotBefore = aNow + NextPause();
+  Stop();
+}
+
+clock::duration
+promoter::NextPause()
+{
+  const auto doublings = std::min(mTries, kDoublings);
+  ++mTries;
+  return (RankDelay() + mProbeInterval) * (1U << doublings);
+}
+
+// The newest history of a majority holds all that was ever confirmed. Servers
+// that are better avoided are passed over if the others are a majority without
+// them: one that its replicas lost may hold more, but none of it confirmed.
+upstream::server_id
+promoter::Choose() const
+{
+  std::vector<upstream::server_id> preferred;
+  std::vector<upstream::server_id> all;
+  for (const auto& [id, stored] : mFenced) {
+    all.push_back(id);
+    if (!IsAvoided(id)) {
+      preferred.push_back(id);
+    }
+  }
+  const bool enough = preferred.size() >= mWatch.Majority();
+  const auto& choice = enough ? preferred : all;
+  return *std::min_element(choice.begin(),
+                           choice.end(),
+                           [this](const auto& aLeft, const auto& aRight) {
+                             return GoesBefore(aLeft, aRight);
+                           });
+}
+
+bool
+promoter::IsAvoided(const upstream::server_id& aServer) const
+{
+  const auto* server = mWatch.Find(aServer);
+  const bool leaving = server == nullptr || server->member.leaving;
+  return leaving || (mLost && aServer == mPrevious.server);
+}
+
+bool
+promoter::GoesBefore(const upstream::server_id& aLeft,
+                     const upstream::server_id& aRight) const
+{
+  const auto left = mFenced.at(aLeft);
+  const auto right = mFenced.at(aRight);
+  if (left != right) {
+    return left > right;
+  }
+  const bool leftLeaves = mWatch.Find(aLeft)->member.leaving;
+  const bool rightLeaves = mWatch.Find(aRight)->member.leaving;
+  if (leftLeaves != rightLeaves) {
+    return rightLeaves;
+  }
+  const bool leftLed = aLeft == mPrevious.server;
+  const bool rightLed = aRight == mPrevious.server;
+  if (leftLed != rightLed) {
+    return leftLed;
+  }
+  return aLeft < aRight;
+}
+
+clock::duration
+promoter::RankDelay() const
+{
+  return 2 * mProbeInterval * mRank;
+}
+
+} // namespace currantshed::failover
--- /dev/null
+++ b/src/currantshed/failover/term_book.cpp
@@ -0,0 +1,309 @@
+#include "currantshed/failover/term_book.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+
+#include <xxhash.h>
+
+namespace currantshed::failover {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// The store's answer counts as lost after this; the change is read back.
+constexpr milliseconds kStoreTimeout{ 3000 };
+constexpr milliseconds kFirstBackoff{ 100 };
+constexpr milliseconds kLongestBackoff{ 5000 };
+// The same while a promoter waits for a term.
+constexpr milliseconds kLongestUrgentBackoff{ 400 };
+// Terms are topped up at a moment within this span, so that many groups that
+// fail over together do not ask the store at once.
+constexpr milliseconds kTopUpSpan{ 2000 };
+constexpr unsigned kDoublings = 6;
+
+} // namespace
+
+term_book::term_book(const coordinator_settings& aSettings)
+  : mVm(aSettings.vm)
+  , mIncarnation(aSettings.incarnation)
+  , mReserve(aSettings.reserve)
+{
+}
+
+void
+term_book::SetGroup(const group::group_name& aGroup)
+{
+  mGroup = aGroup;
+}
+
+void
+term_book::See(position::term_id aTerm)
+{
+  mKnown = std::max(mKnown, aTerm);
+}
+
+std::optional<position::term_id>
+term_book::Lowest() const
+{
+  std::optional<position::term_id> lowest;
+  for (const auto term : mHeld) {
+    if (term > mKnown && (!lowest || term < *lowest)) {
+      lowest = term;
+    }
+  }
+  return lowest;
+}
+
+void
+term_book::Take(position::term_id aTerm)
+{
+  mHeld.erase(std::remove(mHeld.begin(), mHeld.end(), aTerm), mHeld.end());
+}
+
+void
+term_book::SetUrgent(bool aUrgent)
+{
+  if (aUrgent && !mUrgent) {
+    mPaced = true;
+    mNotBefore = {};
+  }
+  mUrgent = aUrgent;
+}
+
+void
+term_book::Publish(const primary_ref& aPrimary, clock::time_point aNotBefore)
+{
+  if (mUnpublished && mUnpublished->term > aPrimary.term) {
+    return;
+  }
+  if (mUnpublished && mUnpublished->term == aPrimary.term) {
+    mPublishFrom = std::min(mPublishFrom, aNotBefore);
+    return;
+  }
+  mUnpublished = aPrimary;
+  mPublishFrom = aNotBefore;
+}
+
+void
+term_book::RecordRead(bool aReached,
+                      const platform::entry& aEntry,
+                      clock::time_point aNow)
+{
+  if (mState != state::kReading) {
+    return;
+  }
+  mState = state::kIdle;
+  term_record record;
+  // A record that can't be read is never written over.
+  if (!aReached || ParseRecord(aEntry.value, record)) {
+    Retry(aNow);
+    return;
+  }
+  Digest(record);
+  if (ResolvePending(aEntry, record)) {
+    return;
+  }
+  if (!WantsTerms() && !WantsPublication(aNow)) {
+    mFailures = 0;
+    mPaced = false;
+    return;
+  }
+  Plan(record, aEntry.version, aNow);
+}
+
+void
+term_book::RecordSwapped(platform::swap_outcome aOutcome,
+                         clock::time_point aNow)
+{
+  if (mState != state::kSwapping) {
+    return;
+  }
+  mState = state::kIdle;
+  if (aOutcome == platform::swap_outcome::kApplied) {
+    Adopt();
+    return;
+  }
+  // A conflict too may hide an earlier try that was applied: reading back
+  // tells.
+  Retry(aNow);
+}
+
+void
+term_book::Tick(clock::time_point aNow, std::vector<action>& aOut)
+{
+  if (mState != state::kIdle && aNow >= mTimeout) {
+    mState = state::kIdle;
+    Retry(aNow);
+  }
+  if (mState != state::kIdle) {
+    return;
+  }
+  if (mSendPending) {
+    mSendPending = false;
+    mState = state::kSwapping;
+    mTimeout = aNow + kStoreTimeout;
+    aOut.emplace_back(swap_record{ mPending->value, mPending->expected });
+    return;
+  }
+  if (!mPending && !WantsTerms() && !WantsPublication(aNow)) {
+    return;
+  }
+  Pace(aNow);
+  if (aNow < mNotBefore) {
+    return;
+  }
+  mState = state::kReading;
+  mTimeout = aNow + kStoreTimeout;
+  aOut.emplace_back(read_record{});
+}
+
+clock::time_point
+term_book::NextTick() const noexcept
+{
+  if (mState != state::kIdle) {
+    return mTimeout;
+  }
+  if (mPending || WantsTerms()) {
+    return mNotBefore;
+  }
+  if (mUnpublished) {
+    return std::max(mPublishFrom, mNotBefore);
+  }
+  return clock::time_point::max();
+}
+
+std::size_t
+term_book::Usable() const
+{
+  const auto count = std::count_if(
+    mHeld.begin(), mHeld.end(), [this](auto aTerm) { return aTerm > mKnown; });
+  return static_cast<std::size_t>(count);
+}
+
+bool
+term_book::WantsTerms() const
+{
+  return Usable() < mReserve || (mUrgent && Usable() == 0);
+}
+
+bool
+term_book::WantsPublication(clock::time_point aNow) const
+{
+  return mUnpublished && aNow >= mPublishFrom;
+}
+
+// Takes over what the store says; true if a change of ours is in the way and
+// is sent again as it was. A change whose expected version has passed can
+// never be applied any more.
+bool
+term_book::ResolvePending(const platform::entry& aEntry,
+                          const term_record& aRecord)
+{
+  if (!mPending) {
+    return false;
+  }
+  const auto& ids = aRecord.changes;
+  if (std::find(ids.begin(), ids.end(), mPending->id) != ids.end()) {
+    Adopt();
+    return false;
+  }
+  if (aEntry.version == mPending->expected) {
+    mSendPending = true;
+    return true;
+  }
+  mPending.reset();
+  return false;
+}
+
+void
+term_book::Adopt()
+{
+  if (mPending) {
+    std::copy(mPending->terms.begin(),
+              mPending->terms.end(),
+              std::back_inserter(mHeld));
+    term_record written;
+    if (!ParseRecord(mPending->value, written)) {
+      Digest(written);
+    }
+  }
+  mPending.reset();
+  mFailures = 0;
+  mPaced = false;
+}
+
+void
+term_book::Digest(const term_record& aRecord)
+{
+  See(aRecord.term);
+  if (mUnpublished && mUnpublished->term <= aRecord.term) {
+    mUnpublished.reset();
+  }
+  mHeld.erase(std::remove_if(mHeld.begin(),
+                             mHeld.end(),
+                             [this](auto aTerm) { return aTerm <= mKnown; }),
+              mHeld.end());
+}
+
+void
+term_book::Plan(const term_record& aRecord,
+                platform::index aVersion,
+                clock::time_point aNow)
+{
+  term_record changed = aRecord;
+  pending_change change;
+  change.id = mIncarnation + "-" + std::to_string(++mChanges);
+  change.expected = aVersion;
+  if (WantsPublication(aNow)) {
+    changed.term = mUnpublished->term;
+    changed.primary = mUnpublished->server;
+  }
+  changed.highest = std::max({ changed.highest, changed.term, mKnown });
+  for (auto count = Usable(); count < std::max<std::size_t>(mReserve, 1);
+       ++count) {
+    changed.reservations.push_back({ ++changed.highest, mVm, mIncarnation });
+    change.terms.push_back(changed.highest);
+  }
+  changed.changes.push_back(change.id);
+  PruneRecord(changed, mVm, mIncarnation);
+  change.value = PrintRecord(changed);
+  mPending = change;
+  mSendPending = true;
+}
+
+void
+term_book::Retry(clock::time_point aNow)
+{
+  const auto doublings = std::min(mFailures, kDoublings);
+  ++mFailures;
+  const auto longest = mUrgent ? kLongestUrgentBackoff : kLongestBackoff;
+  const clock::duration pause =
+    std::min<clock::duration>(kFirstBackoff * (1U << doublings), longest);
+  mPaced = true;
+  mNotBefore = aNow + pause / 2 + Jitter(pause / 2);
+}
+
+// Fixes once, for each need, when the store is asked.
+void
+term_book::Pace(clock::time_point aNow)
+{
+  if (mPaced) {
+    return;
+  }
+  mPaced = true;
+  mNotBefore = mUrgent ? aNow : aNow + Jitter(kTopUpSpan);
+}
+
+clock::duration
+term_book::Jitter(clock::duration aSpan) const
+{
+  const auto salt = mIncarnation + '/' + mGroup;
+  const auto draw = XXH3_64bits_withSeed(salt.data(), salt.size(), mFailures);
+  constexpr std::uint64_t kParts = 1024;
+  return aSpan * static_cast<clock::duration::rep>(draw % kParts) /
+         static_cast<clock::duration::rep>(kParts);
+}
+
+} // namespace currantshed::failover
--- /dev/null
+++ b/test/currantshed/failover/coordinator.cpp
@@ -0,0 +1,298 @@
+#include "currantshed/failover/coordinator.hpp"
+
+#include <string>
+
+#include <absl/strings/str_cat.h>
+
+#include "currantshed/failover/world.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using currantshed::failover::test::world;
+using currantshed::failover::test::world_settings;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kFault{ 3000 };
+constexpr milliseconds kRepair{ 6500 };
+constexpr milliseconds kEnd{ 14000 };
+constexpr std::uint64_t kSeeds[] = { 1, 2, 3, 5, 8, 13, 21, 34, 55, 89 };
+constexpr std::size_t kAny = 1000;
+
+using fault = void (*)(world&);
+
+struct fault_row
+{
+  const char* name;
+  world_settings settings;
+  fault given;
+  std::size_t fewestPromotions;
+  std::size_t mostPromotions;
+  // From the fault to the next confirmed change; zero where it is not bounded.
+  milliseconds gap;
+};
+
+void
+Nothing(world& /*aWorld*/)
+{
+}
+
+void
+KillPrimary(world& aWorld)
+{
+  aWorld.At(kFault, [&] { aWorld.Servers().At("s0").alive = false; });
+}
+
+void
+CutPrimary(world& aWorld)
+{
+  aWorld.At(kFault, [&] { aWorld.Isolate("s0", true); });
+  aWorld.At(kRepair, [&] { aWorld.Isolate("s0", false); });
+}
+
+// The poolers still reach the primary, its replicas do not.
+void
+CutPrimaryFromReplicas(world& aWorld)
+{
+  aWorld.At(kFault, [&] {
+    aWorld.Servers().Cut("s0", "s1");
+    aWorld.Servers().Cut("s0", "s2");
+  });
+  aWorld.At(kRepair, [&] { aWorld.Servers().HealAll(); });
+}
+
+// The replicas still hear the primary, two poolers do not.
+void
+CutPrimaryFromPoolers(world& aWorld)
+{
+  aWorld.At(kFault, [&] {
+    aWorld.Servers().Cut("s0", "p0");
+    aWorld.Servers().Cut("s0", "p1");
+  });
+  aWorld.At(kRepair, [&] { aWorld.Servers().HealAll(); });
+}
+
+void
+CutPooler(world& aWorld)
+{
+  aWorld.At(kFault, [&] { aWorld.Isolate("p0", true); });
+  aWorld.At(kRepair, [&] { aWorld.Isolate("p0", false); });
+}
+
+// Cut off from the primary only: it hears the replicas and its peers.
+void
+CutPoolerFromPrimary(world& aWorld)
+{
+  aWorld.At(kFault, [&] { aWorld.Servers().Cut("p0", "s0"); });
+  aWorld.At(kRepair, [&] { aWorld.Servers().HealAll(); });
+}
+
+void
+PauseEveryPooler(world& aWorld)
+{
+  aWorld.At(kFault, [&] {
+    for (unsigned pooler = 0; pooler < 3; ++pooler) {
+      aWorld.PausePooler(pooler, milliseconds{ 2000 + pooler });
+    }
+  });
+}
+
+void
+KillPrimaryStoreDown(world& aWorld)
+{
+  aWorld.At(kFault - milliseconds{ 500 }, [&] { aWorld.Store().down = true; });
+  KillPrimary(aWorld);
+  aWorld.At(kRepair, [&] { aWorld.Store().down = false; });
+}
+
+// No term was ever reserved: the failover waits for the store.
+void
+KillPrimaryStoreNeverUp(world& aWorld)
+{
+  aWorld.Store().down = true;
+  KillPrimary(aWorld);
+  aWorld.At(kRepair, [&] { aWorld.Store().down = false; });
+}
+
+void
+KillPrimaryAnswersLost(world& aWorld)
+{
+  aWorld.Store().losesAnswers = true;
+  KillPrimary(aWorld);
+  aWorld.At(kRepair, [&] { aWorld.Store().losesAnswers = false; });
+}
+
+// The next primary dies as soon as it is there; the first one is back.
+void
+KillTwoPrimaries(world& aWorld)
+{
+  aWorld.At(kFault, [&] { aWorld.Servers().At("s0").alive = false; });
+  aWorld.At(kFault + milliseconds{ 800 }, [&] {
+    aWorld.Servers().At("s0").alive = true;
+    for (const auto* id : { "s1", "s2" }) {
+      auto& server = aWorld.Servers().At(id);
+      server.alive =
+        server.role != currantshed::upstream::server_role::kPrimary;
+    }
+  });
+}
+
+void
+KillPrimaryAndPooler(world& aWorld)
+{
+  KillPrimary(aWorld);
+  aWorld.At(kFault, [&] { aWorld.KillPooler(0); });
+}
+
+void
+LagThenKill(world& aWorld)
+{
+  aWorld.At(kFault - milliseconds{ 1000 },
+            [&] { aWorld.Servers().At("s1").lagging = true; });
+  KillPrimary(aWorld);
+  aWorld.At(kRepair, [&] { aWorld.Servers().At("s1").lagging = false; });
+}
+
+void
+LeavePrimary(world& aWorld)
+{
+  aWorld.At(kFault, [&] { aWorld.SetLeaving("s0"); });
+}
+
+// A fence whose promoter is gone, at one server only.
+void
+StrayFence(world& aWorld)
+{
+  aWorld.At(kFault, [&] { aWorld.Servers().At("s2").Fence(50); });
+}
+
+void
+FenceEverywhere(world& aWorld)
+{
+  aWorld.At(kFault, [&] {
+    for (auto& [id, server] : aWorld.Servers().All()) {
+      server.Fence(50);
+    }
+  });
+}
+
+void
+ReplicasForget(world& aWorld)
+{
+  aWorld.At(kFault, [&] {
+    aWorld.Servers().At("s1").follows.reset();
+    aWorld.Servers().At("s2").follows.reset();
+  });
+}
+
+constexpr milliseconds kGap{ 700 };
+
+const fault_row kFaultRows[] = {
+  { "nothing fails", {}, Nothing, 0, 0, {} },
+  { "lossy links depose nobody", { 3, 3, 150 }, Nothing, 0, 0, {} },
+  { "primary dies", {}, KillPrimary, 1, 1, kGap },
+  { "primary of five dies", { 3, 5 }, KillPrimary, 1, 1, kGap },
+  { "primary is cut off and healed", {}, CutPrimary, 1, 1, kGap },
+  { "primary loses its replicas", {}, CutPrimaryFromReplicas, 1, 1, kGap },
+  { "two poolers lose the primary", {}, CutPrimaryFromPoolers, 1, 1, {} },
+  { "a cut-off pooler deposes nobody", {}, CutPooler, 0, 0, {} },
+  { "a pooler without the primary deposes nobody",
+    {},
+    CutPoolerFromPrimary,
+    0,
+    0,
+    {} },
+  { "poolers that wake up depose nobody", {}, PauseEveryPooler, 0, 0, {} },
+  { "store is down, terms reserved", {}, KillPrimaryStoreDown, 1, 1, kGap },
+  { "store was never up", {}, KillPrimaryStoreNeverUp, 1, 1, {} },
+  { "store loses its answers", {}, KillPrimaryAnswersLost, 1, 1, {} },
+  { "two primaries die", {}, KillTwoPrimaries, 2, 2, {} },
+  { "first pooler dies too",
+    {},
+    KillPrimaryAndPooler,
+    1,
+    1,
+    milliseconds{ 900 } },
+  { "a lagging replica is not chosen", {}, LagThenKill, 1, 1, {} },
+  { "primary leaves", {}, LeavePrimary, 1, 1, {} },
+  { "a stray fence is mended", {}, StrayFence, 1, 1, {} },
+  { "everything is fenced", {}, FenceEverywhere, 1, 1, {} },
+  { "replicas forget whom to follow", {}, ReplicasForget, 0, 0, {} },
+  { "duel of two", { 2, 3, 0, 1, true }, KillPrimary, 1, kAny, {} },
+  { "duel of three", { 3, 3, 0, 1, true }, KillPrimary, 1, kAny, {} },
+  { "duel of three with losses",
+    { 3, 3, 300, 1, true },
+    KillPrimary,
+    1,
+    kAny,
+    {} },
+  { "losses and a cut-off primary", { 3, 3, 200 }, CutPrimary, 1, kAny, {} },
+  { "losses and a store that is down",
+    { 3, 3, 200 },
+    KillPrimaryStoreDown,
+    1,
+    kAny,
+    {} },
+  { "losses and two failures", { 3, 3, 200 }, KillTwoPrimaries, 1, kAny, {} },
+};
+
+void
+CheckWorld(world& aWorld, const std::string& aName)
+{
+  aWorld.At(kRepair, [&] { aWorld.SetLoss(0); });
+  aWorld.Run(kEnd);
+  aWorld.CheckSettled();
+  for (const auto& breach : aWorld.Breaches()) {
+    CHECK_TEXT(false, absl::StrCat(aName, ": ", breach).c_str());
+  }
+  CHECK_TEXT(aWorld.Confirmed() > 100, aName.c_str());
+  CHECK_TEXT(aWorld.ConfirmedAfter(kEnd - milliseconds{ 1000 }).has_value(),
+             absl::StrCat(aName, ": none confirmed at the end").c_str());
+}
+
+} // namespace
+
+TEST_GROUP(coordinator){};
+
+TEST(coordinator, faults)
+{
+  for (const auto& row : kFaultRows) {
+    for (const auto seed : kSeeds) {
+      auto settings = row.settings;
+      settings.seed = seed;
+      world subject(settings);
+      row.given(subject);
+      const auto name = absl::StrCat(row.name, ", seed ", seed);
+      CheckWorld(subject, name);
+      CHECK_TEXT(subject.Promotions() >= row.fewestPromotions, name.c_str());
+      CHECK_TEXT(subject.Promotions() <= row.mostPromotions, name.c_str());
+      if (row.gap > milliseconds{}) {
+        const auto after = subject.ConfirmedAfter(kFault);
+        CHECK_TEXT(after && *after - kFault <= row.gap, name.c_str());
+      }
+    }
+  }
+}
+
+// The first pooler stops at each moment of its failover, for good or for a
+// while; the others end it, and what it does on waking harms nothing.
+TEST(coordinator, promoter_stops_at_every_moment)
+{
+  for (int after = 200; after <= 700; after += 5) {
+    for (const bool dies : { true, false }) {
+      world subject({ 3, 3, 0, static_cast<std::uint64_t>(after) });
+      KillPrimary(subject);
+      subject.At(kFault + milliseconds{ after }, [&] {
+        if (dies) {
+          subject.KillPooler(0);
+        } else {
+          subject.PausePooler(0, milliseconds{ 3000 });
+        }
+      });
+      subject.At(kRepair, [&] { subject.Servers().At("s0").alive = true; });
+      CheckWorld(subject,
+                 absl::StrCat(dies ? "dies after " : "pauses after ", after));
+    }
+  }
+}
--- /dev/null
+++ b/test/currantshed/failover/world.cpp
@@ -0,0 +1,456 @@
+#include "currantshed/failover/world.hpp"
+
+namespace currantshed::failover::test {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kCallTimeout{ 150 };
+constexpr milliseconds kBeatInterval{ 100 };
+constexpr milliseconds kReplicateInterval{ 5 };
+constexpr milliseconds kWriteInterval{ 20 };
+constexpr milliseconds kValidity{ 200 };
+
+clock::time_point
+From(milliseconds aTime)
+{
+  return clock::time_point{} + aTime;
+}
+
+} // namespace
+
+world::world(const world_settings& aSettings)
+  : mSettings(aSettings)
+  , mChance(aSettings.seed)
+  , mServers(aSettings.servers)
+{
+  mGroup.name = "claimsbook-1";
+  unsigned number = 0;
+  for (const auto& [id, server] : mServers.All()) {
+    group::member member;
+    member.id = id;
+    member.failureDomain = "d" + std::to_string(number++ % 3);
+    mGroup.members.push_back(member);
+  }
+  for (unsigned pooler = 0; pooler < aSettings.poolers; ++pooler) {
+    auto& made = mPoolers.emplace_back();
+    made.name = "p" + std::to_string(pooler);
+    made.core = MakeCoordinator(SettingsOf(pooler));
+  }
+  for (std::size_t pooler = 0; pooler < mPoolers.size(); ++pooler) {
+    const unsigned rank = SettingsOf(static_cast<unsigned>(pooler)).rank;
+    Push(mNow + Delay(), [this, pooler, rank] {
+      Deliver(pooler, [this, rank](coordinator& aCore) {
+        aCore.Configure(mGroup, rank, mSettings.poolers, mNow);
+      });
+    });
+    Push(mNow + Delay(), [this, pooler] { Beat(pooler); });
+  }
+  Push(mNow, [this] { Write(); });
+}
+
+void
+world::At(milliseconds aTime, std::function<void()> aWhat)
+{
+  Push(From(aTime), std::move(aWhat));
+}
+
+void
+world::Run(milliseconds aUntil)
+{
+  while (!mEvents.empty() && mEvents.begin()->first.first <= From(aUntil)) {
+    auto event = mEvents.extract(mEvents.begin());
+    mNow = event.key().first;
+    event.mapped()();
+  }
+  mNow = From(aUntil);
+}
+
+void
+world::KillPooler(unsigned aPooler)
+{
+  mPoolers.at(aPooler).alive = false;
+}
+
+void
+world::PausePooler(unsigned aPooler, milliseconds aFor)
+{
+  mPoolers.at(aPooler).pausedUntil = mNow + aFor;
+}
+
+void
+world::Isolate(const std::string& aName, bool aCut)
+{
+  std::vector<std::string> others;
+  for (const auto& [id, server] : mServers.All()) {
+    others.push_back(id);
+  }
+  for (const auto& other : mPoolers) {
+    others.push_back(other.name);
+  }
+  for (const auto& other : others) {
+    if (aCut && other != aName) {
+      mServers.Cut(aName, other);
+    } else {
+      mServers.Heal(aName, other);
+    }
+  }
+}
+
+void
+world::SetLeaving(const upstream::server_id& aServer)
+{
+  for (auto& member : mGroup.members) {
+    member.leaving = member.leaving || member.id == aServer;
+  }
+  for (std::size_t pooler = 0; pooler < mPoolers.size(); ++pooler) {
+    const unsigned rank = SettingsOf(static_cast<unsigned>(pooler)).rank;
+    Deliver(pooler, [this, rank](coordinator& aCore) {
+      aCore.Configure(mGroup, rank, mSettings.poolers, mNow);
+    });
+  }
+}
+
+void
+world::CheckSettled()
+{
+  const fake_server* primary = nullptr;
+  for (const auto& [id, server] : mServers.All()) {
+    if (server.alive && server.role == upstream::server_role::kPrimary) {
+      if (primary != nullptr) {
+        mBreaches.emplace_back("two primaries at the end");
+      }
+      primary = &server;
+    }
+  }
+  if (primary == nullptr) {
+    mBreaches.emplace_back("no primary at the end");
+    return;
+  }
+  for (const auto& [id, server] : mServers.All()) {
+    if (server.alive && server.term != primary->term) {
+      mBreaches.push_back(id + " is in another term at the end");
+    }
+    if (server.alive && server.role == upstream::server_role::kFenced) {
+      mBreaches.push_back(id + " is fenced at the end");
+    }
+  }
+  std::set<std::uint64_t> kept;
+  for (const auto& record : primary->log) {
+    kept.insert(record.change);
+  }
+  for (const auto& change : mConfirmed) {
+    if (!kept.contains(change.record.change)) {
+      mBreaches.push_back("confirmed change " +
+                          std::to_string(change.record.change) + " is lost");
+    }
+  }
+}
+
+std::optional<milliseconds>
+world::ConfirmedAfter(milliseconds aTime) const
+{
+  for (const auto& change : mConfirmed) {
+    if (change.at > From(aTime)) {
+      return std::chrono::duration_cast<milliseconds>(
+        change.at.time_since_epoch());
+    }
+  }
+  return std::nullopt;
+}
+
+void
+world::Push(clock::time_point aTime, std::function<void()> aWhat)
+{
+  mEvents.emplace(std::pair{ aTime, mNumber++ }, std::move(aWhat));
+}
+
+void
+world::Deliver(std::size_t aPooler,
+               const std::function<void(coordinator&)>& aWhat)
+{
+  auto& pooler = mPoolers.at(aPooler);
+  if (!pooler.alive) {
+    return;
+  }
+  if (pooler.pausedUntil > mNow) {
+    Push(pooler.pausedUntil,
+         [this, aPooler, aWhat] { Deliver(aPooler, aWhat); });
+    return;
+  }
+  aWhat(*pooler.core);
+  Drain(aPooler);
+}
+
+void
+world::Drain(std::size_t aPooler)
+{
+  auto& pooler = mPoolers.at(aPooler);
+  for (const auto& wanted : pooler.core->TakeActions()) {
+    Do(aPooler, wanted);
+  }
+  const auto number = ++pooler.tickNumber;
+  const auto due = std::max(pooler.core->NextTick(), mNow);
+  if (due == clock::time_point::max()) {
+    return;
+  }
+  Push(due, [this, aPooler, number] {
+    if (mPoolers.at(aPooler).tickNumber == number) {
+      Deliver(aPooler, [this](coordinator& aCore) { aCore.Tick(mNow); });
+    }
+  });
+}
+
+void
+world::Do(std::size_t aPooler, const action& aAction)
+{
+  auto& self = mPoolers.at(aPooler);
+  if (const auto* ask = std::get_if<probe>(&aAction)) {
+    const auto askedAt = mNow;
+    Call(
+      aPooler,
+      ask->server,
+      [this](fake_server& aServer) {
+        return std::pair{ true, aServer.Status(mNow) };
+      },
+      [this, id = ask->server, askedAt](
+        coordinator& aCore, bool aGood, const auto& aStatus) {
+        if (aGood) {
+          aCore.StatusArrived(id, aStatus, askedAt, mNow);
+        } else {
+          aCore.StatusFailed(id, mNow);
+        }
+      });
+  } else if (const auto* ban = std::get_if<fence>(&aAction)) {
+    Call(
+      aPooler,
+      ban->server,
+      [this, term = ban->term](fake_server& aServer) {
+        const bool accepted = aServer.Fence(term);
+        return std::pair{ accepted, aServer.Status(mNow) };
+      },
+      [this, what = *ban](coordinator& aCore, bool aGood, const auto& aStatus) {
+        aCore.FenceAnswered(what.server, what.term, aGood, aStatus, mNow);
+      });
+  } else if (const auto* raise = std::get_if<promote>(&aAction)) {
+    DoPromote(aPooler, *raise);
+  } else if (const auto* join = std::get_if<follow>(&aAction)) {
+    Call(
+      aPooler,
+      join->server,
+      [this, what = *join](fake_server& aServer) {
+        const bool accepted = aServer.Follow(what.term, what.primary, mNow);
+        return std::pair{ accepted, aServer.Status(mNow) };
+      },
+      [this,
+       what = *join](coordinator& aCore, bool aGood, const auto& aStatus) {
+        aCore.FollowAnswered(what.server, what.term, aGood, aStatus, mNow);
+      });
+  } else if (std::holds_alternative<read_record>(aAction)) {
+    DoRead(aPooler);
+  } else if (const auto* swap = std::get_if<swap_record>(&aAction)) {
+    DoSwap(aPooler, *swap);
+  } else if (const auto* news = std::get_if<announce>(&aAction)) {
+    self.news = *news;
+  } else if (const auto* word = std::get_if<report_suspicion>(&aAction)) {
+    self.word = word->word;
+  }
+}
+
+void
+world::Call(std::size_t aPooler,
+            const upstream::server_id& aServer,
+            const server_call& aCall,
+            const server_answer& aAnswer)
+{
+  const auto linked = [this, aPooler, aServer] {
+    return mServers.At(aServer).alive &&
+           mServers.Linked(mPoolers.at(aPooler).name, aServer) && !Lost();
+  };
+  const auto fail = [this, aPooler, aAnswer] {
+    Push(mNow + kCallTimeout, [this, aPooler, aAnswer] {
+      Deliver(aPooler,
+              [aAnswer](coordinator& aCore) { aAnswer(aCore, false, {}); });
+    });
+  };
+  Push(mNow + Delay(), [this, aPooler, aServer, aCall, aAnswer, linked, fail] {
+    if (!linked()) {
+      fail();
+      return;
+    }
+    const auto [accepted, status] = aCall(mServers.At(aServer));
+    if (!linked()) {
+      fail();
+      return;
+    }
+    Push(mNow + Delay(),
+         [this, aPooler, aAnswer, good = accepted, seen = status] {
+           Deliver(aPooler, [aAnswer, good, seen](coordinator& aCore) {
+             aAnswer(aCore, good, seen);
+           });
+         });
+  });
+}
+
+void
+world::DoPromote(std::size_t aPooler, const promote& aWhat)
+{
+  if (++mPromoteSent[aWhat.term] > 1) {
+    mBreaches.push_back("term " + std::to_string(aWhat.term) +
+                        " is promoted twice");
+  }
+  Call(
+    aPooler,
+    aWhat.server,
+    [this, aWhat](fake_server& aServer) {
+      const bool accepted = aServer.Promote(aWhat.term);
+      if (accepted) {
+        NotePromotion(aWhat);
+      }
+      return std::pair{ accepted, aServer.Status(mNow) };
+    },
+    [this, aWhat](coordinator& aCore, bool aGood, const auto& aStatus) {
+      aCore.PromoteAnswered(aWhat.server, aWhat.term, aGood, aStatus, mNow);
+    });
+}
+
+void
+world::NotePromotion(const promote& aWhat)
+{
+  if (!mPromoted.emplace(aWhat.term, aWhat.server).second) {
+    mBreaches.push_back("two primaries in term " + std::to_string(aWhat.term));
+  }
+  for (const auto& change : mConfirmed) {
+    if (change.record.term < aWhat.term && mNow - change.at < kValidity) {
+      mBreaches.push_back("term " + std::to_string(aWhat.term) +
+                          " began while an older acknowledgement holds");
+      return;
+    }
+  }
+}
+
+void
+world::DoRead(std::size_t aPooler)
+{
+  Push(mNow + Delay(), [this, aPooler] {
+    const bool reached = !mStore.down;
+    const auto content = reached ? mStore.content : platform::entry{};
+    Push(mNow + Delay(), [this, aPooler, reached, content] {
+      Deliver(aPooler, [this, reached, content](coordinator& aCore) {
+        aCore.RecordRead(reached, content, mNow);
+      });
+    });
+  });
+}
+
+void
+world::DoSwap(std::size_t aPooler, const swap_record& aWhat)
+{
+  Push(mNow + Delay(), [this, aPooler, aWhat] {
+    auto outcome = platform::swap_outcome::kUnknown;
+    if (!mStore.down) {
+      const bool applied = mStore.Swap(aWhat.value, aWhat.expected);
+      outcome = applied ? platform::swap_outcome::kApplied
+                        : platform::swap_outcome::kConflict;
+    }
+    if (mStore.losesAnswers) {
+      outcome = platform::swap_outcome::kUnknown;
+    }
+    Push(mNow + Delay(), [this, aPooler, outcome] {
+      Deliver(aPooler, [this, outcome](coordinator& aCore) {
+        aCore.RecordSwapped(outcome, mNow);
+      });
+    });
+  });
+}
+
+void
+world::Beat(std::size_t aPooler)
+{
+  Push(mNow + kBeatInterval, [this, aPooler] { Beat(aPooler); });
+  const auto& self = mPoolers.at(aPooler);
+  if (!self.alive || self.pausedUntil > mNow) {
+    return;
+  }
+  for (std::size_t peer = 0; peer < mPoolers.size(); ++peer) {
+    const bool linked = mServers.Linked(self.name, mPoolers.at(peer).name);
+    if (peer == aPooler || !linked || Lost()) {
+      continue;
+    }
+    Push(mNow + Delay(),
+         [this,
+          peer,
+          from = self.name,
+          domain = "d" + std::to_string(aPooler % 3),
+          word = self.word,
+          news = self.news] {
+           Deliver(peer, [=, this](coordinator& aCore) {
+             aCore.PeerSuspects(from, domain, word, mNow);
+             if (news.term > 0) {
+               aCore.PeerAnnounces(news.term, news.primary, mNow);
+             }
+           });
+         });
+  }
+}
+
+// Replicates, and at every other turn writes and confirms at each pooler.
+void
+world::Write()
+{
+  Push(mNow + kReplicateInterval, [this] { Write(); });
+  mServers.Replicate(mNow);
+  const auto majority = mServers.All().size() / 2 + 1;
+  for (const auto& record : mWaiting) {
+    const bool confirmed =
+      std::any_of(mPoolers.begin(), mPoolers.end(), [&](const auto& aPooler) {
+        return aPooler.alive &&
+               mServers.Holders(aPooler.name, record) >= majority;
+      });
+    if (confirmed) {
+      mConfirmed.push_back({ record, mNow });
+    }
+  }
+  if ((mNow.time_since_epoch() / kReplicateInterval) %
+        (kWriteInterval / kReplicateInterval) !=
+      0) {
+    return;
+  }
+  mWaiting.clear();
+  for (auto& [id, server] : mServers.All()) {
+    if (server.alive && server.Write(mChange + 1)) {
+      ++mChange;
+      mWaiting.push_back(server.log.back());
+    }
+  }
+}
+
+bool
+world::Lost()
+{
+  constexpr unsigned kMille = 1000;
+  return mChance() % kMille < mSettings.lossPerMille;
+}
+
+clock::duration
+world::Delay()
+{
+  constexpr unsigned kSpread = 2500;
+  return microseconds{ 500 + static_cast<int>(mChance() % kSpread) };
+}
+
+coordinator_settings
+world::SettingsOf(unsigned aPooler) const
+{
+  coordinator_settings settings;
+  settings.vm = "p" + std::to_string(aPooler);
+  settings.incarnation = settings.vm + "-1";
+  settings.failureDomain = "d" + std::to_string(aPooler % 3);
+  settings.rank = mSettings.sameRank ? 0 : aPooler;
+  settings.owners = mSettings.poolers;
+  return settings;
+}
+
+} // namespace currantshed::failover::test
