Add the program that measures what the way through costs

Cause: the cost of gateway and pooler has to be known against the same statements sent straight to the server in the same run. Change: currantshed-overhead runs both sides in turns, and prints medians, ratios and the processor time for each statement as JSON. Figures: not measured yet.

--- /dev/null
+++ b/bin/currantshed-overhead/main.cpp
@@ -0,0 +1,115 @@
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+
+#include "currantshed/load/overhead.hpp"
+#include "currantshed/settings/parser.hpp"
+
+namespace {
+
+namespace load = currantshed::load;
+namespace settings = currantshed::settings;
+using std::chrono::milliseconds;
+
+constexpr char kSummary[] =
+  "Runs one statement straight to a database server and through a gateway, "
+  "in turns, and compares.";
+constexpr unsigned kMostConnections = 10000;
+constexpr unsigned kMostThreads = 64;
+constexpr unsigned kMostRounds = 100;
+
+struct options
+{
+  load::overhead_plan plan;
+  std::string sql = "SELECT 1";
+  std::string processes;
+  std::string jsonFile;
+  unsigned rounds = 5;
+};
+
+settings::parse_result
+ReadOptions(options& aOptions, int aCount, const char* const* aValues)
+{
+  load::overhead_plan& plan = aOptions.plan;
+  settings::parser parser("currantshed-overhead", kSummary);
+  parser.Text(plan.server.address, "server-address", "server's address", true);
+  parser.Port(plan.server.port, "server-port", "its port", true);
+  parser.Text(plan.gateway.address, "gateway-address", "gateway's", true);
+  parser.Port(plan.gateway.port, "gateway-port", "its callers' port", true);
+  parser.Text(plan.group, "group", "group of the server", true);
+  parser.Text(plan.work, "class", "class of the statement", true);
+  parser.Text(aOptions.sql, "sql", "the statement", true);
+  parser.Count(
+    plan.connections, "connections", "of each side", 1, kMostConnections);
+  parser.Count(plan.threads, "threads", "of this program", 1, kMostThreads);
+  parser.Count(aOptions.rounds, "rounds", "of each side", 1, kMostRounds);
+  parser.Milliseconds(plan.round,
+                      "round-ms",
+                      "length of a round",
+                      milliseconds(100),
+                      milliseconds(60000));
+  parser.Text(aOptions.processes,
+              "processes",
+              "identities of the processes whose processor time counts, with "
+              "commas between");
+  parser.Text(aOptions.jsonFile, "json", "file for the figures");
+  return parser.Parse(aCount, aValues);
+}
+
+int
+Run(options& aOptions)
+{
+  load::overhead_plan& plan = aOptions.plan;
+  plan.statement.sql = aOptions.sql;
+  plan.server.vm = "currantshed-overhead";
+  for (const auto part :
+       absl::StrSplit(aOptions.processes, ',', absl::SkipEmpty())) {
+    unsigned process = 0;
+    if (!absl::SimpleAtoi(part, &process)) {
+      std::cerr << "a process is named by its number\n";
+      return settings::kUsageExitCode;
+    }
+    plan.processes.push_back(process);
+  }
+  std::vector<load::round_figures> direct;
+  std::vector<load::round_figures> through;
+  std::uint64_t failures = 0;
+  for (unsigned round = 0; round < aOptions.rounds; ++round) {
+    direct.push_back(load::RunDirect(plan));
+    through.push_back(load::RunThrough(plan));
+    failures += direct.back().failures + through.back().failures;
+    std::cerr << "round " << round + 1 << ": direct " << direct.back().perSecond
+              << "/s, through " << through.back().perSecond << "/s\n";
+  }
+  const std::string figures =
+    load::OverheadJson(direct, through, plan.connections);
+  std::cout << figures << '\n';
+  if (!aOptions.jsonFile.empty()) {
+    std::ofstream(aOptions.jsonFile) << figures << '\n';
+  }
+  return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  try {
+    options chosen;
+    const auto parsed = ReadOptions(chosen, aCount, aValues);
+    if (parsed.end == settings::parse_end::kExit) {
+      return parsed.exitCode;
+    }
+    return Run(chosen);
+  } catch (const std::exception& failure) {
+    std::cerr << failure.what() << '\n';
+    return EXIT_FAILURE;
+  }
+}
--- /dev/null
+++ b/src/currantshed/load/overhead.hpp
@@ -0,0 +1,64 @@
+#ifndef CURRANTSHED_LOAD_OVERHEAD_HPP
+#define CURRANTSHED_LOAD_OVERHEAD_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "currantshed/load/http_connection.hpp"
+#include "currantshed/load/message.hpp"
+#include "currantshed/upstream/endpoint.hpp"
+
+namespace currantshed::load {
+
+/// What is compared: one statement that reads, straight to its server and
+/// through a gateway and a pooler.
+struct overhead_plan
+{
+  upstream::endpoint server;
+  gateway_address gateway;
+  std::string group;
+  std::string work;
+  sql_statement statement;
+  /// Connections of each side, each with one statement at a time.
+  unsigned connections = 1;
+  unsigned threads = 1;
+  std::chrono::milliseconds round{ 2000 };
+  /// Processes of the way through, whose processor time is counted.
+  std::vector<unsigned> processes;
+};
+
+/// One round of one side.
+struct round_figures
+{
+  std::uint64_t statements = 0;
+  std::uint64_t failures = 0;
+  double perSecond = 0;
+  std::chrono::microseconds p50{ 0 };
+  std::chrono::microseconds p99{ 0 };
+  /// Processor time of the counted processes for each statement.
+  std::chrono::nanoseconds processorTime{ 0 };
+};
+
+/// Runs one round straight to the server.
+[[nodiscard]] round_figures
+RunDirect(const overhead_plan& aPlan);
+
+/// Runs one round through the gateway.
+[[nodiscard]] round_figures
+RunThrough(const overhead_plan& aPlan);
+
+/// The round whose statements a second are the median.
+[[nodiscard]] round_figures
+MedianRound(std::vector<round_figures> aRounds);
+
+/// Both sides' rounds, medians and ratios as one JSON object.
+[[nodiscard]] std::string
+OverheadJson(const std::vector<round_figures>& aDirect,
+             const std::vector<round_figures>& aThrough,
+             unsigned aConnections);
+
+} // namespace currantshed::load
+
+#endif
