--- /dev/null
+++ b/src/currantshed/platform/backoff.cpp
@@ -0,0 +1,47 @@
+#include "currantshed/platform/backoff.hpp"
+
+#include <algorithm>
+
+namespace currantshed::platform {
+
+namespace {
+
+/// Already the first wait is spread: a platform that restarts cuts all its
+/// callers off at the same moment.
+std::chrono::milliseconds
+FirstBound(const backoff_settings& aSettings)
+{
+  return std::min(aSettings.shortest * 2, aSettings.longest);
+}
+
+} // namespace
+
+backoff::backoff(backoff_settings aSettings)
+  : mSettings(aSettings)
+  , mBound(FirstBound(aSettings))
+{
+}
+
+clock::duration
+backoff::Next(double aRandom)
+{
+  const auto wait = Between(mSettings.shortest, mBound, aRandom);
+  mBound = std::min(mBound * 2, mSettings.longest);
+  return wait;
+}
+
+void
+backoff::Reset() noexcept
+{
+  mBound = FirstBound(mSettings);
+}
+
+clock::duration
+Between(clock::duration aLow, clock::duration aHigh, double aRandom)
+{
+  const auto span = static_cast<double>((aHigh - aLow).count());
+  const auto part = static_cast<clock::duration::rep>(span * aRandom);
+  return aLow + clock::duration(part);
+}
+
+} // namespace currantshed::platform
--- a/src/currantshed/platform/fwd.hpp
+++ b/src/currantshed/platform/fwd.hpp
@@ -4,18 +4,24 @@
 namespace currantshed::platform {
 
 class applier;
+class backoff;
 class client;
+class lister;
 class transport;
+class watcher;
 enum class apply_outcome;
 enum class errc;
 enum class swap_outcome;
 struct apply_request;
 struct apply_result;
+struct backoff_settings;
 struct entry;
 struct http_answer;
 struct http_request;
 struct listing;
+struct lister_settings;
 struct vm;
+struct watcher_settings;
 
 } // namespace currantshed::platform
 
--- /dev/null
+++ b/src/currantshed/platform/lister.cpp
@@ -0,0 +1,60 @@
+#include "currantshed/platform/lister.hpp"
+
+#include <algorithm>
+
+namespace currantshed::platform {
+
+namespace {
+
+/// The part of the interval by which calls are spread to either side.
+constexpr int kSpreadPart = 5;
+
+} // namespace
+
+lister::lister(lister_settings aSettings, clock::time_point aNow)
+  : mSettings(aSettings)
+  , mBackoff(aSettings.afterFailure)
+  , mStartAt(aNow)
+  , mStartedAt(aNow)
+{
+}
+
+bool
+lister::Tick(clock::time_point aNow)
+{
+  if (!mStartAt || aNow < *mStartAt) {
+    return false;
+  }
+  mStartAt.reset();
+  mStartedAt = aNow;
+  return true;
+}
+
+void
+lister::Ended(std::error_code aError, clock::time_point aNow, double aRandom)
+{
+  if (aError) {
+    mStartAt = aNow + mBackoff.Next(aRandom);
+    return;
+  }
+  mBackoff.Reset();
+  mLastAnswer = aNow;
+  const auto spread = mSettings.interval / kSpreadPart;
+  const auto interval =
+    Between(mSettings.interval - spread, mSettings.interval + spread, aRandom);
+  mStartAt = std::max(aNow, mStartedAt + interval);
+}
+
+std::optional<clock::time_point>
+lister::NextTick() const noexcept
+{
+  return mStartAt;
+}
+
+std::optional<clock::time_point>
+lister::LastAnswer() const noexcept
+{
+  return mLastAnswer;
+}
+
+} // namespace currantshed::platform
