currantshedctl: validate, diff, apply, show, status, wait

Operators change the targets by one tool, may race one another, and may lose the store's answer after the change was made.

Cause of the shape: apply is one compare-and-swap against the version the operator saw. After a lost answer the key is read back; the id of the change tells this change from others, and writing again is safe since each write expects the same version of the key. Where others have gone on since, the tool says that it doesn't know.

Ruled out: taking an unanswered write for lost, since it may come late.

Change: modules ctl and http/fetcher, program currantshedctl.

--- /dev/null
+++ b/src/currantshed/ctl/blocking_platform.hpp
@@ -0,0 +1,47 @@
+#ifndef CURRANTSHED_CTL_BLOCKING_PLATFORM_HPP
+#define CURRANTSHED_CTL_BLOCKING_PLATFORM_HPP
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <system_error>
+
+#include "currantshed/ctl/fwd.hpp"
+#include "currantshed/platform/client.hpp"
+
+namespace currantshed::ctl {
+
+/// A result of the platform, or the error in its place.
+template<typename value_type>
+struct platform_result
+{
+  std::error_code error;
+  value_type value;
+};
+
+/// Calls of the platform that return when they are answered. For tools with
+/// one thread: the given turn drives the client, and each one may run
+/// callbacks.
+class blocking_platform
+{
+public:
+  using turn = std::function<void()>;
+
+  blocking_platform(platform::client& aClient, turn aTurn);
+
+  [[nodiscard]] platform_result<platform::entry> Get(const std::string& aKey);
+
+  [[nodiscard]] platform::swap_outcome Swap(const std::string& aKey,
+                                            const std::string& aValue,
+                                            platform::index aExpected);
+
+  [[nodiscard]] platform_result<platform::listing> List();
+
+private:
+  platform::client& mClient;
+  turn mTurn;
+};
+
+} // namespace currantshed::ctl
+
+#endif
--- /dev/null
+++ b/src/currantshed/ctl/fwd.hpp
@@ -0,0 +1,15 @@
+#ifndef CURRANTSHED_CTL_FWD_HPP
+#define CURRANTSHED_CTL_FWD_HPP
+
+namespace currantshed::ctl {
+
+enum class exit_code;
+struct change;
+struct vm_report;
+class blocking_platform;
+class pacer;
+class verbs;
+
+} // namespace currantshed::ctl
+
+#endif
--- /dev/null
+++ b/src/currantshed/ctl/verbs.hpp
@@ -0,0 +1,130 @@
+#ifndef CURRANTSHED_CTL_VERBS_HPP
+#define CURRANTSHED_CTL_VERBS_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <iosfwd>
+#include <optional>
+#include <string>
+
+#include <boost/json/object.hpp>
+
+#include "currantshed/ctl/blocking_platform.hpp"
+#include "currantshed/ctl/exit_code.hpp"
+#include "currantshed/ctl/fwd.hpp"
+#include "currantshed/ctl/vm_report.hpp"
+#include "currantshed/http/fetcher.hpp"
+#include "currantshed/policy/configuration_record.hpp"
+#include "currantshed/policy/declaration.hpp"
+
+namespace currantshed::ctl {
+
+/// How the result is written.
+enum class output
+{
+  kText,
+  kJson,
+};
+
+/// Where a verb writes, and how.
+struct printer
+{
+  output form = output::kText;
+  std::ostream& out;
+  std::ostream& errors;
+};
+
+/// A file of the operators'.
+struct source_text
+{
+  std::string name;
+  std::string text;
+};
+
+/// Times of the verbs that ask VMs.
+struct asking
+{
+  /// Time for one VM to answer.
+  std::chrono::milliseconds vmTimeout{ 2000 };
+  /// Pause between two rounds of wait.
+  std::chrono::milliseconds pause{ 200 };
+};
+
+/// What an operator asked to apply.
+struct apply_order
+{
+  /// The version that the operator saw; none for the one in force now.
+  std::optional<std::uint64_t> expected;
+  /// Name of the change, never used before.
+  std::string change;
+  /// How long a lost answer is looked into.
+  std::chrono::milliseconds atMost{ 10'000 };
+};
+
+/// The work of currantshedctl's verbs. Each writes its result and returns how
+/// it ended.
+class verbs
+{
+public:
+  verbs(blocking_platform& aPlatform,
+        http::fetcher& aFetcher,
+        pacer& aPacer,
+        const printer& aPrinter);
+
+  /// Checks a declaration; asks nobody.
+  [[nodiscard]] exit_code Validate(const source_text& aFile);
+
+  /// Tells what applying the file would change.
+  [[nodiscard]] exit_code Diff(const source_text& aFile);
+
+  /// Puts the file in force if the expected version still is.
+  [[nodiscard]] exit_code Apply(const source_text& aFile,
+                                const apply_order& aOrder);
+
+  /// Prints the declaration in force.
+  [[nodiscard]] exit_code Show();
+
+  /// Asks every listed VM for its status.
+  [[nodiscard]] exit_code Status(const asking& aAsking);
+
+  /// Waits until every live VM reports the version or a higher one. Live is
+  /// each listed VM that is not leaving.
+  [[nodiscard]] exit_code Wait(std::uint64_t aVersion,
+                               std::chrono::milliseconds aAtMost,
+                               const asking& aAsking);
+
+private:
+  /// The record in force, with its version in the store.
+  struct in_force
+  {
+    platform::index stored = 0;
+    /// Version zero where nothing was ever applied.
+    policy::configuration_record record;
+  };
+
+  [[nodiscard]] std::optional<policy::declaration> Read(
+    const source_text& aFile);
+  [[nodiscard]] std::optional<in_force> ReadInForce();
+  [[nodiscard]] std::optional<std::vector<vm_report>> AskAll(
+    const asking& aAsking);
+  [[nodiscard]] exit_code LostRace(std::uint64_t aExpected,
+                                   std::uint64_t aFound);
+  [[nodiscard]] exit_code Applied(std::uint64_t aVersion,
+                                  const std::string& aChange);
+  [[nodiscard]] exit_code Unreachable(const std::string& aWhy);
+  [[nodiscard]] exit_code Finish(exit_code aCode,
+                                 boost::json::object aJson,
+                                 const std::string& aText);
+  [[nodiscard]] exit_code ReportWait(std::uint64_t aVersion,
+                                     const std::vector<vm_report>& aReports,
+                                     bool aIsReached);
+
+  blocking_platform& mPlatform;
+  http::fetcher& mFetcher;
+  pacer& mPacer;
+  printer mPrinter;
+};
+
+} // namespace currantshed::ctl
+
+#endif
--- a/src/currantshed/http/fwd.hpp
+++ b/src/currantshed/http/fwd.hpp
@@ -3,8 +3,10 @@
 
 namespace currantshed::http {
 
+struct fetched;
 struct status_answer;
 struct status_source;
+class fetcher;
 class status_server;
 
 } // namespace currantshed::http
--- a/src/currantshed/settings/parser.cpp
+++ b/src/currantshed/settings/parser.cpp
@@ -327,8 +327,9 @@
   aOut << "\n\nFlags, each with its environment variable; a flag goes before "
           "its variable:\n";
   for (const auto& one : mOptions) {
+    const std::string preset = one.isSecret ? "" : one.print();
     const std::string shown =
-      one.isSecret ? "" : absl::StrCat(" (default: ", one.print(), ")");
+      preset.empty() ? "" : absl::StrCat(" (default: ", preset, ")");
     aOut << absl::StreamFormat("  --%s %s, %s\n      %s%s\n",
                                one.flag,
                                one.unit,
