Apply through the platform's applier, and ask again by the change's id

The decisions of apply stood twice; the platform's applier also resolves a lost answer after others have built on the change.

Ruled out: keeping the tool's own machine beside it.

Change: ctl/apply_attempt dropped, verbs_apply drives platform::applier; one printer of wall times in clock. Before: 'not known' where others built on a lost change. After: 'applied'. Conclusion: one place decides.

--- /dev/null
+++ b/src/currantshed/clock/print_time.hpp
@@ -0,0 +1,20 @@
+#ifndef CURRANTSHED_CLOCK_PRINT_TIME_HPP
+#define CURRANTSHED_CLOCK_PRINT_TIME_HPP
+
+#include <string>
+
+#include "currantshed/clock/time.hpp"
+
+namespace currantshed::clock {
+
+/// A wall time as RFC 3339 has it, in UTC, to the second.
+[[nodiscard]] std::string
+PrintTime(wall_time aTime);
+
+/// The same with milliseconds.
+[[nodiscard]] std::string
+PrintTimeMs(wall_time aTime);
+
+} // namespace currantshed::clock
+
+#endif
--- a/src/currantshed/ctl/program.cpp
+++ b/src/currantshed/ctl/program.cpp
@@ -13,6 +13,7 @@
 #include <absl/strings/str_format.h>
 #include <boost/asio/io_context.hpp>
 
+#include "currantshed/clock/print_time.hpp"
 #include "currantshed/ctl/pacer.hpp"
 #include "currantshed/ctl/verbs.hpp"
 #include "currantshed/platform/http_client.hpp"
@@ -87,6 +88,8 @@
   std::chrono::milliseconds timeout{ 30'000 };
   std::string outputForm = "text";
   std::string expectVersion;
+  std::string change;
+  std::string appliedBy;
   unsigned version = 0;
   std::vector<std::string> arguments;
 };
@@ -163,9 +166,16 @@
                  "expect-version",
                  "apply only if this version is in force, 0 where none is; "
                  "without it the version in force at the moment");
+    aParser.Text(aSettings.change,
+                 "change",
+                 "id of a change asked for before whose end is not known; it "
+                 "is made at most once all the same");
+    aParser.Text(
+      aSettings.appliedBy, "applied-by", "who applies it, for people to read");
     aParser.Milliseconds(aSettings.timeout,
                          "timeout",
-                         "how long a lost answer is looked into",
+                         "how long the platform may fail before there is an "
+                         "answer",
                          kShortest,
                          kLongest);
   }
@@ -240,6 +250,21 @@
   return true;
 }
 
+apply_order
+MakeOrder(const ctl_settings& aSettings,
+          const std::optional<std::uint64_t>& aExpected)
+{
+  const bool isAgain = !aSettings.change.empty();
+  apply_order order;
+  order.expected = aExpected;
+  order.change = isAgain ? aSettings.change : MakeChangeName();
+  order.askedBefore = isAgain;
+  order.appliedBy = aSettings.appliedBy;
+  order.appliedAt = clock::PrintTime(std::chrono::system_clock::now());
+  order.atMost = aSettings.timeout;
+  return order;
+}
+
 exit_code
 Perform(const verb& aVerb,
         const ctl_settings& aSettings,
@@ -268,8 +293,7 @@
     case verb_id::kDiff:
       return work.Diff(aFile);
     case verb_id::kApply:
-      return work.Apply(aFile,
-                        { aExpected, MakeChangeName(), aSettings.timeout });
+      return work.Apply(aFile, MakeOrder(aSettings, aExpected));
     case verb_id::kShow:
       return work.Show();
     case verb_id::kStatus:
@@ -301,6 +325,9 @@
   if (!ReadExpected(read.expectVersion, expected)) {
     return Complain("--expect-version must be a whole number");
   }
+  if (!read.change.empty() && !expected) {
+    return Complain("--change needs the --expect-version of before");
+  }
   source_text file;
   if (aVerb.takesFile) {
     const auto source = ReadSource(read.arguments.front());
--- a/src/currantshed/ctl/verbs.cpp
+++ b/src/currantshed/ctl/verbs.cpp
@@ -6,19 +6,12 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "currantshed/ctl/apply_attempt.hpp"
 #include "currantshed/ctl/diff.hpp"
 #include "currantshed/ctl/pacer.hpp"
 
 namespace currantshed::ctl {
 namespace {
 
-std::string
-ConfigurationKey()
-{
-  return std::string(policy::kConfigurationKey);
-}
-
 /// The word for an end in JSON results.
 const char*
 NameOf(exit_code aCode)
@@ -65,6 +58,17 @@
   return text;
 }
 
+/// Who applied a record and when, as far as it is told.
+std::string
+Credit(const policy::configuration_record& aRecord)
+{
+  const std::string by =
+    aRecord.appliedBy.empty() ? "" : absl::StrCat(", by ", aRecord.appliedBy);
+  const std::string at =
+    aRecord.appliedAt.empty() ? "" : absl::StrCat(", at ", aRecord.appliedAt);
+  return absl::StrCat(by, at);
+}
+
 bool
 Has(const vm_report& aReport, std::uint64_t aVersion)
 {
@@ -88,33 +92,6 @@
   return isAnyLive;
 }
 
-/// Runs an attempt to its end; pauses before each try after the first.
-void
-Drive(apply_attempt& aAttempt,
-      const std::string& aValue,
-      platform::index aExpected,
-      clock::time_point aUntil,
-      blocking_platform& aPlatform,
-      pacer& aPacer)
-{
-  constexpr std::chrono::milliseconds kPause{ 200 };
-  while (aAttempt.Next() != apply_step::kDone) {
-    if (aPacer.Now() >= aUntil) {
-      aAttempt.GiveUp();
-      return;
-    }
-    if (aAttempt.Next() == apply_step::kSwap) {
-      aAttempt.SwapEnded(aPlatform.Swap(ConfigurationKey(), aValue, aExpected));
-      continue;
-    }
-    const auto read = aPlatform.Get(ConfigurationKey());
-    aAttempt.ReadEnded(read.error, read.value);
-    if (aAttempt.Next() != apply_step::kDone) {
-      aPacer.Pause(kPause);
-    }
-  }
-}
-
 } // namespace
 
 verbs::verbs(blocking_platform& aPlatform,
@@ -164,26 +141,22 @@
                 absl::StrCat("the platform can't be asked: ", aWhy, "\n"));
 }
 
-std::optional<verbs::in_force>
+std::optional<policy::configuration_record>
 verbs::ReadInForce()
 {
-  const auto read = mPlatform.Get(ConfigurationKey());
+  const auto read = mPlatform.Get(std::string(policy::kConfigurationKey));
   if (read.error) {
     static_cast<void>(Unreachable(read.error.message()));
     return std::nullopt;
   }
-  in_force result;
-  result.stored = read.value.version;
-  if (result.stored == 0) {
-    return result;
+  if (read.value.version == 0) {
+    return policy::configuration_record{};
   }
-  const auto record = policy::ParseConfigurationRecord(read.value.value);
+  auto record = policy::ParseConfigurationRecord(read.value.value);
   if (!record) {
     static_cast<void>(Unreachable("the stored configuration can't be read"));
-    return std::nullopt;
   }
-  result.record = *record;
-  return result;
+  return record;
 }
 
 exit_code
@@ -212,90 +185,16 @@
   if (!now) {
     return exit_code::kPlatformUnreachable;
   }
-  const auto before = policy::ParseDeclaration(now->record.declaration).value;
+  const auto before = policy::ParseDeclaration(now->declaration).value;
   const auto changes = DiffDeclarations(before, *declared);
   const std::string head =
     changes.empty()
-      ? absl::StrCat("no change against version ", now->record.version, "\n")
-      : absl::StrCat("against version ", now->record.version, ":\n");
-  return Finish(exit_code::kOk,
-                { { "version", now->record.version },
-                  { "changes", ChangesToJson(changes) } },
-                absl::StrCat(head, PrintChanges(changes)));
-}
-
-exit_code
-verbs::LostRace(std::uint64_t aExpected, std::uint64_t aFound)
-{
-  const std::string found = aFound == 0 ? "none or an unreadable one"
-                                        : absl::StrCat("version ", aFound);
-  return Finish(exit_code::kLostRace,
-                { { "expected_version", aExpected }, { "version", aFound } },
-                absl::StrCat("not applied, lost the race: expected version ",
-                             aExpected,
-                             ", in force is ",
-                             found,
-                             ". Look at it with 'show' and 'diff'.\n"));
-}
-
-exit_code
-verbs::Applied(std::uint64_t aVersion, const std::string& aChange)
-{
+      ? absl::StrCat("no change against version ", now->version, "\n")
+      : absl::StrCat("against version ", now->version, ":\n");
   return Finish(
     exit_code::kOk,
-    { { "version", aVersion }, { "change", aChange } },
-    absl::StrCat("applied as version ", aVersion, " (change ", aChange, ")\n"));
-}
-
-exit_code
-verbs::Apply(const source_text& aFile, const apply_order& aOrder)
-{
-  const auto declared = Read(aFile);
-  if (!declared) {
-    return exit_code::kInvalidDeclaration;
-  }
-  const auto now = ReadInForce();
-  if (!now) {
-    return exit_code::kPlatformUnreachable;
-  }
-  const std::uint64_t version = now->record.version;
-  if (aOrder.expected && *aOrder.expected != version) {
-    return LostRace(*aOrder.expected, version);
-  }
-  if (now->record.declaration == aFile.text) {
-    return Finish(exit_code::kOk,
-                  { { "version", version }, { "change", now->record.change } },
-                  absl::StrCat("already in force as version ", version, "\n"));
-  }
-  const policy::configuration_record record{ version + 1,
-                                             aOrder.change,
-                                             aFile.text };
-  apply_attempt attempt(record, now->stored);
-  Drive(attempt,
-        policy::PrintConfigurationRecord(record),
-        now->stored,
-        mPacer.Now() + aOrder.atMost,
-        mPlatform,
-        mPacer);
-  switch (attempt.End()) {
-    case apply_end::kApplied:
-      return Applied(record.version, record.change);
-    case apply_end::kLostRace:
-      return LostRace(version, attempt.Found());
-    case apply_end::kNotKnown:
-      break;
-  }
-  return Finish(exit_code::kNotKnown,
-                { { "expected_version", version },
-                  { "version", attempt.Found() },
-                  { "change", record.change } },
-                absl::StrCat("not known whether it was applied: no answer "
-                             "came in time, or others changed it since. Ask "
-                             "again with 'show': it was, if version ",
-                             record.version,
-                             " has the change ",
-                             record.change,
-                             ".\n"));
+    { { "version", now->version }, { "changes", ChangesToJson(changes) } },
+    absl::StrCat(head, PrintChanges(changes)));
 }
 
 exit_code
@@ -305,16 +204,19 @@
   if (!now) {
     return exit_code::kPlatformUnreachable;
   }
-  const auto& record = now->record;
+  const auto& record = *now;
   return Finish(exit_code::kOk,
                 { { "version", record.version },
                   { "change", record.change },
+                  { "applied_by", record.appliedBy },
+                  { "applied_at", record.appliedAt },
                   { "declaration", record.declaration } },
                 record.version == 0 ? "nothing is in force yet\n"
                                     : absl::StrCat("# version ",
                                                    record.version,
                                                    ", change ",
                                                    record.change,
+                                                   Credit(record),
                                                    "\n",
                                                    record.declaration));
 }
--- a/src/currantshed/ctl/verbs.hpp
+++ b/src/currantshed/ctl/verbs.hpp
@@ -14,6 +14,7 @@
 #include "currantshed/ctl/fwd.hpp"
 #include "currantshed/ctl/vm_report.hpp"
 #include "currantshed/http/fetcher.hpp"
+#include "currantshed/platform/apply.hpp"
 #include "currantshed/policy/configuration_record.hpp"
 #include "currantshed/policy/declaration.hpp"
 
@@ -57,8 +58,13 @@
   std::optional<std::uint64_t> expected;
   /// Name of the change, never used before.
   std::string change;
-  /// How long a lost answer is looked into.
-  std::chrono::milliseconds atMost{ 10'000 };
+  /// Whether the same change was asked for before, with no known end.
+  bool askedBefore = false;
+  /// Who applies it and when, as RFC 3339; only for people to read.
+  std::string appliedBy;
+  std::string appliedAt;
+  /// How long the platform may fail before there is an answer.
+  std::chrono::milliseconds atMost{ 15'000 };
 };
 
 /// The work of currantshedctl's verbs. Each writes its result and returns how
@@ -94,19 +100,14 @@
                                const asking& aAsking);
 
 private:
-  /// The record in force, with its version in the store.
-  struct in_force
-  {
-    platform::index stored = 0;
-    /// Version zero where nothing was ever applied.
-    policy::configuration_record record;
-  };
-
   [[nodiscard]] std::optional<policy::declaration> Read(
     const source_text& aFile);
-  [[nodiscard]] std::optional<in_force> ReadInForce();
+  /// The record in force, of version zero where nothing was ever applied.
+  [[nodiscard]] std::optional<policy::configuration_record> ReadInForce();
   [[nodiscard]] std::optional<std::vector<vm_report>> AskAll(
     const asking& aAsking);
+  [[nodiscard]] exit_code ReportApply(const platform::apply_result& aResult,
+                                      const platform::apply_request& aRequest);
   [[nodiscard]] exit_code LostRace(std::uint64_t aExpected,
                                    std::uint64_t aFound);
   [[nodiscard]] exit_code Applied(std::uint64_t aVersion,
--- /dev/null
+++ b/src/currantshed/ctl/verbs_apply.cpp
@@ -0,0 +1,141 @@
+#include "currantshed/ctl/verbs.hpp"
+
+#include <chrono>
+#include <variant>
+
+#include <absl/strings/str_cat.h>
+
+#include "currantshed/ctl/pacer.hpp"
+
+namespace currantshed::ctl {
+namespace {
+
+/// Does one thing that an attempt asks for, and hands it the answer.
+void
+Perform(const platform::apply_action& aAction,
+        platform::applier& aApplier,
+        blocking_platform& aPlatform,
+        pacer& aPacer)
+{
+  if (const auto* const swap =
+        std::get_if<platform::swap_configuration>(&aAction)) {
+    const auto outcome = aPlatform.Swap(
+      std::string(policy::kConfigurationKey), swap->value, swap->expected);
+    aApplier.ConfigurationSwapped(outcome, aPacer.Now());
+    return;
+  }
+  const auto read = aPlatform.Get(std::string(policy::kConfigurationKey));
+  aApplier.ConfigurationRead(read.error, read.value, aPacer.Now());
+}
+
+/// Runs an attempt to its end.
+platform::apply_result
+Drive(platform::applier& aApplier, blocking_platform& aPlatform, pacer& aPacer)
+{
+  while (!aApplier.Result()) {
+    const auto actions = aApplier.TakeActions();
+    for (const auto& action : actions) {
+      Perform(action, aApplier, aPlatform, aPacer);
+    }
+    const auto now = aPacer.Now();
+    const bool mustWait = actions.empty() && aApplier.NextTick() > now;
+    if (mustWait) {
+      aPacer.Pause(std::chrono::ceil<std::chrono::milliseconds>(
+        aApplier.NextTick() - now));
+    }
+    aApplier.Tick(aPacer.Now());
+  }
+  return *aApplier.Result();
+}
+
+} // namespace
+
+exit_code
+verbs::LostRace(std::uint64_t aExpected, std::uint64_t aFound)
+{
+  const std::string found = aFound == 0 ? "none or an unreadable one"
+                                        : absl::StrCat("version ", aFound);
+  return Finish(exit_code::kLostRace,
+                { { "expected_version", aExpected }, { "version", aFound } },
+                absl::StrCat("not applied, lost the race: expected version ",
+                             aExpected,
+                             ", in force is ",
+                             found,
+                             ". Look at it with 'show' and 'diff'.\n"));
+}
+
+exit_code
+verbs::Applied(std::uint64_t aVersion, const std::string& aChange)
+{
+  return Finish(
+    exit_code::kOk,
+    { { "version", aVersion }, { "change", aChange } },
+    absl::StrCat("applied as version ", aVersion, " (change ", aChange, ")\n"));
+}
+
+exit_code
+verbs::Apply(const source_text& aFile, const apply_order& aOrder)
+{
+  const auto declared = Read(aFile);
+  if (!declared) {
+    return exit_code::kInvalidDeclaration;
+  }
+  const auto now = ReadInForce();
+  if (!now) {
+    return exit_code::kPlatformUnreachable;
+  }
+  const auto& record = *now;
+  if (!aOrder.askedBefore && record.declaration == aFile.text &&
+      aOrder.expected.value_or(record.version) == record.version) {
+    return Finish(
+      exit_code::kOk,
+      { { "version", record.version }, { "change", record.change } },
+      absl::StrCat("already in force as version ", record.version, "\n"));
+  }
+  platform::apply_request request;
+  request.declaration = aFile.text;
+  request.change = aOrder.change;
+  request.askedBefore = aOrder.askedBefore;
+  request.expectedVersion = aOrder.expected.value_or(record.version);
+  request.appliedBy = aOrder.appliedBy;
+  request.appliedAt = aOrder.appliedAt;
+  request.giveUpAfter = aOrder.atMost;
+  platform::applier attempt(request, mPacer.Now());
+  return ReportApply(Drive(attempt, mPlatform, mPacer), request);
+}
+
+exit_code
+verbs::ReportApply(const platform::apply_result& aResult,
+                   const platform::apply_request& aRequest)
+{
+  using platform::apply_outcome;
+  switch (aResult.outcome) {
+    case apply_outcome::kApplied:
+      return Applied(aResult.version, aRequest.change);
+    case apply_outcome::kLostRace:
+      return LostRace(aRequest.expectedVersion, aResult.inForce);
+    case apply_outcome::kNotReached:
+      return Unreachable("no answer; nothing was written");
+    case apply_outcome::kUnreadable:
+      return Unreachable(
+        "the stored configuration can't be read; nothing was written");
+    case apply_outcome::kTooLarge:
+      return Finish(exit_code::kInvalidDeclaration,
+                    { { "error", "too_large" } },
+                    "not applied: larger than the platform's values may be\n");
+    case apply_outcome::kUnknown:
+      break;
+  }
+  return Finish(exit_code::kNotKnown,
+                { { "expected_version", aRequest.expectedVersion },
+                  { "version", aResult.inForce },
+                  { "change", aRequest.change } },
+                absl::StrCat("not known whether it was applied. Ask again "
+                             "with: apply FILE --expect-version ",
+                             aRequest.expectedVersion,
+                             " --change ",
+                             aRequest.change,
+                             "\n"));
+}
+
+} // namespace currantshed::ctl
--- a/src/currantshed/log/log.cpp
+++ b/src/currantshed/log/log.cpp
@@ -4,13 +4,12 @@
 #include <chrono>
 #include <cmath>
 #include <cstdio>
-#include <ctime>
 #include <memory>
 
-#include <absl/strings/str_format.h>
 #include <boost/json.hpp>
 #include <easylogging++.h>
 
+#include "currantshed/clock/print_time.hpp"
 #include "currantshed/log/utf8.hpp"
 
 // The one place where the storage of easylogging++ is defined.
@@ -20,7 +19,6 @@
 namespace {
 
 constexpr const char* kLoggerName = "currantshed";
-constexpr int kFirstYear = 1900;
 
 /// Writes each message as one line of the standard error stream.
 class stderr_writer : public el::LogDispatchCallback
@@ -63,26 +61,6 @@
   return sState;
 }
 
-/// The time as RFC 3339 has it, in UTC with milliseconds.
-std::string
-PrintTime(clock::wall_time aTime)
-{
-  const auto whole = std::chrono::floor<std::chrono::seconds>(aTime);
-  const auto rest =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aTime - whole);
-  const std::time_t seconds = std::chrono::system_clock::to_time_t(whole);
-  std::tm parts{};
-  gmtime_r(&seconds, &parts);
-  return absl::StrFormat("%04d-%02d-%02dT%02d:%02d:%02d.%03dZ",
-                         parts.tm_year + kFirstYear,
-                         parts.tm_mon + 1,
-                         parts.tm_mday,
-                         parts.tm_hour,
-                         parts.tm_min,
-                         parts.tm_sec,
-                         rest.count());
-}
-
 std::string_view
 NameOf(level aLevel)
 {
@@ -134,7 +112,7 @@
            std::initializer_list<field> aFields)
 {
   boost::json::object line;
-  line["time"] = PrintTime(aNow);
+  line["time"] = clock::PrintTimeMs(aNow);
   line["level"] = NameOf(aLevel);
   line["event"] = ToValidUtf8(aEvent);
   line["program"] = ToValidUtf8(aSelf.program);
--- a/test/currantshed/ctl/verbs.cpp
+++ b/test/currantshed/ctl/verbs.cpp
@@ -113,11 +113,17 @@
 using verb_call = std::function<exit_code(ctl::verbs)>;
 
 verb_call
-Apply(const char* aText, std::optional<std::uint64_t> aExpected = std::nullopt)
+Apply(const char* aText,
+      std::optional<std::uint64_t> aExpected = std::nullopt,
+      bool aAskedBefore = false)
 {
   return [=](ctl::verbs aVerbs) {
-    return aVerbs.Apply({ "f", aText },
-                        { aExpected, "own", std::chrono::seconds(2) });
+    ctl::apply_order order;
+    order.expected = aExpected;
+    order.change = "own";
+    order.askedBefore = aAskedBefore;
+    order.atMost = std::chrono::seconds(2);
+    return aVerbs.Apply({ "f", aText }, order);
   };
 }
 
@@ -151,6 +157,17 @@
   aBench.Hold(7, "before", kOld);
 }
 
+/// Version 8 by the given change on top of the old one, and version 9 on it.
+void
+HoldLater(bench& aBench, const char* aChange)
+{
+  const auto eighth =
+    policy::NextConfigurationRecord({ 7, "before", kOld }, aChange, kNew);
+  aBench.store.Put(std::string(policy::kConfigurationKey),
+                   policy::PrintConfigurationRecord(
+                     policy::NextConfigurationRecord(eighth, "last", kOld)));
+}
+
 const verb_row kRows[] = {
   { "validate: good",
     Nothing,
@@ -271,7 +288,8 @@
     exit_code::kNotKnown,
     7,
     "",
-    "not known whether it was applied: " },
+    "not known whether it was applied. Ask again with: apply FILE "
+    "--expect-version 7 --change own\n" },
   { "apply: the platform is down",
     [](bench& aBench) {
       HoldOld(aBench);
@@ -282,6 +300,46 @@
     7,
     "",
     "the platform can't be asked: " },
+  { "apply: the platform is down for a moment",
+    [](bench& aBench) {
+      HoldOld(aBench);
+      aBench.store.LoseBeforeEffect(3);
+    },
+    Apply(kNew, 7),
+    exit_code::kOk,
+    8,
+    "applied as version 8 (change own)\n",
+    "" },
+  { "apply again: it was made, and others built on it",
+    [](bench& aBench) { HoldLater(aBench, "own"); },
+    Apply(kNew, 7, true),
+    exit_code::kOk,
+    9,
+    "applied as version 8 (change own)\n",
+    "" },
+  { "apply again: another took its place",
+    [](bench& aBench) { HoldLater(aBench, "other"); },
+    Apply(kNew, 7, true),
+    exit_code::kLostRace,
+    9,
+    "",
+    "not applied, lost the race: expected version 7, in force is version 9. " },
+  { "apply again: it was not made before",
+    HoldOld,
+    Apply(kNew, 7, true),
+    exit_code::kOk,
+    8,
+    "applied as version 8 (change own)\n",
+    "" },
+  { "apply: what is stored is no configuration",
+    [](bench& aBench) {
+      aBench.store.Put(std::string(policy::kConfigurationKey), "{}");
+    },
+    Apply(kNew, 7),
+    exit_code::kPlatformUnreachable,
+    0,
+    "",
+    "the platform can't be asked: the stored configuration can't be read\n" },
   { "show",
     HoldOld,
     [](ctl::verbs aVerbs) { return aVerbs.Show(); },
