Let a session say that it has seen more than it notes

Cause: a caller without a token may have seen anything, but the token that it was given noted just one group, so that its next read of another group could have been older than what it had seen. Merging a vector that overflowed could likewise bring back a position lower than one seen.

Change: AssumeMore marks a vector so that every group that isn't noted is read fresh until it is noted; Merge drops what one side may have seen higher.

Figures: two more tests, both part of the suite's run.

--- a/src/currantshed/session/position_vector.cpp
+++ b/src/currantshed/session/position_vector.cpp
@@ -104,13 +104,11 @@
 group_floor
 position_vector::Floor(std::string_view aGroup) const noexcept
 {
-  const std::uint64_t hash = HashOf(aGroup);
-  for (const entry& known : mEntries) {
-    if (known.group == hash) {
-      return { known.position, false };
-    }
+  const entry* known = Find(HashOf(aGroup));
+  if (known == nullptr) {
+    return { {}, mOverflowed };
   }
-  return { {}, mOverflowed };
+  return { known->position, false };
 }
 
 void
@@ -125,12 +123,25 @@
 void
 position_vector::Merge(const position_vector& aOther)
 {
+  position_vector other = aOther;
+  if (mOverflowed) {
+    other.DropUnlessIn(*this);
+  }
+  if (aOther.mOverflowed) {
+    DropUnlessIn(aOther);
+  }
   mOverflowed = mOverflowed || aOther.mOverflowed;
-  for (const entry& seen : aOther.mEntries) {
+  for (const entry& seen : other.mEntries) {
     RaiseHash(seen.group, seen.position);
   }
 }
 
+void
+position_vector::AssumeMore() noexcept
+{
+  mOverflowed = true;
+}
+
 void
 position_vector::RaiseHash(std::uint64_t aGroup,
                            position::log_position aPosition)
@@ -146,15 +157,31 @@
     place->position = std::max(place->position, aPosition);
     return;
   }
-  // A group past the bound is left out, also when it was noted once by
-  // another vector: it stays fresh for the rest of the session.
-  if (mEntries.size() >= kMostGroups || mOverflowed) {
+  if (mEntries.size() >= kMostGroups) {
     mOverflowed = true;
     return;
   }
   mEntries.insert(place, { aGroup, aPosition });
 }
 
+const position_vector::entry*
+position_vector::Find(std::uint64_t aGroup) const noexcept
+{
+  const auto found = std::find_if(
+    mEntries.begin(), mEntries.end(), [aGroup](const entry& aEntry) {
+      return aEntry.group == aGroup;
+    });
+  return found == mEntries.end() ? nullptr : &*found;
+}
+
+void
+position_vector::DropUnlessIn(const position_vector& aOther)
+{
+  std::erase_if(mEntries, [&aOther](const entry& aEntry) {
+    return aOther.Find(aEntry.group) == nullptr;
+  });
+}
+
 bool
 position_vector::Overflowed() const noexcept
 {
--- a/src/currantshed/session/position_vector.hpp
+++ b/src/currantshed/session/position_vector.hpp
@@ -38,11 +38,18 @@
   [[nodiscard]] group_floor Floor(std::string_view aGroup) const noexcept;
 
   /// Notes a confirmed position; a lower one than that noted changes nothing.
+  /// Where Floor says fresh, the position must come from a fresh read or a
+  /// change, so that it covers whatever was seen before without being noted.
   void Raise(std::string_view aGroup, position::log_position aPosition);
 
-  /// Takes over what another vector of the same session has seen.
+  /// Takes over what another vector of the same session has seen. A group
+  /// that one of them may have seen without noting it stays unnoted.
   void Merge(const position_vector& aOther);
 
+  /// Says that the session may have seen more than is noted: every group that
+  /// isn't noted is read fresh, until it is noted.
+  void AssumeMore() noexcept;
+
   [[nodiscard]] bool Overflowed() const noexcept;
   [[nodiscard]] std::size_t size() const noexcept;
 
@@ -65,6 +72,8 @@
   };
 
   void RaiseHash(std::uint64_t aGroup, position::log_position aPosition);
+  [[nodiscard]] const entry* Find(std::uint64_t aGroup) const noexcept;
+  void DropUnlessIn(const position_vector& aOther);
 
   /// In the order of the hashes.
   std::vector<entry> mEntries;
--- a/test/currantshed/session/token.cpp
+++ b/test/currantshed/session/token.cpp
@@ -262,3 +262,27 @@
   CHECK(seen.Floor("never seen").fresh);
   CHECK(seen.size() <= position_vector::kMostGroups);
 }
+
+TEST(session_token, more_seen_than_noted_is_read_fresh_until_noted)
+{
+  position_vector seen;
+  seen.AssumeMore();
+  CHECK(seen.Floor("claims").fresh);
+  seen.Raise("claims", { 2, 7 });
+  CHECK_FALSE(seen.Floor("claims").fresh);
+  CHECK(seen.Floor("other").fresh);
+}
+
+TEST(session_token, merge_drops_what_one_side_may_have_seen_higher)
+{
+  position_vector low;
+  low.Raise("claims", { 1, 1 });
+  position_vector unsure;
+  unsure.AssumeMore();
+  position_vector left = low;
+  left.Merge(unsure);
+  CHECK(left.Floor("claims").fresh);
+  position_vector right = unsure;
+  right.Merge(low);
+  CHECK(right.Floor("claims").fresh);
+}
