--- /dev/null
+++ b/src/currantshed/gateway/admit.cpp
@@ -0,0 +1,126 @@
+#include <algorithm>
+#include <string>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "currantshed/gateway/exchange.hpp"
+#include "currantshed/gateway/filter.hpp"
+#include "currantshed/gateway/shared_state.hpp"
+
+namespace currantshed::gateway {
+
+namespace {
+
+constexpr std::chrono::seconds kRateWindow{ 1 };
+constexpr std::chrono::milliseconds kSoonest{ 20 };
+constexpr std::chrono::milliseconds kLatest{ 2000 };
+
+/// Whether the call begins new work; what goes on with work already begun is
+/// never refused for lack of room.
+bool
+IsNewWork(const exchange& aExchange)
+{
+  return aExchange.request.kind == call_kind::kStatements ||
+         aExchange.request.kind == call_kind::kBegin;
+}
+
+/// What one class has in flight, and how fast it drains.
+class class_load
+{
+public:
+  void Enter() { ++mInFlight; }
+
+  void Leave(clock::time_point aNow)
+  {
+    --mInFlight;
+    if (aNow - mBegun >= kRateWindow) {
+      mLastCount = aNow - mBegun < 2 * kRateWindow ? mCount : 0;
+      mCount = 0;
+      mBegun = aNow;
+    }
+    ++mCount;
+  }
+
+  [[nodiscard]] std::size_t InFlight() const { return mInFlight; }
+
+  /// Time in which what is in flight drains at the rate of late.
+  [[nodiscard]] std::chrono::milliseconds DrainTime() const
+  {
+    const std::size_t rate = std::max<std::size_t>({ mLastCount, mCount, 1 });
+    const std::chrono::milliseconds window = kRateWindow;
+    const auto wait = window * mInFlight / rate;
+    return std::clamp<std::chrono::milliseconds>(wait, kSoonest, kLatest);
+  }
+
+private:
+  std::size_t mInFlight = 0;
+  clock::time_point mBegun;
+  std::size_t mCount = 0;
+  std::size_t mLastCount = 0;
+};
+
+/// Each class may fill half of the room that is left, so that however much
+/// one of them asks for, the others find room; no weights are needed (dynamic
+/// thresholds: Choudhury and Hahne, 1998).
+class admit final : public filter
+{
+public:
+  explicit admit(shared_state& aState)
+    : mState(aState)
+  {
+  }
+
+  step Forward(exchange& aExchange, clock::time_point /*aNow*/) override
+  {
+    if (!IsNewWork(aExchange)) {
+      return step::kForward;
+    }
+    if (mState.draining) {
+      return Turn(aExchange, outcome::reason::kLeaving, kSoonest);
+    }
+    class_load& load = mLoads[aExchange.work->name];
+    const std::size_t room = mState.settings.inFlightLimit - mInFlight;
+    if (load.InFlight() >= room) {
+      return Turn(aExchange, outcome::reason::kOverloaded, load.DrainTime());
+    }
+    load.Enter();
+    ++mInFlight;
+    aExchange.admitted = true;
+    mState.retries.Earn();
+    return step::kForward;
+  }
+
+  step Back(exchange& aExchange, clock::time_point aNow) override
+  {
+    if (aExchange.admitted) {
+      aExchange.admitted = false;
+      --mInFlight;
+      mLoads[aExchange.work->name].Leave(aNow);
+    }
+    return step::kBack;
+  }
+
+private:
+  step Turn(exchange& aExchange,
+            outcome::reason aWhy,
+            std::chrono::milliseconds aWait)
+  {
+    ++mState.counters.refusals;
+    aExchange.answer = NotRun(aWhy, mState.Spread(aWait));
+    return step::kBack;
+  }
+
+  shared_state& mState;
+  std::size_t mInFlight = 0;
+  absl::flat_hash_map<std::string, class_load> mLoads;
+};
+
+} // namespace
+
+std::unique_ptr<filter>
+MakeAdmit(shared_state& aState)
+{
+  return std::make_unique<admit>(aState);
+}
+
+} // namespace currantshed::gateway
--- /dev/null
+++ b/src/currantshed/gateway/classify.cpp
@@ -0,0 +1,228 @@
+#include <algorithm>
+#include <optional>
+
+#include "currantshed/gateway/error.hpp"
+#include "currantshed/gateway/exchange.hpp"
+#include "currantshed/gateway/filter.hpp"
+#include "currantshed/gateway/shared_state.hpp"
+
+namespace currantshed::gateway {
+
+namespace {
+
+using fault = std::optional<gateway_error>;
+
+/// Time to come back to a gateway that has no configuration or view yet.
+constexpr std::chrono::milliseconds kStartPause{ 500 };
+
+group::operation
+FirstOperation(const exchange& aExchange)
+{
+  switch (aExchange.request.kind) {
+    case call_kind::kStatements:
+      return aExchange.work->kind == policy::access::kWrite
+               ? group::operation::kWrite
+               : group::operation::kRead;
+    case call_kind::kBegin:
+      return group::operation::kBegin;
+    case call_kind::kStatement:
+      return group::operation::kStatement;
+    case call_kind::kCommit:
+      return group::operation::kCommit;
+    case call_kind::kRollback:
+      return group::operation::kRollback;
+    case call_kind::kOutcome:
+      break;
+  }
+  return group::operation::kResolve;
+}
+
+/// The rule for going on with a transaction whose class the operators have
+/// dropped meanwhile: it may still end.
+std::shared_ptr<const policy::work_class>
+DroppedRule(const std::string& aClass, std::chrono::milliseconds aDeadline)
+{
+  auto rule = std::make_shared<policy::work_class>();
+  rule->name = aClass;
+  rule->kind = policy::access::kWrite;
+  rule->deadline = aDeadline;
+  return rule;
+}
+
+class classify final : public filter
+{
+public:
+  explicit classify(shared_state& aState)
+    : mState(aState)
+  {
+  }
+
+  step Forward(exchange& aExchange, clock::time_point aNow) override
+  {
+    if (mState.configurationVersion == 0 || mState.present.live.empty()) {
+      aExchange.answer =
+        NotRun(outcome::reason::kUnreachable, mState.Spread(kStartPause));
+      return step::kBack;
+    }
+    fault found = CheckStatements(aExchange.request);
+    if (!found) {
+      found = Find(aExchange);
+    }
+    if (found) {
+      aExchange.answer = Refuse(*found);
+      return step::kBack;
+    }
+    aExchange.next = FirstOperation(aExchange);
+    SetDeadline(aExchange);
+    if (aExchange.deadline - mState.settings.returnMargin <= aNow) {
+      aExchange.answer =
+        NotRun(outcome::reason::kDeadline, std::chrono::milliseconds(0));
+      return step::kBack;
+    }
+    return step::kForward;
+  }
+
+private:
+  [[nodiscard]] fault CheckStatements(const caller_request& aRequest) const
+  {
+    const auto& limits = mState.settings;
+    const bool needed = aRequest.kind == call_kind::kStatements ||
+                        aRequest.kind == call_kind::kStatement;
+    if (needed && aRequest.statements.empty()) {
+      return gateway_error::kNoStatement;
+    }
+    if (aRequest.statements.size() > limits.statementLimit) {
+      return gateway_error::kTooManyStatements;
+    }
+    for (const auto& statement : aRequest.statements) {
+      if (statement.sql.empty()) {
+        return gateway_error::kNoStatement;
+      }
+      if (statement.sql.size() > limits.statementBytes) {
+        return gateway_error::kStatementTooLarge;
+      }
+      if (statement.parameters.size() > limits.parameterLimit) {
+        return gateway_error::kTooManyParameters;
+      }
+    }
+    return {};
+  }
+
+  /// Finds class, group and key by the kind of call.
+  [[nodiscard]] fault Find(exchange& aExchange) const
+  {
+    switch (aExchange.request.kind) {
+      case call_kind::kStatements:
+      case call_kind::kBegin:
+        return FindClass(aExchange);
+      case call_kind::kOutcome:
+        return FindOutcome(aExchange);
+      default:
+        return FindTransaction(aExchange);
+    }
+  }
+
+  [[nodiscard]] fault FindClass(exchange& aExchange) const
+  {
+    const caller_request& request = aExchange.request;
+    aExchange.work = mState.Rule(request.workClass);
+    if (aExchange.work == nullptr) {
+      return gateway_error::kUnknownClass;
+    }
+    aExchange.group = request.group;
+    if (!mState.HasGroup(request.group)) {
+      return gateway_error::kUnknownGroup;
+    }
+    const auto& allowed = aExchange.work->groups;
+    if (!allowed.empty() &&
+        std::find(allowed.begin(), allowed.end(), request.group) ==
+          allowed.end()) {
+      return gateway_error::kGroupNotAllowed;
+    }
+    if (aExchange.work->kind == policy::access::kWrite) {
+      return TakeKey(aExchange);
+    }
+    if (request.kind == call_kind::kBegin) {
+      return gateway_error::kReadOnlyClass;
+    }
+    return {};
+  }
+
+  /// The caller's key, or the spare one where it sent none.
+  [[nodiscard]] static fault TakeKey(exchange& aExchange)
+  {
+    const caller_request& request = aExchange.request;
+    if (request.key.empty()) {
+      aExchange.key = request.spareKey;
+      return {};
+    }
+    const auto key = outcome::idempotency_key::Parse(request.key);
+    if (!key) {
+      return gateway_error::kMalformedKey;
+    }
+    aExchange.key = *key;
+    return {};
+  }
+
+  [[nodiscard]] fault FindOutcome(exchange& aExchange) const
+  {
+    aExchange.group = aExchange.request.group;
+    if (!mState.HasGroup(aExchange.group)) {
+      return gateway_error::kUnknownGroup;
+    }
+    if (aExchange.request.key.empty()) {
+      return gateway_error::kMalformedKey;
+    }
+    return TakeKey(aExchange);
+  }
+
+  [[nodiscard]] fault FindTransaction(exchange& aExchange) const
+  {
+    const caller_request& request = aExchange.request;
+    transaction_name& name = aExchange.transaction;
+    if (const auto error =
+          ReadTransactionId(request.transaction, mState.keys, name)) {
+      return FromTransactionError(error);
+    }
+    if (!request.key.empty()) {
+      const auto key = outcome::idempotency_key::Parse(request.key);
+      if (!key) {
+        return gateway_error::kMalformedKey;
+      }
+      if (*key != name.key) {
+        return gateway_error::kKeyMismatch;
+      }
+    }
+    aExchange.group = name.group;
+    aExchange.key = name.key;
+    aExchange.work = mState.Rule(name.workClass);
+    if (aExchange.work == nullptr) {
+      aExchange.work =
+        DroppedRule(name.workClass, mState.settings.defaultDeadline);
+    }
+    return {};
+  }
+
+  /// The class's deadline, or the caller's own where that comes first.
+  void SetDeadline(exchange& aExchange) const
+  {
+    auto allowed = aExchange.work == nullptr ? mState.settings.defaultDeadline
+                                             : aExchange.work->deadline;
+    if (aExchange.request.deadline) {
+      allowed = std::min(allowed, *aExchange.request.deadline);
+    }
+    aExchange.deadline = aExchange.arrived + allowed;
+  }
+
+  shared_state& mState;
+};
+
+} // namespace
+
+std::unique_ptr<filter>
+MakeClassify(shared_state& aState)
+{
+  return std::make_unique<classify>(aState);
+}
+
+} // namespace currantshed::gateway
--- /dev/null
+++ b/src/currantshed/gateway/confirm.cpp
@@ -0,0 +1,96 @@
+#include <utility>
+
+#include "currantshed/gateway/exchange.hpp"
+#include "currantshed/gateway/filter.hpp"
+#include "currantshed/gateway/shared_state.hpp"
+
+namespace currantshed::gateway {
+
+namespace {
+
+using group::operation;
+
+/// Whether the operation's success is an acknowledgement of a change.
+bool
+Acknowledges(operation aOperation)
+{
+  return aOperation == operation::kWrite || aOperation == operation::kCommit ||
+         aOperation == operation::kResolve;
+}
+
+/// The pooler asked the group's members after the request reached it, so
+/// after the gateway sent it: within the validity from there on, no other
+/// primary can have taken a write.
+class confirm final : public filter
+{
+public:
+  explicit confirm(shared_state& aState)
+    : mState(aState)
+  {
+  }
+
+  step Back(exchange& aExchange, clock::time_point aNow) override
+  {
+    if (aExchange.back != arrival::kReply) {
+      return step::kBack;
+    }
+    const bool done = aExchange.reply.verdict == outcome::verdict::kDone;
+    if (aExchange.next == operation::kReconfirm) {
+      return Reconfirmed(aExchange, done, aNow);
+    }
+    if (!done || !Acknowledges(aExchange.next) || InTime(aExchange, aNow)) {
+      return step::kBack;
+    }
+    aExchange.kept = std::move(aExchange.reply);
+    aExchange.keptFor = aExchange.next;
+    aExchange.asked = aExchange.kept.position;
+    return Ask(aExchange, operation::kReconfirm, aNow);
+  }
+
+private:
+  [[nodiscard]] bool InTime(const exchange& aExchange,
+                            clock::time_point aNow) const
+  {
+    return aNow <= aExchange.sentAt + mState.settings.validity;
+  }
+
+  step Reconfirmed(exchange& aExchange, bool aDone, clock::time_point aNow)
+  {
+    if (!aDone) {
+      // The term went on, or nobody can tell now: the key decides, asked of
+      // whoever leads by then.
+      ++mState.counters.resolutions;
+      aExchange.next = operation::kResolve;
+      aExchange.notBefore = aNow + mState.settings.retryPause;
+      return step::kForward;
+    }
+    if (!InTime(aExchange, aNow)) {
+      return Ask(aExchange, operation::kReconfirm, aNow);
+    }
+    aExchange.reply = std::move(aExchange.kept);
+    aExchange.next = aExchange.keptFor;
+    aExchange.doubt = false;
+    return step::kBack;
+  }
+
+  step Ask(exchange& aExchange, operation aNext, clock::time_point aNow)
+  {
+    ++mState.counters.reconfirmations;
+    aExchange.doubt = true;
+    aExchange.next = aNext;
+    aExchange.notBefore = aNow;
+    return step::kForward;
+  }
+
+  shared_state& mState;
+};
+
+} // namespace
+
+std::unique_ptr<filter>
+MakeConfirm(shared_state& aState)
+{
+  return std::make_unique<confirm>(aState);
+}
+
+} // namespace currantshed::gateway
--- /dev/null
+++ b/src/currantshed/gateway/outcome.cpp
@@ -0,0 +1,284 @@
+#include <utility>
+
+#include "currantshed/gateway/exchange.hpp"
+#include "currantshed/gateway/filter.hpp"
+#include "currantshed/gateway/shared_state.hpp"
+
+namespace currantshed::gateway {
+
+namespace {
+
+using group::operation;
+using outcome::reason;
+using outcome::verdict;
+
+constexpr std::chrono::milliseconds kComeBack{ 100 };
+/// Margins that must be left before the deadline for a doubt to be resolved.
+constexpr int kResolveMargins = 3;
+
+/// Whether only the pooler that opened the transaction can serve the call.
+bool
+IsBound(const exchange& aExchange)
+{
+  const auto kind = aExchange.request.kind;
+  return kind == call_kind::kStatement || kind == call_kind::kCommit ||
+         kind == call_kind::kRollback;
+}
+
+/// Whether the call has a key that tells its outcome.
+bool
+HasOutcome(const exchange& aExchange)
+{
+  return Changes(aExchange) || aExchange.request.kind == call_kind::kOutcome;
+}
+
+/// Whether a reply shows a confirmed position of the group.
+bool
+ShowsPosition(const exchange& aExchange)
+{
+  return aExchange.request.kind == call_kind::kStatements ||
+         HasOutcome(aExchange);
+}
+
+class resolve_outcome final : public filter
+{
+public:
+  explicit resolve_outcome(shared_state& aState)
+    : mState(aState)
+  {
+  }
+
+  step Back(exchange& aExchange, clock::time_point aNow) override
+  {
+    switch (aExchange.back) {
+      case arrival::kSettled:
+        return Settle(aExchange, std::move(aExchange.answer));
+      case arrival::kReply:
+        return Replied(aExchange, aNow);
+      case arrival::kLost:
+        return Lost(aExchange, aNow);
+      case arrival::kNotSent:
+        return NotSent(aExchange, aNow);
+      case arrival::kDeadline:
+      case arrival::kGone:
+        break;
+    }
+    return Settle(aExchange, NotRun(reason::kDeadline, Pause()));
+  }
+
+private:
+  step Replied(exchange& aExchange, clock::time_point aNow)
+  {
+    const group::answer& reply = aExchange.reply;
+    if (aExchange.next == operation::kResolve) {
+      return Resolved(aExchange, aNow);
+    }
+    const bool notRun = reply.verdict == verdict::kNotRun;
+    if (notRun && reply.why == reason::kLeaving && !IsBound(aExchange) &&
+        mState.retries.Spend()) {
+      mState.health.Suspect(aExchange.vm, aNow + mState.settings.suspectFor);
+      aExchange.lost.push_back(aExchange.vm);
+      return Again(aExchange);
+    }
+    if (Changes(aExchange) && InDoubt(aExchange) && TimeLeft(aExchange, aNow)) {
+      return Resolve(aExchange, aNow);
+    }
+    return Settle(aExchange, Translate(aExchange));
+  }
+
+  /// Whether the reply leaves open what became of the change.
+  [[nodiscard]] static bool InDoubt(const exchange& aExchange)
+  {
+    const group::answer& reply = aExchange.reply;
+    if (reply.verdict == verdict::kUnknown) {
+      return true;
+    }
+    if (reply.verdict != verdict::kNotRun) {
+      return false;
+    }
+    // The pooler does not know the transaction: it may have been committed
+    // before, by a call whose answer was lost.
+    const bool lostCommit = aExchange.next == operation::kCommit &&
+                            reply.why == reason::kTransactionLost;
+    return lostCommit || (aExchange.doubt && reply.why != reason::kKeyVoid);
+  }
+
+  /// A key was asked about: the change is there, can never be, or nobody
+  /// could tell this time.
+  step Resolved(exchange& aExchange, clock::time_point aNow)
+  {
+    const group::answer& reply = aExchange.reply;
+    const bool asked = aExchange.request.kind == call_kind::kOutcome;
+    if (reply.verdict == verdict::kDone) {
+      aExchange.doubt = false;
+      caller_answer answer = Translate(aExchange);
+      answer.results.clear();
+      answer.repeated = !asked;
+      return Settle(aExchange, std::move(answer));
+    }
+    if (reply.verdict == verdict::kNotRun && reply.why == reason::kKeyVoid) {
+      aExchange.doubt = false;
+      return Settle(aExchange, Translate(aExchange));
+    }
+    if (reply.verdict == verdict::kRefused) {
+      aExchange.doubt = aExchange.doubt || !asked;
+      return Settle(aExchange, Translate(aExchange));
+    }
+    if (!TimeLeft(aExchange, aNow)) {
+      aExchange.doubt = true;
+      return Settle(aExchange, Translate(aExchange));
+    }
+    if (reply.why == reason::kLeaving) {
+      aExchange.lost.push_back(aExchange.vm);
+    }
+    aExchange.notBefore = aNow + mState.settings.retryPause;
+    return step::kForward;
+  }
+
+  step Lost(exchange& aExchange, clock::time_point aNow)
+  {
+    switch (aExchange.next) {
+      case operation::kResolve:
+        return step::kForward;
+      case operation::kCommit:
+      case operation::kReconfirm:
+        return Resolve(aExchange, aNow);
+      case operation::kWrite:
+        if (aExchange.work->repeatable && mState.retries.Spend()) {
+          return Again(aExchange);
+        }
+        return Resolve(aExchange, aNow);
+      case operation::kRead:
+        if (mState.retries.Spend()) {
+          return Again(aExchange);
+        }
+        return Settle(aExchange, NotRun(reason::kUnreachable, Pause()));
+      default:
+        return Settle(aExchange, NotRun(reason::kTransactionLost, Pause()));
+    }
+  }
+
+  step NotSent(exchange& aExchange, clock::time_point aNow)
+  {
+    switch (aExchange.next) {
+      case operation::kCommit:
+        // An earlier call may have committed it.
+        return Resolve(aExchange, aNow);
+      case operation::kStatement:
+      case operation::kRollback:
+        return Settle(aExchange, NotRun(reason::kUnreachable, Pause()));
+      default:
+        return step::kForward;
+    }
+  }
+
+  step Again(exchange& aExchange)
+  {
+    ++mState.counters.retries;
+    aExchange.notBefore = {};
+    return step::kForward;
+  }
+
+  step Resolve(exchange& aExchange, clock::time_point aNow)
+  {
+    ++mState.counters.resolutions;
+    aExchange.doubt = true;
+    aExchange.next = operation::kResolve;
+    aExchange.notBefore = aNow;
+    return step::kForward;
+  }
+
+  [[nodiscard]] bool TimeLeft(const exchange& aExchange,
+                              clock::time_point aNow) const
+  {
+    return aNow + kResolveMargins * mState.settings.returnMargin <
+           aExchange.deadline;
+  }
+
+  [[nodiscard]] std::chrono::milliseconds Pause()
+  {
+    return mState.Spread(kComeBack);
+  }
+
+  [[nodiscard]] caller_answer Translate(exchange& aExchange)
+  {
+    group::answer& reply = aExchange.reply;
+    caller_answer answer;
+    answer.verdict = reply.verdict;
+    answer.why = reply.why;
+    answer.message = std::move(reply.message);
+    answer.results = std::move(reply.results);
+    answer.servedBy = std::move(reply.servedBy);
+    answer.failureDomain = std::move(reply.failureDomain);
+    answer.byReplica = reply.byReplica;
+    answer.repeated = reply.repeated;
+    answer.sqlState = std::move(reply.sqlState);
+    answer.retryAfter = reply.retryAfter;
+    if (answer.verdict == verdict::kDone) {
+      Note(aExchange, answer);
+    }
+    return answer;
+  }
+
+  /// Notes what a reply of success adds: the session's position, or the
+  /// transaction that was opened.
+  void Note(exchange& aExchange, caller_answer& aAnswer) const
+  {
+    if (ShowsPosition(aExchange)) {
+      aExchange.seen.Raise(aExchange.group, aExchange.reply.position);
+    }
+    if (aExchange.request.kind == call_kind::kBegin) {
+      const transaction_name name{ aExchange.vm,
+                                   aExchange.incarnation,
+                                   aExchange.reply.transaction,
+                                   aExchange.work->name,
+                                   aExchange.group,
+                                   aExchange.key };
+      aAnswer.transaction = MakeTransactionId(name, mState.keys);
+    }
+  }
+
+  /// The one place that every answer passes: what was sent and isn't known
+  /// to have failed is never told as not run.
+  step Settle(exchange& aExchange, caller_answer aAnswer)
+  {
+    const bool asked = aExchange.request.kind == call_kind::kOutcome;
+    const bool untold = aAnswer.verdict == verdict::kNotRun ||
+                        aAnswer.verdict == verdict::kRefused;
+    if (aExchange.doubt && untold) {
+      aAnswer.verdict = verdict::kUnknown;
+    }
+    if (asked && aAnswer.verdict == verdict::kNotRun &&
+        aAnswer.why != reason::kKeyVoid) {
+      aAnswer.verdict = verdict::kUnknown;
+    }
+    if (aAnswer.verdict == verdict::kUnknown) {
+      aAnswer.retryAfter = {};
+      if (HasOutcome(aExchange)) {
+        aAnswer.ask = AskPath(aExchange.group, aExchange.key);
+      }
+    }
+    if (aAnswer.verdict == verdict::kNotRun &&
+        aAnswer.retryAfter == std::chrono::milliseconds(0)) {
+      aAnswer.retryAfter = Pause();
+    }
+    aAnswer.group = aExchange.group;
+    if (HasOutcome(aExchange) || aExchange.request.kind == call_kind::kBegin) {
+      aAnswer.key = aExchange.key;
+    }
+    aExchange.answer = std::move(aAnswer);
+    return step::kBack;
+  }
+
+  shared_state& mState;
+};
+
+} // namespace
+
+std::unique_ptr<filter>
+MakeOutcome(shared_state& aState)
+{
+  return std::make_unique<resolve_outcome>(aState);
+}
+
+} // namespace currantshed::gateway
--- /dev/null
+++ b/src/currantshed/gateway/pooler_health.hpp
@@ -0,0 +1,43 @@
+#ifndef CURRANTSHED_GATEWAY_POOLER_HEALTH_HPP
+#define CURRANTSHED_GATEWAY_POOLER_HEALTH_HPP
+
+#include <string>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/gateway/fwd.hpp"
+
+namespace currantshed::gateway {
+
+/// What one engine has found out about the poolers by its own requests.
+/// Only steers the choice among owners; being wrong costs speed.
+class pooler_health
+{
+public:
+  /// An answer came from the VM's pooler, so it isn't suspect any more.
+  void Heard(const std::string& aVm, clock::time_point aNow);
+
+  /// When the VM's pooler last answered; the clock's epoch if never.
+  [[nodiscard]] clock::time_point LastHeard(const std::string& aVm) const;
+
+  /// Passes the VM's pooler over until the given time, where another owner
+  /// is left.
+  void Suspect(const std::string& aVm, clock::time_point aUntil);
+
+  [[nodiscard]] bool Suspected(const std::string& aVm,
+                               clock::time_point aNow) const;
+
+private:
+  struct word
+  {
+    clock::time_point heard;
+    clock::time_point suspectUntil;
+  };
+
+  absl::flat_hash_map<std::string, word> mWords;
+};
+
+} // namespace currantshed::gateway
+
+#endif
--- /dev/null
+++ b/src/currantshed/gateway/route.cpp
@@ -0,0 +1,198 @@
+#include <algorithm>
+#include <utility>
+
+#include "currantshed/gateway/exchange.hpp"
+#include "currantshed/gateway/filter.hpp"
+#include "currantshed/gateway/shared_state.hpp"
+
+namespace currantshed::gateway {
+
+namespace {
+
+using group::operation;
+
+constexpr int kReadShare = 4;
+constexpr int kChangeShare = 2;
+constexpr std::chrono::milliseconds kComeBack{ 100 };
+
+/// Whether the operation belongs to an open transaction, which only the
+/// pooler that opened it knows.
+bool
+IsBound(operation aOperation)
+{
+  return aOperation == operation::kStatement ||
+         aOperation == operation::kCommit || aOperation == operation::kRollback;
+}
+
+bool
+Holds(const std::vector<std::string>& aList, const std::string& aVm)
+{
+  return std::find(aList.begin(), aList.end(), aVm) != aList.end();
+}
+
+class route final : public filter
+{
+public:
+  explicit route(shared_state& aState)
+    : mState(aState)
+  {
+  }
+
+  step Forward(exchange& aExchange, clock::time_point aNow) override
+  {
+    if (aNow < aExchange.notBefore) {
+      aExchange.due = std::min(aExchange.notBefore, aExchange.deadline);
+      return step::kWait;
+    }
+    if (IsBound(aExchange.next)) {
+      return ForwardBound(aExchange, aNow);
+    }
+    const std::string* vm = Choose(aExchange, aNow);
+    if (vm != nullptr) {
+      return Send(aExchange, *vm, aNow);
+    }
+    if (!aExchange.doubt) {
+      aExchange.answer =
+        NotRun(outcome::reason::kUnreachable, mState.Spread(kComeBack));
+      return step::kBack;
+    }
+    aExchange.notBefore = aNow + mState.settings.retryPause;
+    aExchange.due = std::min(aExchange.notBefore, aExchange.deadline);
+    return step::kWait;
+  }
+
+  step Back(exchange& aExchange, clock::time_point aNow) override
+  {
+    const bool underWay = aExchange.sentAs != 0;
+    if (aExchange.back == arrival::kReply) {
+      mState.health.Heard(aExchange.vm, aNow);
+    } else if (aExchange.back == arrival::kNotSent) {
+      PassOver(aExchange, aNow);
+    } else if (underWay) {
+      aExchange.doubt = true;
+      mState.actions.emplace_back(
+        cancel_at_pooler{ aExchange.vm, aExchange.sentAs });
+      if (aExchange.back == arrival::kLost) {
+        PassOver(aExchange, aNow);
+      }
+    }
+    aExchange.sentAs = 0;
+    return step::kBack;
+  }
+
+private:
+  step ForwardBound(exchange& aExchange, clock::time_point aNow)
+  {
+    const transaction_name& name = aExchange.transaction;
+    if (mState.IsLive(name.vm)) {
+      return Send(aExchange, name.vm, aNow);
+    }
+    if (aExchange.next != operation::kCommit) {
+      aExchange.answer = NotRun(outcome::reason::kTransactionLost, {});
+      return step::kBack;
+    }
+    // An earlier commit of this transaction may have run, by this gateway or
+    // another one.
+    ++mState.counters.resolutions;
+    aExchange.next = operation::kResolve;
+    aExchange.doubt = true;
+    return Forward(aExchange, aNow);
+  }
+
+  /// The first owner that has not failed lately or, where all have, the first
+  /// one that has not failed this exchange; none where all have done that.
+  [[nodiscard]] const std::string* Choose(exchange& aExchange,
+                                          clock::time_point aNow)
+  {
+    const auto& owners = mState.Owners(aExchange.group);
+    const std::string* second = nullptr;
+    for (const std::string& vm : owners) {
+      if (Holds(aExchange.lost, vm)) {
+        continue;
+      }
+      if (!mState.health.Suspected(vm, aNow)) {
+        return &vm;
+      }
+      if (second == nullptr) {
+        second = &vm;
+      }
+    }
+    if (second == nullptr) {
+      // The next round begins with the leader again.
+      aExchange.lost.clear();
+    }
+    return second;
+  }
+
+  step Send(exchange& aExchange, const std::string& aVm, clock::time_point aNow)
+  {
+    aExchange.vm = aVm;
+    aExchange.sentAs = ++mState.lastSent;
+    aExchange.sentAt = aNow;
+    aExchange.patience = Patience(aExchange, aNow);
+    aExchange.due = std::min(aExchange.deadline, aNow + aExchange.patience);
+    mState.actions.emplace_back(Compose(aExchange));
+    return step::kWait;
+  }
+
+  /// How long the pooler's silence is borne. The more time the deadline
+  /// leaves, the longer a slow statement is waited for.
+  [[nodiscard]] clock::duration Patience(const exchange& aExchange,
+                                         clock::time_point aNow) const
+  {
+    const clock::duration left = aExchange.deadline - aNow;
+    if (aExchange.next == operation::kRead) {
+      return std::max<clock::duration>(mState.settings.readPatience,
+                                       left / kReadShare);
+    }
+    return std::max<clock::duration>(mState.settings.changePatience,
+                                     left / kChangeShare);
+  }
+
+  [[nodiscard]] send_to_pooler Compose(const exchange& aExchange) const
+  {
+    send_to_pooler message;
+    message.vm = aExchange.vm;
+    message.group = aExchange.group;
+    group::request& request = message.request;
+    request.id = aExchange.sentAs;
+    request.kind = aExchange.next;
+    if (aExchange.work != nullptr) {
+      request.work = *aExchange.work;
+    }
+    const bool asksOnly = aExchange.next == operation::kResolve ||
+                          aExchange.next == operation::kReconfirm;
+    if (!asksOnly) {
+      request.statements = aExchange.request.statements;
+    }
+    request.key = aExchange.key;
+    const auto floor = aExchange.seen.Floor(aExchange.group);
+    request.floor = floor.position;
+    request.fresh = floor.fresh;
+    request.deadline = aExchange.deadline - mState.settings.returnMargin;
+    request.position = aExchange.asked;
+    if (IsBound(aExchange.next)) {
+      request.transaction = aExchange.transaction.number;
+      message.incarnation = aExchange.transaction.incarnation;
+    }
+    return message;
+  }
+
+  void PassOver(exchange& aExchange, clock::time_point aNow)
+  {
+    mState.health.Suspect(aExchange.vm, aNow + mState.settings.suspectFor);
+    aExchange.lost.push_back(aExchange.vm);
+  }
+
+  shared_state& mState;
+};
+
+} // namespace
+
+std::unique_ptr<filter>
+MakeRoute(shared_state& aState)
+{
+  return std::make_unique<route>(aState);
+}
+
+} // namespace currantshed::gateway
--- /dev/null
+++ b/test/currantshed/gateway/engine.cpp
@@ -0,0 +1,385 @@
+#include "currantshed/gateway/engine.hpp"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "currantshed/gateway/error.hpp"
+#include "currantshed/gateway/transaction_name.hpp"
+#include "currantshed/session/token.hpp"
+#include "test/currantshed/gateway/engine_bench.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using namespace currantshed::gateway::test;
+namespace gateway = currantshed::gateway;
+namespace session = currantshed::session;
+using currantshed::clock::time_point;
+using currantshed::outcome::reason;
+using currantshed::outcome::verdict;
+using currantshed::position::log_position;
+using gateway::call_kind;
+using gateway::gateway_error;
+
+namespace {
+
+struct refusal_row
+{
+  const char* name;
+  void (*change)(gateway::caller_request&);
+  gateway_error expect;
+};
+
+const refusal_row kRefusals[] = {
+  { "unknown class",
+    [](auto& aCall) { aCall.workClass = "nonsense"; },
+    gateway_error::kUnknownClass },
+  { "unknown group",
+    [](auto& aCall) { aCall.group = "nonsense"; },
+    gateway_error::kUnknownGroup },
+  { "group that the class may not use",
+    [](auto& aCall) { aCall.workClass = "planning"; },
+    gateway_error::kGroupNotAllowed },
+  { "no statement",
+    [](auto& aCall) { aCall.statements.clear(); },
+    gateway_error::kNoStatement },
+  { "empty statement",
+    [](auto& aCall) { aCall.statements[0].sql.clear(); },
+    gateway_error::kNoStatement },
+  { "too many statements",
+    [](auto& aCall) {
+      aCall.statements.resize(65, { "SELECT 1", {} });
+    },
+    gateway_error::kTooManyStatements },
+  { "statement too large",
+    [](auto& aCall) { aCall.statements[0].sql.assign(262145, 'x'); },
+    gateway_error::kStatementTooLarge },
+  { "too many parameters",
+    [](auto& aCall) { aCall.statements[0].parameters.resize(1025); },
+    gateway_error::kTooManyParameters },
+  { "malformed token",
+    [](auto& aCall) { aCall.session = "nonsense!"; },
+    gateway_error::kMalformedToken },
+  { "forged token",
+    [](auto& aCall) {
+      aCall.session = session::MakeToken({}, Ring(kOtherKeys));
+    },
+    gateway_error::kForgedToken },
+  { "foreign token",
+    [](auto& aCall) { aCall.session = TransactionId("vm-a"); },
+    gateway_error::kForeignToken },
+  { "malformed key",
+    [](auto& aCall) { aCall.key = "nonsense"; },
+    gateway_error::kMalformedKey },
+  { "transaction of a class that only reads",
+    [](auto& aCall) {
+      aCall.kind = call_kind::kBegin;
+      aCall.workClass = "lookup";
+    },
+    gateway_error::kReadOnlyClass },
+  { "malformed transaction",
+    [](auto& aCall) {
+      aCall.kind = call_kind::kCommit;
+      aCall.transaction = "nonsense!";
+    },
+    gateway_error::kMalformedTransaction },
+  { "session's token in place of a transaction's id",
+    [](auto& aCall) {
+      aCall.kind = call_kind::kCommit;
+      aCall.transaction = session::MakeToken({}, Ring());
+    },
+    gateway_error::kForgedTransaction },
+  { "another key than that of the transaction",
+    [](auto& aCall) {
+      aCall.kind = call_kind::kCommit;
+      aCall.transaction = TransactionId("vm-a");
+      aCall.key = SpareKey(78).Text();
+    },
+    gateway_error::kKeyMismatch },
+  { "outcome without a key",
+    [](auto& aCall) { aCall.kind = call_kind::kOutcome; },
+    gateway_error::kMalformedKey },
+};
+
+using token = std::optional<std::string>;
+
+struct floor_row
+{
+  const char* name;
+  token (*make)();
+  log_position floor;
+  bool fresh;
+};
+
+const floor_row kFloors[] = {
+  { "no token", [] { return token(); }, {}, true },
+  { "new session", [] { return token("new"); }, {}, false },
+  { "token with the group",
+    [] {
+      return token(session::MakeToken(Seen(kGroup, { 2, 8 }), Ring()));
+    },
+    { 2, 8 },
+    false },
+  { "token without the group",
+    [] {
+      return token(session::MakeToken(Seen("planner", { 2, 8 }), Ring()));
+    },
+    {},
+    false },
+  { "overflowed token without the group",
+    [] {
+      auto seen = Seen("planner", { 2, 8 });
+      seen.AssumeMore();
+      return token(session::MakeToken(seen, Ring()));
+    },
+    {},
+    true },
+};
+
+struct deadline_row
+{
+  const char* name;
+  std::chrono::milliseconds own;
+  /// Zero where nothing is to be sent.
+  std::chrono::milliseconds budget;
+};
+
+const deadline_row kDeadlines[] = {
+  { "the caller's comes first", 100ms, 95ms },
+  { "the class's comes first", 9000ms, 1995ms },
+  { "no time at all", 5ms, 0ms },
+};
+
+} // namespace
+
+TEST_GROUP(gateway_engine){};
+
+TEST(gateway_engine, refusals)
+{
+  for (const auto& row : kRefusals) {
+    engine_bench bench;
+    auto call = Call("report");
+    row.change(call);
+    bench.Submit(call);
+    STRCMP_EQUAL_TEXT("refused", bench.log.c_str(), row.name);
+    const auto& fault = bench.given.answer.fault;
+    STRCMP_EQUAL_TEXT(make_error_code(row.expect).message().c_str(),
+                      fault.message().c_str(),
+                      row.name);
+  }
+}
+
+TEST(gateway_engine, floors)
+{
+  for (const auto& row : kFloors) {
+    engine_bench bench;
+    auto call = Call("lookup");
+    call.session = row.make();
+    bench.Submit(call);
+    CHECK_TEXT(row.floor == bench.sent.request.floor, row.name);
+    CHECK_EQUAL_TEXT(row.fresh, bench.sent.request.fresh, row.name);
+  }
+}
+
+TEST(gateway_engine, deadlines)
+{
+  for (const auto& row : kDeadlines) {
+    engine_bench bench;
+    auto call = Call("report");
+    call.deadline = row.own;
+    bench.Submit(call);
+    if (row.budget == 0ms) {
+      STRCMP_EQUAL_TEXT("not_run", bench.log.c_str(), row.name);
+      CHECK_TEXT(bench.given.answer.why == reason::kDeadline, row.name);
+    } else {
+      CHECK_TEXT(bench.sent.request.deadline - bench.now == row.budget,
+                 row.name);
+    }
+  }
+}
+
+TEST(gateway_engine, answer_raises_the_token)
+{
+  engine_bench bench;
+  auto call = Call("report");
+  call.session = session::MakeToken(Seen("planner", { 2, 8 }), Ring());
+  bench.Submit(call);
+  bench.Reply(Answer(verdict::kDone));
+  session::position_vector seen;
+  CHECK(!session::ReadToken(bench.given.answer.session, Ring(), seen));
+  CHECK(seen.Floor(kGroup).position == (log_position{ 3, 50 }));
+  CHECK(seen.Floor("planner").position == (log_position{ 2, 8 }));
+}
+
+TEST(gateway_engine, answer_to_a_session_without_token_assumes_more)
+{
+  engine_bench bench;
+  auto call = Call("report");
+  call.session.reset();
+  bench.Submit(call);
+  bench.Reply(Answer(verdict::kDone));
+  session::position_vector seen;
+  CHECK(!session::ReadToken(bench.given.answer.session, Ring(), seen));
+  CHECK_FALSE(seen.Floor(kGroup).fresh);
+  CHECK(seen.Floor("planner").fresh);
+}
+
+TEST(gateway_engine, transaction_id_names_pooler_and_key)
+{
+  engine_bench bench;
+  bench.Submit(Call("report", call_kind::kBegin));
+  auto opened = Answer(verdict::kDone);
+  opened.transaction = 42;
+  bench.Reply(opened);
+  gateway::transaction_name name;
+  const auto& answer = bench.given.answer;
+  CHECK(!gateway::ReadTransactionId(answer.transaction, Ring(), name));
+  const gateway::transaction_name expected{
+    bench.owners[0], "life-1", 42, "report", kGroup, SpareKey(1)
+  };
+  CHECK(name == expected);
+  CHECK(answer.key == SpareKey(1));
+}
+
+TEST(gateway_engine, commit_uses_the_key_of_the_transaction)
+{
+  engine_bench bench;
+  auto call = Call("", call_kind::kCommit);
+  call.transaction = TransactionId("vm-a");
+  bench.Submit(call);
+  CHECK(bench.sent.request.key == SpareKey(77));
+  LONGS_EQUAL(9, bench.sent.request.transaction);
+  STRCMP_EQUAL("life-1", bench.sent.incarnation.c_str());
+}
+
+TEST(gateway_engine, commit_at_a_vm_that_has_gone_is_resolved)
+{
+  engine_bench bench;
+  auto call = Call("", call_kind::kCommit);
+  call.transaction = TransactionId("vm-gone");
+  bench.Submit(call);
+  bench.Reply(Answer(verdict::kNotRun, reason::kKeyVoid));
+  STRCMP_EQUAL("resolve@0 not_run", bench.log.c_str());
+}
+
+TEST(gateway_engine, suspected_pooler_is_passed_over_for_a_while)
+{
+  engine_bench bench;
+  bench.Submit(Call("lookup"));
+  bench.Engine().PoolerLost(bench.owners[0], bench.now);
+  bench.Take();
+  bench.Reply(Answer(verdict::kDone));
+  bench.Submit(Call("lookup"));
+  bench.Reply(Answer(verdict::kDone));
+  bench.Advance(2000ms);
+  bench.Submit(Call("lookup"));
+  STRCMP_EQUAL("read@0 cancel@0 read@1 done read@1 done read@0",
+               bench.log.c_str());
+}
+
+TEST(gateway_engine, late_answer_of_a_lost_pooler_is_dropped)
+{
+  engine_bench bench;
+  bench.Submit(Call("lookup"));
+  auto late = Answer(verdict::kDone);
+  late.request = bench.sent.request.id;
+  bench.Engine().PoolerLost(bench.owners[0], bench.now);
+  bench.Take();
+  bench.Engine().PoolerAnswered(late, "life-1", bench.now);
+  bench.Take();
+  STRCMP_EQUAL("read@0 cancel@0 read@1", bench.log.c_str());
+}
+
+TEST(gateway_engine, caller_that_has_gone_gets_no_answer)
+{
+  engine_bench bench;
+  bench.Submit(Call("report"));
+  bench.Engine().Cancel(1, bench.now);
+  bench.Take();
+  STRCMP_EQUAL("write@0 cancel@0", bench.log.c_str());
+  LONGS_EQUAL(0, bench.Engine().Pending());
+  LONGS_EQUAL(1, bench.Engine().Counters().abandoned);
+}
+
+TEST(gateway_engine, configuration_never_goes_back)
+{
+  engine_bench bench;
+  CHECK_FALSE(bench.Engine().Configure(SampleConfiguration(kVersion - 1)));
+  CHECK(bench.Engine().Configure(SampleConfiguration(kVersion)));
+  CHECK(bench.Engine().Configure(SampleConfiguration(kVersion + 1)));
+  CHECK_FALSE(bench.Engine().Configure(SampleConfiguration(kVersion)));
+}
+
+TEST(gateway_engine, one_class_leaves_room_for_others)
+{
+  engine_bench bench;
+  for (unsigned at = 0; at < 5000; ++at) {
+    bench.Submit(Call("lookup"));
+  }
+  // The class that asks for everything gets half of the room and no more.
+  LONGS_EQUAL(2048, bench.Engine().Pending());
+  CHECK(bench.given.answer.why == reason::kOverloaded);
+  CHECK(bench.given.answer.retryAfter > 0ms);
+  bench.Submit(Call("report"));
+  LONGS_EQUAL(2049, bench.Engine().Pending());
+  auto commit = Call("", call_kind::kCommit);
+  commit.transaction = TransactionId("vm-a");
+  bench.Submit(commit);
+  LONGS_EQUAL(2050, bench.Engine().Pending());
+}
+
+TEST(gateway_engine, draining_refuses_new_work_and_ends_what_is_under_way)
+{
+  engine_bench bench;
+  bench.Submit(Call("report"));
+  bench.Engine().Drain();
+  bench.Submit(Call("report"));
+  CHECK(bench.given.answer.why == reason::kLeaving);
+  bench.Reply(Answer(verdict::kDone));
+  STRCMP_EQUAL("write@0 not_run done", bench.log.c_str());
+  LONGS_EQUAL(0, bench.Engine().Pending());
+}
+
+TEST(gateway_engine, giving_up_answers_all)
+{
+  engine_bench bench;
+  bench.Submit(Call("report"));
+  bench.Submit(Call("lookup"));
+  bench.Engine().GiveUp(bench.now);
+  bench.Take();
+  LONGS_EQUAL(2, bench.answers);
+  LONGS_EQUAL(0, bench.Engine().Pending());
+}
+
+TEST(gateway_engine, retries_keep_to_their_budget)
+{
+  engine_bench bench;
+  unsigned retried = 0;
+  for (unsigned at = 0; at < 200; ++at) {
+    bench.Submit(Call("lookup"));
+    bench.log.clear();
+    bench.Engine().PoolerLost(bench.sent.vm, bench.now);
+    bench.Take();
+    if (bench.log.find("read@") != std::string::npos) {
+      ++retried;
+      bench.Reply(Answer(verdict::kDone));
+    }
+  }
+  // Twenty saved up, and one for each ten requests.
+  CHECK(retried >= 38 && retried <= 41);
+}
+
+TEST(gateway_engine, nothing_is_served_without_configuration_or_view)
+{
+  const auto bare = gateway::MakeEngine({}, Ring());
+  auto call = Call("report");
+  call.number = 1;
+  bare->Submit(call, time_point(1s));
+  const auto actions = bare->TakeActions();
+  LONGS_EQUAL(1, actions.size());
+  const auto& answer = std::get<gateway::give_answer>(actions[0]).answer;
+  CHECK(answer.verdict == verdict::kNotRun);
+  CHECK(answer.why == reason::kUnreachable);
+}
--- /dev/null
+++ b/test/currantshed/gateway/engine_fates.cpp
@@ -0,0 +1,370 @@
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "test/currantshed/gateway/engine_bench.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using namespace currantshed::gateway::test;
+using currantshed::clock::time_point;
+using currantshed::gateway::call_kind;
+using currantshed::outcome::reason;
+using currantshed::outcome::verdict;
+
+namespace {
+
+enum class event_kind
+{
+  kReply,
+  kAdvance,
+  kLost,
+  kNotSent,
+  kGone,
+};
+
+struct event
+{
+  event_kind kind;
+  verdict given = verdict::kDone;
+  reason why = reason::kNone;
+  std::chrono::milliseconds time{ 0 };
+};
+
+event
+Replies(verdict aVerdict, reason aWhy = reason::kNone)
+{
+  return { event_kind::kReply, aVerdict, aWhy };
+}
+
+event
+Passes(std::chrono::milliseconds aTime)
+{
+  return { event_kind::kAdvance, {}, {}, aTime };
+}
+
+const event kLost{ event_kind::kLost };
+const event kNotSent{ event_kind::kNotSent };
+/// The pooler's VM leaves the view.
+const event kGone{ event_kind::kGone };
+const event kDone = Replies(verdict::kDone);
+const event kVoid = Replies(verdict::kNotRun, reason::kKeyVoid);
+
+void
+Happen(engine_bench& aBench, const event& aEvent)
+{
+  const std::string vm = aBench.sent.vm;
+  switch (aEvent.kind) {
+    case event_kind::kReply:
+      aBench.Reply(Answer(aEvent.given, aEvent.why));
+      return;
+    case event_kind::kAdvance:
+      aBench.Advance(aEvent.time);
+      return;
+    case event_kind::kLost:
+      aBench.Engine().PoolerLost(vm, aBench.now);
+      break;
+    case event_kind::kNotSent:
+      aBench.Engine().NotSent(aBench.sent.request.id, aBench.now);
+      break;
+    case event_kind::kGone: {
+      auto seen = SampleView();
+      std::erase_if(seen.live, [&vm](const auto& aVm) { return aVm.id == vm; });
+      aBench.Engine().ViewChanged(seen, aBench.now);
+      break;
+    }
+  }
+  aBench.Take();
+}
+
+struct fate_row
+{
+  const char* name;
+  const char* workClass;
+  std::vector<event> events;
+  const char* log;
+  reason why = reason::kNone;
+};
+
+const fate_row kFates[] = {
+  { "read answered", "lookup", { kDone }, "read@0 done" },
+  { "write answered", "report", { kDone }, "write@0 done" },
+  { "write acknowledged at the end of the validity",
+    "report",
+    { Passes(200ms), kDone },
+    "write@0 done" },
+  { "write answered after the validity is reconfirmed",
+    "report",
+    { Passes(201ms), kDone, kDone },
+    "write@0 reconfirm@0 done" },
+  { "reconfirmed too late is asked again",
+    "report",
+    { Passes(201ms), kDone, Passes(201ms), kDone, kDone },
+    "write@0 reconfirm@0 reconfirm@0 done" },
+  { "position of a past term is resolved by the key",
+    "report",
+    { Passes(201ms),
+      kDone,
+      Replies(verdict::kNotRun, reason::kNoPrimary),
+      Passes(50ms),
+      kDone },
+    "write@0 reconfirm@0 resolve@0 done" },
+  { "reconfirmation lost is resolved by the key",
+    "report",
+    { Passes(201ms), kDone, kLost, kDone },
+    "write@0 reconfirm@0 cancel@0 resolve@1 done" },
+  { "reconfirmation not sent goes to the next owner",
+    "report",
+    { Passes(201ms), kDone, kNotSent, kDone },
+    "write@0 reconfirm@0 reconfirm@1 done" },
+  { "reconfirmation unanswered at the deadline is unknown",
+    "report",
+    { Passes(201ms), kDone, Passes(1800ms) },
+    "write@0 reconfirm@0 cancel@0 unknown",
+    reason::kDeadline },
+  { "read answered late needs no reconfirmation",
+    "lookup",
+    { Passes(400ms), kDone },
+    "read@0 done" },
+  { "read goes to the next owner",
+    "lookup",
+    { kLost, kDone },
+    "read@0 cancel@0 read@1 done" },
+  { "read goes on to the last owner",
+    "lookup",
+    { kLost, kLost, kDone },
+    "read@0 cancel@0 read@1 cancel@1 read@2 done" },
+  { "read sent and lost is never told as not run",
+    "lookup",
+    { kLost, Replies(verdict::kNotRun, reason::kOverloaded) },
+    "read@0 cancel@0 read@1 unknown",
+    reason::kOverloaded },
+  { "silent pooler is left by a read",
+    "lookup",
+    { Passes(499ms), Passes(1ms), kDone },
+    "read@0 cancel@0 read@1 done" },
+  { "lost write is resolved: done",
+    "report",
+    { kLost, kDone },
+    "write@0 cancel@0 resolve@1 done" },
+  { "lost write is resolved: void",
+    "report",
+    { kLost, kVoid },
+    "write@0 cancel@0 resolve@1 not_run",
+    reason::kKeyVoid },
+  { "lost write is resolved too late, and confirmed again",
+    "report",
+    { kLost, Passes(201ms), kDone, kDone },
+    "write@0 cancel@0 resolve@1 reconfirm@1 done" },
+  { "lost write that no owner can resolve is unknown at the deadline",
+    "report",
+    { kLost, kLost, kLost, Passes(2000ms) },
+    "write@0 cancel@0 resolve@1 cancel@1 resolve@2 cancel@2 unknown",
+    reason::kDeadline },
+  { "resolving goes round the owners until one can tell",
+    "report",
+    { kLost, kLost, kLost, Passes(50ms), kDone },
+    "write@0 cancel@0 resolve@1 cancel@1 resolve@2 cancel@2 resolve@0 done" },
+  { "refusal to resolve now is asked again",
+    "report",
+    { kLost,
+      Replies(verdict::kNotRun, reason::kNoPrimary),
+      Passes(50ms),
+      kDone },
+    "write@0 cancel@0 resolve@1 resolve@1 done" },
+  { "refusal to resolve at all leaves it unknown",
+    "report",
+    { kLost, Replies(verdict::kRefused, reason::kKeyExpired) },
+    "write@0 cancel@0 resolve@1 unknown",
+    reason::kKeyExpired },
+  { "repeatable write is sent again with its key",
+    "draft",
+    { kLost, kDone },
+    "write@0 cancel@0 write@1 done" },
+  { "repeatable write in doubt is not told as not run",
+    "draft",
+    { kLost, Replies(verdict::kNotRun, reason::kOverloaded), kVoid },
+    "write@0 cancel@0 write@1 resolve@1 not_run",
+    reason::kKeyVoid },
+  { "silent pooler is left by a write",
+    "report",
+    { Passes(999ms), Passes(1ms), kDone },
+    "write@0 cancel@0 resolve@1 done" },
+  { "VM gone from the view is lost at once",
+    "report",
+    { kGone, kVoid },
+    "write@0 cancel@0 resolve@1 not_run",
+    reason::kKeyVoid },
+  { "unsent read goes to the next owner",
+    "lookup",
+    { kNotSent, kDone },
+    "read@0 read@1 done" },
+  { "unsent write may be sent to the next owner",
+    "report",
+    { kNotSent, kDone },
+    "write@0 write@1 done" },
+  { "write that no owner takes was not run",
+    "report",
+    { kNotSent, kNotSent, kNotSent },
+    "write@0 write@1 write@2 not_run",
+    reason::kUnreachable },
+  { "leaving pooler's refusal is tried at the next owner",
+    "report",
+    { Replies(verdict::kNotRun, reason::kLeaving), kDone },
+    "write@0 write@1 done" },
+  { "other refusals are passed on",
+    "report",
+    { Replies(verdict::kNotRun, reason::kNoPrimary) },
+    "write@0 not_run",
+    reason::kNoPrimary },
+  { "pooler's doubt is resolved while there is time",
+    "report",
+    { Replies(verdict::kUnknown, reason::kDeadline), kVoid },
+    "write@0 resolve@0 not_run",
+    reason::kKeyVoid },
+  { "pooler's doubt at the deadline is told",
+    "report",
+    { Passes(990ms), Replies(verdict::kNotRun, reason::kNoPrimary) },
+    "write@0 not_run",
+    reason::kNoPrimary },
+  { "sent write at its deadline is unknown",
+    "report",
+    { Passes(2000ms) },
+    "write@0 cancel@0 unknown",
+    reason::kDeadline },
+  { "sent read at its deadline is unknown",
+    "lookup",
+    { Passes(2000ms) },
+    "read@0 cancel@0 unknown",
+    reason::kDeadline },
+  { "statement refused by the database",
+    "report",
+    { Replies(verdict::kRefused, reason::kStatement) },
+    "write@0 refused",
+    reason::kStatement },
+};
+
+struct bound_row
+{
+  const char* name;
+  call_kind kind;
+  std::vector<event> events;
+  const char* log;
+  reason why = reason::kNone;
+};
+
+/// The transaction's pooler is the group's second owner.
+const bound_row kBoundFates[] = {
+  { "statement", call_kind::kStatement, { kDone }, "statement@1 done" },
+  { "commit", call_kind::kCommit, { kDone }, "commit@1 done" },
+  { "rollback", call_kind::kRollback, { kDone }, "rollback@1 done" },
+  { "commit answered after the validity",
+    call_kind::kCommit,
+    { Passes(201ms), kDone, kDone },
+    "commit@1 reconfirm@0 done" },
+  { "statement lost is unknown and never sent again",
+    call_kind::kStatement,
+    { kLost },
+    "statement@1 cancel@1 unknown",
+    reason::kTransactionLost },
+  { "statement not sent has not run",
+    call_kind::kStatement,
+    { kNotSent },
+    "statement@1 not_run",
+    reason::kUnreachable },
+  { "commit lost is resolved",
+    call_kind::kCommit,
+    { kLost, kDone },
+    "commit@1 cancel@1 resolve@0 done" },
+  { "commit of an unknown transaction is resolved",
+    call_kind::kCommit,
+    { Replies(verdict::kNotRun, reason::kTransactionLost), kVoid },
+    "commit@1 resolve@0 not_run",
+    reason::kKeyVoid },
+  { "commit not sent is resolved, as an earlier one may have run",
+    call_kind::kCommit,
+    { kNotSent, kDone },
+    "commit@1 resolve@0 done" },
+  { "rollback lost is unknown",
+    call_kind::kRollback,
+    { kLost },
+    "rollback@1 cancel@1 unknown",
+    reason::kTransactionLost },
+};
+
+struct outcome_row
+{
+  const char* name;
+  event reply;
+  const char* log;
+};
+
+const outcome_row kOutcomes[] = {
+  { "done", kDone, "resolve@0 done" },
+  { "void", kVoid, "resolve@0 not_run" },
+  { "key too old",
+    Replies(verdict::kRefused, reason::kKeyExpired),
+    "resolve@0 refused" },
+  { "nobody can tell",
+    Replies(verdict::kNotRun, reason::kNoPrimary),
+    "resolve@0 unknown" },
+};
+
+} // namespace
+
+TEST_GROUP(gateway_fates){};
+
+TEST(gateway_fates, statements)
+{
+  for (const auto& row : kFates) {
+    engine_bench bench;
+    bench.Submit(Call(row.workClass));
+    for (const auto& next : row.events) {
+      Happen(bench, next);
+    }
+    STRCMP_EQUAL_TEXT(row.log, bench.log.c_str(), row.name);
+    const auto& answer = bench.given.answer;
+    CHECK_TEXT(row.why == answer.why, row.name);
+    LONGS_EQUAL_TEXT(1, bench.answers, row.name);
+    LONGS_EQUAL_TEXT(0, bench.Engine().Pending(), row.name);
+    CHECK_TEXT(bench.Engine().NextTick() == time_point::max(), row.name);
+    const bool write = std::string(row.workClass) != "lookup";
+    CHECK_EQUAL_TEXT(write && answer.verdict == verdict::kUnknown,
+                     !answer.ask.empty(),
+                     row.name);
+    CHECK_EQUAL_TEXT(
+      answer.verdict == verdict::kNotRun, answer.retryAfter > 0ms, row.name);
+  }
+}
+
+TEST(gateway_fates, calls_in_a_transaction)
+{
+  for (const auto& row : kBoundFates) {
+    engine_bench bench;
+    auto call = Call("", row.kind);
+    call.transaction = TransactionId(bench.owners[1]);
+    bench.Submit(call);
+    for (const auto& next : row.events) {
+      Happen(bench, next);
+    }
+    STRCMP_EQUAL_TEXT(row.log, bench.log.c_str(), row.name);
+    CHECK_TEXT(row.why == bench.given.answer.why, row.name);
+    LONGS_EQUAL_TEXT(1, bench.answers, row.name);
+    LONGS_EQUAL_TEXT(0, bench.Engine().Pending(), row.name);
+  }
+}
+
+TEST(gateway_fates, outcome_is_not_run_only_when_the_key_is_void)
+{
+  for (const auto& row : kOutcomes) {
+    engine_bench bench;
+    auto call = Call("", call_kind::kOutcome);
+    call.key = SpareKey(5).Text();
+    call.deadline = 10ms;
+    bench.Submit(call);
+    Happen(bench, row.reply);
+    STRCMP_EQUAL_TEXT(row.log, bench.log.c_str(), row.name);
+  }
+}
