--- a/src/currantshed/load/caller.cpp
+++ b/src/currantshed/load/caller.cpp
@@ -216,6 +216,7 @@
   answer_record record;
   record.work = aWork.name;
   record.outcome = aAnswer.outcome;
+  record.deadline = aWork.deadline;
   record.end = aAnswer.end;
   record.reason = aAnswer.reason;
   record.read = aWork.kind == policy::access::kRead && !aRequest.get;
--- a/src/currantshed/load/checker.cpp
+++ b/src/currantshed/load/checker.cpp
@@ -211,25 +211,52 @@
   return aSorted[std::max<std::size_t>(rank, 1) - 1];
 }
 
+latency_summary
+Summary(latency_list aList)
+{
+  if (aList.empty()) {
+    return {};
+  }
+  std::sort(aList.begin(), aList.end());
+  return { aList.size(), Percentile(aList, kMedian), Percentile(aList, kTail) };
+}
+
+/// Latencies of one class by outcome.
+struct class_latencies
+{
+  latency_list done;
+  latency_list notRun;
+};
+
+void
+MeasureAnswer(findings& aFindings, const answer_record& aAnswer)
+{
+  const bool done = aAnswer.outcome == told::kDone;
+  class_summary& summary = aFindings.classes[aAnswer.work];
+  ++aFindings.requests;
+  ++summary.requests;
+  summary.met += done && aAnswer.latency <= aAnswer.deadline ? 1 : 0;
+  aFindings.cutOff += aAnswer.end == exchange_end::kCutOff ? 1 : 0;
+  aFindings.reads += done && aAnswer.read ? 1 : 0;
+  aFindings.replicaReads += done && aAnswer.read && aAnswer.byReplica ? 1 : 0;
+}
+
 void
 MeasureAnswers(findings& aFindings, const history& aHistory)
 {
-  std::map<std::string, latency_list> latencies;
+  std::map<std::string, class_latencies> latencies;
   for (const answer_record& answer : aHistory.answers) {
-    ++aFindings.requests;
-    aFindings.cutOff += answer.end == exchange_end::kCutOff ? 1 : 0;
-    if (answer.outcome != told::kDone) {
-      continue;
+    MeasureAnswer(aFindings, answer);
+    if (answer.outcome == told::kDone) {
+      latencies[answer.work].done.push_back(answer.latency);
+    }
+    if (answer.outcome == told::kNotRun) {
+      latencies[answer.work].notRun.push_back(answer.latency);
     }
-    aFindings.reads += answer.read ? 1 : 0;
-    aFindings.replicaReads += answer.read && answer.byReplica ? 1 : 0;
-    latencies[answer.work].push_back(answer.latency);
   }
-  for (auto& [work, list] : latencies) {
-    std::sort(list.begin(), list.end());
-    aFindings.latencies[work] = { list.size(),
-                                  Percentile(list, kMedian),
-                                  Percentile(list, kTail) };
+  for (auto& [work, lists] : latencies) {
+    aFindings.classes[work].done = Summary(std::move(lists.done));
+    aFindings.classes[work].notRun = Summary(std::move(lists.notRun));
   }
 }
 
--- a/src/currantshed/load/checker.hpp
+++ b/src/currantshed/load/checker.hpp
@@ -13,7 +13,7 @@
 
 namespace currantshed::load {
 
-/// Latencies of one class's answered requests.
+/// Latencies of some answers.
 struct latency_summary
 {
   std::uint64_t count = 0;
@@ -21,6 +21,16 @@
   std::chrono::microseconds p99{ 0 };
 };
 
+/// What callers saw of one class of work.
+struct class_summary
+{
+  std::uint64_t requests = 0;
+  /// Done, and within the class's deadline.
+  std::uint64_t met = 0;
+  latency_summary done;
+  latency_summary notRun;
+};
+
 /// How long one group was without an acknowledged write after a cut.
 struct failover_gap
 {
@@ -54,7 +64,7 @@
   std::uint64_t reads = 0;
   std::uint64_t replicaReads = 0;
   std::vector<failover_gap> gaps;
-  std::map<std::string, latency_summary> latencies;
+  std::map<std::string, class_summary> classes;
   /// One line for each breach, of the first ones.
   std::vector<std::string> breaches;
 };
--- a/src/currantshed/load/history.hpp
+++ b/src/currantshed/load/history.hpp
@@ -93,6 +93,8 @@
   bool read = false;
   bool byReplica = false;
   std::chrono::microseconds latency{ 0 };
+  /// The class's deadline.
+  std::chrono::milliseconds deadline{ 0 };
   exchange_end end = exchange_end::kAnswered;
   std::string reason;
   std::string servedBy;
--- a/src/currantshed/load/report.cpp
+++ b/src/currantshed/load/report.cpp
@@ -66,13 +66,23 @@
 }
 
 json::object
-Latencies(const findings& aFindings)
+LatencyOf(const latency_summary& aSummary)
+{
+  return { { "count", aSummary.count },
+           { "p50_ms", Milliseconds(aSummary.p50) },
+           { "p99_ms", Milliseconds(aSummary.p99) } };
+}
+
+json::object
+Classes(const findings& aFindings)
 {
   json::object classes;
-  for (const auto& [work, summary] : aFindings.latencies) {
-    classes[work] = json::object{ { "count", summary.count },
-                                  { "p50_ms", Milliseconds(summary.p50) },
-                                  { "p99_ms", Milliseconds(summary.p99) } };
+  for (const auto& [work, summary] : aFindings.classes) {
+    json::object object = LatencyOf(summary.done);
+    object["requests"] = summary.requests;
+    object["met_deadline"] = summary.met;
+    object["not_run"] = LatencyOf(summary.notRun);
+    classes[work] = std::move(object);
   }
   return classes;
 }
@@ -146,7 +156,7 @@
     { "replica_read_share", ReplicaShare(aFindings) },
     { "failover_gap_ms", LongestGap(aFindings) },
     { "failover_gaps_ms", Gaps(aFindings) },
-    { "classes", Latencies(aFindings) },
+    { "classes", Classes(aFindings) },
     { "length_ms", aLength.count() },
     { "kept", Kept(aFindings) },
     { "breaches", std::move(breaches) },
--- a/test/currantshed/load/checker.cpp
+++ b/test/currantshed/load/checker.cpp
@@ -246,8 +246,8 @@
                                 .latency = std::chrono::microseconds(i) });
     }
     const auto found = load::Check(given, {});
-    CHECK_TEXT(found.latencies.at("w").p50 == row.p50, row.name);
-    CHECK_TEXT(found.latencies.at("w").p99 == row.p99, row.name);
+    CHECK_TEXT(found.classes.at("w").done.p50 == row.p50, row.name);
+    CHECK_TEXT(found.classes.at("w").done.p99 == row.p99, row.name);
   }
 }
 
@@ -263,12 +263,14 @@
                                  true,
                                  false,
                                  1us,
+                                 0ms,
                                  load::exchange_end::kCutOff },
                                { "w",
                                  told::kUnknown,
                                  true,
                                  false,
                                  1us,
+                                 0ms,
                                  load::exchange_end::kNotSent } } };
   const auto found = load::Check(given, {});
   UNSIGNED_LONGLONGS_EQUAL(6, found.requests);
@@ -294,3 +296,37 @@
   UNSIGNED_LONGLONGS_EQUAL(1, found.unknown);
   UNSIGNED_LONGLONGS_EQUAL(1, found.refused);
 }
+
+namespace {
+
+struct deadline_row
+{
+  const char* name;
+  told outcome;
+  std::chrono::microseconds latency;
+  std::uint64_t met;
+  std::uint64_t notRun;
+};
+
+const deadline_row kDeadlineRows[] = {
+  { "done at the deadline", told::kDone, 10ms, 1, 0 },
+  { "done after the deadline", told::kDone, 10001us, 0, 0 },
+  { "refused in time", told::kNotRun, 1ms, 0, 1 },
+  { "unknown in time", told::kUnknown, 1ms, 0, 0 },
+};
+
+} // namespace
+
+TEST(load_checker, deadlines)
+{
+  for (const auto& row : kDeadlineRows) {
+    const load::history given{ .answers = { { .work = "w",
+                                              .outcome = row.outcome,
+                                              .latency = row.latency,
+                                              .deadline = 10ms } } };
+    const auto found = load::Check(given, {}).classes.at("w");
+    UNSIGNED_LONGLONGS_EQUAL_TEXT(1, found.requests, row.name);
+    UNSIGNED_LONGLONGS_EQUAL_TEXT(row.met, found.met, row.name);
+    UNSIGNED_LONGLONGS_EQUAL_TEXT(row.notRun, found.notRun.count, row.name);
+  }
+}
