--- a/tools/lib/cluster.sh
+++ b/tools/lib/cluster.sh
@@ -8,6 +8,7 @@
 #   cluster_vm_start ID       starts a VM's pooler and gateway
 #   cluster_vm_stop ID        asks both to end (SIGTERM) and waits
 #   cluster_vm_kill ID        kills both
+#   cluster_kill NAME         kills one process
 #   cluster_signal NAME SIG   signals one process: platform, upstream.ID,
 #                             pooler.ID or gateway.ID
 #   cluster_fault ID QUERY    orders a fault of a database server (cut=all)
@@ -17,10 +18,12 @@
 #   cluster_await SECONDS COMMAND...  repeats a command until it succeeds
 #
 # Variables: CLUSTER_BUILD, the folder of the programs; CLUSTER_LOAD_DELAYS=no
-# leaves the shape's delays out.
+# leaves the shape's delays out; CLUSTER_SPARES, VMs of the shape that are not
+# started and that the platform does not list at first.
 
 CLUSTER_BUILD=${CLUSTER_BUILD:-${BUILD:-build}}
 CLUSTER_SCHEMA=$(dirname "${BASH_SOURCE[0]}")/schema.sql
+CLUSTER_SPARES=${CLUSTER_SPARES:-}
 declare -A CLUSTER_PID=()
 declare -A CLUSTER_VM=()
 declare -A CLUSTER_UPSTREAM=()
@@ -146,6 +149,18 @@
     "http://$CLUSTER_PLATFORM_ADDRESS:$CLUSTER_PLATFORM_PORT/control/fault?$1"
 }
 
+# Marks a VM, or a database server, in the platform's list: live, leaving or
+# gone.
+cluster_platform_vm() {
+  curl -sf -m 2 -o /dev/null -X POST \
+    "http://$CLUSTER_PLATFORM_ADDRESS:$CLUSTER_PLATFORM_PORT/control/vm?id=$1&state=$2"
+}
+
+cluster_platform_upstream() {
+  curl -sf -m 2 -o /dev/null -X POST \
+    "http://$CLUSTER_PLATFORM_ADDRESS:$CLUSTER_PLATFORM_PORT/control/upstream?id=$1&state=$2"
+}
+
 cluster_platform_up() {
   curl -sf -m 2 -o /dev/null \
     "http://$CLUSTER_PLATFORM_ADDRESS:$CLUSTER_PLATFORM_PORT/control/counts"
@@ -177,6 +192,7 @@
 }
 
 # Ends one process by its id: asks first, and kills after the seconds given.
+# Fails when the process had to be killed or did not end well.
 cluster_end() {
   local name=$1 seconds=$2 pid=${CLUSTER_PID[$1]:-}
   [ -n "$pid" ] || return 0
@@ -189,7 +205,6 @@
     return 1
   fi
   wait "$pid" 2>/dev/null
-  return 0
 }
 
 cluster_vm_stop() {
@@ -199,14 +214,17 @@
   return $ended
 }
 
+cluster_kill() {
+  local pid=${CLUSTER_PID[$1]}
+  unset "CLUSTER_PID[$1]"
+  kill -s KILL "$pid"
+  wait "$pid" 2>/dev/null
+  return 0
+}
+
 cluster_vm_kill() {
-  local name pid
-  for name in "gateway.$1" "pooler.$1"; do
-    pid=${CLUSTER_PID[$name]}
-    unset "CLUSTER_PID[$name]"
-    kill -s KILL "$pid"
-    wait "$pid" 2>/dev/null
-  done
+  cluster_kill "gateway.$1"
+  cluster_kill "pooler.$1"
 }
 
 cluster_apply() {
@@ -234,10 +252,15 @@
   done
   cluster_await 10 cluster_apply ||
     cluster_fail "the declaration can't be applied" || return 1
+  for id in $CLUSTER_SPARES; do
+    cluster_platform_vm "$id" gone ||
+      cluster_fail "VM $id can't be kept back" || return 1
+  done
   for id in "${CLUSTER_VMS[@]}"; do
-    cluster_vm_start "$id"
+    [[ " $CLUSTER_SPARES " == *" $id "* ]] || cluster_vm_start "$id"
   done
   for id in "${CLUSTER_VMS[@]}"; do
+    [[ " $CLUSTER_SPARES " != *" $id "* ]] || continue
     cluster_await 20 cluster_vm_ready "$id" ||
       cluster_fail "VM $id is not ready" || return 1
   done
