--- a/src/currantshed/settings/command_line.cpp
+++ b/src/currantshed/settings/command_line.cpp
@@ -124,7 +124,11 @@
         "", one.flag, one.help, false, kUnit, reader));
     }
     const plain_flag help("", kHelp, "", reader);
-    const plain_flag version("", kVersion, "", reader);
+    // A program may have a --version of its own, which takes a value.
+    std::unique_ptr<plain_flag> version;
+    if (FindOption(aOptions, std::string(kPrefix) + kVersion) == nullptr) {
+      version = std::make_unique<plain_flag>("", kVersion, "", reader);
+    }
     const plain_flag print("", kPrintSettings, "", reader);
     TCLAP::UnlabeledMultiArg<std::string> rest(
       "arguments", "what is no flag", false, kUnit, reader);
@@ -133,7 +137,7 @@
       line.values[aOptions[i].flag] = flags[i]->getValue();
     }
     line.wantsHelp = help.isSet();
-    line.wantsVersion = version.isSet();
+    line.wantsVersion = version != nullptr && version->isSet();
     line.wantsSettings = print.isSet();
     SortRest(rest.getValue(), line);
   } catch (const TCLAP::ArgException& wrong) {
--- a/src/currantshed/settings/parser.cpp
+++ b/src/currantshed/settings/parser.cpp
@@ -1,5 +1,6 @@
 #include "currantshed/settings/parser.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 #include <limits>
@@ -316,6 +317,15 @@
   return { parse_end::kRun, 0 };
 }
 
+bool
+parser::HasOwnVersion() const
+{
+  return std::any_of(
+    mOptions.begin(), mOptions.end(), [](const option& aOption) {
+      return aOption.flag == "version";
+    });
+}
+
 void
 parser::PrintHelp(std::ostream& aOut) const
 {
@@ -337,9 +347,11 @@
                                one.help,
                                one.isRequired ? " (required)" : shown);
   }
-  aOut << "  --help\n      prints this text\n"
-          "  --version\n      prints the version\n"
-          "  --print-settings\n      prints every setting, its value and where "
+  aOut << "  --help\n      prints this text\n";
+  if (!HasOwnVersion()) {
+    aOut << "  --version\n      prints the version\n";
+  }
+  aOut << "  --print-settings\n      prints every setting, its value and where "
           "the value came from\n";
   if (!mEpilogue.empty()) {
     aOut << '\n' << mEpilogue << '\n';
--- a/src/currantshed/settings/parser.hpp
+++ b/src/currantshed/settings/parser.hpp
@@ -128,6 +128,7 @@
 
 private:
   void Add(option aOption);
+  [[nodiscard]] bool HasOwnVersion() const;
   void PrintHelp(std::ostream& aOut) const;
   void PrintSettings(std::ostream& aOut) const;
 
--- a/test/currantshed/settings/parser.cpp
+++ b/test/currantshed/settings/parser.cpp
@@ -250,6 +250,17 @@
   STRCMP_EQUAL("p " CURRANTSHED_VERSION "\n", out.str().c_str());
 }
 
+TEST(settings_parser, a_program_may_have_its_own_version_flag)
+{
+  unsigned version = 0;
+  parser reader("p", "a program");
+  reader.Count(version, "version", "version to wait for", 1, 100);
+  const auto result = reader.Parse({ "--version", "7" }, From({}), out, errors);
+  STRCMP_EQUAL("", errors.str().c_str());
+  CHECK(result.end == parse_end::kRun);
+  LONGS_EQUAL(7, version);
+}
+
 TEST(settings_parser, a_wrong_secret_is_not_shown)
 {
   sample read;
