Failover: a pooler that hears no majority judges nothing

Cause: a pooler that was paused found the words of its peers, sent before, in its queue, took them for new and deposed the next primary (test promoter_stops_at_every_moment, 'pauses after 200', red before). Change: no cause is found, and no promotion sent, unless a majority of the servers answered lately; what they say shows the newer term first. Of equal logs the one applied furthest is promoted. Rows for one pooler alone and for a first pooler that is cut off and comes back. Ruled out: dating peers' words (no clock is shared).

--- a/src/currantshed/failover/detector.cpp
+++ b/src/currantshed/failover/detector.cpp
@@ -119,6 +119,9 @@
   mLeaving.Set(inForce && primary->member.leaving &&
                  CanMove(aWatch, *primary, aNow),
                aNow);
+  if (!aWatch.HasMajority(aNow)) {
+    return cause::kNone;
+  }
   if (mLost.For(mLostAfter, aNow) || LostByPoolers(aWatch, aPrimary, aNow)) {
     return cause::kLost;
   }
--- a/src/currantshed/failover/detector.hpp
+++ b/src/currantshed/failover/detector.hpp
@@ -29,7 +29,8 @@
 /// Judges from probes and the other owners' words whether the group needs
 /// another primary. One cut-off pooler never comes to that by itself: it
 /// takes a majority of the group's servers, each asked directly, or poolers
-/// in a majority of the failure domains.
+/// in a majority of the failure domains. One that does not reach a majority
+/// of the servers judges nothing.
 class detector
 {
 public:
--- a/src/currantshed/failover/promoter.cpp
+++ b/src/currantshed/failover/promoter.cpp
@@ -116,7 +116,8 @@
       SendFences(aNow, aOut);
     }
   }
-  if (mStep == step::kWaitOut && aNow >= mDue) {
+  // A promoter that was paused first hears what happened meanwhile.
+  if (mStep == step::kWaitOut && aNow >= mDue && mWatch.HasMajority(aNow)) {
     Promote(aNow, aOut);
   }
   if (mStep == step::kPromote && aNow >= mDue) {
@@ -183,7 +184,7 @@
   if (mUsed || aStatus.term != mTerm || mWatch.Find(aServer) == nullptr) {
     return;
   }
-  mFenced[aServer] = aStatus.stored;
+  mFenced[aServer] = aStatus;
   if (mStep == step::kFence && mFenced.size() >= mWatch.Majority()) {
     mStep = step::kWaitOut;
     mDue = aNow + mValidity;
@@ -305,16 +306,20 @@
 promoter::GoesBefore(const upstream::server_id& aLeft,
                      const upstream::server_id& aRight) const
 {
-  const auto left = mFenced.at(aLeft);
-  const auto right = mFenced.at(aRight);
-  if (left != right) {
-    return left > right;
+  const auto& left = mFenced.at(aLeft);
+  const auto& right = mFenced.at(aRight);
+  if (left.stored != right.stored) {
+    return left.stored > right.stored;
   }
   const bool leftLeaves = mWatch.Find(aLeft)->member.leaving;
   const bool rightLeaves = mWatch.Find(aRight)->member.leaving;
   if (leftLeaves != rightLeaves) {
     return rightLeaves;
   }
+  // What is not applied yet would hold up the promotion.
+  if (left.applied != right.applied) {
+    return left.applied > right.applied;
+  }
   const bool leftLed = aLeft == mPrevious.server;
   const bool rightLed = aRight == mPrevious.server;
   if (leftLed != rightLed) {
--- a/src/currantshed/failover/promoter.hpp
+++ b/src/currantshed/failover/promoter.hpp
@@ -120,8 +120,8 @@
   clock::time_point mNotBefore;
   primary_ref mPrevious;
   bool mLost = false;
-  // Servers fenced at the term, by their logs' ends.
-  absl::btree_map<upstream::server_id, position::log_position> mFenced;
+  // Servers fenced at the term, as they stood then.
+  absl::btree_map<upstream::server_id, upstream::server_status> mFenced;
   upstream::server_id mChosen;
   primary_ref mPromoted;
 };
--- a/src/currantshed/failover/server_watch.cpp
+++ b/src/currantshed/failover/server_watch.cpp
@@ -168,6 +168,16 @@
   return mServers.size() / 2 + 1;
 }
 
+bool
+server_watch::HasMajority(clock::time_point aNow) const
+{
+  const auto fresh =
+    std::count_if(mServers.begin(), mServers.end(), [&](const auto& aEntry) {
+      return IsFresh(aEntry.second, aNow);
+    });
+  return static_cast<std::size_t>(fresh) >= Majority();
+}
+
 position::term_id
 server_watch::HighestTerm() const
 {
--- a/src/currantshed/failover/server_watch.hpp
+++ b/src/currantshed/failover/server_watch.hpp
@@ -79,6 +79,10 @@
   /// More than half of the group's servers.
   [[nodiscard]] std::size_t Majority() const noexcept;
 
+  /// Whether a majority answered lately. Without it no failover can end, and
+  /// nothing newer than the own view is sure to be seen.
+  [[nodiscard]] bool HasMajority(clock::time_point aNow) const;
+
   /// The highest term that any server told.
   [[nodiscard]] position::term_id HighestTerm() const;
 
--- a/test/currantshed/failover/coordinator.cpp
+++ b/test/currantshed/failover/coordinator.cpp
@@ -247,9 +247,32 @@
     1,
     kAny,
     {} },
+  { "one pooler with losses", { 1, 3, 300 }, KillPrimary, 1, kAny, {} },
   { "losses and two failures", { 3, 3, 200 }, KillTwoPrimaries, 1, kAny, {} },
 };
 
+constexpr milliseconds kStop{ 3000 };
+
+struct stop_row
+{
+  const char* name;
+  // Stops the first pooler now and, where it is to come back, until a time.
+  void (*given)(world&, milliseconds);
+};
+
+const stop_row kStopRows[] = {
+  { "dies", [](world& aWorld, milliseconds) { aWorld.KillPooler(0); } },
+  { "pauses",
+    [](world& aWorld, milliseconds aUntil) {
+      aWorld.PausePooler(0, aUntil - aWorld.Now());
+    } },
+  { "is cut off",
+    [](world& aWorld, milliseconds aUntil) {
+      aWorld.Isolate("p0", true);
+      aWorld.At(aUntil, [&aWorld] { aWorld.Isolate("p0", false); });
+    } },
+};
+
 void
 CheckWorld(world& aWorld, const std::string& aName)
 {
@@ -289,23 +312,24 @@
 }
 
 // The first pooler stops at each moment of its failover, for good or for a
-// while; the others end it, and what it does on waking harms nothing.
+// while; the others end it, and when it is back it deposes nobody.
 TEST(coordinator, promoter_stops_at_every_moment)
 {
   for (int after = 200; after <= 700; after += 5) {
-    for (const bool dies : { true, false }) {
+    for (const auto& row : kStopRows) {
       world subject({ 3, 3, 0, 0, static_cast<std::uint64_t>(after) });
       KillPrimary(subject);
-      subject.At(kFault + milliseconds{ after }, [&] {
-        if (dies) {
-          subject.KillPooler(0);
-        } else {
-          subject.PausePooler(0, milliseconds{ 3000 });
-        }
-      });
+      // Comes back at many moments of its own retries as well.
+      const auto back =
+        kFault + kStop + milliseconds{ after + after * 13 % 450 };
+      subject.At(kFault + milliseconds{ after },
+                 [&] { row.given(subject, back); });
+      std::size_t settled = 0;
+      subject.At(back, [&] { settled = subject.Promotions(); });
       subject.At(kRepair, [&] { subject.Servers().At("s0").alive = true; });
-      CheckWorld(subject,
-                 absl::StrCat(dies ? "dies after " : "pauses after ", after));
+      CheckWorld(subject, absl::StrCat(row.name, " after ", after));
+      const auto name = absl::StrCat(row.name, " after ", after);
+      UNSIGNED_LONGS_EQUAL_TEXT(settled, subject.Promotions(), name.c_str());
     }
   }
 }
--- a/test/currantshed/failover/world.hpp
+++ b/test/currantshed/failover/world.hpp
@@ -39,6 +39,12 @@
   void At(std::chrono::milliseconds aTime, std::function<void()> aWhat);
   void Run(std::chrono::milliseconds aUntil);
 
+  [[nodiscard]] std::chrono::milliseconds Now() const
+  {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+      mNow.time_since_epoch());
+  }
+
   void KillPooler(unsigned aPooler);
   void PausePooler(unsigned aPooler, std::chrono::milliseconds aFor);
   /// Cuts a pooler or server off from everything else.
