Keep libpq from looking at a password file

Cause: each connection to a server printed a warning, since the path given in place of the home folder's file existed but wasn't a plain file; and the forward declaration of endpoint clashed in the linter with one of Boost.Asio's. Change: a path that can't exist; the declaration is gone, nobody used it.

--- a/src/currantshed/upstream/fwd.hpp
+++ b/src/currantshed/upstream/fwd.hpp
@@ -12,7 +12,6 @@
 enum class server_role;
 class dialect;
 class pq_connection;
-struct endpoint;
 struct reply;
 struct result_set;
 struct server_status;
--- a/src/currantshed/upstream/pq_handle.cpp
+++ b/src/currantshed/upstream/pq_handle.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+// Can't exist; libpq would read the home folder's file otherwise.
+constexpr const char* kNoFile = "/dev/null/none";
 constexpr const char* kDatabase = "currantshed";
 constexpr const char* kReadOnlyOption = "-c default_transaction_read_only=on";
 
@@ -47,7 +49,7 @@
                                                "UTF8",
                                                "disable",
                                                "disable",
-                                               "/dev/null",
+                                               kNoFile,
                                                "0",
                                                nullptr };
   return pq_handle(PQconnectStartParams(names.data(), values.data(), 0));
