Stand-in for database servers

Cause: poolers need servers with terms, positions, replication, slots and faults before there is a deployment. Ruled out: SQLite connections that share one memory database (an open write transaction holds up every reader there), and a pool of threads (the commit and the fence would need a lock between them). Committed data and the open write transaction have a database each instead, on one thread; a commit is replayed on the committed data the way a replica does it. Change: PostgreSQL's protocol, log and term rules, replication over the callers' port, faults and checks over HTTP.

--- /dev/null
+++ b/standin/upstream/control.hpp
@@ -0,0 +1,37 @@
+#ifndef CURRANTSHED_STANDIN_UPSTREAM_CONTROL_HPP
+#define CURRANTSHED_STANDIN_UPSTREAM_CONTROL_HPP
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+namespace currantshed::standin::postgres {
+
+class server;
+
+/// HTTP for whoever tests with the stand-in: faults to order, and what the
+/// server holds. No fault touches it.
+class control
+{
+public:
+  control(boost::asio::io_context& aContext,
+          server& aServer,
+          const std::string& aAddress,
+          std::uint16_t aPort);
+  control(const control&) = delete;
+  control& operator=(const control&) = delete;
+  ~control();
+
+  void Start();
+
+private:
+  class listener;
+
+  std::unique_ptr<listener> mListener;
+};
+
+} // namespace currantshed::standin::postgres
+
+#endif
--- /dev/null
+++ b/standin/upstream/delayed_writer.hpp
@@ -0,0 +1,58 @@
+#ifndef CURRANTSHED_STANDIN_UPSTREAM_DELAYED_WRITER_HPP
+#define CURRANTSHED_STANDIN_UPSTREAM_DELAYED_WRITER_HPP
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "currantshed/clock/time.hpp"
+
+namespace currantshed::standin::postgres {
+
+/// Writes to a socket in order, each piece no earlier than its delay after it
+/// was handed over: the delay of a link. What it hands to the event loop keeps
+/// the given owner alive.
+class delayed_writer
+{
+public:
+  explicit delayed_writer(boost::asio::ip::tcp::socket& aSocket);
+
+  void Send(const std::shared_ptr<void>& aOwner,
+            std::string aBytes,
+            clock::duration aDelay);
+  /// Writes nothing more, and drops what waits.
+  void Freeze();
+  /// Sets what is called after each write, also a failed one.
+  void OnWritten(std::function<void()> aWritten);
+  /// Bytes that wait or are being written.
+  [[nodiscard]] std::size_t Queued() const noexcept;
+
+private:
+  struct piece
+  {
+    clock::time_point due;
+    std::string bytes;
+  };
+
+  void Pump(const std::shared_ptr<void>& aOwner);
+  void Write(const std::shared_ptr<void>& aOwner);
+  void WaitUntil(clock::time_point aDue, const std::shared_ptr<void>& aOwner);
+
+  boost::asio::ip::tcp::socket& mSocket;
+  boost::asio::steady_timer mTimer;
+  std::deque<piece> mPieces;
+  std::string mCurrent;
+  std::size_t mQueued = 0;
+  bool mBusy = false;
+  bool mFrozen = false;
+  std::function<void()> mWritten;
+};
+
+} // namespace currantshed::standin::postgres
+
+#endif
