Start while the store is down, and leave without cutting requests off

Cause: a pooler that started in an outage of the store got the configuration from its peers but no list of groups, so it was never ready; and one that stopped under load left 8 requests of 4890 unanswered, which had come between the end of its work and the end of the process. Change: peers pass on the lists as they read them last; a shutdown ends only after 100 ms without a request, at most 2 s after its last work. The platform is read through its watcher and lister, and only three VMs of each failure domain watch.

--- a/src/currantshed/pooler/control.cpp
+++ b/src/currantshed/pooler/control.cpp
@@ -20,10 +20,10 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kHousekeeping{ 500 };
-/// Longest wait of one watch.
-constexpr milliseconds kWatchTime{ 10000 };
-/// Pause before the next watch after one that failed or found no key.
-constexpr milliseconds kWatchPause{ 500 };
+/// VMs of each failure domain that watch the configuration at the platform.
+constexpr unsigned kWatchers = 3;
+/// What the choice of those VMs is hashed by.
+constexpr const char* kWatchName = "watch/configuration";
 /// Least time between two questions for a configuration.
 constexpr milliseconds kAskPause{ 100 };
 /// How long a group that is no longer owned keeps its guard.
@@ -94,6 +94,13 @@
   , mPlatform(platform::MakeHttpClient(mContext,
                                        aSettings.platformUrl,
                                        aSettings.platformTimeout))
+  , mPlatformLink(
+      mContext,
+      aSettings,
+      *mPlatform,
+      aMetrics,
+      { [this](platform::listing aListing) { Listed(std::move(aListing)); },
+        [this](const platform::entry& aEntry) { ConfigurationRead(aEntry); } })
   , mPeers(mContext,
            aZmq,
            [this](wire::message aMessage,
@@ -105,8 +112,6 @@
                                SeedOf(aSettings.incarnation)))
   , mOwnership(kReleaseGrace)
   , mRosterTimer(mContext, [this] { TickRoster(); })
-  , mListTimer(mContext, [this] { List(); })
-  , mWatchTimer(mContext, [this] { WatchConfiguration(); })
   , mHousekeeper(mContext, [this] { Housekeep(); })
 {
 }
@@ -126,8 +131,7 @@
   }
   mThread = std::thread([this] {
     TickRoster();
-    List();
-    WatchConfiguration();
+    mPlatformLink.Start();
     Housekeep();
     mContext.run();
   });
@@ -165,11 +169,14 @@
   } else if (const auto* question =
                std::get_if<wire::configuration_request>(&aMessage)) {
     if (mConfiguration.Held().version > question->knownVersion) {
-      aRespond(mConfiguration.Held());
+      wire::configuration told = mConfiguration.Held();
+      told.vms = mListing.vms;
+      told.groups = mListing.groups;
+      aRespond(told);
     }
   } else if (const auto* offered =
                std::get_if<wire::configuration>(&aMessage)) {
-    Offer(*offered);
+    PeerTold(*offered);
   }
 }
 
@@ -206,38 +213,31 @@
     return;
   }
   mAskedPeersAt = now;
-  const wire::configuration_request question{ mConfiguration.Held().version };
+  // Without a list of its own this process asks for all that the peer has.
+  const wire::configuration_request question{ mHasList
+                                                ? mConfiguration.Held().version
+                                                : 0 };
   (void)mPeers.Send(aPeer, wire::Encode(question, now));
 }
 
 void
-control::AskFirstPeers()
+control::AskPeers()
 {
   for (const auto& peer : mSettings.firstPeers) {
     mAskedPeersAt = {};
     AskForConfiguration(peer);
   }
+  for (const auto& vm : mRoster->Live()) {
+    if (vm.id != mSettings.self.id) {
+      mAskedPeersAt = {};
+      AskForConfiguration(AddressOf(vm));
+    }
+  }
 }
 
 void
-control::List()
-{
-  mPlatform->List([this](std::error_code aError, platform::listing aListing) {
-    Listed(aError, std::move(aListing));
-  });
-}
-
-void
-control::Listed(std::error_code aError, platform::listing aListing)
+control::Listed(platform::listing aListing)
 {
-  mMetrics.PlatformCalled("list", !aError);
-  mListTimer.At(Now() + mSettings.listInterval);
-  if (aError) {
-    log::Write(log::level::kWarning,
-               "platform_list_failed",
-               { { "reason", aError.message() } });
-    return;
-  }
   mListing = std::move(aListing);
   mHasList = true;
   mRoster->Listed(mListing.vms, Now());
@@ -247,36 +247,29 @@
 }
 
 void
-control::WatchConfiguration()
-{
-  mPlatform->Watch(
-    std::string(policy::kConfigurationKey),
-    mConfigurationIndex,
-    kWatchTime,
-    [this](std::error_code aError, const platform::entry& aEntry) {
-      ConfigurationRead(aError, aEntry);
-    });
-}
-
-void
-control::ConfigurationRead(std::error_code aError,
-                           const platform::entry& aEntry)
+control::ConfigurationRead(const platform::entry& aEntry)
 {
-  mMetrics.PlatformCalled("watch_configuration", !aError);
-  const bool isFound = !aError && aEntry.version != 0;
-  mConfigurationIndex = isFound ? aEntry.version : 0;
-  mWatchTimer.At(Now() + (isFound ? milliseconds(0) : kWatchPause));
-  if (!isFound) {
+  if (aEntry.version == 0) {
     return;
   }
   const auto record = policy::ParseConfigurationRecord(aEntry.value);
   if (record) {
-    Offer({ record->version, record->declaration });
+    Offer({ record->version, record->declaration, {}, {} });
   } else {
     log::Write(log::level::kError, "configuration_unreadable");
   }
 }
 
+void
+control::PeerTold(const wire::configuration& aTold)
+{
+  if (!mHasList && !aTold.groups.empty()) {
+    log::Write(log::level::kInfo, "list_taken_from_peer");
+    Listed({ aTold.vms, aTold.groups });
+  }
+  Offer({ aTold.version, aTold.declaration, {}, {} });
+}
+
 void
 control::Offer(const wire::configuration& aOffered)
 {
@@ -310,6 +303,7 @@
 {
   mSeenRoster = mRoster->Version();
   mMetrics.SetLiveVms(mRoster->Live().size());
+  mPlatformLink.SetWatching(IsWatcher());
   if (!mHasList) {
     TellTraffic();
     return;
@@ -406,13 +400,25 @@
 control::Housekeep()
 {
   ReleaseGroups();
-  if (!mConfiguration.HasAny()) {
-    AskFirstPeers();
+  if (!mConfiguration.HasAny() || !mHasList) {
+    AskPeers();
   }
   mMetrics.SetControlTime(ThreadTime());
   mHousekeeper.At(Now() + kHousekeeping);
 }
 
+bool
+control::IsWatcher() const
+{
+  std::vector<platform::vm> neighbours;
+  for (const auto& vm : mRoster->Live()) {
+    if (vm.failureDomain == mSettings.self.failureDomain) {
+      neighbours.push_back(vm);
+    }
+  }
+  return RankOf(member::ChooseOwners(kWatchName, neighbours, kWatchers)) >= 0;
+}
+
 int
 control::RankOf(const std::vector<platform::vm>& aOwners) const
 {
--- a/src/currantshed/pooler/control.hpp
+++ b/src/currantshed/pooler/control.hpp
@@ -24,6 +24,7 @@
 #include "currantshed/pooler/metrics.hpp"
 #include "currantshed/pooler/ownership.hpp"
 #include "currantshed/pooler/peer_links.hpp"
+#include "currantshed/pooler/platform_link.hpp"
 #include "currantshed/pooler/settings.hpp"
 #include "currantshed/pooler/status_board.hpp"
 #include "currantshed/pooler/traffic.hpp"
@@ -63,11 +64,10 @@
   void Heard(const member::heartbeat& aBeat, std::size_t aBytes);
   void SendHeartbeats();
   void AskForConfiguration(const peer_address& aPeer);
-  void AskFirstPeers();
-  void List();
-  void Listed(std::error_code aError, platform::listing aListing);
-  void WatchConfiguration();
-  void ConfigurationRead(std::error_code aError, const platform::entry& aEntry);
+  void AskPeers();
+  void Listed(platform::listing aListing);
+  void ConfigurationRead(const platform::entry& aEntry);
+  void PeerTold(const wire::configuration& aTold);
   void Offer(const wire::configuration& aOffered);
   void TickRoster();
   void Reconsider();
@@ -78,6 +78,7 @@
   void TellTraffic();
   void TellBoard();
   void Housekeep();
+  [[nodiscard]] bool IsWatcher() const;
   [[nodiscard]] int RankOf(const std::vector<platform::vm>& aOwners) const;
 
   const settings& mSettings;
@@ -89,11 +90,11 @@
     mWork;
   std::unique_ptr<upstream::dialect> mDialect;
   std::unique_ptr<platform::client> mPlatform;
+  platform_link mPlatformLink;
   peer_links mPeers;
   std::unique_ptr<member::roster> mRoster;
   std::uint64_t mSeenRoster = 0;
   configuration_keeper mConfiguration;
-  platform::index mConfigurationIndex = 0;
   clock::time_point mAskedPeersAt;
   bool mHasList = false;
   platform::listing mListing;
@@ -101,8 +102,6 @@
   absl::btree_map<group::group_name, std::unique_ptr<group_guard>> mGuards;
   bool mIsLeaving = false;
   net::tick_timer mRosterTimer;
-  net::tick_timer mListTimer;
-  net::tick_timer mWatchTimer;
   net::tick_timer mHousekeeper;
   std::thread mThread;
 };
--- a/src/currantshed/pooler/fwd.hpp
+++ b/src/currantshed/pooler/fwd.hpp
@@ -10,6 +10,7 @@
 class metrics;
 class ownership;
 class peer_links;
+class platform_link;
 class server_channel;
 class status_board;
 class traffic;
--- /dev/null
+++ b/src/currantshed/pooler/platform_link.cpp
@@ -0,0 +1,148 @@
+#include "currantshed/pooler/platform_link.hpp"
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "currantshed/log/log.hpp"
+#include "currantshed/policy/configuration_record.hpp"
+
+namespace currantshed::pooler {
+
+namespace {
+
+/// How often a VM that doesn't watch looks for itself.
+constexpr std::chrono::seconds kOwnLook{ 30 };
+
+clock::time_point
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+platform::lister_settings
+ListerSettings(const settings& aSettings)
+{
+  platform::lister_settings lister;
+  lister.interval = aSettings.listInterval;
+  return lister;
+}
+
+} // namespace
+
+platform_link::platform_link(boost::asio::io_context& aContext,
+                             const settings& aSettings,
+                             platform::client& aClient,
+                             metrics& aMetrics,
+                             listener aListener)
+  : mClient(aClient)
+  , mMetrics(aMetrics)
+  , mListener(std::move(aListener))
+  , mLister(ListerSettings(aSettings), Now())
+  , mWatcher(platform::watcher_settings{}, Now())
+  , mTimer(aContext, [this] { Tick(); })
+{
+}
+
+void
+platform_link::Start()
+{
+  Tick();
+}
+
+void
+platform_link::SetWatching(bool aIsWatching)
+{
+  mIsWatching = aIsWatching;
+  if (mIsWatching && mHeldBack) {
+    mTimer.At(Now());
+  }
+}
+
+void
+platform_link::Tick()
+{
+  TickLister();
+  TickWatcher();
+  if (const auto due = mLister.NextTick()) {
+    mTimer.At(*due);
+  }
+  if (const auto due = mWatcher.NextTick()) {
+    mTimer.At(*due);
+  }
+  if (mHeldBack) {
+    mTimer.At(mHeldUntil);
+  }
+}
+
+void
+platform_link::TickLister()
+{
+  if (!mLister.Tick(Now())) {
+    return;
+  }
+  mClient.List([this](std::error_code aError, platform::listing aListing) {
+    ListEnded(aError, std::move(aListing));
+  });
+}
+
+void
+platform_link::TickWatcher()
+{
+  mWatcher.Tick(Now());
+  for (const auto& action : mWatcher.TakeActions()) {
+    if (const auto* start = std::get_if<platform::start_watch>(&action)) {
+      mHeldBack = *start;
+      mHeldUntil = Now() + kOwnLook;
+    } else {
+      mListener.configured(std::get<platform::deliver_entry>(action).content);
+    }
+  }
+  const bool isFirst = mHeldBack && !mWatcher.LastAnswer();
+  if (mHeldBack && (isFirst || mIsWatching || Now() >= mHeldUntil)) {
+    StartWatch(*std::exchange(mHeldBack, std::nullopt));
+  }
+}
+
+void
+platform_link::StartWatch(const platform::start_watch& aAction)
+{
+  mClient.Watch(std::string(policy::kConfigurationKey),
+                aAction.known,
+                mIsWatching ? aAction.atMost : std::chrono::milliseconds(0),
+                [this](std::error_code aError, const platform::entry& aEntry) {
+                  WatchEnded(aError, aEntry);
+                });
+}
+
+void
+platform_link::WatchEnded(std::error_code aError, const platform::entry& aEntry)
+{
+  mMetrics.PlatformCalled("watch_configuration", !aError);
+  mWatcher.Ended(aError, aEntry, Now(), Random());
+  Tick();
+}
+
+void
+platform_link::ListEnded(std::error_code aError, platform::listing aListing)
+{
+  mMetrics.PlatformCalled("list", !aError);
+  mLister.Ended(aError, Now(), Random());
+  if (aError) {
+    log::Write(log::level::kWarning,
+               "platform_list_failed",
+               { { "reason", aError.message() } });
+  } else {
+    mListener.listed(std::move(aListing));
+  }
+  Tick();
+}
+
+double
+platform_link::Random()
+{
+  return absl::Uniform(mBits, 0.0, 1.0);
+}
+
+} // namespace currantshed::pooler
--- /dev/null
+++ b/src/currantshed/pooler/platform_link.hpp
@@ -0,0 +1,73 @@
+#ifndef CURRANTSHED_POOLER_PLATFORM_LINK_HPP
+#define CURRANTSHED_POOLER_PLATFORM_LINK_HPP
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <system_error>
+
+#include <absl/random/random.h>
+#include <boost/asio/io_context.hpp>
+
+#include "currantshed/net/tick_timer.hpp"
+#include "currantshed/platform/client.hpp"
+#include "currantshed/platform/lister.hpp"
+#include "currantshed/platform/watcher.hpp"
+#include "currantshed/pooler/fwd.hpp"
+#include "currantshed/pooler/metrics.hpp"
+#include "currantshed/pooler/settings.hpp"
+
+namespace currantshed::pooler {
+
+/// What one pooler hears from the platform by itself: the lists, read again
+/// and again, and the configuration's key, watched. In a large fleet only a
+/// few VMs of each failure domain watch; the others hear of a new version from
+/// their peers, and look for themselves now and then.
+class platform_link
+{
+public:
+  /// What the control thread hears.
+  struct listener
+  {
+    std::function<void(platform::listing)> listed;
+    std::function<void(const platform::entry&)> configured;
+  };
+
+  platform_link(boost::asio::io_context& aContext,
+                const settings& aSettings,
+                platform::client& aClient,
+                metrics& aMetrics,
+                listener aListener);
+  platform_link(const platform_link&) = delete;
+  platform_link& operator=(const platform_link&) = delete;
+
+  void Start();
+
+  /// Whether this VM is one of those that watch.
+  void SetWatching(bool aIsWatching);
+
+private:
+  void Tick();
+  void TickLister();
+  void TickWatcher();
+  void StartWatch(const platform::start_watch& aAction);
+  void WatchEnded(std::error_code aError, const platform::entry& aEntry);
+  void ListEnded(std::error_code aError, platform::listing aListing);
+  [[nodiscard]] double Random();
+
+  platform::client& mClient;
+  metrics& mMetrics;
+  listener mListener;
+  platform::lister mLister;
+  platform::watcher mWatcher;
+  bool mIsWatching = true;
+  /// A watch that waits until this VM watches, or looks for itself.
+  std::optional<platform::start_watch> mHeldBack;
+  clock::time_point mHeldUntil;
+  absl::BitGen mBits;
+  net::tick_timer mTimer;
+};
+
+} // namespace currantshed::pooler
+
+#endif
--- a/src/currantshed/pooler/traffic.cpp
+++ b/src/currantshed/pooler/traffic.cpp
@@ -22,6 +22,10 @@
 /// When to come back while this pooler knows no groups yet, or leaves.
 constexpr std::chrono::milliseconds kComeBack{ 200 };
 
+/// How long no request must have come before a shutdown ends.
+constexpr std::chrono::milliseconds kQuiet{ 100 };
+/// How long a shutdown goes on refusing requests when nothing is pending.
+constexpr std::chrono::milliseconds kLongestRefusing{ 2000 };
 /// How long the last answers may take to leave at the end.
 constexpr std::chrono::milliseconds kLastAnswers{ 500 };
 
@@ -158,6 +162,7 @@
 void
 traffic::Handle(const std::string& aPeer, wire::group_request&& aRequest)
 {
+  mLastArrival = Now();
   const group::request_id id = aRequest.request.id;
   const bool isForeign =
     IsInTransaction(aRequest.request.kind) &&
@@ -333,12 +338,26 @@
   for (auto& [name, runner] : mRunners) {
     runner->Metrics().SetPending(runner->Pending());
   }
-  if (mIsDraining && mDrained && Pending() == 0) {
-    std::exchange(mDrained, nullptr)();
+  if (mIsDraining && mDrained) {
+    CheckDrained(now);
   }
   mTimer.At(now + (mIsDraining ? kDrainCheck : kHousekeeping));
 }
 
+void
+traffic::CheckDrained(clock::time_point aNow)
+{
+  if (Pending() > 0) {
+    mEmptySince.reset();
+    return;
+  }
+  mEmptySince = mEmptySince.value_or(aNow);
+  const bool isQuiet = aNow - mLastArrival >= kQuiet;
+  if (isQuiet || aNow - *mEmptySince >= kLongestRefusing) {
+    std::exchange(mDrained, nullptr)();
+  }
+}
+
 std::size_t
 traffic::Pending() const
 {
--- a/src/currantshed/pooler/traffic.hpp
+++ b/src/currantshed/pooler/traffic.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <thread>
@@ -61,7 +62,8 @@
   void Publish(wire::view aView);
 
   /// Takes no new work, and calls back on the traffic thread once nothing is
-  /// pending.
+  /// pending and no request has come for a moment; gateways that go on asking
+  /// are told for a short while that this pooler leaves.
   void Drain(std::function<void()> aDone);
 
 private:
@@ -90,6 +92,7 @@
   void TakeAssignment(const group_assignment& aAssignment);
   [[nodiscard]] group_runner* RunnerOf(const group::group_name& aGroup);
   void Housekeep();
+  void CheckDrained(clock::time_point aNow);
   [[nodiscard]] std::size_t Pending() const;
 
   const settings& mSettings;
@@ -110,6 +113,10 @@
   group::request_id mLastRequest = 0;
   std::function<void()> mDrained;
   bool mIsDraining = false;
+  /// When a request came last.
+  clock::time_point mLastArrival;
+  /// When nothing was pending for the first time in a shutdown.
+  std::optional<clock::time_point> mEmptySince;
   net::tick_timer mTimer;
   std::thread mThread;
 };
--- a/src/currantshed/wire/codec.cpp
+++ b/src/currantshed/wire/codec.cpp
@@ -60,9 +60,7 @@
 
   void operator()(const configuration& aFrom) const
   {
-    auto* to = mTo.mutable_configuration();
-    to->set_version(aFrom.version);
-    to->set_declaration(aFrom.declaration);
+    internal::Put(aFrom, *mTo.mutable_configuration());
   }
 
 private:
@@ -103,9 +101,7 @@
                configuration_request{
                  aFrom.configuration_request().known_version() } };
     case Envelope::kConfiguration:
-      return { {},
-               configuration{ aFrom.configuration().version(),
-                              aFrom.configuration().declaration() } };
+      return TakeBody<configuration>(aFrom.configuration());
     case Envelope::BODY_NOT_SET:
       break;
   }
--- a/src/currantshed/wire/codec.hpp
+++ b/src/currantshed/wire/codec.hpp
@@ -87,6 +87,10 @@
 {
   std::uint64_t version = 0;
   std::string declaration;
+  /// The platform's lists as the sender read them last; empty if it never
+  /// did. They are for a process that starts while the platform is down.
+  std::vector<platform::vm> vms;
+  std::vector<group::description> groups;
 
   [[nodiscard]] friend bool operator==(const configuration&,
                                        const configuration&) = default;
--- a/src/currantshed/wire/convert.hpp
+++ b/src/currantshed/wire/convert.hpp
@@ -18,6 +18,8 @@
 Put(const view& aFrom, View& aTo);
 void
 Put(const member::heartbeat& aFrom, Heartbeat& aTo);
+void
+Put(const configuration& aFrom, Configuration& aTo);
 
 [[nodiscard]] std::error_code
 Take(GroupRequest& aFrom, clock::time_point aNow, group_request& aTo);
@@ -27,6 +29,8 @@
 Take(const View& aFrom, view& aTo);
 [[nodiscard]] std::error_code
 Take(const Heartbeat& aFrom, member::heartbeat& aTo);
+[[nodiscard]] std::error_code
+Take(const Configuration& aFrom, configuration& aTo);
 
 } // namespace currantshed::wire::internal
 
--- a/src/currantshed/wire/convert_member.cpp
+++ b/src/currantshed/wire/convert_member.cpp
@@ -60,6 +60,49 @@
   return {};
 }
 
+void
+PutServer(const group::member& aFrom, Server& aTo)
+{
+  aTo.set_id(aFrom.id);
+  aTo.set_address(aFrom.address);
+  aTo.set_port(aFrom.port);
+  aTo.set_failure_domain(aFrom.failureDomain);
+  aTo.set_slots(aFrom.slots);
+  aTo.set_connections(aFrom.connections);
+  aTo.set_leaving(aFrom.leaving);
+}
+
+std::error_code
+TakeServer(const Server& aFrom, group::member& aTo)
+{
+  if (aFrom.port() > kHighestPort) {
+    return wire_errc::kOutOfRange;
+  }
+  aTo.id = aFrom.id();
+  aTo.address = aFrom.address();
+  aTo.port = static_cast<std::uint16_t>(aFrom.port());
+  aTo.failureDomain = aFrom.failure_domain();
+  aTo.slots = aFrom.slots();
+  aTo.connections = aFrom.connections();
+  aTo.leaving = aFrom.leaving();
+  return {};
+}
+
+std::error_code
+TakeGroup(const Group& aFrom, group::description& aTo)
+{
+  if (aFrom.servers_size() > kMostEntries) {
+    return wire_errc::kTooLarge;
+  }
+  aTo.name = aFrom.name();
+  for (const auto& given : aFrom.servers()) {
+    if (const auto error = TakeServer(given, aTo.members.emplace_back())) {
+      return error;
+    }
+  }
+  return {};
+}
+
 } // namespace
 
 void
@@ -146,4 +189,40 @@
   return {};
 }
 
+void
+Put(const configuration& aFrom, Configuration& aTo)
+{
+  aTo.set_version(aFrom.version);
+  aTo.set_declaration(aFrom.declaration);
+  for (const auto& vm : aFrom.vms) {
+    PutVm(vm, *aTo.add_vms());
+  }
+  for (const auto& group : aFrom.groups) {
+    Group& to = *aTo.add_groups();
+    to.set_name(group.name);
+    for (const auto& server : group.members) {
+      PutServer(server, *to.add_servers());
+    }
+  }
+}
+
+std::error_code
+Take(const Configuration& aFrom, configuration& aTo)
+{
+  aTo.version = aFrom.version();
+  aTo.declaration = aFrom.declaration();
+  if (const auto error = TakeVms(aFrom.vms(), aTo.vms)) {
+    return error;
+  }
+  if (aFrom.groups_size() > kMostEntries) {
+    return wire_errc::kTooLarge;
+  }
+  for (const auto& given : aFrom.groups()) {
+    if (const auto error = TakeGroup(given, aTo.groups.emplace_back())) {
+      return error;
+    }
+  }
+  return {};
+}
+
 } // namespace currantshed::wire::internal
--- a/test/currantshed/wire/codec.cpp
+++ b/test/currantshed/wire/codec.cpp
@@ -103,6 +103,15 @@
            { { "planner-2", 4, "planner-2-b" } } };
 }
 
+wire::configuration
+WholeConfiguration()
+{
+  const group::member server{ "planner-1-a", "127.0.0.1", 65535,
+                              "abdali",      5,           55,
+                              true };
+  return { 4, "classes: []", { WholeVm() }, { { "planner-1", { server } } } };
+}
+
 struct round_row
 {
   const char* name;
@@ -122,7 +131,7 @@
     { "view", wire::view{ 3, { WholeVm() }, { "g" }, 3, 12, "classes: []" } },
     { "heartbeat", WholeHeartbeat() },
     { "question for a configuration", wire::configuration_request{ 3 } },
-    { "configuration", wire::configuration{ 4, "classes: []" } },
+    { "configuration", WholeConfiguration() },
   };
 }
 
@@ -216,6 +225,14 @@
                   65536);
               }),
       wire::wire_errc::kOutOfRange },
+    { "server at a port that is none",
+      Changed(WholeConfiguration(),
+              [](wire::Envelope& aEnvelope) {
+                auto* group =
+                  aEnvelope.mutable_configuration()->mutable_groups(0);
+                group->mutable_servers(0)->set_port(65536);
+              }),
+      wire::wire_errc::kOutOfRange },
     { "heartbeat of nobody",
       Changed(WholeHeartbeat(),
               [](wire::Envelope& aEnvelope) {
@@ -272,6 +289,9 @@
     wire::Decode(wire::Encode(WholeHeartbeat(), kNow), kNow).body);
   CHECK(beat.sender == WholeVm());
   CHECK(beat.heardOf == std::vector{ WholeVm() });
+  const auto configuration = std::get<wire::configuration>(
+    wire::Decode(wire::Encode(WholeConfiguration(), kNow), kNow).body);
+  CHECK(configuration == WholeConfiguration());
 }
 
 TEST(codec, garbage_is_a_typed_error)
