currantshed-burn: service-level burn per class and target

Operators need to see how fast each class spends its error budget, and to be called in time.

Change: module burn and its program.

Before: none. Not yet run against live gateways.

--- /dev/null
+++ b/src/currantshed/burn/picture.cpp
@@ -0,0 +1,427 @@
+#include "currantshed/burn/picture.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <cairo.h>
+
+#include "currantshed/clock/print_time.hpp"
+
+namespace currantshed::burn {
+namespace {
+
+constexpr double kWidth = 1200;
+constexpr double kHeaderHeight = 104;
+constexpr double kPanelHeight = 250;
+constexpr double kFooterHeight = 16;
+constexpr double kLeft = 72;
+constexpr double kRight = 204;
+constexpr double kPanelTop = 36;
+constexpr double kPanelBottom = 34;
+constexpr double kPercent = 100;
+/// Room above the highest rate, so that no line runs along the frame.
+constexpr double kHeadroom = 1.25;
+constexpr int kTimeTicks = 6;
+constexpr std::size_t kMostPoints = 600;
+constexpr double kSmallText = 12;
+constexpr double kText = 14;
+constexpr double kTitle = 20;
+
+struct colour
+{
+  double red;
+  double green;
+  double blue;
+};
+
+constexpr colour kInk{ 0.13, 0.15, 0.18 };
+constexpr colour kFaint{ 0.42, 0.45, 0.50 };
+constexpr colour kGrid{ 0.90, 0.91, 0.93 };
+constexpr colour kPaper{ 1, 1, 1 };
+constexpr colour kAlarm{ 0.80, 0.13, 0.16 };
+constexpr colour kGood{ 0.13, 0.52, 0.28 };
+
+/// One line of each panel.
+struct curve
+{
+  const char* label;
+  objective_kind kind;
+  std::chrono::seconds window;
+  colour tint;
+  double width;
+};
+
+constexpr curve kCurves[] = {
+  { "deadline, 5 min",
+    objective_kind::kDeadline,
+    std::chrono::minutes(5),
+    { 0.45, 0.67, 0.92 },
+    1.4 },
+  { "deadline, 1 h",
+    objective_kind::kDeadline,
+    std::chrono::hours(1),
+    { 0.07, 0.33, 0.72 },
+    2.6 },
+  { "outcome, 5 min",
+    objective_kind::kOutcome,
+    std::chrono::minutes(5),
+    { 0.98, 0.72, 0.35 },
+    1.4 },
+  { "outcome, 1 h",
+    objective_kind::kOutcome,
+    std::chrono::hours(1),
+    { 0.80, 0.40, 0.02 },
+    2.6 },
+};
+
+/// Burn rates that have a line across the panel.
+constexpr double kRateTicks[] = { 0, 1, 10, 100, 1000, 10'000, 100'000 };
+
+/// Where the panel of one class lies, and what it shows.
+struct panel
+{
+  double top = 0;
+  double bottom = 0;
+  double highest = 0;
+};
+
+/// Draws with cairo in the terms of this picture.
+class canvas
+{
+public:
+  canvas(double aWidth, double aHeight)
+    : mSurface(cairo_image_surface_create(CAIRO_FORMAT_RGB24,
+                                          static_cast<int>(aWidth),
+                                          static_cast<int>(aHeight)),
+               &cairo_surface_destroy)
+    , mContext(cairo_create(mSurface.get()), &cairo_destroy)
+  {
+    Tint(kPaper);
+    cairo_paint(mContext.get());
+    cairo_select_font_face(mContext.get(),
+                           "sans-serif",
+                           CAIRO_FONT_SLANT_NORMAL,
+                           CAIRO_FONT_WEIGHT_NORMAL);
+  }
+
+  void Tint(const colour& aColour)
+  {
+    cairo_set_source_rgb(
+      mContext.get(), aColour.red, aColour.green, aColour.blue);
+  }
+
+  void Write(double aX,
+             double aY,
+             double aSize,
+             const colour& aColour,
+             const std::string& aText)
+  {
+    Tint(aColour);
+    cairo_set_font_size(mContext.get(), aSize);
+    cairo_move_to(mContext.get(), aX, aY);
+    cairo_show_text(mContext.get(), aText.c_str());
+  }
+
+  /// Writes so that the text ends at the given place.
+  void WriteTo(double aX,
+               double aY,
+               double aSize,
+               const colour& aColour,
+               const std::string& aText)
+  {
+    Write(aX - WidthOf(aText, aSize), aY, aSize, aColour, aText);
+  }
+
+  double WidthOf(const std::string& aText, double aSize)
+  {
+    cairo_text_extents_t extents;
+    cairo_set_font_size(mContext.get(), aSize);
+    cairo_text_extents(mContext.get(), aText.c_str(), &extents);
+    return extents.x_advance;
+  }
+
+  void Line(double aX1,
+            double aY1,
+            double aX2,
+            double aY2,
+            const colour& aColour,
+            double aWidth,
+            bool aIsDashed = false)
+  {
+    constexpr double kDash[] = { 6, 4 };
+    Tint(aColour);
+    cairo_set_line_width(mContext.get(), aWidth);
+    cairo_set_dash(mContext.get(), kDash, aIsDashed ? 2 : 0, 0);
+    cairo_move_to(mContext.get(), aX1, aY1);
+    cairo_line_to(mContext.get(), aX2, aY2);
+    cairo_stroke(mContext.get());
+    cairo_set_dash(mContext.get(), nullptr, 0, 0);
+  }
+
+  void Begin() { cairo_new_path(mContext.get()); }
+  void Reach(double aX, double aY) { cairo_line_to(mContext.get(), aX, aY); }
+
+  void Stroke(const colour& aColour, double aWidth)
+  {
+    Tint(aColour);
+    cairo_set_line_width(mContext.get(), aWidth);
+    cairo_set_line_join(mContext.get(), CAIRO_LINE_JOIN_ROUND);
+    cairo_stroke(mContext.get());
+  }
+
+  bool Save(const std::string& aFile)
+  {
+    cairo_surface_flush(mSurface.get());
+    return cairo_surface_write_to_png(mSurface.get(), aFile.c_str()) ==
+           CAIRO_STATUS_SUCCESS;
+  }
+
+private:
+  std::unique_ptr<cairo_surface_t, decltype(&cairo_surface_destroy)> mSurface;
+  std::unique_ptr<cairo_t, decltype(&cairo_destroy)> mContext;
+};
+
+/// Burn rates reach over powers of ten and down to zero.
+double
+ScaleRate(double aRate)
+{
+  return std::log10(1 + aRate);
+}
+
+/// Draws one report.
+class painter
+{
+public:
+  painter(const report& aReport, const increments_by_class& aIncrements)
+    : mReport(aReport)
+    , mIncrements(aIncrements)
+    , mCanvas(kWidth,
+              kHeaderHeight +
+                kPanelHeight * static_cast<double>(aReport.classes.size()) +
+                kFooterHeight)
+  {
+  }
+
+  bool Paint(const std::string& aFile)
+  {
+    Header();
+    panel place;
+    place.top = kHeaderHeight + kPanelTop;
+    for (const auto& one : mReport.classes) {
+      place.bottom = place.top + kPanelHeight - kPanelTop - kPanelBottom;
+      Panel(one, place);
+      place.top += kPanelHeight;
+    }
+    return mCanvas.Save(aFile);
+  }
+
+private:
+  void Header()
+  {
+    mCanvas.Write(
+      kLeft, 34, kTitle, kInk, "Service-level burn by class of work");
+    mCanvas.Write(kLeft,
+                  56,
+                  kText,
+                  kFaint,
+                  absl::StrCat(clock::PrintTime(mReport.begin),
+                               " to ",
+                               clock::PrintTime(mReport.end),
+                               ".  A rate of 1 spends the error budget exactly "
+                               "over its period."));
+    Legend();
+  }
+
+  void Legend()
+  {
+    constexpr double kMark = 26;
+    constexpr double kGap = 8;
+    constexpr double kY = 82;
+    double x = kLeft;
+    for (const auto& one : kCurves) {
+      mCanvas.Line(x, kY - 4, x + kMark, kY - 4, one.tint, one.width);
+      x += kMark + kGap;
+      mCanvas.Write(x, kY, kText, kInk, one.label);
+      x += mCanvas.WidthOf(one.label, kText) + 3 * kGap;
+    }
+    mCanvas.Line(x, kY - 4, x + kMark, kY - 4, kAlarm, 1.2, true);
+    mCanvas.Write(x + kMark + kGap, kY, kText, kInk, "rate of an alert rule");
+  }
+
+  void Panel(const class_burn& aClass, panel& aPlace)
+  {
+    const auto found = mIncrements.find(aClass.name);
+    const auto& increments =
+      found == mIncrements.end() ? mNothing : found->second;
+    const auto ends = PickTimes(increments);
+    aPlace.highest = HighestRate(aClass, increments, ends);
+    Frame(aClass, aPlace);
+    for (const auto& one : kCurves) {
+      Curve(one, aClass, increments, ends, aPlace);
+    }
+    State(aClass, aPlace);
+    if (increments.empty()) {
+      mCanvas.Write(kLeft + 16,
+                    (aPlace.top + aPlace.bottom) / 2,
+                    kText,
+                    kFaint,
+                    "no requests");
+    }
+  }
+
+  /// The moments that get a point, at most a bounded number.
+  static std::vector<clock::wall_time> PickTimes(
+    const std::vector<increment>& aIncrements)
+  {
+    std::vector<clock::wall_time> times;
+    times.reserve(aIncrements.size());
+    for (const auto& one : aIncrements) {
+      times.push_back(one.end);
+    }
+    times.erase(std::unique(times.begin(), times.end()), times.end());
+    const std::size_t step = times.size() / kMostPoints + 1;
+    std::vector<clock::wall_time> picked;
+    picked.reserve(times.size() / step + 1);
+    const std::size_t first = times.empty() ? 0 : (times.size() - 1) % step;
+    for (std::size_t i = first; i < times.size(); i += step) {
+      picked.push_back(times[i]);
+    }
+    return picked;
+  }
+
+  static double HighestRate(const class_burn& aClass,
+                            const std::vector<increment>& aIncrements,
+                            const std::vector<clock::wall_time>& aTimes)
+  {
+    double highest = 2 * kAlertRules[0].rate;
+    for (const auto& one : kCurves) {
+      for (const auto time : aTimes) {
+        highest = std::max(
+          highest,
+          BurnOver(aIncrements, one.kind, aClass.objective, time, one.window)
+            .burnRate);
+      }
+    }
+    return kHeadroom * highest;
+  }
+
+  [[nodiscard]] double XOf(clock::wall_time aTime) const
+  {
+    using precise = std::chrono::duration<double>;
+    const double part =
+      precise(aTime - mReport.begin) / precise(mReport.end - mReport.begin);
+    return kLeft + part * (kWidth - kLeft - kRight);
+  }
+
+  static double YOf(double aRate, const panel& aPlace)
+  {
+    const double part = ScaleRate(aRate) / ScaleRate(aPlace.highest);
+    return aPlace.bottom - part * (aPlace.bottom - aPlace.top);
+  }
+
+  void Frame(const class_burn& aClass, const panel& aPlace)
+  {
+    const double right = kWidth - kRight;
+    for (const double rate : kRateTicks) {
+      if (rate > aPlace.highest) {
+        break;
+      }
+      const double y = YOf(rate, aPlace);
+      mCanvas.Line(kLeft, y, right, y, kGrid, 1);
+      mCanvas.WriteTo(
+        kLeft - 8, y + 4, kSmallText, kFaint, absl::StrFormat("%g", rate));
+    }
+    TimeTicks(aPlace);
+    for (const auto& rule : kAlertRules) {
+      const double y = YOf(rule.rate, aPlace);
+      mCanvas.Line(kLeft, y, right, y, kAlarm, 1.2, true);
+      mCanvas.Write(right + 8,
+                    y + 4,
+                    kSmallText,
+                    kAlarm,
+                    absl::StrFormat("%g, %s alert", rule.rate, rule.name));
+    }
+    mCanvas.Line(kLeft, aPlace.bottom, right, aPlace.bottom, kFaint, 1);
+    mCanvas.Line(kLeft, aPlace.top, kLeft, aPlace.bottom, kFaint, 1);
+    mCanvas.Write(kLeft, aPlace.top - 12, kText + 1, kInk, aClass.name);
+    mCanvas.Write(kLeft + mCanvas.WidthOf(aClass.name, kText + 1) + 12,
+                  aPlace.top - 12,
+                  kSmallText,
+                  kFaint,
+                  absl::StrFormat("objective %.6g%%, %.0f requests",
+                                  kPercent * aClass.objective,
+                                  aClass.objectives.front().whole.requests));
+  }
+
+  void TimeTicks(const panel& aPlace)
+  {
+    const auto span = mReport.end - mReport.begin;
+    for (int i = 0; i <= kTimeTicks; ++i) {
+      const auto time = mReport.begin + span * i / kTimeTicks;
+      const double x = XOf(time);
+      mCanvas.Line(x, aPlace.top, x, aPlace.bottom, kGrid, 1);
+      constexpr std::size_t kDateLength = 11;
+      constexpr std::size_t kClockLength = 8;
+      const std::string text =
+        clock::PrintTime(time).substr(kDateLength, kClockLength);
+      mCanvas.Write(x - mCanvas.WidthOf(text, kSmallText) / 2,
+                    aPlace.bottom + 18,
+                    kSmallText,
+                    kFaint,
+                    text);
+    }
+  }
+
+  void Curve(const curve& aCurve,
+             const class_burn& aClass,
+             const std::vector<increment>& aIncrements,
+             const std::vector<clock::wall_time>& aTimes,
+             const panel& aPlace)
+  {
+    mCanvas.Begin();
+    for (const auto time : aTimes) {
+      const auto burn = BurnOver(
+        aIncrements, aCurve.kind, aClass.objective, time, aCurve.window);
+      mCanvas.Reach(XOf(time), YOf(burn.burnRate, aPlace));
+    }
+    mCanvas.Stroke(aCurve.tint, aCurve.width);
+  }
+
+  /// Whether each objective is fine, at the panel's right.
+  void State(const class_burn& aClass, const panel& aPlace)
+  {
+    double y = aPlace.bottom - 30;
+    for (const auto& one : aClass.objectives) {
+      const bool isFine = one.alerts.empty();
+      mCanvas.Write(kWidth - kRight + 8,
+                    y,
+                    kSmallText,
+                    isFine ? kGood : kAlarm,
+                    absl::StrFormat("%s %s, %.3g overall",
+                                    NameOf(one.kind),
+                                    isFine ? "ok" : "ALERT",
+                                    one.whole.burnRate));
+      y += 18;
+    }
+  }
+
+  const report& mReport;
+  const increments_by_class& mIncrements;
+  canvas mCanvas;
+  std::vector<increment> mNothing;
+};
+
+} // namespace
+
+bool
+DrawPicture(const report& aReport,
+            const increments_by_class& aIncrements,
+            const std::string& aFile)
+{
+  return painter(aReport, aIncrements).Paint(aFile);
+}
+
+} // namespace currantshed::burn
--- /dev/null
+++ b/src/currantshed/burn/print.hpp
@@ -0,0 +1,21 @@
+#ifndef CURRANTSHED_BURN_PRINT_HPP
+#define CURRANTSHED_BURN_PRINT_HPP
+
+#include <string>
+
+#include <boost/json/object.hpp>
+
+#include "currantshed/burn/report.hpp"
+
+namespace currantshed::burn {
+
+/// The report as a table, with one line for each class and objective.
+[[nodiscard]] std::string
+PrintReport(const report& aReport);
+
+[[nodiscard]] boost::json::object
+ReportToJson(const report& aReport);
+
+} // namespace currantshed::burn
+
+#endif
