Admit by deadline, drain rate and the classes' objectives

A request is refused at once if it would start too late or would make one late that was admitted before; where a stricter class asks, waiting ones of a class with a lower objective give way. Times to come back are spaced at the drain rate, so that those refused don't all come back at once. A single long gap, as a failover makes, is cut to four times the mean.

--- a/src/currantshed/admit/deadline_queue.hpp
+++ b/src/currantshed/admit/deadline_queue.hpp
@@ -1,8 +1,10 @@
 #ifndef CURRANTSHED_ADMIT_DEADLINE_QUEUE_HPP
 #define CURRANTSHED_ADMIT_DEADLINE_QUEUE_HPP
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include <absl/container/btree_set.h>
@@ -39,9 +41,11 @@
 };
 
 /// Requests that wait for a server, by deadline. A request is admitted if it
-/// and those admitted before it are expected to leave the queue before their
-/// deadlines, at the rate at which the queue drains. Where that can't be,
-/// those of the class with the lowest objective give way.
+/// is expected to leave the queue in time to run, at the rate at which the
+/// queue drains, and without making one miss its deadline that was admitted
+/// before it. Where that can't be, the class with the lower objective gives
+/// way: waiting requests of it are refused late rather than one of a stricter
+/// class now.
 class deadline_queue
 {
 public:
@@ -62,18 +66,41 @@
   /// Notes that a request left for a server.
   void Departed(clock::time_point aNow);
 
-  /// When a refused request should come back: once those that wait now are
-  /// gone, spread by the request's number.
-  [[nodiscard]] std::chrono::milliseconds RetryAfter(
-    std::uint64_t aRequest) const;
+  /// Notes how long a server took for a request's batch.
+  void Served(clock::duration aTime);
+
+  /// When a refused request should come back: once those that wait now, and
+  /// those that were told to come back before, are gone at the measured rate;
+  /// spread by the request's number.
+  [[nodiscard]] std::chrono::milliseconds RetryAfter(std::uint64_t aRequest,
+                                                     clock::time_point aNow);
 
   /// Waiting requests, earliest deadline first.
   [[nodiscard]] const entries& Entries() const noexcept;
 
 private:
+  /// Whether the request at that place of the queue would start in time.
+  [[nodiscard]] bool IsInTime(const waiting& aRequest,
+                              std::size_t aPlace,
+                              clock::time_point aNow) const;
+  /// The waiting one to give way to a request, among those up to a place;
+  /// none when all are of classes as strict.
+  [[nodiscard]] std::optional<waiting> LeastStrict(
+    const waiting& aRequest,
+    entries::const_iterator aEnd) const;
+  /// Requests behind that would miss their deadlines with it admitted; none
+  /// when one of a class as strict is among them.
+  [[nodiscard]] std::optional<std::vector<waiting>> Delayed(
+    const waiting& aRequest,
+    std::size_t aPlace,
+    clock::time_point aNow) const;
+
   std::size_t mLimit;
   entries mEntries;
   drain_meter mDrain;
+  std::chrono::duration<double> mService{ 0 };
+  // When the last one that was refused should come back.
+  clock::time_point mLastReturn{};
 };
 
 } // namespace currantshed::admit
--- a/src/currantshed/admit/drain_meter.cpp
+++ b/src/currantshed/admit/drain_meter.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+using seconds = std::chrono::duration<double>;
+
+// A gap counts as no longer than so many times the mean, and a little more.
+constexpr double kMostGrowth = 4.0;
+constexpr seconds kGrowthRoom{ 0.001 };
 // Weight of the newest gap in the mean.
 constexpr double kNewest = 0.05;
 constexpr std::chrono::milliseconds kShortest{ 1 };
@@ -19,7 +24,9 @@
 drain_meter::Departed(std::size_t aWaiting, clock::time_point aNow)
 {
   if (mBusy) {
-    const std::chrono::duration<double> gap = aNow - mLast;
+    const seconds measured = aNow - mLast;
+    const auto gap =
+      mGap ? std::min(measured, *mGap * kMostGrowth + kGrowthRoom) : measured;
     mGap = mGap ? *mGap + kNewest * (gap - *mGap) : gap;
   }
   mBusy = aWaiting > 0;
--- a/src/currantshed/admit/drain_meter.hpp
+++ b/src/currantshed/admit/drain_meter.hpp
@@ -12,7 +12,8 @@
 namespace currantshed::admit {
 
 /// Measures how fast a queue drains: the mean time between departures while
-/// requests wait, with newer ones weighing more.
+/// requests wait, with newer ones weighing more. A single long gap, as a
+/// failover makes, counts for little.
 class drain_meter
 {
 public:
--- a/src/currantshed/group/group_engine.cpp
+++ b/src/currantshed/group/group_engine.cpp
@@ -176,9 +176,13 @@
 void
 group_engine::Pump(clock::time_point aNow)
 {
-  mLooked = aNow;
   PumpTransactions(aNow);
-  PumpQueues(aNow);
+  // While all slots are taken, the queues only need a look for requests that
+  // have waited for too long.
+  if (mLinks.HasSlot() || aNow >= mLooked + kLookInterval) {
+    mLooked = aNow;
+    PumpQueues(aNow);
+  }
 }
 
 void
@@ -196,6 +200,7 @@
 void
 group_engine::PumpQueues(clock::time_point aNow)
 {
+  mLinks.BeginPass();
   // Both lanes by deadline; the first ones only, since those behind them
   // would wait for the same servers.
   std::vector<timed_request> waiting;
@@ -265,6 +270,7 @@
   queue.Departed(aNow);
   entry.at = stage::kRunning;
   entry.connection = aConnection;
+  entry.sentAt = aNow;
   const auto sent = mLinks.Dispatch(aConnection, aNow);
   mLinks.Run(aConnection, aRequest, way.Compose(*sent));
   const auto overtaken = way.OvertakenAt();
@@ -282,6 +288,7 @@
   auto& entry = mEntries.at(aRequest);
   mOvertaken.erase({ entry.way->OvertakenAt(), aRequest });
   mWanting.erase(aRequest);
+  QueueOf(entry.waitsIn).Served(aNow - entry.sentAt);
   mLinks.Settle(entry.connection, aTurn.fate);
   Apply(aRequest, std::move(aTurn.next), aNow);
 }
--- a/src/currantshed/group/group_engine.hpp
+++ b/src/currantshed/group/group_engine.hpp
@@ -71,6 +71,7 @@
     stage at = stage::kQueued;
     lane waitsIn = lane::kReads;
     connection_id connection = 0;
+    clock::time_point sentAt;
   };
 
   using timed_request = std::pair<clock::time_point, request_id>;
--- a/src/currantshed/group/submit.cpp
+++ b/src/currantshed/group/submit.cpp
@@ -202,14 +202,14 @@
       hasRoom ? queue.Offer(waiting, aNow) : admit::admission{};
     if (!offered.admitted) {
       auto made = NotRun(request, reason::kOverloaded);
-      made.retryAfter = queue.RetryAfter(id);
+      made.retryAfter = queue.RetryAfter(id, aNow);
       mActions.emplace_back(give_answer{ std::move(made) });
       return;
     }
     for (const auto displaced : offered.displaced) {
       auto made =
         NotRun(mEntries.at(displaced).way->Request(), reason::kOverloaded);
-      made.retryAfter = queue.RetryAfter(displaced);
+      made.retryAfter = queue.RetryAfter(displaced, aNow);
       Finish(displaced, std::move(made));
     }
     mContext.retries.Earn();
