Leave a server when it is silent, not when a read is long

A read that took over half its time was cut and run elsewhere, so that a long one could never end in time and ran twice; found by reading, the test was written after the change. It is now left when its server hasn't told its status since. Refusals that would not come again (serialization, locks, resources) no longer end a change as refused. Questions for a fresh read are asked once while it runs. A connection lost without a reply tears what ran on it; transactions on a server that is gone end. The engine, the links and the transactions' flows are split by job.

--- a/src/currantshed/confirm/status_board.cpp
+++ b/src/currantshed/confirm/status_board.cpp
@@ -50,6 +50,7 @@
     kept[server] = known == mMembers.end() ? member{} : known->second;
   }
   mMembers = std::move(kept);
+  mTerm = FindTerm();
 }
 
 void
@@ -71,6 +72,7 @@
   }
   member.heard = true;
   member.latest = { aStatus, aAskedAt };
+  mTerm = FindTerm();
   NoteSample();
 }
 
@@ -84,8 +86,14 @@
   return &found->second.latest;
 }
 
+const std::optional<majority_term>&
+status_board::Term() const noexcept
+{
+  return mTerm;
+}
+
 std::optional<majority_term>
-status_board::Term() const
+status_board::FindTerm() const
 {
   std::optional<majority_term> highest;
   for (const auto& [server, candidate] : mMembers) {
@@ -109,7 +117,7 @@
 std::optional<known_primary>
 status_board::Primary(clock::time_point aNow) const
 {
-  const auto term = Term();
+  const auto& term = mTerm;
   if (!term || term->askedAt + mValidity < aNow) {
     return std::nullopt;
   }
@@ -200,16 +208,15 @@
 void
 status_board::NoteSample()
 {
-  const auto term = Term();
-  if (!term) {
+  if (!mTerm) {
     return;
   }
-  const auto* primary = PrimaryOf(term->term);
+  const auto* primary = PrimaryOf(mTerm->term);
   if (primary == nullptr) {
     return;
   }
   const auto& word = primary->second.latest;
-  mSamples.Add(word.status.stored, std::min(word.askedAt, term->askedAt));
+  mSamples.Add(word.status.stored, std::min(word.askedAt, mTerm->askedAt));
 }
 
 } // namespace currantshed::confirm
--- a/src/currantshed/confirm/status_board.hpp
+++ b/src/currantshed/confirm/status_board.hpp
@@ -65,7 +65,7 @@
     const upstream::server_id& aServer) const;
 
   /// The highest term that a majority is in, by their latest words.
-  [[nodiscard]] std::optional<majority_term> Term() const;
+  [[nodiscard]] const std::optional<majority_term>& Term() const noexcept;
 
   /// The primary, when it and a majority were asked within the validity.
   [[nodiscard]] std::optional<known_primary> Primary(
@@ -105,11 +105,13 @@
   [[nodiscard]] std::size_t Majority() const noexcept;
   [[nodiscard]] const members::value_type* PrimaryOf(
     position::term_id aTerm) const;
+  [[nodiscard]] std::optional<majority_term> FindTerm() const;
   void NoteConfirmed(position::term_id aTerm);
   void NoteSample();
 
   std::chrono::milliseconds mValidity;
   members mMembers;
+  std::optional<majority_term> mTerm;
   // The highest confirmed index of the latest terms.
   std::map<position::term_id, position::log_index> mConfirmed;
   position_samples mSamples;
--- /dev/null
+++ b/src/currantshed/group/begin_flows.cpp
@@ -0,0 +1,181 @@
+#include "currantshed/group/begin_flows.hpp"
+
+#include <iterator>
+#include <utility>
+
+namespace currantshed::group {
+
+namespace {
+
+using outcome::reason;
+using upstream::batch_end;
+using upstream::server_role;
+
+// Opening batch of a transaction that may change data: begin, status.
+constexpr std::size_t kOpeningStatus = 1;
+constexpr std::size_t kOpeningSize = 2;
+
+transaction
+MakeTransaction(const request& aRequest,
+                const dispatch& aDispatch,
+                const upstream::server_status& aStatus)
+{
+  transaction made;
+  made.connection = aDispatch.connection;
+  made.server = aDispatch.server;
+  made.failureDomain = aDispatch.failureDomain;
+  made.role = aStatus.role;
+  made.term = aStatus.term;
+  made.work = aRequest.work;
+  made.user = aRequest.id;
+  return made;
+}
+
+bool
+IsDone(const step& aStep)
+{
+  const auto* end = std::get_if<finish>(&aStep);
+  return end != nullptr && end->reply.verdict == outcome::verdict::kDone;
+}
+
+} // namespace
+
+bool
+begin_write_flow::ReadOnly() const
+{
+  return false;
+}
+
+route::choice
+begin_write_flow::Place(const std::vector<route::candidate>& aCandidates,
+                        clock::time_point aNow) const
+{
+  return route::ChoosePrimary(
+    aCandidates, Request().work.servedIn, Shared().board, aNow);
+}
+
+std::optional<answer>
+begin_write_flow::GiveUp(reason aWhy, clock::time_point aNow)
+{
+  if (aWhy == reason::kNoPlace || HasWaitedLong(aNow)) {
+    return NotRun(Request(), aWhy);
+  }
+  return std::nullopt;
+}
+
+std::vector<upstream::statement>
+begin_write_flow::Compose(const dispatch& aDispatch)
+{
+  mDispatch = aDispatch;
+  const auto& dialect = *Shared().dialect;
+  std::vector<upstream::statement> batch{ dialect.Begin(false),
+                                          dialect.Status() };
+  batch.insert(
+    batch.end(), Request().statements.begin(), Request().statements.end());
+  return batch;
+}
+
+turn
+begin_write_flow::Replied(upstream::reply aReply, clock::time_point aNow)
+{
+  if (aReply.sqlState == upstream::kAnswerLimitState) {
+    return { finish{ Refused(Request(), reason::kAnswerTooLarge) },
+             connection_fate::kClose };
+  }
+  const auto isRefusal = aReply.end == batch_end::kServerError &&
+                         aReply.results.size() >= kOpeningSize &&
+                         aReply.sqlState != upstream::kStaleTermState &&
+                         aReply.sqlState != upstream::kReadOnlyState;
+  if (isRefusal) {
+    return { finish{ StatementRefused(Request(), aReply) },
+             connection_fate::kRollBack };
+  }
+  if (aReply.end != batch_end::kComplete) {
+    return { TryAgain(), connection_fate::kClose };
+  }
+  const auto status = TakeStatus(Shared(), mDispatch, aReply, kOpeningStatus);
+  if (!status || status->role != server_role::kPrimary) {
+    return { TryAgain(), connection_fate::kClose };
+  }
+  auto open = MakeTransaction(Request(), mDispatch, *status);
+  open.digest.Add(Request().statements);
+  auto made = ServedBy(Request(), mDispatch, status->role);
+  made.transaction = Shared().transactions.Add(std::move(open), aNow);
+  made.results.assign(
+    std::make_move_iterator(aReply.results.begin() + kOpeningSize),
+    std::make_move_iterator(aReply.results.end()));
+  return { finish{ std::move(made) }, connection_fate::kPin };
+}
+
+answer
+begin_write_flow::Expired(stage) const
+{
+  // Without a commit nothing of it stays.
+  return NotRun(Request(), reason::kDeadline);
+}
+
+step
+begin_write_flow::TryAgain()
+{
+  if (Shared().retries.Spend()) {
+    return queue_again{};
+  }
+  return finish{ NotRun(Request(), reason::kNoPrimary) };
+}
+
+turn
+begin_read_flow::Replied(upstream::reply aReply, clock::time_point aNow)
+{
+  const auto isComplete = aReply.end == batch_end::kComplete;
+  auto next = read_flow::Replied(std::move(aReply), aNow);
+  if (next.fate != connection_fate::kKeep) {
+    return next;
+  }
+  const auto isOpen =
+    isComplete &&
+    (IsDone(next.next) || std::holds_alternative<await_word>(next.next));
+  if (!isOpen) {
+    next.fate = connection_fate::kRollBack;
+    return next;
+  }
+  auto open = MakeTransaction(Request(), Dispatched(), Evidence().after);
+  open.readOnly = true;
+  open.position = Evidence().after.applied;
+  mTransaction = Shared().transactions.Add(std::move(open), aNow);
+  if (auto* end = std::get_if<finish>(&next.next)) {
+    end->reply.transaction = mTransaction;
+  }
+  next.fate = connection_fate::kPin;
+  return next;
+}
+
+std::optional<step>
+begin_read_flow::Heard(clock::time_point aNow)
+{
+  auto next = read_flow::Heard(aNow);
+  if (!next) {
+    return next;
+  }
+  if (IsDone(*next)) {
+    std::get<finish>(*next).reply.transaction = mTransaction;
+  } else {
+    Shared().transactions.Abandon(mTransaction);
+  }
+  return next;
+}
+
+std::vector<upstream::statement>
+begin_read_flow::Opening() const
+{
+  // The status within the transaction is what fixes the state that it sees.
+  const auto& dialect = *Shared().dialect;
+  return { dialect.Status(), dialect.Begin(true), dialect.Status() };
+}
+
+bool
+begin_read_flow::StatusAfter() const
+{
+  return false;
+}
+
+} // namespace currantshed::group
--- a/src/currantshed/group/changes.cpp
+++ b/src/currantshed/group/changes.cpp
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "currantshed/group/refusals.hpp"
+
 namespace currantshed::group {
 
 namespace {
@@ -23,27 +25,6 @@
 constexpr std::size_t kVoidBefore = 3;
 constexpr std::size_t kVoidAfter = 5;
 
-// Whether a refusal at the commit is certain to have dropped the change:
-// constraints, serialization, and servers that take no changes. The SQL
-// standard's 40003 says that the outcome isn't known.
-bool
-IsCertainAtCommit(const std::string& aSqlState)
-{
-  constexpr std::string_view kCompletionUnknown = "40003";
-  return aSqlState != kCompletionUnknown &&
-         (aSqlState.starts_with("23") || aSqlState.starts_with("40") ||
-          aSqlState == upstream::kStaleTermState ||
-          aSqlState == upstream::kReadOnlyState);
-}
-
-// Whether a server refused because it takes no changes at present.
-bool
-IsNotPrimary(const std::string& aSqlState)
-{
-  return aSqlState == upstream::kStaleTermState ||
-         aSqlState == upstream::kReadOnlyState;
-}
-
 } // namespace
 
 bool
@@ -192,9 +173,13 @@
     mPhase = phase::kLookUp;
     return { queue_again{}, connection_fate::kRollBack };
   }
-  if (IsNotPrimary(aReply.sqlState) || failed < RecordPlace()) {
+  const auto kind = Classify(aReply.sqlState);
+  if (kind == refusal::kNotPrimary || failed < RecordPlace()) {
     return { TryAgain(reason::kNoPrimary), connection_fate::kClose };
   }
+  if (kind == refusal::kTransient) {
+    return { TryAgain(reason::kOverloaded), connection_fate::kRollBack };
+  }
   auto made = StatementRefused(Request(), aReply);
   if (!mDoubtful) {
     return { finish{ std::move(made) }, connection_fate::kRollBack };
--- a/src/currantshed/group/flow.cpp
+++ b/src/currantshed/group/flow.cpp
@@ -29,12 +29,6 @@
   return false;
 }
 
-clock::time_point
-flow::OvertakenAt() const
-{
-  return clock::time_point::max();
-}
-
 std::optional<step>
 flow::Heard(clock::time_point)
 {
--- a/src/currantshed/group/flow.hpp
+++ b/src/currantshed/group/flow.hpp
@@ -95,9 +95,6 @@
   /// way. The connection is closed then, and the batch counts as torn.
   [[nodiscard]] virtual bool IsOvertaken(clock::time_point aNow) const;
 
-  /// When IsOvertaken is to be asked next, beside on news.
-  [[nodiscard]] virtual clock::time_point OvertakenAt() const;
-
   /// The batch under way has ended.
   [[nodiscard]] virtual turn Replied(upstream::reply aReply,
                                      clock::time_point aNow) = 0;
@@ -106,7 +103,8 @@
   /// none to go on waiting.
   [[nodiscard]] virtual std::optional<step> Heard(clock::time_point aNow);
 
-  /// Whether it needs the servers' word soon, while a batch is under way.
+  /// Whether it will need the servers' word, asked for since its batch was
+  /// sent, when the batch ends.
   [[nodiscard]] virtual bool WantsWord() const;
 
   /// Its time is up.
--- a/src/currantshed/group/group_engine.hpp
+++ b/src/currantshed/group/group_engine.hpp
@@ -8,7 +8,6 @@
 
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
 
 #include "currantshed/admit/deadline_queue.hpp"
 #include "currantshed/group/context.hpp"
@@ -126,9 +125,8 @@
   admit::deadline_queue mWrites;
   admit::deadline_queue mTransactions;
   absl::btree_set<timed_request> mDeadlines;
-  absl::btree_set<timed_request> mOvertaken;
+  absl::btree_set<request_id> mRunning;
   absl::btree_set<request_id> mAwaiting;
-  absl::flat_hash_set<request_id> mWanting;
   position::term_id mTermSeen = 0;
   // When the queues were last looked at.
   clock::time_point mLooked{};
--- a/src/currantshed/group/links.cpp
+++ b/src/currantshed/group/links.cpp
@@ -5,21 +5,6 @@
 
 namespace currantshed::group {
 
-namespace {
-
-// Connections of a server that open transactions leave to other requests.
-constexpr unsigned kKeptFromTransactions = 2;
-
-unsigned
-MostTransactions(unsigned aConnections)
-{
-  return aConnections > kKeptFromTransactions
-           ? aConnections - kKeptFromTransactions
-           : 1;
-}
-
-} // namespace
-
 links::links(context& aContext, std::vector<action>& aActions)
   : mContext(aContext)
   , mActions(aActions)
@@ -57,76 +42,6 @@
   return torn;
 }
 
-std::vector<route::candidate>
-links::Candidates(bool aReadOnly,
-                  bool aForTransaction,
-                  clock::time_point aNow) const
-{
-  std::vector<route::candidate> candidates;
-  candidates.reserve(mServers.size());
-  for (const auto& server : mServers) {
-    const auto& pool = server.pool;
-    const auto hasPlace =
-      !aForTransaction || mContext.transactions.CountOn(server.description.id) <
-                            MostTransactions(pool.Limits().connections);
-    route::candidate candidate;
-    candidate.server = server.description.id;
-    candidate.failureDomain = server.description.failureDomain;
-    candidate.leaving = server.description.leaving;
-    candidate.inUse =
-      pool.Running() + server.claimsReadOnly + server.claimsReadWrite;
-    candidate.slots = pool.Limits().slots;
-    candidate.room = hasPlace && candidate.inUse < candidate.slots &&
-                     pool.CanProvide(aReadOnly, aNow);
-    candidate.connected = pool.Idle(aReadOnly).has_value();
-    candidates.push_back(std::move(candidate));
-  }
-  return candidates;
-}
-
-bool
-links::HasSlot() const
-{
-  return std::any_of(
-    mServers.begin(), mServers.end(), [](const server& aServer) {
-      return aServer.pool.HasSlot();
-    });
-}
-
-void
-links::BeginPass()
-{
-  for (auto& server : mServers) {
-    server.claimsReadOnly = 0;
-    server.claimsReadWrite = 0;
-  }
-}
-
-std::optional<connection_id>
-links::Acquire(std::size_t aCandidate, bool aReadOnly, clock::time_point aNow)
-{
-  auto& server = mServers[aCandidate];
-  if (const auto idle = server.pool.Idle(aReadOnly)) {
-    server.pool.Hold(*idle);
-    return idle;
-  }
-  auto& claims = aReadOnly ? server.claimsReadOnly : server.claimsReadWrite;
-  ++claims;
-  if (server.pool.Opening(aReadOnly) >= claims) {
-    return std::nullopt;
-  }
-  if (server.pool.MayOpen(aNow)) {
-    Open(server, aReadOnly);
-    return std::nullopt;
-  }
-  const auto other = server.pool.Idle(!aReadOnly);
-  if (other && aNow >= server.pool.RetryAt()) {
-    Close(*other);
-    Open(server, aReadOnly);
-  }
-  return std::nullopt;
-}
-
 bool
 links::CanRun(connection_id aConnection) const
 {
@@ -255,44 +170,22 @@
 void
 links::Close(connection_id aConnection)
 {
-  Lost(aConnection);
-  mActions.emplace_back(close_connection{ aConnection });
+  if (mLinks.contains(aConnection)) {
+    Erase(aConnection);
+    mActions.emplace_back(close_connection{ aConnection });
+  }
 }
 
-void
+std::optional<request_id>
 links::Lost(connection_id aConnection)
 {
   const auto found = mLinks.find(aConnection);
   if (found == mLinks.end()) {
-    return;
-  }
-  if (auto* server = Find(found->second.server)) {
-    server->pool.Remove(aConnection);
-  }
-  mLinks.erase(found);
-}
-
-void
-links::KeepSpares(clock::time_point aNow)
-{
-  const auto primary = mContext.board.Primary(aNow);
-  for (auto& server : mServers) {
-    if (server.description.leaving) {
-      for (const auto readOnly : { true, false }) {
-        while (const auto idle = server.pool.Idle(readOnly)) {
-          Close(*idle);
-        }
-      }
-      continue;
-    }
-    if (mContext.board.Find(server.description.id) == nullptr) {
-      continue;
-    }
-    OpenSpare(server, true, aNow);
-    if (primary && primary->server == server.description.id) {
-      OpenSpare(server, false, aNow);
-    }
+    return std::nullopt;
   }
+  const auto request = found->second.request;
+  Erase(aConnection);
+  return request;
 }
 
 links::server*
@@ -316,26 +209,16 @@
 }
 
 void
-links::Open(server& aServer, bool aReadOnly)
-{
-  const auto id = ++mLastConnection;
-  aServer.pool.Add(id, aReadOnly);
-  link opened;
-  opened.server = aServer.description.id;
-  opened.readOnly = aReadOnly;
-  mLinks.emplace(id, std::move(opened));
-  mActions.emplace_back(
-    open_connection{ id, aServer.description.id, aReadOnly });
-}
-
-void
-links::OpenSpare(server& aServer, bool aReadOnly, clock::time_point aNow)
+links::Erase(connection_id aConnection)
 {
-  const auto& pool = aServer.pool;
-  if (!pool.Idle(aReadOnly) && pool.Opening(aReadOnly) == 0 && pool.HasSlot() &&
-      pool.MayOpen(aNow)) {
-    Open(aServer, aReadOnly);
+  const auto found = mLinks.find(aConnection);
+  if (found == mLinks.end()) {
+    return;
   }
+  if (auto* server = Find(found->second.server)) {
+    server->pool.Remove(aConnection);
+  }
+  mLinks.erase(found);
 }
 
 void
--- a/src/currantshed/group/links.hpp
+++ b/src/currantshed/group/links.hpp
@@ -84,11 +84,11 @@
   /// Closes a connection at once.
   void Close(connection_id aConnection);
 
-  /// The connection broke by itself.
-  void Lost(connection_id aConnection);
+  /// The connection broke by itself: the request whose batch ran on it.
+  [[nodiscard]] std::optional<request_id> Lost(connection_id aConnection);
 
-  /// Opens connections that are likely to be needed, and closes idle ones to
-  /// servers that are leaving.
+  /// Opens connections that are likely to be needed, also by the next primary
+  /// at a replica, and closes idle ones to servers that are leaving.
   void KeepSpares(clock::time_point aNow);
 
 private:
@@ -115,6 +115,7 @@
   [[nodiscard]] server* Find(const upstream::server_id& aServer);
   [[nodiscard]] const server* Find(const upstream::server_id& aServer) const;
   void Open(server& aServer, bool aReadOnly);
+  void Erase(connection_id aConnection);
   void OpenSpare(server& aServer, bool aReadOnly, clock::time_point aNow);
   void Start(connection_id aConnection,
              link& aLink,
--- a/src/currantshed/group/reads.cpp
+++ b/src/currantshed/group/reads.cpp
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "currantshed/group/refusals.hpp"
+
 namespace currantshed::group {
 
 namespace {
@@ -14,20 +16,9 @@
 // Part of its time that a read waits for a replica which could take it,
 // before it goes to the primary.
 constexpr int kSpillPart = 4;
-// Part of the time left that a read waits for one server's reply, before it
-// runs elsewhere.
-constexpr int kAttemptPart = 2;
-
-// Whether the server refused for what it is at the moment, and another one
-// might not.
-bool
-IsRefusalByServer(const std::string& aSqlState)
-{
-  // Classes 53 (resources), 57 (operator) and 58 (system), and a stale term.
-  return aSqlState == upstream::kStaleTermState ||
-         aSqlState.starts_with("53") || aSqlState.starts_with("57") ||
-         aSqlState.starts_with("58");
-}
+// Status intervals without a word from a server, at least, before a read that
+// runs there is tried elsewhere.
+constexpr int kLeastSilentIntervals = 2;
 
 } // namespace
 
@@ -81,14 +72,18 @@
 bool
 read_flow::IsOvertaken(clock::time_point aNow) const
 {
-  return aNow >= OvertakenAt();
-}
-
-clock::time_point
-read_flow::OvertakenAt() const
-{
-  return mDispatch.sentAt +
-         (Request().deadline - mDispatch.sentAt) / kAttemptPart;
+  // A server that runs a long statement still tells its status; one that is
+  // silent is cut off or stuck.
+  const auto& settings = Shared().settings;
+  const auto time = Request().deadline - mDispatch.sentAt;
+  const auto least = settings.statusInterval * kLeastSilentIntervals;
+  const auto silence = std::clamp<clock::duration>(
+    time / 2, least, settings.statusTimeout + least);
+  const auto* word = Shared().board.Find(mDispatch.server);
+  const auto heardAt = word == nullptr
+                         ? mDispatch.sentAt
+                         : std::max(mDispatch.sentAt, word->askedAt);
+  return aNow >= heardAt + silence;
 }
 
 turn
@@ -191,7 +186,8 @@
 turn
 read_flow::ServerRefused(const upstream::reply& aReply)
 {
-  if (IsRefusalByServer(aReply.sqlState)) {
+  if (Classify(aReply.sqlState) == refusal::kTransient ||
+      aReply.sqlState == upstream::kStaleTermState) {
     return { TryElsewhere(reason::kUnreachable), connection_fate::kClose };
   }
   return { finish{ StatementRefused(Request(), aReply) },
--- a/src/currantshed/group/reads.hpp
+++ b/src/currantshed/group/reads.hpp
@@ -23,7 +23,6 @@
   [[nodiscard]] std::vector<upstream::statement> Compose(
     const dispatch& aDispatch) override;
   [[nodiscard]] bool IsOvertaken(clock::time_point aNow) const override;
-  [[nodiscard]] clock::time_point OvertakenAt() const override;
   [[nodiscard]] turn Replied(upstream::reply aReply,
                              clock::time_point aNow) override;
   [[nodiscard]] std::optional<step> Heard(clock::time_point aNow) override;
--- a/src/currantshed/group/rounds.cpp
+++ b/src/currantshed/group/rounds.cpp
@@ -47,6 +47,12 @@
   }
 }
 
+void
+rounds::Want(clock::time_point aAskedSince)
+{
+  mWantedSince = std::max(mWantedSince, aAskedSince);
+}
+
 std::vector<upstream::server_id>
 rounds::Due(bool aSomeoneWaits, clock::time_point aNow)
 {
@@ -82,7 +88,8 @@
     // Without an answer for so long, the question counts as failed.
     return aQuestion.askedAt + mTimeout;
   }
-  if (aSomeoneWaits && !aQuestion.failed) {
+  const auto isWanted = aSomeoneWaits || aQuestion.askedAt < mWantedSince;
+  if (isWanted && !aQuestion.failed) {
     return aQuestion.askedAt + kLeastGap;
   }
   return aQuestion.askedAt + mInterval;
--- a/src/currantshed/group/rounds.hpp
+++ b/src/currantshed/group/rounds.hpp
@@ -22,7 +22,11 @@
   void Answered(const upstream::server_id& aServer);
   void Failed(const upstream::server_id& aServer);
 
-  /// The servers to be asked now.
+  /// Somebody will need words asked for since the given time.
+  void Want(clock::time_point aAskedSince);
+
+  /// The servers to be asked now. Someone waits if nothing but newer words
+  /// can help a request on.
   [[nodiscard]] std::vector<upstream::server_id> Due(bool aSomeoneWaits,
                                                      clock::time_point aNow);
 
@@ -45,6 +49,7 @@
 
   std::chrono::milliseconds mInterval;
   std::chrono::milliseconds mTimeout;
+  clock::time_point mWantedSince = clock::time_point::min();
   std::vector<question> mQuestions;
 };
 
--- a/src/currantshed/group/submit.cpp
+++ b/src/currantshed/group/submit.cpp
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include "currantshed/group/begin_flows.hpp"
 #include "currantshed/group/group_engine.hpp"
 #include "currantshed/group/reads.hpp"
 #include "currantshed/group/resolve.hpp"
--- a/src/currantshed/group/transaction_flows.hpp
+++ b/src/currantshed/group/transaction_flows.hpp
@@ -2,54 +2,9 @@
 #define CURRANTSHED_GROUP_TRANSACTION_FLOWS_HPP
 
 #include "currantshed/group/changes.hpp"
-#include "currantshed/group/reads.hpp"
 
 namespace currantshed::group {
 
-/// Opens a transaction that may change data, at the primary. What its first
-/// statements return is provisional, as everything is before the commit.
-class begin_write_flow : public flow
-{
-public:
-  using flow::flow;
-
-  [[nodiscard]] bool ReadOnly() const override;
-  [[nodiscard]] route::choice Place(
-    const std::vector<route::candidate>& aCandidates,
-    clock::time_point aNow) const override;
-  [[nodiscard]] std::optional<answer> GiveUp(outcome::reason aWhy,
-                                             clock::time_point aNow) override;
-  [[nodiscard]] std::vector<upstream::statement> Compose(
-    const dispatch& aDispatch) override;
-  [[nodiscard]] turn Replied(upstream::reply aReply,
-                             clock::time_point aNow) override;
-  [[nodiscard]] answer Expired(stage aStage) const override;
-
-private:
-  [[nodiscard]] step TryAgain();
-
-  dispatch mDispatch;
-};
-
-/// Opens a read-only transaction where a read may run. It sees one state of
-/// the data throughout, which is verified here as a read's is.
-class begin_read_flow : public read_flow
-{
-public:
-  using read_flow::read_flow;
-
-  [[nodiscard]] turn Replied(upstream::reply aReply,
-                             clock::time_point aNow) override;
-  [[nodiscard]] std::optional<step> Heard(clock::time_point aNow) override;
-
-protected:
-  [[nodiscard]] std::vector<upstream::statement> Opening() const override;
-  [[nodiscard]] bool StatusAfter() const override;
-
-private:
-  transaction_id mTransaction = 0;
-};
-
 /// Runs statements in an open transaction.
 class statement_flow : public flow
 {
--- a/src/currantshed/route/read_route.cpp
+++ b/src/currantshed/route/read_route.cpp
@@ -11,7 +11,7 @@
 using outcome::reason;
 
 // A server that has said nothing for so long gets no reads.
-constexpr std::chrono::milliseconds kSilence{ 1000 };
+constexpr std::chrono::milliseconds kSilence{ 300 };
 // Part of the staleness bound that is left for the read itself to run in.
 constexpr std::chrono::milliseconds kRunAllowance{ 5 };
 
--- a/test/currantshed/group/engine.cpp
+++ b/test/currantshed/group/engine.cpp
@@ -277,3 +277,48 @@
   const auto written = group.Call(group.Write("report"));
   CHECK(written.verdict == verdict::kDone);
 }
+
+TEST(engine, a_lost_connection_tears_what_runs_on_it)
+{
+  fake_group group;
+  group.Run(100ms);
+  const auto id = group.Submit(group.Write("report", true));
+  group.Run(1ms);
+  group.LoseConnections("s1");
+  const auto* told = group.Wait(id, 500ms);
+  CHECK(told != nullptr);
+  CHECK(told->verdict == verdict::kDone);
+  const auto values = group.Values();
+  LONGS_EQUAL(1, std::count(values.begin(), values.end(), "report"));
+}
+
+TEST(engine, a_long_read_is_not_run_twice)
+{
+  fake_group group;
+  group.Run(100ms);
+  group.batchTime = 1500ms;
+  const auto told = group.Call(group.Read(10s));
+  CHECK(told.verdict == verdict::kDone);
+  const auto runs = group.Server("s2").ran.size() +
+                    group.Server("s3").ran.size() +
+                    group.Server("s1").ran.size();
+  LONGS_EQUAL(1, runs);
+}
+
+TEST(engine, a_server_that_is_gone_from_the_list_is_left)
+{
+  fake_group group;
+  group.Run(100ms);
+  auto begin = group.Read(10s);
+  begin.kind = operation::kBegin;
+  begin.work.servedIn = { "d3" };
+  const auto begun = group.Call(begin);
+  CHECK(begun.verdict == verdict::kDone);
+  group.Drop("s3");
+  const auto told =
+    group.Call(group.In(operation::kStatement, begun.transaction, "list"));
+  CHECK(told.why == reason::kTransactionLost);
+  LONGS_EQUAL(0, group.Engine().Pending());
+  LONGS_EQUAL(0, group.Server("s3").connections);
+  CHECK(group.Call(group.Write("report")).verdict == verdict::kDone);
+}
--- a/test/currantshed/group/fake_group.cpp
+++ b/test/currantshed/group/fake_group.cpp
@@ -163,6 +163,32 @@
   Perform();
 }
 
+void
+fake_group::Drop(const upstream::server_id& aServer)
+{
+  std::erase_if(mDescription.members, [&aServer](const group::member& aOne) {
+    return aOne.id == aServer;
+  });
+  mEngine->Configure(mDescription, mNow);
+  Perform();
+}
+
+void
+fake_group::LoseConnections(const upstream::server_id& aServer)
+{
+  std::vector<group::connection_id> lost;
+  for (const auto& [id, connection] : mConnections) {
+    if (connection.server == aServer && connection.open) {
+      lost.push_back(id);
+    }
+  }
+  for (const auto id : lost) {
+    Close(id);
+    mEngine->ConnectionLost(id, mNow);
+    Perform();
+  }
+}
+
 fake_server&
 fake_group::Server(const upstream::server_id& aServer)
 {
--- a/test/currantshed/group/fake_group.hpp
+++ b/test/currantshed/group/fake_group.hpp
@@ -58,6 +58,12 @@
 
   void SetLeaving(const upstream::server_id& aServer, bool aLeaving);
 
+  /// Takes a server out of the list that the engine gets.
+  void Drop(const upstream::server_id& aServer);
+
+  /// Breaks all statement connections to a server, as its restart does.
+  void LoseConnections(const upstream::server_id& aServer);
+
   [[nodiscard]] fake_server& Server(const upstream::server_id& aServer);
   [[nodiscard]] group::engine& Engine();
   [[nodiscard]] clock::time_point Now() const;
