--- /dev/null
+++ b/bench/currantshed/place/rendezvous.cpp
@@ -0,0 +1,33 @@
+#include "placement.hpp"
+
+#include "currantshed/member/roster.hpp"
+
+namespace currantshed::place {
+
+namespace {
+
+class rendezvous final : public placement
+{
+public:
+  void SetVms(const std::vector<platform::vm>& aVms) override { mVms = aVms; }
+
+  [[nodiscard]] std::vector<platform::vm> Owners(
+    const group::group_name& aGroup,
+    unsigned aCount) const override
+  {
+    return member::ChooseOwners(aGroup, mVms, aCount);
+  }
+
+private:
+  std::vector<platform::vm> mVms;
+};
+
+} // namespace
+
+std::unique_ptr<placement>
+MakeRendezvous()
+{
+  return std::make_unique<rendezvous>();
+}
+
+} // namespace currantshed::place
--- a/src/currantshed/member/owners.cpp
+++ b/src/currantshed/member/owners.cpp
@@ -1,10 +1,12 @@
 #include "currantshed/member/roster.hpp"
 
 #include <algorithm>
+#include <cstddef>
 #include <string>
+#include <string_view>
 #include <utility>
 
-#include <absl/container/flat_hash_set.h>
+#include <absl/container/flat_hash_map.h>
 #include <xxhash.h>
 
 namespace currantshed::member {
@@ -17,16 +19,6 @@
   const platform::vm* vm = nullptr;
 };
 
-// The zero byte keeps "ab" + "c" apart from "a" + "bc".
-std::uint64_t
-Score(const group::group_name& aGroup, const std::string& aVm)
-{
-  std::string text = aGroup;
-  text.push_back('\0');
-  text += aVm;
-  return XXH3_64bits(text.data(), text.size());
-}
-
 bool
 GoesBefore(const scored_vm& aLeft, const scored_vm& aRight)
 {
@@ -36,18 +28,51 @@
   return aLeft.vm->id < aRight.vm->id;
 }
 
+// Scores by the hash of both names. The zero byte keeps "ab" + "c" apart from
+// "a" + "bc".
 std::vector<scored_vm>
-Ranked(const group::group_name& aGroup, const std::vector<platform::vm>& aVms)
+Scored(const group::group_name& aGroup, const std::vector<platform::vm>& aVms)
 {
-  std::vector<scored_vm> ranked;
-  ranked.reserve(aVms.size());
+  std::string text = aGroup;
+  text.push_back('\0');
+  const auto stem = text.size();
+  std::vector<scored_vm> scored;
+  scored.reserve(aVms.size());
   for (const auto& vm : aVms) {
     if (!vm.leaving) {
-      ranked.push_back({ Score(aGroup, vm.id), &vm });
+      text.resize(stem);
+      text += vm.id;
+      scored.push_back({ XXH3_64bits(text.data(), text.size()), &vm });
     }
   }
-  std::sort(ranked.begin(), ranked.end(), GoesBefore);
-  return ranked;
+  return scored;
+}
+
+// Moves the best VM of each failure domain to the front, the best ones first,
+// and tells how many there are.
+std::size_t
+DomainsFirst(std::vector<scored_vm>& aScored)
+{
+  absl::flat_hash_map<std::string_view, std::size_t> best;
+  for (std::size_t index = 0; index < aScored.size(); ++index) {
+    const auto [place, added] =
+      best.try_emplace(aScored[index].vm->failureDomain, index);
+    if (!added && GoesBefore(aScored[index], aScored[place->second])) {
+      place->second = index;
+    }
+  }
+  std::vector<std::size_t> chosen;
+  chosen.reserve(best.size());
+  for (const auto& [domain, index] : best) {
+    chosen.push_back(index);
+  }
+  std::sort(chosen.begin(), chosen.end());
+  for (std::size_t place = 0; place < chosen.size(); ++place) {
+    std::swap(aScored[place], aScored[chosen[place]]);
+  }
+  const auto end = aScored.begin() + static_cast<std::ptrdiff_t>(chosen.size());
+  std::sort(aScored.begin(), end, GoesBefore);
+  return chosen.size();
 }
 
 } // namespace
@@ -57,24 +82,19 @@
              const std::vector<platform::vm>& aVms,
              unsigned aOwners)
 {
-  std::vector<platform::vm> owners;
-  std::vector<const platform::vm*> spare;
-  absl::flat_hash_set<std::string> domains;
-  for (const auto& candidate : Ranked(aGroup, aVms)) {
-    if (owners.size() == aOwners) {
-      return owners;
-    }
-    if (domains.insert(candidate.vm->failureDomain).second) {
-      owners.push_back(*candidate.vm);
-    } else {
-      spare.push_back(candidate.vm);
-    }
+  auto scored = Scored(aGroup, aVms);
+  const auto domains = DomainsFirst(scored);
+  const auto count = std::min<std::size_t>(aOwners, scored.size());
+  if (domains < count) {
+    std::partial_sort(scored.begin() + static_cast<std::ptrdiff_t>(domains),
+                      scored.begin() + static_cast<std::ptrdiff_t>(count),
+                      scored.end(),
+                      GoesBefore);
   }
-  for (const auto* vm : spare) {
-    if (owners.size() == aOwners) {
-      break;
-    }
-    owners.push_back(*vm);
+  std::vector<platform::vm> owners;
+  owners.reserve(count);
+  for (std::size_t place = 0; place < count; ++place) {
+    owners.push_back(*scored[place].vm);
   }
   return owners;
 }
--- a/test/currantshed/member/owners.cpp
+++ b/test/currantshed/member/owners.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -107,3 +108,29 @@
   std::vector<vm> reversed(vms.rbegin(), vms.rend());
   CHECK(first == ChooseOwners("claimsbook-1", reversed, 3));
 }
+
+// The owner of a seat changes only if the VM that left or came is concerned.
+TEST(owners, a_vm_that_goes_moves_only_its_own_seats)
+{
+  std::vector<vm> vms;
+  vms.reserve(30);
+  for (int number = 0; number < 30; ++number) {
+    vm made;
+    made.id = "vm-" + std::to_string(number);
+    made.failureDomain = std::string(1, "xyz"[number % 3]);
+    vms.push_back(made);
+  }
+  const auto gone = vms[7];
+  auto left = vms;
+  left.erase(left.begin() + 7);
+  for (int group = 0; group < 50; ++group) {
+    const auto name = "group-" + std::to_string(group);
+    const auto before = ChooseOwners(name, vms, 3);
+    const auto after = ChooseOwners(name, left, 3);
+    for (const auto& owner : before) {
+      const bool kept =
+        std::find(after.begin(), after.end(), owner) != after.end();
+      CHECK_TEXT(kept || owner.id == gone.id, name.c_str());
+    }
+  }
+}
