Term book: a change's id tells it from every other one

Cause: a pooler that owned a group a second time numbered its changes anew, found an earlier id in the record and took terms for its own that were never reserved (test a_second_book_of_the_same_incarnation, red before). Change: the id is made of incarnation, version and content. A promotion that was lost on its way is given up once the server, asked later, still waits with nothing left to apply, and not only after a second. Ruled out: a random id (the core has no source of chance). Conclusion: a term number stays one process's own.

--- a/src/currantshed/failover/promoter.cpp
+++ b/src/currantshed/failover/promoter.cpp
@@ -120,7 +120,7 @@
   if (mStep == step::kWaitOut && aNow >= mDue && mWatch.HasMajority(aNow)) {
     Promote(aNow, aOut);
   }
-  if (mStep == step::kPromote && aNow >= mDue) {
+  if (mStep == step::kPromote && (aNow >= mDue || IsPromotionLost(aNow))) {
     BackOff(aNow);
   }
 }
@@ -233,10 +233,26 @@
   mChosen = Choose();
   mUsed = true;
   mStep = step::kPromote;
+  mPromotedAt = aNow;
   mDue = aNow + kPromoteValidities * mValidity;
   aOut.emplace_back(promote{ mChosen, mTerm });
 }
 
+// Asked well after the promotion was sent, the server still waits for one, and
+// has nothing left to apply that could hold it up.
+bool
+promoter::IsPromotionLost(clock::time_point aNow) const
+{
+  const auto* server = mWatch.Find(mChosen);
+  if (server == nullptr || !server->status || aNow < mPromotedAt + mRetry) {
+    return false;
+  }
+  const auto& status = *server->status;
+  return server->askedAt >= mPromotedAt + mRetry && status.term == mTerm &&
+         status.role == upstream::server_role::kFenced &&
+         status.applied >= status.stored;
+}
+
 void
 promoter::Succeed(const upstream::server_id& aServer)
 {
--- a/src/currantshed/failover/promoter.hpp
+++ b/src/currantshed/failover/promoter.hpp
@@ -92,6 +92,7 @@
   void ReadWatch(clock::time_point aNow);
   void SendFences(clock::time_point aNow, std::vector<action>& aOut);
   void Promote(clock::time_point aNow, std::vector<action>& aOut);
+  [[nodiscard]] bool IsPromotionLost(clock::time_point aNow) const;
   void Succeed(const upstream::server_id& aServer);
   void BackOff(clock::time_point aNow);
   void GiveUpFence(clock::time_point aNow);
@@ -112,6 +113,7 @@
   clock::time_point mDue;
   clock::time_point mNextFence;
   clock::time_point mGiveUp;
+  clock::time_point mPromotedAt;
   position::term_id mTerm = 0;
   // Whether the term is used up: its one promotion was sent, or it was given
   // up.
--- a/src/currantshed/failover/term_book.cpp
+++ b/src/currantshed/failover/term_book.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <iterator>
 
+#include <absl/strings/str_cat.h>
 #include <xxhash.h>
 
 namespace currantshed::failover {
@@ -23,6 +24,21 @@
 constexpr milliseconds kTopUpSpan{ 2000 };
 constexpr unsigned kDoublings = 6;
 
+// Names a change by its author, what it was made from and what it makes: a
+// later book of the same incarnation never takes another change for its own.
+std::string
+ChangeId(const incarnation_id& aIncarnation,
+         const term_record& aChanged,
+         platform::index aVersion)
+{
+  const auto text = PrintRecord(aChanged);
+  return absl::StrCat(aIncarnation,
+                      "-",
+                      aVersion,
+                      "-",
+                      absl::Hex(XXH3_64bits(text.data(), text.size())));
+}
+
 } // namespace
 
 term_book::term_book(const coordinator_settings& aSettings)
@@ -254,7 +270,6 @@
 {
   term_record changed = aRecord;
   pending_change change;
-  change.id = mIncarnation + "-" + std::to_string(++mChanges);
   change.expected = aVersion;
   if (WantsPublication(aNow)) {
     changed.term = mUnpublished->term;
@@ -266,6 +281,8 @@
     changed.reservations.push_back({ ++changed.highest, mVm, mIncarnation });
     change.terms.push_back(changed.highest);
   }
+  PruneRecord(changed, mVm, mIncarnation);
+  change.id = ChangeId(mIncarnation, changed, aVersion);
   changed.changes.push_back(change.id);
   PruneRecord(changed, mVm, mIncarnation);
   change.value = PrintRecord(changed);
--- a/src/currantshed/failover/term_book.hpp
+++ b/src/currantshed/failover/term_book.hpp
@@ -92,7 +92,6 @@
   clock::time_point mNotBefore;
   bool mPaced = false;
   unsigned mFailures = 0;
-  std::uint64_t mChanges = 0;
   std::optional<pending_change> mPending;
   bool mSendPending = false;
 };
--- a/test/currantshed/failover/term_book.cpp
+++ b/test/currantshed/failover/term_book.cpp
@@ -169,6 +169,26 @@
   UNSIGNED_LONGS_EQUAL(91, subject.book.Lowest().value_or(0));
 }
 
+// A pooler that owns a group again has a new book in the same incarnation: it
+// must not take an earlier change for its own.
+TEST(term_book, a_second_book_of_the_same_incarnation)
+{
+  fake_store store;
+  bench first("a");
+  first.Step(store, call::kGood);
+  first.Step(store, call::kGood);
+  bench second("a");
+  second.book.See(1);
+  for (const auto given :
+       { call::kGood, call::kRequestLost, call::kGood, call::kGood }) {
+    second.Step(store, given);
+    term_record record;
+    CHECK_FALSE(ParseRecord(store.content.value, record));
+    CHECK(second.book.Lowest().value_or(0) <= record.highest);
+  }
+  UNSIGNED_LONGS_EQUAL(3, second.book.Lowest().value_or(0));
+}
+
 TEST(term_book, a_quiet_book_makes_no_calls)
 {
   fake_store store;
