Add the gateway's daemon

Cause: the decisions need sockets, clocks and callers.

Change: HTTP server for callers on Boost.Beast, one for each thread, with bounds on header, body, time and connections; links to poolers that are opened when first needed and say what could not be sent; control thread with view, configuration, readiness and status; metrics; shutdown that turns readiness off, ends what is in flight, answers what waits, and closes each connection after its answer. Answers over the limit are bounded in the core.

Not run yet: against a pooler.

--- /dev/null
+++ b/bin/currantshed-gateway/main.cpp
@@ -0,0 +1,213 @@
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <zmq.hpp>
+
+#include "bin/currantshed-gateway/options.hpp"
+#include "currantshed/gateway/control.hpp"
+#include "currantshed/gateway/metrics.hpp"
+#include "currantshed/gateway/worker.hpp"
+#include "currantshed/http/status_server.hpp"
+#include "currantshed/log/log.hpp"
+
+namespace {
+
+using namespace currantshed;
+using boost::system::error_code;
+
+/// Exit code of a gateway that could not begin to listen.
+constexpr int kStartFailed = 1;
+
+/// How long requests are still served after the gateway has told that it
+/// isn't ready, so that whoever balances the load hears of it first; never
+/// more than a part of the time to drain.
+constexpr std::chrono::milliseconds kLeaveNotice{ 1000 };
+constexpr int kNoticeShare = 4;
+
+/// Time for the last answers to be written after the time to drain is over.
+constexpr std::chrono::milliseconds kLastWrites{ 300 };
+
+/// The main thread: signals, the status port, control, and the order of the
+/// end.
+class gateway_process final : private gateway::control_events
+{
+public:
+  explicit gateway_process(const gateway::options& aOptions)
+    : mOptions(aOptions)
+    , mControl(mContext, mZmq, aOptions.settings, aOptions.incarnation, *this)
+    , mStatus(mContext,
+              aOptions.settings.address,
+              aOptions.settings.statusPort,
+              mMetrics.Registry(),
+              mControl)
+    , mSignals(mContext, SIGTERM, SIGINT)
+    , mTimer(mContext)
+  {
+    for (unsigned at = 0; at < aOptions.settings.threads; ++at) {
+      mWorkers.push_back(std::make_unique<gateway::worker>(
+        aOptions.settings, at, mZmq, mMetrics));
+    }
+  }
+
+  int Run()
+  {
+    for (const auto& worker : mWorkers) {
+      if (Failed("caller_port", worker->Start())) {
+        return kStartFailed;
+      }
+    }
+    if (Failed("status_port", mStatus.Start())) {
+      return kStartFailed;
+    }
+    mControl.Start();
+    log::Write(log::level::kInfo,
+               "started",
+               { { "incarnation", mOptions.incarnation } });
+    mSignals.async_wait([this](const error_code& aError, int aSignal) {
+      if (!aError) {
+        Leave(aSignal);
+      }
+    });
+    mContext.run();
+    for (const auto& worker : mWorkers) {
+      worker->Stop();
+    }
+    log::Write(log::level::kInfo, "stopped");
+    return 0;
+  }
+
+private:
+  static bool Failed(const std::string& aWhat, std::error_code aError)
+  {
+    if (!aError) {
+      return false;
+    }
+    log::Write(log::level::kError,
+               "start_failed",
+               { { "what", aWhat }, { "reason", aError.message() } });
+    return true;
+  }
+
+  void ViewChanged(const gateway::fleet_view& aView) override
+  {
+    for (const auto& worker : mWorkers) {
+      worker->SetView(aView);
+    }
+  }
+
+  void RulesChanged(const gateway::class_rules& aRules) override
+  {
+    for (const auto& worker : mWorkers) {
+      worker->SetRules(aRules);
+    }
+  }
+
+  void Leave(int aSignal)
+  {
+    log::Write(log::level::kInfo,
+               "signal",
+               { { "number", static_cast<std::int64_t>(aSignal) } });
+    mDrainBy =
+      std::chrono::steady_clock::now() + mOptions.settings.drainTimeout;
+    mControl.Leave();
+    for (const auto& worker : mWorkers) {
+      worker->Leave();
+    }
+    const auto notice = std::min<std::chrono::milliseconds>(
+      kLeaveNotice, mOptions.settings.drainTimeout / kNoticeShare);
+    After(std::chrono::steady_clock::now() + notice, &gateway_process::Drain);
+  }
+
+  void Drain()
+  {
+    mLeft = mWorkers.size();
+    for (const auto& worker : mWorkers) {
+      worker->Drain(
+        [this] { boost::asio::post(mContext, [this] { OneDrained(); }); });
+    }
+    After(mDrainBy, &gateway_process::GiveUp);
+  }
+
+  void OneDrained()
+  {
+    --mLeft;
+    if (mLeft == 0) {
+      log::Write(log::level::kInfo, "drained");
+      End();
+    }
+  }
+
+  void GiveUp()
+  {
+    log::Write(log::level::kWarning,
+               "drain_timed_out",
+               { { "threads_left", static_cast<std::int64_t>(mLeft) } });
+    for (const auto& worker : mWorkers) {
+      worker->GiveUp();
+    }
+    After(std::chrono::steady_clock::now() + kLastWrites,
+          &gateway_process::End);
+  }
+
+  void End()
+  {
+    mTimer.cancel();
+    mStatus.Stop();
+    mContext.stop();
+  }
+
+  void After(clock::time_point aTime, void (gateway_process::*aNext)())
+  {
+    mTimer.expires_at(aTime);
+    mTimer.async_wait([this, aNext](const error_code& aError) {
+      if (!aError) {
+        (this->*aNext)();
+      }
+    });
+  }
+
+  const gateway::options& mOptions;
+  zmq::context_t mZmq;
+  boost::asio::io_context mContext;
+  gateway::metrics mMetrics;
+  gateway::control mControl;
+  std::vector<std::unique_ptr<gateway::worker>> mWorkers;
+  http::status_server mStatus;
+  boost::asio::signal_set mSignals;
+  boost::asio::steady_timer mTimer;
+  clock::time_point mDrainBy;
+  std::size_t mLeft = 0;
+};
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  gateway::options options;
+  const auto parsed = gateway::ReadOptions(options, aCount, aValues);
+  if (parsed.end == settings::parse_end::kExit) {
+    return parsed.exitCode;
+  }
+  log::Start({ "currantshed-gateway",
+               options.settings.vm,
+               options.settings.failureDomain },
+             options.logLevel);
+  try {
+    gateway_process process(options);
+    return process.Run();
+  } catch (const std::exception& error) {
+    log::Write(log::level::kError,
+               "failed",
+               { { "reason", std::string(error.what()) } });
+    return kStartFailed;
+  }
+}
--- /dev/null
+++ b/src/currantshed/gateway/caller_server.cpp
@@ -0,0 +1,296 @@
+#include "currantshed/gateway/caller_server.hpp"
+
+#include <utility>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <sys/socket.h>
+
+#include "currantshed/gateway/caller_connection.hpp"
+
+namespace currantshed::gateway {
+
+namespace {
+
+using boost::system::error_code;
+using tcp = boost::asio::ip::tcp;
+using reuse_port =
+  boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+constexpr std::chrono::milliseconds kSweepInterval{ 250 };
+/// Pause after the operating system refused a connection, for example for
+/// lack of descriptors.
+constexpr std::chrono::milliseconds kAcceptPause{ 100 };
+constexpr std::string_view kFull =
+  "HTTP/1.1 503 Service Unavailable\r\n"
+  "Content-Type: application/json\r\nContent-Length: 65\r\n"
+  "Retry-After: 1\r\nConnection: close\r\n\r\n"
+  R"({"outcome":"not_run","reason":"overloaded","retry_after_ms":1000})";
+
+} // namespace
+
+class caller_server::implementation final
+  : public connection_owner
+  , public std::enable_shared_from_this<caller_server::implementation>
+{
+public:
+  implementation(boost::asio::io_context& aContext,
+                 const caller_limits& aLimits,
+                 request_sink& aSink)
+    : mAcceptor(aContext)
+    , mSweep(aContext)
+    , mPause(aContext)
+    , mLimits(aLimits)
+    , mSink(aSink)
+  {
+  }
+
+  std::error_code Start(const std::string& aAddress, std::uint16_t aPort)
+  {
+    error_code error;
+    Listen(aAddress, aPort, error);
+    if (error) {
+      return error;
+    }
+    Accept();
+    Sweep();
+    return {};
+  }
+
+  void Answer(const caller_answer& aAnswer)
+  {
+    const auto found = mWaiting.find(aAnswer.number);
+    if (found == mWaiting.end()) {
+      return;
+    }
+    const auto connection = found->second->shared_from_this();
+    mWaiting.erase(found);
+    connection->Answer(aAnswer);
+  }
+
+  void Leave() { mLeaving = true; }
+
+  void CloseIdle()
+  {
+    for (const auto& connection : Connections()) {
+      if (connection->Idle()) {
+        connection->Close();
+        mConnections.erase(connection.get());
+      }
+    }
+  }
+
+  void Stop()
+  {
+    error_code ignored;
+    mAcceptor.close(ignored);
+    mSweep.cancel();
+    mPause.cancel();
+    mWaiting.clear();
+    for (const auto& connection : Connections()) {
+      connection->Close();
+    }
+    mConnections.clear();
+  }
+
+  [[nodiscard]] std::size_t Count() const { return mConnections.size(); }
+
+  [[nodiscard]] std::size_t Busy() const
+  {
+    std::size_t busy = 0;
+    for (const auto& [key, connection] : mConnections) {
+      busy += connection->Idle() ? 0 : 1;
+    }
+    return busy;
+  }
+
+  [[nodiscard]] const caller_limits& Limits() const noexcept override
+  {
+    return mLimits;
+  }
+
+  [[nodiscard]] bool Leaving() const noexcept override { return mLeaving; }
+
+  void Submit(caller_connection& aFrom, caller_request aRequest) override
+  {
+    aRequest.number = ++mLastNumber;
+    mWaiting[aRequest.number] = &aFrom;
+    aFrom.SetWaiting(aRequest.number);
+    mSink.Submit(std::move(aRequest));
+  }
+
+  void Cancel(request_number aRequest) override
+  {
+    mWaiting.erase(aRequest);
+    mSink.Cancel(aRequest);
+  }
+
+  void Refused() override { mSink.Refused(); }
+
+  void Ended(caller_connection& aConnection) override
+  {
+    mConnections.erase(&aConnection);
+  }
+
+private:
+  void Listen(const std::string& aAddress,
+              std::uint16_t aPort,
+              error_code& aError)
+  {
+    const auto address = boost::asio::ip::make_address(aAddress, aError);
+    if (aError) {
+      return;
+    }
+    const tcp::endpoint endpoint(address, aPort);
+    mAcceptor.open(endpoint.protocol(), aError);
+    if (!aError) {
+      mAcceptor.set_option(tcp::acceptor::reuse_address(true), aError);
+    }
+    if (!aError) {
+      mAcceptor.set_option(reuse_port(true), aError);
+    }
+    if (!aError) {
+      mAcceptor.bind(endpoint, aError);
+    }
+    if (!aError) {
+      mAcceptor.listen(tcp::acceptor::max_listen_connections, aError);
+    }
+  }
+
+  void Accept()
+  {
+    mAcceptor.async_accept([self = shared_from_this()](const error_code& aError,
+                                                       tcp::socket aSocket) {
+      if (!self->mAcceptor.is_open()) {
+        return;
+      }
+      if (aError) {
+        self->AcceptLater();
+        return;
+      }
+      self->Take(std::move(aSocket));
+      self->Accept();
+    });
+  }
+
+  void AcceptLater()
+  {
+    mPause.expires_after(kAcceptPause);
+    mPause.async_wait([self = shared_from_this()](const error_code& aError) {
+      if (!aError) {
+        self->Accept();
+      }
+    });
+  }
+
+  void Take(tcp::socket aSocket)
+  {
+    if (mConnections.size() >= mLimits.connections) {
+      error_code ignored;
+      aSocket.non_blocking(true, ignored);
+      aSocket.write_some(boost::asio::buffer(kFull), ignored);
+      mSink.Refused();
+      return;
+    }
+    auto made = std::make_shared<caller_connection>(std::move(aSocket), *this);
+    mConnections[made.get()] = made;
+    made->Start();
+  }
+
+  /// Looks after the times of all connections at once: cheaper than a timer
+  /// for each, and exact enough.
+  void Sweep()
+  {
+    mSweep.expires_after(kSweepInterval);
+    mSweep.async_wait([self = shared_from_this()](const error_code& aError) {
+      if (aError) {
+        return;
+      }
+      const auto now = std::chrono::steady_clock::now();
+      for (const auto& connection : self->Connections()) {
+        connection->CheckTime(now);
+      }
+      self->Sweep();
+    });
+  }
+
+  [[nodiscard]] std::vector<std::shared_ptr<caller_connection>> Connections()
+    const
+  {
+    std::vector<std::shared_ptr<caller_connection>> all;
+    all.reserve(mConnections.size());
+    for (const auto& [key, connection] : mConnections) {
+      all.push_back(connection);
+    }
+    return all;
+  }
+
+  tcp::acceptor mAcceptor;
+  boost::asio::steady_timer mSweep;
+  boost::asio::steady_timer mPause;
+  caller_limits mLimits;
+  request_sink& mSink;
+  absl::flat_hash_map<caller_connection*, std::shared_ptr<caller_connection>>
+    mConnections;
+  absl::flat_hash_map<request_number, caller_connection*> mWaiting;
+  request_number mLastNumber = 0;
+  bool mLeaving = false;
+};
+
+caller_server::caller_server(boost::asio::io_context& aContext,
+                             const caller_limits& aLimits,
+                             request_sink& aSink)
+  : mImplementation(std::make_shared<implementation>(aContext, aLimits, aSink))
+{
+}
+
+caller_server::~caller_server()
+{
+  mImplementation->Stop();
+}
+
+std::error_code
+caller_server::Start(const std::string& aAddress, std::uint16_t aPort)
+{
+  return mImplementation->Start(aAddress, aPort);
+}
+
+void
+caller_server::Answer(const caller_answer& aAnswer)
+{
+  mImplementation->Answer(aAnswer);
+}
+
+void
+caller_server::Leave()
+{
+  mImplementation->Leave();
+}
+
+void
+caller_server::CloseIdle()
+{
+  mImplementation->CloseIdle();
+}
+
+void
+caller_server::Stop()
+{
+  mImplementation->Stop();
+}
+
+std::size_t
+caller_server::Connections() const noexcept
+{
+  return mImplementation->Count();
+}
+
+std::size_t
+caller_server::Busy() const noexcept
+{
+  return mImplementation->Busy();
+}
+
+} // namespace currantshed::gateway
--- /dev/null
+++ b/src/currantshed/gateway/caller_server.hpp
@@ -0,0 +1,76 @@
+#ifndef CURRANTSHED_GATEWAY_CALLER_SERVER_HPP
+#define CURRANTSHED_GATEWAY_CALLER_SERVER_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include <boost/asio/io_context.hpp>
+
+#include "currantshed/gateway/caller.hpp"
+#include "currantshed/gateway/settings.hpp"
+
+namespace currantshed::gateway {
+
+/// What takes the callers' requests from the HTTP side.
+class request_sink
+{
+public:
+  virtual ~request_sink() = default;
+
+  /// Accepts a request, numbered by the server; answered by the server's
+  /// Answer, once, before or after this returns.
+  virtual void Submit(caller_request aRequest) = 0;
+
+  /// The request's caller has gone: no answer is wanted.
+  virtual void Cancel(request_number aRequest) = 0;
+
+  /// A request was refused on the HTTP side, before it was one of the calls.
+  virtual void Refused() = 0;
+};
+
+/// The HTTP server that faces callers, on one thread's io_context and used
+/// only there. Several of them listen at the same port, and the operating
+/// system shares the connections out. A connection holds buffers only while
+/// a request is on its way.
+class caller_server
+{
+public:
+  caller_server(boost::asio::io_context& aContext,
+                const caller_limits& aLimits,
+                request_sink& aSink);
+  ~caller_server();
+
+  caller_server(const caller_server&) = delete;
+  caller_server& operator=(const caller_server&) = delete;
+
+  /// Begins to listen at an IP number and port.
+  [[nodiscard]] std::error_code Start(const std::string& aAddress,
+                                      std::uint16_t aPort);
+
+  /// Gives the answer to a request; dropped when its caller has gone.
+  void Answer(const caller_answer& aAnswer);
+
+  /// Ends each connection after its next answer from now on.
+  void Leave();
+
+  /// Ends the connections that are idle now, too.
+  void CloseIdle();
+
+  /// Closes the port and every connection.
+  void Stop();
+
+  /// Connections that stand, and those among them that are not idle.
+  [[nodiscard]] std::size_t Connections() const noexcept;
+  [[nodiscard]] std::size_t Busy() const noexcept;
+
+private:
+  class implementation;
+  std::shared_ptr<implementation> mImplementation;
+};
+
+} // namespace currantshed::gateway
+
+#endif
--- /dev/null
+++ b/src/currantshed/gateway/control.cpp
@@ -0,0 +1,190 @@
+#include "currantshed/gateway/control.hpp"
+
+#include <utility>
+#include <variant>
+
+#include <boost/json.hpp>
+
+#include "currantshed/log/log.hpp"
+#include "currantshed/member/roster.hpp"
+#include "currantshed/policy/declaration.hpp"
+
+namespace currantshed::gateway {
+
+namespace {
+
+/// Time between two questions to the own pooler; each is also the sign that
+/// it is there.
+constexpr std::chrono::milliseconds kAskInterval{ 500 };
+/// Silence of the own pooler after which the gateway isn't ready.
+constexpr std::chrono::milliseconds kSilence{ 2000 };
+
+std::vector<platform::vm>
+Staying(const std::vector<platform::vm>& aVms)
+{
+  std::vector<platform::vm> staying;
+  for (const auto& vm : aVms) {
+    if (!vm.leaving) {
+      staying.push_back(vm);
+    }
+  }
+  return staying;
+}
+
+boost::json::array
+DescribeGroups(const fleet_view& aView)
+{
+  boost::json::array groups;
+  const auto staying = Staying(aView.live);
+  for (const auto& name : aView.groups) {
+    boost::json::array owners;
+    for (const auto& vm : member::ChooseOwners(name, staying, aView.owners)) {
+      owners.emplace_back(vm.id);
+    }
+    groups.push_back({ { "group", name }, { "owners", std::move(owners) } });
+  }
+  return groups;
+}
+
+} // namespace
+
+control::control(boost::asio::io_context& aContext,
+                 zmq::context_t& aZmq,
+                 const gateway_settings& aSettings,
+                 std::string aIncarnation,
+                 control_events& aEvents)
+  : mContext(aContext)
+  , mSettings(aSettings)
+  , mIncarnation(std::move(aIncarnation))
+  , mEvents(aEvents)
+  , mPooler(aContext, aZmq, {})
+  , mTimer(aContext)
+{
+}
+
+control::~control() = default;
+
+void
+control::Start()
+{
+  const auto error =
+    mPooler.Connect(mSettings.poolerAddress,
+                    mSettings.poolerPort,
+                    [this](std::string_view aBytes) { Received(aBytes); });
+  if (error) {
+    log::Write(log::level::kError,
+               "pooler_connect_failed",
+               { { "reason", error.message() } });
+  }
+  Ask();
+}
+
+void
+control::Leave()
+{
+  const std::lock_guard lock(mMutex);
+  mLeaving = true;
+}
+
+bool
+control::Ready() const
+{
+  const std::lock_guard lock(mMutex);
+  return !mLeaving && mConfiguration != 0 && !mView.live.empty() &&
+         std::chrono::steady_clock::now() - mHeard < kSilence;
+}
+
+std::string
+control::StatusJson() const
+{
+  const bool ready = Ready();
+  const std::lock_guard lock(mMutex);
+  return boost::json::serialize(
+    boost::json::object{ { "vm", mSettings.vm },
+                         { "failure_domain", mSettings.failureDomain },
+                         { "incarnation", mIncarnation },
+                         { "ready", ready },
+                         { "leaving", mLeaving },
+                         { "configuration_version", mConfiguration },
+                         { "view_version", mView.version },
+                         { "live_vms", mView.live.size() },
+                         { "groups", DescribeGroups(mView) } });
+}
+
+void
+control::Ask()
+{
+  const wire::subscribe_request question{ mView.version, mConfiguration };
+  // A question that can't be sent is asked again at the next interval.
+  (void)mPooler.Send(wire::Encode(question, std::chrono::steady_clock::now()));
+  mTimer.expires_after(kAskInterval);
+  mTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      Ask();
+    }
+  });
+}
+
+void
+control::Received(std::string_view aBytes)
+{
+  const auto read = wire::Decode(aBytes, std::chrono::steady_clock::now());
+  const auto* view = std::get_if<wire::view>(&read.body);
+  if (read.error || view == nullptr) {
+    log::Write(log::level::kWarning,
+               "pooler_message_dropped",
+               { { "reason", read.error.message() } });
+    return;
+  }
+  TakeView(*view);
+}
+
+void
+control::TakeView(const wire::view& aView)
+{
+  if (!aView.declaration.empty()) {
+    TakeDeclaration(aView.configurationVersion, aView.declaration);
+  }
+  fleet_view next{ aView.version, aView.live, aView.groups, aView.owners };
+  bool changed = false;
+  {
+    const std::lock_guard lock(mMutex);
+    mHeard = std::chrono::steady_clock::now();
+    changed = next.version != mView.version || next.live != mView.live ||
+              next.groups != mView.groups || next.owners != mView.owners;
+    mView = next;
+  }
+  if (changed) {
+    log::Write(log::level::kInfo,
+               "view_changed",
+               { { "version", static_cast<std::int64_t>(next.version) },
+                 { "live_vms", static_cast<std::int64_t>(next.live.size()) } });
+    mEvents.ViewChanged(next);
+  }
+}
+
+void
+control::TakeDeclaration(std::uint64_t aVersion, const std::string& aText)
+{
+  if (aVersion <= mConfiguration) {
+    return;
+  }
+  auto read = policy::ParseDeclaration(aText);
+  if (!read.faults.empty()) {
+    log::Write(log::level::kError,
+               "configuration_rejected",
+               { { "version", static_cast<std::int64_t>(aVersion) },
+                 { "fault", read.faults.front().message } });
+    return;
+  }
+  {
+    const std::lock_guard lock(mMutex);
+    mConfiguration = aVersion;
+  }
+  log::Write(log::level::kInfo,
+             "configuration_changed",
+             { { "version", static_cast<std::int64_t>(aVersion) } });
+  mEvents.RulesChanged({ aVersion, std::move(read.value.classes) });
+}
+
+} // namespace currantshed::gateway
--- a/src/currantshed/gateway/engine.hpp
+++ b/src/currantshed/gateway/engine.hpp
@@ -72,6 +72,8 @@
   std::size_t statementLimit = 64;
   std::size_t statementBytes = 262144;
   std::size_t parameterLimit = 1024;
+  /// Longest answer, counted over its values.
+  std::size_t answerBytes = std::size_t{ 8 } * 1024 * 1024;
   /// Retries that each request earns, and the most saved up.
   double retryShare = 0.1;
   double retryBurst = 20;
--- a/src/currantshed/gateway/error.cpp
+++ b/src/currantshed/gateway/error.cpp
@@ -14,6 +14,7 @@
 constexpr unsigned kForbidden = 403;
 constexpr unsigned kMissing = 404;
 constexpr unsigned kWrongMethod = 405;
+constexpr unsigned kTimedOut = 408;
 constexpr unsigned kConflict = 409;
 constexpr unsigned kTooLarge = 413;
 constexpr unsigned kUnprocessable = 422;
@@ -42,6 +43,10 @@
     "body_too_large",
     kTooLarge,
     "the request's body passes the limit" },
+  { kRequestTimeout,
+    "request_timeout",
+    kTimedOut,
+    "the request did not arrive in time" },
   { kNotFound, "not_found", kMissing, "there is nothing at this path" },
   { kMethodNotAllowed,
     "method_not_allowed",
--- a/src/currantshed/gateway/error.hpp
+++ b/src/currantshed/gateway/error.hpp
@@ -15,6 +15,7 @@
   kMalformedRequest = 1,
   kHeaderTooLarge,
   kBodyTooLarge,
+  kRequestTimeout,
   kNotFound,
   kMethodNotAllowed,
   kMalformedBody,
--- /dev/null
+++ b/src/currantshed/gateway/metrics.hpp
@@ -0,0 +1,88 @@
+#ifndef CURRANTSHED_GATEWAY_METRICS_HPP
+#define CURRANTSHED_GATEWAY_METRICS_HPP
+
+#include <array>
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include <absl/container/flat_hash_map.h>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "currantshed/gateway/engine.hpp"
+
+namespace currantshed::gateway {
+
+/// All metrics of one gateway; docs/modules/gateway.md lists them. Families
+/// are made once, and their members may be used by several threads.
+class metrics
+{
+public:
+  metrics();
+
+  [[nodiscard]] const std::shared_ptr<prometheus::Registry>& Registry() const
+  {
+    return mRegistry;
+  }
+
+private:
+  friend class recorder;
+
+  std::shared_ptr<prometheus::Registry> mRegistry;
+  prometheus::Family<prometheus::Counter>& mRequests;
+  prometheus::Family<prometheus::Counter>& mDeadlineMet;
+  prometheus::Family<prometheus::Counter>& mReads;
+  prometheus::Family<prometheus::Histogram>& mSeconds;
+  prometheus::Counter& mRefusals;
+  prometheus::Counter& mReconfirmations;
+  prometheus::Counter& mResolutions;
+  prometheus::Counter& mRetries;
+  prometheus::Counter& mAbandoned;
+  prometheus::Gauge& mInFlight;
+  prometheus::Gauge& mConnections;
+};
+
+/// One thread's way to the metrics, with what it has looked up before.
+class recorder
+{
+public:
+  explicit recorder(metrics& aMetrics);
+
+  /// Counts an answer.
+  void Answered(const give_answer& aAnswer);
+
+  /// Counts a request that was refused on the HTTP side.
+  void Refused();
+
+  /// Takes over what the thread's engine has counted, and what it has now.
+  void Update(const engine_counters& aCounters,
+              std::size_t aInFlight,
+              std::size_t aConnections);
+
+private:
+  static constexpr std::size_t kVerdicts = 4;
+
+  struct class_metrics
+  {
+    std::array<prometheus::Counter*, kVerdicts> requests{};
+    prometheus::Counter* deadlineMet = nullptr;
+    prometheus::Counter* byReplica = nullptr;
+    prometheus::Counter* byPrimary = nullptr;
+    prometheus::Histogram* seconds = nullptr;
+  };
+
+  class_metrics& Find(const std::string& aClass);
+
+  metrics& mMetrics;
+  absl::flat_hash_map<std::string, class_metrics> mClasses;
+  engine_counters mTold;
+  std::size_t mInFlight = 0;
+  std::size_t mConnections = 0;
+};
+
+} // namespace currantshed::gateway
+
+#endif
--- a/src/currantshed/gateway/outcome.cpp
+++ b/src/currantshed/gateway/outcome.cpp
@@ -1,3 +1,4 @@
+#include <cstddef>
 #include <utility>
 
 #include "currantshed/gateway/exchange.hpp"
@@ -40,6 +41,18 @@
          HasOutcome(aExchange);
 }
 
+std::size_t
+ValueBytes(const caller_answer& aAnswer)
+{
+  std::size_t bytes = 0;
+  for (const auto& result : aAnswer.results) {
+    for (const auto& cell : result.cells) {
+      bytes += cell ? cell->size() : 0;
+    }
+  }
+  return bytes;
+}
+
 class resolve_outcome final : public filter
 {
 public:
@@ -216,10 +229,25 @@
     answer.retryAfter = reply.retryAfter;
     if (answer.verdict == verdict::kDone) {
       Note(aExchange, answer);
+      Bound(aExchange, answer);
     }
     return answer;
   }
 
+  /// Drops values past the limit. A change has been made all the same, and is
+  /// told as done.
+  void Bound(const exchange& aExchange, caller_answer& aAnswer) const
+  {
+    if (ValueBytes(aAnswer) <= mState.settings.answerBytes) {
+      return;
+    }
+    aAnswer.results.clear();
+    aAnswer.why = reason::kAnswerTooLarge;
+    if (!HasOutcome(aExchange)) {
+      aAnswer.verdict = verdict::kRefused;
+    }
+  }
+
   /// Notes what a reply of success adds: the session's position, or the
   /// transaction that was opened.
   void Note(exchange& aExchange, caller_answer& aAnswer) const
--- /dev/null
+++ b/src/currantshed/gateway/pooler_links.cpp
@@ -0,0 +1,222 @@
+#include "currantshed/gateway/pooler_links.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "currantshed/log/log.hpp"
+
+namespace currantshed::gateway {
+
+namespace {
+
+/// How long a request waits for its connection to stand.
+constexpr std::chrono::milliseconds kConnectPatience{ 300 };
+constexpr std::chrono::milliseconds kGiveUpInterval{ 50 };
+
+bool
+SamePlace(const platform::vm& aLeft, const platform::vm& aRight)
+{
+  return aLeft.address == aRight.address &&
+         aLeft.poolerPort == aRight.poolerPort;
+}
+
+} // namespace
+
+pooler_links::pooler_links(boost::asio::io_context& aContext,
+                           zmq::context_t& aZmq,
+                           link_events& aEvents)
+  : mContext(aContext)
+  , mZmq(aZmq)
+  , mEvents(aEvents)
+  , mTimer(aContext)
+{
+}
+
+pooler_links::~pooler_links()
+{
+  *mAlive = false;
+}
+
+void
+pooler_links::SetVms(std::vector<platform::vm> aVms)
+{
+  absl::flat_hash_map<std::string, std::unique_ptr<link>> links;
+  for (auto& vm : aVms) {
+    auto& place = links[vm.id];
+    const auto known = mLinks.find(vm.id);
+    if (known != mLinks.end() && SamePlace(known->second->vm, vm)) {
+      place = std::move(known->second);
+      mLinks.erase(known);
+    } else {
+      place = std::make_unique<link>();
+      place->vm = std::move(vm);
+    }
+  }
+  std::swap(mLinks, links);
+  for (auto& [name, closed] : links) {
+    if (closed != nullptr && closed->socket != nullptr) {
+      closed->socket->Close();
+      for (const waiting& left : closed->queue) {
+        Fail(left.message.request.id);
+      }
+    }
+  }
+}
+
+void
+pooler_links::Send(send_to_pooler aMessage)
+{
+  wire::group_request message{ std::move(aMessage.group),
+                               std::move(aMessage.request),
+                               std::move(aMessage.incarnation) };
+  link* to = Find(aMessage.vm);
+  if (to == nullptr) {
+    Fail(message.request.id);
+    return;
+  }
+  if (to->up) {
+    Transmit(*to, message);
+    return;
+  }
+  if (to->socket == nullptr) {
+    Open(*to);
+  }
+  const auto giveUpAt = std::chrono::steady_clock::now() + kConnectPatience;
+  to->queue.push_back({ std::move(message), giveUpAt });
+  GiveUpLater();
+}
+
+void
+pooler_links::Cancel(const std::string& aVm, group::request_id aRequest)
+{
+  link* to = Find(aVm);
+  if (to == nullptr || to->socket == nullptr) {
+    return;
+  }
+  std::erase_if(to->queue, [aRequest](const waiting& aWaiting) {
+    return aWaiting.message.request.id == aRequest;
+  });
+  if (to->up) {
+    const auto now = std::chrono::steady_clock::now();
+    // A pooler that can't be told finds out by the deadline.
+    (void)to->socket->Send(wire::Encode(wire::cancel_request{ aRequest }, now));
+  }
+}
+
+pooler_links::link*
+pooler_links::Find(const std::string& aVm)
+{
+  const auto found = mLinks.find(aVm);
+  return found == mLinks.end() ? nullptr : found->second.get();
+}
+
+void
+pooler_links::Open(link& aLink)
+{
+  aLink.socket =
+    std::make_unique<net::dealer>(mContext, mZmq, net::socket_settings{});
+  aLink.socket->OnLink([this, alive = mAlive, vm = aLink.vm.id](bool aUp) {
+    if (*alive) {
+      Changed(vm, aUp);
+    }
+  });
+  const auto error = aLink.socket->Connect(
+    aLink.vm.address, aLink.vm.poolerPort, [this](std::string_view aBytes) {
+      Received(aBytes);
+    });
+  if (error) {
+    log::Write(log::level::kWarning,
+               "pooler_connect_failed",
+               { { "pooler", aLink.vm.id }, { "reason", error.message() } });
+  }
+}
+
+void
+pooler_links::Changed(const std::string& aVm, bool aUp)
+{
+  link* found = Find(aVm);
+  if (found == nullptr) {
+    return;
+  }
+  const bool wasUp = std::exchange(found->up, aUp);
+  if (aUp) {
+    for (const waiting& next : std::exchange(found->queue, {})) {
+      Transmit(*found, next.message);
+    }
+  } else if (wasUp) {
+    mEvents.PoolerLost(aVm);
+  }
+}
+
+void
+pooler_links::Received(std::string_view aBytes)
+{
+  auto read = wire::Decode(aBytes, std::chrono::steady_clock::now());
+  auto* answer = std::get_if<wire::group_answer>(&read.body);
+  if (read.error || answer == nullptr) {
+    log::Write(log::level::kWarning,
+               "pooler_message_dropped",
+               { { "reason", read.error.message() } });
+    return;
+  }
+  mEvents.PoolerAnswered(std::move(*answer));
+}
+
+void
+pooler_links::Transmit(link& aLink, const wire::group_request& aMessage)
+{
+  const auto now = std::chrono::steady_clock::now();
+  if (aLink.socket->Send(wire::Encode(aMessage, now))) {
+    Fail(aMessage.request.id);
+  }
+}
+
+void
+pooler_links::Fail(group::request_id aRequest)
+{
+  boost::asio::post(mContext, [this, alive = mAlive, aRequest] {
+    if (*alive) {
+      mEvents.NotSent(aRequest);
+    }
+  });
+}
+
+void
+pooler_links::GiveUpLater()
+{
+  if (std::exchange(mTimerSet, true)) {
+    return;
+  }
+  mTimer.expires_after(kGiveUpInterval);
+  mTimer.async_wait(
+    [this, alive = mAlive](const boost::system::error_code& aError) {
+      if (!aError && *alive) {
+        GiveUp();
+      }
+    });
+}
+
+void
+pooler_links::GiveUp()
+{
+  mTimerSet = false;
+  const auto now = std::chrono::steady_clock::now();
+  bool left = false;
+  for (auto& [name, known] : mLinks) {
+    std::erase_if(known->queue, [this, now](const waiting& aWaiting) {
+      const bool late = aWaiting.giveUpAt <= now;
+      if (late) {
+        Fail(aWaiting.message.request.id);
+      }
+      return late;
+    });
+    left = left || !known->queue.empty();
+  }
+  if (left) {
+    GiveUpLater();
+  }
+}
+
+} // namespace currantshed::gateway
--- /dev/null
+++ b/src/currantshed/gateway/worker.cpp
@@ -0,0 +1,212 @@
+#include "currantshed/gateway/worker.hpp"
+
+#include <utility>
+#include <variant>
+
+#include <boost/asio/post.hpp>
+
+namespace currantshed::gateway {
+
+namespace {
+
+/// Time between updates of the metrics, and checks whether all is answered.
+constexpr std::chrono::milliseconds kWatchInterval{ 100 };
+
+clock::time_point
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+engine_settings
+EngineSettings(const gateway_settings& aSettings, unsigned aNumber)
+{
+  engine_settings made = aSettings.engine;
+  made.seed += aNumber;
+  return made;
+}
+
+} // namespace
+
+worker::worker(const gateway_settings& aSettings,
+               unsigned aNumber,
+               zmq::context_t& aZmq,
+               metrics& aMetrics)
+  : mSettings(aSettings)
+  , mGuard(mContext.get_executor())
+  , mEngine(MakeEngine(EngineSettings(aSettings, aNumber), aSettings.keys))
+  , mLinks(mContext, aZmq, *this)
+  , mServer(mContext, aSettings.callers, *this)
+  , mRecorder(aMetrics)
+  , mTick(mContext,
+          [this] {
+            mEngine->Tick(Now());
+            Act();
+          })
+  , mWatch(mContext)
+{
+}
+
+worker::~worker()
+{
+  Stop();
+}
+
+std::error_code
+worker::Start()
+{
+  if (const auto error =
+        mServer.Start(mSettings.address, mSettings.callerPort)) {
+    return error;
+  }
+  Watch();
+  mThread = std::thread([this] { mContext.run(); });
+  return {};
+}
+
+void
+worker::SetView(fleet_view aView)
+{
+  boost::asio::post(mContext, [this, view = std::move(aView)]() mutable {
+    mLinks.SetVms(view.live);
+    mEngine->ViewChanged(std::move(view), Now());
+    Act();
+  });
+}
+
+void
+worker::SetRules(class_rules aRules)
+{
+  boost::asio::post(mContext, [this, rules = std::move(aRules)]() mutable {
+    (void)mEngine->Configure(std::move(rules));
+  });
+}
+
+void
+worker::Leave()
+{
+  boost::asio::post(mContext, [this] { mServer.Leave(); });
+}
+
+void
+worker::Drain(std::function<void()> aDrained)
+{
+  boost::asio::post(mContext, [this, done = std::move(aDrained)]() mutable {
+    mDrained = std::move(done);
+    mEngine->Drain();
+    mServer.CloseIdle();
+    CheckDrained();
+  });
+}
+
+void
+worker::GiveUp()
+{
+  boost::asio::post(mContext, [this] {
+    mEngine->GiveUp(Now());
+    Act();
+  });
+}
+
+void
+worker::Stop()
+{
+  if (!mThread.joinable()) {
+    return;
+  }
+  boost::asio::post(mContext, [this] {
+    mServer.Stop();
+    mContext.stop();
+  });
+  mThread.join();
+}
+
+void
+worker::Submit(caller_request aRequest)
+{
+  aRequest.spareKey =
+    outcome::idempotency_key::Make(std::chrono::system_clock::now(),
+                                   absl::Uniform<std::uint64_t>(mRandom),
+                                   absl::Uniform<std::uint64_t>(mRandom));
+  mEngine->Submit(std::move(aRequest), Now());
+  Act();
+}
+
+void
+worker::Cancel(request_number aRequest)
+{
+  mEngine->Cancel(aRequest, Now());
+  Act();
+}
+
+void
+worker::Refused()
+{
+  mRecorder.Refused();
+}
+
+void
+worker::PoolerAnswered(wire::group_answer aAnswer)
+{
+  mEngine->PoolerAnswered(
+    std::move(aAnswer.answer), std::move(aAnswer.incarnation), Now());
+  Act();
+}
+
+void
+worker::NotSent(group::request_id aRequest)
+{
+  mEngine->NotSent(aRequest, Now());
+  Act();
+}
+
+void
+worker::PoolerLost(const std::string& aVm)
+{
+  mEngine->PoolerLost(aVm, Now());
+  Act();
+}
+
+void
+worker::Act()
+{
+  for (auto& next : mEngine->TakeActions()) {
+    if (auto* message = std::get_if<send_to_pooler>(&next)) {
+      mLinks.Send(std::move(*message));
+    } else if (auto* gone = std::get_if<cancel_at_pooler>(&next)) {
+      mLinks.Cancel(gone->vm, gone->request);
+    } else {
+      const auto& given = std::get<give_answer>(next);
+      mRecorder.Answered(given);
+      mServer.Answer(given.answer);
+    }
+  }
+  const auto due = mEngine->NextTick();
+  if (due != clock::time_point::max()) {
+    mTick.At(due);
+  }
+}
+
+void
+worker::Watch()
+{
+  mRecorder.Update(
+    mEngine->Counters(), mEngine->Pending(), mServer.Connections());
+  CheckDrained();
+  mWatch.expires_after(kWatchInterval);
+  mWatch.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      Watch();
+    }
+  });
+}
+
+void
+worker::CheckDrained()
+{
+  if (mDrained && mEngine->Pending() == 0 && mServer.Busy() == 0) {
+    std::exchange(mDrained, nullptr)();
+  }
+}
+
+} // namespace currantshed::gateway
--- a/test/currantshed/gateway/engine.cpp
+++ b/test/currantshed/gateway/engine.cpp
@@ -200,6 +200,43 @@
   }
 }
 
+TEST(gateway_engine, answer_over_the_limit)
+{
+  struct row
+  {
+    const char* name;
+    const char* workClass;
+    std::size_t bytes;
+    verdict expect;
+    reason why;
+  };
+  constexpr std::size_t kLimit = 8UL * 1024 * 1024;
+  const row kRows[] = {
+    { "read at the limit", "lookup", kLimit, verdict::kDone, reason::kNone },
+    { "read over it",
+      "lookup",
+      kLimit + 1,
+      verdict::kRefused,
+      reason::kAnswerTooLarge },
+    { "a change over it was made all the same",
+      "report",
+      kLimit + 1,
+      verdict::kDone,
+      reason::kAnswerTooLarge },
+  };
+  for (const auto& row : kRows) {
+    engine_bench bench;
+    bench.Submit(Call(row.workClass));
+    auto answer = Answer(verdict::kDone);
+    answer.results = { { { "c" }, { std::string(row.bytes, 'x') }, 0 } };
+    bench.Reply(answer);
+    CHECK_TEXT(row.expect == bench.given.answer.verdict, row.name);
+    CHECK_TEXT(row.why == bench.given.answer.why, row.name);
+    CHECK_EQUAL_TEXT(
+      row.why == reason::kNone, !bench.given.answer.results.empty(), row.name);
+  }
+}
+
 TEST(gateway_engine, answer_raises_the_token)
 {
   engine_bench bench;
