Let the gateway's threads be ended by name

Cause: the linter finds that destructors which stop a server may throw.

Change: Stop is called by the process before the end, also when a start fails; destructors do nothing.

--- a/bin/currantshed-gateway/main.cpp
+++ b/bin/currantshed-gateway/main.cpp
@@ -59,29 +59,15 @@
 
   int Run()
   {
-    for (const auto& worker : mWorkers) {
-      if (Failed("caller_port", worker->Start())) {
-        return kStartFailed;
-      }
-    }
-    if (Failed("status_port", mStatus.Start())) {
-      return kStartFailed;
+    const bool started = Start();
+    if (started) {
+      mContext.run();
     }
-    mControl.Start();
-    log::Write(log::level::kInfo,
-               "started",
-               { { "incarnation", mOptions.incarnation } });
-    mSignals.async_wait([this](const error_code& aError, int aSignal) {
-      if (!aError) {
-        Leave(aSignal);
-      }
-    });
-    mContext.run();
     for (const auto& worker : mWorkers) {
       worker->Stop();
     }
     log::Write(log::level::kInfo, "stopped");
-    return 0;
+    return started ? 0 : kStartFailed;
   }
 
 private:
@@ -96,6 +82,28 @@
     return true;
   }
 
+  bool Start()
+  {
+    for (const auto& worker : mWorkers) {
+      if (Failed("caller_port", worker->Start())) {
+        return false;
+      }
+    }
+    if (Failed("status_port", mStatus.Start())) {
+      return false;
+    }
+    mControl.Start();
+    log::Write(log::level::kInfo,
+               "started",
+               { { "incarnation", mOptions.incarnation } });
+    mSignals.async_wait([this](const error_code& aError, int aSignal) {
+      if (!aError) {
+        Leave(aSignal);
+      }
+    });
+    return true;
+  }
+
   void ViewChanged(const gateway::fleet_view& aView) override
   {
     for (const auto& worker : mWorkers) {
--- a/src/currantshed/gateway/caller_server.cpp
+++ b/src/currantshed/gateway/caller_server.cpp
@@ -246,10 +246,7 @@
 {
 }
 
-caller_server::~caller_server()
-{
-  mImplementation->Stop();
-}
+caller_server::~caller_server() = default;
 
 std::error_code
 caller_server::Start(const std::string& aAddress, std::uint16_t aPort)
--- a/src/currantshed/gateway/caller_server.hpp
+++ b/src/currantshed/gateway/caller_server.hpp
@@ -59,7 +59,8 @@
   /// Ends the connections that are idle now, too.
   void CloseIdle();
 
-  /// Closes the port and every connection.
+  /// Closes the port and every connection. To be called before the end of
+  /// the io_context's thread.
   void Stop();
 
   /// Connections that stand, and those among them that are not idle.
--- a/src/currantshed/gateway/worker.cpp
+++ b/src/currantshed/gateway/worker.cpp
@@ -47,10 +47,7 @@
 {
 }
 
-worker::~worker()
-{
-  Stop();
-}
+worker::~worker() = default;
 
 std::error_code
 worker::Start()
--- a/src/currantshed/gateway/worker.hpp
+++ b/src/currantshed/gateway/worker.hpp
@@ -57,7 +57,7 @@
   /// Answers all that waits, as at its deadline.
   void GiveUp();
 
-  /// Ends the thread.
+  /// Ends the thread; to be called before the worker's own end.
   void Stop();
 
 private:
