Look for a change wherever some class may write to its group

Cause: by hand, GET /v1/outcomes/claims/KEY answered unknown after 2 s, though the change was there: the question names no class, so that it had no place in which it may be served. The same would strike a transaction whose class the operators drop.

Ruled out: a class in the path (callers who lost their answer may not know it).

Change: such a question may be served wherever some class may write to the group. A request that can't make its deadline is told a time to come back above zero.

Figures: one table of three rows, red before (no places at all).

Conclusion: outcomes can be asked for.

--- a/src/currantshed/gateway/classify.cpp
+++ b/src/currantshed/gateway/classify.cpp
@@ -15,6 +15,9 @@
 /// Time to come back to a gateway that has no configuration or view yet.
 constexpr std::chrono::milliseconds kStartPause{ 500 };
 
+/// Time to come back with a longer deadline.
+constexpr std::chrono::milliseconds kComeBack{ 100 };
+
 group::operation
 FirstOperation(const exchange& aExchange)
 {
@@ -37,18 +40,6 @@
   return group::operation::kResolve;
 }
 
-/// The rule for going on with a transaction whose class the operators have
-/// dropped meanwhile: it may still end.
-std::shared_ptr<const policy::work_class>
-DroppedRule(const std::string& aClass, std::chrono::milliseconds aDeadline)
-{
-  auto rule = std::make_shared<policy::work_class>();
-  rule->name = aClass;
-  rule->kind = policy::access::kWrite;
-  rule->deadline = aDeadline;
-  return rule;
-}
-
 class classify final : public filter
 {
 public:
@@ -76,7 +67,7 @@
     SetDeadline(aExchange);
     if (aExchange.deadline - mState.settings.returnMargin <= aNow) {
       aExchange.answer =
-        NotRun(outcome::reason::kDeadline, std::chrono::milliseconds(0));
+        NotRun(outcome::reason::kDeadline, mState.Spread(kComeBack));
       return step::kBack;
     }
     return step::kForward;
@@ -173,6 +164,7 @@
     if (aExchange.request.key.empty()) {
       return gateway_error::kMalformedKey;
     }
+    aExchange.work = AnyWrite({}, aExchange.group);
     return TakeKey(aExchange);
   }
 
@@ -197,17 +189,31 @@
     aExchange.key = name.key;
     aExchange.work = mState.Rule(name.workClass);
     if (aExchange.work == nullptr) {
-      aExchange.work =
-        DroppedRule(name.workClass, mState.settings.defaultDeadline);
+      // The operators have dropped the class meanwhile; what it began may
+      // still end.
+      aExchange.work = AnyWrite(name.workClass, name.group);
     }
     return {};
   }
 
+  /// Stands in for the class of a change that isn't known: it may be looked
+  /// for wherever some class may write to the group.
+  [[nodiscard]] std::shared_ptr<const policy::work_class> AnyWrite(
+    const std::string& aName,
+    const group::group_name& aGroup) const
+  {
+    auto made = std::make_shared<policy::work_class>();
+    made->name = aName;
+    made->kind = policy::access::kWrite;
+    made->deadline = mState.settings.defaultDeadline;
+    made->servedIn = mState.WritePlaces(aGroup);
+    return made;
+  }
+
   /// The class's deadline, or the caller's own where that comes first.
   void SetDeadline(exchange& aExchange) const
   {
-    auto allowed = aExchange.work == nullptr ? mState.settings.defaultDeadline
-                                             : aExchange.work->deadline;
+    auto allowed = aExchange.work->deadline;
     if (aExchange.request.deadline) {
       allowed = std::min(allowed, *aExchange.request.deadline);
     }
--- a/src/currantshed/gateway/shared_state.cpp
+++ b/src/currantshed/gateway/shared_state.cpp
@@ -1,6 +1,8 @@
 #include "currantshed/gateway/shared_state.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 #include "currantshed/member/roster.hpp"
@@ -28,6 +30,14 @@
 
 } // namespace
 
+bool
+MayUse(const policy::work_class& aClass, const group::group_name& aGroup)
+{
+  const auto& groups = aClass.groups;
+  return groups.empty() ||
+         std::find(groups.begin(), groups.end(), aGroup) != groups.end();
+}
+
 shared_state::shared_state(const engine_settings& aSettings,
                            session::key_ring aKeys)
   : settings(aSettings)
@@ -44,6 +54,18 @@
   return found == rules.end() ? nullptr : found->second;
 }
 
+std::vector<std::string>
+shared_state::WritePlaces(const group::group_name& aGroup) const
+{
+  std::set<std::string> places;
+  for (const auto& [name, rule] : rules) {
+    if (rule->kind == policy::access::kWrite && MayUse(*rule, aGroup)) {
+      places.insert(rule->servedIn.begin(), rule->servedIn.end());
+    }
+  }
+  return { places.begin(), places.end() };
+}
+
 bool
 shared_state::HasGroup(const group::group_name& aGroup) const
 {
--- a/src/currantshed/gateway/shared_state.hpp
+++ b/src/currantshed/gateway/shared_state.hpp
@@ -17,6 +17,10 @@
 
 namespace currantshed::gateway {
 
+/// Whether a class may use a group.
+[[nodiscard]] bool
+MayUse(const policy::work_class& aClass, const group::group_name& aGroup);
+
 /// What the filters of one engine share.
 struct shared_state
 {
@@ -26,6 +30,10 @@
   [[nodiscard]] std::shared_ptr<const policy::work_class> Rule(
     const std::string& aClass) const;
 
+  /// Failure domains in which some class may write to the group, in order.
+  [[nodiscard]] std::vector<std::string> WritePlaces(
+    const group::group_name& aGroup) const;
+
   /// Whether the platform lists the group.
   [[nodiscard]] bool HasGroup(const group::group_name& aGroup) const;
 
--- a/test/currantshed/gateway/engine.cpp
+++ b/test/currantshed/gateway/engine.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "currantshed/gateway/error.hpp"
 #include "currantshed/gateway/transaction_name.hpp"
@@ -301,6 +302,37 @@
   STRCMP_EQUAL("resolve@0 not_run", bench.log.c_str());
 }
 
+TEST(gateway_engine, unknown_class_of_a_change_is_served_where_any_may_write)
+{
+  struct row
+  {
+    const char* name;
+    call_kind kind;
+    const char* workClass;
+    std::vector<std::string> places;
+  };
+  const row kRows[] = {
+    { "outcome", call_kind::kOutcome, "", { "depot", "hall" } },
+    { "commit of a class that was dropped",
+      call_kind::kCommit,
+      "dropped",
+      { "depot", "hall" } },
+    { "commit of a class that is there",
+      call_kind::kCommit,
+      "report",
+      { "depot" } },
+  };
+  for (const auto& row : kRows) {
+    engine_bench bench;
+    auto call = Call("", row.kind);
+    call.key = SpareKey(77).Text();
+    call.transaction = gateway::MakeTransactionId(
+      { "vm-a", "life-1", 9, row.workClass, kGroup, SpareKey(77) }, Ring());
+    bench.Submit(call);
+    CHECK_TEXT(row.places == bench.sent.request.work.servedIn, row.name);
+  }
+}
+
 TEST(gateway_engine, suspected_pooler_is_passed_over_for_a_while)
 {
   engine_bench bench;
--- a/test/currantshed/gateway/engine_bench.cpp
+++ b/test/currantshed/gateway/engine_bench.cpp
@@ -77,6 +77,10 @@
                    Rule("draft", policy::access::kWrite, true),
                    Rule("planning", policy::access::kWrite, false) };
   made.classes.back().groups = { "planner" };
+  made.classes[0].servedIn = { "reads" };
+  made.classes[1].servedIn = { "depot" };
+  made.classes[2].servedIn = { "depot", "hall" };
+  made.classes[3].servedIn = { "planning" };
   return made;
 }
 
