wait and status ask gateways as well

Cause: 'in force on every proxy' was shown for poolers alone, since the platform's list names their status ports only.

Ruled out: having poolers speak for their gateways, since a pooler can't tell what its gateway has put in force.

Before: a gateway that lags passes unseen.

--- a/src/currantshed/burn/program.cpp
+++ b/src/currantshed/burn/program.cpp
@@ -20,6 +20,7 @@
 #include "currantshed/burn/report.hpp"
 #include "currantshed/burn/snapshot_store.hpp"
 #include "currantshed/ctl/blocking_platform.hpp"
+#include "currantshed/ctl/gateway_port.hpp"
 #include "currantshed/http/fetcher.hpp"
 #include "currantshed/platform/http_client.hpp"
 #include "currantshed/policy/configuration_record.hpp"
@@ -54,7 +55,7 @@
   std::string targets;
   std::string platformUrl;
   std::chrono::milliseconds timeout{ 2000 };
-  std::uint16_t gatewayStatusPort = 0;
+  std::string gatewayStatusPort;
   std::chrono::milliseconds interval{ 10'000 };
   unsigned samples = 2;
   std::string snapshotFolder;
@@ -75,10 +76,10 @@
   aParser.Text(aSettings.platformUrl,
                "platform-url",
                "address of the platform's service, as http://IP:PORT");
-  aParser.Port(aSettings.gatewayStatusPort,
+  aParser.Text(aSettings.gatewayStatusPort,
                "gateway-status-port",
-               "status port of the gateway on each VM of the platform's list; "
-               "0 for none");
+               "status port of the gateway on each VM of the platform's list, "
+               "or +N for the one N above the pooler's");
   aParser.Milliseconds(
     aSettings.timeout, "timeout", "time for one answer", kShortest, kLongest);
   aParser.Milliseconds(aSettings.interval,
@@ -135,11 +136,12 @@
     return record->declaration;
   }
 
-  std::vector<std::string> Targets(std::uint16_t aPort)
+  std::vector<std::string> Targets(const ctl::gateway_port& aPort)
   {
     std::vector<std::string> targets;
     for (const auto& vm : mBlocking.List().value.vms) {
-      targets.push_back(absl::StrCat(vm.address, ":", aPort));
+      targets.push_back(
+        absl::StrCat(vm.address, ":", ctl::GatewayPortOf(vm, aPort)));
     }
     return targets;
   }
@@ -179,8 +181,9 @@
   if (!aSettings.targets.empty()) {
     return absl::StrSplit(aSettings.targets, ',', absl::SkipWhitespace());
   }
-  if (!aSettings.platformUrl.empty() && aSettings.gatewayStatusPort != 0) {
-    return platform_reader(aSettings).Targets(aSettings.gatewayStatusPort);
+  const auto port = ctl::ParseGatewayPort(aSettings.gatewayStatusPort);
+  if (!aSettings.platformUrl.empty() && port) {
+    return platform_reader(aSettings).Targets(*port);
   }
   return {};
 }
@@ -274,6 +277,11 @@
   if (result.end == settings::parse_end::kExit) {
     return result.exitCode;
   }
+  if (!read.gatewayStatusPort.empty() &&
+      !ctl::ParseGatewayPort(read.gatewayStatusPort)) {
+    return Complain(exit_code::kUsage,
+                    "--gateway-status-port must be a port or +N");
+  }
   const auto text = ReadDeclarationText(read);
   if (!text) {
     return Complain(exit_code::kUsage,
--- a/src/currantshed/ctl/fwd.hpp
+++ b/src/currantshed/ctl/fwd.hpp
@@ -6,6 +6,7 @@
 enum class exit_code;
 enum class verb_id;
 struct ctl_settings;
+struct gateway_port;
 struct verb;
 struct change;
 struct vm_report;
--- a/src/currantshed/ctl/options.cpp
+++ b/src/currantshed/ctl/options.cpp
@@ -84,6 +84,10 @@
                          kLongest);
   }
   if (AsksVms(aVerb)) {
+    aParser.Text(aSettings.gatewayStatusPort,
+                 "gateway-status-port",
+                 "status port of the gateway on each VM, or +N for the one N "
+                 "above the pooler's; without it poolers alone are asked");
     aParser.Milliseconds(aSettings.vmTimeout,
                          "vm-timeout",
                          "time for one VM to answer",
--- a/src/currantshed/ctl/options.hpp
+++ b/src/currantshed/ctl/options.hpp
@@ -42,6 +42,7 @@
   std::chrono::milliseconds vmTimeout{ 2000 };
   std::chrono::milliseconds timeout{ 30'000 };
   std::string outputForm = "text";
+  std::string gatewayStatusPort;
   std::string expectVersion;
   std::string change;
   std::string appliedBy;
--- a/src/currantshed/ctl/program.cpp
+++ b/src/currantshed/ctl/program.cpp
@@ -123,6 +123,7 @@
   verbs work(blocking, *fetcher, time, results);
   asking asked;
   asked.vmTimeout = aSettings.vmTimeout;
+  asked.gateways = ParseGatewayPort(aSettings.gatewayStatusPort);
   switch (aVerb.id) {
     case verb_id::kValidate:
       return work.Validate(aFile);
@@ -157,6 +158,10 @@
   if (aVerb.id == verb_id::kWait && read.version == 0) {
     return Complain("wait needs --version");
   }
+  if (!read.gatewayStatusPort.empty() &&
+      !ParseGatewayPort(read.gatewayStatusPort)) {
+    return Complain("--gateway-status-port must be a port or +N");
+  }
   std::optional<std::uint64_t> expected;
   if (!ReadExpected(read.expectVersion, expected)) {
     return Complain("--expect-version must be a whole number");
--- a/src/currantshed/ctl/verbs.cpp
+++ b/src/currantshed/ctl/verbs.cpp
@@ -229,7 +229,8 @@
     static_cast<void>(Unreachable(listed.error.message()));
     return std::nullopt;
   }
-  return AskVms(listed.value.vms, mFetcher, aAsking.vmTimeout);
+  return AskVms(
+    listed.value.vms, aAsking.gateways, mFetcher, aAsking.vmTimeout);
 }
 
 exit_code
@@ -259,7 +260,8 @@
     const auto listed = mPlatform.List();
     trouble = listed.error ? listed.error.message() : "";
     if (!listed.error) {
-      reports = AskVms(listed.value.vms, mFetcher, aAsking.vmTimeout);
+      reports =
+        AskVms(listed.value.vms, aAsking.gateways, mFetcher, aAsking.vmTimeout);
       if (AllHave(reports, aVersion)) {
         return ReportWait(aVersion, reports, true);
       }
--- a/src/currantshed/ctl/verbs.hpp
+++ b/src/currantshed/ctl/verbs.hpp
@@ -47,6 +47,8 @@
 {
   /// Time for one VM to answer.
   std::chrono::milliseconds vmTimeout{ 2000 };
+  /// Where gateways are asked; none for poolers alone.
+  std::optional<gateway_port> gateways;
   /// Pause between two rounds of wait.
   std::chrono::milliseconds pause{ 200 };
 };
--- a/src/currantshed/ctl/vm_report.cpp
+++ b/src/currantshed/ctl/vm_report.cpp
@@ -107,6 +107,26 @@
   }
 }
 
+/// The poolers' addresses, then the gateways' where they are asked.
+std::vector<std::string>
+StatusUrls(const std::vector<platform::vm>& aVms,
+           const std::optional<gateway_port>& aGateways)
+{
+  std::vector<std::string> urls;
+  urls.reserve(2 * aVms.size());
+  for (const auto& vm : aVms) {
+    urls.push_back(http::MakeUrl(vm.address, vm.statusPort, "/status"));
+  }
+  if (!aGateways) {
+    return urls;
+  }
+  for (const auto& vm : aVms) {
+    urls.push_back(
+      http::MakeUrl(vm.address, GatewayPortOf(vm, *aGateways), "/status"));
+  }
+  return urls;
+}
+
 } // namespace
 
 vm_report
@@ -141,21 +161,38 @@
   return report;
 }
 
+vm_report
+JoinReports(vm_report aPooler, const vm_report& aGateway)
+{
+  if (!aPooler.answered) {
+    return aPooler;
+  }
+  if (!aGateway.answered) {
+    aPooler.answered = false;
+    aPooler.error = absl::StrCat("gateway: ", aGateway.error);
+    return aPooler;
+  }
+  aPooler.ready = aPooler.ready && aGateway.ready;
+  aPooler.version = std::min(aPooler.version, aGateway.version);
+  return aPooler;
+}
+
 std::vector<vm_report>
 AskVms(const std::vector<platform::vm>& aVms,
+       const std::optional<gateway_port>& aGateways,
        http::fetcher& aFetcher,
        std::chrono::milliseconds aTimeout)
 {
-  std::vector<std::string> urls;
-  urls.reserve(aVms.size());
-  for (const auto& vm : aVms) {
-    urls.push_back(http::MakeUrl(vm.address, vm.statusPort, "/status"));
-  }
-  const auto answers = aFetcher.Fetch(urls, aTimeout);
+  const auto answers = aFetcher.Fetch(StatusUrls(aVms, aGateways), aTimeout);
   std::vector<vm_report> reports;
   reports.reserve(aVms.size());
   for (std::size_t i = 0; i < aVms.size(); ++i) {
-    reports.push_back(ReadReport(aVms[i], answers[i]));
+    auto report = ReadReport(aVms[i], answers[i]);
+    if (aGateways) {
+      const auto gateway = ReadReport(aVms[i], answers[aVms.size() + i]);
+      report = JoinReports(std::move(report), gateway);
+    }
+    reports.push_back(std::move(report));
   }
   std::sort(reports.begin(),
             reports.end(),
--- a/src/currantshed/ctl/vm_report.hpp
+++ b/src/currantshed/ctl/vm_report.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -10,6 +11,7 @@
 #include <boost/json/object.hpp>
 
 #include "currantshed/ctl/fwd.hpp"
+#include "currantshed/ctl/gateway_port.hpp"
 #include "currantshed/http/fetcher.hpp"
 #include "currantshed/platform/client.hpp"
 
@@ -43,9 +45,16 @@
 [[nodiscard]] vm_report
 ReadReport(const platform::vm& aVm, const http::fetched& aAnswer);
 
-/// Asks every given VM at its status port.
+/// What a VM's pooler and gateway say together: the lower version, and ready
+/// where both are.
+[[nodiscard]] vm_report
+JoinReports(vm_report aPooler, const vm_report& aGateway);
+
+/// Asks every given VM at its pooler's status port and, where one is given,
+/// at its gateway's.
 [[nodiscard]] std::vector<vm_report>
 AskVms(const std::vector<platform::vm>& aVms,
+       const std::optional<gateway_port>& aGateways,
        http::fetcher& aFetcher,
        std::chrono::milliseconds aTimeout);
 
--- a/test/currantshed/ctl/verbs.cpp
+++ b/test/currantshed/ctl/verbs.cpp
@@ -56,9 +56,9 @@
     return all;
   }
 
-  void Answer(const std::string& aVm, const std::string& aRest)
+  void Answer(const std::string& aVm, const std::string& aRest, int aPort = 9)
   {
-    answers[absl::StrCat("http://", aVm, ":9/status")] =
+    answers[absl::StrCat("http://", aVm, ":", aPort, "/status")] =
       absl::StrCat("{\"vm\":\"", aVm, "\",\"ready\":true,", aRest, "}");
   }
 };
@@ -127,6 +127,16 @@
   };
 }
 
+verb_call
+WaitForGateways(std::uint64_t aVersion)
+{
+  return [=](ctl::verbs aVerbs) {
+    ctl::asking asked;
+    asked.gateways = ctl::gateway_port{ 1, true };
+    return aVerbs.Wait(aVersion, std::chrono::seconds(1), asked);
+  };
+}
+
 verb_call
 Wait(std::uint64_t aVersion)
 {
@@ -390,6 +400,30 @@
     "",
     "no time left; version 7 is missing on 2 of 3 live VMs\n"
     "  m2 has version 6\n  m3: refused\n" },
+  { "wait: gateways have it as well",
+    [](bench& aBench) {
+      aBench.store.SetListing({ { Vm("m1") }, {} });
+      aBench.vms.Answer("m1", "\"configuration_version\":7");
+      aBench.vms.Answer("m1", "\"configuration_version\":7", 10);
+    },
+    WaitForGateways(7),
+    exit_code::kOk,
+    0,
+    "version 7 is on all 1 VMs\n",
+    "" },
+  { "wait: a gateway lags, another is not there",
+    [](bench& aBench) {
+      aBench.store.SetListing({ { Vm("m1"), Vm("m2") }, {} });
+      aBench.vms.Answer("m1", "\"configuration_version\":7");
+      aBench.vms.Answer("m1", "\"configuration_version\":6", 10);
+      aBench.vms.Answer("m2", "\"configuration_version\":7");
+    },
+    WaitForGateways(7),
+    exit_code::kTimeout,
+    0,
+    "",
+    "no time left; version 7 is missing on 2 of 2 live VMs\n"
+    "  m1 has version 6\n  m2: gateway: refused\n" },
   { "wait: no VM at all is no success",
     Nothing,
     Wait(7),
