Look at the queues only as far as one event can change them

Cause: a profile of the traffic thread under 64 stale reads at a time, 2 slots a server, had 47 % of its time in PumpQueues: each request and each reply tried up to 64 waiting requests again, though it had freed one place at most. Change: a request that comes is tried by itself; a reply or an opened connection sends two waiting requests at most. News of servers and every tick (10 ms while something waits) still look at all of the front. Ruled out: stopping at the first request that finds no place, since those behind it may be served elsewhere.

--- a/src/currantshed/group/group_engine.cpp
+++ b/src/currantshed/group/group_engine.cpp
@@ -59,7 +59,7 @@
                                clock::time_point aNow)
 {
   mLinks.Opened(aConnection);
-  Follow(aNow);
+  FollowFreed(aNow);
 }
 
 void
@@ -97,7 +97,7 @@
       SpreadNews(aNow);
     }
   }
-  Follow(aNow);
+  FollowFreed(aNow);
 }
 
 void
--- a/src/currantshed/group/group_engine.hpp
+++ b/src/currantshed/group/group_engine.hpp
@@ -91,7 +91,10 @@
   /// Sends what can be sent.
   void Pump(clock::time_point aNow);
   void PumpTransactions(clock::time_point aNow);
-  void PumpQueues(clock::time_point aNow);
+  void PumpQueues(std::size_t aMostSent, clock::time_point aNow);
+  /// The same after one place or connection became free: what can't be sent
+  /// for it couldn't before either, so the rest waits for the next full look.
+  void PumpFreed(clock::time_point aNow);
   /// Tries to send one waiting request; false when it has to go on waiting.
   bool TrySend(request_id aRequest, clock::time_point aNow);
   void Send(request_id aRequest,
@@ -114,6 +117,11 @@
   [[nodiscard]] bool SomeoneWaits() const;
   /// What follows every event.
   void Follow(clock::time_point aNow);
+  /// What follows one place or connection that became free.
+  void FollowFreed(clock::time_point aNow);
+  /// What follows one request that came: the others can go no sooner for it.
+  void FollowEntered(request_id aRequest, clock::time_point aNow);
+  void Conclude(clock::time_point aNow);
 
   std::vector<action> mActions;
   context mContext;
--- a/src/currantshed/group/progress.cpp
+++ b/src/currantshed/group/progress.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "currantshed/group/group_engine.hpp"
@@ -13,6 +14,9 @@
 constexpr int kMostLookedAt = 32;
 // While all slots are taken, waiting requests are looked at this often.
 constexpr std::chrono::milliseconds kLookInterval{ 10 };
+// Requests sent for one reply: the one that waits for the place, and the one
+// that was answered itself if it goes on elsewhere.
+constexpr std::size_t kSentForOneFreed = 2;
 
 } // namespace
 
@@ -24,7 +28,7 @@
   // have waited for too long.
   if (mLinks.HasSlot() || aNow >= mLooked + kLookInterval) {
     mLooked = aNow;
-    PumpQueues(aNow);
+    PumpQueues(std::numeric_limits<std::size_t>::max(), aNow);
   }
 }
 
@@ -41,7 +45,7 @@
 }
 
 void
-group_engine::PumpQueues(clock::time_point aNow)
+group_engine::PumpQueues(std::size_t aMostSent, clock::time_point aNow)
 {
   mLinks.BeginPass();
   // Both lanes by deadline; the first ones only, since those behind them
@@ -57,11 +61,26 @@
     }
   }
   std::sort(waiting.begin(), waiting.end());
+  std::size_t sent = 0;
   for (const auto& [deadline, request] : waiting) {
-    static_cast<void>(TrySend(request, aNow));
+    sent += TrySend(request, aNow) ? 1 : 0;
+    if (sent >= aMostSent) {
+      return;
+    }
   }
 }
 
+void
+group_engine::PumpFreed(clock::time_point aNow)
+{
+  if (aNow >= mLooked + kLookInterval) {
+    Pump(aNow);
+    return;
+  }
+  PumpTransactions(aNow);
+  PumpQueues(kSentForOneFreed, aNow);
+}
+
 bool
 group_engine::TrySend(request_id aRequest, clock::time_point aNow)
 {
--- a/src/currantshed/group/submit.cpp
+++ b/src/currantshed/group/submit.cpp
@@ -71,9 +71,10 @@
   entered.waitsIn = LaneOf(aRequest);
   const auto isQuestion = aRequest.kind == operation::kReconfirm;
   entered.at = isQuestion ? stage::kAwaiting : stage::kQueued;
+  const auto request = aRequest.id;
   entered.way = MakeFlow(std::move(aRequest), aNow);
   Enter(std::move(entered), aNow);
-  Follow(aNow);
+  FollowEntered(request, aNow);
 }
 
 std::optional<answer>
--- a/src/currantshed/group/upkeep.cpp
+++ b/src/currantshed/group/upkeep.cpp
@@ -86,6 +86,26 @@
 group_engine::Follow(clock::time_point aNow)
 {
   Pump(aNow);
+  Conclude(aNow);
+}
+
+void
+group_engine::FollowFreed(clock::time_point aNow)
+{
+  PumpFreed(aNow);
+  Conclude(aNow);
+}
+
+void
+group_engine::FollowEntered(request_id aRequest, clock::time_point aNow)
+{
+  static_cast<void>(TrySend(aRequest, aNow));
+  Conclude(aNow);
+}
+
+void
+group_engine::Conclude(clock::time_point aNow)
+{
   EndTransactions(aNow);
   Ask(aNow);
 }
