Roster: a loss is passed on in a fleet where not all send to all

Cause: beyond 'fanout' VMs only co-owners were watched; all others stayed live until the lagging list dropped them, and requests went to dead leaders. Change: each VM watches its ring neighbours and co-owners, asks them for heartbeats back, and passes on who is lost (SWIM's way); the wire message gets 'answer' and 'lost'. Heartbeats every 150 ms with one VM heard of in place of 100 ms with four; a heartbeat that changes nothing is not judged. Ruled out: raising an incarnation to refute a word (it holds 10 s only). Found on the way, by the fleet's tests: a lost VM that is no longer watched came back to life; an asker that was no receiver got no answer. Conclusion: views follow losses without the list.

--- a/src/currantshed/failover/detector.cpp
+++ b/src/currantshed/failover/detector.cpp
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 
 // A peer repeats its suspicion with each heartbeat; without that it lapses.
-constexpr milliseconds kWordLife{ 500 };
+constexpr milliseconds kWordLife{ 700 };
 constexpr std::size_t kFewestPoolers = 2;
 // How long a server may hold a higher term than the primary in force before
 // the group is brought above it.
--- a/src/currantshed/member/fwd.hpp
+++ b/src/currantshed/member/fwd.hpp
@@ -3,8 +3,11 @@
 
 namespace currantshed::member {
 
+class news_box;
 class roster;
 struct heartbeat;
+struct lost_vm;
+struct term_news;
 
 } // namespace currantshed::member
 
--- /dev/null
+++ b/src/currantshed/member/peer_table.cpp
@@ -0,0 +1,335 @@
+#include "currantshed/member/peer_table.hpp"
+
+#include <algorithm>
+
+namespace currantshed::member {
+
+namespace {
+
+// VMs that one heartbeat names as heard of.
+constexpr std::size_t kHeardOfLimit = 1;
+// VMs known by hearsay alone that are kept at a time.
+constexpr std::ptrdiff_t kCandidateLimit = 32;
+constexpr std::size_t kPastIncarnations = 4;
+// How long a word on a lost VM holds unless it is renewed; it may be in the
+// second half of that time.
+constexpr std::chrono::milliseconds kLostFor{ 10000 };
+
+// Takes over the sender's incarnation and sequence; false for a heartbeat that
+// is older than what has been heard.
+bool
+Accept(peer_record& aPeer, const heartbeat& aBeat)
+{
+  if (aPeer.incarnation == aBeat.incarnation) {
+    if (aPeer.heard && aBeat.sequence <= aPeer.sequence) {
+      return false;
+    }
+    aPeer.sequence = aBeat.sequence;
+    return true;
+  }
+  auto& past = aPeer.past;
+  if (std::find(past.begin(), past.end(), aBeat.incarnation) != past.end()) {
+    return false;
+  }
+  if (!aPeer.incarnation.empty()) {
+    past.push_back(aPeer.incarnation);
+  }
+  if (past.size() > kPastIncarnations) {
+    past.pop_front();
+  }
+  aPeer.incarnation = aBeat.incarnation;
+  aPeer.sequence = aBeat.sequence;
+  return true;
+}
+
+bool
+IsRenewable(const peer_record& aPeer, clock::time_point aNow)
+{
+  return !aPeer.lostUntil || *aPeer.lostUntil - aNow <= kLostFor / 2;
+}
+
+// The sender's own word goes before the lagging list, but leaving is believed
+// from either.
+platform::vm
+Described(const peer_record& aPeer)
+{
+  if (!aPeer.heard) {
+    return aPeer.listed ? *aPeer.listed : *aPeer.rumoured;
+  }
+  platform::vm vm = *aPeer.heard;
+  vm.leaving = vm.leaving || (aPeer.listed && aPeer.listed->leaving);
+  return vm;
+}
+
+} // namespace
+
+peer_table::peer_table(const roster_settings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+void
+peer_table::Listed(const std::vector<platform::vm>& aVms,
+                   clock::time_point aNow)
+{
+  absl::flat_hash_set<std::string> ids;
+  for (const auto& vm : aVms) {
+    if (vm.id == mSettings.self.id) {
+      continue;
+    }
+    ids.insert(vm.id);
+    auto& peer = mPeers[vm.id];
+    if (!peer.listed) {
+      peer.listedSince = aNow;
+    }
+    peer.listed = vm;
+  }
+  for (auto& [id, peer] : mPeers) {
+    if (!ids.contains(id)) {
+      peer.listed.reset();
+      peer.accused = false;
+    }
+  }
+  mDirty = true;
+}
+
+bool
+peer_table::Heard(const heartbeat& aBeat, clock::time_point aNow)
+{
+  auto& peer = mPeers[aBeat.sender.id];
+  if (!Accept(peer, aBeat)) {
+    return false;
+  }
+  mDirty = mDirty || peer.heard != aBeat.sender;
+  peer.heard = aBeat.sender;
+  peer.heardAt = aNow;
+  peer.rumoured.reset();
+  peer.lostUntil.reset();
+  peer.accused = false;
+  return true;
+}
+
+bool
+peer_table::NeedsJudgement(const std::string& aId) const
+{
+  return mDirty || !mPeers.at(aId).live;
+}
+
+void
+peer_table::NoteRumour(const platform::vm& aVm, clock::time_point aNow)
+{
+  if (aVm.id == mSettings.self.id || mPeers.contains(aVm.id)) {
+    return;
+  }
+  const auto rumoured =
+    std::count_if(mPeers.begin(), mPeers.end(), [](const auto& aEntry) {
+      return aEntry.second.rumoured.has_value();
+    });
+  if (rumoured < kCandidateLimit) {
+    auto& peer = mPeers[aVm.id];
+    peer.rumoured = aVm;
+    peer.rumouredAt = aNow;
+  }
+}
+
+// A word counts only about the life that is known here, and not against what
+// was heard directly.
+bool
+peer_table::NoteLost(const lost_vm& aWord, clock::time_point aNow)
+{
+  const auto found = mPeers.find(aWord.id);
+  if (found == mPeers.end() || HeardLately(found->second, aNow)) {
+    return false;
+  }
+  auto& peer = found->second;
+  const bool otherLife =
+    !peer.incarnation.empty() && peer.incarnation != aWord.incarnation;
+  if (otherLife || !IsRenewable(peer, aNow)) {
+    return false;
+  }
+  peer.lostUntil = aNow + kLostFor;
+  return true;
+}
+
+void
+peer_table::Watch(const absl::flat_hash_set<std::string>& aIds,
+                  clock::time_point aNow)
+{
+  const bool all = FullMesh();
+  for (auto& [id, peer] : mPeers) {
+    if (!all && !peer.accused && !aIds.contains(id)) {
+      peer.watchedSince.reset();
+    } else if (!peer.watchedSince) {
+      peer.watchedSince = aNow;
+    }
+  }
+}
+
+bool
+peer_table::Judge(clock::time_point aNow)
+{
+  bool changed = mDirty;
+  mDirty = false;
+  for (auto& [id, peer] : mPeers) {
+    const bool live = IsLive(peer, aNow);
+    changed = changed || live != peer.live;
+    peer.live = live;
+  }
+  return changed;
+}
+
+// In a large fleet most VMs hear of a loss by word only.
+std::vector<lost_vm>
+peer_table::TakeLosses(clock::time_point aNow)
+{
+  std::vector<lost_vm> losses;
+  if (FullMesh()) {
+    return losses;
+  }
+  for (auto& [id, peer] : mPeers) {
+    const bool lost = peer.listed && peer.watchedSince && !peer.live;
+    if (lost && IsRenewable(peer, aNow)) {
+      peer.lostUntil = aNow + kLostFor;
+      peer.accused = true;
+      losses.push_back({ id, peer.incarnation });
+    }
+  }
+  return losses;
+}
+
+void
+peer_table::Forget(clock::time_point aNow)
+{
+  const auto gone = absl::erase_if(mPeers, [&](const auto& aEntry) {
+    const auto& peer = aEntry.second;
+    const bool rumoured =
+      peer.rumoured && aNow - peer.rumouredAt <= mSettings.grace;
+    const bool heard = peer.heard && aNow - peer.heardAt <= mSettings.grace;
+    return !peer.listed && !heard && !rumoured;
+  });
+  mDirty = mDirty || gone > 0;
+}
+
+clock::time_point
+peer_table::NextChange(clock::time_point aNow) const
+{
+  auto next = clock::time_point::max();
+  for (const auto& [id, peer] : mPeers) {
+    auto bound = aNow - clock::duration{ 1 };
+    if (HeardLately(peer, aNow)) {
+      bound = peer.heardAt + mSettings.silentAfter;
+    } else if (peer.watchedSince && peer.listed) {
+      bound = LiveUntil(peer);
+    } else if (peer.lostUntil) {
+      bound = *peer.lostUntil;
+    }
+    // A bound still counts as within it, so the change comes just after.
+    if (bound >= aNow) {
+      next = std::min(next, bound + clock::duration{ 1 });
+    }
+  }
+  return next;
+}
+
+std::vector<platform::vm>
+peer_table::Live() const
+{
+  std::vector<platform::vm> live;
+  for (const auto& [id, peer] : mPeers) {
+    if (peer.live) {
+      live.push_back(Described(peer));
+    }
+  }
+  return live;
+}
+
+std::vector<platform::vm>
+peer_table::All() const
+{
+  std::vector<platform::vm> all;
+  all.reserve(mPeers.size());
+  for (const auto& [id, peer] : mPeers) {
+    all.push_back(Described(peer));
+  }
+  return all;
+}
+
+std::vector<platform::vm>
+peer_table::HeardOf(std::uint64_t aNumber, clock::time_point aNow) const
+{
+  std::vector<const platform::vm*> heard;
+  for (const auto& [id, peer] : mPeers) {
+    if (HeardLately(peer, aNow)) {
+      heard.push_back(&*peer.heard);
+    }
+  }
+  std::vector<platform::vm> few;
+  const auto count = std::min(kHeardOfLimit, heard.size());
+  for (std::size_t place = 0; place < count; ++place) {
+    few.push_back(*heard[(aNumber * kHeardOfLimit + place) % heard.size()]);
+  }
+  return few;
+}
+
+std::optional<platform::vm>
+peer_table::Find(const std::string& aId) const
+{
+  const auto found = mPeers.find(aId);
+  if (found == mPeers.end()) {
+    return std::nullopt;
+  }
+  return Described(found->second);
+}
+
+bool
+peer_table::IsOverdue(const std::string& aId, clock::time_point aNow) const
+{
+  const auto& peer = mPeers.at(aId);
+  const auto half = mSettings.interval / 2;
+  const auto patience = FullMesh() ? mSettings.interval + half : half;
+  const bool heard = peer.heard && aNow - peer.heardAt <= patience;
+  return peer.watchedSince && !heard;
+}
+
+// Whether every VM sends to every other one.
+bool
+peer_table::FullMesh() const
+{
+  return mPeers.size() <= mSettings.fanout;
+}
+
+bool
+peer_table::HeardLately(const peer_record& aPeer, clock::time_point aNow) const
+{
+  return aPeer.heard && aNow - aPeer.heardAt <= mSettings.silentAfter;
+}
+
+// Until when a watched VM counts as live without another heartbeat. One that
+// has only come to be watched gets time to answer.
+clock::time_point
+peer_table::LiveUntil(const peer_record& aPeer) const
+{
+  if (aPeer.heard && aPeer.heardAt >= *aPeer.watchedSince) {
+    return aPeer.heardAt + mSettings.silentAfter;
+  }
+  return std::max(*aPeer.watchedSince, aPeer.listedSince) + mSettings.grace;
+}
+
+// A VM that does not send here regularly is judged by the list and by what the
+// peers say.
+bool
+peer_table::IsLive(const peer_record& aPeer, clock::time_point aNow) const
+{
+  if (HeardLately(aPeer, aNow)) {
+    return true;
+  }
+  if (!aPeer.listed) {
+    return false;
+  }
+  if (aPeer.watchedSince) {
+    return aNow <= LiveUntil(aPeer);
+  }
+  return !aPeer.lostUntil || aNow > *aPeer.lostUntil;
+}
+
+} // namespace currantshed::member
--- a/src/currantshed/member/peers.cpp
+++ b/src/currantshed/member/peers.cpp
@@ -28,21 +28,6 @@
   return XXH3_64bits_withSeed(aId.data(), aId.size(), seed);
 }
 
-// Others of the own failure domain, by their distance on the ring.
-std::vector<placed_vm>
-Neighbours(const peer_choice& aChoice)
-{
-  std::vector<placed_vm> ring;
-  const auto own = RingPlace(aChoice.self.id);
-  for (const auto& vm : aChoice.others) {
-    if (vm.failureDomain == aChoice.self.failureDomain) {
-      ring.emplace_back(RingPlace(vm.id) - own, &vm);
-    }
-  }
-  std::sort(ring.begin(), ring.end());
-  return ring;
-}
-
 std::vector<placed_vm>
 Shuffled(const peer_choice& aChoice)
 {
@@ -73,6 +58,29 @@
 
 } // namespace
 
+absl::flat_hash_set<std::string>
+RingNeighbours(const platform::vm& aSelf,
+               const std::vector<platform::vm>& aOthers,
+               unsigned aCount)
+{
+  std::vector<placed_vm> ring;
+  const auto own = RingPlace(aSelf.id);
+  for (const auto& vm : aOthers) {
+    if (vm.failureDomain == aSelf.failureDomain) {
+      ring.emplace_back(RingPlace(vm.id) - own, &vm);
+    }
+  }
+  const auto count = std::min<std::size_t>(aCount, ring.size());
+  std::partial_sort(ring.begin(),
+                    ring.begin() + static_cast<std::ptrdiff_t>(count),
+                    ring.end());
+  absl::flat_hash_set<std::string> chosen;
+  for (std::size_t place = 0; place < count; ++place) {
+    chosen.insert(ring[place].second->id);
+  }
+  return chosen;
+}
+
 std::vector<platform::vm>
 ChoosePeers(const peer_choice& aChoice)
 {
@@ -81,14 +89,15 @@
   }
   std::vector<platform::vm> peers;
   absl::flat_hash_set<std::string> taken;
+  std::size_t limit = aChoice.fanout;
   for (const auto& vm : aChoice.others) {
-    if (aChoice.coOwners.contains(vm.id)) {
+    const bool owns = aChoice.coOwners.contains(vm.id);
+    if (owns || aChoice.neighbours.contains(vm.id)) {
+      limit += owns ? 1 : 0;
       taken.insert(vm.id);
       peers.push_back(vm);
     }
   }
-  const auto limit = peers.size() + aChoice.fanout;
-  Take(Neighbours(aChoice), limit - aChoice.fanout / 2, taken, peers);
   Take(Shuffled(aChoice), limit, taken, peers);
   return peers;
 }
--- a/src/currantshed/member/peers.hpp
+++ b/src/currantshed/member/peers.hpp
@@ -17,6 +17,8 @@
   const platform::vm& self;
   /// The other VMs that may be alive.
   const std::vector<platform::vm>& others;
+  /// Ids of those next on the ring; always chosen.
+  const absl::flat_hash_set<std::string>& neighbours;
   /// Ids of VMs that own a group together with this one; always chosen.
   const absl::flat_hash_set<std::string>& coOwners;
   /// Receivers besides the co-owners.
@@ -26,9 +28,15 @@
   std::uint64_t beat = 0;
 };
 
+/// The next VMs of the own failure domain on the hashed ring, among the given
+/// ones.
+[[nodiscard]] absl::flat_hash_set<std::string>
+RingNeighbours(const platform::vm& aSelf,
+               const std::vector<platform::vm>& aOthers,
+               unsigned aCount);
+
 /// Receivers of one heartbeat: every other VM in a small fleet. In a larger
-/// one the co-owners, the next VMs on the hashed ring of the own failure
-/// domain (half of the fanout), and a random few of the rest.
+/// one the co-owners, the neighbours, and a random few of the rest.
 [[nodiscard]] std::vector<platform::vm>
 ChoosePeers(const peer_choice& aChoice);
 
--- a/src/currantshed/member/roster.hpp
+++ b/src/currantshed/member/roster.hpp
@@ -22,6 +22,16 @@
   upstream::server_id primary;
 };
 
+/// A VM that was watched and has fallen silent, in the life named.
+struct lost_vm
+{
+  std::string id;
+  failover::incarnation_id incarnation;
+
+  [[nodiscard]] friend bool operator==(const lost_vm&,
+                                       const lost_vm&) = default;
+};
+
 /// What one pooler tells another in one short message.
 struct heartbeat
 {
@@ -35,6 +45,10 @@
   std::vector<platform::vm> heardOf;
   std::vector<failover::suspicion> suspicions;
   std::vector<term_news> terms;
+  /// Asks the receiver for a heartbeat back.
+  bool answer = false;
+  /// VMs that were found to be silent, a bounded number.
+  std::vector<lost_vm> lost;
 };
 
 /// A heartbeat to be sent to one VM.
@@ -49,9 +63,9 @@
 {
   platform::vm self;
   failover::incarnation_id incarnation;
-  std::chrono::milliseconds interval{ 100 };
-  /// A VM that sent heartbeats and has been silent for this long is taken
-  /// for dead.
+  std::chrono::milliseconds interval{ 150 };
+  /// A watched VM that sent heartbeats and has been silent for this long is
+  /// taken for dead.
   std::chrono::milliseconds silentAfter{ 500 };
   /// How long a VM that the platform lists counts as live before it has sent
   /// its first heartbeat.
--- a/src/currantshed/wire/convert_member.cpp
+++ b/src/currantshed/wire/convert_member.cpp
@@ -159,6 +159,12 @@
     to.set_term(news.term);
     to.set_primary(news.primary);
   }
+  aTo.set_answer(aFrom.answer);
+  for (const auto& vm : aFrom.lost) {
+    LostVm& to = *aTo.add_lost();
+    to.set_id(vm.id);
+    to.set_incarnation(vm.incarnation);
+  }
 }
 
 std::error_code
@@ -174,7 +180,7 @@
     return error;
   }
   if (aFrom.suspicions_size() > kMostEntries ||
-      aFrom.terms_size() > kMostEntries) {
+      aFrom.terms_size() > kMostEntries || aFrom.lost_size() > kMostEntries) {
     return wire_errc::kTooLarge;
   }
   aTo.incarnation = aFrom.incarnation();
@@ -186,6 +192,10 @@
   for (const auto& news : aFrom.terms()) {
     aTo.terms.push_back({ news.group(), news.term(), news.primary() });
   }
+  aTo.answer = aFrom.answer();
+  for (const auto& vm : aFrom.lost()) {
+    aTo.lost.push_back({ vm.id(), vm.incarnation() });
+  }
   return {};
 }
 
