Name each dealer's link monitor anew

Cause: while the leading pooler was frozen under load, one gateway answered not_run (unreachable) for as long as the freeze lasted: its new link to the next owner stood, but never told so.

Ruled out: a send refused by ZeroMQ (no such refusal in the log); a wrong view (it held the next owner).

Change: a name from a counter that is never used again.

Conclusion: links that are made as others end are heard of.

--- a/src/currantshed/net/zmq_socket.cpp
+++ b/src/currantshed/net/zmq_socket.cpp
@@ -1,5 +1,6 @@
 #include "currantshed/net/zmq_socket.hpp"
 
+#include <atomic>
 #include <cstdint>
 #include <cstring>
 #include <utility>
@@ -12,6 +13,15 @@
 
 namespace {
 
+/// A name for a socket within the process, never used again: ZeroMQ frees the
+/// name of a closed socket only some time later.
+std::string
+NextLinkName()
+{
+  static std::atomic<std::uint64_t> sLast{ 0 };
+  return "inproc://link-" + std::to_string(++sLast);
+}
+
 /// Messages handed over before others on the same thread get their turn.
 constexpr int kMostAtOnce = 128;
 
@@ -265,8 +275,7 @@
     : zmq_socket(aContext, aZmq, zmq::socket_type::pair, {})
     , mChanged(std::move(aChanged))
   {
-    const std::string name =
-      "inproc://link-" + std::to_string(reinterpret_cast<std::uintptr_t>(this));
+    const std::string name = NextLinkName();
     constexpr int kEvents =
       ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_DISCONNECTED;
     zmq_socket_monitor(aWatched.handle(), name.c_str(), kEvents);
--- a/test/currantshed/net/zmq_socket.cpp
+++ b/test/currantshed/net/zmq_socket.cpp
@@ -158,6 +158,28 @@
   CHECK_FALSE(changes[1]);
 }
 
+TEST(zmq_socket, dealers_made_as_others_end_tell_of_their_links)
+{
+  constexpr int kRounds = 10;
+  constexpr int kDealers = 20;
+  net::router router(mContext, mZmq, {});
+  CHECK_FALSE(router.Bind(kAddress, kAnyPort, [](auto, auto) {}));
+  std::vector<std::unique_ptr<net::dealer>> dealers;
+  for (int round = 0; round < kRounds; ++round) {
+    dealers.clear();
+    int linked = 0;
+    for (int made = 0; made < kDealers; ++made) {
+      auto& dealer = dealers.emplace_back(
+        std::make_unique<net::dealer>(mContext, mZmq, net::socket_settings{}));
+      dealer->OnLink([&](bool aIsUp) { linked += aIsUp ? 1 : 0; });
+      CHECK_FALSE(
+        dealer->Connect(kAddress, router.Port(), [](std::string_view) {}));
+    }
+    CHECK_TEXT(RunUntil(mContext, [&] { return linked == kDealers; }),
+               std::to_string(round).c_str());
+  }
+}
+
 TEST(zmq_socket, a_closed_socket_refuses)
 {
   net::dealer dealer(mContext, mZmq, {});
