Log when a link to a pooler comes up or goes down

Cause: the fault of the link monitor showed in no log line.

Change: pooler_link_up and pooler_link_down at info, pooler_send_failed at debug.

--- a/src/currantshed/gateway/pooler_links.cpp
+++ b/src/currantshed/gateway/pooler_links.cpp
@@ -141,6 +141,11 @@
     return;
   }
   const bool wasUp = std::exchange(found->up, aUp);
+  if (wasUp != aUp) {
+    log::Write(log::level::kInfo,
+               aUp ? "pooler_link_up" : "pooler_link_down",
+               { { "pooler", aVm } });
+  }
   if (aUp) {
     for (const waiting& next : std::exchange(found->queue, {})) {
       Transmit(*found, next.message);
@@ -168,7 +173,10 @@
 pooler_links::Transmit(link& aLink, const wire::group_request& aMessage)
 {
   const auto now = std::chrono::steady_clock::now();
-  if (aLink.socket->Send(wire::Encode(aMessage, now))) {
+  if (const auto error = aLink.socket->Send(wire::Encode(aMessage, now))) {
+    log::Write(log::level::kDebug,
+               "pooler_send_failed",
+               { { "pooler", aLink.vm.id }, { "reason", error.message() } });
     Fail(aMessage.request.id);
   }
 }
