Bound how long a transaction may be open

Only its idle time was bounded. The limit comes with the group's description, since operators declare it; a transaction past it is rolled back once no request uses it, and its next request is told that it is lost.

--- a/src/currantshed/group/context.hpp
+++ b/src/currantshed/group/context.hpp
@@ -25,6 +25,8 @@
   confirm::status_board board;
   admit::retry_budget retries;
   transaction_table transactions;
+  /// How long a transaction may be open in all.
+  std::chrono::milliseconds transactionLimit{ 30000 };
 };
 
 /// Where and when a batch was sent.
--- a/src/currantshed/group/description.hpp
+++ b/src/currantshed/group/description.hpp
@@ -1,6 +1,7 @@
 #ifndef CURRANTSHED_GROUP_DESCRIPTION_HPP
 #define CURRANTSHED_GROUP_DESCRIPTION_HPP
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -34,6 +35,8 @@
 {
   group_name name;
   std::vector<member> members;
+  /// How long a transaction may be open in all, as operators declare it.
+  std::chrono::milliseconds transactionLimit{ 30000 };
 
   [[nodiscard]] friend bool operator==(const description&,
                                        const description&) = default;
--- a/src/currantshed/group/group_engine.cpp
+++ b/src/currantshed/group/group_engine.cpp
@@ -29,6 +29,7 @@
   for (const auto& member : aGroup.members) {
     servers.push_back(member.id);
   }
+  mContext.transactionLimit = aGroup.transactionLimit;
   mContext.board.SetMembers(servers);
   mRounds.SetMembers(servers);
   for (const auto request : mLinks.Configure(aGroup)) {
@@ -132,8 +133,9 @@
 {
   Expire(aNow);
   TearOvertaken(aNow);
-  const auto idleSince = aNow - mContext.settings.transactionIdle;
-  for (const auto id : mContext.transactions.IdleSince(idleSince)) {
+  const auto overdue = mContext.transactions.Overdue(
+    aNow - mContext.transactionLimit, aNow - mContext.settings.transactionIdle);
+  for (const auto id : overdue) {
     mContext.transactions.Abandon(id);
   }
   mLinks.KeepSpares(aNow);
@@ -147,8 +149,9 @@
   if (!mDeadlines.empty()) {
     next = std::min(next, mDeadlines.begin()->first);
   }
-  if (const auto oldest = mContext.transactions.OldestUse()) {
-    next = std::min(next, *oldest + mContext.settings.transactionIdle);
+  if (const auto overdue = mContext.transactions.NextOverdue(
+        mContext.transactionLimit, mContext.settings.transactionIdle)) {
+    next = std::min(next, *overdue);
   }
   if (!mReads.Entries().empty() || !mWrites.Entries().empty()) {
     next = std::min(next, mLooked + kLookInterval);
--- a/src/currantshed/group/transaction_table.cpp
+++ b/src/currantshed/group/transaction_table.cpp
@@ -12,6 +12,7 @@
     static_cast<transaction_id>(aNow.time_since_epoch().count());
   mLast = std::max(mLast + 1, byClock);
   aTransaction.id = mLast;
+  aTransaction.begunAt = aNow;
   aTransaction.lastUsed = aNow;
   mTransactions.emplace(mLast, std::move(aTransaction));
   return mLast;
@@ -69,11 +70,14 @@
 }
 
 std::vector<transaction_id>
-transaction_table::IdleSince(clock::time_point aTime) const
+transaction_table::Overdue(clock::time_point aBegunBy,
+                           clock::time_point aUsedBy) const
 {
   std::vector<transaction_id> found;
   for (const auto& [id, transaction] : mTransactions) {
-    if (!transaction.user && transaction.lastUsed <= aTime) {
+    const auto isOverdue =
+      transaction.begunAt <= aBegunBy || transaction.lastUsed <= aUsedBy;
+    if (!transaction.user && isOverdue) {
       found.push_back(id);
     }
   }
@@ -93,15 +97,18 @@
 }
 
 std::optional<clock::time_point>
-transaction_table::OldestUse() const
+transaction_table::NextOverdue(clock::duration aOpen,
+                               clock::duration aIdle) const
 {
-  std::optional<clock::time_point> oldest;
+  std::optional<clock::time_point> next;
   for (const auto& [id, transaction] : mTransactions) {
-    if (!transaction.user && (!oldest || transaction.lastUsed < *oldest)) {
-      oldest = transaction.lastUsed;
+    const auto due =
+      std::min(transaction.begunAt + aOpen, transaction.lastUsed + aIdle);
+    if (!transaction.user && (!next || due < *next)) {
+      next = due;
     }
   }
-  return oldest;
+  return next;
 }
 
 std::size_t
--- a/src/currantshed/group/transaction_table.hpp
+++ b/src/currantshed/group/transaction_table.hpp
@@ -33,6 +33,7 @@
   policy::work_class work;
   /// Over the statements that ran in it.
   outcome::request_digest digest;
+  clock::time_point begunAt;
   clock::time_point lastUsed;
   /// The request that uses it at the moment; it takes one at a time.
   std::optional<request_id> user;
@@ -59,17 +60,21 @@
   /// Connections of those abandoned since the last call.
   [[nodiscard]] std::vector<connection_id> TakeAbandoned();
 
-  /// Those that no request uses and that were last used before the time
-  /// given.
-  [[nodiscard]] std::vector<transaction_id> IdleSince(
-    clock::time_point aTime) const;
+  /// Those whose time is up: no request uses them, and they were begun or
+  /// last used before the times given.
+  [[nodiscard]] std::vector<transaction_id> Overdue(
+    clock::time_point aBegunBy,
+    clock::time_point aUsedBy) const;
 
   /// Those that may change data and whose term is lower than given.
   [[nodiscard]] std::vector<transaction_id> Outdated(
     position::term_id aTerm) const;
 
-  /// When the least lately used idle one was used; none without an idle one.
-  [[nodiscard]] std::optional<clock::time_point> OldestUse() const;
+  /// When the next one is overdue, by how long they may be open and idle;
+  /// none without one that no request uses.
+  [[nodiscard]] std::optional<clock::time_point> NextOverdue(
+    clock::duration aOpen,
+    clock::duration aIdle) const;
 
   /// Transactions that a server has open.
   [[nodiscard]] std::size_t CountOn(const upstream::server_id& aServer) const;
--- a/test/currantshed/group/fake_group.cpp
+++ b/test/currantshed/group/fake_group.cpp
@@ -163,6 +163,14 @@
   Perform();
 }
 
+void
+fake_group::SetTransactionLimit(std::chrono::milliseconds aLimit)
+{
+  mDescription.transactionLimit = aLimit;
+  mEngine->Configure(mDescription, mNow);
+  Perform();
+}
+
 void
 fake_group::Drop(const upstream::server_id& aServer)
 {
--- a/test/currantshed/group/fake_group.hpp
+++ b/test/currantshed/group/fake_group.hpp
@@ -58,6 +58,8 @@
 
   void SetLeaving(const upstream::server_id& aServer, bool aLeaving);
 
+  void SetTransactionLimit(std::chrono::milliseconds aLimit);
+
   /// Takes a server out of the list that the engine gets.
   void Drop(const upstream::server_id& aServer);
 
--- a/test/currantshed/group/transactions.cpp
+++ b/test/currantshed/group/transactions.cpp
@@ -93,6 +93,17 @@
     verdict::kNotRun,
     reason::kTransactionLost,
     0 },
+  { "the transaction is open for too long, though used",
+    kNothing,
+    [](fake_group& aGroup) {
+      aGroup.SetTransactionLimit(3000ms);
+      aGroup.Run(3000ms);
+    },
+    kNothing,
+    verdict::kDone,
+    verdict::kNotRun,
+    reason::kTransactionLost,
+    0 },
   { "the reply to the commit is torn: found done",
     kNothing,
     [](fake_group& aGroup) { aGroup.Server("s1").tearNextReply = true; },
