--- /dev/null
+++ b/test/currantshed/group/read_verification.cpp
@@ -0,0 +1,196 @@
+#include "currantshed/group/read_verification.hpp"
+
+#include <chrono>
+#include <utility>
+
+#include <CppUTest/TestHarness.h>
+
+using currantshed::clock::time_point;
+using currantshed::confirm::status_board;
+using currantshed::group::Judge;
+using currantshed::group::read_evidence;
+using currantshed::group::read_judgement;
+using currantshed::group::request;
+using currantshed::position::log_position;
+using currantshed::upstream::server_role;
+using currantshed::upstream::server_status;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point kStart{ 1h };
+constexpr auto kPrimary = server_role::kPrimary;
+constexpr auto kReplica = server_role::kReplica;
+constexpr auto kFenced = server_role::kFenced;
+
+server_status
+Word(server_role aRole,
+     std::uint64_t aTerm,
+     log_position aStored,
+     log_position aApplied)
+{
+  server_status status;
+  status.term = aTerm;
+  status.role = aRole;
+  status.stored = aStored;
+  status.applied = aApplied;
+  return status;
+}
+
+server_status
+Word(server_role aRole, std::uint64_t aTerm, log_position aAt)
+{
+  return Word(aRole, aTerm, aAt, aAt);
+}
+
+// Term 2 was confirmed up to 50, last asked about at the start; before that,
+// up to 40 at 100 ms before.
+status_board
+Board()
+{
+  status_board board(200ms);
+  board.SetMembers({ "s1", "s2", "s3" });
+  for (const auto& [index, date] :
+       { std::pair{ 40U, kStart - 100ms }, std::pair{ 50U, kStart } }) {
+    board.Record("s1", Word(kPrimary, 2, { 2, index }), date);
+    board.Record("s2", Word(kReplica, 2, { 2, index }), date);
+  }
+  return board;
+}
+
+// A read sent at a time after the start and judged 10 ms later.
+struct judge_row
+{
+  const char* name;
+  std::chrono::milliseconds maxStaleness;
+  log_position floor;
+  server_status before;
+  server_status after;
+  std::chrono::milliseconds sent;
+  read_judgement judgement;
+};
+
+const judge_row kJudgeRows[] = {
+  { "a replica within bound and floor",
+    200ms,
+    { 2, 45 },
+    Word(kReplica, 2, { 2, 45 }),
+    Word(kReplica, 2, { 2, 50 }),
+    0ms,
+    read_judgement::kGood },
+  { "behind the floor before, though not after",
+    200ms,
+    { 2, 45 },
+    Word(kReplica, 2, { 2, 44 }),
+    Word(kReplica, 2, { 2, 50 }),
+    0ms,
+    read_judgement::kBad },
+  { "older than the bound before, though not after",
+    100ms,
+    {},
+    Word(kReplica, 2, { 2, 49 }),
+    Word(kReplica, 2, { 2, 50 }),
+    0ms,
+    read_judgement::kBad },
+  { "shows more than was confirmed",
+    200ms,
+    {},
+    Word(kReplica, 2, { 2, 50 }),
+    Word(kReplica, 2, { 2, 51 }),
+    0ms,
+    read_judgement::kUnconfirmed },
+  { "its term changed in between",
+    200ms,
+    {},
+    Word(kReplica, 2, { 2, 50 }),
+    Word(kFenced, 3, { 2, 50 }),
+    0ms,
+    read_judgement::kBad },
+  { "fenced for the next term: what was confirmed may be shown",
+    200ms,
+    {},
+    Word(kFenced, 3, { 2, 50 }),
+    Word(kFenced, 3, { 2, 50 }),
+    0ms,
+    read_judgement::kGood },
+  { "it dropped records that were applied",
+    200ms,
+    {},
+    Word(kReplica, 3, { 2, 52 }),
+    Word(kReplica, 3, { 2, 50 }),
+    0ms,
+    read_judgement::kBad },
+  { "it dropped records that may have been applied in between",
+    200ms,
+    {},
+    Word(kFenced, 3, { 2, 52 }, { 2, 50 }),
+    Word(kReplica, 3, { 2, 50 }),
+    0ms,
+    read_judgement::kBad },
+  { "its log went on in a later term, from an unconfirmed end",
+    200ms,
+    {},
+    Word(kFenced, 3, { 2, 52 }, { 2, 50 }),
+    Word(kReplica, 3, { 3, 51 }, { 2, 50 }),
+    0ms,
+    read_judgement::kBad },
+  { "its log went on in a later term, from a confirmed end",
+    200ms,
+    {},
+    Word(kFenced, 3, { 2, 50 }),
+    Word(kReplica, 3, { 3, 51 }, { 2, 50 }),
+    0ms,
+    read_judgement::kGood },
+  { "fresh: the primary, and a majority asked since",
+    0ms,
+    {},
+    Word(kPrimary, 2, { 2, 50 }),
+    Word(kPrimary, 2, { 2, 50 }),
+    0ms,
+    read_judgement::kGood },
+  { "fresh: the primary, but the majority was asked before",
+    0ms,
+    {},
+    Word(kPrimary, 2, { 2, 50 }),
+    Word(kPrimary, 2, { 2, 50 }),
+    1ms,
+    read_judgement::kUnconfirmed },
+  { "fresh: the majority's word is too old by now",
+    0ms,
+    {},
+    Word(kPrimary, 2, { 2, 50 }),
+    Word(kPrimary, 2, { 2, 50 }),
+    195ms,
+    read_judgement::kUnconfirmed },
+  { "fresh: a replica won't do",
+    0ms,
+    {},
+    Word(kReplica, 2, { 2, 50 }),
+    Word(kReplica, 2, { 2, 50 }),
+    0ms,
+    read_judgement::kBad },
+  { "fresh: a primary of a term that is over",
+    0ms,
+    {},
+    Word(kPrimary, 1, { 1, 90 }),
+    Word(kPrimary, 1, { 1, 90 }),
+    0ms,
+    read_judgement::kBad },
+};
+
+} // namespace
+
+TEST_GROUP(read_verification){};
+
+TEST(read_verification, judgement)
+{
+  const auto board = Board();
+  for (const auto& row : kJudgeRows) {
+    request asked;
+    asked.work.maxStaleness = row.maxStaleness;
+    asked.floor = row.floor;
+    const read_evidence evidence{ row.before, row.after, kStart + row.sent };
+    const auto made = Judge(asked, evidence, board, kStart + row.sent + 10ms);
+    CHECK_TEXT(made == row.judgement, row.name);
+  }
+}
