Ask for confirmation at once where few requests wait

Cause: a write, or a fresh read, alone at its group took 1.0 ms at p50, whatever the servers took: two questions to a server were 1 ms apart, so that many requests may share one, also where there was one request. Change: the least time between two questions grows with the requests in the engine, from 100 us to the former 1 ms (25 us for each). Ruled out: no least time at all, since a question's own time on a short link would then set the rate, about 10000 a second to each server.

--- a/src/currantshed/group/group_engine.cpp
+++ b/src/currantshed/group/group_engine.cpp
@@ -145,7 +145,7 @@
 clock::time_point
 group_engine::NextTick() const noexcept
 {
-  auto next = mRounds.NextDue(SomeoneWaits());
+  auto next = mRounds.NextDue(Demand());
   if (!mDeadlines.empty()) {
     next = std::min(next, mDeadlines.begin()->first);
   }
--- a/src/currantshed/group/group_engine.hpp
+++ b/src/currantshed/group/group_engine.hpp
@@ -114,7 +114,7 @@
   void TearOvertaken(clock::time_point aNow);
   void EndTransactions(clock::time_point aNow);
   void Ask(clock::time_point aNow);
-  [[nodiscard]] bool SomeoneWaits() const;
+  [[nodiscard]] demand Demand() const;
   /// What follows every event.
   void Follow(clock::time_point aNow);
   /// What follows one place or connection that became free.
--- a/src/currantshed/group/rounds.cpp
+++ b/src/currantshed/group/rounds.cpp
@@ -7,8 +7,19 @@
 
 namespace {
 
-// Least time between two questions to a server while somebody waits.
-constexpr std::chrono::milliseconds kLeastGap{ 1 };
+// Least time between two questions to a server while somebody waits: it
+// grows by a step with each request in the engine, between the two bounds.
+constexpr std::chrono::microseconds kShortestGap{ 100 };
+constexpr std::chrono::microseconds kLongestGap{ 1000 };
+constexpr std::chrono::microseconds kGapForRequest{ 25 };
+
+std::chrono::microseconds
+LeastGap(std::size_t aRequests)
+{
+  constexpr std::size_t kMost = kLongestGap / kGapForRequest;
+  const auto steps = static_cast<int>(std::min(aRequests, kMost));
+  return std::max(kShortestGap, kGapForRequest * steps);
+}
 
 } // namespace
 
@@ -54,11 +65,11 @@
 }
 
 std::vector<upstream::server_id>
-rounds::Due(bool aSomeoneWaits, clock::time_point aNow)
+rounds::Due(const demand& aDemand, clock::time_point aNow)
 {
   std::vector<upstream::server_id> due;
   for (auto& question : mQuestions) {
-    if (DueAt(question, aSomeoneWaits) <= aNow) {
+    if (DueAt(question, aDemand) <= aNow) {
       question.asked = true;
       question.underWay = true;
       question.askedAt = aNow;
@@ -69,17 +80,17 @@
 }
 
 clock::time_point
-rounds::NextDue(bool aSomeoneWaits) const
+rounds::NextDue(const demand& aDemand) const
 {
   auto next = clock::time_point::max();
   for (const auto& question : mQuestions) {
-    next = std::min(next, DueAt(question, aSomeoneWaits));
+    next = std::min(next, DueAt(question, aDemand));
   }
   return next;
 }
 
 clock::time_point
-rounds::DueAt(const question& aQuestion, bool aSomeoneWaits) const
+rounds::DueAt(const question& aQuestion, const demand& aDemand) const
 {
   if (!aQuestion.asked) {
     return clock::time_point::min();
@@ -88,9 +99,10 @@
     // Without an answer for so long, the question counts as failed.
     return aQuestion.askedAt + mTimeout;
   }
-  const auto isWanted = aSomeoneWaits || aQuestion.askedAt < mWantedSince;
+  const auto isWanted =
+    aDemand.someoneWaits || aQuestion.askedAt < mWantedSince;
   if (isWanted && !aQuestion.failed) {
-    return aQuestion.askedAt + kLeastGap;
+    return aQuestion.askedAt + LeastGap(aDemand.requests);
   }
   return aQuestion.askedAt + mInterval;
 }
--- a/src/currantshed/group/rounds.hpp
+++ b/src/currantshed/group/rounds.hpp
@@ -8,6 +8,16 @@
 
 namespace currantshed::group {
 
+/// What the engine's requests ask of the rounds.
+struct demand
+{
+  /// Whether nothing but newer words can help some request on.
+  bool someoneWaits = false;
+  /// Requests in the engine. One that is alone is not kept waiting for
+  /// others to share its question; many share each one.
+  std::size_t requests = 0;
+};
+
 /// When each server is asked for its status: at the usual interval, and as
 /// soon as the last answer is in while somebody waits for newer words. All
 /// who wait share the same questions. One question a server is under way.
@@ -25,13 +35,12 @@
   /// Somebody will need words asked for since the given time.
   void Want(clock::time_point aAskedSince);
 
-  /// The servers to be asked now. Someone waits if nothing but newer words
-  /// can help a request on.
-  [[nodiscard]] std::vector<upstream::server_id> Due(bool aSomeoneWaits,
+  /// The servers to be asked now.
+  [[nodiscard]] std::vector<upstream::server_id> Due(const demand& aDemand,
                                                      clock::time_point aNow);
 
   /// When Due is to be asked again.
-  [[nodiscard]] clock::time_point NextDue(bool aSomeoneWaits) const;
+  [[nodiscard]] clock::time_point NextDue(const demand& aDemand) const;
 
 private:
   struct question
@@ -44,7 +53,7 @@
   };
 
   [[nodiscard]] clock::time_point DueAt(const question& aQuestion,
-                                        bool aSomeoneWaits) const;
+                                        const demand& aDemand) const;
   [[nodiscard]] question* Find(const upstream::server_id& aServer);
 
   std::chrono::milliseconds mInterval;
--- a/src/currantshed/group/upkeep.cpp
+++ b/src/currantshed/group/upkeep.cpp
@@ -71,15 +71,15 @@
 void
 group_engine::Ask(clock::time_point aNow)
 {
-  for (const auto& server : mRounds.Due(SomeoneWaits(), aNow)) {
+  for (const auto& server : mRounds.Due(Demand(), aNow)) {
     mActions.emplace_back(ask_status{ server });
   }
 }
 
-bool
-group_engine::SomeoneWaits() const
+demand
+group_engine::Demand() const
 {
-  return !mAwaiting.empty();
+  return { !mAwaiting.empty(), mEntries.size() };
 }
 
 void
--- a/test/currantshed/group/rounds.cpp
+++ b/test/currantshed/group/rounds.cpp
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 
 using currantshed::clock::time_point;
+using currantshed::group::demand;
 using currantshed::group::engine_settings;
 using currantshed::group::rounds;
 using namespace std::chrono_literals;
@@ -25,21 +26,30 @@
 {
   const char* name;
   end ended;
-  bool someoneWaits;
+  demand asked;
   bool wanted;
-  std::chrono::milliseconds due;
+  std::chrono::microseconds due;
 };
 
+constexpr demand kNobody{ false, 1 };
+constexpr demand kOneAlone{ true, 1 };
+
 constexpr due_row kDueRows[] = {
-  { "answered, nobody waits", end::kAnswered, false, false, 50ms },
-  { "answered, someone waits", end::kAnswered, true, false, 1ms },
-  { "answered, but asked too early for a batch",
+  { "answered, nobody waits", end::kAnswered, kNobody, false, 50ms },
+  { "answered, one waits alone", end::kAnswered, kOneAlone, false, 100us },
+  { "answered, one of ten waits", end::kAnswered, { true, 10 }, false, 250us },
+  { "answered, one of many waits",
     end::kAnswered,
+    { true, 100000 },
     false,
-    true,
     1ms },
-  { "under way, someone waits", end::kNone, true, true, 150ms },
-  { "failed, someone waits", end::kFailed, true, true, 50ms },
+  { "answered, but asked too early for a batch",
+    end::kAnswered,
+    kNobody,
+    true,
+    100us },
+  { "under way, someone waits", end::kNone, kOneAlone, true, 150ms },
+  { "failed, someone waits", end::kFailed, kOneAlone, true, 50ms },
 };
 
 } // namespace
@@ -51,7 +61,7 @@
   for (const auto& row : kDueRows) {
     rounds questions{ engine_settings{} };
     questions.SetMembers({ "s1" });
-    LONGS_EQUAL_TEXT(1, questions.Due(false, kStart).size(), row.name);
+    LONGS_EQUAL_TEXT(1, questions.Due(kNobody, kStart).size(), row.name);
     if (row.wanted) {
       questions.Want(kStart + 2ms);
     }
@@ -60,12 +70,10 @@
     } else if (row.ended == end::kFailed) {
       questions.Failed("s1");
     }
-    CHECK_TEXT(questions.NextDue(row.someoneWaits) == kStart + row.due,
-               row.name);
+    CHECK_TEXT(questions.NextDue(row.asked) == kStart + row.due, row.name);
     const auto before = kStart + row.due - 1us;
+    LONGS_EQUAL_TEXT(0, questions.Due(row.asked, before).size(), row.name);
     LONGS_EQUAL_TEXT(
-      0, questions.Due(row.someoneWaits, before).size(), row.name);
-    LONGS_EQUAL_TEXT(
-      1, questions.Due(row.someoneWaits, kStart + row.due).size(), row.name);
+      1, questions.Due(row.asked, kStart + row.due).size(), row.name);
   }
 }
