--- a/test/process/support/common.sh
+++ b/test/process/support/common.sh
@@ -108,7 +108,8 @@
 }
 
 field() {
-  sed -E "s/.*\"$1\":([^,}]*).*/\1/" "$SCRATCH/summary.json"
+  grep -oE "\"$1\":[^,{}]*" "$SCRATCH/summary.json" | head -n 1 |
+    cut -d : -f 2
 }
 
 # Sends a request to a VM's gateway: ask VM PATH BODY [HEADER...]
--- a/tools/lib/cluster.sh
+++ b/tools/lib/cluster.sh
@@ -30,6 +30,9 @@
 declare -A CLUSTER_PEERS=()
 declare -A CLUSTER_FIRST=()
 CLUSTER_VMS=()
+# The key that seals sessions' tokens: one for every gateway, new each time.
+CURRANTSHED_TOKEN_KEYS=k1:$(od -An -N32 -tx1 /dev/urandom | tr -d ' \n')
+export CURRANTSHED_TOKEN_KEYS
 CLUSTER_UPSTREAMS=()
 
 # Repeats a command until it succeeds, at most for the seconds given.
@@ -51,6 +54,8 @@
 cluster_read() {
   local kind rest id group address port
   CLUSTER_SHAPE=$1
+  CLUSTER_VM=() CLUSTER_UPSTREAM=() CLUSTER_PEERS=() CLUSTER_FIRST=()
+  CLUSTER_VMS=() CLUSTER_UPSTREAMS=()
   while read -r kind rest; do
     case $kind in
       declaration) CLUSTER_DECLARATION=$rest ;;
@@ -105,7 +110,7 @@
     --peers "$(cluster_peers_of "$id")" "${CLUSTER_POOLER_FLAGS[@]}"
   cluster_launch "gateway.$id" currantshed-gateway --vm "$id" \
     --failure-domain "$domain" --address "$address" --caller-port "$caller" \
-    --status-port $((status + 1)) --pooler-port "$request" \
+    --status-port $((status + 1)) --pooler "$address:$request" \
     "${CLUSTER_GATEWAY_FLAGS[@]}"
 }
 CLUSTER_POOLER_FLAGS=()
