Begin and continue transactions as the gateway asks

Change: the key goes with the beginning, the body within carries statements alone, and a caller rolls back what it gives up.

--- a/src/currantshed/load/activity.cpp
+++ b/src/currantshed/load/activity.cpp
@@ -162,12 +162,12 @@
   {
     const change_record record = BeginChange(aCaller, aGroup);
     answer reply = co_await aCaller.Open(
-      aWork, aGroup, Batch(WriteTag(false, aSlot, record.change)));
+      aWork, aGroup, Batch(WriteTag(false, aSlot, record.change)), record.key);
     const std::string transaction = reply.transaction;
     if (reply.outcome == told::kDone) {
       reply =
         co_await aCaller.Continue(aWork,
-                                  aGroup,
+
                                   transaction,
                                   Batch(WriteTag(true, aSlot, record.change),
                                         InsertChange(record.change),
@@ -176,6 +176,9 @@
     }
     if (reply.outcome != told::kDone) {
       EndChange(aCaller, record, told::kAbandoned);
+      if (!transaction.empty()) {
+        (void)co_await aCaller.End(aWork, transaction, {});
+      }
       co_return reply;
     }
     const bool keep = aCaller.Below(kHundred) >= kRollbackPercent;
--- a/src/currantshed/load/caller.cpp
+++ b/src/currantshed/load/caller.cpp
@@ -63,23 +63,24 @@
 asio::awaitable<answer>
 caller::Open(const policy::work_class& aWork,
              std::string aGroup,
-             std::vector<sql_statement> aStatements)
+             std::vector<sql_statement> aStatements,
+             std::string aKey)
 {
   http_request request;
   request.target = "/v1/transactions";
+  request.key = std::move(aKey);
   request.body = MakeBody(aWork.name, aGroup, aStatements);
   co_return co_await Ask(aWork, std::move(request));
 }
 
 asio::awaitable<answer>
 caller::Continue(const policy::work_class& aWork,
-                 std::string aGroup,
                  std::string aTransaction,
                  std::vector<sql_statement> aStatements)
 {
   http_request request;
   request.target = "/v1/transactions/" + aTransaction + "/statements";
-  request.body = MakeBody(aWork.name, aGroup, aStatements);
+  request.body = MakeBody({}, {}, aStatements);
   co_return co_await Ask(aWork, std::move(request));
 }
 
--- a/src/currantshed/load/caller.hpp
+++ b/src/currantshed/load/caller.hpp
@@ -52,16 +52,16 @@
     std::vector<sql_statement> aStatements,
     std::string aKey);
 
-  /// Opens a transaction on the gateway in use.
+  /// Opens a transaction, which will commit under the key.
   [[nodiscard]] boost::asio::awaitable<answer> Open(
     const policy::work_class& aWork,
     std::string aGroup,
-    std::vector<sql_statement> aStatements);
+    std::vector<sql_statement> aStatements,
+    std::string aKey);
 
   /// Runs statements in an open transaction.
   [[nodiscard]] boost::asio::awaitable<answer> Continue(
     const policy::work_class& aWork,
-    std::string aGroup,
     std::string aTransaction,
     std::vector<sql_statement> aStatements);
 
--- a/src/currantshed/load/message.cpp
+++ b/src/currantshed/load/message.cpp
@@ -111,11 +111,13 @@
     statements.push_back(json::object{ { "sql", statement.sql },
                                        { "params", std::move(parameters) } });
   }
-  return json::serialize(json::object{
-    { "class", aClass },
-    { "group", aGroup },
-    { "statements", std::move(statements) },
-  });
+  json::object body;
+  if (!aClass.empty()) {
+    body["class"] = aClass;
+    body["group"] = aGroup;
+  }
+  body["statements"] = std::move(statements);
+  return json::serialize(body);
 }
 
 answer
--- a/src/currantshed/load/message.hpp
+++ b/src/currantshed/load/message.hpp
@@ -39,7 +39,8 @@
   std::string session;
 };
 
-/// The body of a request for statements.
+/// The body of a request for statements. Within a transaction, whose class
+/// and group stand already, both are empty and left out.
 [[nodiscard]] std::string
 MakeBody(std::string_view aClass,
          std::string_view aGroup,
--- a/test/currantshed/load/message.cpp
+++ b/test/currantshed/load/message.cpp
@@ -146,6 +146,13 @@
   }
 }
 
+TEST(load_message, body_within_a_transaction)
+{
+  const auto body = load::MakeBody({}, {}, { { "SELECT 1", {} } });
+  STRCMP_EQUAL(R"({"statements":[{"sql":"SELECT 1","params":[]}]})",
+               body.c_str());
+}
+
 TEST(load_message, body)
 {
   const auto body =
