Let an open transaction go on while all slots are taken

Cause: seen end to end, all writes of a group stood still for 10 s: writers held both slots of the primary and waited in the server for the lock of an open transaction, whose next statement waited here for a slot. Ruled out: the server's own slots (a statement that waits for a lock holds none there); lost answers (the pooler never sent the statement). Change: a connection that a transaction owns runs its next batch whenever it has none under way. Open transactions are bounded as before. Conclusion: slots bound what begins; what has begun may end.

--- a/src/currantshed/group/links.cpp
+++ b/src/currantshed/group/links.cpp
@@ -45,12 +45,10 @@
 bool
 links::CanRun(connection_id aConnection) const
 {
+  // Whatever holds the slots may wait in the server for a lock of this very
+  // transaction, so its own statements never wait for them.
   const auto found = mLinks.find(aConnection);
-  if (found == mLinks.end()) {
-    return false;
-  }
-  const auto* server = Find(found->second.server);
-  return server != nullptr && server->pool.HasSlot();
+  return found != mLinks.end() && !found->second.running;
 }
 
 std::optional<dispatch>
--- a/src/currantshed/group/links.hpp
+++ b/src/currantshed/group/links.hpp
@@ -53,7 +53,9 @@
                                                      bool aReadOnly,
                                                      clock::time_point aNow);
 
-  /// Whether the connection's server could take its batch now.
+  /// Whether a held connection may take its next batch: it has none under way.
+  /// Slots do not matter here, since others may hold them while they wait for
+  /// this one.
   [[nodiscard]] bool CanRun(connection_id aConnection) const;
 
   /// What a batch that is sent now would be known by; none when the
