--- a/test/process/support/common.sh
+++ b/test/process/support/common.sh
@@ -80,6 +80,7 @@
 }
 
 load_start() {
+  : >"$SCRATCH/progress"
   "$CLUSTER_BUILD/currantshed-load" --shape "$SCRATCH/shape.json" \
     --sessions 12 --json "$SCRATCH/summary.json" \
     --records "$SCRATCH/records" "$@" \
