Promoter: an earlier term's primary is no success of the next failover

Cause: the pooler that had promoted a primary took that primary's last status, still seen while it was cut off, for the success of its next failover and did nothing; the second rank had to act. With one pooler the group stayed without a primary (new row, red before). Change: a primary at the own term counts only after the promotion was sent. Seen first on real processes: of five cuts in a row two were ended by the second rank.

--- a/src/currantshed/failover/promoter.cpp
+++ b/src/currantshed/failover/promoter.cpp
@@ -199,6 +199,8 @@
   if (mStep == step::kIdle || mTerm == 0) {
     return;
   }
+  // Before a new term is picked this one may be an earlier failover's.
+  const bool sent = mStep == step::kPromote || mStep == step::kBackOff;
   for (const auto& [id, server] : mWatch.Servers()) {
     if (!server.status || server.status->term != mTerm) {
       continue;
@@ -206,7 +208,7 @@
     if (server.status->role == upstream::server_role::kFenced) {
       NoteFenced(id, *server.status, aNow);
     }
-    if (server.status->role == upstream::server_role::kPrimary) {
+    if (sent && server.status->role == upstream::server_role::kPrimary) {
       Succeed(id);
       return;
     }
--- a/test/currantshed/failover/coordinator.cpp
+++ b/test/currantshed/failover/coordinator.cpp
@@ -208,6 +208,7 @@
   { "store was never up", {}, KillPrimaryStoreNeverUp, 1, 1, {} },
   { "store loses its answers", {}, KillPrimaryAnswersLost, 1, 1, {} },
   { "two primaries die", {}, KillTwoPrimaries, 2, 2, {} },
+  { "two primaries die with one pooler", { 1 }, KillTwoPrimaries, 2, 2, {} },
   { "first pooler dies too",
     {},
     KillPrimaryAndPooler,
