Serve the strictest classes first, and send nothing that can't end in time

Change: waiting requests go by their class's objective, then by deadline; reads spill to the primary only where a slot stays free; admission adds a quarter to the expected wait and counts the time to the answer (mean and mean deviation); what can't end in time any more isn't sent. Ruled out: order by deadline with a reserve for strict classes, which would be a weight under another name.

--- a/src/currantshed/admit/deadline_queue.cpp
+++ b/src/currantshed/admit/deadline_queue.cpp
@@ -11,9 +11,19 @@
 // Stated when nothing was measured yet.
 constexpr std::chrono::milliseconds kUnmeasuredRetry{ 50 };
 constexpr std::chrono::milliseconds kLongestRetry{ 5000 };
+// A part of the wait that is added to it, for what the mean rate leaves out.
+constexpr int kWaitMargin = 4;
 // Weight of the newest time that a server took, in the mean.
 constexpr double kNewest = 0.05;
 
+using seconds = std::chrono::duration<double>;
+
+bool
+IsStricter(const waiting& aLeft, const waiting& aRight)
+{
+  return aLeft.objective > aRight.objective;
+}
+
 } // namespace
 
 deadline_queue::deadline_queue(std::size_t aLimit)
@@ -24,44 +34,30 @@
 admission
 deadline_queue::Offer(const waiting& aRequest, clock::time_point aNow)
 {
-  admission made;
-  const auto giveWay = [&](const waiting& aWaiting) {
-    made.displaced.push_back(aWaiting.request);
-    mEntries.erase(aWaiting);
-  };
-  const auto withdraw = [&](std::vector<waiting> aRemoved) {
-    mEntries.insert(aRemoved.begin(), aRemoved.end());
-    return admission{};
-  };
-  std::vector<waiting> removed;
-  if (mEntries.size() >= mLimit) {
-    const auto victim = LeastStrict(aRequest, mEntries.end());
-    if (!victim) {
-      return admission{};
-    }
-    removed.push_back(*victim);
-    giveWay(*victim);
+  const entries::const_iterator behind = mEntries.lower_bound(aRequest);
+  const auto isFull = mEntries.size() >= mLimit;
+  if (isFull && !IsStricter(aRequest, *mEntries.rbegin())) {
+    return {};
   }
-  auto place = static_cast<std::size_t>(
-    std::distance(mEntries.begin(), mEntries.lower_bound(aRequest)));
-  while (!IsInTime(aRequest, place, aNow)) {
-    const auto victim = LeastStrict(aRequest, mEntries.lower_bound(aRequest));
-    if (!victim) {
-      return withdraw(std::move(removed));
-    }
-    removed.push_back(*victim);
-    giveWay(*victim);
-    --place;
+  const auto place =
+    static_cast<std::size_t>(std::distance(mEntries.cbegin(), behind));
+  if (!IsInTime(aRequest, place, aNow)) {
+    return {};
   }
-  const auto delayed = Delayed(aRequest, place, aNow);
+  auto delayed = Delayed(aRequest, place, aNow);
   if (!delayed) {
-    return withdraw(std::move(removed));
+    return {};
+  }
+  if (isFull && delayed->empty()) {
+    delayed->push_back(*mEntries.rbegin());
   }
+  admission made;
+  made.admitted = true;
   for (const auto& victim : *delayed) {
-    giveWay(victim);
+    made.displaced.push_back(victim.request);
+    mEntries.erase(victim);
   }
   mEntries.insert(aRequest);
-  made.admitted = true;
   return made;
 }
 
@@ -86,9 +82,21 @@
 void
 deadline_queue::Served(clock::duration aTime)
 {
-  const std::chrono::duration<double> time = aTime;
-  mService =
-    mService.count() == 0 ? time : mService + kNewest * (time - mService);
+  const seconds time = aTime;
+  if (mService == seconds::zero()) {
+    mService = time;
+    return;
+  }
+  const auto error = time - mService;
+  mService += kNewest * error;
+  mDeviation += kNewest * (std::chrono::abs(error) - mDeviation);
+}
+
+bool
+deadline_queue::CanEndInTime(const waiting& aRequest,
+                             clock::time_point aNow) const
+{
+  return aNow + Service() <= aRequest.deadline;
 }
 
 std::chrono::milliseconds
@@ -110,6 +118,12 @@
   return mEntries;
 }
 
+clock::duration
+deadline_queue::Service() const
+{
+  return std::chrono::duration_cast<clock::duration>(mService + mDeviation);
+}
+
 bool
 deadline_queue::IsInTime(const waiting& aRequest,
                          std::size_t aPlace,
@@ -119,22 +133,7 @@
   if (aPlace == 0 || !wait) {
     return true;
   }
-  const auto service = std::chrono::duration_cast<clock::duration>(mService);
-  return aNow + *wait + service <= aRequest.deadline;
-}
-
-std::optional<waiting>
-deadline_queue::LeastStrict(const waiting& aRequest,
-                            entries::const_iterator aEnd) const
-{
-  std::optional<waiting> least;
-  for (auto entry = mEntries.begin(); entry != aEnd; ++entry) {
-    if (entry->objective < aRequest.objective &&
-        (!least || entry->objective <= least->objective)) {
-      least = *entry;
-    }
-  }
-  return least;
+  return aNow + *wait + *wait / kWaitMargin + Service() <= aRequest.deadline;
 }
 
 std::optional<std::vector<waiting>>
@@ -146,19 +145,16 @@
   auto place = aPlace + 1;
   for (auto entry = mEntries.lower_bound(aRequest); entry != mEntries.end();
        ++entry) {
-    if (IsInTime(*entry, place, aNow)) {
-      ++place;
+    const auto isLate = !IsInTime(*entry, place, aNow);
+    if (isLate && IsStricter(aRequest, *entry)) {
+      delayed.push_back(*entry);
       continue;
     }
-    if (entry->objective >= aRequest.objective &&
-        IsInTime(*entry, place - 1, aNow)) {
+    // One that was late already is nobody's fault.
+    if (isLate && IsInTime(*entry, place - 1, aNow)) {
       return std::nullopt;
     }
-    if (entry->objective < aRequest.objective) {
-      delayed.push_back(*entry);
-    } else {
-      ++place;
-    }
+    ++place;
   }
   return delayed;
 }
--- a/src/currantshed/admit/deadline_queue.hpp
+++ b/src/currantshed/admit/deadline_queue.hpp
@@ -24,9 +24,13 @@
   /// deadline.
   double objective = 0;
 
+  /// Stricter classes come first, then earlier deadlines.
   [[nodiscard]] friend bool operator<(const waiting& aLeft,
                                       const waiting& aRight) noexcept
   {
+    if (aLeft.objective != aRight.objective) {
+      return aLeft.objective > aRight.objective;
+    }
     return aLeft.deadline != aRight.deadline ? aLeft.deadline < aRight.deadline
                                              : aLeft.request < aRight.request;
   }
@@ -40,12 +44,13 @@
   std::vector<std::uint64_t> displaced;
 };
 
-/// Requests that wait for a server, by deadline. A request is admitted if it
-/// is expected to leave the queue in time to run, at the rate at which the
-/// queue drains, and without making one miss its deadline that was admitted
-/// before it. Where that can't be, the class with the lower objective gives
-/// way: waiting requests of it are refused late rather than one of a stricter
-/// class now.
+/// Requests that wait for a server, by their class's objective, then by
+/// deadline. A request is admitted if it is expected to leave the queue in
+/// time to run, at the rate at which the queue drains, and without making one
+/// of its own class miss its deadline that was admitted before it. Waiting
+/// requests of less strict classes that would miss theirs give way: they are
+/// refused now rather than run late. While there is room for all, the order
+/// hardly matters; where there isn't, the strictest classes keep their targets.
 class deadline_queue
 {
 public:
@@ -66,28 +71,29 @@
   /// Notes that a request left for a server.
   void Departed(clock::time_point aNow);
 
-  /// Notes how long a server took for a request's batch.
+  /// Notes how long a request took from when it was sent to its answer.
   void Served(clock::duration aTime);
 
+  /// Whether a request that would be sent now is likely to end in time.
+  [[nodiscard]] bool CanEndInTime(const waiting& aRequest,
+                                  clock::time_point aNow) const;
+
   /// When a refused request should come back: once those that wait now, and
   /// those that were told to come back before, are gone at the measured rate;
   /// spread by the request's number.
   [[nodiscard]] std::chrono::milliseconds RetryAfter(std::uint64_t aRequest,
                                                      clock::time_point aNow);
 
-  /// Waiting requests, earliest deadline first.
+  /// Waiting requests in their order.
   [[nodiscard]] const entries& Entries() const noexcept;
 
 private:
+  /// The time from sent to answered to count with.
+  [[nodiscard]] clock::duration Service() const;
   /// Whether the request at that place of the queue would start in time.
   [[nodiscard]] bool IsInTime(const waiting& aRequest,
                               std::size_t aPlace,
                               clock::time_point aNow) const;
-  /// The waiting one to give way to a request, among those up to a place;
-  /// none when all are of classes as strict.
-  [[nodiscard]] std::optional<waiting> LeastStrict(
-    const waiting& aRequest,
-    entries::const_iterator aEnd) const;
   /// Requests behind that would miss their deadlines with it admitted; none
   /// when one of a class as strict is among them.
   [[nodiscard]] std::optional<std::vector<waiting>> Delayed(
@@ -98,7 +104,9 @@
   std::size_t mLimit;
   entries mEntries;
   drain_meter mDrain;
+  // Mean and mean deviation of the time from sent to answered.
   std::chrono::duration<double> mService{ 0 };
+  std::chrono::duration<double> mDeviation{ 0 };
   // When the last one that was refused should come back.
   clock::time_point mLastReturn{};
 };
--- a/src/currantshed/group/group_engine.hpp
+++ b/src/currantshed/group/group_engine.hpp
@@ -97,6 +97,8 @@
   void PumpFreed(clock::time_point aNow);
   /// Tries to send one waiting request; false when it has to go on waiting.
   bool TrySend(request_id aRequest, clock::time_point aNow);
+  /// Whether a request that was never sent would only run in vain.
+  [[nodiscard]] bool IsTooLate(const entry& aEntry, clock::time_point aNow);
   void Send(request_id aRequest,
             connection_id aConnection,
             clock::time_point aNow);
--- a/src/currantshed/group/progress.cpp
+++ b/src/currantshed/group/progress.cpp
@@ -48,22 +48,22 @@
 group_engine::PumpQueues(std::size_t aMostSent, clock::time_point aNow)
 {
   mLinks.BeginPass();
-  // Both lanes by deadline; the first ones only, since those behind them
+  // Both lanes in one order; the first ones only, since those behind them
   // would wait for the same servers.
-  std::vector<timed_request> waiting;
+  std::vector<admit::waiting> waiting;
   for (const auto* queue : { &mReads, &mWrites }) {
     int looked = 0;
     for (const auto& request : queue->Entries()) {
       if (++looked > kMostLookedAt) {
         break;
       }
-      waiting.emplace_back(request.deadline, request.request);
+      waiting.push_back(request);
     }
   }
   std::sort(waiting.begin(), waiting.end());
   std::size_t sent = 0;
-  for (const auto& [deadline, request] : waiting) {
-    sent += TrySend(request, aNow) ? 1 : 0;
+  for (const auto& request : waiting) {
+    sent += TrySend(request.request, aNow) ? 1 : 0;
     if (sent >= aMostSent) {
       return;
     }
@@ -113,6 +113,12 @@
   if (chosen.state == route::standing::kBusy) {
     return false;
   }
+  if (IsTooLate(found->second, aNow)) {
+    auto made = NotRun(way.Request(), reason::kOverloaded);
+    made.retryAfter = QueueOf(found->second.waitsIn).RetryAfter(aRequest, aNow);
+    Finish(aRequest, std::move(made));
+    return false;
+  }
   const auto connection = mLinks.Acquire(chosen.index, way.ReadOnly(), aNow);
   if (!connection) {
     return false;
@@ -121,6 +127,15 @@
   return true;
 }
 
+bool
+group_engine::IsTooLate(const entry& aEntry, clock::time_point aNow)
+{
+  // What was sent before may have to be resolved, and goes on.
+  const auto wasSent = aEntry.sentAt != clock::time_point{};
+  return !wasSent && !QueueOf(aEntry.waitsIn)
+                        .CanEndInTime(WaitingOf(aEntry.way->Request()), aNow);
+}
+
 void
 group_engine::Send(request_id aRequest,
                    connection_id aConnection,
@@ -147,15 +162,19 @@
 {
   auto& entry = mEntries.at(aRequest);
   mRunning.erase(aRequest);
-  QueueOf(entry.waitsIn).Served(aNow - entry.sentAt);
   mLinks.Settle(entry.connection, aTurn.fate);
   Apply(aRequest, std::move(aTurn.next), aNow);
 }
 
 void
-group_engine::Apply(request_id aRequest, step aStep, clock::time_point)
+group_engine::Apply(request_id aRequest, step aStep, clock::time_point aNow)
 {
   if (auto* end = std::get_if<finish>(&aStep)) {
+    const auto& ended = mEntries.at(aRequest);
+    const auto wasSent = ended.sentAt != clock::time_point{};
+    if (wasSent && end->reply.verdict == outcome::verdict::kDone) {
+      QueueOf(ended.waitsIn).Served(aNow - ended.sentAt);
+    }
     Finish(aRequest, std::move(end->reply));
     return;
   }
--- a/src/currantshed/route/read_route.cpp
+++ b/src/currantshed/route/read_route.cpp
@@ -83,6 +83,13 @@
          static_cast<std::uint64_t>(aRight.inUse) * aLeft.slots;
 }
 
+// Whether one more read would leave a slot to what only the primary can do.
+bool
+LeavesSlot(const candidate& aPrimary)
+{
+  return aPrimary.inUse + 1 < aPrimary.slots;
+}
+
 bool
 MayServe(const candidate& aCandidate, const read_need& aNeed)
 {
@@ -161,17 +168,20 @@
     return ChoosePrimary(aCandidates, aNeed.servedIn, aBoard, aNow);
   }
   const auto replica = ChooseAmong(false, aCandidates, aNeed, aBoard, aNow);
-  const auto useReplica = replica.state == standing::kReady ||
-                          (replica.state == standing::kBusy && !aNeed.spill);
-  if (useReplica) {
+  if (replica.state == standing::kReady) {
     return replica;
   }
   auto primary = ChooseAmong(true, aCandidates, aNeed, aBoard, aNow);
-  if (primary.state == standing::kNone && replica.state == standing::kNone) {
+  if (replica.state == standing::kBusy) {
+    const auto maySpill = aNeed.spill && primary.state == standing::kReady &&
+                          LeavesSlot(aCandidates[primary.index]);
+    return maySpill ? primary : replica;
+  }
+  if (primary.state == standing::kNone) {
     primary.why = ReasonForNone(aCandidates, aNeed, aBoard, aNow);
     return primary;
   }
-  return primary.state == standing::kNone ? replica : primary;
+  return primary;
 }
 
 choice
