Measure the way through for fresh and for lagging reads

Cause: the two kinds of read cost differently, since a fresh one asks a majority. Change: tools/measure overhead runs both classes.

--- a/tools/lib/measure.sh
+++ b/tools/lib/measure.sh
@@ -35,8 +35,10 @@
     "shapes/$shape.json" >"$scratch/bare.json"
 }
 
+# Compares at each number of connections, for a class whose reads are fresh
+# and for one whose reads may lag.
 measure_overhead() {
-  local group server address port vm gateway caller processes count list=()
+  local group server address port vm gateway caller processes work count list=()
   measure_bare_shape
   cluster_start "$scratch/bare.json" "$scratch/logs" >&2 || return 1
   group=$(printf '%s\n' "${!CLUSTER_FIRST[@]}" | sort | head -n 1)
@@ -45,25 +47,28 @@
   vm=$(measure_leader "$group") || return 1
   read -r gateway _ _ _ _ caller <<<"${CLUSTER_VM[$vm]}"
   processes=${CLUSTER_PID[gateway.$vm]},${CLUSTER_PID[pooler.$vm]}
-  for count in 1 16 64; do
-    "$BUILD/currantshed-overhead" --server-address "$address" \
-      --server-port "$port" --gateway-address "$gateway" \
-      --gateway-port "$caller" --group "$group" \
-      --class "$(measure_fresh_class)" --sql "SELECT 1" \
-      --connections "$count" --threads $((count < 4 ? count : 4)) \
-      --rounds "$rounds" --round-ms 2000 --processes "$processes" \
-      >"$scratch/overhead.$count" || return 1
-    list+=("$(cat "$scratch/overhead.$count")")
+  for work in $(measure_read_classes); do
+    for count in 1 16 64; do
+      echo "$work, $count connections" >&2
+      "$BUILD/currantshed-overhead" --server-address "$address" \
+        --server-port "$port" --gateway-address "$gateway" \
+        --gateway-port "$caller" --group "$group" \
+        --class "$work" --sql "SELECT 1" \
+        --connections "$count" --threads $((count < 4 ? count : 4)) \
+        --rounds "$rounds" --round-ms 2000 --processes "$processes" \
+        >"$scratch/overhead" || return 1
+      list+=("{\"class\":\"$work\",\"figures\":$(cat "$scratch/overhead")}")
+    done
   done
   echo "{\"verb\":\"overhead\",\"shape\":\"$shape\",\"runs\":[$(
     printf '%s\n' "${list[@]}" | measure_join)]}"
 }
 
-# The class of the shape whose reads are fresh.
-measure_fresh_class() {
+# The shape's class whose reads are fresh, and the one that may lag most.
+measure_read_classes() {
   case $shape in
-    qasr) echo quote ;;
-    *) echo shop-cover-check ;;
+    qasr) echo quote catalogue-browsing ;;
+    *) echo shop-cover-check report-history ;;
   esac
 }
 
