Put the operators' bound on transactions in force

Change: declared_limits puts it into the group descriptions that the engines get; guard_set takes the guards out of control. Conclusion: a declared bound reaches the engine with each new configuration; a faulty declaration leaves the former bounds.

--- a/src/currantshed/pooler/control.cpp
+++ b/src/currantshed/pooler/control.cpp
@@ -26,8 +26,6 @@
 constexpr const char* kWatchName = "watch/configuration";
 /// Least time between two questions for a configuration.
 constexpr milliseconds kAskPause{ 100 };
-/// How long a group that is no longer owned keeps its guard.
-constexpr milliseconds kReleaseGrace{ 2000 };
 
 clock::time_point
 Now()
@@ -110,7 +108,8 @@
            })
   , mRoster(member::MakeRoster(RosterSettings(aSettings),
                                SeedOf(aSettings.incarnation)))
-  , mOwnership(kReleaseGrace)
+  , mGuards({ mContext, aSettings, *mPlatform, *mDialect, aMetrics },
+            GuardListener())
   , mRosterTimer(mContext, [this] { TickRoster(); })
   , mHousekeeper(mContext, [this] { Housekeep(); })
 {
@@ -185,9 +184,7 @@
 {
   mMetrics.HeartbeatReceived(aBytes);
   mRoster->HeartbeatArrived(aBeat, Now());
-  for (auto& [name, guard] : mGuards) {
-    guard->Heard(aBeat);
-  }
+  mGuards.Heard(aBeat);
   if (aBeat.configuration > mConfiguration.Held().version) {
     AskForConfiguration(AddressOf(aBeat.sender));
   }
@@ -281,6 +278,11 @@
              "configuration_in_force",
              { { "version", static_cast<std::int64_t>(version) } });
   mMetrics.SetConfigurationVersion(version);
+  if (!mLimits.Take(mConfiguration.Held().declaration)) {
+    log::Write(log::level::kError,
+               "declaration_faulty",
+               { { "version", static_cast<std::int64_t>(version) } });
+  }
   mRoster->SetConfiguration(version);
   TellTraffic();
   TellBoard();
@@ -308,57 +310,33 @@
     TellTraffic();
     return;
   }
-  std::vector<group::group_name> owned;
+  std::vector<owned_group> owned;
   for (const auto& group : mListing.groups) {
     const auto owners = mRoster->Owners(group.name);
     const int rank = RankOf(owners);
     if (rank >= 0) {
-      owned.push_back(group.name);
-      GuardGroup(group,
-                 static_cast<unsigned>(rank),
-                 static_cast<unsigned>(owners.size()));
+      owned.push_back({ group,
+                        static_cast<unsigned>(rank),
+                        static_cast<unsigned>(owners.size()) });
     }
   }
-  mOwnership.Assign(owned, Now());
+  mGuards.Assign(owned, Now());
   TellTraffic();
   TellBoard();
 }
 
-void
-control::GuardGroup(const group::description& aGroup,
-                    unsigned aRank,
-                    unsigned aOwners)
+group_guard::listener
+control::GuardListener()
 {
-  auto& guard = mGuards[aGroup.name];
-  if (!guard) {
-    guard = std::make_unique<group_guard>(
-      group_guard::surroundings{
-        mContext, mSettings, *mPlatform, *mDialect, mMetrics },
-      aGroup.name,
-      aRank,
-      aOwners,
-      group_guard::listener{ [this](const member::term_news& aNews) {
-                              mRoster->SetTerm(aNews);
-                              mRosterTimer.At(Now());
-                              TellBoard();
-                            },
-                             [this](const failover::suspicion& aWord) {
-                               mRoster->SetSuspicion(aWord);
-                               mRosterTimer.At(Now());
-                             } });
-  }
-  guard->Configure(aGroup, aRank, aOwners);
-}
-
-void
-control::ReleaseGroups()
-{
-  const auto hasNone = [](const group::group_name&) { return false; };
-  for (const auto& name : mOwnership.Release(hasNone, Now())) {
-    mGuards.erase(name);
-    log::Write(
-      log::level::kInfo, "group_no_longer_owned", { { "group", name } });
-  }
+  return { [this](const member::term_news& aNews) {
+            mRoster->SetTerm(aNews);
+            mRosterTimer.At(Now());
+            TellBoard();
+          },
+           [this](const failover::suspicion& aWord) {
+             mRoster->SetSuspicion(aWord);
+             mRosterTimer.At(Now());
+           } };
 }
 
 void
@@ -374,7 +352,7 @@
   if (!mHasList) {
     return;
   }
-  group_assignment assignment{ mListing.groups, {} };
+  group_assignment assignment{ mLimits.Apply(mListing.groups), {} };
   for (const auto& group : mListing.groups) {
     if (RankOf(mRoster->Owners(group.name)) == 0) {
       assignment.led.push_back(group.name);
@@ -390,8 +368,9 @@
   status.configurationVersion = mConfiguration.Held().version;
   status.hasList = mHasList;
   status.isLeaving = mIsLeaving;
-  for (const auto& [name, guard] : mGuards) {
-    status.groups.push_back({ guard->News(), RankOf(mRoster->Owners(name)) });
+  for (const auto& news : mGuards.News()) {
+    const int rank = RankOf(mRoster->Owners(news.group));
+    status.groups.push_back({ news, rank });
   }
   mBoard.SetControl(std::move(status));
 }
@@ -399,7 +378,7 @@
 void
 control::Housekeep()
 {
-  ReleaseGroups();
+  mGuards.Release(Now());
   if (!mConfiguration.HasAny() || !mHasList) {
     AskPeers();
   }
--- a/src/currantshed/pooler/control.hpp
+++ b/src/currantshed/pooler/control.hpp
@@ -9,8 +9,6 @@
 #include <thread>
 #include <vector>
 
-#include <absl/container/btree_map.h>
-#include <absl/container/flat_hash_map.h>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <zmq.hpp>
@@ -19,10 +17,10 @@
 #include "currantshed/net/tick_timer.hpp"
 #include "currantshed/platform/client.hpp"
 #include "currantshed/pooler/configuration_keeper.hpp"
+#include "currantshed/pooler/declared_limits.hpp"
 #include "currantshed/pooler/fwd.hpp"
-#include "currantshed/pooler/group_guard.hpp"
+#include "currantshed/pooler/guard_set.hpp"
 #include "currantshed/pooler/metrics.hpp"
-#include "currantshed/pooler/ownership.hpp"
 #include "currantshed/pooler/peer_links.hpp"
 #include "currantshed/pooler/platform_link.hpp"
 #include "currantshed/pooler/settings.hpp"
@@ -71,13 +69,10 @@
   void Offer(const wire::configuration& aOffered);
   void TickRoster();
   void Reconsider();
-  void GuardGroup(const group::description& aGroup,
-                  unsigned aRank,
-                  unsigned aOwners);
-  void ReleaseGroups();
   void TellTraffic();
   void TellBoard();
   void Housekeep();
+  [[nodiscard]] group_guard::listener GuardListener();
   [[nodiscard]] bool IsWatcher() const;
   [[nodiscard]] int RankOf(const std::vector<platform::vm>& aOwners) const;
 
@@ -98,8 +93,8 @@
   clock::time_point mAskedPeersAt;
   bool mHasList = false;
   platform::listing mListing;
-  ownership mOwnership;
-  absl::btree_map<group::group_name, std::unique_ptr<group_guard>> mGuards;
+  declared_limits mLimits;
+  guard_set mGuards;
   bool mIsLeaving = false;
   net::tick_timer mRosterTimer;
   net::tick_timer mHousekeeper;
--- a/src/currantshed/pooler/fwd.hpp
+++ b/src/currantshed/pooler/fwd.hpp
@@ -5,8 +5,10 @@
 
 class configuration_keeper;
 class control;
+class declared_limits;
 class group_guard;
 class group_runner;
+class guard_set;
 class metrics;
 class ownership;
 class peer_links;
--- /dev/null
+++ b/src/currantshed/pooler/guard_set.hpp
@@ -0,0 +1,57 @@
+#ifndef CURRANTSHED_POOLER_GUARD_SET_HPP
+#define CURRANTSHED_POOLER_GUARD_SET_HPP
+
+#include <memory>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/group/description.hpp"
+#include "currantshed/member/roster.hpp"
+#include "currantshed/pooler/fwd.hpp"
+#include "currantshed/pooler/group_guard.hpp"
+#include "currantshed/pooler/ownership.hpp"
+
+namespace currantshed::pooler {
+
+/// One group that this pooler owns.
+struct owned_group
+{
+  group::description group;
+  /// Rank among the owners, from zero.
+  unsigned rank = 0;
+  unsigned owners = 1;
+};
+
+/// The guards of the groups that this pooler owns. A guard stays for a grace
+/// when its group moves to other owners.
+class guard_set
+{
+public:
+  guard_set(const group_guard::surroundings& aSurroundings,
+            group_guard::listener aListener);
+
+  /// Takes the groups that are owned from now on.
+  void Assign(const std::vector<owned_group>& aGroups, clock::time_point aNow);
+
+  /// Hands another pooler's heartbeat to every guard.
+  void Heard(const member::heartbeat& aBeat);
+
+  /// Lets guards go whose grace is over. Not to be called from a guard's own
+  /// callback.
+  void Release(clock::time_point aNow);
+
+  /// Who leads each guarded group, by name.
+  [[nodiscard]] std::vector<member::term_news> News() const;
+
+private:
+  group_guard::surroundings mSurroundings;
+  group_guard::listener mListener;
+  ownership mOwnership;
+  absl::btree_map<group::group_name, std::unique_ptr<group_guard>> mGuards;
+};
+
+} // namespace currantshed::pooler
+
+#endif
--- a/src/currantshed/pooler/traffic.hpp
+++ b/src/currantshed/pooler/traffic.hpp
@@ -14,8 +14,8 @@
 #include <boost/asio/io_context.hpp>
 #include <zmq.hpp>
 
-#include "currantshed/net/tick_timer.hpp"
 #include "currantshed/net/router.hpp"
+#include "currantshed/net/tick_timer.hpp"
 #include "currantshed/pooler/fwd.hpp"
 #include "currantshed/pooler/group_runner.hpp"
 #include "currantshed/pooler/metrics.hpp"
