Roster: forget a VM that was only listed when the list drops it

Cause: two poolers aborted (std::out_of_range) while VMs were replaced. A VM that was listed and never heard from had nothing left to describe it by once the list dropped it; an urgent heartbeat before the next tick still addressed it, by an empty value. Ruled out: the heartbeat's own sender (it describes itself); a lookup that tolerates unknown ids (the receiver would still have been made up). Change: the list that drops a VM also forgets it at once.

--- a/src/currantshed/member/peer_table.cpp
+++ b/src/currantshed/member/peer_table.cpp
@@ -90,6 +90,8 @@
       peer.accused = false;
     }
   }
+  // A VM that was only listed leaves nothing to describe it by.
+  Forget(aNow);
   mDirty = true;
 }
 
--- a/test/currantshed/member/roster.cpp
+++ b/test/currantshed/member/roster.cpp
@@ -309,3 +309,16 @@
     CHECK(Find(peers, "vm71") != nullptr);
   }
 }
+
+TEST(roster, a_vm_that_was_only_listed_gets_nothing_once_it_is_not)
+{
+  const auto roster = member::MakeRoster(MakeSettings(), kSeed);
+  roster->Listed({ MakeVm("a", "x"), MakeVm("spare", "y") }, At(0));
+  roster->Tick(At(0));
+  CHECK(!roster->TakeHeartbeats().empty());
+  roster->Listed({ MakeVm("a", "x") }, At(1));
+  roster->SetConfiguration(7);
+  const auto sends = roster->TakeHeartbeats();
+  UNSIGNED_LONGS_EQUAL(1, sends.size());
+  STRCMP_EQUAL("a", sends.front().to.id.c_str());
+}
