Wait for a failover rather than send writes away

A write that met no primary was sent away after 200 ms, so that callers came back up to 300 ms after the next primary was there. It now waits for half of its time while a failover may be under way; after two seconds without a primary it is sent away after 200 ms as before. The gap as callers see it is not measured here.

--- a/src/currantshed/group/context.hpp
+++ b/src/currantshed/group/context.hpp
@@ -25,6 +25,8 @@
   confirm::status_board board;
   admit::retry_budget retries;
   transaction_table transactions;
+  /// When there last was a confirmed primary.
+  clock::time_point primarySeenAt{};
   /// How long a transaction may be open in all.
   std::chrono::milliseconds transactionLimit{ 30000 };
 };
--- a/src/currantshed/group/flow.cpp
+++ b/src/currantshed/group/flow.cpp
@@ -1,9 +1,19 @@
 #include "currantshed/group/flow.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace currantshed::group {
 
+namespace {
+
+// Part of its time that a request waits for a server at most.
+constexpr int kWaitPart = 2;
+// A group that has had no primary for longer will not have one soon.
+constexpr std::chrono::milliseconds kLongestFailover{ 2000 };
+
+} // namespace
+
 flow::flow(context& aContext, request aRequest, clock::time_point aNow)
   : mContext(aContext)
   , mRequest(std::move(aRequest))
@@ -50,7 +60,11 @@
 bool
 flow::HasWaitedLong(clock::time_point aNow) const
 {
-  return aNow >= mSubmitted + mContext.settings.validity;
+  clock::duration patience = (mRequest.deadline - mSubmitted) / kWaitPart;
+  if (mContext.primarySeenAt + kLongestFailover < aNow) {
+    patience = std::min<clock::duration>(patience, mContext.settings.validity);
+  }
+  return aNow >= mSubmitted + patience;
 }
 
 clock::time_point
--- a/src/currantshed/group/flow.hpp
+++ b/src/currantshed/group/flow.hpp
@@ -114,7 +114,9 @@
 
 protected:
   /// Whether it has waited for a primary or a replica for so long that the
-  /// caller should rather come back.
+  /// caller should rather come back: half of its time while a failover may be
+  /// under way, and no more than the validity when there has been no primary
+  /// for long.
   [[nodiscard]] bool HasWaitedLong(clock::time_point aNow) const;
 
   [[nodiscard]] clock::time_point Submitted() const noexcept;
--- a/src/currantshed/group/upkeep.cpp
+++ b/src/currantshed/group/upkeep.cpp
@@ -18,6 +18,9 @@
       Apply(request, std::move(*next), aNow);
     }
   }
+  if (mContext.board.Primary(aNow)) {
+    mContext.primarySeenAt = aNow;
+  }
   const auto term = mContext.board.Term();
   if (term && term->term > mTermSeen) {
     mTermSeen = term->term;
--- a/test/currantshed/group/writes.cpp
+++ b/test/currantshed/group/writes.cpp
@@ -355,3 +355,31 @@
   again.key = write.key;
   CHECK(group.Call(again).why == reason::kKeyVoid);
 }
+
+TEST(writes, a_failover_is_waited_for)
+{
+  fake_group group;
+  group.Run(100ms);
+  group.Server("s1").cut = true;
+  group.Run(300ms);
+  const auto id = group.Submit(group.Write("report"));
+  group.Run(600ms);
+  CHECK(group.Answer(id) == nullptr);
+  group.Promote("s2", { "s2", "s3" });
+  const auto* told = group.Wait(id, 100ms);
+  CHECK(told != nullptr);
+  CHECK(told->verdict == verdict::kDone);
+}
+
+TEST(writes, a_long_outage_is_not_waited_for)
+{
+  fake_group group;
+  group.Run(100ms);
+  group.Server("s1").cut = true;
+  group.Run(3000ms);
+  const auto id = group.Submit(group.Write("report"));
+  const auto* told = group.Wait(id, 220ms);
+  CHECK(told != nullptr);
+  CHECK(told->verdict == verdict::kNotRun);
+  CHECK(told->why == reason::kNoPrimary);
+}
