--- a/src/currantshed/member/roster.cpp
+++ b/src/currantshed/member/roster.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+// Heartbeats of which one names a VM heard of: it is a third of their size,
+// and new VMs are few.
+constexpr std::uint64_t kHeardOfEvery = 4;
+
 class hashed_roster final : public roster
 {
 public:
@@ -216,7 +220,9 @@
     beat.incarnation = mSettings.incarnation;
     beat.sequence = mSequence;
     beat.configuration = mConfiguration;
-    beat.heardOf = mTable.HeardOf(mSequence, mNow);
+    if (mSequence % kHeardOfEvery == 0) {
+      beat.heardOf = mTable.HeardOf(mSequence / kHeardOfEvery, mNow);
+    }
     mNews.Fill(beat);
     return beat;
   }
