--- a/src/currantshed/gateway/json_codec.cpp
+++ b/src/currantshed/gateway/json_codec.cpp
@@ -1,9 +1,11 @@
 #include "currantshed/gateway/json_codec.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 
 #include <boost/json.hpp>
 
@@ -149,44 +151,73 @@
   return bytes;
 }
 
+/// What callers are told of a reason.
+struct reason_row
+{
+  reason why;
+  std::string_view name;
+  std::string_view message;
+};
+
+constexpr reason_row kReasons[] = {
+  { reason::kNone, "", "" },
+  { reason::kOverloaded,
+    "overloaded",
+    "there is no room for it before its deadline" },
+  { reason::kDeadline, "deadline", "the deadline has passed, or can't be met" },
+  { reason::kNoPrimary,
+    "no_primary",
+    "the group has no confirmed primary at the moment" },
+  { reason::kNoPlace,
+    "no_place",
+    "no server in the places that the class allows can serve it" },
+  { reason::kTooStale,
+    "too_stale",
+    "no server has data as new as the session or the class "
+    "asks for" },
+  { reason::kTransactionLost,
+    "transaction_lost",
+    "the transaction has ended, or its connection was lost" },
+  { reason::kUnknownGroup, "unknown_group", "the group isn't known here" },
+  { reason::kAnswerTooLarge,
+    "answer_too_large",
+    "the answer passes the limit on its size" },
+  { reason::kStatement, "statement", "the database refuses the statement" },
+  { reason::kKeyExpired,
+    "key_expired",
+    "the key is older than outcomes are kept" },
+  { reason::kKeyReused,
+    "key_reused",
+    "the key was used before, for another request" },
+  { reason::kKeyVoid,
+    "key_void",
+    "the key was made void, so that the change can't run under "
+    "it; take a new key to send it again" },
+  { reason::kLeaving,
+    "leaving",
+    "the process is shutting down; send it to another one" },
+  { reason::kMalformed, "malformed", "the request is malformed" },
+  { reason::kUnreachable,
+    "unreachable",
+    "no pooler can be reached for the group" },
+};
+
+const reason_row&
+Row(reason aReason) noexcept
+{
+  const auto* found =
+    std::find_if(std::begin(kReasons),
+                 std::end(kReasons),
+                 [aReason](auto& aRow) { return aRow.why == aReason; });
+  return found == std::end(kReasons) ? kReasons[0] : *found;
+}
+
+/// The answer's own message, else what the reason says.
 std::string_view
-Name(reason aReason) noexcept
+MessageOf(const caller_answer& aAnswer) noexcept
 {
-  switch (aReason) {
-    case reason::kNone:
-      return {};
-    case reason::kOverloaded:
-      return "overloaded";
-    case reason::kDeadline:
-      return "deadline";
-    case reason::kNoPrimary:
-      return "no_primary";
-    case reason::kNoPlace:
-      return "no_place";
-    case reason::kTooStale:
-      return "too_stale";
-    case reason::kTransactionLost:
-      return "transaction_lost";
-    case reason::kUnknownGroup:
-      return "unknown_group";
-    case reason::kAnswerTooLarge:
-      return "answer_too_large";
-    case reason::kStatement:
-      return "statement";
-    case reason::kKeyExpired:
-      return "key_expired";
-    case reason::kKeyReused:
-      return "key_reused";
-    case reason::kKeyVoid:
-      return "key_void";
-    case reason::kLeaving:
-      return "leaving";
-    case reason::kMalformed:
-      return "malformed";
-    case reason::kUnreachable:
-      return "unreachable";
-  }
-  return {};
+  return aAnswer.message.empty() ? Row(aAnswer.why).message
+                                 : std::string_view(aAnswer.message);
 }
 
 unsigned
@@ -217,7 +248,7 @@
   to.Field("outcome");
   to.String(VerdictName(aAnswer));
   to.OptionalField("reason", ReasonName(aAnswer));
-  to.OptionalField("message", aAnswer.message);
+  to.OptionalField("message", MessageOf(aAnswer));
   if (aAnswer.verdict == verdict::kDone) {
     WriteResults(to, aAnswer);
   }
@@ -253,7 +284,7 @@
   if (aAnswer.fault) {
     return ErrorName(static_cast<gateway_error>(aAnswer.fault.value()));
   }
-  return Name(aAnswer.why);
+  return Row(aAnswer.why).name;
 }
 
 std::string_view
--- a/test/currantshed/gateway/json_codec.cpp
+++ b/test/currantshed/gateway/json_codec.cpp
@@ -207,14 +207,18 @@
   { "not run",
     [](auto& aAnswer) { aAnswer = NotRun(reason::kOverloaded, 120ms); },
     503,
-    R"({"outcome":"not_run","reason":"overloaded","retry_after_ms":120})" },
+    R"({"outcome":"not_run","reason":"overloaded",)"
+    R"("message":"there is no room for it before its deadline",)"
+    R"("retry_after_ms":120})" },
   { "unknown",
     [](auto& aAnswer) {
       aAnswer.why = reason::kDeadline;
       aAnswer.ask = "/v1/outcomes/g/k";
     },
     504,
-    R"({"outcome":"unknown","reason":"deadline","ask":"/v1/outcomes/g/k"})" },
+    R"({"outcome":"unknown","reason":"deadline",)"
+    R"("message":"the deadline has passed, or can't be met",)"
+    R"("ask":"/v1/outcomes/g/k"})" },
   { "refused by the gateway",
     [](auto& aAnswer) { aAnswer = Refuse(gateway_error::kForgedToken); },
     403,
@@ -236,7 +240,8 @@
       aAnswer.why = reason::kKeyReused;
     },
     409,
-    R"({"outcome":"refused","reason":"key_reused"})" },
+    R"({"outcome":"refused","reason":"key_reused",)"
+    R"("message":"the key was used before, for another request"})" },
 };
 
 } // namespace
