--- a/src/currantshed/upstream/dialect.hpp
+++ b/src/currantshed/upstream/dialect.hpp
@@ -59,8 +59,8 @@
                                          std::uint16_t aPort) const = 0;
 
   /// Opens a transaction. Assumed: its changes become visible all together
-  /// at its commit, or never. A read-only one refuses every change and sees
-  /// one state of the data throughout.
+  /// at its commit, or never. A read-only one refuses every change; each of
+  /// its statements may see a newer state of the data than the one before.
   [[nodiscard]] virtual statement Begin(bool aReadOnly) const = 0;
 
   /// Ends a transaction. Assumed: answered as done only after the change is
