Count the bytes of an answer once

Cause: an answer within its limit could be torn: what waited in the socket was counted at each wake, and counted again when libpq had left some of it. Failing first: with the old count the tests pq_connection/batches ("a large answer") and the_limit_counts_each_batch_by_itself failed. Ruled out: the difference of what waits before and after a read, which counts nothing of a steady stream. Change: the kernel's own count of received bytes (TCP_INFO). The connection's work moves to pq_session, and both get tests over a real socket against the stand-in on a loopback address of the test's own.

--- a/src/currantshed/upstream/fwd.hpp
+++ b/src/currantshed/upstream/fwd.hpp
@@ -12,6 +12,7 @@
 enum class server_role;
 class dialect;
 class pq_connection;
+class pq_session;
 struct reply;
 struct result_set;
 struct server_status;
--- a/src/currantshed/upstream/pq_connection.hpp
+++ b/src/currantshed/upstream/pq_connection.hpp
@@ -42,7 +42,7 @@
   /// as received, is torn with kAnswerLimitState and ends the connection; a
   /// text with a zero byte can't be sent and is refused with
   /// kUnsendableTextState before anything runs.
-  void Run(std::vector<statement> aStatements,
+  void Run(const std::vector<statement>& aStatements,
            std::size_t aAnswerLimitBytes,
            std::function<void(reply)> aDone);
 
@@ -56,9 +56,7 @@
   [[nodiscard]] std::error_code LastError() const noexcept;
 
 private:
-  class session;
-
-  std::shared_ptr<session> mSession;
+  std::shared_ptr<pq_session> mSession;
 };
 
 } // namespace currantshed::upstream
--- /dev/null
+++ b/src/currantshed/upstream/received_bytes.cpp
@@ -0,0 +1,22 @@
+#include "currantshed/upstream/received_bytes.hpp"
+
+// The C library's own header for TCP has a shorter tcp_info, and can't be
+// included beside this one.
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+namespace currantshed::upstream {
+
+std::uint64_t
+ReceivedBytes(int aSocket) noexcept
+{
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(aSocket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return 0;
+  }
+  return info.tcpi_bytes_received;
+}
+
+} // namespace currantshed::upstream
--- a/standin/upstream/responses.cpp
+++ b/standin/upstream/responses.cpp
@@ -16,6 +16,11 @@
 
 constexpr std::int32_t kTextType = 25;
 
+const std::vector<std::string> kStatusColumns = {
+  "term",         "role",          "stored_term",     "stored_index",
+  "applied_term", "applied_index", "since_primary_ms"
+};
+
 struct parameter_row
 {
   std::string_view name;
@@ -159,11 +164,7 @@
 const std::vector<std::string>&
 StatusColumns()
 {
-  static const std::vector<std::string> sColumns = {
-    "term",         "role",          "stored_term",     "stored_index",
-    "applied_term", "applied_index", "since_primary_ms"
-  };
-  return sColumns;
+  return kStatusColumns;
 }
 
 void
