Add the fault matrix

Change: `currantshed-matrix` (tools/matrix) runs two gateways, three poolers, three servers, the platform's store, operators and roaming callers around the engines that the daemons run, in virtual time. Steps are made from the engines' own lists of actions, so that an action without its row stops the build. The checker knows only what callers and operators were told and what servers hold. Fifteen rules can be switched off between the engines and the world to prove the checker.

Ruled out in the trials, as faults of the world and not of the engines: a stop that did not wait for answers already given out; a repetition's "not run" read as the first try's; what a read without a token showed counted to the token.

--- /dev/null
+++ b/test/matrix/callers.hpp
@@ -0,0 +1,67 @@
+#ifndef CURRANTSHED_TEST_MATRIX_CALLERS_HPP
+#define CURRANTSHED_TEST_MATRIX_CALLERS_HPP
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "currantshed/gateway/caller.hpp"
+#include "test/matrix/gateway_node.hpp"
+#include "test/matrix/surroundings.hpp"
+
+namespace currantshed::matrix {
+
+/// One session that roams between the gateways and does one thing after
+/// another: single and repeatable changes, changes of two rows, transactions,
+/// reads with its token, bounded and fresh reads, and questions about the
+/// outcomes that it was left unsure of. Writes down what it is told.
+class session_caller
+{
+public:
+  session_caller(surroundings& aAround,
+                 std::vector<gateway_node*> aGateways,
+                 unsigned aNumber);
+
+  /// Begins, and goes on until the time given.
+  void Start(instant aEnd);
+
+private:
+  /// None where no answer came.
+  using told_answer = std::optional<gateway::caller_answer>;
+  using next_step = std::function<void(const told_answer&)>;
+
+  void Next();
+  void Later();
+  void Read(const std::string& aClass, bool aWithToken);
+  void Write(const std::string& aClass, std::size_t aRows);
+  void Transaction();
+  void TransactionRow(std::size_t aChange,
+                      const std::string& aTransaction,
+                      std::size_t aRow);
+  void Commit(std::size_t aChange, const std::string& aTransaction);
+  void Told(std::size_t aChange,
+            const gateway::caller_request& aRequest,
+            const told_answer& aAnswer);
+  void AskOutcome(std::size_t aChange, unsigned aTries);
+  void Note(std::size_t aChange, const told_answer& aAnswer);
+  [[nodiscard]] std::size_t Begin(std::size_t aRows);
+  [[nodiscard]] std::string NewKey();
+  [[nodiscard]] gateway::caller_request Request(
+    gateway::call_kind aKind,
+    const std::string& aClass) const;
+  /// Sends a request by some gateway that runs, and waits for its answer.
+  void Call(const gateway::caller_request& aRequest, const next_step& aNext);
+
+  surroundings& mAround;
+  std::vector<gateway_node*> mGateways;
+  unsigned mNumber;
+  unsigned mCount = 0;
+  std::uint64_t mCalls = 0;
+  instant mEnd{ 0 };
+  std::string mToken = "new";
+};
+
+} // namespace currantshed::matrix
+
+#endif
--- /dev/null
+++ b/test/matrix/gateway_node.hpp
@@ -0,0 +1,80 @@
+#ifndef CURRANTSHED_TEST_MATRIX_GATEWAY_NODE_HPP
+#define CURRANTSHED_TEST_MATRIX_GATEWAY_NODE_HPP
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "currantshed/gateway/engine.hpp"
+#include "test/matrix/pooler_node.hpp"
+#include "test/matrix/process.hpp"
+#include "test/matrix/surroundings.hpp"
+
+namespace currantshed::matrix {
+
+/// A gateway: the adapters' part of its engine, over fakes.
+class gateway_node final : public process
+{
+public:
+  using answered = std::function<void(const gateway::caller_answer&)>;
+
+  gateway_node(surroundings& aAround, std::string aName);
+
+  /// The pooler of its own VM, and all poolers.
+  void SetPoolers(pooler_node* aOwn, std::vector<pooler_node*> aAll);
+
+  /// The poolers taken for live.
+  void SetView(const gateway::fleet_view& aView);
+
+  /// A caller's request as it arrives; the callback runs once, or never when
+  /// the gateway dies.
+  void Submit(gateway::caller_request aRequest, answered aAnswered);
+
+  /// A pooler's process has ended, and its connections with it.
+  void PoolerDied(const std::string& aVm);
+
+  /// Takes no new work, and ends when what is under way has ended.
+  void Stop();
+
+protected:
+  void Begun() override;
+  void Ended() override;
+  void Collect() override;
+  void Tick() override;
+  [[nodiscard]] clock::time_point NextTick() const override;
+
+private:
+  struct waiting
+  {
+    answered done;
+    /// Whether it came before the gateway was stopped.
+    bool early = true;
+  };
+
+  void Do(const gateway::send_to_pooler& aAction, const fate& aFate);
+  void Do(const gateway::cancel_at_pooler& aAction, const fate& aFate);
+  void Do(const gateway::give_answer& aAction, const fate& aFate);
+  void AskForConfiguration();
+  void WaitForEnd();
+  [[nodiscard]] pooler_node* Find(const std::string& aVm) const;
+
+  surroundings& mAround;
+  pooler_node* mOwn = nullptr;
+  std::vector<pooler_node*> mPoolers;
+  gateway::fleet_view mView;
+  std::unique_ptr<gateway::request_engine> mEngine;
+  std::map<gateway::request_number, waiting> mWaiting;
+  gateway::request_number mLastNumber = 0;
+  std::uint64_t mVersion = 0;
+  bool mStopping = false;
+};
+
+/// The classes of work that the callers use.
+[[nodiscard]] std::vector<policy::work_class>
+Classes();
+
+} // namespace currantshed::matrix
+
+#endif
--- /dev/null
+++ b/test/matrix/operators.cpp
@@ -0,0 +1,173 @@
+#include "test/matrix/operators.hpp"
+
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "currantshed/platform/errors.hpp"
+#include "currantshed/policy/configuration_record.hpp"
+#include "test/matrix/steps.hpp"
+
+namespace currantshed::matrix {
+
+namespace {
+
+constexpr std::chrono::milliseconds kGiveUp{ 2000 };
+constexpr std::chrono::milliseconds kTimeout{ 300 };
+const std::string kKey = "configuration";
+
+told
+ToldBy(platform::apply_outcome aOutcome)
+{
+  switch (aOutcome) {
+    case platform::apply_outcome::kApplied:
+      return told::kDone;
+    case platform::apply_outcome::kLostRace:
+    case platform::apply_outcome::kNotReached:
+    case platform::apply_outcome::kTooLarge:
+      return told::kNotRun;
+    case platform::apply_outcome::kUnknown:
+    case platform::apply_outcome::kUnreadable:
+      break;
+  }
+  return told::kUnknown;
+}
+
+} // namespace
+
+operator_call::operator_call(surroundings& aAround, std::string aDeclaration)
+  : process(aAround.time, aAround.faults, "operator " + aDeclaration)
+  , mAround(aAround)
+  , mDeclaration(std::move(aDeclaration))
+{
+}
+
+void
+operator_call::Apply()
+{
+  Start();
+}
+
+void
+operator_call::Begun()
+{
+  platform::apply_request request;
+  request.declaration = mDeclaration;
+  request.change = "change-" + mDeclaration;
+  request.giveUpAfter = kGiveUp;
+  const auto record =
+    policy::ParseConfigurationRecord(mAround.store.keys[kKey].value);
+  request.expectedVersion = record ? record->version : 0;
+  mApplier.emplace(std::move(request), mAround.time.Now());
+}
+
+void
+operator_call::Collect()
+{
+  if (!mApplier) {
+    return;
+  }
+  for (auto& action : mApplier->TakeActions()) {
+    const auto step = StepOf(layer::kApply, action.index(), moment::kAsked);
+    Want(step, [this, wanted = std::move(action)](const fate& aFate) {
+      std::visit([&](const auto& aAction) { Do(aAction, aFate); }, wanted);
+    });
+  }
+  Note();
+}
+
+void
+operator_call::Tick()
+{
+  mApplier->Tick(mAround.time.Now());
+}
+
+clock::time_point
+operator_call::NextTick() const
+{
+  return mApplier->Result() ? clock::time_point::max() : mApplier->NextTick();
+}
+
+void
+operator_call::Note()
+{
+  const auto& result = mApplier->Result();
+  if (!result || mNoted) {
+    return;
+  }
+  mNoted = true;
+  mAround.seen.applied.push_back(
+    { mDeclaration, result->version, ToldBy(result->outcome) });
+}
+
+void
+operator_call::Do(const platform::read_configuration& /*aAction*/,
+                  const fate& aFate)
+{
+  const auto open = std::make_shared<bool>(true);
+  const auto end = [this, open](bool aReached, const platform::entry& aEntry) {
+    if (!std::exchange(*open, false)) {
+      return;
+    }
+    const auto error = aReached ? std::error_code{}
+                                : make_error_code(platform::errc::kUnreachable);
+    mApplier->ConfigurationRead(error, aEntry, mAround.time.Now());
+  };
+  const auto lose = [end] { end(false, {}); };
+  mAround.time.In(kTimeout, Bind(lose));
+  if (aFate.lost) {
+    return;
+  }
+  mAround.time.In(aFate.delay, [=, this] {
+    mAround.store.Read(
+      kKey, [=, this](bool aReached, const platform::entry& aEntry) {
+        const auto struck =
+          mAround.faults.Reach(StepOf(layer::kApply, 0, moment::kDone), *this);
+        if (struck.lost) {
+          return;
+        }
+        mAround.time.In(struck.delay,
+                        Arrival(
+                          StepOf(layer::kApply, 0, moment::kAnswered),
+                          [=] { end(aReached, aEntry); },
+                          [] {}));
+      });
+  });
+}
+
+void
+operator_call::Do(const platform::swap_configuration& aAction,
+                  const fate& aFate)
+{
+  const auto open = std::make_shared<bool>(true);
+  const auto end = [this, open](platform::swap_outcome aOutcome) {
+    if (std::exchange(*open, false)) {
+      mApplier->ConfigurationSwapped(aOutcome, mAround.time.Now());
+    }
+  };
+  const auto lose = [end] { end(platform::swap_outcome::kUnknown); };
+  mAround.time.In(kTimeout, Bind(lose));
+  if (aFate.lost) {
+    return;
+  }
+  mAround.time.In(aFate.delay, [=, this] {
+    mAround.store.Swap(
+      kKey,
+      aAction.value,
+      aAction.expected,
+      [=, this](platform::swap_outcome aOutcome) {
+        const auto struck =
+          mAround.faults.Reach(StepOf(layer::kApply, 1, moment::kDone), *this);
+        if (struck.lost) {
+          return;
+        }
+        mAround.time.In(struck.delay,
+                        Arrival(
+                          StepOf(layer::kApply, 1, moment::kAnswered),
+                          [=] { end(aOutcome); },
+                          [] {}));
+      });
+  });
+}
+
+} // namespace currantshed::matrix
--- /dev/null
+++ b/test/matrix/operators.hpp
@@ -0,0 +1,43 @@
+#ifndef CURRANTSHED_TEST_MATRIX_OPERATORS_HPP
+#define CURRANTSHED_TEST_MATRIX_OPERATORS_HPP
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "currantshed/platform/apply.hpp"
+#include "test/matrix/process.hpp"
+#include "test/matrix/surroundings.hpp"
+
+namespace currantshed::matrix {
+
+/// One operator who applies one change of the configuration.
+class operator_call final : public process
+{
+public:
+  operator_call(surroundings& aAround, std::string aDeclaration);
+
+  /// Applies the change over the version that the store holds now.
+  void Apply();
+
+protected:
+  void Begun() override;
+  void Ended() override {}
+  void Collect() override;
+  void Tick() override;
+  [[nodiscard]] clock::time_point NextTick() const override;
+
+private:
+  void Do(const platform::read_configuration& aAction, const fate& aFate);
+  void Do(const platform::swap_configuration& aAction, const fate& aFate);
+  void Note();
+
+  surroundings& mAround;
+  std::string mDeclaration;
+  std::optional<platform::applier> mApplier;
+  bool mNoted = false;
+};
+
+} // namespace currantshed::matrix
+
+#endif
--- /dev/null
+++ b/test/matrix/plan.hpp
@@ -0,0 +1,98 @@
+#ifndef CURRANTSHED_TEST_MATRIX_PLAN_HPP
+#define CURRANTSHED_TEST_MATRIX_PLAN_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace currantshed::matrix {
+
+/// What can go wrong.
+enum class fault
+{
+  kPrimaryPartitioned,
+  kPrimaryIsolated,
+  kPrimaryDies,
+  kPrimaryFrozen,
+  kReplicaBehind,
+  kReplicaLags,
+  kReplicasBehind,
+  kReplicaDies,
+  kPoolerDies,
+  kPoolerPaused,
+  kPoolerPausedBriefly,
+  kPoolerCutOff,
+  kGatewayDies,
+  kGatewayPaused,
+  kStoreDown,
+  kStoreSlow,
+  kStoreAnswersLost,
+  kOperatorsRace,
+  kMessageSlow,
+  kMessageLate,
+  kMessageLost,
+  kMessageTwice,
+  kMessageOvertaken,
+  kReplicaLeaves,
+  kPrimaryLeaves,
+  kGatewayStops,
+  kPoolerStops,
+};
+constexpr std::size_t kFaults = 27;
+
+/// The rules that can be switched off to prove the checker.
+enum class variant
+{
+  kNone,
+  kFloorDropped,
+  kBoundRaised,
+  kConfirmationUnasked,
+  kValidityEndless,
+  kAnswersDatedLate,
+  kNoWaitingOut,
+  kFenceForged,
+  kResentWithoutKey,
+  kUnknownToldNotRun,
+  kConnectionShared,
+  kTornTakenWhole,
+  kAnswersSwapped,
+  kLeavingHidden,
+  kStopsAtOnce,
+  kConfigurationLastSeen,
+};
+constexpr std::size_t kVariants = 16;
+
+[[nodiscard]] std::string_view
+Name(fault aFault);
+
+[[nodiscard]] std::string_view
+Name(variant aVariant);
+
+/// One fault at the n-th time that a step is reached, counted from one.
+struct injection
+{
+  fault what = fault::kPrimaryPartitioned;
+  std::size_t step = 0;
+  unsigned occurrence = 1;
+};
+
+/// One run: what goes wrong, and what drives the callers' choices.
+struct plan
+{
+  std::vector<injection> injections;
+  /// Whether a primary is partitioned off in any case, so that the steps of a
+  /// failover are reached.
+  bool failover = false;
+  std::uint64_t seed = 1;
+  variant broken = variant::kNone;
+};
+
+/// The plan in one line, as reports show it.
+[[nodiscard]] std::string
+Print(const plan& aPlan);
+
+} // namespace currantshed::matrix
+
+#endif
--- /dev/null
+++ b/test/matrix/pooler_node.hpp
@@ -0,0 +1,146 @@
+#ifndef CURRANTSHED_TEST_MATRIX_POOLER_NODE_HPP
+#define CURRANTSHED_TEST_MATRIX_POOLER_NODE_HPP
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "currantshed/failover/coordinator.hpp"
+#include "currantshed/gateway/engine.hpp"
+#include "currantshed/group/engine.hpp"
+#include "currantshed/pooler/configuration_keeper.hpp"
+#include "test/matrix/process.hpp"
+#include "test/matrix/steps.hpp"
+#include "test/matrix/surroundings.hpp"
+
+namespace currantshed::matrix {
+
+/// A pooler: the adapters' part of its engines for one group, over fakes.
+class pooler_node final : public process
+{
+public:
+  /// Gives an answer and the pooler's incarnation to a gateway.
+  using answer_to =
+    std::function<void(const group::answer&, const std::string&)>;
+
+  pooler_node(surroundings& aAround, std::string aVm, std::string aDomain);
+
+  /// The other poolers of the group.
+  void SetPeers(std::vector<pooler_node*> aPeers);
+
+  /// Its rank among the live owners, and the group as the platform lists it.
+  void Describe(unsigned aRank, unsigned aOwners);
+
+  /// A gateway's request, as it arrives.
+  void Receive(const gateway::send_to_pooler& aMessage,
+               const std::string& aGateway,
+               const answer_to& aAnswer);
+  void Receive(const gateway::cancel_at_pooler& aMessage,
+               const std::string& aGateway);
+
+  /// Takes no new work, and ends when what is under way has ended.
+  void Stop();
+
+  /// A server has gone, with every connection to it.
+  void ServerDied(const upstream::server_id& aServer);
+
+  /// The configuration in force here.
+  [[nodiscard]] const wire::configuration& Configuration() const;
+
+protected:
+  void Begun() override;
+  void Ended() override;
+  void Collect() override;
+  void Tick() override;
+  [[nodiscard]] clock::time_point NextTick() const override;
+
+private:
+  struct origin
+  {
+    std::string gateway;
+    group::request_id id = 0;
+    answer_to answer;
+    /// Whether it had been taken before the pooler was stopped.
+    bool early = true;
+  };
+
+  struct connection
+  {
+    std::shared_ptr<server_session> session;
+    bool open = false;
+    std::uint64_t batch = 0;
+    bool running = false;
+  };
+
+  /// A question to a server on its channel, and how it is answered.
+  struct question
+  {
+    upstream::server_id server;
+    layer of = layer::kGroup;
+    std::size_t alternative = 0;
+    clock::duration patience{ 0 };
+    std::function<bool()> effect;
+    std::function<void(const upstream::server_status*, clock::time_point)> done;
+  };
+
+  void Do(const group::open_connection& aAction, const fate& aFate);
+  void Do(const group::close_connection& aAction, const fate& aFate);
+  void Do(const group::run_batch& aAction, const fate& aFate);
+  void Do(const group::ask_status& aAction, const fate& aFate);
+  void Do(const group::give_answer& aAction, const fate& aFate);
+  void Do(const failover::probe& aAction, const fate& aFate);
+  void Do(const failover::fence& aAction, const fate& aFate);
+  void Do(const failover::promote& aAction, const fate& aFate);
+  void Do(const failover::follow& aAction, const fate& aFate);
+  void Do(const failover::read_record& aAction, const fate& aFate);
+  void Do(const failover::swap_record& aAction, const fate& aFate);
+  void Do(const failover::announce& aAction, const fate& aFate);
+  void Do(const failover::report_suspicion& aAction, const fate& aFate);
+
+  void Ask(const question& aQuestion, const fate& aFate);
+  /// Lets something happen at a server once its packets get through.
+  void Carry(const upstream::server_id& aServer,
+             clock::duration aDelay,
+             std::function<void()> aEvent);
+  /// The same for the way back.
+  void CarryBack(const upstream::server_id& aServer,
+                 clock::duration aDelay,
+                 std::function<void()> aEvent);
+  void Execute(group::connection_id aConnection,
+               const group::run_batch& aBatch,
+               const std::shared_ptr<server_session>& aSession);
+  void Break(group::connection_id aConnection);
+  void BreakLater(group::connection_id aConnection);
+  void TearWith(group::connection_id aConnection, upstream::reply aReply);
+  void Beat();
+  void Hear(const pooler_node& aPeer);
+  void ReadConfiguration();
+  void Offer(const wire::configuration& aOffered);
+  void WaitForEnd();
+  [[nodiscard]] std::string Incarnation() const;
+  void Configure();
+
+  surroundings& mAround;
+  std::string mDomain;
+  std::vector<pooler_node*> mPeers;
+  unsigned mRank = 0;
+  unsigned mOwners = 1;
+  std::unique_ptr<group::engine> mEngine;
+  std::unique_ptr<failover::coordinator> mCoordinator;
+  pooler::configuration_keeper mKeeper;
+  wire::configuration mLastSeen;
+  std::map<group::request_id, origin> mOrigins;
+  group::request_id mLastRequest = 0;
+  std::map<group::connection_id, connection> mConnections;
+  std::map<upstream::server_id, std::shared_ptr<server_session>> mShared;
+  failover::suspicion mWord;
+  failover::announce mNews;
+  bool mStopping = false;
+};
+
+} // namespace currantshed::matrix
+
+#endif
--- /dev/null
+++ b/test/matrix/report.cpp
@@ -0,0 +1,344 @@
+#include "test/matrix/report.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <mutex>
+#include <stdexcept>
+#include <thread>
+
+#include <boost/json.hpp>
+
+#include "test/matrix/steps.hpp"
+#include "test/matrix/world.hpp"
+
+namespace currantshed::matrix {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::size_t kMostShown = 20;
+constexpr std::size_t kMostTexts = 4;
+constexpr std::uint64_t kPairsInCi = 600;
+
+/// What one cell came to.
+struct cell_result
+{
+  bool struck = false;
+  std::size_t changes = 0;
+  std::size_t reads = 0;
+  std::vector<breach> breaches;
+};
+
+cell_result
+RunCell(const plan& aPlan)
+{
+  auto made = std::make_unique<world>(aPlan)->Run();
+  cell_result result;
+  result.struck = made.struck == aPlan.injections.size();
+  result.changes = made.seen.changes.size();
+  result.reads = made.seen.reads.size();
+  result.breaches = Check(made.seen);
+  return result;
+}
+
+/// Runs numbered work on several threads.
+void
+Spread(std::size_t aCount,
+       unsigned aThreads,
+       const std::function<void(std::size_t)>& aWork)
+{
+  std::atomic<std::size_t> next{ 0 };
+  std::vector<std::thread> threads;
+  for (unsigned made = 0; made < std::max(aThreads, 1U); ++made) {
+    threads.emplace_back([&] {
+      for (auto at = next++; at < aCount; at = next++) {
+        aWork(at);
+      }
+    });
+  }
+  for (auto& running : threads) {
+    running.join();
+  }
+}
+
+proof_result
+RunProof(const proof& aProof)
+{
+  proof_result result;
+  result.broken = aProof.broken;
+  result.expected = aProof.expected;
+  for (const auto& cell : CellsFor(aProof)) {
+    ++result.runs;
+    for (const auto& found : RunCell(cell).breaches) {
+      if (found.broken == aProof.expected) {
+        result.caught = true;
+        result.cell = Print(cell);
+        result.text = found.text;
+        return result;
+      }
+    }
+  }
+  return result;
+}
+
+void
+PrintPart(const part_result& aPart)
+{
+  std::cout << aPart.name << ": " << aPart.cells << " runs, in " << aPart.struck
+            << " every fault struck, " << aPart.changes << " changes, "
+            << aPart.reads << " reads, " << aPart.bad.size() << " in breach\n";
+  for (std::size_t at = 0; at < kPromises; ++at) {
+    if (aPart.runsInBreach[at] > 0) {
+      std::cout << "  " << Name(static_cast<promise>(at)) << ": "
+                << aPart.runsInBreach[at] << " runs\n";
+    }
+  }
+  const auto shown = std::min(aPart.bad.size(), kMostShown);
+  for (std::size_t at = 0; at < shown; ++at) {
+    const auto& run = aPart.bad[at];
+    std::cout << "  [" << Print(run.cell) << "]\n";
+    const auto texts = std::min(run.breaches.size(), kMostTexts);
+    for (std::size_t text = 0; text < texts; ++text) {
+      std::cout << "    " << Name(run.breaches[text].broken) << ": "
+                << run.breaches[text].text << '\n';
+    }
+  }
+}
+
+void
+PrintProofs(const std::vector<proof_result>& aProofs)
+{
+  for (const auto& shown : aProofs) {
+    std::cout << (shown.caught ? "caught  " : "MISSED  ") << Name(shown.broken)
+              << " (" << Name(shown.expected) << ") after " << shown.runs
+              << " runs";
+    if (shown.caught) {
+      std::cout << ": [" << shown.cell << "] " << shown.text;
+    }
+    std::cout << '\n';
+  }
+}
+
+json::object
+ToJson(const part_result& aPart)
+{
+  json::object promises;
+  for (std::size_t at = 0; at < kPromises; ++at) {
+    promises[Name(static_cast<promise>(at))] = aPart.runsInBreach[at];
+  }
+  json::array bad;
+  for (const auto& run : aPart.bad) {
+    json::array texts;
+    for (const auto& found : run.breaches) {
+      texts.emplace_back(std::string(Name(found.broken)) + ": " + found.text);
+    }
+    bad.push_back(json::object{ { "cell", Print(run.cell) },
+                                { "seed", run.cell.seed },
+                                { "breaches", std::move(texts) } });
+  }
+  return { { "part", aPart.name },
+           { "cells", aPart.cells },
+           { "all_faults_struck", aPart.struck },
+           { "changes", aPart.changes },
+           { "reads", aPart.reads },
+           { "runs_in_breach", std::move(promises) },
+           { "bad", std::move(bad) } };
+}
+
+json::object
+ToJson(const proof_result& aProof)
+{
+  return { { "rule_switched_off", Name(aProof.broken) },
+           { "promise", Name(aProof.expected) },
+           { "caught", aProof.caught },
+           { "runs", aProof.runs },
+           { "cell", aProof.cell },
+           { "breach", aProof.text } };
+}
+
+void
+WriteJson(const std::string& aFile,
+          const std::vector<part_result>& aParts,
+          const std::vector<proof_result>& aProofs)
+{
+  json::array steps;
+  for (const auto& listed : Steps()) {
+    steps.emplace_back(listed.name);
+  }
+  json::array faults;
+  for (std::size_t at = 0; at < kFaults; ++at) {
+    faults.emplace_back(Name(static_cast<fault>(at)));
+  }
+  json::array parts;
+  for (const auto& part : aParts) {
+    parts.push_back(ToJson(part));
+  }
+  json::array proofs;
+  for (const auto& proof : aProofs) {
+    proofs.push_back(ToJson(proof));
+  }
+  const json::object all{ { "steps", std::move(steps) },
+                          { "faults", std::move(faults) },
+                          { "parts", std::move(parts) },
+                          { "switched_off_rules", std::move(proofs) } };
+  std::ofstream out(aFile);
+  out << json::serialize(all) << '\n';
+  if (!out) {
+    throw std::runtime_error("cannot write " + aFile);
+  }
+}
+
+/// What was asked for on the command line.
+struct options
+{
+  std::string file;
+  bool seeded = false;
+  std::uint64_t seed = 1;
+  std::uint64_t count = 1;
+  unsigned threads = 4;
+  std::string only;
+};
+
+options
+Parse(const std::vector<std::string>& aArguments)
+{
+  options made;
+  for (std::size_t at = 0; at < aArguments.size(); ++at) {
+    const auto& flag = aArguments[at];
+    if (flag == "--ci") {
+      continue;
+    }
+    if (at + 1 == aArguments.size()) {
+      throw std::invalid_argument("a value is missing after " + flag);
+    }
+    const auto& value = aArguments[++at];
+    if (flag == "--json") {
+      made.file = value;
+    } else if (flag == "--seed") {
+      made.seeded = true;
+      made.seed = std::stoull(value);
+    } else if (flag == "--count") {
+      made.seeded = true;
+      made.count = std::stoull(value);
+    } else if (flag == "--only") {
+      made.only = value;
+    } else if (flag == "--threads") {
+      made.threads = static_cast<unsigned>(std::stoul(value));
+    } else {
+      throw std::invalid_argument("unknown flag " + flag);
+    }
+  }
+  return made;
+}
+
+/// Runs the cells whose line holds the text, and tells all of them.
+int
+ReplayOnly(const std::string& aText)
+{
+  auto cells = SingleCells();
+  const auto twice = DoubleCells();
+  cells.insert(cells.end(), twice.begin(), twice.end());
+  bool kept = true;
+  for (const auto& cell : cells) {
+    if (Print(cell).find(aText) == std::string::npos) {
+      continue;
+    }
+    const auto made = std::make_unique<world>(cell)->Run();
+    std::cout << Print(cell) << '\n';
+    for (const auto& raised : made.seen.promotions) {
+      std::cout << "  " << raised.at.count() << " " << raised.server
+                << " leads term " << raised.term << '\n';
+    }
+    for (const auto& found : Check(made.seen)) {
+      kept = false;
+      std::cout << "  " << Name(found.broken) << ": " << found.text << '\n';
+    }
+  }
+  return kept ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+} // namespace
+
+part_result
+RunPart(std::string aName, const std::vector<plan>& aCells, unsigned aThreads)
+{
+  std::vector<cell_result> results(aCells.size());
+  Spread(aCells.size(), aThreads, [&](std::size_t aAt) {
+    results[aAt] = RunCell(aCells[aAt]);
+  });
+  part_result part;
+  part.name = std::move(aName);
+  part.cells = aCells.size();
+  for (std::size_t at = 0; at < results.size(); ++at) {
+    auto& result = results[at];
+    part.struck += result.struck ? 1 : 0;
+    part.changes += result.changes;
+    part.reads += result.reads;
+    std::array<bool, kPromises> broken{};
+    for (const auto& found : result.breaches) {
+      broken.at(static_cast<std::size_t>(found.broken)) = true;
+    }
+    for (std::size_t which = 0; which < kPromises; ++which) {
+      part.runsInBreach[which] += broken[which] ? 1 : 0;
+    }
+    if (!result.breaches.empty()) {
+      part.bad.push_back({ aCells[at], std::move(result.breaches) });
+    }
+  }
+  return part;
+}
+
+std::vector<proof_result>
+RunProofs(unsigned aThreads)
+{
+  const auto& proofs = Proofs();
+  std::vector<proof_result> results(proofs.size());
+  Spread(proofs.size(), aThreads, [&](std::size_t aAt) {
+    results[aAt] = RunProof(proofs[aAt]);
+  });
+  return results;
+}
+
+int
+RunProgram(const std::vector<std::string>& aArguments)
+{
+  const auto asked = Parse(aArguments);
+  if (!asked.only.empty()) {
+    return ReplayOnly(asked.only);
+  }
+  std::vector<part_result> parts;
+  std::vector<proof_result> proofs;
+  if (asked.seeded) {
+    parts.push_back(
+      RunPart("pairs", PairCells(asked.seed, asked.count), asked.threads));
+  } else {
+    parts.push_back(RunPart("single", SingleCells(), asked.threads));
+    parts.push_back(RunPart("twice", DoubleCells(), asked.threads));
+    parts.push_back(RunPart("pairs", PairCells(1, kPairsInCi), asked.threads));
+    proofs = RunProofs(asked.threads);
+  }
+  for (const auto& part : parts) {
+    PrintPart(part);
+  }
+  PrintProofs(proofs);
+  if (!asked.file.empty()) {
+    WriteJson(asked.file, parts, proofs);
+  }
+  const bool kept =
+    std::all_of(parts.begin(), parts.end(), [](const part_result& aPart) {
+      return aPart.bad.empty();
+    });
+  const bool proved =
+    std::all_of(proofs.begin(), proofs.end(), [](const proof_result& aProof) {
+      return aProof.caught;
+    });
+  return kept && proved ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+} // namespace currantshed::matrix
--- /dev/null
+++ b/test/matrix/store.hpp
@@ -0,0 +1,86 @@
+#ifndef CURRANTSHED_TEST_MATRIX_STORE_HPP
+#define CURRANTSHED_TEST_MATRIX_STORE_HPP
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "currantshed/platform/client.hpp"
+#include "test/matrix/process.hpp"
+
+namespace currantshed::matrix {
+
+/// The platform's store: keys under compare-and-swap, with its faults.
+class store
+{
+public:
+  using read_done = std::function<void(bool, const platform::entry&)>;
+  using swap_done = std::function<void(platform::swap_outcome)>;
+
+  explicit store(timeline& aTimeline)
+    : mTimeline(aTimeline)
+  {
+  }
+
+  /// Reads a key for a process; the answer goes by its own arrival.
+  void Read(const std::string& aKey, const read_done& aDone)
+  {
+    mTimeline.In(Delay(), [this, aKey, aDone] {
+      const bool reached = !down;
+      const auto content = reached ? keys[aKey] : platform::entry{};
+      mTimeline.In(Delay(), [=] { aDone(reached, content); });
+    });
+  }
+
+  void Swap(const std::string& aKey,
+            const std::string& aValue,
+            platform::index aExpected,
+            const swap_done& aDone)
+  {
+    mTimeline.In(Delay(), [=, this] {
+      auto outcome = platform::swap_outcome::kUnknown;
+      if (!down) {
+        outcome = Apply(aKey, aValue, aExpected);
+      }
+      if (losesAnswers) {
+        outcome = platform::swap_outcome::kUnknown;
+      }
+      mTimeline.In(Delay(), [=] { aDone(outcome); });
+    });
+  }
+
+  platform::swap_outcome Apply(const std::string& aKey,
+                               const std::string& aValue,
+                               platform::index aExpected)
+  {
+    auto& held = keys[aKey];
+    if (held.version != aExpected) {
+      return platform::swap_outcome::kConflict;
+    }
+    held.value = aValue;
+    ++held.version;
+    if (changed) {
+      changed(aKey, aValue);
+    }
+    return platform::swap_outcome::kApplied;
+  }
+
+  std::map<std::string, platform::entry> keys;
+  std::function<void(const std::string&, const std::string&)> changed;
+  bool down = false;
+  bool slow = false;
+  bool losesAnswers = false;
+
+private:
+  [[nodiscard]] clock::duration Delay() const
+  {
+    return std::chrono::milliseconds(slow ? 700 : 2);
+  }
+
+  timeline& mTimeline;
+};
+
+} // namespace currantshed::matrix
+
+#endif
--- /dev/null
+++ b/test/matrix/surroundings.hpp
@@ -0,0 +1,37 @@
+#ifndef CURRANTSHED_TEST_MATRIX_SURROUNDINGS_HPP
+#define CURRANTSHED_TEST_MATRIX_SURROUNDINGS_HPP
+
+#include <chrono>
+#include <random>
+
+#include "test/matrix/history.hpp"
+#include "test/matrix/injector.hpp"
+#include "test/matrix/rules.hpp"
+#include "test/matrix/servers.hpp"
+#include "test/matrix/store.hpp"
+#include "test/matrix/timeline.hpp"
+
+namespace currantshed::matrix {
+
+/// What all parties of one run share.
+struct surroundings
+{
+  timeline& time;
+  server_group& servers;
+  matrix::store& store;
+  injector& faults;
+  matrix::rules& rules;
+  history& seen;
+  std::mt19937_64& chance;
+
+  /// Time of one message on its way.
+  [[nodiscard]] clock::duration Transit() const
+  {
+    constexpr unsigned kSpread = 1500;
+    return std::chrono::microseconds(500 + chance() % kSpread);
+  }
+};
+
+} // namespace currantshed::matrix
+
+#endif
--- /dev/null
+++ b/test/matrix/world.hpp
@@ -0,0 +1,83 @@
+#ifndef CURRANTSHED_TEST_MATRIX_WORLD_HPP
+#define CURRANTSHED_TEST_MATRIX_WORLD_HPP
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "test/matrix/callers.hpp"
+#include "test/matrix/gateway_node.hpp"
+#include "test/matrix/operators.hpp"
+#include "test/matrix/plan.hpp"
+#include "test/matrix/pooler_node.hpp"
+#include "test/matrix/surroundings.hpp"
+
+namespace currantshed::matrix {
+
+/// What came of one run.
+struct run_result
+{
+  history seen;
+  /// Faults of the plan that struck.
+  unsigned struck = 0;
+  /// How often each step was reached.
+  std::vector<unsigned> reached;
+};
+
+/// Two gateways, three poolers, one group of three servers, the platform's
+/// store, operators and callers, in virtual time, with the faults of a plan.
+class world final : public injector
+{
+public:
+  explicit world(const plan& aPlan);
+
+  /// Runs to the end and gives what was seen.
+  [[nodiscard]] run_result Run();
+
+  [[nodiscard]] fate Reach(std::size_t aStep, process& aBy) override;
+
+private:
+  void Begin();
+  void Strike(fault aWhat, process& aBy, fate& aFate);
+  /// Strikes that only concern the message at hand; false for any other.
+  [[nodiscard]] bool StrikeMessage(fault aWhat, fate& aFate);
+  [[nodiscard]] bool StrikeServer(fault aWhat);
+  [[nodiscard]] bool StrikeStore(fault aWhat);
+  void StrikeProcess(fault aWhat, process& aBy);
+  void Partition(const std::string& aServer, bool aWholly);
+  void KillServer(const upstream::server_id& aServer);
+  void KillPooler(pooler_node& aPooler);
+  void PoolerEnded(pooler_node& aPooler);
+  void Leave(const upstream::server_id& aServer, clock::duration aGrace);
+  void Replace(process& aProcess);
+  void WatchStopping(pooler_node& aPooler);
+  void Heal();
+  void SpreadView();
+  void Apply(const std::string& aDeclaration);
+  [[nodiscard]] pooler_node& PoolerFor(process& aBy);
+  [[nodiscard]] gateway_node& GatewayFor(process& aBy);
+  /// The poolers of live processes, in rank order.
+  [[nodiscard]] std::vector<pooler_node*> Ranked();
+
+  plan mPlan;
+  std::mt19937_64 mChance;
+  history mSeen;
+  timeline mTime;
+  server_group mServers;
+  store mStore;
+  rules mRules;
+  surroundings mAround;
+  std::vector<unsigned> mReached;
+  unsigned mStruck = 0;
+  bool mRunning = false;
+  std::uint64_t mViewVersion = 0;
+  std::vector<std::unique_ptr<pooler_node>> mPoolers;
+  std::vector<std::unique_ptr<gateway_node>> mGateways;
+  std::vector<std::unique_ptr<session_caller>> mCallers;
+  std::vector<std::unique_ptr<operator_call>> mOperators;
+};
+
+} // namespace currantshed::matrix
+
+#endif
