Pass a group on while only this pooler can't reach its primary

Cause: with the link between a group's leading pooler and the primary cut, and the primary healthy, nobody may depose the primary, and gateways went on asking the leader: one caller's writes were refused 12 times in 5 s with no_primary, 2739 ms between two acknowledged ones. Change: primary_reach tells this case by the replicas, which still hear the primary; the pooler then answers that it leaves, so that gateways ask the next owner. Open transactions go on. Ruled out: leaving it to the gateways to ask elsewhere on no_primary, since in a failover they would open connections at every owner.

--- a/src/currantshed/pooler/control.cpp
+++ b/src/currantshed/pooler/control.cpp
@@ -336,6 +336,9 @@
            [this](const failover::suspicion& aWord) {
              mRoster->SetSuspicion(aWord);
              mRosterTimer.At(Now());
+           },
+           [this](const group::group_name& aGroup, bool aIsCutOff) {
+             mTraffic.PassOn(aGroup, aIsCutOff);
            } };
 }
 
--- a/src/currantshed/pooler/fwd.hpp
+++ b/src/currantshed/pooler/fwd.hpp
@@ -13,6 +13,7 @@
 class ownership;
 class peer_links;
 class platform_link;
+class primary_reach;
 class server_channel;
 class status_board;
 class traffic;
--- a/src/currantshed/pooler/group_guard.cpp
+++ b/src/currantshed/pooler/group_guard.cpp
@@ -14,6 +14,9 @@
 
 /// How long fence, promote and follow may take.
 constexpr std::chrono::milliseconds kCommandTimeout{ 1000 };
+/// Part of the time to a suspicion within which a replica must have heard a
+/// primary that lives; of one that has failed, none heard so lately.
+constexpr int kVouchingPart = 2;
 
 clock::time_point
 Now()
@@ -64,6 +67,7 @@
   , mRank(aRank)
   , mOwners(aOwners)
   , mNews{ mName, 0, {} }
+  , mReach(aSurroundings.settings.suspectAfter / kVouchingPart)
   , mTimer(aSurroundings.context, [this] {
     mCoordinator->Tick(Now());
     Perform();
@@ -74,6 +78,9 @@
 group_guard::~group_guard()
 {
   *mAlive = false;
+  if (mIsCutOff) {
+    mListener.cutOff(mName, false);
+  }
 }
 
 void
@@ -133,9 +140,24 @@
     actions = mCoordinator->TakeActions();
   }
   mIsPerforming = false;
+  CheckReach();
   mTimer.At(mCoordinator->NextTick());
 }
 
+void
+group_guard::CheckReach()
+{
+  const bool isCutOff = mReach.IsCutOff(Now());
+  if (isCutOff == mIsCutOff) {
+    return;
+  }
+  mIsCutOff = isCutOff;
+  log::Write(log::level::kWarning,
+             isCutOff ? "cut_off_from_primary" : "primary_reached_again",
+             { { "group", mName }, { "primary", mNews.primary } });
+  mListener.cutOff(mName, isCutOff);
+}
+
 void
 group_guard::Note(const failover::action& aAction)
 {
@@ -156,6 +178,7 @@
                      bool aAccepted,
                      clock::time_point aAskedAt) {
         if (aAccepted) {
+          mReach.Heard(*aStatus, Now());
           mCoordinator->StatusArrived(server, *aStatus, aAskedAt, Now());
         } else {
           mCoordinator->StatusFailed(server, Now());
@@ -301,6 +324,7 @@
              { { "group", mName },
                { "term", Number(aAction.word.term) },
                { "primary", aAction.word.primary } });
+  mReach.Suspect(aAction.word);
   mListener.suspected(aAction.word);
 }
 
--- a/src/currantshed/pooler/group_guard.hpp
+++ b/src/currantshed/pooler/group_guard.hpp
@@ -16,6 +16,7 @@
 #include "currantshed/pooler/failover_watch.hpp"
 #include "currantshed/pooler/fwd.hpp"
 #include "currantshed/pooler/metrics.hpp"
+#include "currantshed/pooler/primary_reach.hpp"
 #include "currantshed/pooler/server_channel.hpp"
 #include "currantshed/pooler/settings.hpp"
 #include "currantshed/upstream/dialect.hpp"
@@ -33,6 +34,8 @@
   {
     std::function<void(const member::term_news&)> announced;
     std::function<void(const failover::suspicion&)> suspected;
+    /// Whether only this pooler can't reach the group's primary.
+    std::function<void(const group::group_name&, bool)> cutOff;
   };
 
   /// What a guard works with; all of it outlives the guard.
@@ -82,6 +85,7 @@
   void Do(const failover::announce& aAction);
   void Do(const failover::report_suspicion& aAction);
   void Note(const failover::action& aAction);
+  void CheckReach();
   void Ask(const upstream::server_id& aServer,
            upstream::statement aQuestion,
            std::chrono::milliseconds aAtMost,
@@ -100,6 +104,8 @@
   member::term_news mNews;
   position::term_id mPromotedTerm = 0;
   failover_watch mWatch;
+  primary_reach mReach;
+  bool mIsCutOff = false;
   absl::flat_hash_map<upstream::server_id, std::unique_ptr<server_channel>>
     mChannels;
   bool mIsPerforming = false;
--- a/src/currantshed/pooler/traffic.cpp
+++ b/src/currantshed/pooler/traffic.cpp
@@ -125,6 +125,18 @@
   });
 }
 
+void
+traffic::PassOn(const group::group_name& aGroup, bool aIsOn)
+{
+  boost::asio::post(mContext, [this, group = aGroup, aIsOn] {
+    if (aIsOn) {
+      mPassedOn.insert(group);
+    } else {
+      mPassedOn.erase(group);
+    }
+  });
+}
+
 void
 traffic::Drain(std::function<void()> aDone)
 {
@@ -177,11 +189,20 @@
   } else if (!mGroups.contains(aRequest.group)) {
     Refuse(
       aPeer, id, outcome::verdict::kRefused, outcome::reason::kUnknownGroup);
+  } else if (IsPassedOn(aRequest)) {
+    Refuse(aPeer, id, outcome::verdict::kNotRun, outcome::reason::kLeaving);
   } else {
     Submit(aPeer, std::move(aRequest));
   }
 }
 
+bool
+traffic::IsPassedOn(const wire::group_request& aRequest) const
+{
+  return mPassedOn.contains(aRequest.group) &&
+         !IsInTransaction(aRequest.request.kind);
+}
+
 void
 traffic::Submit(const std::string& aPeer, wire::group_request&& aRequest)
 {
--- a/src/currantshed/pooler/traffic.hpp
+++ b/src/currantshed/pooler/traffic.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <zmq.hpp>
@@ -61,6 +62,10 @@
   void Assign(group_assignment aAssignment);
   void Publish(wire::view aView);
 
+  /// Whether gateways are to ask the group's next owner, since this pooler
+  /// can't reach the primary. Open transactions go on here.
+  void PassOn(const group::group_name& aGroup, bool aIsOn);
+
   /// Takes no new work, and calls back on the traffic thread once nothing is
   /// pending and no request has come for a moment; gateways that go on asking
   /// are told for a short while that this pooler leaves.
@@ -81,6 +86,7 @@
   void Handle(const std::string& aPeer, const wire::cancel_request& aRequest);
   void Handle(const std::string& aPeer,
               const wire::subscribe_request& aRequest);
+  [[nodiscard]] bool IsPassedOn(const wire::group_request& aRequest) const;
   void Submit(const std::string& aPeer, wire::group_request&& aRequest);
   void Refuse(const std::string& aPeer,
               group::request_id aId,
@@ -109,6 +115,7 @@
   absl::flat_hash_map<group::group_name, group::description> mGroups;
   absl::flat_hash_map<group::group_name, std::unique_ptr<group_runner>>
     mRunners;
+  absl::flat_hash_set<group::group_name> mPassedOn;
   absl::flat_hash_map<group::request_id, origin> mOrigins;
   group::request_id mLastRequest = 0;
   std::function<void()> mDrained;
