Term book: the first numbers come soon after a start

Change: the first owner asks within 0.3 s, the next ones 0.4 s later each; a conflict is tried again within 20 to 60 ms, four times in a row. Random orders of events for the roster beside. Ruled out: all at once (owners would conflict, and a whole fleet that comes back would pass the store's limits). Figures, virtual time: the first numbers within 350 ms, 450 ms after a lost race; on processes not measured yet. Conclusion: the window without any term is shorter, not closed.

--- a/src/currantshed/failover/coordinator.cpp
+++ b/src/currantshed/failover/coordinator.cpp
@@ -55,6 +55,7 @@
     mGroup = aGroup;
     mWatch.Configure(aGroup, aNow);
     mBook.SetGroup(aGroup.name);
+    mBook.SetRank(aRank);
     mDetector.SetOwners(aOwners);
     mPromoter.SetRank(aRank);
     mRepair.SetRank(aRank);
--- a/src/currantshed/failover/term_book.cpp
+++ b/src/currantshed/failover/term_book.cpp
@@ -19,10 +19,17 @@
 constexpr milliseconds kLongestBackoff{ 5000 };
 // The same while a promoter waits for a term.
 constexpr milliseconds kLongestUrgentBackoff{ 400 };
+// An owner without any term asks within this span, after those of lower ranks.
+constexpr milliseconds kFirstSpan{ 300 };
+constexpr milliseconds kRankSpan{ 400 };
+// After a conflict, which shows that the store is up.
+constexpr milliseconds kConflictPause{ 40 };
 // Terms are topped up at a moment within this span, so that many groups that
 // fail over together do not ask the store at once.
 constexpr milliseconds kTopUpSpan{ 2000 };
 constexpr unsigned kDoublings = 6;
+// Conflicts in a row that are tried again at once.
+constexpr unsigned kQuickRetries = 4;
 
 // Names a change by its author, what it was made from and what it makes: a
 // later book of the same incarnation never takes another change for its own.
@@ -45,6 +52,7 @@
   : mVm(aSettings.vm)
   , mIncarnation(aSettings.incarnation)
   , mReserve(aSettings.reserve)
+  , mRank(aSettings.rank)
 {
 }
 
@@ -141,9 +149,13 @@
     Adopt();
     return;
   }
+  Retry(aNow);
   // A conflict too may hide an earlier try that was applied: reading back
   // tells.
-  Retry(aNow);
+  const bool first = mFailures <= kQuickRetries;
+  if (aOutcome == platform::swap_outcome::kConflict && first) {
+    mNotBefore = aNow + kConflictPause / 2 + Jitter(kConflictPause);
+  }
 }
 
 void
@@ -310,7 +322,13 @@
     return;
   }
   mPaced = true;
-  mNotBefore = mUrgent ? aNow : aNow + Jitter(kTopUpSpan);
+  if (mUrgent) {
+    mNotBefore = aNow;
+  } else if (Usable() == 0) {
+    mNotBefore = aNow + kRankSpan * mRank + Jitter(kFirstSpan);
+  } else {
+    mNotBefore = aNow + Jitter(kTopUpSpan);
+  }
 }
 
 clock::duration
--- a/src/currantshed/failover/term_book.hpp
+++ b/src/currantshed/failover/term_book.hpp
@@ -24,6 +24,9 @@
   /// different moments.
   void SetGroup(const group::group_name& aGroup);
 
+  /// Later ranks leave the store to earlier ones when all begin together.
+  void SetRank(unsigned aRank) { mRank = aRank; }
+
   /// A term was seen somewhere: only higher ones are of use from now on.
   void See(position::term_id aTerm);
 
@@ -82,6 +85,7 @@
   group::group_name mGroup;
   incarnation_id mIncarnation;
   std::size_t mReserve;
+  unsigned mRank;
   position::term_id mKnown = 0;
   std::vector<position::term_id> mHeld;
   bool mUrgent = false;
--- a/test/currantshed/failover/term_book.cpp
+++ b/test/currantshed/failover/term_book.cpp
@@ -19,6 +19,7 @@
 using currantshed::failover::test::fake_store;
 using currantshed::platform::swap_outcome;
 using std::chrono::milliseconds;
+using namespace std::chrono_literals;
 
 coordinator_settings
 SettingsOf(const std::string& aVm)
@@ -140,6 +141,43 @@
   }
 }
 
+struct pace_row
+{
+  const char* name;
+  unsigned rank;
+  std::vector<call> calls;
+  milliseconds longest;
+};
+
+const pace_row kPaceRows[] = {
+  { "the first owner asks at once", 0, { call::kGood, call::kGood }, 350ms },
+  { "the next ones leave it the field",
+    1,
+    { call::kGood, call::kGood },
+    800ms },
+  { "a race lost is tried again soon",
+    0,
+    { call::kGood, call::kRaced, call::kGood, call::kGood },
+    450ms },
+};
+
+// How long an owner that has just started is without a number.
+TEST(term_book, first_numbers_come_soon)
+{
+  for (const auto& row : kPaceRows) {
+    for (const auto* vm : { "a", "b", "c", "d", "e", "f" }) {
+      fake_store store;
+      bench subject(vm);
+      subject.book.SetRank(row.rank);
+      for (const auto given : row.calls) {
+        subject.Step(store, given);
+      }
+      CHECK_TEXT(subject.book.Lowest().has_value(), row.name);
+      CHECK_TEXT(subject.now.time_since_epoch() <= row.longest, row.name);
+    }
+  }
+}
+
 TEST(term_book, a_broken_record_is_never_written_over)
 {
   fake_store store;
--- a/test/currantshed/member/roster.cpp
+++ b/test/currantshed/member/roster.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -322,3 +323,54 @@
   UNSIGNED_LONGS_EQUAL(1, sends.size());
   STRCMP_EQUAL("a", sends.front().to.id.c_str());
 }
+
+// Events in any order, by seed: a roster keeps a view with itself in it, and
+// addresses only VMs that it was told of.
+TEST(roster, any_order_of_events)
+{
+  constexpr unsigned kVms = 20;
+  constexpr int kEvents = 1500;
+  for (const std::uint64_t seed : { 1, 2, 3, 5, 8, 13 }) {
+    std::mt19937_64 chance(seed);
+    const auto roster = member::MakeRoster(MakeSettings(), seed);
+    const auto pick = [&chance] {
+      const auto number = chance() % kVms;
+      return MakeVm("vm" + std::to_string(number),
+                    std::string(1, "xyz"[number % 3]));
+    };
+    roster->SetGroups({ "g1", "g2", "g3", "g4" });
+    int now = 0;
+    for (int event = 0; event < kEvents; ++event) {
+      now += static_cast<int>(chance() % 200);
+      std::vector<platform::vm> listed;
+      member::heartbeat beat;
+      switch (chance() % 6) {
+        case 0:
+          for (auto count = chance() % kVms; count > 0; --count) {
+            listed.push_back(pick());
+          }
+          roster->Listed(listed, At(now));
+          break;
+        case 1:
+          roster->SetTerm({ "g1", chance() % 100, "s1" });
+          break;
+        case 2:
+          roster->Tick(At(now));
+          break;
+        default:
+          beat.sender = pick();
+          beat.incarnation = std::to_string(chance() % 3);
+          beat.sequence = chance() % 50;
+          beat.heardOf = { pick() };
+          beat.lost = { { pick().id, std::to_string(chance() % 3) } };
+          beat.answer = chance() % 2 == 0;
+          roster->HeartbeatArrived(beat, At(now));
+          break;
+      }
+      for (const auto& send : roster->TakeHeartbeats()) {
+        CHECK(send.to.id.starts_with("vm"));
+      }
+      CHECK(Find(roster->Live(), "self") != nullptr);
+    }
+  }
+}
