--- a/src/currantshed/upstream/pq_connection.hpp
+++ b/src/currantshed/upstream/pq_connection.hpp
@@ -36,12 +36,12 @@
   void OnLost(std::function<void()> aLost);
 
   /// Runs statements as one pipeline that ends with the first error, and
-  /// gives the whole answer. Only on an open connection without a batch under
-  /// way. Statements outside a transaction that they open themselves run in
-  /// one implicit transaction. An answer above the limit, which counts bytes
-  /// as received, is torn with kAnswerLimitState and ends the connection; a
-  /// text with a zero byte can't be sent and is refused with
-  /// kUnsendableTextState before anything runs.
+  /// gives the whole answer. Only without a batch under way; on a connection
+  /// that isn't open the answer is torn. Statements outside a transaction that
+  /// they open themselves run in one implicit transaction. An answer above the
+  /// limit, which counts bytes as received, is torn with kAnswerLimitState and
+  /// ends the connection; a text with a zero byte can't be sent and is refused
+  /// with kUnsendableTextState before anything runs.
   void Run(const std::vector<statement>& aStatements,
            std::size_t aAnswerLimitBytes,
            std::function<void(reply)> aDone);
--- a/src/currantshed/upstream/pq_session.cpp
+++ b/src/currantshed/upstream/pq_session.cpp
@@ -73,6 +73,15 @@
                 std::size_t aAnswerLimitBytes,
                 std::function<void(reply)> aDone)
 {
+  if (mState != state::kOpen) {
+    boost::asio::post(mSocket.get_executor(),
+                      [self = shared_from_this(), done = std::move(aDone)] {
+                        if (!self->mAbandoned) {
+                          done(TornReply(errc::kConnectionLost));
+                        }
+                      });
+    return;
+  }
   mDone = std::move(aDone);
   mReply = reply{};
   mReply.results.reserve(aStatements.size());
--- a/test/currantshed/upstream/pq_connection.cpp
+++ b/test/currantshed/upstream/pq_connection.cpp
@@ -233,6 +233,14 @@
   CHECK(connection->LastError() == errc::kConnectionLost);
 }
 
+TEST(pq_connection, a_batch_on_a_lost_connection_is_torn)
+{
+  auto connection = all.Make();
+  CHECK_TRUE(all.Open(*connection));
+  CHECK(all.Run(*connection, { { kManyRows, {} } }, 1).end == batch_end::kTorn);
+  CHECK(all.Run(*connection, { { "SELECT 1", {} } }).end == batch_end::kTorn);
+}
+
 TEST(pq_connection, a_callback_may_destroy_the_connection)
 {
   auto connection = all.Make();
