Random faults: bounded reads, cancelled requests, replaced primaries

Reads without a session must show what was acknowledged longer ago than their bound; no change may be told as done for a term whose successor has been promoted.

--- a/test/currantshed/group/random_faults.cpp
+++ b/test/currantshed/group/random_faults.cpp
@@ -10,6 +10,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+using currantshed::clock::time_point;
 using currantshed::group::answer;
 using currantshed::group::operation;
 using currantshed::group::request_id;
@@ -23,8 +24,18 @@
 
 constexpr unsigned kSeeds = 40;
 constexpr int kSteps = 400;
+constexpr auto kBound = 400ms;
 const char* const kServers[] = { "s1", "s2", "s3" };
 
+// What a read must see: all that was acknowledged before it, what its session
+// knows of, or what was acknowledged longer ago than its bound.
+enum class sight
+{
+  kFresh,
+  kSession,
+  kBounded,
+};
+
 // What one caller asked, and what it must see.
 struct asked
 {
@@ -83,11 +94,14 @@
       case 5:
       case 6:
       case 7:
-        Read(Below(2) == 0);
+        Read(static_cast<sight>(Below(3)));
         break;
       case 8:
         Transaction();
         break;
+      case 9:
+        Cancel();
+        break;
       default:
         if (Below(4) == 0) {
           Fault();
@@ -104,14 +118,31 @@
     mAsked.push_back({ mGroup.Submit(write), operation::kWrite, value, {} });
   }
 
-  void Read(bool aFresh)
+  void Read(sight aSight)
   {
-    auto read = mGroup.Read(aFresh ? 0ms : 400ms);
-    if (!aFresh) {
+    const auto isFresh = aSight == sight::kFresh;
+    auto read = mGroup.Read(isFresh ? 0ms : kBound);
+    if (aSight == sight::kSession) {
       read.floor = mFloor;
     }
-    mAsked.push_back(
-      { mGroup.Submit(read), operation::kRead, "", mAcknowledged });
+    std::set<std::string> mustSee;
+    for (const auto& [value, when] : mAcknowledged) {
+      if (aSight != sight::kBounded || when + kBound <= mGroup.Now()) {
+        mustSee.insert(value);
+      }
+    }
+    mAsked.push_back({ mGroup.Submit(read), operation::kRead, "", mustSee });
+  }
+
+  // Takes back the newest request that has no answer.
+  void Cancel()
+  {
+    if (mAsked.empty() || mAsked.back().judged ||
+        mGroup.Answer(mAsked.back().id) != nullptr) {
+      return;
+    }
+    mGroup.Engine().Cancel(mAsked.back().id, mGroup.Now());
+    mAsked.pop_back();
   }
 
   void Transaction()
@@ -270,13 +301,27 @@
   void JudgeChange(const asked& aAsked, const answer& aTold)
   {
     if (aTold.verdict == verdict::kDone) {
-      mAcknowledged.insert(aAsked.value);
+      mAcknowledged.emplace(aAsked.value, mGroup.Now());
+      CheckNotReplaced(aTold);
       mFloor = std::max(mFloor, aTold.position);
     } else if (aTold.verdict == verdict::kNotRun) {
       mNotRun.insert(aAsked.value);
     }
   }
 
+  // A failover promotes only after the validity, so nothing may be told as
+  // done for an earlier term from then on.
+  void CheckNotReplaced(const answer& aTold)
+  {
+    for (const auto* name : kServers) {
+      const auto& server = mGroup.Server(name);
+      if (server.role == server_role::kPrimary &&
+          server.term > aTold.position.term) {
+        Breach("acknowledged by a replaced primary");
+      }
+    }
+  }
+
   void JudgeRead(const asked& aAsked, const answer& aTold)
   {
     if (aTold.verdict != verdict::kDone) {
@@ -309,7 +354,7 @@
         Breach("told not run, but ran " + value);
       }
     }
-    for (const auto& value : mAcknowledged) {
+    for (const auto& [value, when] : mAcknowledged) {
       if (!count.contains(value)) {
         Breach("lost " + value);
       }
@@ -333,7 +378,8 @@
   fake_group mGroup;
   std::vector<asked> mAsked;
   std::map<request_id, std::string> mBegun;
-  std::set<std::string> mAcknowledged;
+  // When each value was seen to be acknowledged.
+  std::map<std::string, time_point> mAcknowledged;
   std::set<std::string> mNotRun;
   std::set<std::string> mShown;
   log_position mFloor;
