Look at who waits only when a word is new

Every reply looked at all requests that wait for the servers' words, though the statuses in a reply are dated by when its batch was sent and are mostly older than the last round's. The board now counts its news.

--- a/src/currantshed/confirm/status_board.cpp
+++ b/src/currantshed/confirm/status_board.cpp
@@ -50,6 +50,7 @@
     kept[server] = known == mMembers.end() ? member{} : known->second;
   }
   mMembers = std::move(kept);
+  ++mVersion;
   mTerm = FindTerm();
 }
 
@@ -70,6 +71,7 @@
   if (member.heard && aAskedAt < member.latest.askedAt) {
     return;
   }
+  ++mVersion;
   member.heard = true;
   member.latest = { aStatus, aAskedAt };
   mTerm = FindTerm();
@@ -160,6 +162,12 @@
   return found != mConfirmed.end() && found->second >= aPosition.index;
 }
 
+std::uint64_t
+status_board::Version() const noexcept
+{
+  return mVersion;
+}
+
 const position_samples&
 status_board::Samples() const noexcept
 {
@@ -199,7 +207,11 @@
   }
   std::sort(held.begin(), held.end(), std::greater<>{});
   auto& confirmed = mConfirmed[aTerm];
-  confirmed = std::max(confirmed, held[Majority() - 1]);
+  if (held[Majority() - 1] <= confirmed) {
+    return;
+  }
+  confirmed = held[Majority() - 1];
+  ++mVersion;
   if (mConfirmed.size() > kMostTerms) {
     mConfirmed.erase(mConfirmed.begin());
   }
--- a/src/currantshed/confirm/status_board.hpp
+++ b/src/currantshed/confirm/status_board.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -88,6 +89,9 @@
   [[nodiscard]] bool WasConfirmed(
     const position::log_position& aPosition) const;
 
+  /// Goes up with each word that may change any of the above.
+  [[nodiscard]] std::uint64_t Version() const noexcept;
+
   /// The primary's position at known times.
   [[nodiscard]] const position_samples& Samples() const noexcept;
 
@@ -111,6 +115,7 @@
 
   std::chrono::milliseconds mValidity;
   members mMembers;
+  std::uint64_t mVersion = 0;
   std::optional<majority_term> mTerm;
   // The highest confirmed index of the latest terms.
   std::map<position::term_id, position::log_index> mConfirmed;
--- a/src/currantshed/group/group_engine.hpp
+++ b/src/currantshed/group/group_engine.hpp
@@ -138,6 +138,8 @@
   absl::btree_set<request_id> mRunning;
   absl::btree_set<request_id> mAwaiting;
   position::term_id mTermSeen = 0;
+  // The version of the board whose news were spread last.
+  std::uint64_t mVersionSeen = 0;
   // When the queues were last looked at.
   clock::time_point mLooked{};
 };
--- a/src/currantshed/group/upkeep.cpp
+++ b/src/currantshed/group/upkeep.cpp
@@ -8,6 +8,10 @@
 void
 group_engine::SpreadNews(clock::time_point aNow)
 {
+  if (mContext.board.Version() == mVersionSeen) {
+    return;
+  }
+  mVersionSeen = mContext.board.Version();
   const std::vector<request_id> waiting(mAwaiting.begin(), mAwaiting.end());
   for (const auto request : waiting) {
     const auto found = mEntries.find(request);
