Connect anew to a server that has moved

A server that came back at another address under its name kept its pool's connections to the old one. The new test failed without the comparison of addresses, and passes with it. The batches that look up and void a key are in a file of their own.

--- a/src/currantshed/group/changes.cpp
+++ b/src/currantshed/group/changes.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <utility>
 
+#include "currantshed/group/key_batches.hpp"
 #include "currantshed/group/refusals.hpp"
 
 namespace currantshed::group {
@@ -17,13 +18,6 @@
 
 // Statements after those of the caller: status, commit, status.
 constexpr std::size_t kClosing = 3;
-// Look-up batch: record, status.
-constexpr std::size_t kLookUpRecord = 0;
-constexpr std::size_t kLookUpStatus = 1;
-// Void batch: begin, void, record, status, commit, status.
-constexpr std::size_t kVoidRecord = 2;
-constexpr std::size_t kVoidBefore = 3;
-constexpr std::size_t kVoidAfter = 5;
 
 } // namespace
 
@@ -61,9 +55,9 @@
   mTerm = term ? term->term : 0;
   switch (mPhase) {
     case phase::kLookUp:
-      return ComposeLookUp();
+      return LookUpBatch(*Shared().dialect, Request().key);
     case phase::kVoid:
-      return ComposeVoid();
+      return VoidBatch(*Shared().dialect, Request().key, Digest().value_or(""));
     case phase::kApply:
       break;
   }
@@ -302,25 +296,4 @@
   return made;
 }
 
-std::vector<upstream::statement>
-change_flow::ComposeLookUp() const
-{
-  const auto& dialect = *Shared().dialect;
-  return { dialect.ReadOutcome(Request().key.Text()), dialect.Status() };
-}
-
-std::vector<upstream::statement>
-change_flow::ComposeVoid() const
-{
-  const auto& dialect = *Shared().dialect;
-  const auto key = Request().key.Text();
-  return { dialect.Begin(false),
-           dialect.VoidOutcome(
-             key, Request().key.IssuedAt(), Digest().value_or("")),
-           dialect.ReadOutcome(key),
-           dialect.Status(),
-           dialect.Commit(),
-           dialect.Status() };
-}
-
 } // namespace currantshed::group
--- a/src/currantshed/group/changes.hpp
+++ b/src/currantshed/group/changes.hpp
@@ -85,8 +85,6 @@
   [[nodiscard]] step TryAgain(outcome::reason aWhy);
   /// What the record of the key says.
   [[nodiscard]] answer FromRecord(const outcome::stored_outcome& aRecord) const;
-  [[nodiscard]] std::vector<upstream::statement> ComposeLookUp() const;
-  [[nodiscard]] std::vector<upstream::statement> ComposeVoid() const;
 
   phase mPhase = phase::kApply;
   dispatch mDispatch;
--- a/src/currantshed/group/links.cpp
+++ b/src/currantshed/group/links.cpp
@@ -5,6 +5,18 @@
 
 namespace currantshed::group {
 
+namespace {
+
+// Whether a server goes by the same name at the same address.
+bool
+IsSamePlace(const member& aLeft, const member& aRight)
+{
+  return aLeft.id == aRight.id && aLeft.address == aRight.address &&
+         aLeft.port == aRight.port;
+}
+
+} // namespace
+
 links::links(context& aContext, std::vector<action>& aActions)
   : mContext(aContext)
   , mActions(aActions)
@@ -14,6 +26,7 @@
 std::vector<request_id>
 links::Configure(const description& aGroup)
 {
+  auto torn = CloseAllBut(aGroup);
   std::vector<server> servers;
   for (const auto& member : aGroup.members) {
     server next;
@@ -26,14 +39,29 @@
     servers.push_back(std::move(next));
   }
   mServers = std::move(servers);
+  return torn;
+}
+
+std::vector<request_id>
+links::CloseAllBut(const description& aGroup)
+{
   std::vector<request_id> torn;
   std::vector<connection_id> closed;
   for (const auto& [id, link] : mLinks) {
-    if (Find(link.server) == nullptr) {
-      closed.push_back(id);
-      if (link.running && link.request) {
-        torn.push_back(*link.request);
-      }
+    const auto* known = Find(link.server);
+    const auto stays =
+      known != nullptr &&
+      std::any_of(aGroup.members.begin(),
+                  aGroup.members.end(),
+                  [known](const member& aMember) {
+                    return IsSamePlace(aMember, known->description);
+                  });
+    if (stays) {
+      continue;
+    }
+    closed.push_back(id);
+    if (link.running && link.request) {
+      torn.push_back(*link.request);
     }
   }
   for (const auto id : closed) {
--- a/src/currantshed/group/links.hpp
+++ b/src/currantshed/group/links.hpp
@@ -29,8 +29,8 @@
 public:
   links(context& aContext, std::vector<action>& aActions);
 
-  /// Takes over the servers. Connections to one that is gone are closed;
-  /// requests whose batches ran on them are handed back.
+  /// Takes over the servers. Connections to one that is gone, or has another
+  /// address, are closed; requests whose batches ran on them are handed back.
   [[nodiscard]] std::vector<request_id> Configure(const description& aGroup);
 
   /// The servers as candidates for a batch on a connection of the kind.
@@ -114,6 +114,9 @@
     std::optional<request_id> request;
   };
 
+  /// Closes the connections to servers that aren't at the same place there;
+  /// requests whose batches ran on them are handed back.
+  [[nodiscard]] std::vector<request_id> CloseAllBut(const description& aGroup);
   [[nodiscard]] server* Find(const upstream::server_id& aServer);
   [[nodiscard]] const server* Find(const upstream::server_id& aServer) const;
   void Open(server& aServer, bool aReadOnly);
--- a/test/currantshed/group/engine.cpp
+++ b/test/currantshed/group/engine.cpp
@@ -322,3 +322,13 @@
   LONGS_EQUAL(0, group.Server("s3").connections);
   CHECK(group.Call(group.Write("report")).verdict == verdict::kDone);
 }
+
+TEST(engine, a_server_that_moved_gets_new_connections)
+{
+  fake_group group;
+  group.Run(100ms);
+  CHECK(group.Server("s1").connections > 0);
+  group.Move("s1");
+  LONGS_EQUAL(0, group.Server("s1").connections);
+  CHECK(group.Call(group.Write("report")).verdict == verdict::kDone);
+}
--- a/test/currantshed/group/fake_group.cpp
+++ b/test/currantshed/group/fake_group.cpp
@@ -171,6 +171,16 @@
   Perform();
 }
 
+void
+fake_group::Move(const upstream::server_id& aServer)
+{
+  for (auto& member : mDescription.members) {
+    member.port += member.id == aServer ? 1 : 0;
+  }
+  mEngine->Configure(mDescription, mNow);
+  Perform();
+}
+
 void
 fake_group::Drop(const upstream::server_id& aServer)
 {
--- a/test/currantshed/group/fake_group.hpp
+++ b/test/currantshed/group/fake_group.hpp
@@ -60,6 +60,9 @@
 
   void SetTransactionLimit(std::chrono::milliseconds aLimit);
 
+  /// Lists a server at another port, as after its move.
+  void Move(const upstream::server_id& aServer);
+
   /// Takes a server out of the list that the engine gets.
   void Drop(const upstream::server_id& aServer);
 
