--- a/src/currantshed/gateway/caller_server.cpp
+++ b/src/currantshed/gateway/caller_server.cpp
@@ -59,6 +59,11 @@
     return {};
   }
 
+  [[nodiscard]] std::uint16_t Port() const
+  {
+    return mAcceptor.local_endpoint().port();
+  }
+
   void Answer(const caller_answer& aAnswer)
   {
     const auto found = mWaiting.find(aAnswer.number);
@@ -254,6 +259,12 @@
   return mImplementation->Start(aAddress, aPort);
 }
 
+std::uint16_t
+caller_server::Port() const
+{
+  return mImplementation->Port();
+}
+
 void
 caller_server::Answer(const caller_answer& aAnswer)
 {
--- a/src/currantshed/gateway/caller_server.hpp
+++ b/src/currantshed/gateway/caller_server.hpp
@@ -50,6 +50,9 @@
   [[nodiscard]] std::error_code Start(const std::string& aAddress,
                                       std::uint16_t aPort);
 
+  /// The port that it listens at.
+  [[nodiscard]] std::uint16_t Port() const;
+
   /// Gives the answer to a request; dropped when its caller has gone.
   void Answer(const caller_answer& aAnswer);
 
