Ask the next owner when a pooler reaches no primary

Cause: the leader of a group is chosen by the live VMs alone. A pooler that is cut off from the database servers, but not from its peers, kept the lead, and every write to its groups was told not run for as long as that lasted.

Ruled out: passing the pooler over for all groups (it may reach the others); asking without a budget (in a true failover every request would be tripled).

Not run against real processes with a pooler cut off.

Conclusion: one cut-off pooler costs a group some speed, no longer its writes.

--- a/src/currantshed/gateway/outcome.cpp
+++ b/src/currantshed/gateway/outcome.cpp
@@ -82,14 +82,10 @@
 private:
   step Replied(exchange& aExchange, clock::time_point aNow)
   {
-    const group::answer& reply = aExchange.reply;
     if (aExchange.next == operation::kResolve) {
       return Resolved(aExchange, aNow);
     }
-    const bool notRun = reply.verdict == verdict::kNotRun;
-    if (notRun && reply.why == reason::kLeaving && !IsBound(aExchange) &&
-        mState.retries.Spend()) {
-      mState.health.Suspect(aExchange.vm, aNow + mState.settings.suspectFor);
+    if (CanTryNext(aExchange, aNow)) {
       aExchange.lost.push_back(aExchange.vm);
       return Again(aExchange);
     }
@@ -99,6 +95,30 @@
     return Settle(aExchange, Translate(aExchange));
   }
 
+  /// Whether the pooler surely did not run the request, for a reason that does
+  /// not hold for the group's next owner, and that one may be asked. Notes
+  /// what the reply says of the pooler.
+  [[nodiscard]] bool CanTryNext(const exchange& aExchange,
+                                clock::time_point aNow)
+  {
+    const group::answer& reply = aExchange.reply;
+    if (reply.verdict != verdict::kNotRun || IsBound(aExchange)) {
+      return false;
+    }
+    const auto until = aNow + mState.settings.suspectFor;
+    if (reply.why == reason::kLeaving) {
+      mState.health.Suspect(aExchange.vm, until);
+    } else if (reply.why == reason::kNoPrimary) {
+      // The pooler may be cut off from a primary that others reach.
+      mState.health.SuspectFor(aExchange.group, aExchange.vm, until);
+    } else {
+      return false;
+    }
+    const std::size_t owners = mState.Owners(aExchange.group).size();
+    return aExchange.lost.size() + 1 < owners && TimeLeft(aExchange, aNow) &&
+           mState.retries.Spend();
+  }
+
   /// Whether the reply leaves open what became of the change.
   [[nodiscard]] static bool InDoubt(const exchange& aExchange)
   {
--- a/src/currantshed/gateway/pooler_health.cpp
+++ b/src/currantshed/gateway/pooler_health.cpp
@@ -21,11 +21,25 @@
   mWords[aVm].suspectUntil = aUntil;
 }
 
+void
+pooler_health::SuspectFor(const group::group_name& aGroup,
+                          const std::string& aVm,
+                          clock::time_point aUntil)
+{
+  mCutOff[{ aGroup, aVm }] = aUntil;
+}
+
 bool
-pooler_health::Suspected(const std::string& aVm, clock::time_point aNow) const
+pooler_health::Suspected(const group::group_name& aGroup,
+                         const std::string& aVm,
+                         clock::time_point aNow) const
 {
-  const auto found = mWords.find(aVm);
-  return found != mWords.end() && aNow < found->second.suspectUntil;
+  const auto known = mWords.find(aVm);
+  if (known != mWords.end() && aNow < known->second.suspectUntil) {
+    return true;
+  }
+  const auto cutOff = mCutOff.find({ aGroup, aVm });
+  return cutOff != mCutOff.end() && aNow < cutOff->second;
 }
 
 } // namespace currantshed::gateway
--- a/src/currantshed/gateway/pooler_health.hpp
+++ b/src/currantshed/gateway/pooler_health.hpp
@@ -2,11 +2,13 @@
 #define CURRANTSHED_GATEWAY_POOLER_HEALTH_HPP
 
 #include <string>
+#include <utility>
 
 #include <absl/container/flat_hash_map.h>
 
 #include "currantshed/clock/time.hpp"
 #include "currantshed/gateway/fwd.hpp"
+#include "currantshed/group/fwd.hpp"
 
 namespace currantshed::gateway {
 
@@ -25,7 +27,14 @@
   /// is left.
   void Suspect(const std::string& aVm, clock::time_point aUntil);
 
-  [[nodiscard]] bool Suspected(const std::string& aVm,
+  /// The same for one group: its primary can't be reached from there.
+  void SuspectFor(const group::group_name& aGroup,
+                  const std::string& aVm,
+                  clock::time_point aUntil);
+
+  /// Whether the VM's pooler is passed over for a group.
+  [[nodiscard]] bool Suspected(const group::group_name& aGroup,
+                               const std::string& aVm,
                                clock::time_point aNow) const;
 
 private:
@@ -35,7 +44,10 @@
     clock::time_point suspectUntil;
   };
 
+  using place = std::pair<group::group_name, std::string>;
+
   absl::flat_hash_map<std::string, word> mWords;
+  absl::flat_hash_map<place, clock::time_point> mCutOff;
 };
 
 } // namespace currantshed::gateway
--- a/src/currantshed/gateway/route.cpp
+++ b/src/currantshed/gateway/route.cpp
@@ -110,7 +110,7 @@
       if (Holds(aExchange.lost, vm)) {
         continue;
       }
-      if (!mState.health.Suspected(vm, aNow)) {
+      if (!mState.health.Suspected(aExchange.group, vm, aNow)) {
         return &vm;
       }
       if (second == nullptr) {
--- a/test/currantshed/gateway/engine.cpp
+++ b/test/currantshed/gateway/engine.cpp
@@ -8,6 +8,7 @@
 
 #include "currantshed/gateway/error.hpp"
 #include "currantshed/gateway/transaction_name.hpp"
+#include "currantshed/member/roster.hpp"
 #include "currantshed/session/token.hpp"
 #include "test/currantshed/gateway/engine_bench.hpp"
 
@@ -348,6 +349,23 @@
                bench.log.c_str());
 }
 
+TEST(gateway_engine, pooler_cut_off_from_one_group_still_serves_others)
+{
+  engine_bench bench;
+  bench.Submit(Call("lookup"));
+  bench.Reply(Answer(verdict::kNotRun, reason::kNoPrimary));
+  bench.Reply(Answer(verdict::kDone));
+  bench.Submit(Call("lookup"));
+  bench.Reply(Answer(verdict::kDone));
+  STRCMP_EQUAL("read@0 read@1 done read@1 done", bench.log.c_str());
+  auto other = Call("planning");
+  other.group = "planner";
+  const auto owners =
+    currantshed::member::ChooseOwners("planner", SampleView().live, 3);
+  bench.Submit(other);
+  STRCMP_EQUAL(owners[0].id.c_str(), bench.sent.vm.c_str());
+}
+
 TEST(gateway_engine, late_answer_of_a_lost_pooler_is_dropped)
 {
   engine_bench bench;
