Measure reads that may lag, and overload without a backlog of its own

Cause: a mix of sessions that write tells little of replicas, since their own changes bind most reads; and sessions of the open loop counted their own backlog as latency, so that an overload could not be judged. Change: reads runs the mix and a class that allows every lag; the open loop leaves out beginnings over 100 ms late and counts them; capacity is counted in activities, as the rate is.

--- a/src/currantshed/load/checker.cpp
+++ b/src/currantshed/load/checker.cpp
@@ -266,6 +266,8 @@
 Check(const history& aHistory, const std::vector<holding>& aHoldings)
 {
   findings result;
+  result.activities = aHistory.activities;
+  result.missedStarts = aHistory.missedStarts;
   CheckChanges(result, aHistory, aHoldings);
   CheckOwnReads(result, aHistory);
   CheckStaleness(result, aHistory);
--- a/src/currantshed/load/checker.hpp
+++ b/src/currantshed/load/checker.hpp
@@ -61,6 +61,8 @@
   std::uint64_t cutOff = 0;
   /// Changes of groups whose holding could not be read.
   std::uint64_t unchecked = 0;
+  std::uint64_t activities = 0;
+  std::uint64_t missedStarts = 0;
   std::uint64_t reads = 0;
   std::uint64_t replicaReads = 0;
   std::vector<failover_gap> gaps;
--- a/src/currantshed/load/history.cpp
+++ b/src/currantshed/load/history.cpp
@@ -29,6 +29,8 @@
   MoveTo(aTarget.tagReads, source.tagReads);
   MoveTo(aTarget.answers, source.answers);
   MoveTo(aTarget.cuts, source.cuts);
+  aTarget.activities += source.activities;
+  aTarget.missedStarts += source.missedStarts;
 }
 
 } // namespace currantshed::load
--- a/src/currantshed/load/history.hpp
+++ b/src/currantshed/load/history.hpp
@@ -124,6 +124,11 @@
   std::vector<tag_read> tagReads;
   std::vector<answer_record> answers;
   std::vector<cut_record> cuts;
+  /// Activities that ended, of ordinary sessions.
+  std::uint64_t activities = 0;
+  /// Beginnings of the open loop that a session skipped since it was still
+  /// waiting for earlier answers.
+  std::uint64_t missedStarts = 0;
 };
 
 /// What one group's primary holds after the run.
--- a/src/currantshed/load/report.cpp
+++ b/src/currantshed/load/report.cpp
@@ -152,6 +152,8 @@
     { "mixed_transactions", aFindings.mixedTransactions },
     { "cut_off", aFindings.cutOff },
     { "unchecked", aFindings.unchecked },
+    { "activities", aFindings.activities },
+    { "missed_starts", aFindings.missedStarts },
     { "reads", aFindings.reads },
     { "replica_read_share", ReplicaShare(aFindings) },
     { "failover_gap_ms", LongestGap(aFindings) },
--- a/src/currantshed/load/runner.cpp
+++ b/src/currantshed/load/runner.cpp
@@ -21,6 +21,8 @@
 /// The longest that a session rests because an answer asked for it.
 constexpr milliseconds kLongestRest{ 2000 };
 constexpr milliseconds kPreparePause{ 100 };
+/// How late a session of the open loop still begins.
+constexpr milliseconds kLatestStart{ 100 };
 
 /// Ends a coroutine's failure where it would vanish: in the process.
 void
@@ -41,6 +43,13 @@
   return !counts.stop && !counted && aCaller.Now() < plan.length;
 }
 
+void
+CountActivity(caller& aCaller)
+{
+  ++aCaller.Progress().activities;
+  ++aCaller.History().activities;
+}
+
 /// Rests after an activity, as long as its answer or the plan asks for.
 asio::awaitable<void>
 RestAfter(caller& aCaller, milliseconds aRetryAfter)
@@ -87,13 +96,15 @@
     const std::string group = groups[aCaller.Below(groups.size())];
     aCaller.Roam();
     const answer reply = co_await activities.Pick(aCaller).Run(aCaller, group);
-    ++aCaller.Progress().activities;
+    CountActivity(aCaller);
     co_await RestAfter(aCaller, reply.retryAfter);
   }
 }
 
 /// A session in the open loop: begins at its own times. What it begins late
-/// counts from when it ought to have begun.
+/// counts from when it ought to have begun, and what would be very late is
+/// left out and counted, so that latencies show the system and not a backlog
+/// in this program.
 asio::awaitable<void>
 LiveOpen(caller& aCaller)
 {
@@ -103,6 +114,11 @@
     std::chrono::duration_cast<moment>(std::chrono::duration<double>(each));
   moment next{ aCaller.Below(static_cast<std::uint64_t>(interval.count())) };
   while (Goes(aCaller)) {
+    if (aCaller.Now() > next + kLatestStart) {
+      ++aCaller.History().missedStarts;
+      next += interval;
+      continue;
+    }
     if (next > aCaller.Now()) {
       co_await aCaller.Rest(next - aCaller.Now());
     }
@@ -111,7 +127,7 @@
     aCaller.Roam();
     aCaller.BeginAt(next);
     (void)co_await activities.Pick(aCaller).Run(aCaller, group);
-    ++aCaller.Progress().activities;
+    CountActivity(aCaller);
     next += interval;
   }
 }
--- a/test/currantshed/load/checker.cpp
+++ b/test/currantshed/load/checker.cpp
@@ -290,7 +290,12 @@
                               told::kAbandoned }) {
     load::Append(given, Told(outcome));
   }
+  given.activities = 5;
+  given.missedStarts = 2;
+  load::Append(given, { .activities = 1, .missedStarts = 1 });
   const auto found = load::Check(given, Held(1));
+  UNSIGNED_LONGLONGS_EQUAL(6, found.activities);
+  UNSIGNED_LONGLONGS_EQUAL(3, found.missedStarts);
   UNSIGNED_LONGLONGS_EQUAL(2, found.acknowledged);
   UNSIGNED_LONGLONGS_EQUAL(1, found.notRun);
   UNSIGNED_LONGLONGS_EQUAL(1, found.unknown);
--- a/tools/lib/measure.sh
+++ b/tools/lib/measure.sh
@@ -134,43 +134,62 @@
     END { rank = int((NR * share + 99) / 100); print value[rank < 1 ? 1 : rank] }'
 }
 
+# For each lag, the mix of the shape's classes by sessions that also write; and
+# sessions that only read, of a class that allows each of these lags, so that
+# each of their reads may be served by a replica.
 measure_reads() {
-  local lag id parts=()
+  local lag id parts=() allowed
+  allowed=$(measure_lagging_classes)
   measure_start || return 1
   for lag in 0 10 100 1000 10000 30000; do
     for id in "${CLUSTER_UPSTREAMS[@]}"; do
       cluster_fault "$id" "lag_ms=$lag" || return 1
     done
-    measure_load "reads.$lag" --length-ms 8000 --read-percent 80
-    parts+=("$(measure_reads_figures "$lag")")
+    measure_load "reads.mix.$lag" --length-ms 8000 --read-percent 80
+    measure_load "reads.allowed.$lag" --length-ms 8000 --read-percent 100 \
+      --classes "$allowed"
+    parts+=("{\"lag_ms\":$lag,\"mix\":$(
+      measure_reads_figures "mix.$lag"),\"allowed\":$(
+      measure_reads_figures "allowed.$lag")}")
   done
   echo "{\"verb\":\"reads\",\"shape\":\"$shape\",\"baseline_all_to_primary\":0,\"lags\":[$(
     printf '%s\n' "${parts[@]}" | measure_join)]}"
 }
 
+# A class that writes, for the row that dates reads, and the class that may
+# lag most.
+measure_lagging_classes() {
+  case $shape in
+    qasr) echo design-save,catalogue-browsing ;;
+    *) echo theft-report,report-history ;;
+  esac
+}
+
 measure_reads_figures() {
-  local file=$scratch/reads.$1.json name line="{\"lag_ms\":$1"
+  local file=$scratch/reads.$1.json name line=
   for name in replica_read_share reads ryw_breaches stale_breaches lost \
     doubled mixed_transactions kept; do
-    line+=",\"$name\":$(measure_field "$name" "$file")"
+    line+="${line:+,}\"$name\":$(measure_field "$name" "$file")"
   done
-  echo "$line}"
+  echo "{$line}"
 }
 
+# The capacity is what sessions that wait for their answers reach; then the
+# same mix begins at multiples of it, answered or not.
 measure_overload() {
-  local length=8 capacity share rate parts=()
+  local length=8 capacity share parts=()
   measure_start || return 1
   measure_load capacity --length-ms $((length * 1000)) --sessions 96 \
     --rest-ms 0 || return 1
-  capacity=$(($(measure_field requests "$scratch/capacity.json") / length))
+  capacity=$(($(measure_field activities "$scratch/capacity.json") / length))
   for share in 50 100 200 400; do
-    rate=$((capacity * share / 100))
     measure_load "overload.$share" --length-ms $((length * 1000)) \
-      --sessions 2000 --rate $((rate > 0 ? rate : 1)) --threads 4
+      --sessions 3000 --rate $((capacity * share / 100 + 1)) --threads 4
     parts+=("{\"percent_of_capacity\":$share,\"summary\":$(
       cat "$scratch/overload.$share.json")}")
   done
-  echo "{\"verb\":\"overload\",\"shape\":\"$shape\",\"capacity_requests_per_second\":$capacity,\"length_s\":$length,\"runs\":[$(
+  echo "{\"verb\":\"overload\",\"shape\":\"$shape\",\"capacity_activities_per_second\":$capacity,\"length_s\":$length,\"closed_loop\":$(
+    cat "$scratch/capacity.json"),\"runs\":[$(
     printf '%s\n' "${parts[@]}" | measure_join)]}"
 }
 
