--- a/tools/lib/cluster.sh
+++ b/tools/lib/cluster.sh
@@ -32,6 +32,7 @@
 declare -A CLUSTER_UPSTREAM=()
 declare -A CLUSTER_PEERS=()
 declare -A CLUSTER_FIRST=()
+CLUSTER_LOCKED=no
 CLUSTER_VMS=()
 # The key that seals sessions' tokens: one for every gateway, new each time.
 CURRANTSHED_TOKEN_KEYS=k1:$(od -An -N32 -tx1 /dev/urandom | tr -d ' \n')
@@ -48,6 +49,55 @@
   done
 }
 
+# Whether every process that was started still runs; names one that does not.
+cluster_alive() {
+  local name
+  for name in "${!CLUSTER_PID[@]}"; do
+    if cluster_gone "${CLUSTER_PID[$name]}"; then
+      cluster_fail "$name ended at its start: $(
+        tail -n 1 "$CLUSTER_DIR/$name.log" | cut -c 1-300)"
+      return 1
+    fi
+  done
+}
+
+# Repeats a command as cluster_await does, but gives up at once when a process
+# has ended.
+cluster_await_start() {
+  local until=$((SECONDS + $1)) what=$2
+  shift 2
+  until "$@" >/dev/null; do
+    cluster_alive || return 1
+    if [ "$SECONDS" -ge "$until" ]; then
+      cluster_fail "$what"
+      return 1
+    fi
+    sleep 0.05
+  done
+  cluster_alive
+}
+
+# Takes the deployment's ports for this run: two on the same ports would answer
+# each other's questions. The lock is passed on to what is started, so that
+# left-overs of a killed run hold it too.
+cluster_lock() {
+  local file=${TMPDIR:-/tmp}/currantshed-ports-$CLUSTER_PLATFORM_PORT.lock
+  exec {CLUSTER_LOCK}>>"$file"
+  if ! flock -n "$CLUSTER_LOCK"; then
+    exec {CLUSTER_LOCK}>&-
+    cluster_fail "the ports from $CLUSTER_PLATFORM_PORT on are in use by $(cat "$file")"
+    return 1
+  fi
+  echo "process $$ ($0)" >"$file"
+  CLUSTER_LOCKED=yes
+}
+
+cluster_unlock() {
+  [ "$CLUSTER_LOCKED" = yes ] || return 0
+  exec {CLUSTER_LOCK}>&-
+  CLUSTER_LOCKED=no
+}
+
 cluster_fail() {
   echo "cluster: $1" >&2
   return 1
@@ -257,20 +307,21 @@
   CLUSTER_DIR=$2
   mkdir -p "$CLUSTER_DIR"
   cluster_read "$1" || return 1
+  cluster_lock || return 1
   cluster_launch platform currantshed-standin-platform \
     --address "$CLUSTER_PLATFORM_ADDRESS" --port "$CLUSTER_PLATFORM_PORT" \
     --shape "$CLUSTER_SHAPE"
   for id in "${CLUSTER_UPSTREAMS[@]}"; do
     cluster_upstream_start "$id"
   done
-  cluster_await 10 cluster_platform_up ||
-    cluster_fail "the platform does not answer" || return 1
+  cluster_await_start 10 "the platform does not answer" cluster_platform_up ||
+    return 1
   for id in "${CLUSTER_UPSTREAMS[@]}"; do
-    cluster_await 10 cluster_state "$id" >/dev/null ||
-      cluster_fail "upstream $id does not answer" || return 1
+    cluster_await_start 10 "upstream $id does not answer" \
+      cluster_state "$id" || return 1
   done
-  cluster_await 10 cluster_apply ||
-    cluster_fail "the declaration can't be applied" || return 1
+  cluster_await_start 10 "the declaration can't be applied" cluster_apply ||
+    return 1
   for id in $CLUSTER_SPARES; do
     cluster_platform_vm "$id" gone ||
       cluster_fail "VM $id can't be kept back" || return 1
@@ -280,8 +331,8 @@
   done
   for id in "${CLUSTER_VMS[@]}"; do
     [[ " $CLUSTER_SPARES " != *" $id "* ]] || continue
-    cluster_await 20 cluster_vm_ready "$id" ||
-      cluster_fail "VM $id is not ready" || return 1
+    cluster_await_start 20 "VM $id is not ready" cluster_vm_ready "$id" ||
+      return 1
   done
 }
 
@@ -297,5 +348,6 @@
   for name in "${!CLUSTER_PID[@]}"; do
     cluster_end "$name" 5
   done
+  cluster_unlock
   return 0
 }
