Failover: move off a leaving primary while others leave too

Change: a planned move needs a majority that answers, with one staying server that has caught up; leaving servers go on to take fences and log records. New marks end the pause between planned moves.

Ruled out: choosing a staying server that is behind; it may lack what was confirmed.

--- a/src/currantshed/failover/coordinator.cpp
+++ b/src/currantshed/failover/coordinator.cpp
@@ -21,7 +21,8 @@
 // A pooler that did not promote the primary looks after its publication
 // after this time, for each rank and once more.
 constexpr milliseconds kPublishDelay{ 2000 };
-// Time between two planned moves, so that a group never moves in circles.
+// Time between two planned moves for the same marks of leaving servers, so that
+// a group never moves in circles.
 constexpr milliseconds kPlannedPause{ 10000 };
 
 bool
@@ -30,6 +31,19 @@
   return aCause == cause::kLeaving || aCause == cause::kStray;
 }
 
+// The servers that the platform marks as leaving.
+std::vector<upstream::server_id>
+LeavingMarks(const group::description& aGroup)
+{
+  std::vector<upstream::server_id> marked;
+  for (const auto& member : aGroup.members) {
+    if (member.leaving) {
+      marked.push_back(member.id);
+    }
+  }
+  return marked;
+}
+
 // Joins detection, terms, promotion and repair for one group.
 class group_coordinator final : public coordinator
 {
@@ -52,6 +66,9 @@
     if (!SameServers(aGroup)) {
       mPromoter.Abandon();
     }
+    if (LeavingMarks(mGroup) != LeavingMarks(aGroup)) {
+      mPlannedFrom = {};
+    }
     mGroup = aGroup;
     mWatch.Configure(aGroup, aNow);
     mBook.SetGroup(aGroup.name);
--- a/src/currantshed/failover/detector.cpp
+++ b/src/currantshed/failover/detector.cpp
@@ -36,25 +36,29 @@
          *aStatus.sincePrimary > aSuspectAfter;
 }
 
-// Whether servers that stay form a majority and one of them has caught up.
+// Whether a majority answers and one that stays has caught up. Servers that
+// leave still count for the majority: fences and log records are no new work.
 bool
 CanMove(const server_watch& aWatch,
         const server_view& aPrimary,
         clock::time_point aNow)
 {
-  std::size_t staying = 0;
+  std::size_t fresh = 0;
   bool caughtUp = false;
   for (const auto& [id, server] : aWatch.Servers()) {
-    if (server.member.leaving || !aWatch.IsFresh(server, aNow)) {
+    if (!aWatch.IsFresh(server, aNow)) {
+      continue;
+    }
+    ++fresh;
+    if (server.member.leaving) {
       continue;
     }
-    ++staying;
     const auto& stored = server.status->stored;
     const auto& goal = aPrimary.status->stored;
     caughtUp = caughtUp || (stored.term == goal.term &&
                             stored.index + kCaughtUp >= goal.index);
   }
-  return caughtUp && staying >= aWatch.Majority();
+  return caughtUp && fresh >= aWatch.Majority();
 }
 
 bool
--- a/test/currantshed/failover/coordinator.cpp
+++ b/test/currantshed/failover/coordinator.cpp
@@ -334,3 +334,33 @@
     }
   }
 }
+
+// Servers that leave are left by the primary soon, also when the second one
+// is marked while the first move has just ended, and when those that stay are
+// no majority.
+TEST(coordinator, servers_leave)
+{
+  struct row
+  {
+    const char* name;
+    milliseconds between;
+  };
+  const row rows[] = {
+    { "both at once", milliseconds{ 0 } },
+    { "the second during the first move", milliseconds{ 300 } },
+    { "the second after the first move", milliseconds{ 2000 } },
+  };
+  for (const auto& row : rows) {
+    for (const auto seed : kSeeds) {
+      world_settings settings;
+      settings.seed = seed;
+      world subject(settings);
+      LeavePrimary(subject);
+      subject.At(kFault + row.between, [&] { subject.SetLeaving("s1"); });
+      subject.Run(kFault + row.between + milliseconds{ 3000 });
+      const auto role = subject.Servers().At("s2").role;
+      CHECK_TEXT(role == currantshed::upstream::server_role::kPrimary,
+                 absl::StrCat(row.name, ", seed ", seed).c_str());
+    }
+  }
+}
--- a/test/currantshed/failover/world.hpp
+++ b/test/currantshed/failover/world.hpp
@@ -112,6 +112,7 @@
   void Beat(std::size_t aPooler);
   void Write();
   void NotePromotion(const promote& aWhat);
+  [[nodiscard]] bool IsLeaving(const upstream::server_id& aServer) const;
   [[nodiscard]] bool Lost();
   [[nodiscard]] clock::duration Delay();
   [[nodiscard]] coordinator_settings SettingsOf(unsigned aPooler) const;
