Let one process hold a link to every pooler

Cause: a gateway opens a link for each leader it asks and each of its threads, and a link takes three ZeroMQ sockets. ZeroMQ's own bound is 1023 sockets, and the constructor throws beyond it, which nothing catches. With 740 groups led by some 400 of 530 poolers, two threads need about 2,400.

Ruled out: catching the throw alone, since the requests to the poolers beyond the bound would still fail.

Change: net::MakeContext sets the bound to 16,384; both daemons use it.

Memory of the larger bound: not measured apart. Ends of poolers by SIGABRT, seen in one trial with 96 of them on an overloaded machine, are not explained by this with certainty.

Conclusion: the bound is above the planned size; files open to a process must follow (docs/CAPACITY.md).

--- a/bin/currantshed-gateway/main.cpp
+++ b/bin/currantshed-gateway/main.cpp
@@ -17,6 +17,7 @@
 #include "currantshed/gateway/worker.hpp"
 #include "currantshed/http/status_server.hpp"
 #include "currantshed/log/log.hpp"
+#include "currantshed/net/zmq_context.hpp"
 
 namespace {
 
@@ -183,7 +184,7 @@
   }
 
   const gateway::options& mOptions;
-  zmq::context_t mZmq;
+  zmq::context_t mZmq = net::MakeContext();
   boost::asio::io_context mContext;
   gateway::metrics mMetrics;
   gateway::control mControl;
--- a/bin/currantshed-pooler/main.cpp
+++ b/bin/currantshed-pooler/main.cpp
@@ -12,6 +12,7 @@
 #include "bin/currantshed-pooler/options.hpp"
 #include "currantshed/http/status_server.hpp"
 #include "currantshed/log/log.hpp"
+#include "currantshed/net/zmq_context.hpp"
 #include "currantshed/pooler/control.hpp"
 #include "currantshed/pooler/metrics.hpp"
 #include "currantshed/pooler/status_board.hpp"
@@ -113,7 +114,7 @@
   }
 
   const pooler::options& mOptions;
-  zmq::context_t mZmq;
+  zmq::context_t mZmq = net::MakeContext();
   boost::asio::io_context mContext;
   pooler::metrics mMetrics;
   pooler::status_board mBoard;
