Work the owners out anew only when the lists bring other groups

Cause: a pooler reads the platform's lists each second and worked out the owners of every group twice after each reading, also when nothing had changed.

Ruled out: reading the lists more rarely alone, since what leaves is told by them.

Change: listing_keeper compares each reading with the last one. Changes of the VMs go through the roster's version as before.

Whole processes at the planned size: not measured.

--- a/src/currantshed/pooler/control.cpp
+++ b/src/currantshed/pooler/control.cpp
@@ -169,8 +169,8 @@
                std::get_if<wire::configuration_request>(&aMessage)) {
     if (mConfiguration.Held().version > question->knownVersion) {
       wire::configuration told = mConfiguration.Held();
-      told.vms = mListing.vms;
-      told.groups = mListing.groups;
+      told.vms = mListing.Held().vms;
+      told.groups = mListing.Held().groups;
       aRespond(told);
     }
   } else if (const auto* offered =
@@ -211,7 +211,7 @@
   }
   mAskedPeersAt = now;
   // Without a list of its own this process asks for all that the peer has.
-  const wire::configuration_request question{ mHasList
+  const wire::configuration_request question{ mListing.HasAny()
                                                 ? mConfiguration.Held().version
                                                 : 0 };
   (void)mPeers.Send(aPeer, wire::Encode(question, now));
@@ -235,11 +235,12 @@
 void
 control::Listed(platform::listing aListing)
 {
-  mListing = std::move(aListing);
-  mHasList = true;
-  mRoster->Listed(mListing.vms, Now());
-  mRoster->SetGroups(NamesOf(mListing.groups));
-  Reconsider();
+  const bool differs = mListing.Take(std::move(aListing));
+  mRoster->Listed(mListing.Held().vms, Now());
+  if (differs) {
+    mRoster->SetGroups(NamesOf(mListing.Held().groups));
+    Reconsider();
+  }
   TickRoster();
 }
 
@@ -260,7 +261,7 @@
 void
 control::PeerTold(const wire::configuration& aTold)
 {
-  if (!mHasList && !aTold.groups.empty()) {
+  if (!mListing.HasAny() && !aTold.groups.empty()) {
     log::Write(log::level::kInfo, "list_taken_from_peer");
     Listed({ aTold.vms, aTold.groups });
   }
@@ -307,12 +308,12 @@
   mMetrics.SetLiveVms(mRoster->Live().size());
   mPlatformLink.SetWatching(IsWatcher());
   mPlatformLink.SetFleet(mRoster->Live().size());
-  if (!mHasList) {
+  if (!mListing.HasAny()) {
     TellTraffic();
     return;
   }
   std::vector<owned_group> owned;
-  for (const auto& group : mListing.groups) {
+  for (const auto& group : mListing.Held().groups) {
     const auto owners = mRoster->Owners(group.name);
     const int rank = RankOf(owners);
     if (rank >= 0) {
@@ -348,16 +349,16 @@
 {
   wire::view view;
   view.live = mRoster->Live();
-  view.groups = NamesOf(mListing.groups);
+  view.groups = NamesOf(mListing.Held().groups);
   view.owners = mSettings.owners;
   view.configurationVersion = mConfiguration.Held().version;
   view.declaration = mConfiguration.Held().declaration;
   mTraffic.Publish(std::move(view));
-  if (!mHasList) {
+  if (!mListing.HasAny()) {
     return;
   }
-  group_assignment assignment{ mLimits.Apply(mListing.groups), {} };
-  for (const auto& group : mListing.groups) {
+  group_assignment assignment{ mLimits.Apply(mListing.Held().groups), {} };
+  for (const auto& group : mListing.Held().groups) {
     if (RankOf(mRoster->Owners(group.name)) == 0) {
       assignment.led.push_back(group.name);
     }
@@ -370,7 +371,7 @@
 {
   control_status status;
   status.configurationVersion = mConfiguration.Held().version;
-  status.hasList = mHasList;
+  status.hasList = mListing.HasAny();
   status.isLeaving = mIsLeaving;
   for (const auto& news : mGuards.News()) {
     const int rank = RankOf(mRoster->Owners(news.group));
@@ -383,7 +384,7 @@
 control::Housekeep()
 {
   mGuards.Release(Now());
-  if (!mConfiguration.HasAny() || !mHasList) {
+  if (!mConfiguration.HasAny() || !mListing.HasAny()) {
     AskPeers();
   }
   mMetrics.SetControlTime(ThreadTime());
--- a/src/currantshed/pooler/control.hpp
+++ b/src/currantshed/pooler/control.hpp
@@ -20,6 +20,7 @@
 #include "currantshed/pooler/declared_limits.hpp"
 #include "currantshed/pooler/fwd.hpp"
 #include "currantshed/pooler/guard_set.hpp"
+#include "currantshed/pooler/listing_keeper.hpp"
 #include "currantshed/pooler/metrics.hpp"
 #include "currantshed/pooler/peer_links.hpp"
 #include "currantshed/pooler/platform_link.hpp"
@@ -91,8 +92,7 @@
   std::uint64_t mSeenRoster = 0;
   configuration_keeper mConfiguration;
   clock::time_point mAskedPeersAt;
-  bool mHasList = false;
-  platform::listing mListing;
+  listing_keeper mListing;
   declared_limits mLimits;
   guard_set mGuards;
   bool mIsLeaving = false;
--- a/src/currantshed/pooler/fwd.hpp
+++ b/src/currantshed/pooler/fwd.hpp
@@ -9,6 +9,7 @@
 class group_guard;
 class group_runner;
 class guard_set;
+class listing_keeper;
 class metrics;
 class ownership;
 class peer_links;
--- /dev/null
+++ b/src/currantshed/pooler/listing_keeper.cpp
@@ -0,0 +1,16 @@
+#include "currantshed/pooler/listing_keeper.hpp"
+
+#include <utility>
+
+namespace currantshed::pooler {
+
+bool
+listing_keeper::Take(platform::listing aListing)
+{
+  const bool differs = !mHasAny || aListing.groups != mHeld.groups;
+  mHasAny = true;
+  mHeld = std::move(aListing);
+  return differs;
+}
+
+} // namespace currantshed::pooler
--- /dev/null
+++ b/src/currantshed/pooler/listing_keeper.hpp
@@ -0,0 +1,32 @@
+#ifndef CURRANTSHED_POOLER_LISTING_KEEPER_HPP
+#define CURRANTSHED_POOLER_LISTING_KEEPER_HPP
+
+#include "currantshed/platform/client.hpp"
+#include "currantshed/pooler/fwd.hpp"
+
+namespace currantshed::pooler {
+
+/// The platform's lists as they were read last, by this process or by a peer.
+/// Most readings bring nothing new, and working out the owners of every group
+/// is dear in a large fleet: so each reading is compared with the last one.
+class listing_keeper
+{
+public:
+  /// Takes a reading over; whether its groups differ from those held, which
+  /// the first reading always does.
+  bool Take(platform::listing aListing);
+
+  /// Whether any reading is held.
+  [[nodiscard]] bool HasAny() const noexcept { return mHasAny; }
+
+  /// The last reading, or empty lists.
+  [[nodiscard]] const platform::listing& Held() const noexcept { return mHeld; }
+
+private:
+  bool mHasAny = false;
+  platform::listing mHeld;
+};
+
+} // namespace currantshed::pooler
+
+#endif
--- /dev/null
+++ b/test/currantshed/pooler/listing_keeper.cpp
@@ -0,0 +1,81 @@
+#include "currantshed/pooler/listing_keeper.hpp"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+
+namespace {
+
+struct listing_row
+{
+  const char* name;
+  std::vector<platform::listing> read;
+  /// Whether each reading brought other groups.
+  std::vector<bool> differs;
+};
+
+platform::listing
+Lists(const std::vector<std::string>& aVms,
+      const std::vector<group::description>& aGroups)
+{
+  platform::listing listing;
+  for (const auto& id : aVms) {
+    listing.vms.emplace_back().id = id;
+  }
+  listing.groups = aGroups;
+  return listing;
+}
+
+group::description
+Group(const std::string& aName, bool aIsLeaving = false)
+{
+  group::description group;
+  group.name = aName;
+  group.members.emplace_back().id = aName + "-a";
+  group.members.back().leaving = aIsLeaving;
+  return group;
+}
+
+std::vector<listing_row>
+ListingRows()
+{
+  const auto one = Lists({ "vm-1" }, { Group("g") });
+  return {
+    { "the first reading", { one }, { true } },
+    { "the first reading is empty", { {} }, { true } },
+    { "the same again", { one, one, one }, { true, false, false } },
+    { "other VMs alone: the roster sees to them",
+      { one, Lists({ "vm-2" }, { Group("g") }) },
+      { true, false } },
+    { "a group more",
+      { one, Lists({ "vm-1" }, { Group("g"), Group("h") }) },
+      { true, true } },
+    { "a server that leaves",
+      { one, Lists({ "vm-1" }, { Group("g", true) }) },
+      { true, true } },
+    { "back to what was before", { one, {}, one }, { true, true, true } },
+  };
+}
+
+} // namespace
+
+TEST_GROUP(listing_keeper){};
+
+TEST(listing_keeper, tells_other_groups)
+{
+  for (const auto& row : ListingRows()) {
+    pooler::listing_keeper keeper;
+    CHECK_FALSE_TEXT(keeper.HasAny(), row.name);
+    std::vector<bool> differs;
+    for (const auto& read : row.read) {
+      differs.push_back(keeper.Take(read));
+      CHECK_TEXT(keeper.Held().vms == read.vms, row.name);
+      CHECK_TEXT(keeper.Held().groups == read.groups, row.name);
+    }
+    CHECK_TEXT(differs == row.differs, row.name);
+    CHECK_TEXT(keeper.HasAny(), row.name);
+  }
+}
