Hand a batch's statements on without a move that moves nothing

Cause: the whole tree's lint failed on one line: pq_connection::Run takes its statements by reference since it no longer keeps them. Change: the std::move is gone.

--- a/src/currantshed/pooler/group_runner.cpp
+++ b/src/currantshed/pooler/group_runner.cpp
@@ -152,7 +152,7 @@
   }
   const group::connection_id id = aAction.connection;
   const std::uint64_t batch = aAction.batch;
-  found->second.connection->Run(std::move(aAction.statements),
+  found->second.connection->Run(aAction.statements,
                                 mSettings.answerLimitBytes,
                                 [this, id, batch](upstream::reply aReply) {
                                   mEngine->Replied(
