thin_path: print the answer that failed

Cause: when the first read failed, the message showed the write's answer: it was put together before the read was sent. A failure under the thread sanitizer, in a run without suppressions, could not be explained for that. Change: the message is made after the read. What passes and fails is the same. Conclusion: the next failure will say what the read was told.

--- a/test/process/thin_path.sh
+++ b/test/process/thin_path.sh
@@ -20,7 +20,7 @@
   grep -q '"outcome":"done"' <<<"$answer" &&
     grep -q '\["F-1"\]' <<<"$answer"
 }
-check "the change is not read: $answer" read_report shop-cover-check
+read_report shop-cover-check || fail "the change is not read: $answer"
 echo "fresh read: $answer"
 
 read_from_replica() {
