--- a/bench/currantshed/control/fleet.cpp
+++ b/bench/currantshed/control/fleet.cpp
@@ -12,12 +12,12 @@
 
 } // namespace
 
-std::vector<platform::vm>
+std::vector<store::vm>
 MakeVms(std::size_t aCount, std::size_t aDomains)
 {
-  std::vector<platform::vm> vms;
+  std::vector<store::vm> vms;
   for (std::size_t number = 0; number < aCount; ++number) {
-    platform::vm vm;
+    store::vm vm;
     vm.id = "vm-" + std::to_string(number);
     vm.address = "10.20." + std::to_string(number / kLargestByte) + "." +
                  std::to_string(number % kLargestByte + 1);
--- a/bench/currantshed/control/fleet.hpp
+++ b/bench/currantshed/control/fleet.hpp
@@ -15,7 +15,7 @@
 namespace currantshed::control_bench {
 
 /// VMs named and spread over failure domains as in a deployment.
-[[nodiscard]] std::vector<platform::vm>
+[[nodiscard]] std::vector<store::vm>
 MakeVms(std::size_t aCount, std::size_t aDomains);
 
 [[nodiscard]] std::vector<group::group_name>
@@ -53,7 +53,7 @@
 
   clock::time_point mNow{ std::chrono::seconds{ 1 } };
   std::size_t mDomains;
-  std::vector<platform::vm> mVms;
+  std::vector<store::vm> mVms;
   std::vector<group::group_name> mGroups;
   absl::flat_hash_map<std::string, std::size_t> mNumbers;
   std::vector<std::unique_ptr<member::roster>> mRosters;
--- a/bench/currantshed/control/planned_size.cpp
+++ b/bench/currantshed/control/planned_size.cpp
@@ -6,7 +6,7 @@
 #include <absl/strings/str_cat.h>
 #include <benchmark/benchmark.h>
 
-#include "currantshed/platform/consul_answers.hpp"
+#include "currantshed/store/consul_answers.hpp"
 #include "currantshed/wire/codec.hpp"
 #include "fleet.hpp"
 
@@ -27,16 +27,16 @@
 constexpr double kBytesPerKilobyte = 1024;
 
 /// The platform's answers, as the catalogue's interface words them.
-platform::http_answer
+store::http_answer
 Answer(const std::string& aList)
 {
-  platform::http_answer answer;
+  store::http_answer answer;
   answer.status = 200;
   answer.body = "[" + aList + "]";
   return answer;
 }
 
-platform::http_answer
+store::http_answer
 VmList()
 {
   std::string list;
@@ -55,7 +55,7 @@
   return Answer(list);
 }
 
-platform::http_answer
+store::http_answer
 ServerList()
 {
   std::string list;
@@ -89,10 +89,10 @@
   const auto vms = VmList();
   const auto servers = ServerList();
   for (auto _ : aState) {
-    std::vector<platform::vm> readVms;
+    std::vector<store::vm> readVms;
     std::vector<group::description> readGroups;
-    if (platform::ReadVms(vms, readVms) ||
-        platform::ReadGroups(servers, readGroups)) {
+    if (store::ReadVms(vms, readVms) ||
+        store::ReadGroups(servers, readGroups)) {
       aState.SkipWithError("the lists can't be read");
     }
     benchmark::DoNotOptimize(readGroups);
--- a/bench/currantshed/member/roster.cpp
+++ b/bench/currantshed/member/roster.cpp
@@ -21,13 +21,13 @@
 constexpr int kGroupsToday = 3;
 constexpr int kGroupsPlanned = 740;
 
-std::vector<platform::vm>
+std::vector<store::vm>
 MakeFleet(std::int64_t aCount)
 {
-  std::vector<platform::vm> vms;
+  std::vector<store::vm> vms;
   vms.reserve(static_cast<std::size_t>(aCount));
   for (std::int64_t number = 0; number < aCount; ++number) {
-    platform::vm vm;
+    store::vm vm;
     vm.id = "vm-" + std::to_string(number);
     vm.address = "10.20.30.40";
     vm.failureDomain = "domain-" + std::to_string(number % kDomains);
@@ -88,7 +88,7 @@
   clock::time_point now{ milliseconds{ 1000 } };
 
 private:
-  std::vector<platform::vm> mVms;
+  std::vector<store::vm> mVms;
   std::size_t mTurn = 0;
   std::uint64_t mSequence = 0;
 };
--- a/bench/currantshed/place/jump.cpp
+++ b/bench/currantshed/place/jump.cpp
@@ -77,7 +77,7 @@
 class drawn_placement : public placement
 {
 public:
-  void SetVms(const std::vector<platform::vm>& aVms) override
+  void SetVms(const std::vector<store::vm>& aVms) override
   {
     mVms = aVms;
     std::uint32_t sum = 0;
@@ -88,11 +88,10 @@
     }
   }
 
-  [[nodiscard]] std::vector<platform::vm> Owners(
-    const group::group_name& aGroup,
-    unsigned aCount) const override
+  [[nodiscard]] std::vector<store::vm> Owners(const group::group_name& aGroup,
+                                              unsigned aCount) const override
   {
-    std::vector<platform::vm> owners;
+    std::vector<store::vm> owners;
     absl::flat_hash_set<std::string> domains;
     absl::flat_hash_set<std::string> taken;
     for (std::uint64_t draw = 0; draw < 2 * kDraws && owners.size() < aCount;
@@ -116,7 +115,7 @@
   [[nodiscard]] const std::vector<std::uint32_t>& Sums() const { return mSums; }
 
 private:
-  std::vector<platform::vm> mVms;
+  std::vector<store::vm> mVms;
   std::vector<std::uint32_t> mSums;
 };
 
--- a/bench/currantshed/place/owners.cpp
+++ b/bench/currantshed/place/owners.cpp
@@ -17,15 +17,15 @@
 // Fleets of other names over which each figure is averaged.
 constexpr unsigned kRounds = 10;
 
-using vm_list = std::vector<platform::vm>;
+using vm_list = std::vector<store::vm>;
 using maker = std::unique_ptr<place::placement> (*)();
 // Changes a fleet; the number names the VM that comes, if one does.
 using change = void (*)(vm_list&, unsigned);
 
-platform::vm
+store::vm
 MakeVm(unsigned aRound, unsigned aNumber, const std::string& aDomain)
 {
-  platform::vm vm;
+  store::vm vm;
   vm.id = "vm-" + std::to_string(aRound) + "-" + std::to_string(aNumber);
   vm.failureDomain = aDomain;
   return vm;
--- a/bench/currantshed/place/placement.hpp
+++ b/bench/currantshed/place/placement.hpp
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "currantshed/group/fwd.hpp"
-#include "currantshed/platform/client.hpp"
+#include "currantshed/store/client.hpp"
 
 namespace currantshed::place {
 
@@ -16,11 +16,11 @@
   virtual ~placement() = default;
 
   /// Takes over the VMs, in the order that every process agrees on.
-  virtual void SetVms(const std::vector<platform::vm>& aVms) = 0;
+  virtual void SetVms(const std::vector<store::vm>& aVms) = 0;
 
   /// Owners of a group, the leading one first, in different failure domains
   /// where it can be.
-  [[nodiscard]] virtual std::vector<platform::vm> Owners(
+  [[nodiscard]] virtual std::vector<store::vm> Owners(
     const group::group_name& aGroup,
     unsigned aCount) const = 0;
 };
--- a/bench/currantshed/place/rendezvous.cpp
+++ b/bench/currantshed/place/rendezvous.cpp
@@ -9,17 +9,16 @@
 class rendezvous final : public placement
 {
 public:
-  void SetVms(const std::vector<platform::vm>& aVms) override { mVms = aVms; }
+  void SetVms(const std::vector<store::vm>& aVms) override { mVms = aVms; }
 
-  [[nodiscard]] std::vector<platform::vm> Owners(
-    const group::group_name& aGroup,
-    unsigned aCount) const override
+  [[nodiscard]] std::vector<store::vm> Owners(const group::group_name& aGroup,
+                                              unsigned aCount) const override
   {
     return member::ChooseOwners(aGroup, mVms, aCount);
   }
 
 private:
-  std::vector<platform::vm> mVms;
+  std::vector<store::vm> mVms;
 };
 
 } // namespace
--- a/bin/currantshed-pooler/options.cpp
+++ b/bin/currantshed-pooler/options.cpp
@@ -38,7 +38,7 @@
 void
 DeclareIdentity(parser& aParser, settings& aSettings)
 {
-  platform::vm& self = aSettings.self;
+  store::vm& self = aSettings.self;
   aParser.Text(self.id, "vm", "Name of this VM", true);
   aParser.Text(
     self.failureDomain, "failure-domain", "Its failure domain", true);
--- a/src/currantshed/burn/program.cpp
+++ b/src/currantshed/burn/program.cpp
@@ -22,9 +22,9 @@
 #include "currantshed/ctl/blocking_platform.hpp"
 #include "currantshed/ctl/gateway_port.hpp"
 #include "currantshed/http/fetcher.hpp"
-#include "currantshed/platform/http_client.hpp"
 #include "currantshed/policy/configuration_record.hpp"
 #include "currantshed/settings/parser.hpp"
+#include "currantshed/store/http_client.hpp"
 
 namespace currantshed::burn {
 namespace {
@@ -116,9 +116,8 @@
 {
 public:
   explicit platform_reader(const burn_settings& aSettings)
-    : mClient(platform::MakeHttpClient(mLoop,
-                                       aSettings.platformUrl,
-                                       aSettings.timeout))
+    : mClient(
+        store::MakeHttpClient(mLoop, aSettings.platformUrl, aSettings.timeout))
     , mBlocking(*mClient, [this] {
       mLoop.restart();
       mLoop.run_one();
@@ -148,7 +147,7 @@
 
 private:
   boost::asio::io_context mLoop;
-  std::unique_ptr<platform::client> mClient;
+  std::unique_ptr<store::client> mClient;
   ctl::blocking_platform mBlocking;
 };
 
--- a/src/currantshed/ctl/blocking_platform.cpp
+++ b/src/currantshed/ctl/blocking_platform.cpp
@@ -4,17 +4,17 @@
 
 namespace currantshed::ctl {
 
-blocking_platform::blocking_platform(platform::client& aClient, turn aTurn)
+blocking_platform::blocking_platform(store::client& aClient, turn aTurn)
   : mClient(aClient)
   , mTurn(std::move(aTurn))
 {
 }
 
-platform_result<platform::entry>
+platform_result<store::entry>
 blocking_platform::Get(const std::string& aKey)
 {
-  std::optional<platform_result<platform::entry>> result;
-  mClient.Get(aKey, [&result](std::error_code aError, platform::entry aEntry) {
+  std::optional<platform_result<store::entry>> result;
+  mClient.Get(aKey, [&result](std::error_code aError, store::entry aEntry) {
     result = { aError, std::move(aEntry) };
   });
   while (!result) {
@@ -23,27 +23,27 @@
   return std::move(*result);
 }
 
-platform::swap_outcome
+store::swap_outcome
 blocking_platform::Swap(const std::string& aKey,
                         const std::string& aValue,
-                        platform::index aExpected)
+                        store::index aExpected)
 {
-  std::optional<platform::swap_outcome> result;
-  mClient.Swap(
-    aKey, aValue, aExpected, [&result](platform::swap_outcome aOutcome) {
-      result = aOutcome;
-    });
+  std::optional<store::swap_outcome> result;
+  mClient.Swap(aKey,
+               aValue,
+               aExpected,
+               [&result](store::swap_outcome aOutcome) { result = aOutcome; });
   while (!result) {
     mTurn();
   }
   return *result;
 }
 
-platform_result<platform::listing>
+platform_result<store::listing>
 blocking_platform::List()
 {
-  std::optional<platform_result<platform::listing>> result;
-  mClient.List([&result](std::error_code aError, platform::listing aListing) {
+  std::optional<platform_result<store::listing>> result;
+  mClient.List([&result](std::error_code aError, store::listing aListing) {
     result = { aError, std::move(aListing) };
   });
   while (!result) {
--- a/src/currantshed/ctl/blocking_platform.hpp
+++ b/src/currantshed/ctl/blocking_platform.hpp
@@ -7,7 +7,7 @@
 #include <system_error>
 
 #include "currantshed/ctl/fwd.hpp"
-#include "currantshed/platform/client.hpp"
+#include "currantshed/store/client.hpp"
 
 namespace currantshed::ctl {
 
@@ -27,18 +27,18 @@
 public:
   using turn = std::function<void()>;
 
-  blocking_platform(platform::client& aClient, turn aTurn);
+  blocking_platform(store::client& aClient, turn aTurn);
 
-  [[nodiscard]] platform_result<platform::entry> Get(const std::string& aKey);
+  [[nodiscard]] platform_result<store::entry> Get(const std::string& aKey);
 
-  [[nodiscard]] platform::swap_outcome Swap(const std::string& aKey,
-                                            const std::string& aValue,
-                                            platform::index aExpected);
+  [[nodiscard]] store::swap_outcome Swap(const std::string& aKey,
+                                         const std::string& aValue,
+                                         store::index aExpected);
 
-  [[nodiscard]] platform_result<platform::listing> List();
+  [[nodiscard]] platform_result<store::listing> List();
 
 private:
-  platform::client& mClient;
+  store::client& mClient;
   turn mTurn;
 };
 
--- a/src/currantshed/ctl/gateway_port.cpp
+++ b/src/currantshed/ctl/gateway_port.cpp
@@ -24,7 +24,7 @@
 }
 
 std::uint16_t
-GatewayPortOf(const platform::vm& aVm, const gateway_port& aPort)
+GatewayPortOf(const store::vm& aVm, const gateway_port& aPort)
 {
   const unsigned base = aPort.isOffset ? aVm.statusPort : 0;
   return static_cast<std::uint16_t>(base + aPort.number);
--- a/src/currantshed/ctl/gateway_port.hpp
+++ b/src/currantshed/ctl/gateway_port.hpp
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "currantshed/ctl/fwd.hpp"
-#include "currantshed/platform/client.hpp"
+#include "currantshed/store/client.hpp"
 
 namespace currantshed::ctl {
 
@@ -25,7 +25,7 @@
 
 /// The status port of a VM's gateway.
 [[nodiscard]] std::uint16_t
-GatewayPortOf(const platform::vm& aVm, const gateway_port& aPort);
+GatewayPortOf(const store::vm& aVm, const gateway_port& aPort);
 
 } // namespace currantshed::ctl
 
--- a/src/currantshed/ctl/program.cpp
+++ b/src/currantshed/ctl/program.cpp
@@ -16,8 +16,8 @@
 #include "currantshed/ctl/options.hpp"
 #include "currantshed/ctl/pacer.hpp"
 #include "currantshed/ctl/verbs.hpp"
-#include "currantshed/platform/http_client.hpp"
 #include "currantshed/settings/parser.hpp"
+#include "currantshed/store/http_client.hpp"
 
 namespace currantshed::ctl {
 namespace {
@@ -108,7 +108,7 @@
         const std::optional<std::uint64_t>& aExpected)
 {
   boost::asio::io_context loop;
-  const auto client = platform::MakeHttpClient(
+  const auto client = store::MakeHttpClient(
     loop, aSettings.platformUrl, aSettings.platformTimeout);
   blocking_platform blocking(*client, [&loop] {
     loop.restart();
--- a/src/currantshed/ctl/verbs.hpp
+++ b/src/currantshed/ctl/verbs.hpp
@@ -14,9 +14,9 @@
 #include "currantshed/ctl/fwd.hpp"
 #include "currantshed/ctl/vm_report.hpp"
 #include "currantshed/http/fetcher.hpp"
-#include "currantshed/platform/apply.hpp"
 #include "currantshed/policy/configuration_record.hpp"
 #include "currantshed/policy/declaration.hpp"
+#include "currantshed/store/apply.hpp"
 
 namespace currantshed::ctl {
 
@@ -108,8 +108,8 @@
   [[nodiscard]] std::optional<policy::configuration_record> ReadInForce();
   [[nodiscard]] std::optional<std::vector<vm_report>> AskAll(
     const asking& aAsking);
-  [[nodiscard]] exit_code ReportApply(const platform::apply_result& aResult,
-                                      const platform::apply_request& aRequest);
+  [[nodiscard]] exit_code ReportApply(const store::apply_result& aResult,
+                                      const store::apply_request& aRequest);
   [[nodiscard]] exit_code LostRace(std::uint64_t aExpected,
                                    std::uint64_t aFound);
   [[nodiscard]] exit_code Applied(std::uint64_t aVersion,
--- a/src/currantshed/ctl/verbs_apply.cpp
+++ b/src/currantshed/ctl/verbs_apply.cpp
@@ -12,13 +12,13 @@
 
 /// Does one thing that an attempt asks for, and hands it the answer.
 void
-Perform(const platform::apply_action& aAction,
-        platform::applier& aApplier,
+Perform(const store::apply_action& aAction,
+        store::applier& aApplier,
         blocking_platform& aPlatform,
         pacer& aPacer)
 {
   if (const auto* const swap =
-        std::get_if<platform::swap_configuration>(&aAction)) {
+        std::get_if<store::swap_configuration>(&aAction)) {
     const auto outcome = aPlatform.Swap(
       std::string(policy::kConfigurationKey), swap->value, swap->expected);
     aApplier.ConfigurationSwapped(outcome, aPacer.Now());
@@ -29,8 +29,8 @@
 }
 
 /// Runs an attempt to its end.
-platform::apply_result
-Drive(platform::applier& aApplier, blocking_platform& aPlatform, pacer& aPacer)
+store::apply_result
+Drive(store::applier& aApplier, blocking_platform& aPlatform, pacer& aPacer)
 {
   while (!aApplier.Result()) {
     const auto actions = aApplier.TakeActions();
@@ -92,7 +92,7 @@
       { { "version", record.version }, { "change", record.change } },
       absl::StrCat("already in force as version ", record.version, "\n"));
   }
-  platform::apply_request request;
+  store::apply_request request;
   request.declaration = aFile.text;
   request.change = aOrder.change;
   request.askedBefore = aOrder.askedBefore;
@@ -100,15 +100,15 @@
   request.appliedBy = aOrder.appliedBy;
   request.appliedAt = aOrder.appliedAt;
   request.giveUpAfter = aOrder.atMost;
-  platform::applier attempt(request, mPacer.Now());
+  store::applier attempt(request, mPacer.Now());
   return ReportApply(Drive(attempt, mPlatform, mPacer), request);
 }
 
 exit_code
-verbs::ReportApply(const platform::apply_result& aResult,
-                   const platform::apply_request& aRequest)
+verbs::ReportApply(const store::apply_result& aResult,
+                   const store::apply_request& aRequest)
 {
-  using platform::apply_outcome;
+  using store::apply_outcome;
   switch (aResult.outcome) {
     case apply_outcome::kApplied:
       return Applied(aResult.version, aRequest.change);
--- a/src/currantshed/ctl/vm_report.cpp
+++ b/src/currantshed/ctl/vm_report.cpp
@@ -109,7 +109,7 @@
 
 /// The poolers' addresses, then the gateways' where they are asked.
 std::vector<std::string>
-StatusUrls(const std::vector<platform::vm>& aVms,
+StatusUrls(const std::vector<store::vm>& aVms,
            const std::optional<gateway_port>& aGateways)
 {
   std::vector<std::string> urls;
@@ -130,7 +130,7 @@
 } // namespace
 
 vm_report
-ReadReport(const platform::vm& aVm, const http::fetched& aAnswer)
+ReadReport(const store::vm& aVm, const http::fetched& aAnswer)
 {
   vm_report report;
   report.vm = aVm;
@@ -178,7 +178,7 @@
 }
 
 std::vector<vm_report>
-AskVms(const std::vector<platform::vm>& aVms,
+AskVms(const std::vector<store::vm>& aVms,
        const std::optional<gateway_port>& aGateways,
        http::fetcher& aFetcher,
        std::chrono::milliseconds aTimeout)
--- a/src/currantshed/ctl/vm_report.hpp
+++ b/src/currantshed/ctl/vm_report.hpp
@@ -13,7 +13,7 @@
 #include "currantshed/ctl/fwd.hpp"
 #include "currantshed/ctl/gateway_port.hpp"
 #include "currantshed/http/fetcher.hpp"
-#include "currantshed/platform/client.hpp"
+#include "currantshed/store/client.hpp"
 
 namespace currantshed::ctl {
 
@@ -30,7 +30,7 @@
 /// What one VM of the platform's list says about itself.
 struct vm_report
 {
-  platform::vm vm;
+  store::vm vm;
   /// Whether it answered with a status that could be read.
   bool answered = false;
   /// Why there is no status.
@@ -43,7 +43,7 @@
 
 /// Reads the JSON of a VM's /status; what does not apply keeps its default.
 [[nodiscard]] vm_report
-ReadReport(const platform::vm& aVm, const http::fetched& aAnswer);
+ReadReport(const store::vm& aVm, const http::fetched& aAnswer);
 
 /// What a VM's pooler and gateway say together: the lower version, and ready
 /// where both are.
@@ -53,7 +53,7 @@
 /// Asks every given VM at its pooler's status port and, where one is given,
 /// at its gateway's.
 [[nodiscard]] std::vector<vm_report>
-AskVms(const std::vector<platform::vm>& aVms,
+AskVms(const std::vector<store::vm>& aVms,
        const std::optional<gateway_port>& aGateways,
        http::fetcher& aFetcher,
        std::chrono::milliseconds aTimeout);
--- a/src/currantshed/failover/coordinator.cpp
+++ b/src/currantshed/failover/coordinator.cpp
@@ -150,14 +150,14 @@
   }
 
   void RecordRead(bool aReached,
-                  const platform::entry& aEntry,
+                  const store::entry& aEntry,
                   clock::time_point aNow) override
   {
     mBook.RecordRead(aReached, aEntry, aNow);
     Evaluate(aNow);
   }
 
-  void RecordSwapped(platform::swap_outcome aOutcome,
+  void RecordSwapped(store::swap_outcome aOutcome,
                      clock::time_point aNow) override
   {
     mBook.RecordSwapped(aOutcome, aNow);
--- a/src/currantshed/failover/coordinator.hpp
+++ b/src/currantshed/failover/coordinator.hpp
@@ -11,8 +11,8 @@
 #include "currantshed/clock/time.hpp"
 #include "currantshed/failover/fwd.hpp"
 #include "currantshed/group/description.hpp"
-#include "currantshed/platform/client.hpp"
 #include "currantshed/position/log_position.hpp"
+#include "currantshed/store/client.hpp"
 #include "currantshed/upstream/status.hpp"
 
 namespace currantshed::failover {
@@ -71,7 +71,7 @@
 struct swap_record
 {
   std::string value;
-  platform::index expected = 0;
+  store::index expected = 0;
 };
 
 /// Tells the group's owners and the engine who leads the group now.
@@ -178,11 +178,11 @@
   /// The platform's answer to read_record; false when the platform can't be
   /// reached.
   virtual void RecordRead(bool aReached,
-                          const platform::entry& aEntry,
+                          const store::entry& aEntry,
                           clock::time_point aNow) = 0;
 
   /// The platform's answer to swap_record.
-  virtual void RecordSwapped(platform::swap_outcome aOutcome,
+  virtual void RecordSwapped(store::swap_outcome aOutcome,
                              clock::time_point aNow) = 0;
 
   virtual void Tick(clock::time_point aNow) = 0;
--- a/src/currantshed/failover/term_book.cpp
+++ b/src/currantshed/failover/term_book.cpp
@@ -36,7 +36,7 @@
 std::string
 ChangeId(const incarnation_id& aIncarnation,
          const term_record& aChanged,
-         platform::index aVersion)
+         store::index aVersion)
 {
   const auto text = PrintRecord(aChanged);
   return absl::StrCat(aIncarnation,
@@ -112,7 +112,7 @@
 
 void
 term_book::RecordRead(bool aReached,
-                      const platform::entry& aEntry,
+                      const store::entry& aEntry,
                       clock::time_point aNow)
 {
   if (mState != state::kReading) {
@@ -138,14 +138,13 @@
 }
 
 void
-term_book::RecordSwapped(platform::swap_outcome aOutcome,
-                         clock::time_point aNow)
+term_book::RecordSwapped(store::swap_outcome aOutcome, clock::time_point aNow)
 {
   if (mState != state::kSwapping) {
     return;
   }
   mState = state::kIdle;
-  if (aOutcome == platform::swap_outcome::kApplied) {
+  if (aOutcome == store::swap_outcome::kApplied) {
     Adopt();
     return;
   }
@@ -153,7 +152,7 @@
   // A conflict too may hide an earlier try that was applied: reading back
   // tells.
   const bool first = mFailures <= kQuickRetries;
-  if (aOutcome == platform::swap_outcome::kConflict && first) {
+  if (aOutcome == store::swap_outcome::kConflict && first) {
     mNotBefore = aNow + kConflictPause / 2 + Jitter(kConflictPause);
   }
 }
@@ -226,7 +225,7 @@
 // is sent again as it was. A change whose expected version has passed can
 // never be applied any more.
 bool
-term_book::ResolvePending(const platform::entry& aEntry,
+term_book::ResolvePending(const store::entry& aEntry,
                           const term_record& aRecord)
 {
   if (!mPending) {
@@ -277,7 +276,7 @@
 
 void
 term_book::Plan(const term_record& aRecord,
-                platform::index aVersion,
+                store::index aVersion,
                 clock::time_point aNow)
 {
   term_record changed = aRecord;
--- a/src/currantshed/failover/term_book.hpp
+++ b/src/currantshed/failover/term_book.hpp
@@ -43,9 +43,9 @@
   void Publish(const primary_ref& aPrimary, clock::time_point aNotBefore);
 
   void RecordRead(bool aReached,
-                  const platform::entry& aEntry,
+                  const store::entry& aEntry,
                   clock::time_point aNow);
-  void RecordSwapped(platform::swap_outcome aOutcome, clock::time_point aNow);
+  void RecordSwapped(store::swap_outcome aOutcome, clock::time_point aNow);
 
   void Tick(clock::time_point aNow, std::vector<action>& aOut);
   [[nodiscard]] clock::time_point NextTick() const noexcept;
@@ -63,19 +63,19 @@
   {
     std::string id;
     std::string value;
-    platform::index expected = 0;
+    store::index expected = 0;
     std::vector<position::term_id> terms;
   };
 
   [[nodiscard]] std::size_t Usable() const;
   [[nodiscard]] bool WantsTerms() const;
   [[nodiscard]] bool WantsPublication(clock::time_point aNow) const;
-  [[nodiscard]] bool ResolvePending(const platform::entry& aEntry,
+  [[nodiscard]] bool ResolvePending(const store::entry& aEntry,
                                     const term_record& aRecord);
   void Adopt();
   void Digest(const term_record& aRecord);
   void Plan(const term_record& aRecord,
-            platform::index aVersion,
+            store::index aVersion,
             clock::time_point aNow);
   void Retry(clock::time_point aNow);
   void Pace(clock::time_point aNow);
--- a/src/currantshed/gateway/control.cpp
+++ b/src/currantshed/gateway/control.cpp
@@ -19,10 +19,10 @@
 /// Silence of the own pooler after which the gateway isn't ready.
 constexpr std::chrono::milliseconds kSilence{ 2000 };
 
-std::vector<platform::vm>
-Staying(const std::vector<platform::vm>& aVms)
+std::vector<store::vm>
+Staying(const std::vector<store::vm>& aVms)
 {
-  std::vector<platform::vm> staying;
+  std::vector<store::vm> staying;
   for (const auto& vm : aVms) {
     if (!vm.leaving) {
       staying.push_back(vm);
--- a/src/currantshed/gateway/pooler_links.cpp
+++ b/src/currantshed/gateway/pooler_links.cpp
@@ -16,7 +16,7 @@
 constexpr std::chrono::milliseconds kGiveUpInterval{ 50 };
 
 bool
-SamePlace(const platform::vm& aLeft, const platform::vm& aRight)
+SamePlace(const store::vm& aLeft, const store::vm& aRight)
 {
   return aLeft.address == aRight.address &&
          aLeft.poolerPort == aRight.poolerPort;
@@ -40,7 +40,7 @@
 }
 
 void
-pooler_links::SetVms(std::vector<platform::vm> aVms)
+pooler_links::SetVms(std::vector<store::vm> aVms)
 {
   absl::flat_hash_map<std::string, std::unique_ptr<link>> links;
   for (auto& vm : aVms) {
--- a/src/currantshed/gateway/pooler_links.hpp
+++ b/src/currantshed/gateway/pooler_links.hpp
@@ -13,7 +13,7 @@
 
 #include "currantshed/gateway/engine.hpp"
 #include "currantshed/net/dealer.hpp"
-#include "currantshed/platform/client.hpp"
+#include "currantshed/store/client.hpp"
 #include "currantshed/wire/codec.hpp"
 
 namespace currantshed::gateway {
@@ -45,7 +45,7 @@
   pooler_links& operator=(const pooler_links&) = delete;
 
   /// Takes over the VMs that there are now; links to others are closed.
-  void SetVms(std::vector<platform::vm> aVms);
+  void SetVms(std::vector<store::vm> aVms);
 
   void Send(send_to_pooler aMessage);
   void Cancel(const std::string& aVm, group::request_id aRequest);
@@ -59,7 +59,7 @@
 
   struct link
   {
-    platform::vm vm;
+    store::vm vm;
     std::unique_ptr<net::dealer> socket;
     bool up = false;
     std::vector<waiting> queue;
--- a/src/currantshed/gateway/shared_state.cpp
+++ b/src/currantshed/gateway/shared_state.cpp
@@ -86,7 +86,7 @@
 {
   const auto [place, added] = mOwners.try_emplace(aGroup);
   if (added) {
-    std::vector<platform::vm> staying;
+    std::vector<store::vm> staying;
     std::copy_if(present.live.begin(),
                  present.live.end(),
                  std::back_inserter(staying),
--- a/src/currantshed/gateway/view.hpp
+++ b/src/currantshed/gateway/view.hpp
@@ -8,8 +8,8 @@
 
 #include "currantshed/gateway/fwd.hpp"
 #include "currantshed/group/fwd.hpp"
-#include "currantshed/platform/client.hpp"
 #include "currantshed/policy/work_class.hpp"
+#include "currantshed/store/client.hpp"
 
 namespace currantshed::gateway {
 
@@ -18,7 +18,7 @@
 {
   std::uint64_t version = 0;
   /// VMs whose poolers are taken for live.
-  std::vector<platform::vm> live;
+  std::vector<store::vm> live;
   /// Groups that the platform lists.
   std::vector<group::group_name> groups;
   /// Poolers that own each group.
--- a/src/currantshed/member/owners.cpp
+++ b/src/currantshed/member/owners.cpp
@@ -16,7 +16,7 @@
 struct scored_vm
 {
   std::uint64_t score = 0;
-  const platform::vm* vm = nullptr;
+  const store::vm* vm = nullptr;
 };
 
 bool
@@ -31,7 +31,7 @@
 // Scores by the hash of both names. The zero byte keeps "ab" + "c" apart from
 // "a" + "bc".
 std::vector<scored_vm>
-Scored(const group::group_name& aGroup, const std::vector<platform::vm>& aVms)
+Scored(const group::group_name& aGroup, const std::vector<store::vm>& aVms)
 {
   std::string text = aGroup;
   text.push_back('\0');
@@ -77,9 +77,9 @@
 
 } // namespace
 
-std::vector<platform::vm>
+std::vector<store::vm>
 ChooseOwners(const group::group_name& aGroup,
-             const std::vector<platform::vm>& aVms,
+             const std::vector<store::vm>& aVms,
              unsigned aOwners)
 {
   auto scored = Scored(aGroup, aVms);
@@ -91,7 +91,7 @@
                       scored.end(),
                       GoesBefore);
   }
-  std::vector<platform::vm> owners;
+  std::vector<store::vm> owners;
   owners.reserve(count);
   for (std::size_t place = 0; place < count; ++place) {
     owners.push_back(*scored[place].vm);
--- a/src/currantshed/member/peer_table.cpp
+++ b/src/currantshed/member/peer_table.cpp
@@ -50,13 +50,13 @@
 
 // The sender's own word goes before the lagging list, but leaving is believed
 // from either.
-platform::vm
+store::vm
 Described(const peer_record& aPeer)
 {
   if (!aPeer.heard) {
     return aPeer.listed ? *aPeer.listed : *aPeer.rumoured;
   }
-  platform::vm vm = *aPeer.heard;
+  store::vm vm = *aPeer.heard;
   vm.leaving = vm.leaving || (aPeer.listed && aPeer.listed->leaving);
   return vm;
 }
@@ -69,8 +69,7 @@
 }
 
 void
-peer_table::Listed(const std::vector<platform::vm>& aVms,
-                   clock::time_point aNow)
+peer_table::Listed(const std::vector<store::vm>& aVms, clock::time_point aNow)
 {
   absl::flat_hash_set<std::string> ids;
   for (const auto& vm : aVms) {
@@ -118,7 +117,7 @@
 }
 
 void
-peer_table::NoteRumour(const platform::vm& aVm, clock::time_point aNow)
+peer_table::NoteRumour(const store::vm& aVm, clock::time_point aNow)
 {
   if (aVm.id == mSettings.self.id || mPeers.contains(aVm.id)) {
     return;
@@ -233,10 +232,10 @@
   return next;
 }
 
-std::vector<platform::vm>
+std::vector<store::vm>
 peer_table::Live() const
 {
-  std::vector<platform::vm> live;
+  std::vector<store::vm> live;
   for (const auto& [id, peer] : mPeers) {
     if (peer.live) {
       live.push_back(Described(peer));
@@ -245,10 +244,10 @@
   return live;
 }
 
-std::vector<platform::vm>
+std::vector<store::vm>
 peer_table::All() const
 {
-  std::vector<platform::vm> all;
+  std::vector<store::vm> all;
   all.reserve(mPeers.size());
   for (const auto& [id, peer] : mPeers) {
     all.push_back(Described(peer));
@@ -256,16 +255,16 @@
   return all;
 }
 
-std::vector<platform::vm>
+std::vector<store::vm>
 peer_table::HeardOf(std::uint64_t aNumber, clock::time_point aNow) const
 {
-  std::vector<const platform::vm*> heard;
+  std::vector<const store::vm*> heard;
   for (const auto& [id, peer] : mPeers) {
     if (HeardLately(peer, aNow)) {
       heard.push_back(&*peer.heard);
     }
   }
-  std::vector<platform::vm> few;
+  std::vector<store::vm> few;
   const auto count = std::min(kHeardOfLimit, heard.size());
   for (std::size_t place = 0; place < count; ++place) {
     few.push_back(*heard[(aNumber * kHeardOfLimit + place) % heard.size()]);
@@ -273,7 +272,7 @@
   return few;
 }
 
-std::optional<platform::vm>
+std::optional<store::vm>
 peer_table::Find(const std::string& aId) const
 {
   const auto found = mPeers.find(aId);
--- a/src/currantshed/member/peer_table.hpp
+++ b/src/currantshed/member/peer_table.hpp
@@ -17,9 +17,9 @@
 /// What is known of one other VM.
 struct peer_record
 {
-  std::optional<platform::vm> listed;
+  std::optional<store::vm> listed;
   clock::time_point listedSince;
-  std::optional<platform::vm> heard;
+  std::optional<store::vm> heard;
   clock::time_point heardAt;
   failover::incarnation_id incarnation;
   std::uint64_t sequence = 0;
@@ -30,7 +30,7 @@
   /// Until when a peer's word that it is lost holds.
   std::optional<clock::time_point> lostUntil;
   /// Known by hearsay, until a heartbeat or the list confirms it.
-  std::optional<platform::vm> rumoured;
+  std::optional<store::vm> rumoured;
   clock::time_point rumouredAt;
   /// Found silent here: watched until it is heard or off the list.
   bool accused = false;
@@ -43,7 +43,7 @@
 public:
   explicit peer_table(const roster_settings& aSettings);
 
-  void Listed(const std::vector<platform::vm>& aVms, clock::time_point aNow);
+  void Listed(const std::vector<store::vm>& aVms, clock::time_point aNow);
 
   /// Takes over a heartbeat; false for one that is older than what has been
   /// heard.
@@ -54,7 +54,7 @@
 
   /// Notes a VM known by hearsay: it gets heartbeats, and is live once it
   /// answers.
-  void NoteRumour(const platform::vm& aVm, clock::time_point aNow);
+  void NoteRumour(const store::vm& aVm, clock::time_point aNow);
 
   /// Notes a peer's word that a VM is lost; true if it is to be passed on.
   bool NoteLost(const lost_vm& aWord, clock::time_point aNow);
@@ -76,14 +76,14 @@
   [[nodiscard]] clock::time_point NextChange(clock::time_point aNow) const;
 
   /// Live VMs, and all that may be alive, by id.
-  [[nodiscard]] std::vector<platform::vm> Live() const;
-  [[nodiscard]] std::vector<platform::vm> All() const;
+  [[nodiscard]] std::vector<store::vm> Live() const;
+  [[nodiscard]] std::vector<store::vm> All() const;
 
   /// A few of the VMs heard directly, others for each number.
-  [[nodiscard]] std::vector<platform::vm> HeardOf(std::uint64_t aNumber,
-                                                  clock::time_point aNow) const;
+  [[nodiscard]] std::vector<store::vm> HeardOf(std::uint64_t aNumber,
+                                               clock::time_point aNow) const;
 
-  [[nodiscard]] std::optional<platform::vm> Find(const std::string& aId) const;
+  [[nodiscard]] std::optional<store::vm> Find(const std::string& aId) const;
 
   /// Whether a watched VM is to be asked for a heartbeat: in a small fleet,
   /// where all send to all, only one that has missed a turn.
--- a/src/currantshed/member/peers.cpp
+++ b/src/currantshed/member/peers.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // A VM and its place in some order by hash.
-using placed_vm = std::pair<std::uint64_t, const platform::vm*>;
+using placed_vm = std::pair<std::uint64_t, const store::vm*>;
 
 std::uint64_t
 RingPlace(const std::string& aId)
@@ -44,7 +44,7 @@
 Take(const std::vector<placed_vm>& aFrom,
      std::size_t aLimit,
      absl::flat_hash_set<std::string>& aTaken,
-     std::vector<platform::vm>& aPeers)
+     std::vector<store::vm>& aPeers)
 {
   for (const auto& [place, vm] : aFrom) {
     if (aPeers.size() >= aLimit) {
@@ -59,8 +59,8 @@
 } // namespace
 
 absl::flat_hash_set<std::string>
-RingNeighbours(const platform::vm& aSelf,
-               const std::vector<platform::vm>& aOthers,
+RingNeighbours(const store::vm& aSelf,
+               const std::vector<store::vm>& aOthers,
                unsigned aCount)
 {
   std::vector<placed_vm> ring;
@@ -81,13 +81,13 @@
   return chosen;
 }
 
-std::vector<platform::vm>
+std::vector<store::vm>
 ChoosePeers(const peer_choice& aChoice)
 {
   if (aChoice.others.size() <= aChoice.fanout) {
     return aChoice.others;
   }
-  std::vector<platform::vm> peers;
+  std::vector<store::vm> peers;
   absl::flat_hash_set<std::string> taken;
   std::size_t limit = aChoice.fanout;
   for (const auto& vm : aChoice.others) {
--- a/src/currantshed/member/peers.hpp
+++ b/src/currantshed/member/peers.hpp
@@ -7,16 +7,16 @@
 
 #include <absl/container/flat_hash_set.h>
 
-#include "currantshed/platform/client.hpp"
+#include "currantshed/store/client.hpp"
 
 namespace currantshed::member {
 
 /// What the choice of heartbeat receivers rests on.
 struct peer_choice
 {
-  const platform::vm& self;
+  const store::vm& self;
   /// The other VMs that may be alive.
-  const std::vector<platform::vm>& others;
+  const std::vector<store::vm>& others;
   /// Ids of those next on the ring; always chosen.
   const absl::flat_hash_set<std::string>& neighbours;
   /// Ids of VMs that own a group together with this one; always chosen.
@@ -31,13 +31,13 @@
 /// The next VMs of the own failure domain on the hashed ring, among the given
 /// ones.
 [[nodiscard]] absl::flat_hash_set<std::string>
-RingNeighbours(const platform::vm& aSelf,
-               const std::vector<platform::vm>& aOthers,
+RingNeighbours(const store::vm& aSelf,
+               const std::vector<store::vm>& aOthers,
                unsigned aCount);
 
 /// Receivers of one heartbeat: every other VM in a small fleet. In a larger
 /// one the co-owners, the neighbours, and a random few of the rest.
-[[nodiscard]] std::vector<platform::vm>
+[[nodiscard]] std::vector<store::vm>
 ChoosePeers(const peer_choice& aChoice);
 
 } // namespace currantshed::member
--- a/src/currantshed/member/roster.cpp
+++ b/src/currantshed/member/roster.cpp
@@ -29,7 +29,7 @@
     Rebuild();
   }
 
-  void Listed(const std::vector<platform::vm>& aVms,
+  void Listed(const std::vector<store::vm>& aVms,
               clock::time_point aNow) override
   {
     Advance(aNow);
@@ -127,7 +127,7 @@
     mUrgent = false;
     ++mSequence;
     const auto beat = Compose();
-    const auto receivers = toAll ? Receivers() : std::vector<platform::vm>{};
+    const auto receivers = toAll ? Receivers() : std::vector<store::vm>{};
     for (const auto& vm : receivers) {
       mAskers.erase(vm.id);
     }
@@ -139,12 +139,9 @@
     return sends;
   }
 
-  [[nodiscard]] std::vector<platform::vm> Live() const override
-  {
-    return mLive;
-  }
+  [[nodiscard]] std::vector<store::vm> Live() const override { return mLive; }
 
-  [[nodiscard]] std::vector<platform::vm> Owners(
+  [[nodiscard]] std::vector<store::vm> Owners(
     const group::group_name& aGroup) const override
   {
     return ChooseOwners(aGroup, mLive, mSettings.owners);
@@ -227,7 +224,7 @@
     return beat;
   }
 
-  [[nodiscard]] std::vector<platform::vm> Receivers() const
+  [[nodiscard]] std::vector<store::vm> Receivers() const
   {
     const auto others = mTable.All();
     return ChoosePeers({ mSelf,
@@ -239,9 +236,9 @@
                          mSequence });
   }
 
-  [[nodiscard]] std::vector<platform::vm> Askers() const
+  [[nodiscard]] std::vector<store::vm> Askers() const
   {
-    std::vector<platform::vm> askers;
+    std::vector<store::vm> askers;
     for (const auto& id : mAskers) {
       if (const auto vm = mTable.Find(id)) {
         askers.push_back(*vm);
@@ -253,7 +250,7 @@
   // A watched VM that does not send by itself is asked to answer.
   [[nodiscard]] std::vector<send_heartbeat> Address(
     const heartbeat& aBeat,
-    const std::vector<platform::vm>& aReceivers) const
+    const std::vector<store::vm>& aReceivers) const
   {
     std::vector<send_heartbeat> sends;
     sends.reserve(aReceivers.size());
@@ -265,7 +262,7 @@
   }
 
   roster_settings mSettings;
-  platform::vm mSelf;
+  store::vm mSelf;
   std::uint64_t mSeed;
   peer_table mTable;
   news_box mNews;
@@ -280,7 +277,7 @@
   absl::flat_hash_set<std::string> mNeighbours;
   absl::flat_hash_set<std::string> mCoOwners;
   absl::flat_hash_set<std::string> mAskers;
-  std::vector<platform::vm> mLive;
+  std::vector<store::vm> mLive;
 };
 
 } // namespace
--- a/src/currantshed/member/roster.hpp
+++ b/src/currantshed/member/roster.hpp
@@ -10,7 +10,7 @@
 #include "currantshed/clock/time.hpp"
 #include "currantshed/failover/coordinator.hpp"
 #include "currantshed/member/fwd.hpp"
-#include "currantshed/platform/client.hpp"
+#include "currantshed/store/client.hpp"
 
 namespace currantshed::member {
 
@@ -35,14 +35,14 @@
 /// What one pooler tells another in one short message.
 struct heartbeat
 {
-  platform::vm sender;
+  store::vm sender;
   failover::incarnation_id incarnation;
   /// Goes up with each heartbeat of one incarnation.
   std::uint64_t sequence = 0;
   /// Version of the configuration in force at the sender.
   std::uint64_t configuration = 0;
   /// VMs that the sender has heard of lately, a bounded few.
-  std::vector<platform::vm> heardOf;
+  std::vector<store::vm> heardOf;
   std::vector<failover::suspicion> suspicions;
   std::vector<term_news> terms;
   /// Asks the receiver for a heartbeat back.
@@ -54,14 +54,14 @@
 /// A heartbeat to be sent to one VM.
 struct send_heartbeat
 {
-  platform::vm to;
+  store::vm to;
   heartbeat message;
 };
 
 /// Bounds and times of a roster.
 struct roster_settings
 {
-  platform::vm self;
+  store::vm self;
   failover::incarnation_id incarnation;
   std::chrono::milliseconds interval{ 150 };
   /// A watched VM that sent heartbeats and has been silent for this long is
@@ -85,7 +85,7 @@
   virtual ~roster() = default;
 
   /// The platform's list, newly read.
-  virtual void Listed(const std::vector<platform::vm>& aVms,
+  virtual void Listed(const std::vector<store::vm>& aVms,
                       clock::time_point aNow) = 0;
 
   virtual void HeartbeatArrived(const heartbeat& aBeat,
@@ -108,10 +108,10 @@
   [[nodiscard]] virtual std::vector<send_heartbeat> TakeHeartbeats() = 0;
 
   /// VMs taken for live, this one included, by id.
-  [[nodiscard]] virtual std::vector<platform::vm> Live() const = 0;
+  [[nodiscard]] virtual std::vector<store::vm> Live() const = 0;
 
   /// Owners of a group in rank order; the first one leads it.
-  [[nodiscard]] virtual std::vector<platform::vm> Owners(
+  [[nodiscard]] virtual std::vector<store::vm> Owners(
     const group::group_name& aGroup) const = 0;
 
   /// Version of this view; goes up with every change of the live VMs.
@@ -125,9 +125,9 @@
 /// Owners of a group among the given VMs, in rank order, by rendezvous
 /// hashing and spread over failure domains first. Every process that sees
 /// the same VMs comes to the same answer.
-[[nodiscard]] std::vector<platform::vm>
+[[nodiscard]] std::vector<store::vm>
 ChooseOwners(const group::group_name& aGroup,
-             const std::vector<platform::vm>& aVms,
+             const std::vector<store::vm>& aVms,
              unsigned aOwners);
 
 } // namespace currantshed::member
--- a/src/currantshed/pooler/control.cpp
+++ b/src/currantshed/pooler/control.cpp
@@ -10,8 +10,8 @@
 #include <xxhash.h>
 
 #include "currantshed/log/log.hpp"
-#include "currantshed/platform/http_client.hpp"
 #include "currantshed/policy/configuration_record.hpp"
+#include "currantshed/store/http_client.hpp"
 
 namespace currantshed::pooler {
 
@@ -60,7 +60,7 @@
 }
 
 peer_address
-AddressOf(const platform::vm& aVm)
+AddressOf(const store::vm& aVm)
 {
   return { aVm.address, aVm.peerPort };
 }
@@ -89,16 +89,16 @@
   , mTraffic(aTraffic)
   , mWork(boost::asio::make_work_guard(mContext))
   , mDialect(upstream::MakePostgresDialect())
-  , mPlatform(platform::MakeHttpClient(mContext,
-                                       aSettings.platformUrl,
-                                       aSettings.platformTimeout))
+  , mPlatform(store::MakeHttpClient(mContext,
+                                    aSettings.platformUrl,
+                                    aSettings.platformTimeout))
   , mPlatformLink(
       mContext,
       aSettings,
       *mPlatform,
       aMetrics,
-      { [this](platform::listing aListing) { Listed(std::move(aListing)); },
-        [this](const platform::entry& aEntry) { ConfigurationRead(aEntry); } })
+      { [this](store::listing aListing) { Listed(std::move(aListing)); },
+        [this](const store::entry& aEntry) { ConfigurationRead(aEntry); } })
   , mPeers(mContext,
            aZmq,
            [this](wire::message aMessage,
@@ -233,7 +233,7 @@
 }
 
 void
-control::Listed(platform::listing aListing)
+control::Listed(store::listing aListing)
 {
   const bool differs = mListing.Take(std::move(aListing));
   mRoster->Listed(mListing.Held().vms, Now());
@@ -245,7 +245,7 @@
 }
 
 void
-control::ConfigurationRead(const platform::entry& aEntry)
+control::ConfigurationRead(const store::entry& aEntry)
 {
   if (aEntry.version == 0) {
     return;
@@ -394,7 +394,7 @@
 bool
 control::IsWatcher() const
 {
-  std::vector<platform::vm> neighbours;
+  std::vector<store::vm> neighbours;
   for (const auto& vm : mRoster->Live()) {
     if (vm.failureDomain == mSettings.self.failureDomain) {
       neighbours.push_back(vm);
@@ -404,7 +404,7 @@
 }
 
 int
-control::RankOf(const std::vector<platform::vm>& aOwners) const
+control::RankOf(const std::vector<store::vm>& aOwners) const
 {
   const auto found =
     std::find_if(aOwners.begin(), aOwners.end(), [this](const auto& aVm) {
--- a/src/currantshed/pooler/control.hpp
+++ b/src/currantshed/pooler/control.hpp
@@ -15,7 +15,6 @@
 
 #include "currantshed/member/roster.hpp"
 #include "currantshed/net/tick_timer.hpp"
-#include "currantshed/platform/client.hpp"
 #include "currantshed/pooler/configuration_keeper.hpp"
 #include "currantshed/pooler/declared_limits.hpp"
 #include "currantshed/pooler/fwd.hpp"
@@ -27,6 +26,7 @@
 #include "currantshed/pooler/settings.hpp"
 #include "currantshed/pooler/status_board.hpp"
 #include "currantshed/pooler/traffic.hpp"
+#include "currantshed/store/client.hpp"
 #include "currantshed/upstream/dialect.hpp"
 
 namespace currantshed::pooler {
@@ -64,8 +64,8 @@
   void SendHeartbeats();
   void AskForConfiguration(const peer_address& aPeer);
   void AskPeers();
-  void Listed(platform::listing aListing);
-  void ConfigurationRead(const platform::entry& aEntry);
+  void Listed(store::listing aListing);
+  void ConfigurationRead(const store::entry& aEntry);
   void PeerTold(const wire::configuration& aTold);
   void Offer(const wire::configuration& aOffered);
   void TickRoster();
@@ -75,7 +75,7 @@
   void Housekeep();
   [[nodiscard]] group_guard::listener GuardListener();
   [[nodiscard]] bool IsWatcher() const;
-  [[nodiscard]] int RankOf(const std::vector<platform::vm>& aOwners) const;
+  [[nodiscard]] int RankOf(const std::vector<store::vm>& aOwners) const;
 
   const settings& mSettings;
   metrics& mMetrics;
@@ -85,7 +85,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     mWork;
   std::unique_ptr<upstream::dialect> mDialect;
-  std::unique_ptr<platform::client> mPlatform;
+  std::unique_ptr<store::client> mPlatform;
   platform_link mPlatformLink;
   peer_links mPeers;
   std::unique_ptr<member::roster> mRoster;
--- a/src/currantshed/pooler/group_guard.cpp
+++ b/src/currantshed/pooler/group_guard.cpp
@@ -267,8 +267,7 @@
 {
   mSurroundings.platform.Get(
     RecordKey(mName),
-    [this, alive = mAlive](std::error_code aError,
-                           const platform::entry& aEntry) {
+    [this, alive = mAlive](std::error_code aError, const store::entry& aEntry) {
       if (!*alive) {
         return;
       }
@@ -285,11 +284,11 @@
     RecordKey(mName),
     aAction.value,
     aAction.expected,
-    [this, alive = mAlive](platform::swap_outcome aOutcome) {
+    [this, alive = mAlive](store::swap_outcome aOutcome) {
       if (!*alive) {
         return;
       }
-      const bool isKnown = aOutcome != platform::swap_outcome::kUnknown;
+      const bool isKnown = aOutcome != store::swap_outcome::kUnknown;
       mSurroundings.metrics.PlatformCalled("write_terms", isKnown);
       mCoordinator->RecordSwapped(aOutcome, Now());
       Perform();
--- a/src/currantshed/pooler/group_guard.hpp
+++ b/src/currantshed/pooler/group_guard.hpp
@@ -12,13 +12,13 @@
 #include "currantshed/failover/coordinator.hpp"
 #include "currantshed/member/roster.hpp"
 #include "currantshed/net/tick_timer.hpp"
-#include "currantshed/platform/client.hpp"
 #include "currantshed/pooler/failover_watch.hpp"
 #include "currantshed/pooler/fwd.hpp"
 #include "currantshed/pooler/metrics.hpp"
 #include "currantshed/pooler/primary_reach.hpp"
 #include "currantshed/pooler/server_channel.hpp"
 #include "currantshed/pooler/settings.hpp"
+#include "currantshed/store/client.hpp"
 #include "currantshed/upstream/dialect.hpp"
 
 namespace currantshed::pooler {
@@ -43,7 +43,7 @@
   {
     boost::asio::io_context& context;
     const pooler::settings& settings;
-    platform::client& platform;
+    store::client& platform;
     const upstream::dialect& dialect;
     pooler::metrics& metrics;
   };
--- a/src/currantshed/pooler/listing_keeper.cpp
+++ b/src/currantshed/pooler/listing_keeper.cpp
@@ -5,7 +5,7 @@
 namespace currantshed::pooler {
 
 bool
-listing_keeper::Take(platform::listing aListing)
+listing_keeper::Take(store::listing aListing)
 {
   const bool differs = !mHasAny || aListing.groups != mHeld.groups;
   mHasAny = true;
--- a/src/currantshed/pooler/listing_keeper.hpp
+++ b/src/currantshed/pooler/listing_keeper.hpp
@@ -1,8 +1,8 @@
 #ifndef CURRANTSHED_POOLER_LISTING_KEEPER_HPP
 #define CURRANTSHED_POOLER_LISTING_KEEPER_HPP
 
-#include "currantshed/platform/client.hpp"
 #include "currantshed/pooler/fwd.hpp"
+#include "currantshed/store/client.hpp"
 
 namespace currantshed::pooler {
 
@@ -14,17 +14,17 @@
 public:
   /// Takes a reading over; whether its groups differ from those held, which
   /// the first reading always does.
-  bool Take(platform::listing aListing);
+  bool Take(store::listing aListing);
 
   /// Whether any reading is held.
   [[nodiscard]] bool HasAny() const noexcept { return mHasAny; }
 
   /// The last reading, or empty lists.
-  [[nodiscard]] const platform::listing& Held() const noexcept { return mHeld; }
+  [[nodiscard]] const store::listing& Held() const noexcept { return mHeld; }
 
 private:
   bool mHasAny = false;
-  platform::listing mHeld;
+  store::listing mHeld;
 };
 
 } // namespace currantshed::pooler
--- a/src/currantshed/pooler/platform_link.cpp
+++ b/src/currantshed/pooler/platform_link.cpp
@@ -27,10 +27,10 @@
   return std::chrono::steady_clock::now();
 }
 
-platform::lister_settings
+store::lister_settings
 ListerSettings(std::chrono::milliseconds aInterval)
 {
-  platform::lister_settings lister;
+  store::lister_settings lister;
   lister.interval = aInterval;
   return lister;
 }
@@ -45,7 +45,7 @@
 
 platform_link::platform_link(boost::asio::io_context& aContext,
                              const settings& aSettings,
-                             platform::client& aClient,
+                             store::client& aClient,
                              metrics& aMetrics,
                              listener aListener)
   : mClient(aClient)
@@ -54,7 +54,7 @@
   , mListInterval(aSettings.listInterval)
   , mListener(std::move(aListener))
   , mLister(ListerSettings(aSettings.listInterval), Now())
-  , mWatcher(platform::watcher_settings{}, Now())
+  , mWatcher(store::watcher_settings{}, Now())
   , mTimer(aContext, [this] { Tick(); })
 {
 }
@@ -85,7 +85,7 @@
     return;
   }
   mListInterval = interval;
-  mLister = platform::lister(ListerSettings(interval), Now());
+  mLister = store::lister(ListerSettings(interval), Now());
   mTimer.At(Now());
 }
 
@@ -111,7 +111,7 @@
   if (!mLister.Tick(Now())) {
     return;
   }
-  mClient.List([this](std::error_code aError, platform::listing aListing) {
+  mClient.List([this](std::error_code aError, store::listing aListing) {
     ListEnded(aError, std::move(aListing));
   });
 }
@@ -121,11 +121,11 @@
 {
   mWatcher.Tick(Now());
   for (const auto& action : mWatcher.TakeActions()) {
-    if (const auto* start = std::get_if<platform::start_watch>(&action)) {
+    if (const auto* start = std::get_if<store::start_watch>(&action)) {
       mHeldBack = *start;
       mHeldUntil = Now() + kOwnLook;
     } else {
-      mListener.configured(std::get<platform::deliver_entry>(action).content);
+      mListener.configured(std::get<store::deliver_entry>(action).content);
     }
   }
   const bool isFirst = mHeldBack && !mWatcher.LastAnswer();
@@ -135,18 +135,18 @@
 }
 
 void
-platform_link::StartWatch(const platform::start_watch& aAction)
+platform_link::StartWatch(const store::start_watch& aAction)
 {
   mClient.Watch(std::string(policy::kConfigurationKey),
                 aAction.known,
                 mIsWatching ? aAction.atMost : std::chrono::milliseconds(0),
-                [this](std::error_code aError, const platform::entry& aEntry) {
+                [this](std::error_code aError, const store::entry& aEntry) {
                   WatchEnded(aError, aEntry);
                 });
 }
 
 void
-platform_link::WatchEnded(std::error_code aError, const platform::entry& aEntry)
+platform_link::WatchEnded(std::error_code aError, const store::entry& aEntry)
 {
   mMetrics.PlatformCalled("watch_configuration", !aError);
   mWatcher.Ended(aError, aEntry, Now(), Random());
@@ -154,7 +154,7 @@
 }
 
 void
-platform_link::ListEnded(std::error_code aError, platform::listing aListing)
+platform_link::ListEnded(std::error_code aError, store::listing aListing)
 {
   mMetrics.PlatformCalled("list", !aError);
   mLister.Ended(aError, Now(), Random());
--- a/src/currantshed/pooler/platform_link.hpp
+++ b/src/currantshed/pooler/platform_link.hpp
@@ -12,12 +12,12 @@
 #include <boost/asio/io_context.hpp>
 
 #include "currantshed/net/tick_timer.hpp"
-#include "currantshed/platform/client.hpp"
-#include "currantshed/platform/lister.hpp"
-#include "currantshed/platform/watcher.hpp"
 #include "currantshed/pooler/fwd.hpp"
 #include "currantshed/pooler/metrics.hpp"
 #include "currantshed/pooler/settings.hpp"
+#include "currantshed/store/client.hpp"
+#include "currantshed/store/lister.hpp"
+#include "currantshed/store/watcher.hpp"
 
 namespace currantshed::pooler {
 
@@ -37,13 +37,13 @@
   /// What the control thread hears.
   struct listener
   {
-    std::function<void(platform::listing)> listed;
-    std::function<void(const platform::entry&)> configured;
+    std::function<void(store::listing)> listed;
+    std::function<void(const store::entry&)> configured;
   };
 
   platform_link(boost::asio::io_context& aContext,
                 const settings& aSettings,
-                platform::client& aClient,
+                store::client& aClient,
                 metrics& aMetrics,
                 listener aListener);
   platform_link(const platform_link&) = delete;
@@ -61,21 +61,21 @@
   void Tick();
   void TickLister();
   void TickWatcher();
-  void StartWatch(const platform::start_watch& aAction);
-  void WatchEnded(std::error_code aError, const platform::entry& aEntry);
-  void ListEnded(std::error_code aError, platform::listing aListing);
+  void StartWatch(const store::start_watch& aAction);
+  void WatchEnded(std::error_code aError, const store::entry& aEntry);
+  void ListEnded(std::error_code aError, store::listing aListing);
   [[nodiscard]] double Random();
 
-  platform::client& mClient;
+  store::client& mClient;
   metrics& mMetrics;
   std::chrono::milliseconds mListSetting;
   std::chrono::milliseconds mListInterval;
   listener mListener;
-  platform::lister mLister;
-  platform::watcher mWatcher;
+  store::lister mLister;
+  store::watcher mWatcher;
   bool mIsWatching = true;
   /// A watch that waits until this VM watches, or looks for itself.
-  std::optional<platform::start_watch> mHeldBack;
+  std::optional<store::start_watch> mHeldBack;
   clock::time_point mHeldUntil;
   absl::BitGen mBits;
   net::tick_timer mTimer;
--- a/src/currantshed/pooler/settings.hpp
+++ b/src/currantshed/pooler/settings.hpp
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "currantshed/failover/coordinator.hpp"
-#include "currantshed/platform/client.hpp"
 #include "currantshed/pooler/fwd.hpp"
+#include "currantshed/store/client.hpp"
 
 namespace currantshed::pooler {
 
@@ -27,7 +27,7 @@
 struct settings
 {
   /// This VM: name, failure domain, address and ports.
-  platform::vm self;
+  store::vm self;
   failover::incarnation_id incarnation;
   std::string platformUrl;
   /// Peers to ask for the configuration before the platform has told any.
--- a/src/currantshed/platform/apply.cpp
+++ b/src/currantshed/store/apply.cpp
@@ -1,9 +1,9 @@
-#include "currantshed/platform/apply.hpp"
+#include "currantshed/store/apply.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 namespace {
 
@@ -171,4 +171,4 @@
   mResult = apply_result{ aOutcome, NextVersion(), mInForce };
 }
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
--- a/src/currantshed/platform/apply.hpp
+++ b/src/currantshed/store/apply.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSHED_PLATFORM_APPLY_HPP
-#define CURRANTSHED_PLATFORM_APPLY_HPP
+#ifndef CURRANTSHED_STORE_APPLY_HPP
+#define CURRANTSHED_STORE_APPLY_HPP
 
 #include <chrono>
 #include <cstdint>
@@ -10,11 +10,11 @@
 #include <vector>
 
 #include "currantshed/clock/time.hpp"
-#include "currantshed/platform/client.hpp"
-#include "currantshed/platform/fwd.hpp"
 #include "currantshed/policy/configuration_record.hpp"
+#include "currantshed/store/client.hpp"
+#include "currantshed/store/fwd.hpp"
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 /// What an operator asks for.
 struct apply_request
@@ -125,6 +125,6 @@
   std::vector<apply_action> mActions;
 };
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
 
 #endif
--- a/src/currantshed/platform/backoff.cpp
+++ b/src/currantshed/store/backoff.cpp
@@ -1,8 +1,8 @@
-#include "currantshed/platform/backoff.hpp"
+#include "currantshed/store/backoff.hpp"
 
 #include <algorithm>
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 namespace {
 
@@ -44,4 +44,4 @@
   return aLow + clock::duration(part);
 }
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
--- a/src/currantshed/platform/backoff.hpp
+++ b/src/currantshed/store/backoff.hpp
@@ -1,11 +1,11 @@
-#ifndef CURRANTSHED_PLATFORM_BACKOFF_HPP
-#define CURRANTSHED_PLATFORM_BACKOFF_HPP
+#ifndef CURRANTSHED_STORE_BACKOFF_HPP
+#define CURRANTSHED_STORE_BACKOFF_HPP
 
 #include <chrono>
 
 #include "currantshed/clock/time.hpp"
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 /// How long to wait after failed calls.
 struct backoff_settings
@@ -41,6 +41,6 @@
 [[nodiscard]] clock::duration
 Between(clock::duration aLow, clock::duration aHigh, double aRandom);
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
 
 #endif
--- a/src/currantshed/platform/client.hpp
+++ b/src/currantshed/store/client.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSHED_PLATFORM_CLIENT_HPP
-#define CURRANTSHED_PLATFORM_CLIENT_HPP
+#ifndef CURRANTSHED_STORE_CLIENT_HPP
+#define CURRANTSHED_STORE_CLIENT_HPP
 
 #include <chrono>
 #include <cstdint>
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "currantshed/group/description.hpp"
-#include "currantshed/platform/fwd.hpp"
+#include "currantshed/store/fwd.hpp"
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 /// Version of one key; zero stands for a key that does not exist.
 using index = std::uint64_t;
@@ -92,6 +92,6 @@
   virtual void List(listing_callback aDone) = 0;
 };
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
 
 #endif
--- a/src/currantshed/platform/consul_answers.cpp
+++ b/src/currantshed/store/consul_answers.cpp
@@ -1,4 +1,4 @@
-#include "currantshed/platform/consul_answers.hpp"
+#include "currantshed/store/consul_answers.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -12,9 +12,9 @@
 #include <absl/strings/string_view.h>
 #include <boost/json.hpp>
 
-#include "currantshed/platform/errors.hpp"
+#include "currantshed/store/errors.hpp"
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 namespace {
 
@@ -321,4 +321,4 @@
   return target;
 }
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
--- a/src/currantshed/platform/consul_answers.hpp
+++ b/src/currantshed/store/consul_answers.hpp
@@ -1,14 +1,14 @@
-#ifndef CURRANTSHED_PLATFORM_CONSUL_ANSWERS_HPP
-#define CURRANTSHED_PLATFORM_CONSUL_ANSWERS_HPP
+#ifndef CURRANTSHED_STORE_CONSUL_ANSWERS_HPP
+#define CURRANTSHED_STORE_CONSUL_ANSWERS_HPP
 
 #include <string>
 #include <system_error>
 #include <vector>
 
-#include "currantshed/platform/client.hpp"
-#include "currantshed/platform/transport.hpp"
+#include "currantshed/store/client.hpp"
+#include "currantshed/store/transport.hpp"
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 /// Turns an answer that isn't a success into the platform's error; none for
 /// a success, and none for 404, which each call reads in its own way.
@@ -41,6 +41,6 @@
 [[nodiscard]] std::string
 KeyTarget(const std::string& aKey);
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
 
 #endif
--- a/src/currantshed/platform/curl_transport.cpp
+++ b/src/currantshed/store/curl_transport.cpp
@@ -1,4 +1,4 @@
-#include "currantshed/platform/transport.hpp"
+#include "currantshed/store/transport.hpp"
 
 #include <exception>
 #include <utility>
@@ -13,9 +13,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <curl/curl.h>
 
-#include "currantshed/platform/errors.hpp"
+#include "currantshed/store/errors.hpp"
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 namespace {
 
@@ -409,4 +409,4 @@
   return std::make_unique<curl_transport>(aLoop, std::move(aBaseUrl));
 }
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
--- a/src/currantshed/platform/errors.cpp
+++ b/src/currantshed/store/errors.cpp
@@ -1,8 +1,8 @@
-#include "currantshed/platform/errors.hpp"
+#include "currantshed/store/errors.hpp"
 
 #include <string>
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 namespace {
 
@@ -39,7 +39,7 @@
 } // namespace
 
 const std::error_category&
-PlatformCategory() noexcept
+StoreCategory() noexcept
 {
   static const platform_category sCategory;
   return sCategory;
@@ -48,7 +48,7 @@
 std::error_code
 make_error_code(errc aError) noexcept
 {
-  return { static_cast<int>(aError), PlatformCategory() };
+  return { static_cast<int>(aError), StoreCategory() };
 }
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
--- a/src/currantshed/platform/errors.hpp
+++ b/src/currantshed/store/errors.hpp
@@ -1,11 +1,11 @@
-#ifndef CURRANTSHED_PLATFORM_ERRORS_HPP
-#define CURRANTSHED_PLATFORM_ERRORS_HPP
+#ifndef CURRANTSHED_STORE_ERRORS_HPP
+#define CURRANTSHED_STORE_ERRORS_HPP
 
 #include <system_error>
 
-#include "currantshed/platform/fwd.hpp"
+#include "currantshed/store/fwd.hpp"
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 /// What may go wrong between a process and the platform.
 enum class errc
@@ -28,18 +28,18 @@
 
 /// The category of the platform's errors.
 [[nodiscard]] const std::error_category&
-PlatformCategory() noexcept;
+StoreCategory() noexcept;
 
 /// Makes std::error_code take the enumerators as they are.
 [[nodiscard]] std::error_code
 make_error_code(errc aError) noexcept;
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
 
 namespace std {
 
 template<>
-struct is_error_code_enum<currantshed::platform::errc> : true_type
+struct is_error_code_enum<currantshed::store::errc> : true_type
 {
 };
 
--- a/src/currantshed/platform/fwd.hpp
+++ b/src/currantshed/store/fwd.hpp
@@ -1,7 +1,7 @@
-#ifndef CURRANTSHED_PLATFORM_FWD_HPP
-#define CURRANTSHED_PLATFORM_FWD_HPP
+#ifndef CURRANTSHED_STORE_FWD_HPP
+#define CURRANTSHED_STORE_FWD_HPP
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 class applier;
 class backoff;
@@ -23,6 +23,6 @@
 struct vm;
 struct watcher_settings;
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
 
 #endif
--- a/src/currantshed/platform/http_client.cpp
+++ b/src/currantshed/store/http_client.cpp
@@ -1,13 +1,13 @@
-#include "currantshed/platform/http_client.hpp"
+#include "currantshed/store/http_client.hpp"
 
 #include <utility>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
 
-#include "currantshed/platform/consul_answers.hpp"
+#include "currantshed/store/consul_answers.hpp"
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 namespace {
 
@@ -165,4 +165,4 @@
   return MakeClient(MakeCurlTransport(aLoop, std::move(aBaseUrl)), aTimeout);
 }
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
--- a/src/currantshed/platform/http_client.hpp
+++ b/src/currantshed/store/http_client.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSHED_PLATFORM_HTTP_CLIENT_HPP
-#define CURRANTSHED_PLATFORM_HTTP_CLIENT_HPP
+#ifndef CURRANTSHED_STORE_HTTP_CLIENT_HPP
+#define CURRANTSHED_STORE_HTTP_CLIENT_HPP
 
 #include <chrono>
 #include <memory>
@@ -7,10 +7,10 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "currantshed/platform/client.hpp"
-#include "currantshed/platform/transport.hpp"
+#include "currantshed/store/client.hpp"
+#include "currantshed/store/transport.hpp"
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 /// Makes a client of the platform's HTTP interface over any transport. The
 /// timeout bounds each call; a watch may last for its own time beside it. A
@@ -26,6 +26,6 @@
                std::string aBaseUrl,
                std::chrono::milliseconds aTimeout);
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
 
 #endif
--- a/src/currantshed/platform/lister.cpp
+++ b/src/currantshed/store/lister.cpp
@@ -1,8 +1,8 @@
-#include "currantshed/platform/lister.hpp"
+#include "currantshed/store/lister.hpp"
 
 #include <algorithm>
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 namespace {
 
@@ -57,4 +57,4 @@
   return mLastAnswer;
 }
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
--- a/src/currantshed/platform/lister.hpp
+++ b/src/currantshed/store/lister.hpp
@@ -1,15 +1,15 @@
-#ifndef CURRANTSHED_PLATFORM_LISTER_HPP
-#define CURRANTSHED_PLATFORM_LISTER_HPP
+#ifndef CURRANTSHED_STORE_LISTER_HPP
+#define CURRANTSHED_STORE_LISTER_HPP
 
 #include <chrono>
 #include <optional>
 #include <system_error>
 
 #include "currantshed/clock/time.hpp"
-#include "currantshed/platform/backoff.hpp"
-#include "currantshed/platform/fwd.hpp"
+#include "currantshed/store/backoff.hpp"
+#include "currantshed/store/fwd.hpp"
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 struct lister_settings
 {
@@ -48,6 +48,6 @@
   std::optional<clock::time_point> mLastAnswer;
 };
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
 
 #endif
--- a/src/currantshed/platform/transport.hpp
+++ b/src/currantshed/store/transport.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSHED_PLATFORM_TRANSPORT_HPP
-#define CURRANTSHED_PLATFORM_TRANSPORT_HPP
+#ifndef CURRANTSHED_STORE_TRANSPORT_HPP
+#define CURRANTSHED_STORE_TRANSPORT_HPP
 
 #include <chrono>
 #include <cstddef>
@@ -11,9 +11,9 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "currantshed/platform/fwd.hpp"
+#include "currantshed/store/fwd.hpp"
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 /// The methods of HTTP that the platform's interface uses.
 enum class http_method
@@ -68,6 +68,6 @@
 [[nodiscard]] std::unique_ptr<transport>
 MakeCurlTransport(boost::asio::io_context& aLoop, std::string aBaseUrl);
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
 
 #endif
--- a/src/currantshed/platform/watcher.cpp
+++ b/src/currantshed/store/watcher.cpp
@@ -1,9 +1,9 @@
-#include "currantshed/platform/watcher.hpp"
+#include "currantshed/store/watcher.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 namespace {
 
@@ -87,4 +87,4 @@
   return true;
 }
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
--- a/src/currantshed/platform/watcher.hpp
+++ b/src/currantshed/store/watcher.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSHED_PLATFORM_WATCHER_HPP
-#define CURRANTSHED_PLATFORM_WATCHER_HPP
+#ifndef CURRANTSHED_STORE_WATCHER_HPP
+#define CURRANTSHED_STORE_WATCHER_HPP
 
 #include <chrono>
 #include <optional>
@@ -8,11 +8,11 @@
 #include <vector>
 
 #include "currantshed/clock/time.hpp"
-#include "currantshed/platform/backoff.hpp"
-#include "currantshed/platform/client.hpp"
-#include "currantshed/platform/fwd.hpp"
+#include "currantshed/store/backoff.hpp"
+#include "currantshed/store/client.hpp"
+#include "currantshed/store/fwd.hpp"
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 struct watcher_settings
 {
@@ -83,6 +83,6 @@
   std::vector<watcher_action> mActions;
 };
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
 
 #endif
--- a/src/currantshed/wire/codec.hpp
+++ b/src/currantshed/wire/codec.hpp
@@ -12,7 +12,7 @@
 #include "currantshed/clock/time.hpp"
 #include "currantshed/group/request.hpp"
 #include "currantshed/member/roster.hpp"
-#include "currantshed/platform/client.hpp"
+#include "currantshed/store/client.hpp"
 #include "currantshed/wire/fwd.hpp"
 
 namespace currantshed::wire {
@@ -65,7 +65,7 @@
 struct view
 {
   std::uint64_t version = 0;
-  std::vector<platform::vm> live;
+  std::vector<store::vm> live;
   std::vector<group::group_name> groups;
   unsigned owners = 0;
   std::uint64_t configurationVersion = 0;
@@ -89,7 +89,7 @@
   std::string declaration;
   /// The platform's lists as the sender read them last; empty if it never
   /// did. They are for a process that starts while the platform is down.
-  std::vector<platform::vm> vms;
+  std::vector<store::vm> vms;
   std::vector<group::description> groups;
 
   [[nodiscard]] friend bool operator==(const configuration&,
--- a/src/currantshed/wire/convert_member.cpp
+++ b/src/currantshed/wire/convert_member.cpp
@@ -15,7 +15,7 @@
   std::numeric_limits<std::uint16_t>::max();
 
 void
-PutVm(const platform::vm& aFrom, Vm& aTo)
+PutVm(const store::vm& aFrom, Vm& aTo)
 {
   aTo.set_id(aFrom.id);
   aTo.set_address(aFrom.address);
@@ -27,7 +27,7 @@
 }
 
 std::error_code
-TakeVm(const Vm& aFrom, platform::vm& aTo)
+TakeVm(const Vm& aFrom, store::vm& aTo)
 {
   const bool portsFit = aFrom.pooler_port() <= kHighestPort &&
                         aFrom.peer_port() <= kHighestPort &&
@@ -47,7 +47,7 @@
 
 std::error_code
 TakeVms(const google::protobuf::RepeatedPtrField<Vm>& aFrom,
-        std::vector<platform::vm>& aTo)
+        std::vector<store::vm>& aTo)
 {
   if (aFrom.size() > kMostEntries) {
     return wire_errc::kTooLarge;
--- a/test/currantshed/ctl/gateway_port.cpp
+++ b/test/currantshed/ctl/gateway_port.cpp
@@ -25,7 +25,7 @@
 
 TEST(gateway_port, table)
 {
-  platform::vm vm;
+  store::vm vm;
   vm.statusPort = 7;
   for (const auto& row : kRows) {
     const auto read = ctl::ParseGatewayPort(row.given);
--- a/test/currantshed/ctl/verbs.cpp
+++ b/test/currantshed/ctl/verbs.cpp
@@ -7,7 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "currantshed/ctl/pacer.hpp"
-#include "currantshed/platform/fake_client.hpp"
+#include "currantshed/store/fake_client.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -70,7 +70,7 @@
   void Pause(std::chrono::milliseconds aTime) override { now += aTime; }
 };
 
-platform::vm
+store::vm
 Vm(const std::string& aName, bool aLeaving = false)
 {
   return { aName, aName, "x", 7, 8, 9, aLeaving };
@@ -81,7 +81,7 @@
 {
   static constexpr std::chrono::milliseconds kTurn{ 10 };
 
-  platform::fake_client store;
+  store::fake_client store;
   fake_fetcher vms;
   fake_pacer time;
   std::ostringstream out;
--- a/test/currantshed/failover/fake_store.hpp
+++ b/test/currantshed/failover/fake_store.hpp
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "currantshed/platform/client.hpp"
+#include "currantshed/store/client.hpp"
 
 namespace currantshed::failover::test {
 
@@ -11,7 +11,7 @@
 class fake_store
 {
 public:
-  bool Swap(const std::string& aValue, platform::index aExpected)
+  bool Swap(const std::string& aValue, store::index aExpected)
   {
     if (aExpected != content.version) {
       return false;
@@ -22,7 +22,7 @@
     return true;
   }
 
-  platform::entry content;
+  store::entry content;
   bool down = false;
   /// Answers to swaps are lost after the change was made.
   bool losesAnswers = false;
--- a/test/currantshed/failover/promoter.cpp
+++ b/test/currantshed/failover/promoter.cpp
@@ -125,7 +125,7 @@
   aBook.Tick(kStart, actions);
   aBook.RecordRead(true, {}, kStart);
   aBook.Tick(kStart, actions);
-  aBook.RecordSwapped(currantshed::platform::swap_outcome::kApplied, kStart);
+  aBook.RecordSwapped(currantshed::store::swap_outcome::kApplied, kStart);
 }
 
 // A watch, a book and a promoter, where each fence is answered at once.
--- a/test/currantshed/failover/term_book.cpp
+++ b/test/currantshed/failover/term_book.cpp
@@ -17,7 +17,7 @@
 using namespace currantshed::failover;
 using currantshed::clock::time_point;
 using currantshed::failover::test::fake_store;
-using currantshed::platform::swap_outcome;
+using currantshed::store::swap_outcome;
 using std::chrono::milliseconds;
 using namespace std::chrono_literals;
 
--- a/test/currantshed/failover/world.cpp
+++ b/test/currantshed/failover/world.cpp
@@ -353,7 +353,7 @@
 {
   Push(mNow + Delay(), [this, aPooler] {
     const bool reached = !mStore.down;
-    const auto content = reached ? mStore.content : platform::entry{};
+    const auto content = reached ? mStore.content : store::entry{};
     Push(mNow + Delay(), [this, aPooler, reached, content] {
       Deliver(aPooler, [this, reached, content](coordinator& aCore) {
         aCore.RecordRead(reached, content, mNow);
@@ -366,14 +366,14 @@
 world::DoSwap(std::size_t aPooler, const swap_record& aWhat)
 {
   Push(mNow + Delay(), [this, aPooler, aWhat] {
-    auto outcome = platform::swap_outcome::kUnknown;
+    auto outcome = store::swap_outcome::kUnknown;
     if (!mStore.down) {
       const bool applied = mStore.Swap(aWhat.value, aWhat.expected);
-      outcome = applied ? platform::swap_outcome::kApplied
-                        : platform::swap_outcome::kConflict;
+      outcome = applied ? store::swap_outcome::kApplied
+                        : store::swap_outcome::kConflict;
     }
     if (mStore.losesAnswers) {
-      outcome = platform::swap_outcome::kUnknown;
+      outcome = store::swap_outcome::kUnknown;
     }
     Push(mNow + Delay(), [this, aPooler, outcome] {
       Deliver(aPooler, [this, outcome](coordinator& aCore) {
--- a/test/currantshed/gateway/engine_bench.cpp
+++ b/test/currantshed/gateway/engine_bench.cpp
@@ -59,7 +59,7 @@
   seen.owners = 3;
   seen.groups = { kGroup, "planner" };
   for (const char* name : { "vm-a", "vm-b", "vm-c", "vm-d" }) {
-    platform::vm vm;
+    store::vm vm;
     vm.id = name;
     vm.failureDomain = std::string("domain-") + name;
     seen.live.push_back(vm);
--- a/test/currantshed/member/fleet.cpp
+++ b/test/currantshed/member/fleet.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 namespace member = currantshed::member;
-namespace platform = currantshed::platform;
+namespace store = currantshed::store;
 using currantshed::clock::time_point;
 using std::chrono::milliseconds;
 
@@ -33,7 +33,7 @@
       groups.push_back("group-" + std::to_string(group));
     }
     for (std::size_t number = 0; number < aVms; ++number) {
-      platform::vm vm;
+      store::vm vm;
       vm.id = "vm-" + std::to_string(number);
       vm.failureDomain = std::string(1, "xyz"[number % 3]);
       mNumbers[vm.id] = number;
@@ -122,7 +122,7 @@
   unsigned mLoss;
   std::mt19937_64 mChance{ 11 };
   time_point mNow{ milliseconds{ 1000 } };
-  std::vector<platform::vm> mVms;
+  std::vector<store::vm> mVms;
   absl::flat_hash_map<std::string, std::size_t> mNumbers;
   std::vector<std::unique_ptr<member::roster>> mRosters;
   std::optional<std::size_t> mDead;
--- a/test/currantshed/member/owners.cpp
+++ b/test/currantshed/member/owners.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 using currantshed::member::ChooseOwners;
-using currantshed::platform::vm;
+using currantshed::store::vm;
 
 struct vm_row
 {
--- a/test/currantshed/member/roster.cpp
+++ b/test/currantshed/member/roster.cpp
@@ -14,16 +14,16 @@
 
 namespace member = currantshed::member;
 namespace failover = currantshed::failover;
-namespace platform = currantshed::platform;
+namespace store = currantshed::store;
 using currantshed::clock::time_point;
 using std::chrono::milliseconds;
 
 constexpr std::uint64_t kSeed = 7;
 
-platform::vm
+store::vm
 MakeVm(const std::string& aId, const std::string& aDomain)
 {
-  platform::vm vm;
+  store::vm vm;
   vm.id = aId;
   vm.failureDomain = aDomain;
   return vm;
@@ -133,7 +133,7 @@
 };
 
 member::heartbeat
-MakeBeat(const platform::vm& aSender, const event_row& aRow)
+MakeBeat(const store::vm& aSender, const event_row& aRow)
 {
   member::heartbeat beat;
   beat.sender = aSender;
@@ -170,8 +170,8 @@
   }
 }
 
-const platform::vm*
-Find(const std::vector<platform::vm>& aVms, const std::string& aId)
+const store::vm*
+Find(const std::vector<store::vm>& aVms, const std::string& aId)
 {
   const auto found = std::find_if(
     aVms.begin(), aVms.end(), [&](const auto& aVm) { return aVm.id == aId; });
@@ -269,7 +269,7 @@
 TEST(roster, heartbeats_of_a_large_fleet_are_bounded)
 {
   const auto roster = member::MakeRoster(MakeSettings(), kSeed);
-  std::vector<platform::vm> fleet;
+  std::vector<store::vm> fleet;
   fleet.reserve(530);
   for (int vm = 0; vm < 530; ++vm) {
     fleet.push_back(
@@ -290,7 +290,7 @@
 
 TEST(roster, co_owners_always_get_heartbeats)
 {
-  std::vector<platform::vm> others;
+  std::vector<store::vm> others;
   others.reserve(100);
   for (int vm = 0; vm < 100; ++vm) {
     others.push_back(MakeVm("vm" + std::to_string(vm), vm < 50 ? "x" : "y"));
@@ -342,7 +342,7 @@
     int now = 0;
     for (int event = 0; event < kEvents; ++event) {
       now += static_cast<int>(chance() % 200);
-      std::vector<platform::vm> listed;
+      std::vector<store::vm> listed;
       member::heartbeat beat;
       switch (chance() % 6) {
         case 0:
--- a/test/currantshed/pooler/listing_keeper.cpp
+++ b/test/currantshed/pooler/listing_keeper.cpp
@@ -12,16 +12,16 @@
 struct listing_row
 {
   const char* name;
-  std::vector<platform::listing> read;
+  std::vector<store::listing> read;
   /// Whether each reading brought other groups.
   std::vector<bool> differs;
 };
 
-platform::listing
+store::listing
 Lists(const std::vector<std::string>& aVms,
       const std::vector<group::description>& aGroups)
 {
-  platform::listing listing;
+  store::listing listing;
   for (const auto& id : aVms) {
     listing.vms.emplace_back().id = id;
   }
--- a/test/currantshed/platform/apply.cpp
+++ b/test/currantshed/store/apply.cpp
@@ -1,4 +1,4 @@
-#include "currantshed/platform/apply.hpp"
+#include "currantshed/store/apply.hpp"
 
 #include <algorithm>
 #include <array>
@@ -8,26 +8,26 @@
 #include <variant>
 #include <vector>
 
-#include "currantshed/platform/errors.hpp"
+#include "currantshed/store/errors.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace std::chrono_literals;
 using currantshed::clock::time_point;
-using currantshed::platform::applier;
-using currantshed::platform::apply_action;
-using currantshed::platform::apply_outcome;
-using currantshed::platform::apply_request;
-using currantshed::platform::apply_result;
-using currantshed::platform::entry;
-using currantshed::platform::errc;
-using currantshed::platform::swap_configuration;
-using currantshed::platform::swap_outcome;
 using currantshed::policy::configuration_record;
 using currantshed::policy::kEarlierChanges;
 using currantshed::policy::NextConfigurationRecord;
 using currantshed::policy::ParseConfigurationRecord;
 using currantshed::policy::PrintConfigurationRecord;
+using currantshed::store::applier;
+using currantshed::store::apply_action;
+using currantshed::store::apply_outcome;
+using currantshed::store::apply_request;
+using currantshed::store::apply_result;
+using currantshed::store::entry;
+using currantshed::store::errc;
+using currantshed::store::swap_configuration;
+using currantshed::store::swap_outcome;
 
 namespace {
 
@@ -472,7 +472,7 @@
 TEST(apply, too_large_is_not_written)
 {
   apply_request request = Request();
-  request.declaration.assign(currantshed::platform::kLargestValueBytes, 'x');
+  request.declaration.assign(currantshed::store::kLargestValueBytes, 'x');
   trial subject(request, kSeen);
   subject.Do(step::kAnswer);
   CHECK(subject.Result()->outcome == apply_outcome::kTooLarge);
--- a/test/currantshed/platform/consul_answers.cpp
+++ b/test/currantshed/store/consul_answers.cpp
@@ -1,23 +1,23 @@
-#include "currantshed/platform/consul_answers.hpp"
+#include "currantshed/store/consul_answers.hpp"
 
 #include <string>
 #include <system_error>
 
-#include "currantshed/platform/errors.hpp"
+#include "currantshed/store/errors.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using currantshed::group::description;
-using currantshed::platform::entry;
-using currantshed::platform::errc;
-using currantshed::platform::http_answer;
-using currantshed::platform::KeyTarget;
-using currantshed::platform::ReadEntry;
-using currantshed::platform::ReadGroups;
-using currantshed::platform::ReadSwap;
-using currantshed::platform::ReadVms;
-using currantshed::platform::swap_outcome;
-using currantshed::platform::vm;
+using currantshed::store::entry;
+using currantshed::store::errc;
+using currantshed::store::http_answer;
+using currantshed::store::KeyTarget;
+using currantshed::store::ReadEntry;
+using currantshed::store::ReadGroups;
+using currantshed::store::ReadSwap;
+using currantshed::store::ReadVms;
+using currantshed::store::swap_outcome;
+using currantshed::store::vm;
 
 namespace {
 
--- a/test/currantshed/platform/curl_transport.cpp
+++ b/test/currantshed/store/curl_transport.cpp
@@ -1,4 +1,4 @@
-#include "currantshed/platform/transport.hpp"
+#include "currantshed/store/transport.hpp"
 
 #include <unistd.h>
 
@@ -17,19 +17,19 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
-#include "currantshed/platform/errors.hpp"
+#include "currantshed/store/errors.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
-using currantshed::platform::errc;
-using currantshed::platform::http_answer;
-using currantshed::platform::http_method;
-using currantshed::platform::http_request;
-using currantshed::platform::kAnswerLimitBytes;
-using currantshed::platform::MakeCurlTransport;
-using currantshed::platform::transport;
+using currantshed::store::errc;
+using currantshed::store::http_answer;
+using currantshed::store::http_method;
+using currantshed::store::http_request;
+using currantshed::store::kAnswerLimitBytes;
+using currantshed::store::MakeCurlTransport;
+using currantshed::store::transport;
 
 namespace {
 
--- a/test/currantshed/platform/fake_client.hpp
+++ b/test/currantshed/store/fake_client.hpp
@@ -11,10 +11,10 @@
 #include <vector>
 
 #include "currantshed/clock/time.hpp"
-#include "currantshed/platform/client.hpp"
-#include "currantshed/platform/errors.hpp"
+#include "currantshed/store/client.hpp"
+#include "currantshed/store/errors.hpp"
 
-namespace currantshed::platform {
+namespace currantshed::store {
 
 /// A platform in memory for tests, in the test's own time. A call takes effect
 /// and is answered within Run, once its delay has passed; no callback runs
@@ -222,6 +222,6 @@
   std::vector<pending_watch> mWatches;
 };
 
-} // namespace currantshed::platform
+} // namespace currantshed::store
 
 #endif
--- a/test/currantshed/platform/http_client.cpp
+++ b/test/currantshed/store/http_client.cpp
@@ -1,4 +1,4 @@
-#include "currantshed/platform/http_client.hpp"
+#include "currantshed/store/http_client.hpp"
 
 #include <chrono>
 #include <memory>
@@ -6,21 +6,21 @@
 #include <utility>
 #include <vector>
 
-#include "currantshed/platform/errors.hpp"
+#include "currantshed/store/errors.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace std::chrono_literals;
-using currantshed::platform::client;
-using currantshed::platform::entry;
-using currantshed::platform::errc;
-using currantshed::platform::http_answer;
-using currantshed::platform::http_method;
-using currantshed::platform::http_request;
-using currantshed::platform::listing;
-using currantshed::platform::MakeClient;
-using currantshed::platform::swap_outcome;
-using currantshed::platform::transport;
+using currantshed::store::client;
+using currantshed::store::entry;
+using currantshed::store::errc;
+using currantshed::store::http_answer;
+using currantshed::store::http_method;
+using currantshed::store::http_request;
+using currantshed::store::listing;
+using currantshed::store::MakeClient;
+using currantshed::store::swap_outcome;
+using currantshed::store::transport;
 
 namespace {
 
--- a/test/currantshed/platform/lister.cpp
+++ b/test/currantshed/store/lister.cpp
@@ -1,16 +1,16 @@
-#include "currantshed/platform/lister.hpp"
+#include "currantshed/store/lister.hpp"
 
 #include <chrono>
 #include <vector>
 
-#include "currantshed/platform/errors.hpp"
+#include "currantshed/store/errors.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace std::chrono_literals;
 using currantshed::clock::time_point;
-using currantshed::platform::errc;
-using currantshed::platform::lister;
+using currantshed::store::errc;
+using currantshed::store::lister;
 
 namespace {
 
--- a/test/currantshed/platform/watcher.cpp
+++ b/test/currantshed/store/watcher.cpp
@@ -1,4 +1,4 @@
-#include "currantshed/platform/watcher.hpp"
+#include "currantshed/store/watcher.hpp"
 
 #include <chrono>
 #include <optional>
@@ -6,18 +6,18 @@
 #include <variant>
 #include <vector>
 
-#include "currantshed/platform/errors.hpp"
+#include "currantshed/store/errors.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace std::chrono_literals;
 using currantshed::clock::time_point;
-using currantshed::platform::deliver_entry;
-using currantshed::platform::entry;
-using currantshed::platform::errc;
-using currantshed::platform::start_watch;
-using currantshed::platform::watcher;
-using currantshed::platform::watcher_settings;
+using currantshed::store::deliver_entry;
+using currantshed::store::entry;
+using currantshed::store::errc;
+using currantshed::store::start_watch;
+using currantshed::store::watcher;
+using currantshed::store::watcher_settings;
 
 namespace {
 
--- a/test/currantshed/wire/codec.cpp
+++ b/test/currantshed/wire/codec.cpp
@@ -16,7 +16,7 @@
 namespace group = currantshed::group;
 namespace member = currantshed::member;
 namespace outcome = currantshed::outcome;
-namespace platform = currantshed::platform;
+namespace store = currantshed::store;
 namespace policy = currantshed::policy;
 namespace upstream = currantshed::upstream;
 namespace wire = currantshed::wire;
@@ -85,7 +85,7 @@
   return whole;
 }
 
-platform::vm
+store::vm
 WholeVm()
 {
   return { "vm-1", "127.0.0.1", "abdali", 1, 65535, 3, true };
--- a/test/matrix/operators.cpp
+++ b/test/matrix/operators.cpp
@@ -4,8 +4,8 @@
 #include <utility>
 #include <variant>
 
-#include "currantshed/platform/errors.hpp"
 #include "currantshed/policy/configuration_record.hpp"
+#include "currantshed/store/errors.hpp"
 #include "test/matrix/steps.hpp"
 
 namespace currantshed::matrix {
@@ -17,17 +17,17 @@
 const std::string kKey = "configuration";
 
 told
-ToldBy(platform::apply_outcome aOutcome)
+ToldBy(store::apply_outcome aOutcome)
 {
   switch (aOutcome) {
-    case platform::apply_outcome::kApplied:
+    case store::apply_outcome::kApplied:
       return told::kDone;
-    case platform::apply_outcome::kLostRace:
-    case platform::apply_outcome::kNotReached:
-    case platform::apply_outcome::kTooLarge:
+    case store::apply_outcome::kLostRace:
+    case store::apply_outcome::kNotReached:
+    case store::apply_outcome::kTooLarge:
       return told::kNotRun;
-    case platform::apply_outcome::kUnknown:
-    case platform::apply_outcome::kUnreadable:
+    case store::apply_outcome::kUnknown:
+    case store::apply_outcome::kUnreadable:
       break;
   }
   return told::kUnknown;
@@ -51,7 +51,7 @@
 void
 operator_call::Begun()
 {
-  platform::apply_request request;
+  store::apply_request request;
   request.declaration = mDeclaration;
   request.change = "change-" + mDeclaration;
   request.giveUpAfter = kGiveUp;
@@ -101,16 +101,16 @@
 }
 
 void
-operator_call::Do(const platform::read_configuration& /*aAction*/,
+operator_call::Do(const store::read_configuration& /*aAction*/,
                   const fate& aFate)
 {
   const auto open = std::make_shared<bool>(true);
-  const auto end = [this, open](bool aReached, const platform::entry& aEntry) {
+  const auto end = [this, open](bool aReached, const store::entry& aEntry) {
     if (!std::exchange(*open, false)) {
       return;
     }
-    const auto error = aReached ? std::error_code{}
-                                : make_error_code(platform::errc::kUnreachable);
+    const auto error =
+      aReached ? std::error_code{} : make_error_code(store::errc::kUnreachable);
     mApplier->ConfigurationRead(error, aEntry, mAround.time.Now());
   };
   const auto lose = [end] { end(false, {}); };
@@ -120,7 +120,7 @@
   }
   mAround.time.In(aFate.delay, [=, this] {
     mAround.store.Read(
-      kKey, [=, this](bool aReached, const platform::entry& aEntry) {
+      kKey, [=, this](bool aReached, const store::entry& aEntry) {
         const auto struck =
           mAround.faults.Reach(StepOf(layer::kApply, 0, moment::kDone), *this);
         if (struck.lost) {
@@ -136,16 +136,15 @@
 }
 
 void
-operator_call::Do(const platform::swap_configuration& aAction,
-                  const fate& aFate)
+operator_call::Do(const store::swap_configuration& aAction, const fate& aFate)
 {
   const auto open = std::make_shared<bool>(true);
-  const auto end = [this, open](platform::swap_outcome aOutcome) {
+  const auto end = [this, open](store::swap_outcome aOutcome) {
     if (std::exchange(*open, false)) {
       mApplier->ConfigurationSwapped(aOutcome, mAround.time.Now());
     }
   };
-  const auto lose = [end] { end(platform::swap_outcome::kUnknown); };
+  const auto lose = [end] { end(store::swap_outcome::kUnknown); };
   mAround.time.In(kTimeout, Bind(lose));
   if (aFate.lost) {
     return;
@@ -155,7 +154,7 @@
       kKey,
       aAction.value,
       aAction.expected,
-      [=, this](platform::swap_outcome aOutcome) {
+      [=, this](store::swap_outcome aOutcome) {
         const auto struck =
           mAround.faults.Reach(StepOf(layer::kApply, 1, moment::kDone), *this);
         if (struck.lost) {
--- a/test/matrix/operators.hpp
+++ b/test/matrix/operators.hpp
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-#include "currantshed/platform/apply.hpp"
+#include "currantshed/store/apply.hpp"
 #include "test/matrix/process.hpp"
 #include "test/matrix/surroundings.hpp"
 
@@ -28,13 +28,13 @@
   [[nodiscard]] clock::time_point NextTick() const override;
 
 private:
-  void Do(const platform::read_configuration& aAction, const fate& aFate);
-  void Do(const platform::swap_configuration& aAction, const fate& aFate);
+  void Do(const store::read_configuration& aAction, const fate& aFate);
+  void Do(const store::swap_configuration& aAction, const fate& aFate);
   void Note();
 
   surroundings& mAround;
   std::string mDeclaration;
-  std::optional<platform::applier> mApplier;
+  std::optional<store::applier> mApplier;
   bool mNoted = false;
 };
 
--- a/test/matrix/pooler_node.cpp
+++ b/test/matrix/pooler_node.cpp
@@ -563,7 +563,7 @@
   const auto answered = StepOf(layer::kFailover, 4, moment::kAnswered);
   mAround.time.In(aFate.delay, [=, this] {
     mAround.store.Read(
-      kTermsKey, [=, this](bool aReached, const platform::entry& aEntry) {
+      kTermsKey, [=, this](bool aReached, const store::entry& aEntry) {
         const auto struck = mAround.faults.Reach(done, *this);
         if (struck.lost) {
           return;
@@ -589,10 +589,10 @@
       kTermsKey,
       aAction.value,
       aAction.expected,
-      [=, this](platform::swap_outcome aOutcome) {
+      [=, this](store::swap_outcome aOutcome) {
         const auto struck = mAround.faults.Reach(done, *this);
         const auto outcome =
-          struck.lost ? platform::swap_outcome::kUnknown : aOutcome;
+          struck.lost ? store::swap_outcome::kUnknown : aOutcome;
         const auto take = [this, outcome] {
           mCoordinator->RecordSwapped(outcome, mAround.time.Now());
         };
@@ -714,7 +714,7 @@
 pooler_node::ReadConfiguration()
 {
   mAround.time.In(kReadInterval, Bind([this] { ReadConfiguration(); }));
-  const auto take = [this](bool aReached, const platform::entry& aEntry) {
+  const auto take = [this](bool aReached, const store::entry& aEntry) {
     const auto record = policy::ParseConfigurationRecord(aEntry.value);
     if (aReached && record) {
       Bind([this, found = *record] {
@@ -725,7 +725,7 @@
   const auto life = Life();
   mAround.store.Read(
     kConfigurationKey,
-    [this, life, take](bool aReached, const platform::entry& aEntry) {
+    [this, life, take](bool aReached, const store::entry& aEntry) {
       if (Alive() && Life() == life) {
         take(aReached, aEntry);
       }
--- a/test/matrix/steps.cpp
+++ b/test/matrix/steps.cpp
@@ -8,7 +8,7 @@
 #include "currantshed/failover/coordinator.hpp"
 #include "currantshed/gateway/engine.hpp"
 #include "currantshed/group/engine.hpp"
-#include "currantshed/platform/apply.hpp"
+#include "currantshed/store/apply.hpp"
 
 namespace currantshed::matrix {
 
@@ -46,7 +46,7 @@
 static_assert(kGatewayRows.size() == std::variant_size_v<gateway::action>);
 static_assert(kGroupRows.size() == std::variant_size_v<group::action>);
 static_assert(kFailoverRows.size() == std::variant_size_v<failover::action>);
-static_assert(kApplyRows.size() == std::variant_size_v<platform::apply_action>);
+static_assert(kApplyRows.size() == std::variant_size_v<store::apply_action>);
 
 template<typename Rows>
 void
--- a/test/matrix/store.hpp
+++ b/test/matrix/store.hpp
@@ -6,19 +6,19 @@
 #include <string>
 #include <utility>
 
-#include "currantshed/platform/client.hpp"
+#include "currantshed/store/client.hpp"
 #include "test/matrix/process.hpp"
 
 namespace currantshed::matrix {
 
 /// The platform's store: keys under compare-and-swap, with its faults.
-class store
+class fake_store
 {
 public:
-  using read_done = std::function<void(bool, const platform::entry&)>;
-  using swap_done = std::function<void(platform::swap_outcome)>;
+  using read_done = std::function<void(bool, const store::entry&)>;
+  using swap_done = std::function<void(store::swap_outcome)>;
 
-  explicit store(timeline& aTimeline)
+  explicit fake_store(timeline& aTimeline)
     : mTimeline(aTimeline)
   {
   }
@@ -28,45 +28,45 @@
   {
     mTimeline.In(Delay(), [this, aKey, aDone] {
       const bool reached = !down;
-      const auto content = reached ? keys[aKey] : platform::entry{};
+      const auto content = reached ? keys[aKey] : store::entry{};
       mTimeline.In(Delay(), [=] { aDone(reached, content); });
     });
   }
 
   void Swap(const std::string& aKey,
             const std::string& aValue,
-            platform::index aExpected,
+            store::index aExpected,
             const swap_done& aDone)
   {
     mTimeline.In(Delay(), [=, this] {
-      auto outcome = platform::swap_outcome::kUnknown;
+      auto outcome = store::swap_outcome::kUnknown;
       if (!down) {
         outcome = Apply(aKey, aValue, aExpected);
       }
       if (losesAnswers) {
-        outcome = platform::swap_outcome::kUnknown;
+        outcome = store::swap_outcome::kUnknown;
       }
       mTimeline.In(Delay(), [=] { aDone(outcome); });
     });
   }
 
-  platform::swap_outcome Apply(const std::string& aKey,
-                               const std::string& aValue,
-                               platform::index aExpected)
+  store::swap_outcome Apply(const std::string& aKey,
+                            const std::string& aValue,
+                            store::index aExpected)
   {
     auto& held = keys[aKey];
     if (held.version != aExpected) {
-      return platform::swap_outcome::kConflict;
+      return store::swap_outcome::kConflict;
     }
     held.value = aValue;
     ++held.version;
     if (changed) {
       changed(aKey, aValue);
     }
-    return platform::swap_outcome::kApplied;
+    return store::swap_outcome::kApplied;
   }
 
-  std::map<std::string, platform::entry> keys;
+  std::map<std::string, store::entry> keys;
   std::function<void(const std::string&, const std::string&)> changed;
   bool down = false;
   bool slow = false;
--- a/test/matrix/surroundings.hpp
+++ b/test/matrix/surroundings.hpp
@@ -18,7 +18,7 @@
 {
   timeline& time;
   server_group& servers;
-  matrix::store& store;
+  fake_store& store;
   injector& faults;
   matrix::rules& rules;
   history& seen;
--- a/test/matrix/world.cpp
+++ b/test/matrix/world.cpp
@@ -46,10 +46,10 @@
 const std::string kGroup = "claimsbook-1";
 const std::string kConfigurationKey = "configuration";
 
-platform::vm
+store::vm
 Vm(const std::string& aName)
 {
-  platform::vm made;
+  store::vm made;
   made.id = aName;
   made.failureDomain = "d" + aName.substr(aName.size() - 1);
   return made;
@@ -471,7 +471,7 @@
 std::vector<pooler_node*>
 world::Ranked()
 {
-  std::vector<platform::vm> live;
+  std::vector<store::vm> live;
   for (const auto& pooler : mPoolers) {
     if (pooler->Alive()) {
       live.push_back(Vm(pooler->VmName()));
--- a/test/matrix/world.hpp
+++ b/test/matrix/world.hpp
@@ -65,7 +65,7 @@
   history mSeen;
   timeline mTime;
   server_group mServers;
-  store mStore;
+  fake_store mStore;
   rules mRules;
   surroundings mAround;
   std::vector<unsigned> mReached;
