--- /dev/null
+++ b/bin/currantshed-node/main.cpp
@@ -0,0 +1,211 @@
+#include <chrono>
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <string>
+
+#include <boost/asio/signal_set.hpp>
+
+#include "bin/currantshed-node/options.hpp"
+#include "currantshed/http/status_server.hpp"
+#include "currantshed/log/log.hpp"
+#include "currantshed/node/control.hpp"
+#include "currantshed/node/metrics.hpp"
+#include "currantshed/node/traffic.hpp"
+#include "platform/documents.hpp"
+#include "platform/settings_file.hpp"
+#include "platform/statement_line.hpp"
+#include "platform/store_client.hpp"
+
+namespace {
+
+using namespace currantshed;
+
+/// Exit code of a process that could not begin to listen.
+constexpr int kStartFailed = 1;
+
+/// What the status addresses tell.
+class node_status final : public http::status_source
+{
+public:
+  explicit node_status(const node::control& aControl)
+    : mControl(aControl)
+  {
+  }
+
+  [[nodiscard]] bool Ready() const override { return mControl.IsReady(); }
+
+  [[nodiscard]] std::string_view ReadyPath() const override
+  {
+    return platform::kReadyPath;
+  }
+
+  [[nodiscard]] std::string StatusJson() const override
+  {
+    return mControl.IsReady() ? R"({"ready":true})" : R"({"ready":false})";
+  }
+
+private:
+  const node::control& mControl;
+};
+
+/// The process: its two threads, its signals, and the order of its end.
+class node_process
+{
+public:
+  node_process(const node::options& aOptions,
+               const node::node_settings& aSettings)
+    : mOptions(aOptions)
+    , mSettings(aSettings)
+    , mTraffic(mSettings,
+               { mSettings.failureDomain, aOptions.lead.validity },
+               mLines,
+               mMetrics)
+    , mControl(
+        mSettings,
+        aOptions.lead,
+        mDocuments,
+        [this](boost::asio::io_context& aContext) {
+          return node::platform_access{
+            platform::MakeStoreClient(aContext, mSettings.store),
+            platform::MakePromoter(aContext, mSettings.promotion)
+          };
+        },
+        mTraffic,
+        mMetrics)
+    , mStatus(mControl)
+    , mReadiness(mControl.Context(),
+                 mSettings.readiness.host,
+                 mSettings.readiness.port,
+                 mMetrics.Registry(),
+                 mStatus)
+    , mMetricsServer(mControl.Context(),
+                     mSettings.metrics.host,
+                     mSettings.metrics.port,
+                     mMetrics.Registry(),
+                     mStatus)
+    , mSignals(mTraffic.Context(), SIGTERM, SIGINT, SIGHUP)
+  {
+  }
+
+  int Run()
+  {
+    if (Failed("callers", mTraffic.Listen()) ||
+        Failed("readiness", mReadiness.Start()) ||
+        Failed("metrics", mMetricsServer.Start()) ||
+        Failed("peers", mControl.Start())) {
+      return kStartFailed;
+    }
+    log::Write(log::level::kInfo,
+               "started",
+               { { "callers_port",
+                   static_cast<std::int64_t>(mSettings.callers.port) } });
+    AwaitSignal();
+    mTraffic.Run();
+    mControl.Stop();
+    log::Write(log::level::kInfo, "stopped");
+    return 0;
+  }
+
+private:
+  static bool Failed(const std::string& aWhat, std::error_code aError)
+  {
+    if (!aError) {
+      return false;
+    }
+    log::Write(log::level::kError,
+               "start_failed",
+               { { "what", aWhat }, { "reason", aError.message() } });
+    return true;
+  }
+
+  void AwaitSignal()
+  {
+    mSignals.async_wait(
+      [this](const boost::system::error_code& aError, int aSignal) {
+        if (aError) {
+          return;
+        }
+        if (aSignal == SIGHUP) {
+          Reload();
+        } else {
+          Leave(aSignal);
+        }
+        AwaitSignal();
+      });
+  }
+
+  void Leave(int aSignal)
+  {
+    if (mIsLeaving) {
+      return;
+    }
+    mIsLeaving = true;
+    log::Write(log::level::kInfo,
+               "stopping",
+               { { "signal", static_cast<std::int64_t>(aSignal) } });
+    mControl.Leave();
+    mTraffic.Drain(mSettings.stopTime);
+  }
+
+  // Addresses can't change under open connections; what else there is, is
+  // read by those that use it.
+  void Reload()
+  {
+    std::string whyNot;
+    const auto read = platform::ReadSettingsFile(mOptions.settingsPath, whyNot);
+    if (!read) {
+      log::Write(
+        log::level::kError, "settings_unusable", { { "reason", whyNot } });
+      return;
+    }
+    log::Write(log::level::kInfo,
+               "settings_read",
+               { { "changed", !(*read == mSettings) } });
+    mSettings.stopTime = read->stopTime;
+  }
+
+  const node::options& mOptions;
+  node::node_settings mSettings;
+  platform::statement_line_codec mLines;
+  platform::json_documents mDocuments;
+  node::metrics mMetrics;
+  node::traffic mTraffic;
+  node::control mControl;
+  node_status mStatus;
+  http::status_server mReadiness;
+  http::status_server mMetricsServer;
+  boost::asio::signal_set mSignals;
+  bool mIsLeaving = false;
+};
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  node::options options;
+  const auto parsed = node::ReadOptions(options, aCount, aValues);
+  if (parsed.end == settings::parse_end::kExit) {
+    return parsed.exitCode;
+  }
+  std::string whyNot;
+  const auto laidDown =
+    platform::ReadSettingsFile(options.settingsPath, whyNot);
+  if (!laidDown) {
+    std::cerr << "currantshed-node: " << options.settingsPath << ": " << whyNot
+              << '\n';
+    return settings::kUsageExitCode;
+  }
+  log::Start({ "currantshed-node", laidDown->vm, laidDown->failureDomain },
+             options.logLevel);
+  try {
+    node_process process(options, *laidDown);
+    return process.Run();
+  } catch (const std::exception& error) {
+    log::Write(log::level::kError,
+               "failed",
+               { { "reason", std::string(error.what()) } });
+    return kStartFailed;
+  }
+}
--- /dev/null
+++ b/src/currantshed/http/channel.cpp
@@ -0,0 +1,267 @@
+#include "currantshed/http/channel.hpp"
+
+#include <deque>
+#include <optional>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "currantshed/net/liveness.hpp"
+
+namespace currantshed::http {
+
+namespace {
+
+namespace beast = boost::beast;
+using tcp = boost::asio::ip::tcp;
+
+// A value of a megabyte in base64, with room for what surrounds it.
+constexpr std::uint64_t kBodyLimitBytes = 8ULL * 1024 * 1024;
+// A connection that is not made by then is tried anew by the next call.
+constexpr std::chrono::milliseconds kConnectTimeout{ 600 };
+
+beast::http::verb
+VerbOf(method aMethod)
+{
+  switch (aMethod) {
+    case method::kGet:
+      return beast::http::verb::get;
+    case method::kPost:
+      return beast::http::verb::post;
+    case method::kDelete:
+      return beast::http::verb::delete_;
+  }
+  return beast::http::verb::get;
+}
+
+} // namespace
+
+class channel::implementation
+  : public std::enable_shared_from_this<implementation>
+{
+public:
+  implementation(boost::asio::io_context& aContext,
+                 std::string aAddress,
+                 std::uint16_t aPort)
+    : mContext(aContext)
+    , mStream(aContext)
+    , mAddress(std::move(aAddress))
+    , mPort(aPort)
+  {
+  }
+
+  void Send(call aCall, callback aDone)
+  {
+    mCalls.push_back({ std::move(aCall), std::move(aDone) });
+    if (mCalls.size() == 1) {
+      Begin();
+    }
+  }
+
+  void Reset() { CloseStream(); }
+
+  void Stop()
+  {
+    mIsStopped = true;
+    mCalls.clear();
+    CloseStream();
+  }
+
+private:
+  struct pending
+  {
+    call what;
+    callback done;
+  };
+
+  void Begin()
+  {
+    // A kept connection that the service has closed shows it now.
+    if (mIsOpen && IsClosedByPeer()) {
+      CloseStream();
+    }
+    if (mIsOpen) {
+      Write();
+    } else {
+      Connect();
+    }
+  }
+
+  [[nodiscard]] bool IsClosedByPeer()
+  {
+    boost::system::error_code error;
+    mStream.socket().non_blocking(true, error);
+    char byte = 0;
+    mStream.socket().receive(
+      boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error != boost::asio::error::would_block;
+  }
+
+  void Connect()
+  {
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(mAddress, error);
+    if (error) {
+      Fail(error, true);
+      return;
+    }
+    mStream.expires_after(
+      std::min(kConnectTimeout, mCalls.front().what.timeout));
+    mStream.async_connect(
+      tcp::endpoint(address, mPort),
+      [self = shared_from_this()](boost::system::error_code aError) {
+        if (self->mIsStopped) {
+          return;
+        }
+        if (aError) {
+          self->Fail(aError, true);
+          return;
+        }
+        self->mIsOpen = true;
+        net::SetLiveness(self->mStream.socket().native_handle());
+        self->Write();
+      });
+  }
+
+  void Write()
+  {
+    const auto& what = mCalls.front().what;
+    mRequest = {};
+    mRequest.version(11);
+    mRequest.method(VerbOf(what.verb));
+    mRequest.target(what.target);
+    mRequest.set(beast::http::field::host, mAddress);
+    for (const auto& [name, value] : what.headers) {
+      mRequest.set(name, value);
+    }
+    if (!what.body.empty()) {
+      mRequest.set(beast::http::field::content_type, "application/json");
+      mRequest.body() = what.body;
+    }
+    mRequest.prepare_payload();
+    mStream.expires_after(what.timeout);
+    beast::http::async_write(mStream,
+                             mRequest,
+                             [self = shared_from_this()](
+                               boost::system::error_code aError, std::size_t) {
+                               if (self->mIsStopped) {
+                                 return;
+                               }
+                               if (aError) {
+                                 self->Fail(aError, false);
+                                 return;
+                               }
+                               self->Read();
+                             });
+  }
+
+  void Read()
+  {
+    mParser.emplace();
+    mParser->body_limit(kBodyLimitBytes);
+    beast::http::async_read(mStream,
+                            mBuffer,
+                            *mParser,
+                            [self = shared_from_this()](
+                              boost::system::error_code aError, std::size_t) {
+                              if (self->mIsStopped) {
+                                return;
+                              }
+                              if (aError) {
+                                self->Fail(aError, false);
+                                return;
+                              }
+                              self->Answered();
+                            });
+  }
+
+  void Answered()
+  {
+    auto& response = mParser->get();
+    reply made;
+    made.status = response.result_int();
+    made.body = std::move(response.body());
+    if (!response.keep_alive()) {
+      CloseStream();
+    } else {
+      mStream.expires_never();
+    }
+    // Memory that a large answer took is not kept.
+    mBuffer = {};
+    mParser.reset();
+    End(std::move(made));
+  }
+
+  void Fail(const boost::system::error_code& aError, bool aNotSent)
+  {
+    CloseStream();
+    reply made;
+    made.error = aError;
+    made.notSent = aNotSent;
+    End(std::move(made));
+  }
+
+  void End(reply aReply)
+  {
+    auto done = std::move(mCalls.front().done);
+    mCalls.pop_front();
+    const auto self = shared_from_this();
+    // A call that the callback makes while none waits begins by itself.
+    if (!mCalls.empty()) {
+      boost::asio::post(mContext, [self] {
+        if (!self->mIsStopped) {
+          self->Begin();
+        }
+      });
+    }
+    done(std::move(aReply));
+  }
+
+  void CloseStream()
+  {
+    mIsOpen = false;
+    mBuffer = {};
+    boost::system::error_code ignored;
+    mStream.socket().close(ignored);
+  }
+
+  boost::asio::io_context& mContext;
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+  std::optional<beast::http::response_parser<beast::http::string_body>> mParser;
+  beast::http::request<beast::http::string_body> mRequest;
+  std::string mAddress;
+  std::uint16_t mPort;
+  std::deque<pending> mCalls;
+  bool mIsOpen = false;
+  bool mIsStopped = false;
+};
+
+channel::channel(boost::asio::io_context& aContext,
+                 std::string aAddress,
+                 std::uint16_t aPort)
+  : mImplementation(
+      std::make_shared<implementation>(aContext, std::move(aAddress), aPort))
+{
+}
+
+channel::~channel()
+{
+  mImplementation->Stop();
+}
+
+void
+channel::Send(call aCall, callback aDone)
+{
+  mImplementation->Send(std::move(aCall), std::move(aDone));
+}
+
+void
+channel::Reset()
+{
+  mImplementation->Reset();
+}
+
+} // namespace currantshed::http
--- a/src/currantshed/http/fwd.hpp
+++ b/src/currantshed/http/fwd.hpp
@@ -3,9 +3,13 @@
 
 namespace currantshed::http {
 
+enum class method;
+struct call;
 struct fetched;
+struct reply;
 struct status_answer;
 struct status_source;
+class channel;
 class fetcher;
 class status_server;
 
--- a/src/currantshed/http/status_answer.cpp
+++ b/src/currantshed/http/status_answer.cpp
@@ -28,7 +28,7 @@
   if (path == "/livez") {
     return { kOk, kPlain, "ok\n" };
   }
-  if (path == "/readyz") {
+  if (path == aSource.ReadyPath()) {
     if (aSource.Ready()) {
       return { kOk, kPlain, "ready\n" };
     }
--- a/src/currantshed/http/status_answer.hpp
+++ b/src/currantshed/http/status_answer.hpp
@@ -19,6 +19,9 @@
   /// Whether the process takes new work now.
   [[nodiscard]] virtual bool Ready() const = 0;
 
+  /// The path that tells whether the process takes new work.
+  [[nodiscard]] virtual std::string_view ReadyPath() const { return "/readyz"; }
+
   /// One JSON object that describes the process.
   [[nodiscard]] virtual std::string StatusJson() const = 0;
 };
--- /dev/null
+++ b/src/currantshed/lead/group_lead.cpp
@@ -0,0 +1,456 @@
+#include "currantshed/lead/group_lead.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+namespace currantshed::lead {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Pause before the same server is asked again when it did not answer.
+constexpr milliseconds kRetryPause{ 150 };
+// Every member is asked this often by the VM that watches, so that strayed
+// fences and old primaries are seen.
+constexpr milliseconds kRoundPause{ 2000 };
+// How long a wish for proof lasts.
+constexpr milliseconds kDemandLife{ 1000 };
+// A VM without the duty asks by itself once the proofs that it is told leave
+// it less than this.
+constexpr milliseconds kOwnAskReserve{ 350 };
+constexpr unsigned kFailuresToLose = 2;
+// How lately another VM must have heard the primary to keep it.
+constexpr milliseconds kReachLife{ 600 };
+// How long nobody may lead before the group counts as vacant.
+constexpr milliseconds kVacantAfter{ 1200 };
+// A new holder of the duty looks on for this long first, so that an order of
+// the holder before it has had its effect.
+constexpr milliseconds kFirstLook{ 1000 };
+// A revocation that its author does not repeat lapses.
+constexpr milliseconds kRevocationLife{ 5000 };
+
+} // namespace
+
+group_lead::group_lead(const lead_settings& aSettings)
+  : mSettings(aSettings)
+  , mTakeover(mTable, aSettings.validity)
+{
+}
+
+void
+group_lead::Configure(const std::vector<member>& aMembers,
+                      clock::time_point aNow)
+{
+  mTable.Configure(aMembers, aNow);
+  Evaluate(aNow);
+}
+
+void
+group_lead::SetDuty(bool aHolds, std::uint64_t aEpoch, clock::time_point aNow)
+{
+  if (aHolds == mHoldsDuty && aEpoch == mEpoch) {
+    return;
+  }
+  if (aHolds && !mHoldsDuty) {
+    mDutySince = aNow;
+    mVacantSince.reset();
+  }
+  mHoldsDuty = aHolds;
+  mEpoch = aEpoch;
+  if (!aHolds) {
+    mTakeover.Abandon(mActions);
+  }
+  Evaluate(aNow);
+}
+
+void
+group_lead::SetPeers(std::vector<std::string> aVms)
+{
+  mPeers = std::move(aVms);
+}
+
+void
+group_lead::Wanted(clock::time_point aNow)
+{
+  mWantedAt = aNow;
+  Evaluate(aNow);
+}
+
+void
+group_lead::Denied(position::term_id aTerm, clock::time_point aNow)
+{
+  if (aTerm >= mProof.term) {
+    mDeniedAt = aNow;
+    mWantedAt = aNow;
+  }
+  Evaluate(aNow);
+}
+
+void
+group_lead::ServerAnswered(const upstream::server_id& aServer,
+                           const std::optional<proxy::server_report>& aReport,
+                           clock::time_point aAskedAt,
+                           clock::time_point aNow)
+{
+  if (aReport) {
+    mTable.Reported(aServer, *aReport, aAskedAt, aNow);
+    const bool isSample = aReport->isPrimary && aServer == mProof.primary &&
+                          aReport->term == mProof.term &&
+                          aAskedAt < mProof.askedAt + mSettings.validity;
+    if (isSample) {
+      mSample = { aReport->term, aReport->received, aAskedAt };
+      mActions.emplace_back(publish_sample{ *mSample });
+    }
+  } else {
+    if (auto* view = mTable.Find(aServer)) {
+      view->asking.reset();
+    }
+    mTable.Heard(aServer, aNow);
+  }
+  Evaluate(aNow);
+}
+
+void
+group_lead::ServerFailed(const upstream::server_id& aServer,
+                         std::optional<clock::time_point> aHeardAt,
+                         clock::time_point aNow)
+{
+  mTable.Failed(aServer);
+  if (aHeardAt) {
+    mTable.Heard(aServer, *aHeardAt);
+  }
+  Evaluate(aNow);
+}
+
+void
+group_lead::PromotionAnswered(bool aTaken,
+                              bool aRejected,
+                              clock::time_point aNow)
+{
+  mTakeover.PromotionAnswered(aTaken, aRejected, aNow);
+  Evaluate(aNow);
+}
+
+void
+group_lead::HeardWatch(const lead_news& aNews, clock::time_point aNow)
+{
+  if (aNews.epoch >= mRevokedEpoch && !mHoldsDuty) {
+    if (aNews.revokedTerm != mRevoked) {
+      mActions.emplace_back(publish_revocation{ aNews.revokedTerm });
+    }
+    mRevoked = aNews.revokedTerm;
+    mRevokedEpoch = aNews.epoch;
+    mRevokedAt = aNow;
+  }
+  TakeProof(aNews.proof, aNow);
+  if (aNews.sample && aNews.sample->term == mProof.term) {
+    mActions.emplace_back(publish_sample{ *aNews.sample });
+  }
+  Evaluate(aNow);
+}
+
+void
+group_lead::HeardReach(const std::string& aVm,
+                       const reach_news& aNews,
+                       clock::time_point aNow)
+{
+  mReach[aVm] = { aNews, aNow };
+  CheckObedience();
+  Evaluate(aNow);
+}
+
+lead_news
+group_lead::Watch() const
+{
+  return { mProof, mSample, mTakeover.RevokedTerm(), mEpoch };
+}
+
+reach_news
+group_lead::Reach(std::optional<clock::time_point> aHeardAt) const
+{
+  reach_news news{ mProof.term, mProof.primary, {}, mRevoked };
+  if (const auto* primary = mTable.Find(mProof.primary)) {
+    news.heardAt = primary->report ? primary->heardAt : clock::time_point{};
+  }
+  if (aHeardAt) {
+    news.heardAt = std::max(news.heardAt, *aHeardAt);
+  }
+  return news;
+}
+
+void
+group_lead::Tick(clock::time_point aNow)
+{
+  Evaluate(aNow);
+}
+
+clock::time_point
+group_lead::NextTick() const
+{
+  auto next = mTakeover.NextTick();
+  if (mHoldsDuty || mNow < mWantedAt + kDemandLife) {
+    next = std::min(next, mNow + milliseconds{ 50 });
+  }
+  if (mRevoked != 0) {
+    next = std::min(next, mRevokedAt + kRevocationLife);
+  }
+  return next;
+}
+
+std::vector<action>
+group_lead::TakeActions()
+{
+  return std::exchange(mActions, {});
+}
+
+void
+group_lead::Evaluate(clock::time_point aNow)
+{
+  mNow = std::max(mNow, aNow);
+  if (mRevoked != 0 && !mHoldsDuty && mNow > mRevokedAt + kRevocationLife) {
+    mRevoked = 0;
+    mActions.emplace_back(publish_revocation{ 0 });
+  }
+  TakeOwnProof(mNow);
+  if (mHoldsDuty) {
+    Judge(mNow);
+    mTakeover.Tick(mNow, mActions);
+    Repair(mNow);
+  }
+  Ask(mNow);
+}
+
+void
+group_lead::TakeProof(const proxy::confirmation& aProof, clock::time_point aNow)
+{
+  const bool isNewer =
+    aProof.term > mProof.term ||
+    (aProof.term == mProof.term && aProof.askedAt > mProof.askedAt);
+  if (aProof.term == 0 || !isNewer) {
+    return;
+  }
+  if (aProof.term > mProof.term) {
+    mSample.reset();
+    mActions.emplace_back(note_step{
+      "primary",
+      absl::StrCat("server=", aProof.primary, " term=", aProof.term) });
+  }
+  mProof = aProof;
+  if (aNow < aProof.askedAt + mSettings.validity) {
+    mActions.emplace_back(publish_proof{ mProof });
+  }
+}
+
+void
+group_lead::TakeOwnProof(clock::time_point aNow)
+{
+  const auto proof = mTable.Proof();
+  if (!proof) {
+    return;
+  }
+  const auto revoked = mHoldsDuty ? mTakeover.RevokedTerm() : mRevoked;
+  if (proof->term <= revoked) {
+    return;
+  }
+  TakeProof(*proof, aNow);
+  if (IsChanging() && mProof.term > mTakeover.RevokedTerm()) {
+    mTakeover.Succeeded(mProof.primary, aNow, mActions);
+  }
+}
+
+void
+group_lead::Judge(clock::time_point aNow)
+{
+  if (IsChanging() || aNow < mDutySince + kFirstLook) {
+    return;
+  }
+  const auto* primary = mTable.Find(mProof.primary);
+  if (mProof.term != 0 && primary != nullptr && IsLost(aNow)) {
+    mTakeover.Begin(
+      takeover_reason::kLost, mProof.primary, mProof.term, aNow, mActions);
+    return;
+  }
+  const bool leaves = mProof.term != 0 && primary != nullptr &&
+                      primary->listed.draining &&
+                      aNow < mProof.askedAt + mSettings.validity;
+  const auto& all = mTable.All();
+  const bool canMove =
+    std::any_of(all.begin(), all.end(), [](const auto& aOne) {
+      return aOne.second.report && !aOne.second.report->isPrimary &&
+             !aOne.second.listed.draining;
+    });
+  if (leaves && canMove) {
+    mTakeover.Begin(
+      takeover_reason::kDraining, mProof.primary, mProof.term, aNow, mActions);
+    return;
+  }
+  if (IsVacant(aNow)) {
+    mTakeover.Begin(takeover_reason::kVacant,
+                    mProof.primary,
+                    std::max(mProof.term, mTable.HighestTerm()),
+                    aNow,
+                    mActions);
+  }
+}
+
+// Nobody reaches the primary: neither this VM nor any that told lately.
+bool
+group_lead::IsLost(clock::time_point aNow) const
+{
+  const auto* primary = mTable.Find(mProof.primary);
+  if (primary->failures < kFailuresToLose ||
+      aNow - primary->heardAt < mSettings.silentAfter) {
+    return false;
+  }
+  return std::none_of(mReach.begin(), mReach.end(), [&](const auto& aEntry) {
+    const auto& news = aEntry.second.news;
+    return news.primary == mProof.primary && aNow - news.heardAt < kReachLife;
+  });
+}
+
+// A majority answers, and none of the servers leads; or the one that led is
+// gone from the list.
+bool
+group_lead::IsVacant(clock::time_point aNow)
+{
+  std::size_t answering = 0;
+  bool leads = false;
+  for (const auto& [id, view] : mTable.All()) {
+    const bool fresh = view.report && aNow - view.askedAt < kVacantAfter;
+    answering += fresh ? 1 : 0;
+    leads = leads || (fresh && view.report->isPrimary);
+  }
+  const bool unlisted =
+    mProof.term == 0 || mTable.Find(mProof.primary) == nullptr;
+  const bool stale = aNow - mProof.askedAt > kVacantAfter;
+  if (leads || answering < mTable.Majority() || !(unlisted || stale)) {
+    mVacantSince.reset();
+    return false;
+  }
+  if (!mVacantSince) {
+    mVacantSince = aNow;
+  }
+  return aNow - *mVacantSince > kVacantAfter;
+}
+
+bool
+group_lead::WantsProof(clock::time_point aNow) const
+{
+  if (IsChanging()) {
+    return true;
+  }
+  const bool wanted =
+    mWantedAt != clock::time_point{} && aNow < mWantedAt + kDemandLife;
+  if (mHoldsDuty) {
+    return aNow >= mProof.askedAt + mSettings.askInterval ||
+           mDeniedAt > mProof.askedAt;
+  }
+  const bool endsSoon =
+    aNow + kOwnAskReserve >= mProof.askedAt + mSettings.validity;
+  return mMayAsk && wanted && (endsSoon || mDeniedAt > mProof.askedAt);
+}
+
+// A proof takes the primary and as many others as make a majority with it;
+// without a primary that answers, all are asked.
+void
+group_lead::Ask(clock::time_point aNow)
+{
+  for (const auto& [id, view] : mTable.All()) {
+    if (view.asking && aNow - *view.asking > 2 * mSettings.askTimeout) {
+      mTable.Failed(id);
+    }
+  }
+  const bool wantsProof = WantsProof(aNow);
+  auto* primary = mTable.Find(mProof.primary);
+  const bool knows = primary != nullptr && primary->failures == 0 &&
+                     mDeniedAt <= mProof.askedAt && !IsChanging();
+  const auto* witness = Witness(aNow);
+  for (const auto& [id, view] : mTable.All()) {
+    const bool inProof = !knows || &view == primary || &view == witness;
+    const bool roundDue = mHoldsDuty && aNow >= view.lastAsked + kRoundPause;
+    const bool paused = aNow < view.lastAsked + kRetryPause;
+    if (!view.asking && !paused && ((wantsProof && inProof) || roundDue)) {
+      AskOne(*mTable.Find(id), aNow);
+    }
+  }
+}
+
+void
+group_lead::AskOne(member_view& aView, clock::time_point aNow)
+{
+  aView.asking = aNow;
+  aView.lastAsked = aNow;
+  proxy::command question;
+  question.kind = proxy::command_kind::kReport;
+  mActions.emplace_back(ask_server{ aView.listed.id, question });
+}
+
+// The member to ask besides the primary: one that answers, near by preference.
+const member_view*
+group_lead::Witness(clock::time_point /*aNow*/) const
+{
+  const member_view* best = nullptr;
+  for (const auto& [id, view] : mTable.All()) {
+    if (id == mProof.primary || view.failures > 0) {
+      continue;
+    }
+    if (best == nullptr || (view.listed.isNear && !best->listed.isNear)) {
+      best = &view;
+    }
+  }
+  return best;
+}
+
+// Brings servers back that a change of the primary left behind: old primaries
+// step down, fences of a settled term are lifted.
+void
+group_lead::Repair(clock::time_point aNow)
+{
+  if (IsChanging() || aNow >= mProof.askedAt + mSettings.validity) {
+    return;
+  }
+  for (const auto& [id, view] : mTable.All()) {
+    if (id == mProof.primary || !view.report || view.asking ||
+        aNow < view.lastAsked + kRetryPause) {
+      continue;
+    }
+    proxy::command order;
+    if (view.report->isPrimary && view.report->term < mProof.term) {
+      order.kind = proxy::command_kind::kDemote;
+      order.term = mProof.term;
+    } else if (view.report->fencedAt > mProof.term) {
+      order.kind = proxy::command_kind::kUnfence;
+    } else {
+      continue;
+    }
+    auto& asked = *mTable.Find(id);
+    asked.asking = aNow;
+    asked.lastAsked = aNow;
+    mActions.emplace_back(note_step{ "repair", id });
+    mActions.emplace_back(ask_server{ id, order });
+  }
+}
+
+void
+group_lead::CheckObedience()
+{
+  const auto revoked = mTakeover.RevokedTerm();
+  if (revoked == 0) {
+    return;
+  }
+  const bool all =
+    std::all_of(mPeers.begin(), mPeers.end(), [&](const auto& aVm) {
+      const auto found = mReach.find(aVm);
+      return found != mReach.end() &&
+             found->second.news.obeyedTerm >= revoked &&
+             found->second.news.saidAt >= mTakeover.BegunAt();
+    });
+  if (all) {
+    mTakeover.AllObeyed();
+  }
+}
+
+} // namespace currantshed::lead
--- /dev/null
+++ b/src/currantshed/lead/group_lead.hpp
@@ -0,0 +1,160 @@
+#ifndef CURRANTSHED_LEAD_GROUP_LEAD_HPP
+#define CURRANTSHED_LEAD_GROUP_LEAD_HPP
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/lead/actions.hpp"
+#include "currantshed/lead/server_table.hpp"
+#include "currantshed/lead/takeover.hpp"
+
+namespace currantshed::lead {
+
+/// Times of one group's lead.
+struct lead_settings
+{
+  /// How long a proof holds, from its asking. Shorter makes a change of the
+  /// primary faster, longer spares questions.
+  std::chrono::milliseconds validity{ 1000 };
+  /// Time between two proofs while this VM watches the group.
+  std::chrono::milliseconds askInterval{ 350 };
+  std::chrono::milliseconds askTimeout{ 300 };
+  /// How long the primary must be silent to every VM before it counts as lost.
+  std::chrono::milliseconds silentAfter{ 600 };
+};
+
+/// What one VM's word on a group says of its watch.
+struct lead_news
+{
+  proxy::confirmation proof;
+  std::optional<proxy::position_sample> sample;
+  /// The term that no VM may rest on, or zero.
+  position::term_id revokedTerm = 0;
+  /// Number of the sender's duty; a higher one overrides.
+  std::uint64_t epoch = 0;
+};
+
+/// What one VM says of its own way to the primary.
+struct reach_news
+{
+  position::term_id term = 0;
+  upstream::server_id primary;
+  /// When it last heard the primary.
+  clock::time_point heardAt;
+  /// The term that it was told not to rest on, and does not.
+  position::term_id obeyedTerm = 0;
+  /// When it said so, at the earliest.
+  clock::time_point saidAt;
+};
+
+/// One group at one VM: who leads it, with proof; and at the VM that holds the
+/// group's duty, the watch over the primary and its replacement. Does no I/O:
+/// events and the time go in, actions come out.
+class group_lead
+{
+public:
+  explicit group_lead(const lead_settings& aSettings);
+
+  void Configure(const std::vector<member>& aMembers, clock::time_point aNow);
+
+  /// Whether this VM holds the group's duty, and its number.
+  void SetDuty(bool aHolds, std::uint64_t aEpoch, clock::time_point aNow);
+
+  /// The other VMs that may rest on a proof.
+  void SetPeers(std::vector<std::string> aVms);
+
+  /// Whether this VM may ask for proofs by itself yet.
+  void SetMayAsk(bool aMayAsk) { mMayAsk = aMayAsk; }
+
+  /// Requests need a proof.
+  void Wanted(clock::time_point aNow);
+
+  /// A server denied that it leads in that term.
+  void Denied(position::term_id aTerm, clock::time_point aNow);
+
+  void ServerAnswered(const upstream::server_id& aServer,
+                      const std::optional<proxy::server_report>& aReport,
+                      clock::time_point aAskedAt,
+                      clock::time_point aNow);
+  void ServerFailed(const upstream::server_id& aServer,
+                    std::optional<clock::time_point> aHeardAt,
+                    clock::time_point aNow);
+  void PromotionAnswered(bool aTaken, bool aRejected, clock::time_point aNow);
+
+  /// What another VM says; times are of this VM's clock.
+  void HeardWatch(const lead_news& aNews, clock::time_point aNow);
+  void HeardReach(const std::string& aVm,
+                  const reach_news& aNews,
+                  clock::time_point aNow);
+
+  /// What this VM says to others. The reach is when traffic last heard the
+  /// primary.
+  [[nodiscard]] lead_news Watch() const;
+  [[nodiscard]] reach_news Reach(
+    std::optional<clock::time_point> aHeardAt) const;
+
+  void Tick(clock::time_point aNow);
+  [[nodiscard]] clock::time_point NextTick() const;
+  [[nodiscard]] std::vector<action> TakeActions();
+
+  [[nodiscard]] const proxy::confirmation& Proof() const noexcept
+  {
+    return mProof;
+  }
+  [[nodiscard]] bool HoldsDuty() const noexcept { return mHoldsDuty; }
+  [[nodiscard]] bool IsChanging() const noexcept
+  {
+    return mTakeover.Step() != takeover_step::kNone;
+  }
+
+private:
+  struct peer_reach
+  {
+    reach_news news;
+    clock::time_point at;
+  };
+
+  void Evaluate(clock::time_point aNow);
+  void TakeProof(const proxy::confirmation& aProof, clock::time_point aNow);
+  void TakeOwnProof(clock::time_point aNow);
+  void Judge(clock::time_point aNow);
+  void Ask(clock::time_point aNow);
+  void AskOne(member_view& aView, clock::time_point aNow);
+  void Repair(clock::time_point aNow);
+  void CheckObedience();
+  [[nodiscard]] bool WantsProof(clock::time_point aNow) const;
+  [[nodiscard]] bool IsLost(clock::time_point aNow) const;
+  [[nodiscard]] bool IsVacant(clock::time_point aNow);
+  [[nodiscard]] const member_view* Witness(clock::time_point aNow) const;
+
+  lead_settings mSettings;
+  server_table mTable;
+  takeover mTakeover;
+  proxy::confirmation mProof;
+  std::optional<proxy::position_sample> mSample;
+  bool mHoldsDuty = false;
+  bool mMayAsk = true;
+  std::uint64_t mEpoch = 0;
+  clock::time_point mDutySince;
+  // The newest word of whoever holds the duty.
+  position::term_id mRevoked = 0;
+  std::uint64_t mRevokedEpoch = 0;
+  clock::time_point mRevokedAt;
+  std::vector<std::string> mPeers;
+  absl::btree_map<std::string, peer_reach> mReach;
+  clock::time_point mWantedAt;
+  clock::time_point mDeniedAt;
+  std::optional<clock::time_point> mVacantSince;
+  clock::time_point mNow;
+  std::vector<action> mActions;
+};
+
+} // namespace currantshed::lead
+
+#endif
--- /dev/null
+++ b/src/currantshed/lead/takeover.cpp
@@ -0,0 +1,271 @@
+#include "currantshed/lead/takeover.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+namespace currantshed::lead {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Pause between two rounds of fences, of questions, or of orders to promote.
+constexpr milliseconds kRound{ 100 };
+constexpr milliseconds kPromoteRound{ 400 };
+// How long a planned change waits for a replica to have all that the old
+// primary had.
+constexpr milliseconds kCatchUpTime{ 500 };
+
+} // namespace
+
+takeover::takeover(server_table& aTable, milliseconds aValidity)
+  : mTable(aTable)
+  , mValidity(aValidity)
+{
+}
+
+void
+takeover::Begin(takeover_reason aReason,
+                upstream::server_id aOld,
+                position::term_id aOldTerm,
+                clock::time_point aNow,
+                std::vector<action>& aOut)
+{
+  mStep = takeover_step::kFence;
+  mReason = aReason;
+  mOld = std::move(aOld);
+  mOldTerm = aOldTerm;
+  mFenceTerm = std::max(mTable.HighestTerm(), mOldTerm) + 1;
+  mBegunAt = aNow;
+  mNextSend = aNow;
+  mAllObeyed = false;
+  mRejected.clear();
+  aOut.emplace_back(publish_revocation{ mOldTerm });
+  aOut.emplace_back(note_step{
+    "begun",
+    absl::StrCat(
+      std::string(NameOf(aReason)), " old=", mOld, " term=", mOldTerm) });
+  Tick(aNow, aOut);
+}
+
+void
+takeover::Abandon(std::vector<action>& aOut)
+{
+  if (mStep == takeover_step::kNone) {
+    return;
+  }
+  mStep = takeover_step::kNone;
+  aOut.emplace_back(publish_revocation{ 0 });
+  aOut.emplace_back(note_step{ "abandoned", "" });
+}
+
+position::term_id
+takeover::RevokedTerm() const noexcept
+{
+  return mStep == takeover_step::kNone ? 0 : mOldTerm;
+}
+
+void
+takeover::PromotionAnswered(bool aTaken, bool aRejected, clock::time_point aNow)
+{
+  if (mStep != takeover_step::kPromote) {
+    return;
+  }
+  if (aRejected) {
+    mRejected.insert(mChosen);
+    if (mRejected.size() + 1 >= mTable.All().size()) {
+      mRejected.clear();
+    }
+    mStep = takeover_step::kFence;
+    mNextSend = aNow + kRound;
+  } else if (!aTaken) {
+    mNextSend = std::min(mNextSend, aNow + kRound);
+  }
+}
+
+void
+takeover::Tick(clock::time_point aNow, std::vector<action>& aOut)
+{
+  if (mStep == takeover_step::kNone) {
+    return;
+  }
+  if (mStep != takeover_step::kPromote) {
+    ReadFences(aNow);
+  }
+  if (mStep == takeover_step::kWaitOut && (mAllObeyed || aNow >= mWaitUntil) &&
+      !Choose(aNow).empty()) {
+    mStep = takeover_step::kPromote;
+    mNextSend = aNow;
+  }
+  if (aNow < mNextSend) {
+    return;
+  }
+  if (mStep == takeover_step::kPromote) {
+    Promote(aNow, aOut);
+  } else {
+    Fence(aNow, aOut);
+  }
+}
+
+clock::time_point
+takeover::NextTick() const noexcept
+{
+  if (mStep == takeover_step::kNone) {
+    return clock::time_point::max();
+  }
+  return mStep == takeover_step::kWaitOut ? std::min(mNextSend, mWaitUntil)
+                                          : mNextSend;
+}
+
+void
+takeover::Succeeded(const upstream::server_id& aPrimary,
+                    clock::time_point aNow,
+                    std::vector<action>& aOut)
+{
+  const auto took = std::chrono::duration_cast<milliseconds>(aNow - mBegunAt);
+  mStep = takeover_step::kNone;
+  aOut.emplace_back(publish_revocation{ 0 });
+  aOut.emplace_back(note_step{
+    "done", absl::StrCat("primary=", aPrimary, " took_ms=", took.count()) });
+}
+
+// The old primary is asked to step down, replicas to follow it no longer; a
+// planned change leaves the replicas free to receive its last commits.
+void
+takeover::Fence(clock::time_point aNow, std::vector<action>& aOut)
+{
+  mNextSend = aNow + kRound;
+  for (const auto& [id, view] : mTable.All()) {
+    const bool isOld = id == mOld || (view.report && view.report->isPrimary);
+    if (view.asking) {
+      continue;
+    }
+    if (isOld) {
+      const bool steppedDown = view.report && !view.report->isPrimary;
+      Send(id,
+           steppedDown ? proxy::command_kind::kReport
+                       : proxy::command_kind::kDemote,
+           aNow,
+           aOut);
+    } else if (mReason == takeover_reason::kDraining || IsFenced(view)) {
+      Send(id, proxy::command_kind::kReport, aNow, aOut);
+    } else {
+      Send(id, proxy::command_kind::kFence, aNow, aOut);
+    }
+  }
+}
+
+bool
+takeover::IsFenced(const member_view& aView) const
+{
+  return aView.report && aView.askedAt >= mBegunAt &&
+         !aView.report->isPrimary && aView.report->fencedAt >= mFenceTerm;
+}
+
+// Once a majority won't follow the old primary, or it has stepped down itself,
+// no new proof of its term can come about.
+void
+takeover::ReadFences(clock::time_point aNow)
+{
+  std::size_t fenced = 0;
+  bool steppedDown = false;
+  for (const auto& [id, view] : mTable.All()) {
+    fenced += IsFenced(view) ? 1 : 0;
+    steppedDown =
+      steppedDown || (id == mOld && view.report && view.askedAt >= mBegunAt &&
+                      !view.report->isPrimary);
+  }
+  const bool barred =
+    steppedDown || fenced >= mTable.Majority() || (mAllObeyed && fenced > 0);
+  if (!barred) {
+    mStep = takeover_step::kFence;
+  } else if (mStep == takeover_step::kFence) {
+    mStep = takeover_step::kWaitOut;
+    mWaitUntil = aNow + mValidity;
+  }
+}
+
+// The longest log among the servers that answered lately. A server that leaves
+// comes last. While a planned change may still bring all that the old primary
+// had to one of them, none is chosen.
+upstream::server_id
+takeover::Choose(clock::time_point aNow) const
+{
+  const member_view* best = nullptr;
+  position::log_position goal;
+  for (const auto& [id, view] : mTable.All()) {
+    const bool usable = view.report && view.askedAt >= mBegunAt &&
+                        !view.report->isPrimary && !mRejected.contains(id);
+    if (id == mOld && view.report) {
+      goal = view.report->received;
+    }
+    const bool leaves = view.listed.draining ||
+                        (id == mOld && mReason != takeover_reason::kVacant);
+    if (!usable || leaves) {
+      continue;
+    }
+    if (best == nullptr || view.report->received > best->report->received) {
+      best = &view;
+    }
+  }
+  if (best == nullptr) {
+    return {};
+  }
+  const bool mayCatchUp =
+    mReason == takeover_reason::kDraining && aNow < mBegunAt + kCatchUpTime;
+  if (mayCatchUp && best->report->received < goal) {
+    return {};
+  }
+  return best->listed.id;
+}
+
+void
+takeover::Promote(clock::time_point aNow, std::vector<action>& aOut)
+{
+  const auto chosen = Choose(aNow);
+  if (chosen.empty() && mChosen.empty()) {
+    mStep = takeover_step::kFence;
+    return;
+  }
+  // An order may have been taken although no answer came: it stays with the
+  // same server until that is known to be impossible.
+  if (mChosen.empty() || mRejected.contains(mChosen)) {
+    mChosen = chosen;
+  }
+  mNextSend = aNow + kPromoteRound;
+  aOut.emplace_back(note_step{ "promote", mChosen });
+  aOut.emplace_back(order_promotion{ mChosen });
+}
+
+void
+takeover::Send(const upstream::server_id& aServer,
+               proxy::command_kind aKind,
+               clock::time_point aNow,
+               std::vector<action>& aOut)
+{
+  auto* view = mTable.Find(aServer);
+  view->asking = aNow;
+  view->lastAsked = aNow;
+  proxy::command what;
+  what.kind = aKind;
+  what.term = mFenceTerm;
+  aOut.emplace_back(ask_server{ aServer, what });
+}
+
+std::string_view
+NameOf(takeover_reason aReason)
+{
+  switch (aReason) {
+    case takeover_reason::kLost:
+      return "lost";
+    case takeover_reason::kDraining:
+      return "draining";
+    case takeover_reason::kVacant:
+      return "vacant";
+  }
+  return "unknown";
+}
+
+} // namespace currantshed::lead
--- /dev/null
+++ b/src/currantshed/lead/takeover.hpp
@@ -0,0 +1,111 @@
+#ifndef CURRANTSHED_LEAD_TAKEOVER_HPP
+#define CURRANTSHED_LEAD_TAKEOVER_HPP
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/container/btree_set.h>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/lead/actions.hpp"
+#include "currantshed/lead/server_table.hpp"
+
+namespace currantshed::lead {
+
+/// How far a change of the primary is.
+enum class takeover_step
+{
+  kNone,
+  /// A majority of the group is being kept from following the old primary.
+  kFence,
+  /// Proofs of the old term that other VMs may hold run out.
+  kWaitOut,
+  /// The platform has been asked to promote the chosen server.
+  kPromote,
+};
+
+/// Why the group needs another primary.
+enum class takeover_reason
+{
+  /// No VM reaches the primary.
+  kLost,
+  /// The primary leaves.
+  kDraining,
+  /// No server leads.
+  kVacant,
+};
+
+/// The change of one group's primary: keeps the old one from being confirmed
+/// any more, waits until no proof of it holds, and has the platform promote
+/// the server with the longest log. Does no I/O.
+class takeover
+{
+public:
+  takeover(server_table& aTable, std::chrono::milliseconds aValidity);
+
+  /// Begins. The old primary may be empty.
+  void Begin(takeover_reason aReason,
+             upstream::server_id aOld,
+             position::term_id aOldTerm,
+             clock::time_point aNow,
+             std::vector<action>& aOut);
+
+  /// Gives up whatever is under way; what was fenced is set free.
+  void Abandon(std::vector<action>& aOut);
+
+  /// Every VM that may hold a proof of the old term has given it up.
+  void AllObeyed() { mAllObeyed = true; }
+
+  /// The platform's answer: whether it took the order, or says that the server
+  /// can't be promoted.
+  void PromotionAnswered(bool aTaken, bool aRejected, clock::time_point aNow);
+
+  /// Goes on as far as it can.
+  void Tick(clock::time_point aNow, std::vector<action>& aOut);
+  [[nodiscard]] clock::time_point NextTick() const noexcept;
+
+  [[nodiscard]] takeover_step Step() const noexcept { return mStep; }
+  [[nodiscard]] clock::time_point BegunAt() const noexcept { return mBegunAt; }
+  /// The term that no VM may rest on any more, or zero.
+  [[nodiscard]] position::term_id RevokedTerm() const noexcept;
+
+  /// A server leads a newer term: the change is done.
+  void Succeeded(const upstream::server_id& aPrimary,
+                 clock::time_point aNow,
+                 std::vector<action>& aOut);
+
+private:
+  void Fence(clock::time_point aNow, std::vector<action>& aOut);
+  void ReadFences(clock::time_point aNow);
+  void Promote(clock::time_point aNow, std::vector<action>& aOut);
+  void Send(const upstream::server_id& aServer,
+            proxy::command_kind aKind,
+            clock::time_point aNow,
+            std::vector<action>& aOut);
+  [[nodiscard]] bool IsFenced(const member_view& aView) const;
+  [[nodiscard]] upstream::server_id Choose(clock::time_point aNow) const;
+
+  server_table& mTable;
+  std::chrono::milliseconds mValidity;
+  takeover_step mStep = takeover_step::kNone;
+  takeover_reason mReason = takeover_reason::kLost;
+  upstream::server_id mOld;
+  position::term_id mOldTerm = 0;
+  position::term_id mFenceTerm = 0;
+  clock::time_point mBegunAt;
+  clock::time_point mNextSend;
+  clock::time_point mWaitUntil;
+  bool mAllObeyed = false;
+  upstream::server_id mChosen;
+  absl::btree_set<upstream::server_id> mRejected;
+};
+
+[[nodiscard]] std::string_view
+NameOf(takeover_reason aReason);
+
+} // namespace currantshed::lead
+
+#endif
--- a/src/currantshed/log/log.cpp
+++ b/src/currantshed/log/log.cpp
@@ -1,15 +1,21 @@
 #include "currantshed/log/log.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <climits>
 #include <cmath>
 #include <cstdio>
 #include <memory>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <boost/json.hpp>
 #include <easylogging++.h>
 
 #include "currantshed/clock/print_time.hpp"
+#include "currantshed/log/line_budget.hpp"
 #include "currantshed/log/utf8.hpp"
 
 // The one place where the storage of easylogging++ is defined.
@@ -20,23 +26,79 @@
 
 constexpr const char* kLoggerName = "currantshed";
 
-/// Writes each message as one line of the standard error stream.
-class stderr_writer : public el::LogDispatchCallback
+// Lines a second that a process writes in the long run, and at once: more
+// would cost a small VM processor time that its callers need.
+constexpr double kLinesPerSecond = 100;
+constexpr double kLinesAtOnce = 400;
+// A pipe that can be written to takes this much without blocking, in bytes.
+constexpr std::size_t kUnblocked = PIPE_BUF;
+
+bool
+CanWrite(int aDescriptor)
+{
+  pollfd asked{ aDescriptor, POLLOUT, 0 };
+  return poll(&asked, 1, 0) == 1 && (asked.revents & POLLOUT) != 0;
+}
+
+/// Writes each message as one line, without ever waiting for a reader. The
+/// logger calls it by one thread at a time.
+class line_writer : public el::LogDispatchCallback
 {
+public:
+  /// Standard output instead of standard error, within the budget.
+  void UseOutput() { mIsOutput = true; }
+
 protected:
   void handle(const el::LogDispatchData* aData) override // NOLINT
   {
     const std::string line = aData->logMessage()->message() + "\n";
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    if (!mIsOutput) {
+      std::fwrite(line.data(), 1, line.size(), stderr);
+      return;
+    }
+    const auto level = aData->logMessage()->level();
+    const bool matters =
+      level == el::Level::Warning || level == el::Level::Error;
+    if (!mBudget.Take(matters, std::chrono::steady_clock::now())) {
+      return;
+    }
+    if (!CanWrite(STDOUT_FILENO)) {
+      mBudget.NoteDropped();
+      return;
+    }
+    Put(line);
+    TellDropped();
   }
+
+private:
+  static void Put(const std::string& aLine)
+  {
+    const auto size = std::min(aLine.size(), kUnblocked);
+    // A reader that has gone can't be told of it.
+    (void)!write(STDOUT_FILENO, aLine.data(), size);
+  }
+
+  void TellDropped()
+  {
+    const auto dropped = mBudget.TakeDropped();
+    if (dropped > 0 && CanWrite(STDOUT_FILENO)) {
+      Put("{\"event\":\"lines_left_out\",\"count\":" +
+          std::to_string(dropped) + "}\n");
+    }
+  }
+
+  std::atomic<bool> mIsOutput{ false };
+  line_budget mBudget{ kLinesPerSecond, kLinesAtOnce };
 };
 
+constexpr const char* kWriterName = "line_writer";
+
 el::Logger*
 MakeLogger()
 {
   el::Helpers::uninstallLogDispatchCallback<
     el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
-  el::Helpers::installLogDispatchCallback<stderr_writer>("stderr_writer");
+  el::Helpers::installLogDispatchCallback<line_writer>(kWriterName);
   return el::Loggers::getLogger(kLoggerName);
 }
 
@@ -102,6 +164,13 @@
   TheState().self = aSelf;
   TheState().lowest = aLowest;
   TheLogger();
+  el::Helpers::logDispatchCallback<line_writer>(kWriterName)->UseOutput();
+}
+
+bool
+Writes(level aLevel)
+{
+  return aLevel >= TheState().lowest.load(std::memory_order_relaxed);
 }
 
 std::string
@@ -129,7 +198,7 @@
       std::string_view aEvent,
       std::initializer_list<field> aFields)
 {
-  if (aLevel < TheState().lowest.load(std::memory_order_relaxed)) {
+  if (!Writes(aLevel)) {
     return;
   }
   const std::string line = FormatLine(
--- a/src/currantshed/log/log.hpp
+++ b/src/currantshed/log/log.hpp
@@ -41,11 +41,18 @@
 };
 
 /// Names the process and the lowest level that is written; called once,
-/// before the first line. Lines written before have no identity.
+/// before the first line, by programs that run for long. From then on lines go
+/// to standard output, bounded in number, and are left out and counted rather
+/// than waited for. Lines written before have no identity and go to standard
+/// error, as do those of tools, which never call this.
 void
 Start(const identity& aSelf, level aLowest);
 
-/// Writes one JSON object on one line of the standard error stream. The fixed
+/// Whether lines of this level are written.
+[[nodiscard]] bool
+Writes(level aLevel);
+
+/// Writes one JSON object on one line. The fixed
 /// fields come first (time, level, event, program, vm, failure_domain), then
 /// the given ones; a given field can't replace a fixed one. Safe for use by
 /// several threads.
--- /dev/null
+++ b/src/currantshed/news/exchange.cpp
@@ -0,0 +1,139 @@
+#include "currantshed/news/exchange.hpp"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+namespace currantshed::news {
+
+namespace {
+
+// A message has a few dozen groups at most.
+constexpr std::int64_t kLongestNews = std::int64_t{ 256 } * 1024;
+// Messages that wait for one peer: older ones are of no use.
+constexpr int kHighWater = 8;
+// Each second of silence costs a ping; a dead peer is known from the store.
+constexpr std::chrono::milliseconds kPing{ 1000 };
+constexpr std::chrono::milliseconds kPingTimeout{ 2500 };
+
+net::socket_settings
+NewsSettings()
+{
+  net::socket_settings settings;
+  settings.longestMessage = kLongestNews;
+  settings.highWater = kHighWater;
+  settings.pingInterval = kPing;
+  settings.pingTimeout = kPingTimeout;
+  return settings;
+}
+
+} // namespace
+
+exchange::exchange(boost::asio::io_context& aContext,
+                   zmq::context_t& aZmq,
+                   peer aSelf,
+                   std::uint64_t aIncarnation,
+                   receiver aReceiver)
+  : mContext(aContext)
+  , mZmq(aZmq)
+  , mSelf(std::move(aSelf))
+  , mIncarnation(aIncarnation)
+  , mReceiver(std::move(aReceiver))
+  , mRouter(aContext, aZmq, NewsSettings())
+{
+}
+
+std::error_code
+exchange::Listen()
+{
+  return mRouter.Bind(
+    mSelf.address,
+    mSelf.port,
+    [this](std::string_view, std::string_view aBytes) { Received(aBytes); });
+}
+
+void
+exchange::SetPeers(const std::vector<peer>& aPeers)
+{
+  absl::btree_map<std::string, link> kept;
+  for (const auto& one : aPeers) {
+    if (one.vm == mSelf.vm) {
+      continue;
+    }
+    const auto found = mLinks.find(one.vm);
+    if (found != mLinks.end() && found->second.to == one) {
+      kept[one.vm] = std::move(found->second);
+      continue;
+    }
+    auto dealer = std::make_unique<net::dealer>(mContext, mZmq, NewsSettings());
+    if (!dealer->Connect(one.address, one.port, [](std::string_view) {})) {
+      kept[one.vm] = { one, std::move(dealer) };
+    }
+  }
+  mLinks = std::move(kept);
+}
+
+void
+exchange::Send(const std::string& aVm, News aNews, clock::time_point aNow)
+{
+  const auto found = mLinks.find(aVm);
+  if (found == mLinks.end()) {
+    return;
+  }
+  aNews.set_vm(mSelf.vm);
+  aNews.set_incarnation(mIncarnation);
+  aNews.set_sent_at_us(lead::ToWire(aNow).count());
+  const auto known = mSenders.find(aVm);
+  if (known != mSenders.end()) {
+    if (const auto bound = known->second.offset.LowerBound(aNow)) {
+      aNews.set_to_your_clock_us(bound->count());
+      aNews.set_your_incarnation(known->second.incarnation);
+    }
+  }
+  // A peer that takes nothing now gets the next news.
+  (void)found->second.dealer->Send(aNews.SerializeAsString());
+}
+
+std::optional<clock::time_point>
+exchange::HeardAt(const std::string& aVm) const
+{
+  const auto found = mSenders.find(aVm);
+  if (found == mSenders.end()) {
+    return std::nullopt;
+  }
+  return found->second.heardAt;
+}
+
+void
+exchange::Close()
+{
+  mRouter.Close();
+  mLinks.clear();
+}
+
+void
+exchange::Received(std::string_view aBytes)
+{
+  const auto now = std::chrono::steady_clock::now();
+  News told;
+  if (!told.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size())) ||
+      told.vm().empty()) {
+    return;
+  }
+  auto& from = mSenders[told.vm()];
+  if (from.incarnation != told.incarnation()) {
+    from = {};
+    from.incarnation = told.incarnation();
+  }
+  from.heardAt = now;
+  from.offset.Heard(std::chrono::microseconds{ told.sent_at_us() }, now);
+  clock_reader reader;
+  if (told.has_to_your_clock_us() && told.your_incarnation() == mIncarnation) {
+    reader = [offset = told.to_your_clock_us()](std::int64_t aTime) {
+      return lead::FromWire(std::chrono::microseconds{ aTime + offset });
+    };
+  }
+  mReceiver(told, reader, now);
+}
+
+} // namespace currantshed::news
--- /dev/null
+++ b/src/currantshed/node/caller_server.cpp
@@ -0,0 +1,251 @@
+#include "currantshed/node/caller_server.hpp"
+
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "currantshed/log/log.hpp"
+
+namespace currantshed::node {
+
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+
+// Pause after a connection could not be taken, for want of descriptors.
+constexpr std::chrono::milliseconds kAcceptPause{ 100 };
+// A caller that has this much unread is not served further.
+constexpr std::size_t kMostUnsent = std::size_t{ 4 } << 20U;
+
+clock::time_point
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+/// One caller's connection.
+class caller_server::connection final
+  : public proxy::caller
+  , public std::enable_shared_from_this<connection>
+{
+public:
+  connection(caller_server& aServer, std::uint64_t aNumber, tcp::socket aSocket)
+    : mServer(aServer)
+    , mNumber(aNumber)
+    , mStream(std::make_shared<line_stream>(std::move(aSocket)))
+  {
+  }
+
+  void Start()
+  {
+    mStream->Start({ [self = shared_from_this()](std::string_view aLine) {
+                      self->Line(aLine);
+                    },
+                     [self = shared_from_this()] { self->End(); } });
+  }
+
+  void Deliver(const proxy::answer& aAnswer) override
+  {
+    std::string out;
+    mServer.mCodec.WriteAnswer(aAnswer, out);
+    mStream->Send(out);
+    if (mStream->Unsent() > kMostUnsent) {
+      Close();
+    }
+  }
+
+  // The engine may be in the middle of this session's event.
+  void Close() override
+  {
+    mStream->CloseWhenSent();
+    boost::asio::post(mServer.mContext,
+                      [self = shared_from_this()] { self->Forget(); });
+  }
+
+private:
+  void Line(std::string_view aLine)
+  {
+    if (!mSession) {
+      Open(aLine);
+      return;
+    }
+    auto message = mServer.mCodec.ReadCaller(aLine);
+    if (!message || message->ends) {
+      End();
+      return;
+    }
+    if (!message->isKnown) {
+      Reject(proxy::failure_code::kMalformed, "no such statement");
+      return;
+    }
+    mServer.mEngine.Submit(*mSession, std::move(message->asked), Now());
+    mServer.mAfter();
+  }
+
+  void Open(std::string_view aLine)
+  {
+    const auto start = mServer.mCodec.ReadStart(aLine);
+    if (!start) {
+      Refuse(proxy::failure_code::kMalformed, "a session begins otherwise");
+      return;
+    }
+    if (!mServer.mIsConfigured()) {
+      Refuse(proxy::failure_code::kBusy, "no configuration yet; retry");
+      return;
+    }
+    mSession = mServer.mEngine.Open(start->database, *this);
+    if (!mSession) {
+      Refuse(proxy::failure_code::kNoDatabase, start->database);
+      return;
+    }
+    std::string out;
+    mServer.mCodec.WriteStarted(out);
+    mStream->Send(out);
+  }
+
+  // Answers what is no statement; the session goes on.
+  void Reject(proxy::failure_code aCode, std::string aText)
+  {
+    proxy::answer refused;
+    refused.failed = proxy::failure{ aCode, std::move(aText) };
+    refused.state = mServer.mEngine.StateOf(*mSession);
+    Deliver(refused);
+  }
+
+  void Refuse(proxy::failure_code aCode, std::string aText)
+  {
+    log::Write(log::level::kInfo, "session_refused", { { "reason", aText } });
+    std::string out;
+    mServer.mCodec.WriteRefusedStart({ aCode, std::move(aText) }, out);
+    mStream->Send(out);
+    Close();
+  }
+
+  void End()
+  {
+    mStream->Close();
+    Forget();
+  }
+
+  void Forget()
+  {
+    if (mIsForgotten) {
+      return;
+    }
+    mIsForgotten = true;
+    const auto self = shared_from_this();
+    if (mSession) {
+      mServer.mEngine.Close(*mSession, Now());
+      mServer.mAfter();
+    }
+    mServer.Ended(mNumber);
+  }
+
+  caller_server& mServer;
+  std::uint64_t mNumber;
+  std::shared_ptr<line_stream> mStream;
+  std::optional<proxy::engine::session_id> mSession;
+  bool mIsForgotten = false;
+};
+
+caller_server::caller_server(boost::asio::io_context& aContext,
+                             const line_codec& aCodec,
+                             proxy::engine& aEngine,
+                             std::size_t aMostConnections,
+                             std::function<bool()> aIsConfigured,
+                             std::function<void()> aAfter)
+  : mContext(aContext)
+  , mCodec(aCodec)
+  , mEngine(aEngine)
+  , mMostConnections(aMostConnections)
+  , mIsConfigured(std::move(aIsConfigured))
+  , mAfter(std::move(aAfter))
+  , mAcceptor(aContext)
+  , mRetry(aContext)
+{
+}
+
+std::error_code
+caller_server::Listen(const std::string& aAddress, std::uint16_t aPort)
+{
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(aAddress, error);
+  if (error) {
+    return error;
+  }
+  const tcp::endpoint endpoint(address, aPort);
+  mAcceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    mAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    mAcceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    mAcceptor.listen(tcp::acceptor::max_listen_connections, error);
+  }
+  if (!error) {
+    Accept();
+  }
+  return error;
+}
+
+void
+caller_server::StopListening()
+{
+  boost::system::error_code ignored;
+  mAcceptor.close(ignored);
+}
+
+void
+caller_server::Accept()
+{
+  mAcceptor.async_accept(
+    [this](boost::system::error_code aError, tcp::socket aSocket) {
+      if (aError == boost::asio::error::operation_aborted ||
+          !mAcceptor.is_open()) {
+        return;
+      }
+      if (aError) {
+        log::Write(log::level::kWarning,
+                   "accept_failed",
+                   { { "reason", aError.message() } });
+        mRetry.expires_after(kAcceptPause);
+        mRetry.async_wait([this](boost::system::error_code aStopped) {
+          if (!aStopped) {
+            Accept();
+          }
+        });
+        return;
+      }
+      Accepted(std::move(aSocket));
+      Accept();
+    });
+}
+
+void
+caller_server::Accepted(tcp::socket aSocket)
+{
+  if (mConnections.size() >= mMostConnections) {
+    log::Write(log::level::kWarning,
+               "session_refused",
+               { { "reason", "as many connections as descriptors allow" } });
+    return;
+  }
+  const auto number = ++mLastNumber;
+  auto made = std::make_shared<connection>(*this, number, std::move(aSocket));
+  mConnections[number] = made;
+  made->Start();
+}
+
+void
+caller_server::Ended(std::uint64_t aNumber)
+{
+  mConnections.erase(aNumber);
+}
+
+} // namespace currantshed::node
--- /dev/null
+++ b/src/currantshed/node/caller_server.hpp
@@ -0,0 +1,66 @@
+#ifndef CURRANTSHED_NODE_CALLER_SERVER_HPP
+#define CURRANTSHED_NODE_CALLER_SERVER_HPP
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "currantshed/node/line_codec.hpp"
+#include "currantshed/node/line_stream.hpp"
+#include "currantshed/proxy/engine.hpp"
+
+namespace currantshed::node {
+
+/// Takes callers' connections, and carries their sessions to the engine.
+class caller_server
+{
+public:
+  /// aIsConfigured tells whether databases are known yet; aAfter is called
+  /// after each event that the engine got.
+  caller_server(boost::asio::io_context& aContext,
+                const line_codec& aCodec,
+                proxy::engine& aEngine,
+                std::size_t aMostConnections,
+                std::function<bool()> aIsConfigured,
+                std::function<void()> aAfter);
+
+  [[nodiscard]] std::error_code Listen(const std::string& aAddress,
+                                       std::uint16_t aPort);
+
+  /// Takes no more connections.
+  void StopListening();
+
+  [[nodiscard]] std::size_t Connections() const noexcept
+  {
+    return mConnections.size();
+  }
+
+private:
+  class connection;
+
+  void Accept();
+  void Accepted(boost::asio::ip::tcp::socket aSocket);
+  void Ended(std::uint64_t aNumber);
+
+  boost::asio::io_context& mContext;
+  const line_codec& mCodec;
+  proxy::engine& mEngine;
+  std::size_t mMostConnections;
+  std::function<bool()> mIsConfigured;
+  std::function<void()> mAfter;
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  boost::asio::steady_timer mRetry;
+  absl::flat_hash_map<std::uint64_t, std::shared_ptr<connection>> mConnections;
+  std::uint64_t mLastNumber = 0;
+};
+
+} // namespace currantshed::node
+
+#endif
--- /dev/null
+++ b/src/currantshed/node/control.hpp
@@ -0,0 +1,161 @@
+#ifndef CURRANTSHED_NODE_CONTROL_HPP
+#define CURRANTSHED_NODE_CONTROL_HPP
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <thread>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/random/random.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <zmq.hpp>
+
+#include "currantshed/lead/group_lead.hpp"
+#include "currantshed/net/tick_timer.hpp"
+#include "currantshed/news/exchange.hpp"
+#include "currantshed/node/document_codec.hpp"
+#include "currantshed/node/duty.hpp"
+#include "currantshed/node/metrics.hpp"
+#include "currantshed/node/settings.hpp"
+#include "currantshed/node/traffic.hpp"
+#include "currantshed/store/prefix_view.hpp"
+#include "currantshed/store/registration.hpp"
+
+namespace currantshed::node {
+
+/// What the control thread reaches the platform by; made on its io_context.
+struct platform_access
+{
+  std::unique_ptr<store::key_value> store;
+  std::unique_ptr<promoter> promotion;
+};
+
+using platform_maker = std::function<platform_access(boost::asio::io_context&)>;
+
+/// The control thread: the store, the other VMs, and who leads each group.
+/// Tells the traffic thread what it needs to know.
+class control
+{
+public:
+  control(const node_settings& aSettings,
+          const lead::lead_settings& aLead,
+          const document_codec& aDocuments,
+          const platform_maker& aMaker,
+          traffic& aTraffic,
+          metrics& aMetrics);
+  ~control();
+  control(const control&) = delete;
+  control& operator=(const control&) = delete;
+
+  /// Listens to other VMs and starts the thread.
+  [[nodiscard]] std::error_code Start();
+
+  /// Tells the others that this VM stops soon, and takes no callers. May be
+  /// called on any thread.
+  void Leave();
+
+  /// Takes the VM off the store's list and ends the thread.
+  void Stop();
+
+  /// Whether the VM takes callers. May be called on any thread.
+  [[nodiscard]] bool IsReady() const noexcept { return mIsReady; }
+
+  [[nodiscard]] boost::asio::io_context& Context() noexcept { return mContext; }
+
+private:
+  struct group
+  {
+    lead::group_lead lead;
+    bool isClaiming = false;
+    clock::time_point claimFrom{};
+    /// News about it go out at the end of this event.
+    bool hasNews = false;
+  };
+
+  using groups = absl::btree_map<std::string, std::unique_ptr<group>>;
+
+  void ConfigurationChanged();
+  void ServersChanged(clock::time_point aNow);
+  void OwnKeysChanged(clock::time_point aNow);
+  void NoteStore(const std::string& aWhat,
+                 bool aIsReached,
+                 std::error_code aWhy);
+  void Tick();
+  void TickStore(clock::time_point aNow);
+  void Perform(clock::time_point aNow);
+  void PerformOne(const std::string& aService, group& aGroup);
+  void Do(const std::string& aService, const lead::ask_server& aAction);
+  void Do(const std::string& aService, const lead::order_promotion& aAction);
+  void Do(const std::string& aService, const lead::publish_proof& aAction);
+  void Do(const std::string& aService, const lead::publish_sample& aAction);
+  void Do(const std::string& aService, const lead::publish_revocation& aAction);
+  void Do(const std::string& aService, const lead::note_step& aAction);
+  void Promote(const std::string& aService,
+               const upstream::server_id& aServer,
+               std::uint64_t aEpoch);
+  void PromotionEnded(const std::string& aService,
+                      promotion_outcome aOutcome,
+                      clock::time_point aNow);
+  void KeepDuty(const std::string& aService,
+                group& aGroup,
+                clock::time_point aNow);
+  void Claim(const std::string& aService,
+             group& aGroup,
+             clock::time_point aNow);
+  void SendWatch(clock::time_point aNow);
+  void SendReach(clock::time_point aNow);
+  void SendReachTo(const std::string& aVm, bool aAsks, clock::time_point aNow);
+  void HeardServers(std::vector<std::string> aServices,
+                    std::vector<std::optional<clock::time_point>> aHeard);
+  void Received(const news::News& aNews,
+                const news::exchange::clock_reader& aClock,
+                clock::time_point aNow);
+  void UpdateReadiness(clock::time_point aNow);
+  void Schedule();
+  [[nodiscard]] group* Find(const std::string& aService);
+  [[nodiscard]] std::vector<std::string> Peers() const;
+  [[nodiscard]] std::string HolderOf(const std::string& aService) const;
+  /// The duty's record, or null.
+  [[nodiscard]] const duty_record* DutyOf(const std::string& aService) const;
+
+  const node_settings& mSettings;
+  lead::lead_settings mLeadSettings;
+  const document_codec& mDocuments;
+  traffic& mTraffic;
+  metrics& mMetrics;
+  boost::asio::io_context mContext{ 1 };
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    mWork;
+  zmq::context_t mZmq;
+  absl::BitGen mRandom;
+  vm_record mSelf;
+  platform_access mPlatform;
+  store::prefix_view mConfigurationView;
+  store::prefix_view mServersView;
+  store::prefix_view mOwnView;
+  store::registration mRegistration;
+  news::exchange mNews;
+  own_keys mOwnKeys;
+  std::uint64_t mVersion = 0;
+  std::vector<proxy::server> mServers;
+  groups mGroups;
+  absl::flat_hash_map<std::string, std::optional<clock::time_point>> mHeard;
+  clock::time_point mStartedAt;
+  clock::time_point mListedAt{};
+  clock::time_point mNextReach{};
+  bool mIsLeaving = false;
+  std::atomic<bool> mIsReady{ false };
+  net::tick_timer mTicker;
+  std::thread mThread;
+};
+
+} // namespace currantshed::node
+
+#endif
--- /dev/null
+++ b/src/currantshed/node/duty.cpp
@@ -0,0 +1,177 @@
+#include "currantshed/node/duty.hpp"
+
+#include <algorithm>
+
+#include <boost/json.hpp>
+
+#include "currantshed/member/roster.hpp"
+
+namespace currantshed::node {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::string_view kVms = "currantshed/vm/";
+constexpr std::string_view kDuties = "currantshed/duty/";
+
+std::string
+Text(const json::object& aObject, std::string_view aName)
+{
+  return json::value_to<std::string>(aObject.at(aName));
+}
+
+std::uint64_t
+Number(const json::object& aObject, std::string_view aName)
+{
+  return aObject.at(aName).to_number<std::uint64_t>();
+}
+
+bool
+StartsWith(const std::string& aText, std::string_view aWith)
+{
+  return aText.compare(0, aWith.size(), aWith) == 0;
+}
+
+// Whether the holder is listed in the life that took the duty, and stays.
+bool
+IsHeld(const own_keys& aKeys, const duty_record& aDuty)
+{
+  const auto holder = aKeys.vms.find(aDuty.holder);
+  return holder != aKeys.vms.end() &&
+         holder->second.record.incarnation == aDuty.incarnation &&
+         !holder->second.record.leaving;
+}
+
+} // namespace
+
+std::string
+VmKey(const std::string& aVm)
+{
+  return std::string(kVms) + aVm;
+}
+
+std::string
+DutyKey(const std::string& aService)
+{
+  return std::string(kDuties) + aService;
+}
+
+std::string
+PrintVm(const vm_record& aRecord)
+{
+  return json::serialize(
+    json::object{ { "vm", aRecord.where.vm },
+                  { "address", aRecord.where.address },
+                  { "port", aRecord.where.port },
+                  { "failure_domain", aRecord.failureDomain },
+                  { "incarnation", aRecord.incarnation },
+                  { "leaving", aRecord.leaving } });
+}
+
+std::optional<vm_record>
+ReadVm(const store::item& aItem)
+{
+  try {
+    const auto object = json::parse(aItem.value).as_object();
+    vm_record record;
+    record.where = { Text(object, "vm"),
+                     Text(object, "address"),
+                     object.at("port").to_number<std::uint16_t>() };
+    record.failureDomain = Text(object, "failure_domain");
+    record.incarnation = Number(object, "incarnation");
+    record.leaving = object.at("leaving").as_bool();
+    return record;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string
+PrintDuty(const duty_record& aRecord)
+{
+  return json::serialize(json::object{ { "holder", aRecord.holder },
+                                       { "incarnation", aRecord.incarnation },
+                                       { "epoch", aRecord.epoch } });
+}
+
+std::optional<duty_record>
+ReadDuty(const store::item& aItem)
+{
+  try {
+    const auto object = json::parse(aItem.value).as_object();
+    return duty_record{ Text(object, "holder"),
+                        Number(object, "incarnation"),
+                        Number(object, "epoch") };
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+own_keys
+ReadOwnKeys(const store::prefix_view::items& aItems)
+{
+  own_keys keys;
+  for (const auto& [key, item] : aItems) {
+    if (StartsWith(key, kVms)) {
+      if (auto record = ReadVm(item)) {
+        auto name = record->where.vm;
+        keys.vms[std::move(name)] = { std::move(*record), item.changed };
+      }
+    } else if (StartsWith(key, kDuties)) {
+      if (auto record = ReadDuty(item)) {
+        keys.duties[key.substr(kDuties.size())] = { std::move(*record),
+                                                    item.changed };
+      }
+    }
+  }
+  return keys;
+}
+
+bool
+ShouldClaim(const own_keys& aKeys,
+            const std::string& aService,
+            const vm_record& aSelf)
+{
+  const auto duty = aKeys.duties.find(aService);
+  if (duty != aKeys.duties.end() && IsHeld(aKeys, duty->second.record)) {
+    return false;
+  }
+  std::vector<store::vm> candidates;
+  for (const auto& [name, one] : aKeys.vms) {
+    store::vm candidate;
+    candidate.id = name;
+    candidate.failureDomain = one.record.failureDomain;
+    candidate.leaving = one.record.leaving;
+    candidates.push_back(std::move(candidate));
+  }
+  const auto owners = member::ChooseOwners(aService, candidates, 1);
+  return !owners.empty() && owners.front().id == aSelf.where.vm;
+}
+
+store::transaction
+ClaimOf(const own_keys& aKeys,
+        const std::string& aService,
+        const vm_record& aSelf,
+        store::revision aSeen)
+{
+  const auto key = DutyKey(aService);
+  const auto before = aKeys.duties.find(aService);
+  duty_record made{ aSelf.where.vm, aSelf.incarnation, aSeen };
+  store::transaction claim;
+  if (before == aKeys.duties.end()) {
+    claim.conditions.push_back({ key, 0 });
+  } else {
+    const auto& old = before->second.record;
+    const auto holder = aKeys.vms.find(old.holder);
+    made.epoch = std::max(aSeen, old.epoch + 1);
+    claim.conditions.push_back({ key, before->second.changed });
+    claim.conditions.push_back(
+      { VmKey(old.holder),
+        holder == aKeys.vms.end() ? 0 : holder->second.changed });
+  }
+  claim.puts.push_back({ key, PrintDuty(made), 0, 0 });
+  return claim;
+}
+
+} // namespace currantshed::node
--- /dev/null
+++ b/src/currantshed/node/duty.hpp
@@ -0,0 +1,96 @@
+#ifndef CURRANTSHED_NODE_DUTY_HPP
+#define CURRANTSHED_NODE_DUTY_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <absl/container/btree_map.h>
+
+#include "currantshed/news/exchange.hpp"
+#include "currantshed/store/prefix_view.hpp"
+
+namespace currantshed::node {
+
+/// Where this system keeps its own keys in the store.
+constexpr std::string_view kOwnPrefix = "currantshed/";
+
+/// What a VM writes about itself.
+struct vm_record
+{
+  news::peer where;
+  std::string failureDomain;
+  std::uint64_t incarnation = 0;
+  /// Stops soon: takes no duty.
+  bool leaving = false;
+};
+
+/// Who may change the primary of a group.
+struct duty_record
+{
+  std::string holder;
+  std::uint64_t incarnation = 0;
+  /// Fencing token: goes up with each change of the holder.
+  std::uint64_t epoch = 0;
+};
+
+[[nodiscard]] std::string
+VmKey(const std::string& aVm);
+[[nodiscard]] std::string
+DutyKey(const std::string& aService);
+
+[[nodiscard]] std::string
+PrintVm(const vm_record& aRecord);
+[[nodiscard]] std::optional<vm_record>
+ReadVm(const store::item& aItem);
+
+[[nodiscard]] std::string
+PrintDuty(const duty_record& aRecord);
+[[nodiscard]] std::optional<duty_record>
+ReadDuty(const store::item& aItem);
+
+/// What stands in the store below the prefix.
+struct own_keys
+{
+  struct listed_vm
+  {
+    vm_record record;
+    store::revision changed = 0;
+  };
+
+  struct listed_duty
+  {
+    duty_record record;
+    store::revision changed = 0;
+  };
+
+  /// By name.
+  absl::btree_map<std::string, listed_vm> vms;
+  /// By service.
+  absl::btree_map<std::string, listed_duty> duties;
+};
+
+/// Reads the keys; what can't be read is left out.
+[[nodiscard]] own_keys
+ReadOwnKeys(const store::prefix_view::items& aItems);
+
+/// Whether the VM is to take the duty over: nobody who is listed and stays
+/// holds it, and this VM is the one that all agree on by hashing.
+[[nodiscard]] bool
+ShouldClaim(const own_keys& aKeys,
+            const std::string& aService,
+            const vm_record& aSelf);
+
+/// Takes the duty over, provided that neither its record nor its holder's have
+/// changed. The epoch is above every earlier one even if the record was lost,
+/// since the store's revision only goes up.
+[[nodiscard]] store::transaction
+ClaimOf(const own_keys& aKeys,
+        const std::string& aService,
+        const vm_record& aSelf,
+        store::revision aSeen);
+
+} // namespace currantshed::node
+
+#endif
--- /dev/null
+++ b/src/currantshed/node/fwd.hpp
@@ -0,0 +1,19 @@
+#ifndef CURRANTSHED_NODE_FWD_HPP
+#define CURRANTSHED_NODE_FWD_HPP
+
+namespace currantshed::node {
+
+class caller_server;
+class control;
+class document_codec;
+class line_codec;
+class line_stream;
+class metrics;
+class promoter;
+class server_connector;
+class traffic;
+struct node_settings;
+
+} // namespace currantshed::node
+
+#endif
--- /dev/null
+++ b/src/currantshed/node/metrics.cpp
@@ -0,0 +1,113 @@
+#include "currantshed/node/metrics.hpp"
+
+namespace currantshed::node {
+
+namespace {
+
+// Seconds: from a read in the own failure domain to the longest time limits of
+// statements.
+const prometheus::Histogram::BucketBoundaries&
+Boundaries()
+{
+  static const prometheus::Histogram::BucketBoundaries sBoundaries{
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5
+  };
+  return sBoundaries;
+}
+
+prometheus::Family<prometheus::Counter>&
+Counter(prometheus::Registry& aRegistry,
+        const std::string& aName,
+        const std::string& aHelp)
+{
+  return prometheus::BuildCounter().Name(aName).Help(aHelp).Register(aRegistry);
+}
+
+prometheus::Gauge&
+Gauge(prometheus::Registry& aRegistry,
+      const std::string& aName,
+      const std::string& aHelp)
+{
+  return prometheus::BuildGauge()
+    .Name(aName)
+    .Help(aHelp)
+    .Register(aRegistry)
+    .Add({});
+}
+
+} // namespace
+
+metrics::metrics()
+  : mRegistry(std::make_shared<prometheus::Registry>())
+  , mRequests(Counter(*mRegistry,
+                      "currantshed_node_requests_total",
+                      "Decisions about requests, by outcome and reason"))
+  , mTimes(prometheus::BuildHistogram()
+             .Name("currantshed_node_request_seconds")
+             .Help("Time from a request to its final answer, by outcome")
+             .Register(*mRegistry))
+  , mStoreCalls(Counter(*mRegistry,
+                        "currantshed_node_store_calls_total",
+                        "Calls of the platform's store, by result"))
+  , mServers(Counter(*mRegistry,
+                     "currantshed_node_servers_total",
+                     "Servers reached and lost"))
+  , mLeadSteps(Counter(*mRegistry,
+                       "currantshed_node_lead_steps_total",
+                       "Steps in changes of primaries"))
+  , mSessions(Gauge(*mRegistry,
+                    "currantshed_node_sessions",
+                    "Sessions that stand open"))
+  , mConfiguration(Gauge(*mRegistry,
+                         "currantshed_node_configuration_version",
+                         "Version of the configuration in force"))
+{
+}
+
+void
+metrics::Decided(const proxy::decision& aDecision)
+{
+  const std::string outcome(aDecision.outcome);
+  // Texts of failures vary; only the words of ordinary reasons are labels.
+  const bool isFailure = aDecision.outcome == "failed";
+  mRequests
+    .Add({ { "outcome", outcome },
+           { "reason", isFailure ? "" : std::string(aDecision.reason) } })
+    .Increment();
+  if (aDecision.isFinal) {
+    mTimes.Add({ { "outcome", outcome } }, Boundaries())
+      .Observe(std::chrono::duration<double>(aDecision.waited).count());
+  }
+}
+
+void
+metrics::StoreCalled(std::string_view aResult)
+{
+  mStoreCalls.Add({ { "result", std::string(aResult) } }).Increment();
+}
+
+void
+metrics::ServerReached(bool aIsReached)
+{
+  mServers.Add({ { "now", aIsReached ? "reached" : "lost" } }).Increment();
+}
+
+void
+metrics::LeadChanged(std::string_view aStep)
+{
+  mLeadSteps.Add({ { "step", std::string(aStep) } }).Increment();
+}
+
+void
+metrics::SetSessions(std::size_t aCount)
+{
+  mSessions.Set(static_cast<double>(aCount));
+}
+
+void
+metrics::SetConfiguration(std::uint64_t aVersion)
+{
+  mConfiguration.Set(static_cast<double>(aVersion));
+}
+
+} // namespace currantshed::node
--- /dev/null
+++ b/src/currantshed/node/metrics.hpp
@@ -0,0 +1,53 @@
+#ifndef CURRANTSHED_NODE_METRICS_HPP
+#define CURRANTSHED_NODE_METRICS_HPP
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "currantshed/node/fwd.hpp"
+#include "currantshed/proxy/engine.hpp"
+
+namespace currantshed::node {
+
+/// Counters and histograms of one process; safe for use by several threads.
+class metrics
+{
+public:
+  metrics();
+
+  /// Counts what became of a request, and how long that took.
+  void Decided(const proxy::decision& aDecision);
+
+  /// Counts a call of the platform's store by its result.
+  void StoreCalled(std::string_view aResult);
+
+  void ServerReached(bool aIsReached);
+  void LeadChanged(std::string_view aStep);
+  void SetSessions(std::size_t aCount);
+  void SetConfiguration(std::uint64_t aVersion);
+
+  [[nodiscard]] std::shared_ptr<prometheus::Registry> Registry() const
+  {
+    return mRegistry;
+  }
+
+private:
+  std::shared_ptr<prometheus::Registry> mRegistry;
+  prometheus::Family<prometheus::Counter>& mRequests;
+  prometheus::Family<prometheus::Histogram>& mTimes;
+  prometheus::Family<prometheus::Counter>& mStoreCalls;
+  prometheus::Family<prometheus::Counter>& mServers;
+  prometheus::Family<prometheus::Counter>& mLeadSteps;
+  prometheus::Gauge& mSessions;
+  prometheus::Gauge& mConfiguration;
+};
+
+} // namespace currantshed::node
+
+#endif
--- /dev/null
+++ b/src/currantshed/node/traffic.cpp
@@ -0,0 +1,305 @@
+#include "currantshed/node/traffic.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "currantshed/log/log.hpp"
+
+namespace currantshed::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Descriptors kept for servers, peers, the store and files.
+constexpr std::size_t kOtherDescriptors = 400;
+constexpr std::size_t kFewestCallers = 64;
+// How long callers are taken on after the order to stop: the platform needs
+// two questions, a second apart, to see that the VM is not ready.
+constexpr milliseconds kHandOverTime{ 2500 };
+// What is left at the end for sending the last answers.
+constexpr milliseconds kLastAnswers{ 400 };
+constexpr milliseconds kDrainCheck{ 50 };
+
+clock::time_point
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+std::int64_t
+Milliseconds(clock::duration aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime).count();
+}
+
+std::size_t
+MostCallers(std::size_t aDescriptors)
+{
+  return aDescriptors > kOtherDescriptors + kFewestCallers
+           ? aDescriptors - kOtherDescriptors
+           : kFewestCallers;
+}
+
+} // namespace
+
+traffic::traffic(const node_settings& aSettings,
+                 const proxy::engine_settings& aEngine,
+                 const line_codec& aCodec,
+                 metrics& aMetrics)
+  : mSettings(aSettings)
+  , mMetrics(aMetrics)
+  , mConnector(mContext, aCodec)
+  , mEngine(aEngine, mConnector, *this)
+  , mCallers(
+      mContext,
+      aCodec,
+      mEngine,
+      MostCallers(aSettings.descriptors),
+      [this] { return mIsConfigured; },
+      [this] { After(); })
+  , mTicker(mContext,
+            [this] {
+              mEngine.Tick(Now());
+              After();
+            })
+  , mDrainTimer(mContext)
+{
+}
+
+traffic::~traffic() = default;
+
+void
+traffic::SetListener(traffic_listener aListener)
+{
+  mListener = std::move(aListener);
+}
+
+std::error_code
+traffic::Listen()
+{
+  After();
+  return mCallers.Listen(mSettings.callers.host, mSettings.callers.port);
+}
+
+void
+traffic::SetConfiguration(
+  std::shared_ptr<const proxy::configuration> aConfiguration)
+{
+  boost::asio::post(
+    mContext, [this, configuration = std::move(aConfiguration)]() mutable {
+      mIsConfigured = true;
+      mEngine.SetConfiguration(std::move(configuration), Now());
+      After();
+    });
+}
+
+void
+traffic::SetServers(std::vector<proxy::server> aServers)
+{
+  boost::asio::post(mContext, [this, servers = std::move(aServers)] {
+    mEngine.SetServers(servers, Now());
+    After();
+  });
+}
+
+void
+traffic::SetFleet(std::size_t aVms)
+{
+  boost::asio::post(mContext, [this, aVms] { mEngine.SetFleet(aVms); });
+}
+
+void
+traffic::Confirm(const std::string& aService, const proxy::confirmation& aProof)
+{
+  boost::asio::post(mContext, [this, aService, aProof] {
+    mEngine.Confirm(aService, aProof, Now());
+    After();
+  });
+}
+
+void
+traffic::AddSample(const std::string& aService,
+                   const proxy::position_sample& aSample)
+{
+  boost::asio::post(mContext, [this, aService, aSample] {
+    mEngine.AddSample(aService, aSample);
+  });
+}
+
+void
+traffic::Revoke(const std::string& aService,
+                position::term_id aTerm,
+                std::function<void()> aDone)
+{
+  boost::asio::post(mContext, [this, aService, aTerm, done = std::move(aDone)] {
+    mEngine.Revoke(aService, aTerm);
+    done();
+  });
+}
+
+void
+traffic::Order(const upstream::server_id& aServer,
+               const proxy::command& aCommand,
+               milliseconds aTimeout,
+               order_callback aDone)
+{
+  boost::asio::post(
+    mContext,
+    [this, aServer, aCommand, aTimeout, done = std::move(aDone)]() mutable {
+      mEngine.Order(
+        aServer,
+        aCommand,
+        aTimeout,
+        [this, aServer, done = std::move(done)](
+          const proxy::order_result& aResult) {
+          done(aResult, mEngine.HeardAt(aServer));
+        },
+        Now());
+      After();
+    });
+}
+
+void
+traffic::AskHeard(std::vector<upstream::server_id> aServers,
+                  heard_callback aDone)
+{
+  boost::asio::post(
+    mContext, [this, servers = std::move(aServers), done = std::move(aDone)] {
+      std::vector<std::optional<clock::time_point>> heard;
+      heard.reserve(servers.size());
+      for (const auto& server : servers) {
+        heard.push_back(mEngine.HeardAt(server));
+      }
+      done(std::move(heard));
+    });
+}
+
+// The platform sends callers elsewhere within two seconds; until then all is
+// served as ever, and then sessions end as they become idle.
+void
+traffic::Drain(milliseconds aAtMost)
+{
+  boost::asio::post(mContext, [this, aAtMost] {
+    mDrainTime = aAtMost;
+    mDrainStart = Now();
+    mDrainTimer.expires_after(std::min(kHandOverTime, aAtMost / 2));
+    mDrainTimer.async_wait([this](boost::system::error_code aError) {
+      if (!aError) {
+        CloseIdle();
+      }
+    });
+  });
+}
+
+void
+traffic::CloseIdle()
+{
+  mCallers.StopListening();
+  mEngine.Drain();
+  After();
+  const auto half = mDrainStart + mDrainTime / 2;
+  mDrainTimer.expires_at(std::max(half, Now()));
+  mDrainTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      EndTransactions();
+    }
+  });
+}
+
+void
+traffic::EndTransactions()
+{
+  mEngine.EndIdleTransactions(Now());
+  StopIfDone();
+}
+
+void
+traffic::StopIfDone()
+{
+  const auto end = mDrainStart + mDrainTime - kLastAnswers;
+  if (mCallers.Connections() == 0 || Now() >= end) {
+    log::Write(
+      log::level::kInfo,
+      "drained",
+      { { "sessions_left", static_cast<std::int64_t>(mCallers.Connections()) },
+        { "requests_left", static_cast<std::int64_t>(mEngine.Requests()) } });
+    mContext.stop();
+    return;
+  }
+  mEngine.EndIdleTransactions(Now());
+  mDrainTimer.expires_after(kDrainCheck);
+  mDrainTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      StopIfDone();
+    }
+  });
+}
+
+void
+traffic::NeedsConfirmation(const std::string& aService)
+{
+  if (mListener.needsConfirmation) {
+    mListener.needsConfirmation(aService);
+  }
+}
+
+void
+traffic::LeadDenied(const std::string& aService, position::term_id aTerm)
+{
+  if (mListener.leadDenied) {
+    mListener.leadDenied(aService, aTerm);
+  }
+}
+
+void
+traffic::Decided(const proxy::decision& aDecision)
+{
+  mMetrics.Decided(aDecision);
+  const auto level =
+    aDecision.ordinary ? log::level::kDebug : log::level::kInfo;
+  if (!log::Writes(level)) {
+    return;
+  }
+  std::string floor = "none";
+  if (aDecision.floor) {
+    floor = std::to_string(aDecision.floor->term) + "." +
+            std::to_string(aDecision.floor->index);
+  }
+  log::Write(level,
+             "request",
+             { { "request", std::string(aDecision.requestId) },
+               { "session", static_cast<std::int64_t>(aDecision.session) },
+               { "outcome", std::string(aDecision.outcome) },
+               { "reason", std::string(aDecision.reason) },
+               { "service", std::string(aDecision.service) },
+               { "server", std::string(aDecision.server) },
+               { "needs_primary", aDecision.needsPrimary },
+               { "tries", static_cast<std::int64_t>(aDecision.tries) },
+               { "waited_ms", Milliseconds(aDecision.waited) },
+               { "proof_age_ms", Milliseconds(aDecision.confirmationAge) },
+               { "floor", floor },
+               { "floor_age_ms", Milliseconds(aDecision.floorAge) } });
+}
+
+void
+traffic::Reached(const proxy::server& aServer, bool aIsReached)
+{
+  mMetrics.ServerReached(aIsReached);
+  log::Write(aIsReached ? log::level::kInfo : log::level::kWarning,
+             aIsReached ? "server_reached" : "server_lost",
+             { { "server", aServer.id },
+               { "service", aServer.service },
+               { "address", aServer.address } });
+}
+
+void
+traffic::After()
+{
+  mMetrics.SetSessions(mEngine.Sessions());
+  mTicker.At(mEngine.NextTick());
+}
+
+} // namespace currantshed::node
--- /dev/null
+++ b/src/currantshed/node/traffic.hpp
@@ -0,0 +1,113 @@
+#ifndef CURRANTSHED_NODE_TRAFFIC_HPP
+#define CURRANTSHED_NODE_TRAFFIC_HPP
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "currantshed/net/tick_timer.hpp"
+#include "currantshed/node/caller_server.hpp"
+#include "currantshed/node/metrics.hpp"
+#include "currantshed/node/server_connector.hpp"
+#include "currantshed/node/settings.hpp"
+#include "currantshed/proxy/engine.hpp"
+
+namespace currantshed::node {
+
+/// What the traffic thread tells the control thread; called on the traffic
+/// thread.
+struct traffic_listener
+{
+  std::function<void(const std::string&)> needsConfirmation;
+  std::function<void(const std::string&, position::term_id)> leadDenied;
+};
+
+/// The traffic thread's world: callers, servers, and the engine between them.
+/// All but the constructor and the functions marked so run on its thread.
+class traffic final : private proxy::engine_host
+{
+public:
+  /// The answer to an order, with when its server was last heard.
+  using order_callback =
+    std::function<void(proxy::order_result, std::optional<clock::time_point>)>;
+
+  using heard_callback =
+    std::function<void(std::vector<std::optional<clock::time_point>>)>;
+
+  traffic(const node_settings& aSettings,
+          const proxy::engine_settings& aEngine,
+          const line_codec& aCodec,
+          metrics& aMetrics);
+  ~traffic() override;
+
+  /// Before the thread runs.
+  void SetListener(traffic_listener aListener);
+
+  [[nodiscard]] std::error_code Listen();
+
+  /// Runs until Stop.
+  void Run() { mContext.run(); }
+
+  /// The io_context, for work from other threads.
+  [[nodiscard]] boost::asio::io_context& Context() noexcept { return mContext; }
+
+  // These may be called on any thread.
+
+  void SetConfiguration(
+    std::shared_ptr<const proxy::configuration> aConfiguration);
+  void SetServers(std::vector<proxy::server> aServers);
+  void SetFleet(std::size_t aVms);
+  void Confirm(const std::string& aService, const proxy::confirmation& aProof);
+  void AddSample(const std::string& aService,
+                 const proxy::position_sample& aSample);
+  /// Calls back, on the traffic thread, once nothing rests on the term.
+  void Revoke(const std::string& aService,
+              position::term_id aTerm,
+              std::function<void()> aDone);
+  /// The callback runs on the traffic thread.
+  void Order(const upstream::server_id& aServer,
+             const proxy::command& aCommand,
+             std::chrono::milliseconds aTimeout,
+             order_callback aDone);
+  /// When servers were last heard, in the order asked; the callback runs on
+  /// the traffic thread.
+  void AskHeard(std::vector<upstream::server_id> aServers,
+                heard_callback aDone);
+
+  /// Lets sessions end and stops after the given time at the latest.
+  void Drain(std::chrono::milliseconds aAtMost);
+
+private:
+  void NeedsConfirmation(const std::string& aService) override;
+  void LeadDenied(const std::string& aService,
+                  position::term_id aTerm) override;
+  void Decided(const proxy::decision& aDecision) override;
+  void Reached(const proxy::server& aServer, bool aIsReached) override;
+  void After();
+  void CloseIdle();
+  void EndTransactions();
+  void StopIfDone();
+
+  const node_settings& mSettings;
+  metrics& mMetrics;
+  traffic_listener mListener;
+  boost::asio::io_context mContext{ 1 };
+  server_connector mConnector;
+  proxy::engine mEngine;
+  bool mIsConfigured = false;
+  caller_server mCallers;
+  net::tick_timer mTicker;
+  boost::asio::steady_timer mDrainTimer;
+  std::chrono::milliseconds mDrainTime{ 0 };
+  clock::time_point mDrainStart;
+};
+
+} // namespace currantshed::node
+
+#endif
--- /dev/null
+++ b/src/currantshed/proxy/configuration.hpp
@@ -0,0 +1,85 @@
+#ifndef CURRANTSHED_PROXY_CONFIGURATION_HPP
+#define CURRANTSHED_PROXY_CONFIGURATION_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "currantshed/proxy/fwd.hpp"
+#include "currantshed/upstream/fwd.hpp"
+
+namespace currantshed::proxy {
+
+/// How fresh the reads of a class of work must be.
+enum class read_policy
+{
+  /// Sees every acknowledged commit.
+  kPrimary,
+  /// May miss what was acknowledged within the last maxStaleness.
+  kBoundedStaleness,
+  /// Besides, sees every commit of the own session.
+  kReadYourWrites,
+};
+
+/// What the operators declare for one database.
+struct route
+{
+  std::string name;
+  std::string database;
+  /// The group of servers that holds the database.
+  std::string service;
+  read_policy policy = read_policy::kPrimary;
+  /// Longest time for one statement.
+  std::chrono::milliseconds statementTimeout{ 1000 };
+  /// What a whole operation should take.
+  std::chrono::milliseconds target{ 200 };
+  /// Zero goes first.
+  unsigned priority = 0;
+  std::chrono::milliseconds maxStaleness{ 0 };
+};
+
+/// What the operators declare for one group of servers.
+struct service
+{
+  std::string name;
+  /// Connections that one server accepts from all VMs together.
+  unsigned maxConnections = 1;
+};
+
+/// One version of the operators' configuration.
+struct configuration
+{
+  std::uint64_t version = 0;
+  /// By database.
+  absl::flat_hash_map<std::string, std::shared_ptr<const route>> routes;
+  /// By name.
+  absl::flat_hash_map<std::string, service> services;
+  /// A transaction idle for longer may be ended.
+  std::chrono::milliseconds transactionIdle{ 3000 };
+};
+
+/// One server as the platform lists it.
+struct server
+{
+  upstream::server_id id;
+  std::string service;
+  /// IP number.
+  std::string address;
+  std::uint16_t port = 0;
+  std::string failureDomain;
+  /// Statements that the server runs at the same time.
+  unsigned slots = 1;
+  /// Leaves soon: gets no new work where another one can take it.
+  bool draining = false;
+  /// The server calls itself primary; no proof that it leads.
+  bool claimsPrimary = false;
+
+  [[nodiscard]] friend bool operator==(const server&, const server&) = default;
+};
+
+} // namespace currantshed::proxy
+
+#endif
--- /dev/null
+++ b/src/currantshed/proxy/connection.hpp
@@ -0,0 +1,129 @@
+#ifndef CURRANTSHED_PROXY_CONNECTION_HPP
+#define CURRANTSHED_PROXY_CONNECTION_HPP
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_set.h>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/proxy/session.hpp"
+#include "currantshed/proxy/upstream_link.hpp"
+
+namespace currantshed::proxy {
+
+/// What a command on a connection was sent for.
+enum class purpose
+{
+  /// Brings the session's values to the connection.
+  kPrelude,
+  kPrepare,
+  kBegin,
+  /// The caller's own statement.
+  kStatement,
+  /// Ends a transaction whose caller has no answer to wait for.
+  kRollback,
+  /// A question or order of the system itself.
+  kControl,
+};
+
+/// A command under way.
+struct expected_answer
+{
+  purpose why = purpose::kStatement;
+  clock::time_point sentAt;
+  /// The term whose confirmed primary the server was when the command was
+  /// sent, or zero.
+  position::term_id confirmedTerm = 0;
+  /// For kControl: the number of the order.
+  std::uint64_t order = 0;
+};
+
+/// What the engine hears from its connections.
+class connection_events
+{
+public:
+  virtual ~connection_events() = default;
+
+  virtual void Opened(connection& aConnection,
+                      const std::optional<position::log_position>& aAt,
+                      clock::time_point aNow) = 0;
+  virtual void Answered(connection& aConnection,
+                        const expected_answer& aExpected,
+                        answer aAnswer,
+                        clock::time_point aNow) = 0;
+  virtual void Ended(connection& aConnection,
+                     link_end aWhy,
+                     clock::time_point aNow) = 0;
+};
+
+/// One connection to a server: the link, what has been set up on it, and what
+/// is under way. It serves one request or transaction at a time.
+class connection final : public link_listener
+{
+public:
+  connection(upstream::server_id aServer,
+             std::string aService,
+             connection_events& aEvents,
+             clock::time_point aNow);
+
+  void Attach(std::unique_ptr<upstream_link> aLink);
+
+  /// Sends commands, each for the purpose given.
+  void Send(const std::vector<command>& aCommands,
+            const expected_answer& aExpected);
+
+  /// The commands that bring the session's values to this connection; none
+  /// when they are there.
+  [[nodiscard]] std::vector<command> Prelude(const session_values& aValues);
+
+  /// The commands that make the prepared statement known here; none when it
+  /// is.
+  [[nodiscard]] std::vector<command> Prepare(const prepared_statement& aWhat);
+
+  /// Whether the connection has exactly these values.
+  [[nodiscard]] bool HasValues(const session_values& aValues) const;
+
+  [[nodiscard]] bool IsOpen() const noexcept { return mIsOpen; }
+  [[nodiscard]] bool IsIdle() const noexcept
+  {
+    return mIsOpen && user == nullptr && mExpected.empty();
+  }
+  [[nodiscard]] bool IsQuiet() const noexcept { return mExpected.empty(); }
+  /// When the oldest command without an answer was sent.
+  [[nodiscard]] clock::time_point OldestSent() const noexcept;
+  [[nodiscard]] clock::time_point MadeAt() const noexcept { return mMadeAt; }
+
+  void Opened(const std::optional<position::log_position>& aAt,
+              clock::time_point aNow) override;
+  void Answered(answer aAnswer, clock::time_point aNow) override;
+  void Ended(link_end aWhy, clock::time_point aNow) override;
+
+  upstream::server_id server;
+  std::string service;
+  /// The session that the connection works for, or null.
+  session* user = nullptr;
+  /// Whether a transaction may be open on it.
+  bool transactionOpen = false;
+  /// When it was last given back.
+  clock::time_point idleSince;
+  /// To be closed as soon as it is free: its server leaves, or something went
+  /// wrong on it.
+  bool retiring = false;
+
+private:
+  connection_events& mEvents;
+  std::unique_ptr<upstream_link> mLink;
+  clock::time_point mMadeAt;
+  bool mIsOpen = false;
+  session_values mValues;
+  absl::flat_hash_set<std::string> mPrepared;
+  std::deque<expected_answer> mExpected;
+};
+
+} // namespace currantshed::proxy
+
+#endif
--- /dev/null
+++ b/src/currantshed/proxy/engine.hpp
@@ -0,0 +1,328 @@
+#ifndef CURRANTSHED_PROXY_ENGINE_HPP
+#define CURRANTSHED_PROXY_ENGINE_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/confirm/position_samples.hpp"
+#include "currantshed/proxy/configuration.hpp"
+#include "currantshed/proxy/connection.hpp"
+#include "currantshed/proxy/server_state.hpp"
+#include "currantshed/proxy/session.hpp"
+
+namespace currantshed::proxy {
+
+/// Proof that a server led its group in a term: a majority of the group said
+/// so when asked. It holds for the validity, counted from the asking, since
+/// whoever promotes another server waits that long.
+struct confirmation
+{
+  position::term_id term = 0;
+  upstream::server_id primary;
+  clock::time_point askedAt;
+};
+
+/// Where the primary of a term stood when asked.
+struct position_sample
+{
+  position::term_id term = 0;
+  position::log_position position;
+  clock::time_point askedAt;
+};
+
+/// A decision about a request.
+struct decision
+{
+  /// What was decided, as one word for logs and counters.
+  std::string_view outcome;
+  std::uint64_t session = 0;
+  std::string_view requestId;
+  std::string_view service;
+  std::string_view server;
+  std::string_view reason;
+  /// Since the request came.
+  clock::duration waited{ 0 };
+  unsigned tries = 0;
+  bool needsPrimary = false;
+  /// Age of the confirmation that it rests on; negative when there is none.
+  clock::duration confirmationAge{ -1 };
+  std::optional<position::log_position> floor;
+  /// Age of the floor's position.
+  clock::duration floorAge{ 0 };
+  /// Whether it is one of the ordinary successes.
+  bool ordinary = false;
+  /// Whether the caller's request ends with it.
+  bool isFinal = false;
+};
+
+/// What the engine tells the process around it.
+class engine_host
+{
+public:
+  virtual ~engine_host() = default;
+
+  /// Requests wait for proof of who leads the group.
+  virtual void NeedsConfirmation(const std::string& aService) = 0;
+
+  /// A server refused a write as one that does not lead.
+  virtual void LeadDenied(const std::string& aService,
+                          position::term_id aTerm) = 0;
+
+  virtual void Decided(const decision& aDecision) = 0;
+
+  /// A server became reachable, or stopped being so.
+  virtual void Reached(const server& aServer, bool aIsReached) = 0;
+};
+
+struct engine_settings
+{
+  std::string failureDomain;
+  /// How long a confirmation holds.
+  std::chrono::milliseconds validity{ 1000 };
+};
+
+/// How an order to a server ended: the server's word, none when it refused
+/// or could not be asked.
+struct order_result
+{
+  std::optional<server_report> report;
+  /// The server answered, though perhaps without a report.
+  bool answered = false;
+  clock::time_point askedAt;
+};
+
+/// Sessions, routing, connections to servers, and what may be told to callers.
+/// Does no I/O of its own and asks for no time. Belongs to one thread.
+class engine final : private connection_events
+{
+public:
+  using session_id = std::uint64_t;
+  using order_callback = std::function<void(const order_result&)>;
+
+  engine(const engine_settings& aSettings,
+         link_opener& aOpener,
+         engine_host& aHost);
+  ~engine() override;
+  engine(const engine&) = delete;
+  engine& operator=(const engine&) = delete;
+
+  void SetConfiguration(std::shared_ptr<const configuration> aConfiguration,
+                        clock::time_point aNow);
+  void SetServers(const std::vector<server>& aServers, clock::time_point aNow);
+  /// VMs that share the servers' connections.
+  void SetFleet(std::size_t aVms);
+  void Confirm(const std::string& aService,
+               const confirmation& aProof,
+               clock::time_point aNow);
+  void AddSample(const std::string& aService, const position_sample& aSample);
+  /// Nothing may rest any longer on proof of this term or an earlier one.
+  void Revoke(const std::string& aService, position::term_id aTerm);
+
+  /// Begins a session; none when no route has that database.
+  [[nodiscard]] std::optional<session_id> Open(std::string aDatabase,
+                                               caller& aCaller);
+  void Submit(session_id aSession, statement aAsked, clock::time_point aNow);
+  [[nodiscard]] transaction_state StateOf(session_id aSession) const;
+  /// The caller has gone.
+  void Close(session_id aSession, clock::time_point aNow);
+
+  /// Sends a question or order of the system itself to a server.
+  void Order(const upstream::server_id& aServer,
+             command aCommand,
+             std::chrono::milliseconds aTimeout,
+             order_callback aDone,
+             clock::time_point aNow);
+
+  /// From now on sessions end as soon as they are idle.
+  void Drain();
+  /// Ends the transactions that are idle.
+  void EndIdleTransactions(clock::time_point aNow);
+  [[nodiscard]] std::size_t Sessions() const noexcept
+  {
+    return mSessions.size();
+  }
+  /// Requests under way.
+  [[nodiscard]] std::size_t Requests() const;
+
+  /// When a server last answered anything; none when it never did.
+  [[nodiscard]] std::optional<clock::time_point> HeardAt(
+    const upstream::server_id& aServer) const;
+
+  void Tick(clock::time_point aNow);
+  [[nodiscard]] clock::time_point NextTick() const;
+
+private:
+  struct lead_state
+  {
+    confirmation proof;
+    position::term_id revoked = 0;
+    confirm::position_samples samples;
+    clock::time_point wantedAt;
+  };
+
+  struct order
+  {
+    upstream::server_id server;
+    command what;
+    clock::time_point deadline;
+    order_callback done;
+    connection* on = nullptr;
+    clock::time_point askedAt;
+  };
+
+  struct queue_key
+  {
+    unsigned priority = 0;
+    std::uint64_t number = 0;
+    session_id from = 0;
+
+    [[nodiscard]] friend auto operator<=>(const queue_key&,
+                                          const queue_key&) = default;
+  };
+
+  using servers = absl::btree_map<upstream::server_id, server_state>;
+  using timer = std::pair<clock::time_point, session_id>;
+
+  // Sessions and requests.
+  void Take(session& aSession, statement aAsked, clock::time_point aNow);
+  void AnswerLost(session& aSession,
+                  const statement& aAsked,
+                  clock::time_point aNow);
+  void BeginTransaction(session& aSession,
+                        const statement& aAsked,
+                        std::shared_ptr<const route> aRoute,
+                        clock::time_point aNow);
+  [[nodiscard]] std::shared_ptr<const route> RouteOf(
+    const session& aSession) const;
+  void Finish(session& aSession, answer aAnswer, clock::time_point aNow);
+  void Fail(session& aSession,
+            failure_code aCode,
+            std::string aText,
+            clock::time_point aNow);
+  void EndTransaction(session& aSession, clock::time_point aNow);
+  void DropIfGone(session_id aSession);
+  void Schedule(session& aSession, clock::time_point aAt);
+  void Expire(session& aSession, clock::time_point aNow);
+
+  // Dispatch.
+  void Dispatch(session& aSession, clock::time_point aNow);
+  [[nodiscard]] bool TryStart(session& aSession, clock::time_point aNow);
+  void Wait(session& aSession, clock::time_point aNow);
+  void Requeue(session& aSession, clock::time_point aNow);
+  void Unqueue(session& aSession);
+  void Start(session& aSession, connection& aOn, clock::time_point aNow);
+  void Advance(session& aSession, clock::time_point aNow);
+  void SendBegin(session& aSession, clock::time_point aNow);
+  void SendStatement(session& aSession, clock::time_point aNow);
+  [[nodiscard]] expected_answer Expect(purpose aWhy,
+                                       const request& aRequest,
+                                       clock::time_point aNow);
+  void Pump(const std::string& aService, clock::time_point aNow);
+
+  // Choice of a server.
+  [[nodiscard]] lead_state& LeadOf(const std::string& aService);
+  [[nodiscard]] bool Leads(const lead_state& aLead,
+                           const upstream::server_id& aServer,
+                           clock::time_point aNow) const;
+  [[nodiscard]] read_floor FloorOf(const session& aSession,
+                                   clock::time_point aNow);
+  [[nodiscard]] connection* ConnectionForWrite(session& aSession,
+                                               clock::time_point aNow);
+  [[nodiscard]] connection* ConnectionForRead(session& aSession,
+                                              clock::time_point aNow);
+  [[nodiscard]] bool CanServe(const server_state& aServer,
+                              const request& aRequest,
+                              const lead_state& aLead,
+                              clock::time_point aNow) const;
+  void AskForProof(const std::string& aService, clock::time_point aNow);
+
+  // Connections.
+  [[nodiscard]] connection* Acquire(server_state& aServer,
+                                    const session_values& aValues,
+                                    clock::time_point aNow);
+  void OpenConnection(server_state& aServer, clock::time_point aNow);
+  [[nodiscard]] std::size_t ConnectionLimit(const server_state& aServer) const;
+  void GiveBack(connection& aConnection, clock::time_point aNow);
+  void Discard(connection& aConnection);
+  void TrimConnections(clock::time_point aNow);
+  [[nodiscard]] server_state* Find(const upstream::server_id& aServer);
+
+  // Answers.
+  void Opened(connection& aConnection,
+              const std::optional<position::log_position>& aAt,
+              clock::time_point aNow) override;
+  void Answered(connection& aConnection,
+                const expected_answer& aExpected,
+                answer aAnswer,
+                clock::time_point aNow) override;
+  void Ended(connection& aConnection,
+             link_end aWhy,
+             clock::time_point aNow) override;
+  void Learn(connection& aConnection,
+             const expected_answer& aExpected,
+             const answer& aAnswer,
+             clock::time_point aNow);
+  void PreludeAnswered(session& aSession,
+                       answer aAnswer,
+                       clock::time_point aNow);
+  void BeginAnswered(session& aSession, answer aAnswer, clock::time_point aNow);
+  void StatementAnswered(session& aSession,
+                         answer aAnswer,
+                         clock::time_point aNow);
+  void Succeeded(session& aSession, answer aAnswer, clock::time_point aNow);
+  void Refused(session& aSession, answer aAnswer, clock::time_point aNow);
+  [[nodiscard]] bool TryElsewhere(session& aSession,
+                                  const failure& aWhy,
+                                  clock::time_point aNow);
+  void NoteReached(server_state& aState, bool aIsReached);
+  [[nodiscard]] bool IsConfirmed(const request& aRequest);
+  void Acknowledge(session& aSession, answer aAnswer, clock::time_point aNow);
+  void AcknowledgeHeld(session& aSession, clock::time_point aNow);
+  void ReleaseConnection(session& aSession, clock::time_point aNow);
+  void ReleaseHeld(const std::string& aService, clock::time_point aNow);
+  void LinkLost(session& aSession, clock::time_point aNow);
+  void NoteDecision(const session& aSession,
+                    std::string_view aOutcome,
+                    std::string_view aReason,
+                    bool aOrdinary,
+                    clock::time_point aNow);
+
+  // Orders.
+  void PumpOrders(const upstream::server_id& aServer, clock::time_point aNow);
+  void EndOrder(std::uint64_t aNumber, const order_result& aResult);
+  void ExpireOrders(clock::time_point aNow);
+  void FailOrdersOn(const connection& aConnection);
+
+  engine_settings mSettings;
+  link_opener& mOpener;
+  engine_host& mHost;
+  std::shared_ptr<const configuration> mConfiguration;
+  std::size_t mFleet = 1;
+  servers mServers;
+  absl::flat_hash_map<std::string, lead_state> mLeads;
+  absl::flat_hash_map<session_id, std::unique_ptr<session>> mSessions;
+  absl::flat_hash_map<std::string, absl::btree_set<queue_key>> mQueues;
+  absl::btree_set<timer> mTimers;
+  absl::btree_map<std::uint64_t, order> mOrders;
+  // Connections taken out of use that may still be on the call stack.
+  std::vector<std::unique_ptr<connection>> mDiscarded;
+  std::uint64_t mLastNumber = 0;
+  bool mIsDraining = false;
+  clock::time_point mNextUpkeep;
+};
+
+} // namespace currantshed::proxy
+
+#endif
--- /dev/null
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -0,0 +1,490 @@
+#include <algorithm>
+#include <utility>
+
+#include "currantshed/proxy/engine.hpp"
+
+namespace currantshed::proxy {
+
+namespace {
+
+// How often a request is offered to a server in all, before the caller gets
+// the last refusal.
+constexpr unsigned kMostTries = 5;
+// Reads that a server failed to run are run once more, elsewhere.
+constexpr unsigned kTriesAfterFailure = 2;
+
+std::string_view
+NameOf(failure_code aCode)
+{
+  switch (aCode) {
+    case failure_code::kBusy:
+      return "busy";
+    case failure_code::kAborted:
+      return "aborted";
+    case failure_code::kLagging:
+      return "lagging";
+    case failure_code::kReadOnly:
+      return "read_only";
+    case failure_code::kMisrouted:
+      return "wrong_server";
+    case failure_code::kTooManyConnections:
+      return "server_full";
+    case failure_code::kInDoubt:
+      return "in_doubt";
+    case failure_code::kTimeout:
+      return "timeout";
+    case failure_code::kFailed:
+      return "server_failed";
+    case failure_code::kMalformed:
+      return "malformed";
+    case failure_code::kNoDatabase:
+      return "no_database";
+    case failure_code::kNoStatement:
+      return "no_statement";
+    case failure_code::kOther:
+      break;
+  }
+  return "other";
+}
+
+} // namespace
+
+void
+engine::Opened(connection& aConnection,
+               const std::optional<position::log_position>& aAt,
+               clock::time_point aNow)
+{
+  auto* state = Find(aConnection.server);
+  if (state == nullptr) {
+    return;
+  }
+  state->heardAt = aNow;
+  NoteReached(*state, true);
+  if (aAt) {
+    state->At(*aAt, LeadOf(aConnection.service).samples, aNow);
+  }
+  PumpOrders(aConnection.server, aNow);
+  Pump(aConnection.service, aNow);
+}
+
+void
+engine::Answered(connection& aConnection,
+                 const expected_answer& aExpected,
+                 answer aAnswer,
+                 clock::time_point aNow)
+{
+  Learn(aConnection, aExpected, aAnswer, aNow);
+  if (aExpected.why == purpose::kControl) {
+    EndOrder(aExpected.order, { aAnswer.report, true, aExpected.sentAt });
+    if (aConnection.IsIdle()) {
+      GiveBack(aConnection, aNow);
+    }
+    return;
+  }
+  auto* user = aConnection.user;
+  if (aExpected.why == purpose::kRollback || user == nullptr) {
+    // A rollback that failed leaves the connection in an unknown state.
+    aConnection.retiring = aConnection.retiring || aAnswer.failed.has_value();
+    if (aConnection.IsQuiet()) {
+      GiveBack(aConnection, aNow);
+    }
+    return;
+  }
+  const auto id = user->number;
+  switch (aExpected.why) {
+    case purpose::kPrelude:
+      PreludeAnswered(*user, std::move(aAnswer), aNow);
+      break;
+    case purpose::kPrepare:
+      // What it should have made known fails by itself, without running.
+      aConnection.retiring = aConnection.retiring || aAnswer.failed.has_value();
+      break;
+    case purpose::kBegin:
+      BeginAnswered(*user, std::move(aAnswer), aNow);
+      break;
+    default:
+      StatementAnswered(*user, std::move(aAnswer), aNow);
+      break;
+  }
+  DropIfGone(id);
+}
+
+void
+engine::Learn(connection& aConnection,
+              const expected_answer& aExpected,
+              const answer& aAnswer,
+              clock::time_point aNow)
+{
+  auto* state = Find(aConnection.server);
+  if (state == nullptr) {
+    return;
+  }
+  state->heardAt = aNow;
+  NoteReached(*state, true);
+  if (!aAnswer.position) {
+    return;
+  }
+  auto& lead = LeadOf(aConnection.service);
+  const bool isSample = aExpected.confirmedTerm != 0 &&
+                        aExpected.confirmedTerm == lead.proof.term &&
+                        lead.proof.primary == aConnection.server;
+  if (isSample) {
+    lead.samples.Add(*aAnswer.position, aExpected.sentAt);
+  }
+  state->At(*aAnswer.position, lead.samples, aNow);
+}
+
+void
+engine::NoteReached(server_state& aState, bool aIsReached)
+{
+  if (aState.reached != aIsReached) {
+    aState.reached = aIsReached;
+    mHost.Reached(aState.listed, aIsReached);
+  }
+}
+
+void
+engine::PreludeAnswered(session& aSession,
+                        answer aAnswer,
+                        clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  if (aAnswer.failed) {
+    // Which values the connection has now is not known.
+    request.on->retiring = true;
+    request.refusedBy.push_back(request.on->server);
+    LinkLost(aSession, aNow);
+    return;
+  }
+  if (--request.awaited == 0) {
+    Advance(aSession, aNow);
+  }
+}
+
+void
+engine::BeginAnswered(session& aSession, answer aAnswer, clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  if (aAnswer.failed) {
+    request.on->transactionOpen = false;
+    Refused(aSession, std::move(aAnswer), aNow);
+    return;
+  }
+  const auto& lead = LeadOf(request.under->service);
+  const bool stillLeads =
+    request.term == lead.proof.term && Leads(lead, request.ranOn, aNow);
+  if (request.needsPrimary && !stillLeads) {
+    ReleaseConnection(aSession, aNow);
+    Requeue(aSession, aNow);
+    return;
+  }
+  aSession.transaction->begun = true;
+  aSession.transaction->term = request.needsPrimary ? request.term : 0;
+  SendStatement(aSession, aNow);
+}
+
+void
+engine::StatementAnswered(session& aSession,
+                          answer aAnswer,
+                          clock::time_point aNow)
+{
+  if (aAnswer.failed) {
+    Refused(aSession, std::move(aAnswer), aNow);
+  } else {
+    Succeeded(aSession, std::move(aAnswer), aNow);
+  }
+}
+
+void
+engine::Succeeded(session& aSession, answer aAnswer, clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  if (auto* state = Find(request.ranOn)) {
+    state->Served(request.sentAt, aNow);
+  }
+  const bool isCommit = request.asked.kind == statement_kind::kCommit;
+  if (aSession.transaction && !isCommit) {
+    NoteDecision(aSession, "served", "in_transaction", true, aNow);
+    Finish(aSession, std::move(aAnswer), aNow);
+    return;
+  }
+  request.on->transactionOpen = false;
+  const bool changed = isCommit ? aSession.transaction->wrote : request.commits;
+  ReleaseConnection(aSession, aNow);
+  if (isCommit) {
+    aSession.transaction.reset();
+  }
+  if (changed) {
+    Acknowledge(aSession, std::move(aAnswer), aNow);
+    return;
+  }
+  const auto& lead = LeadOf(request.under->service);
+  const bool restsOnLead = !isCommit && request.needsPrimary;
+  if (restsOnLead &&
+      (request.term != lead.proof.term || !Leads(lead, request.ranOn, aNow))) {
+    NoteDecision(aSession, "read_again", "lead_not_confirmed", false, aNow);
+    Requeue(aSession, aNow);
+    return;
+  }
+  NoteDecision(aSession, "served", isCommit ? "commit" : "read", true, aNow);
+  Finish(aSession, std::move(aAnswer), aNow);
+}
+
+// Whether the commit happened before any other server can have been promoted.
+bool
+engine::IsConfirmed(const request& aRequest)
+{
+  const auto& lead = LeadOf(aRequest.under->service);
+  return lead.proof.term == aRequest.term && lead.proof.term > lead.revoked &&
+         lead.proof.primary == aRequest.ranOn &&
+         aRequest.committedBy < lead.proof.askedAt + mSettings.validity;
+}
+
+void
+engine::Acknowledge(session& aSession, answer aAnswer, clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  request.held = std::move(aAnswer);
+  request.committedBy = aNow;
+  if (IsConfirmed(request)) {
+    AcknowledgeHeld(aSession, aNow);
+    return;
+  }
+  request.at = stage::kConfirming;
+  NoteDecision(aSession, "held", "lead_not_confirmed", false, aNow);
+  AskForProof(request.under->service, aNow);
+}
+
+void
+engine::AcknowledgeHeld(session& aSession, clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  if (request.held.position) {
+    aSession.lastCommit =
+      own_commit{ *request.held.position, request.term, aNow };
+  }
+  NoteDecision(aSession, "acknowledged", "confirmed", true, aNow);
+  auto held = std::move(request.held);
+  Finish(aSession, std::move(held), aNow);
+}
+
+void
+engine::ReleaseHeld(const std::string& aService, clock::time_point aNow)
+{
+  const auto& lead = LeadOf(aService);
+  std::vector<session_id> held;
+  for (const auto& [id, one] : mSessions) {
+    if (one->current && one->current->at == stage::kConfirming &&
+        one->current->under->service == aService) {
+      held.push_back(id);
+    }
+  }
+  for (const auto id : held) {
+    auto& one = *mSessions.at(id);
+    if (IsConfirmed(*one.current)) {
+      AcknowledgeHeld(one, aNow);
+    } else if (lead.proof.term > one.current->term) {
+      Fail(one,
+           failure_code::kInDoubt,
+           "the primary changed before its commit was confirmed",
+           aNow);
+    }
+    DropIfGone(id);
+  }
+}
+
+void
+engine::ReleaseConnection(session& aSession, clock::time_point aNow)
+{
+  auto* on = aSession.current->on;
+  aSession.current->on = nullptr;
+  if (aSession.transaction) {
+    aSession.transaction->on = nullptr;
+    aSession.transaction->begun = false;
+  }
+  if (on != nullptr) {
+    GiveBack(*on, aNow);
+  }
+}
+
+void
+engine::Refused(session& aSession, answer aAnswer, clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  const auto why = *aAnswer.failed;
+  if (why.code == failure_code::kReadOnly && request.needsPrimary) {
+    auto& lead = LeadOf(request.under->service);
+    if (lead.proof.primary == request.ranOn) {
+      lead.proof.askedAt = {};
+    }
+    mHost.LeadDenied(request.under->service, request.term);
+  }
+  const bool begun = aSession.transaction && aSession.transaction->begun;
+  if (begun) {
+    request.on->transactionOpen = aAnswer.state != transaction_state::kIdle;
+  } else {
+    ReleaseConnection(aSession, aNow);
+    if (TryElsewhere(aSession, why, aNow)) {
+      return;
+    }
+  }
+  NoteDecision(aSession, "refused", NameOf(why.code), false, aNow);
+  const bool isCommit = request.asked.kind == statement_kind::kCommit;
+  if (aSession.transaction) {
+    EndTransaction(aSession, aNow);
+    if (!isCommit) {
+      aSession.transaction = open_transaction{};
+      aSession.transaction->failed = true;
+    }
+  }
+  Finish(aSession, std::move(aAnswer), aNow);
+}
+
+// Sends the request to another server, or to the same one later, when the
+// answer shows that nothing of it ran, or that running it twice is harmless.
+bool
+engine::TryElsewhere(session& aSession,
+                     const failure& aWhy,
+                     clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  if (request.tries >= kMostTries) {
+    return false;
+  }
+  auto* state = Find(request.ranOn);
+  switch (aWhy.code) {
+    case failure_code::kLagging:
+      if (state != nullptr) {
+        state->Lagged(request.floor.writtenBy, aNow);
+      }
+      break;
+    case failure_code::kReadOnly:
+      if (!request.needsPrimary) {
+        return false;
+      }
+      break;
+    case failure_code::kBusy:
+      if (request.needsPrimary) {
+        return false;
+      }
+      break;
+    case failure_code::kNoStatement:
+      break;
+    case failure_code::kFailed:
+      if (request.commits || request.tries >= kTriesAfterFailure) {
+        return false;
+      }
+      break;
+    default:
+      return false;
+  }
+  NoteDecision(aSession, "elsewhere", NameOf(aWhy.code), false, aNow);
+  request.refusedBy.push_back(request.ranOn);
+  Requeue(aSession, aNow);
+  return true;
+}
+
+// The connection under the request is gone, or its time is up.
+void
+engine::LinkLost(session& aSession, clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  const auto reached = request.at;
+  if (request.on != nullptr) {
+    request.on->user = nullptr;
+    Discard(*request.on);
+    request.on = nullptr;
+  }
+  const bool inTransaction = aSession.transaction.has_value();
+  const bool begun = inTransaction && aSession.transaction->begun;
+  if (inTransaction) {
+    aSession.transaction->on = nullptr;
+    aSession.transaction->begun = false;
+  }
+  const bool ran = reached == stage::kRunning;
+  const bool expired = aNow >= request.deadline;
+  const bool mayRepeat = !begun && (!ran || !request.commits);
+  if (mayRepeat && !expired && request.tries < kMostTries) {
+    NoteDecision(aSession, "elsewhere", "connection_lost", false, aNow);
+    request.refusedBy.push_back(request.ranOn);
+    Requeue(aSession, aNow);
+    return;
+  }
+  const bool isCommit = request.asked.kind == statement_kind::kCommit;
+  const bool wrote =
+    inTransaction ? isCommit && aSession.transaction->wrote : request.commits;
+  if (ran && wrote) {
+    Fail(aSession, failure_code::kInDoubt, "no answer from the server", aNow);
+  } else if (begun) {
+    Fail(aSession,
+         failure_code::kAborted,
+         "no answer from the server; rolled back",
+         aNow);
+  } else if (ran) {
+    Fail(aSession, failure_code::kTimeout, "no answer from the server", aNow);
+  } else {
+    Fail(aSession, failure_code::kBusy, "no server in time", aNow);
+  }
+}
+
+void
+engine::Ended(connection& aConnection, link_end aWhy, clock::time_point aNow)
+{
+  auto* state = Find(aConnection.server);
+  if (state != nullptr) {
+    if (aWhy == link_end::kServerFull) {
+      state->Full(aNow);
+    } else {
+      state->Failed(aNow);
+      NoteReached(*state, false);
+    }
+  }
+  FailOrdersOn(aConnection);
+  auto* user = aConnection.user;
+  aConnection.user = nullptr;
+  Discard(aConnection);
+  if (user == nullptr) {
+    return;
+  }
+  const auto id = user->number;
+  if (user->current) {
+    user->current->on = nullptr;
+    LinkLost(*user, aNow);
+  } else if (user->transaction) {
+    user->transaction->on = nullptr;
+    user->transaction->lost = true;
+  }
+  DropIfGone(id);
+}
+
+void
+engine::NoteDecision(const session& aSession,
+                     std::string_view aOutcome,
+                     std::string_view aReason,
+                     bool aOrdinary,
+                     clock::time_point aNow)
+{
+  const auto& request = *aSession.current;
+  const auto& lead = LeadOf(request.under->service);
+  decision made;
+  made.outcome = aOutcome;
+  made.session = aSession.number;
+  made.requestId = request.asked.id;
+  made.service = request.under->service;
+  made.server = request.ranOn;
+  made.reason = aReason;
+  made.waited = aNow - request.arrivedAt;
+  made.tries = request.tries;
+  made.needsPrimary = request.needsPrimary;
+  if (lead.proof.term != 0) {
+    made.confirmationAge = aNow - lead.proof.askedAt;
+  }
+  made.floor = request.floor.position;
+  made.floorAge = aNow - request.floor.writtenBy;
+  made.ordinary = aOrdinary;
+  made.isFinal =
+    aOutcome != "elsewhere" && aOutcome != "held" && aOutcome != "read_again";
+  mHost.Decided(made);
+}
+
+} // namespace currantshed::proxy
--- /dev/null
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -0,0 +1,461 @@
+#include <algorithm>
+#include <utility>
+
+#include "currantshed/proxy/engine.hpp"
+
+namespace currantshed::proxy {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A confirmation must hold for a little longer than the way to the server, so
+// that requests are not sent in vain.
+constexpr milliseconds kConfirmationReserve{ 20 };
+// What the bound on age is tightened by, for the way from the caller.
+constexpr milliseconds kFloorReserve{ 50 };
+constexpr milliseconds kProofPause{ 50 };
+// The primary is left to what only it can serve, unless it is this much
+// faster.
+constexpr int kPrimaryPenalty = 2;
+// What the opening of a connection adds to the time of a statement.
+constexpr milliseconds kOpeningTime{ 20 };
+// Connections of a server that are left to VMs that have just been restarted,
+// whose former connections the server has not given up yet.
+constexpr unsigned kSpareConnections = 2;
+// Connections that a VM may open beyond its even share while others use
+// theirs less.
+constexpr std::size_t kBorrowedConnections = 1;
+
+command
+StatementCommand(const session& aSession, const request& aRequest)
+{
+  command made;
+  made.id = aRequest.asked.id;
+  made.text = aRequest.asked.text;
+  if (aRequest.asked.kind == statement_kind::kExecute) {
+    made.kind = command_kind::kExecute;
+    made.name = aSession.Prepared(aRequest.asked.name)->sharedName;
+    made.argument = aRequest.asked.argument;
+  }
+  return made;
+}
+
+} // namespace
+
+void
+engine::Dispatch(session& aSession, clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  Schedule(aSession, request.deadline);
+  auto* on = aSession.transaction ? aSession.transaction->on : nullptr;
+  if (on == nullptr) {
+    if (!TryStart(aSession, aNow)) {
+      Wait(aSession, aNow);
+    }
+    return;
+  }
+  // A change that the old primary of a new term would commit could never be
+  // acknowledged.
+  const auto& lead = LeadOf(request.under->service);
+  if (request.needsPrimary && lead.proof.term > aSession.transaction->term) {
+    Fail(aSession, failure_code::kAborted, "the primary has changed", aNow);
+    return;
+  }
+  request.on = on;
+  request.offered = true;
+  Advance(aSession, aNow);
+}
+
+bool
+engine::TryStart(session& aSession, clock::time_point aNow)
+{
+  auto* on = aSession.current->needsPrimary ? ConnectionForWrite(aSession, aNow)
+                                            : ConnectionForRead(aSession, aNow);
+  if (on == nullptr) {
+    return false;
+  }
+  Start(aSession, *on, aNow);
+  return true;
+}
+
+void
+engine::Wait(session& aSession, clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  request.at = stage::kWaiting;
+  request.refusedBy.clear();
+  mQueues[request.under->service].insert(
+    { request.under->priority, request.number, aSession.number });
+  Schedule(aSession, std::max(request.waitUntil, aNow));
+}
+
+// The server turned the request away before it ran: it goes to another one.
+void
+engine::Requeue(session& aSession, clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  request.on = nullptr;
+  request.awaited = 0;
+  if (!TryStart(aSession, aNow)) {
+    Wait(aSession, aNow);
+  }
+}
+
+void
+engine::Unqueue(session& aSession)
+{
+  const auto& request = *aSession.current;
+  const auto found = mQueues.find(request.under->service);
+  if (found != mQueues.end()) {
+    found->second.erase(
+      { request.under->priority, request.number, aSession.number });
+  }
+}
+
+void
+engine::Start(session& aSession, connection& aOn, clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  request.on = &aOn;
+  request.offered = true;
+  ++request.tries;
+  aOn.user = &aSession;
+  if (aSession.transaction) {
+    aSession.transaction->on = &aOn;
+    aSession.transaction->begun = false;
+  }
+  Advance(aSession, aNow);
+}
+
+// Takes the next step towards the caller's statement. Each step waits for the
+// answers of the one before, so that nothing runs with wrong values or outside
+// its transaction.
+void
+engine::Advance(session& aSession, clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  auto& on = *request.on;
+  const auto prelude = on.Prelude(aSession.values);
+  if (!prelude.empty()) {
+    request.at = stage::kPrelude;
+    request.awaited = static_cast<unsigned>(prelude.size());
+    on.Send(prelude, { purpose::kPrelude, aNow });
+    return;
+  }
+  const auto& lead = LeadOf(request.under->service);
+  request.ranOn = on.server;
+  request.term = lead.proof.primary == on.server ? lead.proof.term : 0;
+  if (aSession.transaction && !aSession.transaction->begun) {
+    SendBegin(aSession, aNow);
+    return;
+  }
+  SendStatement(aSession, aNow);
+}
+
+void
+engine::SendBegin(session& aSession, clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  command begin;
+  begin.kind = aSession.transaction->readOnly ? command_kind::kBeginReadOnly
+                                              : command_kind::kBegin;
+  if (!request.needsPrimary) {
+    begin.floor = request.floor.position;
+  }
+  request.at = stage::kBeginning;
+  request.sentAt = aNow;
+  request.on->transactionOpen = true;
+  request.on->Send({ begin }, Expect(purpose::kBegin, request, aNow));
+}
+
+// What a command is sent for, and whether its answer shows where the confirmed
+// primary stands.
+expected_answer
+engine::Expect(purpose aWhy, const request& aRequest, clock::time_point aNow)
+{
+  const auto& lead = LeadOf(aRequest.under->service);
+  const bool leads = Leads(lead, aRequest.ranOn, aNow);
+  return { aWhy, aNow, leads ? lead.proof.term : 0 };
+}
+
+void
+engine::SendStatement(session& aSession, clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  auto& on = *request.on;
+  if (request.asked.kind == statement_kind::kExecute) {
+    const auto* prepared = aSession.Prepared(request.asked.name);
+    const auto prepare = on.Prepare(*prepared);
+    if (!prepare.empty()) {
+      on.Send(prepare, { purpose::kPrepare, aNow });
+    }
+  }
+  auto sent = StatementCommand(aSession, request);
+  if (!aSession.transaction && !request.needsPrimary) {
+    sent.floor = request.floor.position;
+  }
+  request.at = stage::kRunning;
+  request.sentAt = aNow;
+  on.Send({ sent }, Expect(purpose::kStatement, request, aNow));
+}
+
+// Gives connections to the requests that wait, in their order.
+void
+engine::Pump(const std::string& aService, clock::time_point aNow)
+{
+  const auto found = mQueues.find(aService);
+  if (found == mQueues.end()) {
+    return;
+  }
+  bool writesBlocked = false;
+  bool readsBlocked = false;
+  const std::vector<queue_key> waiting(found->second.begin(),
+                                       found->second.end());
+  for (const auto& key : waiting) {
+    const auto from = mSessions.find(key.from);
+    if (from == mSessions.end() || !from->second->current ||
+        from->second->current->number != key.number) {
+      mQueues[aService].erase(key);
+      continue;
+    }
+    auto& request = *from->second->current;
+    bool& blocked = request.needsPrimary ? writesBlocked : readsBlocked;
+    if (blocked) {
+      continue;
+    }
+    if (TryStart(*from->second, aNow)) {
+      mQueues[aService].erase(key);
+    } else {
+      blocked = true;
+    }
+  }
+}
+
+engine::lead_state&
+engine::LeadOf(const std::string& aService)
+{
+  return mLeads[aService];
+}
+
+bool
+engine::Leads(const lead_state& aLead,
+              const upstream::server_id& aServer,
+              clock::time_point aNow) const
+{
+  return aLead.proof.term > aLead.revoked && aLead.proof.primary == aServer &&
+         aNow < aLead.proof.askedAt + mSettings.validity;
+}
+
+// The lowest position that is fresh enough: a stricter one would turn replicas
+// away that could serve.
+read_floor
+engine::FloorOf(const session& aSession, clock::time_point aNow)
+{
+  const auto& route = *aSession.current->under;
+  const auto& lead = LeadOf(route.service);
+  const auto since = aNow - (route.maxStaleness - kFloorReserve);
+  const auto lowest = lead.samples.LowestSince(since);
+  if (!lowest) {
+    return {};
+  }
+  read_floor floor{ *lowest, since };
+  const auto& own = aSession.lastCommit;
+  // A commit of an older term is covered by every position of this one, or
+  // was rolled back when the term began.
+  const bool ownCounts = route.policy == read_policy::kReadYourWrites && own &&
+                         own->term == lead.proof.term;
+  if (ownCounts && own->position > *floor.position) {
+    floor = { own->position, own->at };
+  }
+  return floor;
+}
+
+connection*
+engine::ConnectionForWrite(session& aSession, clock::time_point aNow)
+{
+  const auto& service = aSession.current->under->service;
+  auto& lead = LeadOf(service);
+  if (!Leads(lead, lead.proof.primary, aNow + kConfirmationReserve)) {
+    AskForProof(service, aNow);
+    return nullptr;
+  }
+  auto* primary = Find(lead.proof.primary);
+  if (primary == nullptr) {
+    return nullptr;
+  }
+  return Acquire(*primary, aSession.values, aNow);
+}
+
+connection*
+engine::ConnectionForRead(session& aSession, clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  auto& lead = LeadOf(request.under->service);
+  request.floor = FloorOf(aSession, aNow);
+  server_state* best = nullptr;
+  clock::duration bestTime = clock::duration::max();
+  bool needsProof = false;
+  for (auto& [id, state] : mServers) {
+    if (state.listed.service != request.under->service) {
+      continue;
+    }
+    if (!CanServe(state, request, lead, aNow)) {
+      needsProof = needsProof || id == lead.proof.primary;
+      continue;
+    }
+    const bool isIdle = state.Idle(aSession.values) != nullptr;
+    if (!isIdle && !state.MayOpen(ConnectionLimit(state), aNow)) {
+      continue;
+    }
+    auto time = state.Expected(aNow);
+    time += isIdle ? milliseconds{ 0 } : kOpeningTime;
+    time *= id == lead.proof.primary ? kPrimaryPenalty : 1;
+    if (time < bestTime) {
+      best = &state;
+      bestTime = time;
+    }
+  }
+  if (!request.floor.position || (best == nullptr && needsProof)) {
+    AskForProof(request.under->service, aNow);
+  }
+  return best == nullptr ? nullptr : Acquire(*best, aSession.values, aNow);
+}
+
+bool
+engine::CanServe(const server_state& aServer,
+                 const request& aRequest,
+                 const lead_state& aLead,
+                 clock::time_point aNow) const
+{
+  const auto& id = aServer.listed.id;
+  const auto& refused = aRequest.refusedBy;
+  if (std::find(refused.begin(), refused.end(), id) != refused.end() ||
+      aServer.IsAvoided(aNow)) {
+    return false;
+  }
+  if (id == aLead.proof.primary) {
+    return Leads(aLead, id, aNow + kConfirmationReserve);
+  }
+  if (aServer.listed.draining || aServer.missingSince) {
+    return false;
+  }
+  if (!aRequest.floor.position) {
+    return false;
+  }
+  if (aServer.applied && *aServer.applied >= *aRequest.floor.position) {
+    return true;
+  }
+  return aNow - aRequest.floor.writtenBy >= aServer.Lag();
+}
+
+void
+engine::AskForProof(const std::string& aService, clock::time_point aNow)
+{
+  auto& lead = LeadOf(aService);
+  if (aNow >= lead.wantedAt + kProofPause) {
+    lead.wantedAt = aNow;
+    mHost.NeedsConfirmation(aService);
+  }
+}
+
+// An idle connection; where there is none, one is opened for those that wait.
+connection*
+engine::Acquire(server_state& aServer,
+                const session_values& aValues,
+                clock::time_point aNow)
+{
+  auto* idle = aServer.Idle(aValues);
+  if (idle != nullptr) {
+    return idle;
+  }
+  if (aServer.Opening() == 0 &&
+      aServer.MayOpen(ConnectionLimit(aServer), aNow)) {
+    OpenConnection(aServer, aNow);
+  }
+  return nullptr;
+}
+
+void
+engine::OpenConnection(server_state& aServer, clock::time_point aNow)
+{
+  auto made =
+    std::make_unique<connection>(aServer.listed.id,
+                                 aServer.listed.service,
+                                 static_cast<connection_events&>(*this),
+                                 aNow);
+  auto& place = *made;
+  aServer.connections.push_back(std::move(made));
+  place.Attach(mOpener.Open(aServer.listed, place));
+}
+
+std::size_t
+engine::ConnectionLimit(const server_state& aServer) const
+{
+  const auto found = mConfiguration
+                       ? mConfiguration->services.find(aServer.listed.service)
+                       : decltype(mConfiguration->services.find("")){};
+  if (!mConfiguration || found == mConfiguration->services.end()) {
+    return 1;
+  }
+  const auto most = found->second.maxConnections;
+  const auto usable = most > kSpareConnections ? most - kSpareConnections : 1;
+  const auto share = std::max<std::size_t>(usable / mFleet, 1);
+  return share + kBorrowedConnections;
+}
+
+// The session has done with the connection. A transaction left open on it is
+// rolled back first.
+void
+engine::GiveBack(connection& aConnection, clock::time_point aNow)
+{
+  auto* user = aConnection.user;
+  aConnection.user = nullptr;
+  aConnection.idleSince = aNow;
+  const bool rollsBack = user != nullptr && aConnection.transactionOpen;
+  aConnection.transactionOpen = false;
+  if (rollsBack) {
+    command rollback;
+    rollback.kind = command_kind::kRollback;
+    aConnection.Send({ rollback }, { purpose::kRollback, aNow });
+    return;
+  }
+  if (aConnection.retiring) {
+    Discard(aConnection);
+    return;
+  }
+  PumpOrders(aConnection.server, aNow);
+  const auto service = aConnection.service;
+  Pump(service, aNow);
+}
+
+// Closes the connection; the object stays until no caller on the stack can
+// refer to it.
+void
+engine::Discard(connection& aConnection)
+{
+  auto* state = Find(aConnection.server);
+  if (state == nullptr) {
+    return;
+  }
+  auto& all = state->connections;
+  const auto found =
+    std::find_if(all.begin(), all.end(), [&aConnection](const auto& aOne) {
+      return aOne.get() == &aConnection;
+    });
+  if (found == all.end()) {
+    return;
+  }
+  aConnection.Attach(nullptr);
+  mDiscarded.push_back(std::move(*found));
+  all.erase(found);
+}
+
+server_state*
+engine::Find(const upstream::server_id& aServer)
+{
+  const auto found = mServers.find(aServer);
+  return found == mServers.end() ? nullptr : &found->second;
+}
+
+} // namespace currantshed::proxy
--- /dev/null
+++ b/src/currantshed/proxy/engine_orders.cpp
@@ -0,0 +1,156 @@
+#include <algorithm>
+#include <utility>
+
+#include "currantshed/proxy/engine.hpp"
+
+namespace currantshed::proxy {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A server that takes longer to accept a connection is taken for unreachable.
+constexpr milliseconds kLongestOpening{ 1000 };
+// An answer that nobody waits for any longer is given up after this time.
+constexpr milliseconds kLongestSilence{ 3000 };
+// How long a borrowed connection is kept idle.
+constexpr milliseconds kBorrowedIdle{ 2000 };
+// How much longer than its listing a server is kept: entries of servers that
+// live come back within two seconds after the store was away.
+constexpr milliseconds kMissingGrace{ 2500 };
+
+} // namespace
+
+void
+engine::Order(const upstream::server_id& aServer,
+              command aCommand,
+              milliseconds aTimeout,
+              order_callback aDone,
+              clock::time_point aNow)
+{
+  const auto number = ++mLastNumber;
+  mOrders[number] = {
+    aServer, std::move(aCommand), aNow + aTimeout, std::move(aDone)
+  };
+  PumpOrders(aServer, aNow);
+}
+
+// Orders go before requests; one that finds no connection makes one, beyond
+// the limit for requests if need be.
+void
+engine::PumpOrders(const upstream::server_id& aServer, clock::time_point aNow)
+{
+  auto* state = Find(aServer);
+  if (state == nullptr) {
+    return;
+  }
+  for (auto& [number, one] : mOrders) {
+    if (one.server != aServer || one.on != nullptr) {
+      continue;
+    }
+    auto* idle = state->Idle({});
+    if (idle == nullptr) {
+      const auto most = ConnectionLimit(*state) + 1;
+      if (state->Opening() == 0 && state->connections.size() < most) {
+        OpenConnection(*state, aNow);
+      }
+      return;
+    }
+    one.on = idle;
+    one.askedAt = aNow;
+    idle->Send({ one.what }, { purpose::kControl, aNow, 0, number });
+  }
+}
+
+void
+engine::EndOrder(std::uint64_t aNumber, const order_result& aResult)
+{
+  const auto found = mOrders.find(aNumber);
+  if (found == mOrders.end()) {
+    return;
+  }
+  const auto done = std::move(found->second.done);
+  mOrders.erase(found);
+  done(aResult);
+}
+
+void
+engine::ExpireOrders(clock::time_point aNow)
+{
+  std::vector<std::uint64_t> expired;
+  for (const auto& [number, one] : mOrders) {
+    if (aNow >= one.deadline) {
+      expired.push_back(number);
+    }
+  }
+  for (const auto number : expired) {
+    EndOrder(number, {});
+  }
+}
+
+void
+engine::FailOrdersOn(const connection& aConnection)
+{
+  std::vector<std::uint64_t> failed;
+  for (const auto& [number, one] : mOrders) {
+    const bool waits = one.on == nullptr && one.server == aConnection.server &&
+                       !aConnection.IsOpen();
+    if (one.on == &aConnection || waits) {
+      failed.push_back(number);
+    }
+  }
+  for (const auto number : failed) {
+    EndOrder(number, {});
+  }
+}
+
+// Closes what is no longer needed, gives up what does not answer, and keeps
+// one connection to each server.
+void
+engine::TrimConnections(clock::time_point aNow)
+{
+  std::vector<connection*> ended;
+  std::vector<upstream::server_id> gone;
+  for (auto& [id, state] : mServers) {
+    const bool isGone =
+      state.missingSince && aNow - *state.missingSince > kMissingGrace;
+    const auto most = ConnectionLimit(state) - 1;
+    auto count = state.connections.size();
+    for (const auto& one : state.connections) {
+      const bool slow =
+        !one->IsOpen() && aNow - one->MadeAt() > kLongestOpening;
+      const bool silent =
+        one->user == nullptr && one->OldestSent() + kLongestSilence < aNow;
+      const bool spare =
+        one->IsIdle() && count > most && aNow - one->idleSince > kBorrowedIdle;
+      const bool unused = one->IsIdle() && (isGone || one->retiring);
+      if (slow || silent) {
+        state.Failed(aNow);
+        NoteReached(state, false);
+      }
+      if (slow || silent || spare || unused) {
+        ended.push_back(one.get());
+        --count;
+      }
+    }
+    if (isGone && count == 0) {
+      gone.push_back(id);
+    }
+  }
+  for (auto* one : ended) {
+    FailOrdersOn(*one);
+    Discard(*one);
+  }
+  for (const auto& id : gone) {
+    mServers.erase(id);
+  }
+  for (auto& [id, state] : mServers) {
+    const bool wanted = !state.missingSince && !state.listed.draining;
+    if (wanted && state.connections.empty() &&
+        state.MayOpen(ConnectionLimit(state), aNow)) {
+      OpenConnection(state, aNow);
+    }
+  }
+}
+
+} // namespace currantshed::proxy
--- /dev/null
+++ b/src/currantshed/proxy/fwd.hpp
@@ -0,0 +1,30 @@
+#ifndef CURRANTSHED_PROXY_FWD_HPP
+#define CURRANTSHED_PROXY_FWD_HPP
+
+namespace currantshed::proxy {
+
+class caller;
+class connection;
+class engine;
+class link_listener;
+class link_opener;
+class server_set;
+class session;
+class upstream_link;
+enum class failure_code;
+enum class link_end;
+enum class read_policy;
+enum class statement_kind;
+enum class transaction_state;
+struct answer;
+struct command;
+struct configuration;
+struct failure;
+struct route;
+struct server;
+struct service;
+struct statement;
+
+} // namespace currantshed::proxy
+
+#endif
--- /dev/null
+++ b/src/currantshed/proxy/request.hpp
@@ -0,0 +1,77 @@
+#ifndef CURRANTSHED_PROXY_REQUEST_HPP
+#define CURRANTSHED_PROXY_REQUEST_HPP
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+#include <absl/container/inlined_vector.h>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/proxy/configuration.hpp"
+#include "currantshed/proxy/statement.hpp"
+
+namespace currantshed::proxy {
+
+/// How far a request has come.
+enum class stage
+{
+  /// Waits for a server connection.
+  kWaiting,
+  /// The session's values are being brought to the connection.
+  kPrelude,
+  /// The transaction is being begun at the server.
+  kBeginning,
+  /// The server has the caller's statement.
+  kRunning,
+  /// The server has committed; whether it still led then is not known yet.
+  kConfirming,
+};
+
+/// Bounds on the answer that a request may get from a replica.
+struct read_floor
+{
+  /// None: only the confirmed primary will do.
+  std::optional<position::log_position> position;
+  /// When the position was written, at the latest.
+  clock::time_point writtenBy;
+};
+
+/// A session's request under way.
+struct request
+{
+  /// Goes up with each request of this process: the order of arrival.
+  std::uint64_t number = 0;
+  statement asked;
+  std::shared_ptr<const route> under;
+  bool needsPrimary = false;
+  /// Whether a success makes a change last: a single write, or a commit.
+  bool commits = false;
+  stage at = stage::kWaiting;
+  clock::time_point arrivedAt;
+  /// When the caller gets an answer in any case.
+  clock::time_point deadline;
+  /// Until when it may wait for a connection.
+  clock::time_point waitUntil;
+  /// Answers of the connection before the next step.
+  unsigned awaited = 0;
+  /// Servers tried so far that turned the request away.
+  absl::InlinedVector<upstream::server_id, 2> refusedBy;
+  unsigned tries = 0;
+  /// Whether a server connection was ever had for it.
+  bool offered = false;
+  read_floor floor;
+  connection* on = nullptr;
+  clock::time_point sentAt;
+  /// The server that got it last.
+  upstream::server_id ranOn;
+  /// The term in which that server was taken for the primary, or zero.
+  position::term_id term = 0;
+  /// For kConfirming.
+  answer held;
+  clock::time_point committedBy;
+};
+
+} // namespace currantshed::proxy
+
+#endif
--- /dev/null
+++ b/src/currantshed/proxy/server_state.cpp
@@ -0,0 +1,144 @@
+#include "currantshed/proxy/server_state.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace currantshed::proxy {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// What a statement is expected to take before any was measured: a few
+// milliseconds of work, and the way to another failure domain and back.
+constexpr milliseconds kNearTime{ 10 };
+constexpr milliseconds kFarTime{ 13 };
+// Weight of the newest measurement: an eighth follows a server that turns
+// slow within ten statements.
+constexpr int kMeanWeight = 8;
+// A mean that is not renewed goes back to the usual time, so that a server
+// which was slow is tried again.
+constexpr milliseconds kMeanLife{ 2000 };
+constexpr milliseconds kFirstLag{ 100 };
+constexpr milliseconds kLongestLag{ 5000 };
+// Added to the lag that a refusal shows, since it shows only the least.
+constexpr milliseconds kLagStep{ 30 };
+constexpr milliseconds kFirstAvoidance{ 100 };
+constexpr unsigned kDoublings = 4;
+// How long a server that was full is not asked for another connection.
+constexpr milliseconds kFullPause{ 250 };
+
+} // namespace
+
+server_state::server_state(server aListed, bool aIsNear)
+  : listed(std::move(aListed))
+  , mUsual(aIsNear ? kNearTime : kFarTime)
+  , mMean(mUsual)
+  , mLag(kFirstLag)
+{
+}
+
+unsigned
+server_state::Running() const
+{
+  return static_cast<unsigned>(std::count_if(
+    connections.begin(), connections.end(), [](const auto& aConnection) {
+      return aConnection->IsOpen() && !aConnection->IsQuiet();
+    }));
+}
+
+unsigned
+server_state::Opening() const
+{
+  return static_cast<unsigned>(
+    std::count_if(connections.begin(), connections.end(), [](const auto& aOne) {
+      return !aOne->IsOpen();
+    }));
+}
+
+connection*
+server_state::Idle(const session_values& aValues)
+{
+  connection* found = nullptr;
+  for (const auto& one : connections) {
+    if (!one->IsIdle() || one->retiring) {
+      continue;
+    }
+    if (one->HasValues(aValues)) {
+      return one.get();
+    }
+    found = one.get();
+  }
+  return found;
+}
+
+bool
+server_state::MayOpen(std::size_t aLimit, clock::time_point aNow) const
+{
+  return connections.size() < aLimit && aNow >= mNoOpenUntil &&
+         !IsAvoided(aNow);
+}
+
+bool
+server_state::IsAvoided(clock::time_point aNow) const
+{
+  return aNow < mAvoidUntil;
+}
+
+clock::duration
+server_state::Expected(clock::time_point aNow) const
+{
+  auto oldest = clock::time_point::max();
+  for (const auto& one : connections) {
+    oldest = std::min(oldest, one->OldestSent());
+  }
+  const auto mean = aNow - mMeanAt > kMeanLife ? mUsual : mMean;
+  // A server that owes an answer for long is slow, whatever it was before.
+  const auto owed = oldest < aNow ? aNow - oldest : clock::duration::zero();
+  return std::max(mean, owed / 2) * (Running() + 1);
+}
+
+void
+server_state::Served(clock::time_point aSentAt, clock::time_point aNow)
+{
+  const auto base = aNow - mMeanAt > kMeanLife ? mUsual : mMean;
+  mMean = base + ((aNow - aSentAt) - base) / kMeanWeight;
+  mMeanAt = aNow;
+  mFailures = 0;
+}
+
+void
+server_state::At(const position::log_position& aPosition,
+                 const confirm::position_samples& aPrimary,
+                 clock::time_point aNow)
+{
+  applied = aPosition;
+  const auto current = aPrimary.CurrentAsOf(aPosition);
+  if (current) {
+    const auto seen = aNow - *current;
+    mLag = seen < mLag ? mLag + (seen - mLag) / kMeanWeight : mLag;
+  }
+}
+
+void
+server_state::Lagged(clock::time_point aWrittenBy, clock::time_point aNow)
+{
+  const clock::duration shown = aNow - aWrittenBy + kLagStep;
+  mLag = std::min<clock::duration>(std::max(mLag, shown), kLongestLag);
+}
+
+void
+server_state::Failed(clock::time_point aNow)
+{
+  mAvoidUntil =
+    aNow + kFirstAvoidance * (1U << std::min(mFailures, kDoublings));
+  ++mFailures;
+}
+
+void
+server_state::Full(clock::time_point aNow)
+{
+  mNoOpenUntil = aNow + kFullPause;
+}
+
+} // namespace currantshed::proxy
--- /dev/null
+++ b/src/currantshed/proxy/session.cpp
@@ -0,0 +1,119 @@
+#include "currantshed/proxy/session.hpp"
+
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+#include <xxhash.h>
+
+namespace currantshed::proxy {
+
+session::session(std::uint64_t aNumber, std::string aDatabase, caller& aCaller)
+  : number(aNumber)
+  , database(std::move(aDatabase))
+  , farEnd(aCaller)
+{
+}
+
+std::optional<answer>
+session::AnswerLocally(const statement& aAsked)
+{
+  const bool failed = transaction && transaction->failed;
+  switch (aAsked.kind) {
+    case statement_kind::kCommit:
+      if (failed) {
+        transaction.reset();
+        return Refuse(failure_code::kAborted, "the transaction had failed");
+      }
+      if (!transaction) {
+        return Refuse(failure_code::kMalformed, "no transaction is open");
+      }
+      return std::nullopt;
+    case statement_kind::kRollback:
+      if (!transaction) {
+        return Refuse(failure_code::kMalformed, "no transaction is open");
+      }
+      transaction.reset();
+      return Local();
+    default:
+      break;
+  }
+  if (failed) {
+    return Refuse(failure_code::kMalformed, "the transaction has failed");
+  }
+  switch (aAsked.kind) {
+    case statement_kind::kBegin:
+    case statement_kind::kBeginReadOnly:
+      if (transaction) {
+        return Refuse(failure_code::kMalformed, "a transaction is open");
+      }
+      return std::nullopt;
+    case statement_kind::kSet:
+      values[aAsked.name] = aAsked.argument;
+      return Local();
+    case statement_kind::kPrepare:
+      mPrepared[aAsked.name] = MakePrepared(aAsked);
+      return Local();
+    case statement_kind::kDeallocate:
+      if (mPrepared.erase(aAsked.name) == 0) {
+        return Refuse(failure_code::kNoStatement, aAsked.name);
+      }
+      return Local();
+    case statement_kind::kExecute:
+      if (!mPrepared.contains(aAsked.name)) {
+        return Refuse(failure_code::kNoStatement, aAsked.name);
+      }
+      return std::nullopt;
+    default:
+      return std::nullopt;
+  }
+}
+
+const prepared_statement*
+session::Prepared(const std::string& aName) const
+{
+  const auto found = mPrepared.find(aName);
+  return found == mPrepared.end() ? nullptr : &found->second;
+}
+
+transaction_state
+session::State() const noexcept
+{
+  if (!transaction) {
+    return transaction_state::kIdle;
+  }
+  return transaction->failed ? transaction_state::kFailed
+                             : transaction_state::kOpen;
+}
+
+answer
+session::Local() const
+{
+  answer made;
+  made.signature = "-";
+  made.state = State();
+  return made;
+}
+
+answer
+session::Refuse(failure_code aCode, std::string aText) const
+{
+  answer made;
+  made.failed = failure{ aCode, std::move(aText) };
+  made.state = State();
+  return made;
+}
+
+prepared_statement
+MakePrepared(const statement& aPrepare)
+{
+  const auto content =
+    absl::StrCat(aPrepare.writes ? "w " : "r ", aPrepare.argument);
+  const auto hash = XXH3_64bits(content.data(), content.size());
+  prepared_statement made;
+  made.sharedName = absl::StrCat("c", absl::Hex(hash, absl::kZeroPad16));
+  made.shape = aPrepare.argument;
+  made.writes = aPrepare.writes;
+  return made;
+}
+
+} // namespace currantshed::proxy
--- a/src/currantshed/store/errors.cpp
+++ b/src/currantshed/store/errors.cpp
@@ -31,6 +31,10 @@
         return "the platform's answer is too large";
       case errc::kMalformed:
         return "the platform's answer is malformed";
+      case errc::kNoLease:
+        return "the lease has ended";
+      case errc::kHistoryGone:
+        return "the store keeps these changes no longer";
     }
     return "unknown platform error";
   }
--- a/src/currantshed/store/errors.hpp
+++ b/src/currantshed/store/errors.hpp
@@ -24,6 +24,10 @@
   kTooLarge,
   /// The answer isn't what the interface lays down.
   kMalformed,
+  /// The lease has ended.
+  kNoLease,
+  /// The changes that a watch asks for are no longer kept.
+  kHistoryGone,
 };
 
 /// The category of the platform's errors.
--- a/src/currantshed/store/fwd.hpp
+++ b/src/currantshed/store/fwd.hpp
@@ -6,20 +6,27 @@
 class applier;
 class backoff;
 class client;
+class key_value;
 class lister;
+class prefix_view;
 class transport;
 class watcher;
 enum class apply_outcome;
+enum class commit_outcome;
 enum class errc;
 enum class swap_outcome;
 struct apply_request;
 struct apply_result;
 struct backoff_settings;
+struct change;
+struct condition;
 struct entry;
 struct http_answer;
 struct http_request;
+struct item;
 struct listing;
 struct lister_settings;
+struct transaction;
 struct vm;
 struct watcher_settings;
 
--- /dev/null
+++ b/src/currantshed/store/key_value.hpp
@@ -0,0 +1,115 @@
+#ifndef CURRANTSHED_STORE_KEY_VALUE_HPP
+#define CURRANTSHED_STORE_KEY_VALUE_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include "currantshed/clock/time.hpp"
+
+namespace currantshed::store {
+
+/// Counts the changes of the whole store; zero stands for none.
+using revision = std::uint64_t;
+
+/// Names a lease; zero stands for none.
+using lease_id = std::uint64_t;
+
+/// One key with its value.
+struct item
+{
+  std::string key;
+  std::string value;
+  /// The key's last change.
+  revision changed = 0;
+  lease_id lease = 0;
+};
+
+/// One change of a key.
+struct change
+{
+  /// The key as it was written; without value when it was removed.
+  item now;
+  bool removed = false;
+};
+
+/// A condition of a transaction: the key's last change is still this one;
+/// zero for a key that does not exist.
+struct condition
+{
+  std::string key;
+  revision changed = 0;
+};
+
+/// Takes effect as a whole or not at all.
+struct transaction
+{
+  std::vector<condition> conditions;
+  /// The revisions of these are not read.
+  std::vector<item> puts;
+  std::vector<std::string> removals;
+};
+
+enum class commit_outcome
+{
+  kApplied,
+  /// A condition did not hold; nothing was changed.
+  kConflict,
+  /// The lease does not exist; nothing was changed.
+  kNoLease,
+  /// Nothing was done.
+  kNotDone,
+  /// No answer came: it may have been applied, or may yet be.
+  kUnknown,
+};
+
+/// A store of keys that all VMs share, with leases and watches. Calls return
+/// at once; each callback comes once, later, on the thread that drives the
+/// store. Errors are of the store's category.
+class key_value
+{
+public:
+  using item_callback = std::function<
+    void(std::error_code, std::optional<item>, clock::time_point)>;
+  using range_callback = std::function<
+    void(std::error_code, std::vector<item>, revision, clock::time_point)>;
+  using watch_callback = std::function<
+    void(std::error_code, std::vector<change>, revision, clock::time_point)>;
+  using commit_callback =
+    std::function<void(commit_outcome, revision, clock::time_point)>;
+  using grant_callback =
+    std::function<void(std::error_code, lease_id, clock::time_point)>;
+  using keep_callback = std::function<void(std::error_code, clock::time_point)>;
+
+  virtual ~key_value() = default;
+
+  virtual void Get(std::string aKey, item_callback aDone) = 0;
+
+  /// Reads all keys with the prefix, and the store's revision before.
+  virtual void Range(std::string aPrefix, range_callback aDone) = 0;
+
+  /// Waits for changes after the revision, at most for the given time. Each
+  /// watch of a prefix uses a connection of its own.
+  virtual void Watch(std::string aPrefix,
+                     revision aAfter,
+                     std::chrono::milliseconds aAtMost,
+                     watch_callback aDone) = 0;
+
+  virtual void Commit(transaction aWhat, commit_callback aDone) = 0;
+
+  virtual void Grant(std::chrono::milliseconds aTtl, grant_callback aDone) = 0;
+
+  /// Renews a lease; errc::kNoLease when it has ended.
+  virtual void Keep(lease_id aLease, keep_callback aDone) = 0;
+
+  /// Ends a lease and removes its keys.
+  virtual void End(lease_id aLease) = 0;
+};
+
+} // namespace currantshed::store
+
+#endif
--- /dev/null
+++ b/src/currantshed/store/prefix_view.cpp
@@ -0,0 +1,137 @@
+#include "currantshed/store/prefix_view.hpp"
+
+#include <utility>
+
+#include "currantshed/store/errors.hpp"
+
+namespace currantshed::store {
+
+prefix_view::prefix_view(key_value& aStore,
+                         std::string aPrefix,
+                         prefix_view_settings aSettings,
+                         listener aListener)
+  : mStore(aStore)
+  , mPrefix(std::move(aPrefix))
+  , mSettings(aSettings)
+  , mListener(std::move(aListener))
+  , mBackoff(aSettings.afterFailure)
+{
+}
+
+prefix_view::~prefix_view()
+{
+  *mAlive = false;
+}
+
+void
+prefix_view::Tick(clock::time_point aNow, double aRandom)
+{
+  mRandom = aRandom;
+  if (mIsCalling || aNow < mNotBefore) {
+    return;
+  }
+  mIsCalling = true;
+  if (mMustRead) {
+    Read();
+  } else {
+    Follow();
+  }
+}
+
+clock::time_point
+prefix_view::NextTick() const noexcept
+{
+  return mIsCalling ? clock::time_point::max() : mNotBefore;
+}
+
+void
+prefix_view::Read()
+{
+  mStore.Range(mPrefix,
+               [this, alive = mAlive](std::error_code aError,
+                                      std::vector<item> aItems,
+                                      revision aRevision,
+                                      clock::time_point aNow) {
+                 if (!*alive) {
+                   return;
+                 }
+                 mIsCalling = false;
+                 if (aError) {
+                   Failed(aError, aNow);
+                   return;
+                 }
+                 mItems.clear();
+                 for (auto& one : aItems) {
+                   auto key = one.key;
+                   mItems.emplace(std::move(key), std::move(one));
+                 }
+                 mSeen = aRevision;
+                 mMustRead = false;
+                 mIsKnown = true;
+                 Succeeded();
+                 mListener.changed(aNow);
+               });
+}
+
+void
+prefix_view::Follow()
+{
+  mStore.Watch(mPrefix,
+               mSeen,
+               mSettings.wait,
+               [this, alive = mAlive](std::error_code aError,
+                                      std::vector<change> aChanges,
+                                      revision aRevision,
+                                      clock::time_point aNow) {
+                 if (!*alive) {
+                   return;
+                 }
+                 mIsCalling = false;
+                 if (aError) {
+                   // What was missed while there was no watch may be gone.
+                   mMustRead = mMustRead || aError == errc::kHistoryGone;
+                   Failed(aError, aNow);
+                   return;
+                 }
+                 for (auto& one : aChanges) {
+                   auto key = one.now.key;
+                   if (one.removed) {
+                     mItems.erase(key);
+                   } else {
+                     mItems[std::move(key)] = std::move(one.now);
+                   }
+                 }
+                 mSeen = aRevision;
+                 Succeeded();
+                 if (!aChanges.empty()) {
+                   mListener.changed(aNow);
+                 }
+               });
+}
+
+void
+prefix_view::Failed(std::error_code aError, clock::time_point aNow)
+{
+  if (aError == errc::kHistoryGone) {
+    mNotBefore = aNow;
+    return;
+  }
+  mNotBefore = aNow + mBackoff.Next(mRandom);
+  if (mIsReached) {
+    mIsReached = false;
+    mListener.reached(false, aError);
+  }
+}
+
+void
+prefix_view::Succeeded()
+{
+  mBackoff.Reset();
+  mNotBefore = {};
+  if (!mIsReached) {
+    mIsReached = true;
+    mListener.reached(true, {});
+  }
+}
+
+} // namespace currantshed::store
--- /dev/null
+++ b/src/currantshed/store/prefix_view.hpp
@@ -0,0 +1,87 @@
+#ifndef CURRANTSHED_STORE_PREFIX_VIEW_HPP
+#define CURRANTSHED_STORE_PREFIX_VIEW_HPP
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <absl/container/btree_map.h>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/store/backoff.hpp"
+#include "currantshed/store/key_value.hpp"
+
+namespace currantshed::store {
+
+struct prefix_view_settings
+{
+  /// How long one watch waits. Long, since each call has its price; a dead
+  /// connection is noticed by the transport.
+  std::chrono::milliseconds wait{ 25000 };
+  /// Waits after failures: short, so that a configuration made during an
+  /// outage is in force in time after it.
+  backoff_settings afterFailure{ std::chrono::milliseconds{ 100 },
+                                 std::chrono::milliseconds{ 600 } };
+};
+
+/// The keys below one prefix as the store had them last: read once, then
+/// followed by watches, and read again when the store has dropped the changes
+/// in between. Belongs to one thread.
+class prefix_view
+{
+public:
+  using items = absl::btree_map<std::string, item>;
+
+  struct listener
+  {
+    /// The keys are others now.
+    std::function<void(clock::time_point)> changed;
+    /// The store answers again, or no longer does.
+    std::function<void(bool, std::error_code)> reached;
+  };
+
+  prefix_view(key_value& aStore,
+              std::string aPrefix,
+              prefix_view_settings aSettings,
+              listener aListener);
+  ~prefix_view();
+  prefix_view(const prefix_view&) = delete;
+  prefix_view& operator=(const prefix_view&) = delete;
+
+  void Tick(clock::time_point aNow, double aRandom);
+  [[nodiscard]] clock::time_point NextTick() const noexcept;
+
+  /// Whether the keys were read at least once.
+  [[nodiscard]] bool IsKnown() const noexcept { return mIsKnown; }
+  [[nodiscard]] bool IsReached() const noexcept { return mIsReached; }
+  /// The revision up to which changes are known.
+  [[nodiscard]] revision Seen() const noexcept { return mSeen; }
+  [[nodiscard]] const items& Items() const noexcept { return mItems; }
+  [[nodiscard]] const std::string& Prefix() const noexcept { return mPrefix; }
+
+private:
+  void Read();
+  void Follow();
+  void Failed(std::error_code aError, clock::time_point aNow);
+  void Succeeded();
+
+  key_value& mStore;
+  std::string mPrefix;
+  prefix_view_settings mSettings;
+  listener mListener;
+  backoff mBackoff;
+  items mItems;
+  revision mSeen = 0;
+  bool mIsKnown = false;
+  bool mMustRead = true;
+  bool mIsReached = false;
+  bool mIsCalling = false;
+  clock::time_point mNotBefore{};
+  double mRandom = 0;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+} // namespace currantshed::store
+
+#endif
--- /dev/null
+++ b/src/currantshed/store/registration.cpp
@@ -0,0 +1,182 @@
+#include "currantshed/store/registration.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "currantshed/store/errors.hpp"
+
+namespace currantshed::store {
+
+namespace {
+
+// How long the view may take to show a write that the store has taken.
+constexpr std::chrono::milliseconds kViewDelay{ 1500 };
+constexpr std::chrono::milliseconds kCheckInterval{ 200 };
+
+} // namespace
+
+registration::registration(key_value& aStore,
+                           const prefix_view& aView,
+                           std::string aKey,
+                           registration_settings aSettings)
+  : mStore(aStore)
+  , mView(aView)
+  , mKey(std::move(aKey))
+  , mSettings(aSettings)
+  , mBackoff(aSettings.afterFailure)
+{
+}
+
+registration::~registration()
+{
+  *mAlive = false;
+}
+
+void
+registration::SetValue(std::string aValue)
+{
+  mValue = std::move(aValue);
+  mWriteSeenBy = {};
+}
+
+void
+registration::End()
+{
+  mIsEnded = true;
+  if (mLease != 0) {
+    mStore.End(mLease);
+  }
+  mValidUntil = {};
+}
+
+bool
+registration::IsListed() const
+{
+  const auto found = mView.Items().find(mKey);
+  return found != mView.Items().end() && found->second.value == mValue &&
+         found->second.lease == mLease && mLease != 0;
+}
+
+void
+registration::Tick(clock::time_point aNow, double aRandom)
+{
+  mRandom = aRandom;
+  if (mIsCalling || mIsEnded || aNow < mNotBefore) {
+    return;
+  }
+  if (mLease == 0) {
+    Grant(aNow);
+  } else if (aNow >= mRenewAt) {
+    Renew(aNow);
+  } else if (!IsListed() && mView.IsKnown() && aNow >= mWriteSeenBy) {
+    Write(aNow);
+  }
+}
+
+clock::time_point
+registration::NextTick() const noexcept
+{
+  if (mIsCalling || mIsEnded) {
+    return clock::time_point::max();
+  }
+  if (mLease == 0) {
+    return mNotBefore;
+  }
+  const auto due = IsListed() ? mRenewAt : std::min(mRenewAt, mWriteSeenBy);
+  return std::max(mNotBefore, due);
+}
+
+void
+registration::Grant(clock::time_point aNow)
+{
+  mIsCalling = true;
+  mStore.Grant(mSettings.ttl,
+               [this, alive = mAlive, aNow](std::error_code aError,
+                                            lease_id aLease,
+                                            clock::time_point aDone) {
+                 if (!*alive) {
+                   return;
+                 }
+                 mIsCalling = false;
+                 if (aError) {
+                   Failed(aDone);
+                   return;
+                 }
+                 mBackoff.Reset();
+                 mLease = aLease;
+                 mValidUntil = aNow + mSettings.ttl;
+                 mRenewAt = aNow + mSettings.renewAfter;
+                 mWriteSeenBy = {};
+               });
+}
+
+void
+registration::Renew(clock::time_point aNow)
+{
+  mIsCalling = true;
+  mStore.Keep(mLease,
+              [this, alive = mAlive, aNow](std::error_code aError,
+                                           clock::time_point aDone) {
+                if (!*alive) {
+                  return;
+                }
+                mIsCalling = false;
+                if (aError == errc::kNoLease) {
+                  mLease = 0;
+                  mValidUntil = {};
+                  return;
+                }
+                if (aError) {
+                  Failed(aDone);
+                  return;
+                }
+                mBackoff.Reset();
+                mValidUntil = aNow + mSettings.ttl;
+                mRenewAt = aNow + mSettings.renewAfter;
+              });
+}
+
+void
+registration::Write(clock::time_point aNow)
+{
+  mIsCalling = true;
+  mWriteSeenBy = aNow + kViewDelay;
+  transaction made;
+  const auto found = mView.Items().find(mKey);
+  const auto seen = found == mView.Items().end() ? 0 : found->second.changed;
+  made.conditions.push_back({ mKey, seen });
+  made.puts.push_back({ mKey, mValue, 0, mLease });
+  mStore.Commit(std::move(made),
+                [this, alive = mAlive](
+                  commit_outcome aOutcome, revision, clock::time_point aDone) {
+                  if (!*alive) {
+                    return;
+                  }
+                  mIsCalling = false;
+                  switch (aOutcome) {
+                    case commit_outcome::kApplied:
+                      mBackoff.Reset();
+                      break;
+                    case commit_outcome::kNoLease:
+                      mLease = 0;
+                      mValidUntil = {};
+                      break;
+                    case commit_outcome::kConflict:
+                      // The view has yet to show what stands there now.
+                      mWriteSeenBy = aDone + kCheckInterval;
+                      break;
+                    default:
+                      mWriteSeenBy = aDone + kCheckInterval;
+                      Failed(aDone);
+                      break;
+                  }
+                });
+}
+
+void
+registration::Failed(clock::time_point aNow)
+{
+  mNotBefore = aNow + mBackoff.Next(mRandom);
+}
+
+} // namespace currantshed::store
--- /dev/null
+++ b/src/currantshed/store/registration.hpp
@@ -0,0 +1,87 @@
+#ifndef CURRANTSHED_STORE_REGISTRATION_HPP
+#define CURRANTSHED_STORE_REGISTRATION_HPP
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/store/backoff.hpp"
+#include "currantshed/store/key_value.hpp"
+#include "currantshed/store/prefix_view.hpp"
+
+namespace currantshed::store {
+
+struct registration_settings
+{
+  /// Life of the lease: how long a VM that has died stays listed.
+  std::chrono::milliseconds ttl{ 3000 };
+  /// Time between renewals: two may fail before the lease ends.
+  std::chrono::milliseconds renewAfter{ 1000 };
+  backoff_settings afterFailure{ std::chrono::milliseconds{ 100 },
+                                 std::chrono::milliseconds{ 500 } };
+};
+
+/// Keeps one key in the store for as long as this process lives: takes a
+/// lease, writes the key under it, renews it, and writes the key again when it
+/// is gone. A write holds only over the key's state as it was seen, so that
+/// one which takes effect late can't replace a newer one.
+class registration
+{
+public:
+  /// The view must hold the key's prefix.
+  registration(key_value& aStore,
+               const prefix_view& aView,
+               std::string aKey,
+               registration_settings aSettings);
+  ~registration();
+  registration(const registration&) = delete;
+  registration& operator=(const registration&) = delete;
+
+  /// What the key is to hold.
+  void SetValue(std::string aValue);
+
+  /// Ends the lease, and with it the key.
+  void End();
+
+  void Tick(clock::time_point aNow, double aRandom);
+  [[nodiscard]] clock::time_point NextTick() const noexcept;
+
+  /// Until when the lease lasts at the least; the past while there is none.
+  [[nodiscard]] clock::time_point ValidUntil() const noexcept
+  {
+    return mValidUntil;
+  }
+
+  /// Whether the key stands in the store with the value wanted, as far as the
+  /// view tells.
+  [[nodiscard]] bool IsListed() const;
+
+private:
+  void Grant(clock::time_point aNow);
+  void Renew(clock::time_point aNow);
+  void Write(clock::time_point aNow);
+  void Failed(clock::time_point aNow);
+
+  key_value& mStore;
+  const prefix_view& mView;
+  std::string mKey;
+  registration_settings mSettings;
+  backoff mBackoff;
+  std::string mValue;
+  lease_id mLease = 0;
+  clock::time_point mValidUntil{};
+  clock::time_point mRenewAt{};
+  clock::time_point mNotBefore{};
+  /// Until when a write under way is waited for to show in the view.
+  clock::time_point mWriteSeenBy{};
+  bool mIsCalling = false;
+  bool mIsEnded = false;
+  double mRandom = 0;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+} // namespace currantshed::store
+
+#endif
