Connections: nothing under way is no silence

Cause: a connection without a command reported time_point::max as the time of its oldest command; adding to it overflowed, so upkeep closed every idle connection each 250 ms (seen as server_lost, reason silent, 603 times on one VM). Ruled out: closing by the servers (their idle limit is 60 s); refused connections. Change: silence counts only while a command is under way; the reason is logged.

--- a/src/currantshed/node/traffic.cpp
+++ b/src/currantshed/node/traffic.cpp
@@ -285,14 +285,17 @@
 }
 
 void
-traffic::Reached(const proxy::server& aServer, bool aIsReached)
+traffic::Reached(const proxy::server& aServer,
+                 bool aIsReached,
+                 std::string_view aReason)
 {
   mMetrics.ServerReached(aIsReached);
   log::Write(aIsReached ? log::level::kInfo : log::level::kWarning,
              aIsReached ? "server_reached" : "server_lost",
              { { "server", aServer.id },
                { "service", aServer.service },
-               { "address", aServer.address } });
+               { "address", aServer.address },
+               { "reason", std::string(aReason) } });
 }
 
 void
--- a/src/currantshed/node/traffic.hpp
+++ b/src/currantshed/node/traffic.hpp
@@ -88,7 +88,9 @@
   void LeadDenied(const std::string& aService,
                   position::term_id aTerm) override;
   void Decided(const proxy::decision& aDecision) override;
-  void Reached(const proxy::server& aServer, bool aIsReached) override;
+  void Reached(const proxy::server& aServer,
+               bool aIsReached,
+               std::string_view aReason) override;
   void After();
   void CloseIdle();
   void EndTransactions();
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -83,7 +83,9 @@
   virtual void Decided(const decision& aDecision) = 0;
 
   /// A server became reachable, or stopped being so.
-  virtual void Reached(const server& aServer, bool aIsReached) = 0;
+  virtual void Reached(const server& aServer,
+                       bool aIsReached,
+                       std::string_view aReason) = 0;
 };
 
 struct engine_settings
@@ -286,7 +288,9 @@
   [[nodiscard]] bool TryElsewhere(session& aSession,
                                   const failure& aWhy,
                                   clock::time_point aNow);
-  void NoteReached(server_state& aState, bool aIsReached);
+  void NoteReached(server_state& aState,
+                   bool aIsReached,
+                   std::string_view aReason);
   [[nodiscard]] bool IsConfirmed(const request& aRequest);
   void Acknowledge(session& aSession, answer aAnswer, clock::time_point aNow);
   void AcknowledgeHeld(session& aSession, clock::time_point aNow);
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -47,6 +47,24 @@
   return "other";
 }
 
+std::string_view
+NameOf(link_end aWhy)
+{
+  switch (aWhy) {
+    case link_end::kBroken:
+      return "broken";
+    case link_end::kUnreachable:
+      return "unreachable";
+    case link_end::kServerFull:
+      return "server_full";
+    case link_end::kWrongServer:
+      return "wrong_server";
+    case link_end::kMalformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
 } // namespace
 
 void
@@ -59,7 +77,7 @@
     return;
   }
   state->heardAt = aNow;
-  NoteReached(*state, true);
+  NoteReached(*state, true, "answered");
   if (aAt) {
     state->At(*aAt, LeadOf(aConnection.service).samples, aNow);
   }
@@ -120,7 +138,7 @@
     return;
   }
   state->heardAt = aNow;
-  NoteReached(*state, true);
+  NoteReached(*state, true, "answered");
   if (!aAnswer.position) {
     return;
   }
@@ -135,11 +153,13 @@
 }
 
 void
-engine::NoteReached(server_state& aState, bool aIsReached)
+engine::NoteReached(server_state& aState,
+                    bool aIsReached,
+                    std::string_view aReason)
 {
   if (aState.reached != aIsReached) {
     aState.reached = aIsReached;
-    mHost.Reached(aState.listed, aIsReached);
+    mHost.Reached(aState.listed, aIsReached, aReason);
   }
 }
 
@@ -436,7 +456,7 @@
       state->Full(aNow);
     } else {
       state->Failed(aNow);
-      NoteReached(*state, false);
+      NoteReached(*state, false, NameOf(aWhy));
     }
   }
   FailOrdersOn(aConnection);
--- a/src/currantshed/proxy/engine_orders.cpp
+++ b/src/currantshed/proxy/engine_orders.cpp
@@ -119,14 +119,14 @@
     for (const auto& one : state.connections) {
       const bool slow =
         !one->IsOpen() && aNow - one->MadeAt() > kLongestOpening;
-      const bool silent =
-        one->user == nullptr && one->OldestSent() + kLongestSilence < aNow;
+      const bool silent = one->user == nullptr && !one->IsQuiet() &&
+                          aNow - one->OldestSent() > kLongestSilence;
       const bool spare =
         one->IsIdle() && count > most && aNow - one->idleSince > kBorrowedIdle;
       const bool unused = one->IsIdle() && (isGone || one->retiring);
       if (slow || silent) {
         state.Failed(aNow);
-        NoteReached(state, false);
+        NoteReached(state, false, slow ? "opening_timeout" : "silent");
       }
       if (slow || silent || spare || unused) {
         ended.push_back(one.get());
