A group's lead is made in place; news queue far above what is ever unread

Ruled out: reference into mLeads across a rehash (now a std::map all the same). Change: group_lead can't be copied or moved; high water mark 512; a request whose caller has left is not tried again.

--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -60,6 +60,8 @@
 {
 public:
   explicit group_lead(const lead_settings& aSettings);
+  group_lead(const group_lead&) = delete;
+  group_lead& operator=(const group_lead&) = delete;
 
   void Configure(const std::vector<member>& aMembers, clock::time_point aNow);
 
--- a/src/currantshed/news/exchange.cpp
+++ b/src/currantshed/news/exchange.cpp
@@ -10,8 +10,10 @@
 
 // A message has a few dozen groups at most.
 constexpr std::int64_t kLongestNews = std::int64_t{ 256 } * 1024;
-// Messages that wait for one peer: older ones are of no use.
-constexpr int kHighWater = 8;
+// Messages that wait for one peer, each way. ZeroMQ 4.3 aborts the process when
+// a connection fails while its receiving side is full, so this is far above
+// what a frozen VM leaves unread.
+constexpr int kHighWater = 512;
 // Each second of silence costs a ping; a dead peer is known from the store.
 constexpr std::chrono::milliseconds kPing{ 1000 };
 constexpr std::chrono::milliseconds kPingTimeout{ 2500 };
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -269,7 +269,7 @@
   for (auto& [service, listed] : members) {
     auto& place = mGroups[service];
     if (place == nullptr) {
-      place = std::make_unique<group>(group{ lead::group_lead(mLeadSettings) });
+      place = std::make_unique<group>(mLeadSettings);
       place->lead.SetPeers(Peers());
     }
     place->lead.Configure(listed, aNow);
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -72,6 +72,11 @@
 private:
   struct group
   {
+    explicit group(const lead::lead_settings& aSettings)
+      : lead(aSettings)
+    {
+    }
+
     lead::group_lead lead;
     bool isClaiming = false;
     clock::time_point claimFrom{};
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -315,7 +316,8 @@
   std::shared_ptr<const configuration> mConfiguration;
   std::size_t mFleet = 1;
   servers mServers;
-  absl::flat_hash_map<std::string, lead_state> mLeads;
+  // References to its values are kept while others are added.
+  std::map<std::string, lead_state> mLeads;
   absl::flat_hash_map<session_id, std::unique_ptr<session>> mSessions;
   absl::flat_hash_map<std::string, absl::btree_set<queue_key>> mQueues;
   absl::btree_set<timer> mTimers;
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -97,6 +97,11 @@
   auto& request = *aSession.current;
   request.on = nullptr;
   request.awaited = 0;
+  if (aSession.gone) {
+    NoteDecision(aSession, "caller_left", "not_run", false, aNow);
+    Finish(aSession, {}, aNow);
+    return;
+  }
   if (!TryStart(aSession, aNow)) {
     Wait(aSession, aNow);
   }
@@ -215,7 +220,8 @@
   for (const auto& key : waiting) {
     const auto from = mSessions.find(key.from);
     if (from == mSessions.end() || !from->second->current ||
-        from->second->current->number != key.number) {
+        from->second->current->number != key.number ||
+        from->second->current->at != stage::kWaiting) {
       mQueues[aService].erase(key);
       continue;
     }
