--- a/bin/currantshed-node/main.cpp
+++ b/bin/currantshed-node/main.cpp
@@ -57,10 +57,11 @@
                const node::node_settings& aSettings)
     : mOptions(aOptions)
     , mSettings(aSettings)
-    , mTraffic(mSettings,
-               { mSettings.failureDomain, aOptions.lead.validity },
-               mLines,
-               mMetrics)
+    , mTraffic(
+        mSettings,
+        { mSettings.vm, mSettings.failureDomain, aOptions.lead.validity },
+        mLines,
+        mMetrics)
     , mControl(
         mSettings,
         aOptions.lead,
--- a/src/currantshed/lead/actions.hpp
+++ b/src/currantshed/lead/actions.hpp
@@ -24,6 +24,10 @@
   upstream::server_id server;
 };
 
+/// Reads anew which VMs there are; answered by VmsListed.
+struct list_vms
+{};
+
 /// A newer proof of who leads the group.
 struct publish_proof
 {
@@ -51,6 +55,7 @@
 
 using action = std::variant<ask_server,
                             order_promotion,
+                            list_vms,
                             publish_proof,
                             publish_sample,
                             publish_revocation,
--- a/src/currantshed/lead/group_lead.cpp
+++ b/src/currantshed/lead/group_lead.cpp
@@ -67,9 +67,16 @@
 }
 
 void
-group_lead::SetPeers(std::vector<std::string> aVms)
+group_lead::VmsListed(std::vector<std::string> aVms,
+                      clock::time_point aAskedAt,
+                      clock::time_point aNow)
 {
-  mPeers = std::move(aVms);
+  if (mTakeover.Step() == takeover_step::kWaitOut &&
+      aAskedAt >= mTakeover.BarredAt()) {
+    mMustObey = std::move(aVms);
+  }
+  CheckObedience();
+  Evaluate(aNow);
 }
 
 void
@@ -267,6 +274,7 @@
   if (IsChanging() || aNow < mDutySince + kFirstLook) {
     return;
   }
+  mMustObey.reset();
   const auto* primary = mTable.Find(mProof.primary);
   if (mProof.term != 0 && primary != nullptr && IsLost(aNow)) {
     mTakeover.Begin(
@@ -438,11 +446,11 @@
 group_lead::CheckObedience()
 {
   const auto revoked = mTakeover.RevokedTerm();
-  if (revoked == 0) {
+  if (revoked == 0 || !mMustObey) {
     return;
   }
   const bool all =
-    std::all_of(mPeers.begin(), mPeers.end(), [&](const auto& aVm) {
+    std::all_of(mMustObey->begin(), mMustObey->end(), [&](const auto& aVm) {
       const auto found = mReach.find(aVm);
       return found != mReach.end() &&
              found->second.news.obeyedTerm >= revoked &&
--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -68,8 +68,12 @@
   /// Whether this VM holds the group's duty, and its number.
   void SetDuty(bool aHolds, std::uint64_t aEpoch, clock::time_point aNow);
 
-  /// The other VMs that may rest on a proof.
-  void SetPeers(std::vector<std::string> aVms);
+  /// The other VMs, as read from the store after the given time, and those
+  /// known before that may still run. A VM that is not among them began after
+  /// the old primary could be proved no more.
+  void VmsListed(std::vector<std::string> aVms,
+                 clock::time_point aAskedAt,
+                 clock::time_point aNow);
 
   /// Whether this VM may ask for proofs by itself yet.
   void SetMayAsk(bool aMayAsk) { mMayAsk = aMayAsk; }
@@ -148,7 +152,8 @@
   position::term_id mRevoked = 0;
   std::uint64_t mRevokedEpoch = 0;
   clock::time_point mRevokedAt;
-  std::vector<std::string> mPeers;
+  // The VMs that must give up a revoked term, once they are known.
+  std::optional<std::vector<std::string>> mMustObey;
   absl::btree_map<std::string, peer_reach> mReach;
   clock::time_point mWantedAt;
   clock::time_point mDeniedAt;
--- a/src/currantshed/lead/takeover.cpp
+++ b/src/currantshed/lead/takeover.cpp
@@ -41,6 +41,7 @@
   mBegunAt = aNow;
   mNextSend = aNow;
   mAllObeyed = false;
+  mChosen.clear();
   mRejected.clear();
   aOut.emplace_back(publish_revocation{ mOldTerm });
   aOut.emplace_back(note_step{
@@ -92,7 +93,7 @@
     return;
   }
   if (mStep != takeover_step::kPromote) {
-    ReadFences(aNow);
+    ReadFences(aNow, aOut);
   }
   if (mStep == takeover_step::kWaitOut && (mAllObeyed || aNow >= mWaitUntil) &&
       !Choose(aNow).empty()) {
@@ -167,7 +168,7 @@
 // Once a majority won't follow the old primary, or it has stepped down itself,
 // no new proof of its term can come about.
 void
-takeover::ReadFences(clock::time_point aNow)
+takeover::ReadFences(clock::time_point aNow, std::vector<action>& aOut)
 {
   std::size_t fenced = 0;
   bool steppedDown = false;
@@ -184,6 +185,8 @@
   } else if (mStep == takeover_step::kFence) {
     mStep = takeover_step::kWaitOut;
     mWaitUntil = aNow + mValidity;
+    mBarredAt = aNow;
+    aOut.emplace_back(list_vms{});
   }
 }
 
--- a/src/currantshed/lead/takeover.hpp
+++ b/src/currantshed/lead/takeover.hpp
@@ -69,6 +69,11 @@
 
   [[nodiscard]] takeover_step Step() const noexcept { return mStep; }
   [[nodiscard]] clock::time_point BegunAt() const noexcept { return mBegunAt; }
+  /// When no new proof of the old term could come about any more.
+  [[nodiscard]] clock::time_point BarredAt() const noexcept
+  {
+    return mBarredAt;
+  }
   /// The term that no VM may rest on any more, or zero.
   [[nodiscard]] position::term_id RevokedTerm() const noexcept;
 
@@ -79,7 +84,7 @@
 
 private:
   void Fence(clock::time_point aNow, std::vector<action>& aOut);
-  void ReadFences(clock::time_point aNow);
+  void ReadFences(clock::time_point aNow, std::vector<action>& aOut);
   void Promote(clock::time_point aNow, std::vector<action>& aOut);
   void Send(const upstream::server_id& aServer,
             proxy::command_kind aKind,
@@ -98,6 +103,7 @@
   clock::time_point mBegunAt;
   clock::time_point mNextSend;
   clock::time_point mWaitUntil;
+  clock::time_point mBarredAt;
   bool mAllObeyed = false;
   upstream::server_id mChosen;
   absl::btree_set<upstream::server_id> mRejected;
--- a/src/currantshed/node/caller_server.cpp
+++ b/src/currantshed/node/caller_server.cpp
@@ -73,7 +73,8 @@
       Open(aLine);
       return;
     }
-    auto message = mServer.mCodec.ReadCaller(aLine);
+    auto message = IsRelay() ? mServer.mCodec.ReadRelayed(aLine)
+                             : mServer.mCodec.ReadCaller(aLine);
     if (!message || message->ends) {
       End();
       return;
@@ -86,8 +87,30 @@
     mServer.mAfter();
   }
 
+  [[nodiscard]] bool IsRelay() const { return mServer.mDoor == door::kRelays; }
+
+  void OpenRelay(std::string_view aLine)
+  {
+    const auto start = mServer.mCodec.ReadRelayStart(aLine);
+    if (start) {
+      mSession = mServer.mEngine.OpenRelay(start->server, *this);
+    }
+    if (!mSession) {
+      // The other VM tries another way, or finds the server gone itself.
+      Close();
+      return;
+    }
+    std::string out;
+    mServer.mCodec.WriteStarted(out);
+    mStream->Send(out);
+  }
+
   void Open(std::string_view aLine)
   {
+    if (IsRelay()) {
+      OpenRelay(aLine);
+      return;
+    }
     const auto start = mServer.mCodec.ReadStart(aLine);
     if (!start) {
       Refuse(proxy::failure_code::kMalformed, "a session begins otherwise");
@@ -153,12 +176,14 @@
 };
 
 caller_server::caller_server(boost::asio::io_context& aContext,
+                             door aDoor,
                              const line_codec& aCodec,
                              proxy::engine& aEngine,
                              std::size_t aMostConnections,
                              std::function<bool()> aIsConfigured,
                              std::function<void()> aAfter)
   : mContext(aContext)
+  , mDoor(aDoor)
   , mCodec(aCodec)
   , mEngine(aEngine)
   , mMostConnections(aMostConnections)
--- a/src/currantshed/node/caller_server.hpp
+++ b/src/currantshed/node/caller_server.hpp
@@ -22,9 +22,17 @@
 class caller_server
 {
 public:
+  /// Who connects: callers, or other VMs that reach servers through this one.
+  enum class door
+  {
+    kCallers,
+    kRelays,
+  };
+
   /// aIsConfigured tells whether databases are known yet; aAfter is called
   /// after each event that the engine got.
   caller_server(boost::asio::io_context& aContext,
+                door aDoor,
                 const line_codec& aCodec,
                 proxy::engine& aEngine,
                 std::size_t aMostConnections,
@@ -50,6 +58,7 @@
   void Ended(std::uint64_t aNumber);
 
   boost::asio::io_context& mContext;
+  door mDoor;
   const line_codec& mCodec;
   proxy::engine& mEngine;
   std::size_t mMostConnections;
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -15,10 +15,9 @@
 
 // Time between two words of a VM on its own way to the primaries.
 constexpr milliseconds kReachInterval{ 250 };
-// How long a VM must have been listed before it asks servers for proof by
-// itself, so that whoever changes a primary knows of it: a watch of the store
-// may be silent for a second.
-constexpr milliseconds kListedBeforeAsking{ 1500 };
+// A VM that was listed or heard this lately may still rest on a proof, whatever
+// the store says of it: its key may have been taken away unseen.
+constexpr milliseconds kVmMemory{ 15000 };
 // How long the first VMs wait for the others before one claims a duty, so
 // that the duties are spread.
 constexpr milliseconds kSettleTime{ 1000 };
@@ -107,6 +106,7 @@
   , mMetrics(aMetrics)
   , mWork(boost::asio::make_work_guard(mContext))
   , mSelf{ { aSettings.vm, aSettings.peers.host, aSettings.peers.port },
+           aSettings.relays.port,
            aSettings.failureDomain,
            absl::Uniform<std::uint64_t>(mRandom) >> 1U }
   , mPlatform(aMaker(mContext))
@@ -270,7 +270,6 @@
     auto& place = mGroups[service];
     if (place == nullptr) {
       place = std::make_unique<group>(mLeadSettings);
-      place->lead.SetPeers(Peers());
     }
     place->lead.Configure(listed, aNow);
   }
@@ -289,11 +288,18 @@
 {
   mOwnKeys = ReadOwnKeys(mOwnView.Items());
   std::vector<news::peer> peers;
+  std::vector<proxy::fleet_vm> fleet;
   for (const auto& [name, one] : mOwnKeys.vms) {
-    peers.push_back(one.record.where);
+    const auto& record = one.record;
+    peers.push_back(record.where);
+    fleet.push_back({ name,
+                      record.failureDomain,
+                      record.where.address,
+                      record.relayPort,
+                      record.leaving });
   }
   mNews.SetPeers(peers);
-  mTraffic.SetFleet(peers.size());
+  mTraffic.SetFleet(std::move(fleet));
   if (mListedAt == clock::time_point{} && mRegistration.IsListed()) {
     mListedAt = aNow;
     for (const auto& one : peers) {
@@ -302,9 +308,7 @@
       }
     }
   }
-  for (auto& [service, one] : mGroups) {
-    one->lead.SetPeers(Peers());
-  }
+  NoteVms(aNow);
   UpdateReadiness(aNow);
   Tick();
 }
@@ -328,8 +332,7 @@
   TickStore(now);
   for (auto& [service, one] : mGroups) {
     KeepDuty(service, *one, now);
-    one->lead.SetMayAsk(mListedAt != clock::time_point{} &&
-                        now >= mListedAt + kListedBeforeAsking);
+    one->lead.SetMayAsk(mRegistration.IsWritten());
     one->lead.Tick(now);
   }
   if (now >= mNextReach) {
@@ -462,6 +465,54 @@
   }
 }
 
+// Whoever changes a primary must know all that may rest on proofs of it.
+void
+control::Do(const std::string& aService, const lead::list_vms& /*aAction*/)
+{
+  const auto asked = Now();
+  mPlatform.store->Range(
+    VmKey(""),
+    [this, aService, asked](std::error_code aError,
+                            std::vector<store::item> aItems,
+                            store::revision,
+                            clock::time_point aNow) {
+      auto* found = Find(aService);
+      if (aError || found == nullptr) {
+        return;
+      }
+      for (const auto& item : aItems) {
+        if (const auto record = ReadVm(item)) {
+          mKnownVms[record->where.vm] = aNow;
+        }
+      }
+      found->lead.VmsListed(KnownVms(aNow), asked, aNow);
+      Perform(aNow);
+    });
+}
+
+void
+control::NoteVms(clock::time_point aNow)
+{
+  for (const auto& [name, one] : mOwnKeys.vms) {
+    mKnownVms[name] = aNow;
+  }
+}
+
+// The other VMs that are listed now, or were listed or heard lately.
+std::vector<std::string>
+control::KnownVms(clock::time_point aNow)
+{
+  NoteVms(aNow);
+  std::vector<std::string> known;
+  for (const auto& [name, at] : mKnownVms) {
+    const auto heard = mNews.HeardAt(name).value_or(at);
+    if (name != mSelf.where.vm && aNow - std::max(at, heard) < kVmMemory) {
+      known.push_back(name);
+    }
+  }
+  return known;
+}
+
 void
 control::Do(const std::string& aService, const lead::publish_proof& aAction)
 {
@@ -568,6 +619,7 @@
   if (told.watches_size() == 0) {
     return;
   }
+  FillChanges(told);
   for (const auto& vm : Peers()) {
     mNews.Send(vm, told, aNow);
   }
@@ -616,11 +668,20 @@
   }
 }
 
+void
+control::FillChanges(news::News& aOut) const
+{
+  aOut.set_configuration_change(mConfigurationView.Changed());
+  aOut.set_servers_change(mServersView.Changed());
+  aOut.set_own_change(mOwnView.Changed());
+}
+
 void
 control::SendReachTo(const std::string& aVm, bool aAsks, clock::time_point aNow)
 {
   news::News told;
   told.set_answer(aAsks);
+  FillChanges(told);
   for (const auto& [service, one] : mGroups) {
     if (HolderOf(service) == aVm) {
       Fill(*told.add_reaches(), service, one->lead.Reach(mHeard[service]));
@@ -634,6 +695,9 @@
                   const news::exchange::clock_reader& aClock,
                   clock::time_point aNow)
 {
+  mConfigurationView.HeardOf(aNews.configuration_change(), aNow);
+  mServersView.HeardOf(aNews.servers_change(), aNow);
+  mOwnView.HeardOf(aNews.own_change(), aNow);
   if (aNews.answer()) {
     for (auto& [service, one] : mGroups) {
       one->hasNews = one->hasNews || one->lead.HoldsDuty();
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -98,6 +98,7 @@
   void PerformOne(const std::string& aService, group& aGroup);
   void Do(const std::string& aService, const lead::ask_server& aAction);
   void Do(const std::string& aService, const lead::order_promotion& aAction);
+  void Do(const std::string& aService, const lead::list_vms& aAction);
   void Do(const std::string& aService, const lead::publish_proof& aAction);
   void Do(const std::string& aService, const lead::publish_sample& aAction);
   void Do(const std::string& aService, const lead::publish_revocation& aAction);
@@ -115,6 +116,7 @@
              group& aGroup,
              clock::time_point aNow);
   void SendWatch(clock::time_point aNow);
+  void FillChanges(news::News& aOut) const;
   void SendReach(clock::time_point aNow);
   void SendReachTo(const std::string& aVm, bool aAsks, clock::time_point aNow);
   void HeardServers(std::vector<std::string> aServices,
@@ -125,6 +127,8 @@
   void UpdateReadiness(clock::time_point aNow);
   void Schedule();
   [[nodiscard]] group* Find(const std::string& aService);
+  void NoteVms(clock::time_point aNow);
+  [[nodiscard]] std::vector<std::string> KnownVms(clock::time_point aNow);
   [[nodiscard]] std::vector<std::string> Peers() const;
   [[nodiscard]] std::string HolderOf(const std::string& aService) const;
   /// The duty's record, or null.
@@ -148,6 +152,8 @@
   store::registration mRegistration;
   news::exchange mNews;
   own_keys mOwnKeys;
+  // When each VM was last listed.
+  absl::btree_map<std::string, clock::time_point> mKnownVms;
   std::uint64_t mVersion = 0;
   std::vector<proxy::server> mServers;
   groups mGroups;
--- a/src/currantshed/node/duty.cpp
+++ b/src/currantshed/node/duty.cpp
@@ -64,6 +64,7 @@
     json::object{ { "vm", aRecord.where.vm },
                   { "address", aRecord.where.address },
                   { "port", aRecord.where.port },
+                  { "relay_port", aRecord.relayPort },
                   { "failure_domain", aRecord.failureDomain },
                   { "incarnation", aRecord.incarnation },
                   { "leaving", aRecord.leaving } });
@@ -78,6 +79,7 @@
     record.where = { Text(object, "vm"),
                      Text(object, "address"),
                      object.at("port").to_number<std::uint16_t>() };
+    record.relayPort = object.at("relay_port").to_number<std::uint16_t>();
     record.failureDomain = Text(object, "failure_domain");
     record.incarnation = Number(object, "incarnation");
     record.leaving = object.at("leaving").as_bool();
--- a/src/currantshed/node/duty.hpp
+++ b/src/currantshed/node/duty.hpp
@@ -20,6 +20,8 @@
 struct vm_record
 {
   news::peer where;
+  /// Port for statements that it relays.
+  std::uint16_t relayPort = 0;
   std::string failureDomain;
   std::uint64_t incarnation = 0;
   /// Stops soon: takes no duty.
--- a/src/currantshed/node/line_codec.hpp
+++ b/src/currantshed/node/line_codec.hpp
@@ -28,6 +28,13 @@
   proxy::statement asked;
 };
 
+/// How another VM opens its way to a server.
+struct relay_start
+{
+  std::string service;
+  upstream::server_id server;
+};
+
 /// What a server sends.
 struct server_row
 {
@@ -72,6 +79,13 @@
   virtual void WriteAnswer(const proxy::answer& aAnswer,
                            std::string& aOut) const = 0;
 
+  /// The same as WriteServerStart and WriteCommand write, read by the VM that
+  /// relays it.
+  [[nodiscard]] virtual std::optional<relay_start> ReadRelayStart(
+    std::string_view aLine) const = 0;
+  [[nodiscard]] virtual std::optional<caller_message> ReadRelayed(
+    std::string_view aLine) const = 0;
+
   virtual void WriteServerStart(const proxy::server& aServer,
                                 std::string& aOut) const = 0;
   virtual void WriteCommand(const proxy::command& aCommand,
--- a/src/currantshed/node/server_connector.cpp
+++ b/src/currantshed/node/server_connector.cpp
@@ -28,10 +28,13 @@
   wire_link(boost::asio::io_context& aContext,
             const line_codec& aCodec,
             proxy::server aServer,
+            const proxy::path& aVia,
             proxy::link_listener& aListener)
     : mContext(aContext)
     , mCodec(aCodec)
     , mServer(std::move(aServer))
+    , mHost(aVia.IsDirect() ? mServer.address : aVia.address)
+    , mPort(aVia.IsDirect() ? mServer.port : aVia.port)
     , mListener(&aListener)
     , mStream(std::make_shared<line_stream>(tcp::socket(aContext)))
   {
@@ -40,12 +43,12 @@
   void Open()
   {
     boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address(mServer.address, error);
+    const auto address = boost::asio::ip::make_address(mHost, error);
     if (error) {
       EndLater(proxy::link_end::kUnreachable);
       return;
     }
-    mStream->Connect(tcp::endpoint(address, mServer.port),
+    mStream->Connect(tcp::endpoint(address, mPort),
                      [self = shared_from_this()](bool aConnected) {
                        self->Connected(aConnected);
                      });
@@ -183,6 +186,8 @@
   boost::asio::io_context& mContext;
   const line_codec& mCodec;
   proxy::server mServer;
+  std::string mHost;
+  std::uint16_t mPort;
   proxy::link_listener* mListener;
   std::shared_ptr<line_stream> mStream;
   // Kinds of the commands without an answer, oldest first.
@@ -223,9 +228,11 @@
 
 std::unique_ptr<proxy::upstream_link>
 server_connector::Open(const proxy::server& aServer,
+                       const proxy::path& aVia,
                        proxy::link_listener& aListener)
 {
-  auto link = std::make_shared<wire_link>(mContext, mCodec, aServer, aListener);
+  auto link =
+    std::make_shared<wire_link>(mContext, mCodec, aServer, aVia, aListener);
   link->Open();
   return std::make_unique<owned_link>(std::move(link));
 }
--- a/src/currantshed/node/server_connector.hpp
+++ b/src/currantshed/node/server_connector.hpp
@@ -10,7 +10,8 @@
 
 namespace currantshed::node {
 
-/// Connects to servers over TCP and speaks the line protocol with them.
+/// Connects to servers, directly or through other VMs, and speaks the line
+/// protocol with them.
 class server_connector final : public proxy::link_opener
 {
 public:
@@ -18,6 +19,7 @@
 
   [[nodiscard]] std::unique_ptr<proxy::upstream_link> Open(
     const proxy::server& aServer,
+    const proxy::path& aVia,
     proxy::link_listener& aListener) override;
 
 private:
--- a/src/currantshed/node/settings.hpp
+++ b/src/currantshed/node/settings.hpp
@@ -31,6 +31,8 @@
   address readiness;
   /// Where other VMs send messages.
   address peers;
+  /// Where other VMs reach servers through this one.
+  address relays;
   /// Where counters are read.
   address metrics;
   address store;
--- a/src/currantshed/node/traffic.cpp
+++ b/src/currantshed/node/traffic.cpp
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 
 // Descriptors kept for servers, peers, the store and files.
-constexpr std::size_t kOtherDescriptors = 400;
+constexpr std::size_t kOtherDescriptors = 600;
 constexpr std::size_t kFewestCallers = 64;
 // How long callers are taken on after the order to stop: the platform needs
 // two questions, a second apart, to see that the VM is not ready.
@@ -55,6 +55,15 @@
   , mEngine(aEngine, mConnector, *this)
   , mCallers(
       mContext,
+      caller_server::door::kCallers,
+      aCodec,
+      mEngine,
+      MostCallers(aSettings.descriptors),
+      [this] { return mIsConfigured; },
+      [this] { After(); })
+  , mRelays(
+      mContext,
+      caller_server::door::kRelays,
       aCodec,
       mEngine,
       MostCallers(aSettings.descriptors),
@@ -81,6 +90,10 @@
 traffic::Listen()
 {
   After();
+  if (const auto error =
+        mRelays.Listen(mSettings.relays.host, mSettings.relays.port)) {
+    return error;
+  }
   return mCallers.Listen(mSettings.callers.host, mSettings.callers.port);
 }
 
@@ -106,9 +119,12 @@
 }
 
 void
-traffic::SetFleet(std::size_t aVms)
+traffic::SetFleet(std::vector<proxy::fleet_vm> aFleet)
 {
-  boost::asio::post(mContext, [this, aVms] { mEngine.SetFleet(aVms); });
+  boost::asio::post(mContext, [this, fleet = std::move(aFleet)] {
+    mEngine.SetFleet(fleet, Now());
+    After();
+  });
 }
 
 void
--- a/src/currantshed/node/traffic.hpp
+++ b/src/currantshed/node/traffic.hpp
@@ -62,7 +62,7 @@
   void SetConfiguration(
     std::shared_ptr<const proxy::configuration> aConfiguration);
   void SetServers(std::vector<proxy::server> aServers);
-  void SetFleet(std::size_t aVms);
+  void SetFleet(std::vector<proxy::fleet_vm> aFleet);
   void Confirm(const std::string& aService, const proxy::confirmation& aProof);
   void AddSample(const std::string& aService,
                  const proxy::position_sample& aSample);
@@ -104,6 +104,7 @@
   proxy::engine mEngine;
   bool mIsConfigured = false;
   caller_server mCallers;
+  caller_server mRelays;
   net::tick_timer mTicker;
   boost::asio::steady_timer mDrainTimer;
   std::chrono::milliseconds mDrainTime{ 0 };
--- a/src/currantshed/proxy/connection.cpp
+++ b/src/currantshed/proxy/connection.cpp
@@ -6,10 +6,12 @@
 
 connection::connection(upstream::server_id aServer,
                        std::string aService,
+                       std::string aVia,
                        connection_events& aEvents,
                        clock::time_point aNow)
   : server(std::move(aServer))
   , service(std::move(aService))
+  , via(std::move(aVia))
   , idleSince(aNow)
   , mEvents(aEvents)
   , mMadeAt(aNow)
--- a/src/currantshed/proxy/connection.hpp
+++ b/src/currantshed/proxy/connection.hpp
@@ -67,9 +67,13 @@
 public:
   connection(upstream::server_id aServer,
              std::string aService,
+             std::string aVia,
              connection_events& aEvents,
              clock::time_point aNow);
 
+  /// Whether it leads to the server itself, not through another VM.
+  [[nodiscard]] bool IsDirect() const noexcept { return via.empty(); }
+
   void Attach(std::unique_ptr<upstream_link> aLink);
 
   /// Sends commands, each for the purpose given.
@@ -104,6 +108,8 @@
 
   upstream::server_id server;
   std::string service;
+  /// The VM that it leads through, or empty.
+  std::string via;
   /// The session that the connection works for, or null.
   session* user = nullptr;
   /// Whether a transaction may be open on it.
--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -15,6 +15,12 @@
 // caller.
 constexpr milliseconds kAnswerReserve{ 10 };
 constexpr milliseconds kUpkeepInterval{ 250 };
+// How long another VM's statement may take: that VM has its own, shorter
+// bounds.
+constexpr milliseconds kRelayTimeout{ 10000 };
+// How long it may wait for a connection: longer, the other VM had better try
+// another way.
+constexpr milliseconds kRelayWait{ 150 };
 
 bool
 IsWrite(const session& aSession, const statement& aAsked)
@@ -44,11 +50,8 @@
                          clock::time_point aNow)
 {
   mConfiguration = std::move(aConfiguration);
-  for (auto& [id, state] : mServers) {
-    if (state.connections.empty() && !state.missingSince) {
-      OpenConnection(state, aNow);
-    }
-  }
+  MakePlans();
+  mNextUpkeep = aNow;
 }
 
 void
@@ -65,8 +68,9 @@
     auto& state = place->second;
     state.listed = listed;
     state.missingSince.reset();
-    if (added && !listed.draining) {
-      OpenConnection(state, aNow);
+    if (added) {
+      MakePlan(state);
+      mNextUpkeep = aNow;
     }
   }
   for (const auto& [name, queue] : mQueues) {
@@ -75,9 +79,13 @@
 }
 
 void
-engine::SetFleet(std::size_t aVms)
+engine::SetFleet(std::vector<fleet_vm> aFleet, clock::time_point aNow)
 {
-  mFleet = std::max<std::size_t>(aVms, 1);
+  if (aFleet != mFleet) {
+    mFleet = std::move(aFleet);
+    MakePlans();
+    mNextUpkeep = aNow;
+  }
 }
 
 void
@@ -128,6 +136,25 @@
   return id;
 }
 
+std::optional<engine::session_id>
+engine::OpenRelay(const upstream::server_id& aServer, caller& aCaller)
+{
+  const auto* state = Find(aServer);
+  if (state == nullptr) {
+    return std::nullopt;
+  }
+  const auto id = ++mLastNumber;
+  auto made = std::make_unique<session>(id, std::string(), aCaller);
+  made->relaysTo = aServer;
+  route relayed;
+  relayed.service = state->listed.service;
+  relayed.statementTimeout = kRelayTimeout;
+  relayed.target = kRelayWait;
+  made->relayRoute = std::make_shared<route>(std::move(relayed));
+  mSessions.emplace(id, std::move(made));
+  return id;
+}
+
 void
 engine::Submit(session_id aSession, statement aAsked, clock::time_point aNow)
 {
@@ -293,8 +320,18 @@
   }
   if (aAsked.kind == statement_kind::kBegin ||
       aAsked.kind == statement_kind::kBeginReadOnly) {
-    BeginTransaction(aSession, aAsked, std::move(route), aNow);
-    return;
+    open_transaction begun;
+    begun.under = route;
+    begun.readOnly = aAsked.kind == statement_kind::kBeginReadOnly;
+    aSession.transaction = std::move(begun);
+    // The server is asked with the first statement; another VM wants to know
+    // what it says now.
+    if (!aSession.IsRelay()) {
+      answer done;
+      done.signature = "-";
+      Finish(aSession, std::move(done), aNow);
+      return;
+    }
   }
   request made;
   made.number = ++mLastNumber;
@@ -302,7 +339,9 @@
   made.deadline = aNow + route->statementTimeout - kAnswerReserve;
   made.waitUntil = std::min(aNow + route->target, made.deadline);
   const bool writes = IsWrite(aSession, aAsked);
-  if (aSession.transaction) {
+  if (aSession.IsRelay()) {
+    made.floor.position = aAsked.floor;
+  } else if (aSession.transaction) {
     made.needsPrimary =
       !aSession.transaction->readOnly || route->policy == read_policy::kPrimary;
     made.commits = aAsked.kind == statement_kind::kCommit;
@@ -336,24 +375,12 @@
   Finish(aSession, std::move(made), aNow);
 }
 
-void
-engine::BeginTransaction(session& aSession,
-                         const statement& aAsked,
-                         std::shared_ptr<const route> aRoute,
-                         clock::time_point aNow)
-{
-  open_transaction made;
-  made.under = std::move(aRoute);
-  made.readOnly = aAsked.kind == statement_kind::kBeginReadOnly;
-  aSession.transaction = std::move(made);
-  answer begun;
-  begun.signature = "-";
-  Finish(aSession, std::move(begun), aNow);
-}
-
 std::shared_ptr<const route>
 engine::RouteOf(const session& aSession) const
 {
+  if (aSession.IsRelay()) {
+    return aSession.relayRoute;
+  }
   const auto found = mConfiguration->routes.find(aSession.database);
   return found == mConfiguration->routes.end() ? nullptr : found->second;
 }
@@ -401,7 +428,10 @@
   NoteDecision(aSession, "failed", aText, false, aNow);
   answer made;
   made.failed = failure{ aCode, std::move(aText) };
-  if (aSession.transaction) {
+  if (aSession.IsRelay()) {
+    // Only what has not begun waits, and so fails, here.
+    aSession.transaction.reset();
+  } else if (aSession.transaction) {
     const bool wasCommit =
       aSession.current->asked.kind == statement_kind::kCommit;
     EndTransaction(aSession, aNow);
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -91,6 +91,8 @@
 
 struct engine_settings
 {
+  /// Name of this VM.
+  std::string vm;
   std::string failureDomain;
   /// How long a confirmation holds.
   std::chrono::milliseconds validity{ 1000 };
@@ -124,8 +126,8 @@
   void SetConfiguration(std::shared_ptr<const configuration> aConfiguration,
                         clock::time_point aNow);
   void SetServers(const std::vector<server>& aServers, clock::time_point aNow);
-  /// VMs that share the servers' connections.
-  void SetFleet(std::size_t aVms);
+  /// The VMs that share the servers' connections, this one included.
+  void SetFleet(std::vector<fleet_vm> aFleet, clock::time_point aNow);
   void Confirm(const std::string& aService,
                const confirmation& aProof,
                clock::time_point aNow);
@@ -136,6 +138,11 @@
   /// Begins a session; none when no route has that database.
   [[nodiscard]] std::optional<session_id> Open(std::string aDatabase,
                                                caller& aCaller);
+  /// Begins a session by which another VM reaches a server; none when there
+  /// is no such server.
+  [[nodiscard]] std::optional<session_id> OpenRelay(
+    const upstream::server_id& aServer,
+    caller& aCaller);
   void Submit(session_id aSession, statement aAsked, clock::time_point aNow);
   [[nodiscard]] transaction_state StateOf(session_id aSession) const;
   /// The caller has gone.
@@ -203,10 +210,6 @@
   void AnswerLost(session& aSession,
                   const statement& aAsked,
                   clock::time_point aNow);
-  void BeginTransaction(session& aSession,
-                        const statement& aAsked,
-                        std::shared_ptr<const route> aRoute,
-                        clock::time_point aNow);
   [[nodiscard]] std::shared_ptr<const route> RouteOf(
     const session& aSession) const;
   void Finish(session& aSession, answer aAnswer, clock::time_point aNow);
@@ -245,6 +248,8 @@
                                                clock::time_point aNow);
   [[nodiscard]] connection* ConnectionForRead(session& aSession,
                                               clock::time_point aNow);
+  [[nodiscard]] connection* ConnectionForRelay(session& aSession,
+                                               clock::time_point aNow);
   [[nodiscard]] bool CanServe(const server_state& aServer,
                               const request& aRequest,
                               const lead_state& aLead,
@@ -255,10 +260,17 @@
   [[nodiscard]] connection* Acquire(server_state& aServer,
                                     const session_values& aValues,
                                     clock::time_point aNow);
-  void OpenConnection(server_state& aServer, clock::time_point aNow);
-  [[nodiscard]] std::size_t ConnectionLimit(const server_state& aServer) const;
+  void OpenConnection(server_state& aServer,
+                      const path& aVia,
+                      clock::time_point aNow);
+  void MakePlan(server_state& aServer);
+  void MakePlans();
   void GiveBack(connection& aConnection, clock::time_point aNow);
   void Discard(connection& aConnection);
+  void GiveUp(server_state& aState,
+              const connection& aConnection,
+              clock::time_point aNow,
+              std::string_view aReason);
   void TrimConnections(clock::time_point aNow);
   [[nodiscard]] server_state* Find(const upstream::server_id& aServer);
 
@@ -298,6 +310,7 @@
   void ReleaseConnection(session& aSession, clock::time_point aNow);
   void ReleaseHeld(const std::string& aService, clock::time_point aNow);
   void LinkLost(session& aSession, clock::time_point aNow);
+  void EndRelay(session& aSession);
   void NoteDecision(const session& aSession,
                     std::string_view aOutcome,
                     std::string_view aReason,
@@ -314,7 +327,7 @@
   link_opener& mOpener;
   engine_host& mHost;
   std::shared_ptr<const configuration> mConfiguration;
-  std::size_t mFleet = 1;
+  std::vector<fleet_vm> mFleet;
   servers mServers;
   // References to its values are kept while others are added.
   std::map<std::string, lead_state> mLeads;
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -76,8 +76,11 @@
   if (state == nullptr) {
     return;
   }
-  state->heardAt = aNow;
-  NoteReached(*state, true, "answered");
+  // Another VM opens its relay by itself.
+  if (aConnection.IsDirect()) {
+    state->heardAt = aNow;
+    NoteReached(*state, true, "answered");
+  }
   if (aAt) {
     state->At(*aAt, LeadOf(aConnection.service).samples, aNow);
   }
@@ -137,8 +140,11 @@
   if (state == nullptr) {
     return;
   }
-  state->heardAt = aNow;
-  NoteReached(*state, true, "answered");
+  // What another VM answers by itself has no position.
+  if (aConnection.IsDirect() || aAnswer.position) {
+    state->heardAt = aNow;
+    NoteReached(*state, true, "answered");
+  }
   if (!aAnswer.position) {
     return;
   }
@@ -190,6 +196,11 @@
     Refused(aSession, std::move(aAnswer), aNow);
     return;
   }
+  if (aSession.IsRelay()) {
+    aSession.transaction->begun = true;
+    Finish(aSession, std::move(aAnswer), aNow);
+    return;
+  }
   const auto& lead = LeadOf(request.under->service);
   const bool stillLeads =
     request.term == lead.proof.term && Leads(lead, request.ranOn, aNow);
@@ -340,6 +351,12 @@
     mHost.LeadDenied(request.under->service, request.term);
   }
   const bool begun = aSession.transaction && aSession.transaction->begun;
+  if (!begun && aSession.IsRelay()) {
+    ReleaseConnection(aSession, aNow);
+    aSession.transaction.reset();
+    Finish(aSession, std::move(aAnswer), aNow);
+    return;
+  }
   if (begun) {
     request.on->transactionOpen = aAnswer.state != transaction_state::kIdle;
   } else {
@@ -415,6 +432,11 @@
     Discard(*request.on);
     request.on = nullptr;
   }
+  if (aSession.IsRelay()) {
+    aSession.current.reset();
+    EndRelay(aSession);
+    return;
+  }
   const bool inTransaction = aSession.transaction.has_value();
   const bool begun = inTransaction && aSession.transaction->begun;
   if (inTransaction) {
@@ -447,6 +469,22 @@
   }
 }
 
+// The other VM sees its way to the server break, and decides what that means.
+void
+engine::EndRelay(session& aSession)
+{
+  if (aSession.current && aSession.current->at == stage::kWaiting) {
+    Unqueue(aSession);
+  }
+  if (aSession.transaction) {
+    aSession.transaction->on = nullptr;
+    aSession.transaction->lost = true;
+  }
+  if (!aSession.gone) {
+    aSession.farEnd.Close();
+  }
+}
+
 void
 engine::Ended(connection& aConnection, link_end aWhy, clock::time_point aNow)
 {
@@ -454,6 +492,8 @@
   if (state != nullptr) {
     if (aWhy == link_end::kServerFull) {
       state->Full(aNow);
+    } else if (!aConnection.IsDirect()) {
+      state->WayFailed(aConnection.via, aNow);
     } else {
       state->Failed(aNow);
       NoteReached(*state, false, NameOf(aWhy));
@@ -470,6 +510,8 @@
   if (user->current) {
     user->current->on = nullptr;
     LinkLost(*user, aNow);
+  } else if (user->IsRelay()) {
+    EndRelay(*user);
   } else if (user->transaction) {
     user->transaction->on = nullptr;
     user->transaction->lost = true;
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -20,13 +20,6 @@
 constexpr int kPrimaryPenalty = 2;
 // What the opening of a connection adds to the time of a statement.
 constexpr milliseconds kOpeningTime{ 20 };
-// Connections of a server that are left to VMs that have just been restarted,
-// whose former connections the server has not given up yet.
-constexpr unsigned kSpareConnections = 2;
-// Connections that a VM may open beyond its even share while others use
-// theirs less.
-constexpr std::size_t kBorrowedConnections = 1;
-
 command
 StatementCommand(const session& aSession, const request& aRequest)
 {
@@ -70,8 +63,14 @@
 bool
 engine::TryStart(session& aSession, clock::time_point aNow)
 {
-  auto* on = aSession.current->needsPrimary ? ConnectionForWrite(aSession, aNow)
-                                            : ConnectionForRead(aSession, aNow);
+  connection* on = nullptr;
+  if (aSession.IsRelay()) {
+    on = ConnectionForRelay(aSession, aNow);
+  } else if (aSession.current->needsPrimary) {
+    on = ConnectionForWrite(aSession, aNow);
+  } else {
+    on = ConnectionForRead(aSession, aNow);
+  }
   if (on == nullptr) {
     return false;
   }
@@ -310,8 +309,8 @@
       needsProof = needsProof || id == lead.proof.primary;
       continue;
     }
-    const bool isIdle = state.Idle(aSession.values) != nullptr;
-    if (!isIdle && !state.MayOpen(ConnectionLimit(state), aNow)) {
+    const bool isIdle = state.Idle(aSession.values, false) != nullptr;
+    if (!isIdle && state.OpenWay(aNow) == nullptr) {
       continue;
     }
     auto time = state.Expected(aNow);
@@ -365,49 +364,74 @@
   }
 }
 
+// The server that another VM has chosen, on a connection of this VM's own.
+connection*
+engine::ConnectionForRelay(session& aSession, clock::time_point aNow)
+{
+  auto* state = Find(aSession.relaysTo);
+  if (state == nullptr || state->IsAvoided(aNow)) {
+    EndRelay(aSession);
+    return nullptr;
+  }
+  auto* idle = state->Idle(aSession.values, true);
+  if (idle == nullptr && state->Opening(true) == 0 &&
+      state->MayOpenDirect(state->plan.connections, aNow)) {
+    OpenConnection(*state, path{}, aNow);
+  }
+  return idle;
+}
+
 // An idle connection; where there is none, one is opened for those that wait.
 connection*
 engine::Acquire(server_state& aServer,
                 const session_values& aValues,
                 clock::time_point aNow)
 {
-  auto* idle = aServer.Idle(aValues);
+  auto* idle = aServer.Idle(aValues, false);
   if (idle != nullptr) {
     return idle;
   }
-  if (aServer.Opening() == 0 &&
-      aServer.MayOpen(ConnectionLimit(aServer), aNow)) {
-    OpenConnection(aServer, aNow);
+  if (const auto* way = aServer.OpenWay(aNow)) {
+    OpenConnection(aServer, *way, aNow);
   }
   return nullptr;
 }
 
 void
-engine::OpenConnection(server_state& aServer, clock::time_point aNow)
+engine::OpenConnection(server_state& aServer,
+                       const path& aVia,
+                       clock::time_point aNow)
 {
   auto made =
     std::make_unique<connection>(aServer.listed.id,
                                  aServer.listed.service,
+                                 aVia.vm,
                                  static_cast<connection_events&>(*this),
                                  aNow);
   auto& place = *made;
   aServer.connections.push_back(std::move(made));
-  place.Attach(mOpener.Open(aServer.listed, place));
+  place.Attach(mOpener.Open(aServer.listed, aVia, place));
 }
 
-std::size_t
-engine::ConnectionLimit(const server_state& aServer) const
+void
+engine::MakePlan(server_state& aServer)
 {
-  const auto found = mConfiguration
-                       ? mConfiguration->services.find(aServer.listed.service)
-                       : decltype(mConfiguration->services.find("")){};
-  if (!mConfiguration || found == mConfiguration->services.end()) {
-    return 1;
-  }
-  const auto most = found->second.maxConnections;
-  const auto usable = most > kSpareConnections ? most - kSpareConnections : 1;
-  const auto share = std::max<std::size_t>(usable / mFleet, 1);
-  return share + kBorrowedConnections;
+  std::size_t most = 1;
+  if (mConfiguration) {
+    const auto found = mConfiguration->services.find(aServer.listed.service);
+    if (found != mConfiguration->services.end()) {
+      most = found->second.maxConnections;
+    }
+  }
+  aServer.plan = PlanAccess(aServer.listed.id, most, mFleet, mSettings.vm);
+}
+
+void
+engine::MakePlans()
+{
+  for (auto& [id, state] : mServers) {
+    MakePlan(state);
+  }
 }
 
 // The session has done with the connection. A transaction left open on it is
--- a/src/currantshed/proxy/engine_orders.cpp
+++ b/src/currantshed/proxy/engine_orders.cpp
@@ -13,8 +13,10 @@
 constexpr milliseconds kLongestOpening{ 1000 };
 // An answer that nobody waits for any longer is given up after this time.
 constexpr milliseconds kLongestSilence{ 3000 };
-// How long a borrowed connection is kept idle.
-constexpr milliseconds kBorrowedIdle{ 2000 };
+// How long a connection beyond the first is kept idle: those of the server are
+// few, those through other VMs cost little.
+constexpr milliseconds kBorrowedIdle{ 1500 };
+constexpr milliseconds kRelayIdle{ 10000 };
 // How much longer than its listing a server is kept: entries of servers that
 // live come back within two seconds after the store was away.
 constexpr milliseconds kMissingGrace{ 2500 };
@@ -48,11 +50,11 @@
     if (one.server != aServer || one.on != nullptr) {
       continue;
     }
-    auto* idle = state->Idle({});
+    auto* idle = state->Idle({}, true);
     if (idle == nullptr) {
-      const auto most = ConnectionLimit(*state) + 1;
-      if (state->Opening() == 0 && state->connections.size() < most) {
-        OpenConnection(*state, aNow);
+      if (state->Opening(true) == 0 &&
+          state->Count(true) <= state->plan.connections) {
+        OpenConnection(*state, path{}, aNow);
       }
       return;
     }
@@ -104,6 +106,21 @@
   }
 }
 
+// A server, or a way to it, that does not answer is avoided for a while.
+void
+engine::GiveUp(server_state& aState,
+               const connection& aConnection,
+               clock::time_point aNow,
+               std::string_view aReason)
+{
+  if (!aConnection.IsDirect()) {
+    aState.WayFailed(aConnection.via, aNow);
+    return;
+  }
+  aState.Failed(aNow);
+  NoteReached(aState, false, aReason);
+}
+
 // Closes what is no longer needed, gives up what does not answer, and keeps
 // one connection to each server.
 void
@@ -114,23 +131,26 @@
   for (auto& [id, state] : mServers) {
     const bool isGone =
       state.missingSince && aNow - *state.missingSince > kMissingGrace;
-    const auto most = ConnectionLimit(state) - 1;
     auto count = state.connections.size();
+    auto direct = state.Count(true);
+    const std::size_t kept = state.plan.holds ? 1 : 0;
     for (const auto& one : state.connections) {
       const bool slow =
         !one->IsOpen() && aNow - one->MadeAt() > kLongestOpening;
       const bool silent = one->user == nullptr && !one->IsQuiet() &&
                           aNow - one->OldestSent() > kLongestSilence;
-      const bool spare =
-        one->IsIdle() && count > most && aNow - one->idleSince > kBorrowedIdle;
+      const auto idleFor = aNow - one->idleSince;
+      const bool spare = one->IsDirect()
+                           ? direct > kept && idleFor > kBorrowedIdle
+                           : idleFor > kRelayIdle;
       const bool unused = one->IsIdle() && (isGone || one->retiring);
       if (slow || silent) {
-        state.Failed(aNow);
-        NoteReached(state, false, slow ? "opening_timeout" : "silent");
+        GiveUp(state, *one, aNow, slow ? "opening_timeout" : "silent");
       }
-      if (slow || silent || spare || unused) {
+      if (slow || silent || (one->IsIdle() && spare) || unused) {
         ended.push_back(one.get());
         --count;
+        direct -= one->IsDirect() ? 1 : 0;
       }
     }
     if (isGone && count == 0) {
@@ -146,9 +166,9 @@
   }
   for (auto& [id, state] : mServers) {
     const bool wanted = !state.missingSince && !state.listed.draining;
-    if (wanted && state.connections.empty() &&
-        state.MayOpen(ConnectionLimit(state), aNow)) {
-      OpenConnection(state, aNow);
+    if (wanted && state.connections.empty() && state.plan.holds &&
+        state.MayOpenDirect(state.plan.connections, aNow)) {
+      OpenConnection(state, path{}, aNow);
     }
   }
 }
--- /dev/null
+++ b/src/currantshed/proxy/holders.cpp
@@ -0,0 +1,113 @@
+#include "currantshed/proxy/holders.hpp"
+
+#include <algorithm>
+#include <map>
+
+#include <xxhash.h>
+
+namespace currantshed::proxy {
+
+namespace {
+
+// Connections that are left to restarted VMs, to those that watch the group,
+// and to VMs whose way through another one fails.
+constexpr std::size_t kSpare = 3;
+// With fewer connections a VM, a transaction that waits for its caller blocks
+// the VM's other work.
+constexpr std::size_t kFewestOfOwn = 3;
+// Failure domains count as one when there are fewer than this, so that two
+// VMs hold connections.
+constexpr std::size_t kFewestHolders = 2;
+
+std::uint64_t
+Score(const std::string& aServer, const std::string& aVm)
+{
+  std::string text = aServer;
+  text.push_back('\0');
+  text += aVm;
+  return XXH3_64bits(text.data(), text.size());
+}
+
+// The best VM of each failure domain, the best one first.
+std::vector<const fleet_vm*>
+Holders(const upstream::server_id& aServer, const std::vector<fleet_vm>& aFleet)
+{
+  std::vector<const fleet_vm*> ranked;
+  for (const auto& vm : aFleet) {
+    if (!vm.leaving) {
+      ranked.push_back(&vm);
+    }
+  }
+  std::sort(
+    ranked.begin(), ranked.end(), [&](const auto* aLeft, const auto* aRight) {
+      const auto left = Score(aServer, aLeft->name);
+      const auto right = Score(aServer, aRight->name);
+      return left != right ? left > right : aLeft->name < aRight->name;
+    });
+  std::map<std::string, std::size_t> taken;
+  std::vector<const fleet_vm*> holders;
+  std::vector<const fleet_vm*> others;
+  for (const auto* vm : ranked) {
+    auto& list = taken[vm->failureDomain]++ == 0 ? holders : others;
+    list.push_back(vm);
+  }
+  for (const auto* vm : others) {
+    if (holders.size() >= kFewestHolders) {
+      break;
+    }
+    holders.push_back(vm);
+  }
+  return holders;
+}
+
+path
+PathOf(const fleet_vm& aVm)
+{
+  return { aVm.name, aVm.address, aVm.relayPort };
+}
+
+} // namespace
+
+access_plan
+PlanAccess(const upstream::server_id& aServer,
+           std::size_t aMostConnections,
+           const std::vector<fleet_vm>& aFleet,
+           const std::string& aSelf)
+{
+  const auto usable = aMostConnections > kSpare ? aMostConnections - kSpare : 1;
+  const auto vms = std::max<std::size_t>(aFleet.size(), 1);
+  access_plan plan;
+  if (usable / vms >= kFewestOfOwn || vms == 1) {
+    plan.paths = { path{} };
+    plan.connections = usable / vms;
+    return plan;
+  }
+  const auto holders = Holders(aServer, aFleet);
+  const auto self =
+    std::find_if(aFleet.begin(), aFleet.end(), [&](const auto& aVm) {
+      return aVm.name == aSelf;
+    });
+  const std::string domain =
+    self == aFleet.end() ? std::string() : self->failureDomain;
+  plan.holds = std::any_of(holders.begin(),
+                           holders.end(),
+                           [&](const auto* aVm) { return aVm->name == aSelf; });
+  plan.connections =
+    plan.holds ? std::max<std::size_t>(usable / holders.size(), 1) : 1;
+  if (plan.holds) {
+    plan.paths.push_back({});
+  }
+  for (const bool near : { true, false }) {
+    for (const auto* vm : holders) {
+      if (vm->name != aSelf && (vm->failureDomain == domain) == near) {
+        plan.paths.push_back(PathOf(*vm));
+      }
+    }
+  }
+  if (!plan.holds) {
+    plan.paths.push_back({});
+  }
+  return plan;
+}
+
+} // namespace currantshed::proxy
--- /dev/null
+++ b/src/currantshed/proxy/holders.hpp
@@ -0,0 +1,64 @@
+#ifndef CURRANTSHED_PROXY_HOLDERS_HPP
+#define CURRANTSHED_PROXY_HOLDERS_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "currantshed/upstream/fwd.hpp"
+
+namespace currantshed::proxy {
+
+/// Another VM, or this one, as far as connections to servers are concerned.
+struct fleet_vm
+{
+  std::string name;
+  std::string failureDomain;
+  /// Where it relays for others: an IP number and a port.
+  std::string address;
+  std::uint16_t relayPort = 0;
+  /// Stops soon.
+  bool leaving = false;
+
+  [[nodiscard]] friend bool operator==(const fleet_vm&,
+                                       const fleet_vm&) = default;
+};
+
+/// A way to a server: direct where the VM's name is empty, else through it.
+struct path
+{
+  std::string vm;
+  std::string address;
+  std::uint16_t port = 0;
+
+  [[nodiscard]] bool IsDirect() const noexcept { return vm.empty(); }
+};
+
+/// How a VM reaches one server.
+struct access_plan
+{
+  /// Ways in the order in which they are tried.
+  std::vector<path> paths;
+  /// Direct connections that this VM may have.
+  std::size_t connections = 1;
+  /// Whether this VM is meant to have direct connections at all.
+  bool holds = true;
+};
+
+/// Works out who holds the connections to a server that accepts so many in
+/// all. While there are several for each VM, every VM has its own. Otherwise
+/// one VM in each failure domain holds its domain's share, and the others of
+/// the domain send their work through it: the way within a domain is short,
+/// and a shared pool needs far fewer connections than one a VM, which leaves
+/// some for VMs that are restarted while the server still keeps their former
+/// ones. All VMs come to the same answer from the same list.
+[[nodiscard]] access_plan
+PlanAccess(const upstream::server_id& aServer,
+           std::size_t aMostConnections,
+           const std::vector<fleet_vm>& aFleet,
+           const std::string& aSelf);
+
+} // namespace currantshed::proxy
+
+#endif
--- a/src/currantshed/proxy/server_state.cpp
+++ b/src/currantshed/proxy/server_state.cpp
@@ -27,6 +27,10 @@
 constexpr unsigned kDoublings = 4;
 // How long a server that was full is not asked for another connection.
 constexpr milliseconds kFullPause{ 250 };
+// Ways through other VMs that are kept open to one server; each is a session
+// of some hundred bytes there.
+constexpr std::size_t kMostRelayed = 32;
+constexpr unsigned kMostOpeningRelayed = 4;
 
 } // namespace
 
@@ -48,35 +52,73 @@
 }
 
 unsigned
-server_state::Opening() const
+server_state::Opening(bool aDirect) const
 {
-  return static_cast<unsigned>(
-    std::count_if(connections.begin(), connections.end(), [](const auto& aOne) {
-      return !aOne->IsOpen();
+  return static_cast<unsigned>(std::count_if(
+    connections.begin(), connections.end(), [aDirect](const auto& aOne) {
+      return !aOne->IsOpen() && aOne->IsDirect() == aDirect;
+    }));
+}
+
+std::size_t
+server_state::Count(bool aDirect) const
+{
+  return static_cast<std::size_t>(std::count_if(
+    connections.begin(), connections.end(), [aDirect](const auto& aOne) {
+      return aOne->IsDirect() == aDirect;
     }));
 }
 
 connection*
-server_state::Idle(const session_values& aValues)
+server_state::Idle(const session_values& aValues, bool aOnlyDirect)
 {
   connection* found = nullptr;
+  int best = 0;
   for (const auto& one : connections) {
-    if (!one->IsIdle() || one->retiring) {
+    if (!one->IsIdle() || one->retiring || (aOnlyDirect && !one->IsDirect())) {
       continue;
     }
-    if (one->HasValues(aValues)) {
-      return one.get();
+    const int worth =
+      1 + (one->IsDirect() ? 2 : 0) + (one->HasValues(aValues) ? 1 : 0);
+    if (worth > best) {
+      found = one.get();
+      best = worth;
     }
-    found = one.get();
   }
   return found;
 }
 
+const path*
+server_state::OpenWay(clock::time_point aNow) const
+{
+  for (const auto& way : plan.paths) {
+    if (way.IsDirect()) {
+      // Beyond what this VM holds, the next way is tried.
+      if (MayOpenDirect(plan.connections, aNow) && Opening(true) == 0) {
+        return &way;
+      }
+      if (plan.holds) {
+        return nullptr;
+      }
+      continue;
+    }
+    const auto failures = mWays.find(way.vm);
+    const bool avoided =
+      failures != mWays.end() && aNow < failures->second.avoidUntil;
+    if (avoided) {
+      continue;
+    }
+    const bool room =
+      Count(false) < kMostRelayed && Opening(false) < kMostOpeningRelayed;
+    return room ? &way : nullptr;
+  }
+  return nullptr;
+}
+
 bool
-server_state::MayOpen(std::size_t aLimit, clock::time_point aNow) const
+server_state::MayOpenDirect(std::size_t aLimit, clock::time_point aNow) const
 {
-  return connections.size() < aLimit && aNow >= mNoOpenUntil &&
-         !IsAvoided(aNow);
+  return Count(true) < aLimit && aNow >= mNoOpenUntil && !IsAvoided(aNow);
 }
 
 bool
@@ -105,6 +147,7 @@
   mMean = base + ((aNow - aSentAt) - base) / kMeanWeight;
   mMeanAt = aNow;
   mFailures = 0;
+  mWays.clear();
 }
 
 void
@@ -135,6 +178,15 @@
   ++mFailures;
 }
 
+void
+server_state::WayFailed(const std::string& aVm, clock::time_point aNow)
+{
+  auto& way = mWays[aVm];
+  way.avoidUntil =
+    aNow + kFirstAvoidance * (1U << std::min(way.count, kDoublings));
+  ++way.count;
+}
+
 void
 server_state::Full(clock::time_point aNow)
 {
--- a/src/currantshed/proxy/server_state.hpp
+++ b/src/currantshed/proxy/server_state.hpp
@@ -5,6 +5,8 @@
 #include <optional>
 #include <vector>
 
+#include <absl/container/btree_map.h>
+
 #include "currantshed/clock/time.hpp"
 #include "currantshed/confirm/position_samples.hpp"
 #include "currantshed/proxy/connection.hpp"
@@ -19,13 +21,22 @@
 
   /// Commands under way.
   [[nodiscard]] unsigned Running() const;
-  [[nodiscard]] unsigned Opening() const;
+  /// Connections that are being opened, direct ones or others.
+  [[nodiscard]] unsigned Opening(bool aDirect) const;
+  /// Connections, direct ones or others.
+  [[nodiscard]] std::size_t Count(bool aDirect) const;
+
+  /// An idle connection: a direct one if there is one, and one that has the
+  /// session's values.
+  [[nodiscard]] connection* Idle(const session_values& aValues,
+                                 bool aOnlyDirect);
 
-  /// An idle connection, one that has the session's values if there is one.
-  [[nodiscard]] connection* Idle(const session_values& aValues);
+  /// The way on which another connection may be opened now, or null.
+  [[nodiscard]] const path* OpenWay(clock::time_point aNow) const;
 
-  /// Whether another connection may be opened.
-  [[nodiscard]] bool MayOpen(std::size_t aLimit, clock::time_point aNow) const;
+  /// Whether another direct connection may be opened.
+  [[nodiscard]] bool MayOpenDirect(std::size_t aLimit,
+                                   clock::time_point aNow) const;
 
   /// Whether requests had better go elsewhere for now.
   [[nodiscard]] bool IsAvoided(clock::time_point aNow) const;
@@ -47,13 +58,17 @@
   /// The server lacked a position that was written by then.
   void Lagged(clock::time_point aWrittenBy, clock::time_point aNow);
 
-  /// A connection broke or could not be made.
+  /// A direct connection broke or could not be made.
   void Failed(clock::time_point aNow);
 
+  /// The same on the way through another VM.
+  void WayFailed(const std::string& aVm, clock::time_point aNow);
+
   /// The server accepts no more connections.
   void Full(clock::time_point aNow);
 
   server listed;
+  access_plan plan;
   /// Set while the platform does not list it any longer.
   std::optional<clock::time_point> missingSince;
   std::vector<std::unique_ptr<connection>> connections;
@@ -70,6 +85,12 @@
   unsigned mFailures = 0;
   clock::time_point mAvoidUntil;
   clock::time_point mNoOpenUntil;
+  struct way_failures
+  {
+    unsigned count = 0;
+    clock::time_point avoidUntil;
+  };
+  absl::btree_map<std::string, way_failures> mWays;
 };
 
 } // namespace currantshed::proxy
--- a/src/currantshed/proxy/session.cpp
+++ b/src/currantshed/proxy/session.cpp
@@ -47,6 +47,10 @@
         return Refuse(failure_code::kMalformed, "a transaction is open");
       }
       return std::nullopt;
+    case statement_kind::kReset:
+      values.clear();
+      mPrepared.clear();
+      return Local();
     case statement_kind::kSet:
       values[aAsked.name] = aAsked.argument;
       return Local();
--- a/src/currantshed/proxy/session.hpp
+++ b/src/currantshed/proxy/session.hpp
@@ -85,8 +85,15 @@
 
   [[nodiscard]] transaction_state State() const noexcept;
 
+  /// Whether it works for another VM, which has made all decisions.
+  [[nodiscard]] bool IsRelay() const noexcept { return !relaysTo.empty(); }
+
   std::uint64_t number;
   std::string database;
+  /// The server that another VM reaches through this session, or empty.
+  upstream::server_id relaysTo;
+  /// What takes the place of a route then.
+  std::shared_ptr<const route> relayRoute;
   caller& farEnd;
   session_values values;
   std::optional<open_transaction> transaction;
--- a/src/currantshed/proxy/statement.hpp
+++ b/src/currantshed/proxy/statement.hpp
@@ -24,6 +24,8 @@
   kPrepare,
   kExecute,
   kDeallocate,
+  /// Clears session values and prepared statements; between VMs only.
+  kReset,
 };
 
 /// One request of a caller in its session.
@@ -41,6 +43,8 @@
   std::string argument;
   /// For kPrepare: whether what is prepared writes.
   bool writes = false;
+  /// The log must have this position; between VMs only.
+  std::optional<position::log_position> floor;
 };
 
 /// Why a request has no result. The first group promises that nothing of the
--- a/src/currantshed/proxy/upstream_link.hpp
+++ b/src/currantshed/proxy/upstream_link.hpp
@@ -6,6 +6,7 @@
 
 #include "currantshed/clock/time.hpp"
 #include "currantshed/proxy/configuration.hpp"
+#include "currantshed/proxy/holders.hpp"
 #include "currantshed/proxy/statement.hpp"
 
 namespace currantshed::proxy {
@@ -54,10 +55,9 @@
 public:
   virtual ~link_opener() = default;
 
-  /// Begins to connect. The listener outlives the link.
-  [[nodiscard]] virtual std::unique_ptr<upstream_link> Open(
-    const server& aServer,
-    link_listener& aListener) = 0;
+  /// Begins to connect on the given way. The listener outlives the link.
+  [[nodiscard]] virtual std::unique_ptr<upstream_link>
+  Open(const server& aServer, const path& aVia, link_listener& aListener) = 0;
 };
 
 } // namespace currantshed::proxy
--- a/src/currantshed/store/key_value.hpp
+++ b/src/currantshed/store/key_value.hpp
@@ -99,6 +99,9 @@
                      std::chrono::milliseconds aAtMost,
                      watch_callback aDone) = 0;
 
+  /// Gives a watch up: its callback comes with an error.
+  virtual void CancelWatch(const std::string& aPrefix) = 0;
+
   virtual void Commit(transaction aWhat, commit_callback aDone) = 0;
 
   virtual void Grant(std::chrono::milliseconds aTtl, grant_callback aDone) = 0;
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -1,5 +1,6 @@
 #include "currantshed/store/prefix_view.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "currantshed/store/errors.hpp"
@@ -44,6 +45,22 @@
   return mIsCalling ? clock::time_point::max() : mNotBefore;
 }
 
+void
+prefix_view::HeardOf(revision aChange, clock::time_point aNow)
+{
+  if (aChange <= mSeen || !mIsKnown) {
+    mBehindSince.reset();
+    return;
+  }
+  if (!mBehindSince) {
+    mBehindSince = aNow;
+  }
+  if (mIsCalling && !mMustRead && aNow - *mBehindSince > mSettings.patience) {
+    mMustRead = true;
+    mStore.CancelWatch(mPrefix);
+  }
+}
+
 void
 prefix_view::Read()
 {
@@ -63,12 +80,13 @@
                  mItems.clear();
                  for (auto& one : aItems) {
                    auto key = one.key;
+                   mChanged = std::max(mChanged, one.changed);
                    mItems.emplace(std::move(key), std::move(one));
                  }
                  mSeen = aRevision;
                  mMustRead = false;
                  mIsKnown = true;
-                 Succeeded();
+                 Succeeded(false, aNow);
                  mListener.changed(aNow);
                });
 }
@@ -95,6 +113,7 @@
                  }
                  for (auto& one : aChanges) {
                    auto key = one.now.key;
+                   mChanged = std::max(mChanged, one.now.changed);
                    if (one.removed) {
                      mItems.erase(key);
                    } else {
@@ -102,7 +121,7 @@
                    }
                  }
                  mSeen = aRevision;
-                 Succeeded();
+                 Succeeded(!aChanges.empty(), aNow);
                  if (!aChanges.empty()) {
                    mListener.changed(aNow);
                  }
@@ -124,10 +143,11 @@
 }
 
 void
-prefix_view::Succeeded()
+prefix_view::Succeeded(bool aChanged, clock::time_point aNow)
 {
   mBackoff.Reset();
-  mNotBefore = {};
+  mBehindSince.reset();
+  mNotBefore = aChanged ? aNow + mSettings.afterChange : clock::time_point{};
   if (!mIsReached) {
     mIsReached = true;
     mListener.reached(true, {});
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <absl/container/btree_map.h>
@@ -19,6 +20,10 @@
   /// How long one watch waits. Long, since each call has its price; a dead
   /// connection is noticed by the transport.
   std::chrono::milliseconds wait{ 25000 };
+  /// Pause after a change, so that several in a row cost one call.
+  std::chrono::milliseconds afterChange{ 120 };
+  /// How long another VM's word that there is more may precede the own watch.
+  std::chrono::milliseconds patience{ 400 };
   /// Waits after failures: short, so that a configuration made during an
   /// outage is in force in time after it.
   backoff_settings afterFailure{ std::chrono::milliseconds{ 100 },
@@ -52,6 +57,13 @@
   void Tick(clock::time_point aNow, double aRandom);
   [[nodiscard]] clock::time_point NextTick() const noexcept;
 
+  /// Another VM has seen a change of that revision. A watch may hang without
+  /// any sign of it; then it is given up, and the keys are read again.
+  void HeardOf(revision aChange, clock::time_point aNow);
+
+  /// The newest change seen.
+  [[nodiscard]] revision Changed() const noexcept { return mChanged; }
+
   /// Whether the keys were read at least once.
   [[nodiscard]] bool IsKnown() const noexcept { return mIsKnown; }
   [[nodiscard]] bool IsReached() const noexcept { return mIsReached; }
@@ -64,7 +76,7 @@
   void Read();
   void Follow();
   void Failed(std::error_code aError, clock::time_point aNow);
-  void Succeeded();
+  void Succeeded(bool aChanged, clock::time_point aNow);
 
   key_value& mStore;
   std::string mPrefix;
@@ -73,6 +85,8 @@
   backoff mBackoff;
   items mItems;
   revision mSeen = 0;
+  revision mChanged = 0;
+  std::optional<clock::time_point> mBehindSince;
   bool mIsKnown = false;
   bool mMustRead = true;
   bool mIsReached = false;
--- a/src/currantshed/store/registration.cpp
+++ b/src/currantshed/store/registration.cpp
@@ -122,8 +122,7 @@
                 }
                 mIsCalling = false;
                 if (aError == errc::kNoLease) {
-                  mLease = 0;
-                  mValidUntil = {};
+                  Lapsed();
                   return;
                 }
                 if (aError) {
@@ -155,11 +154,11 @@
                   mIsCalling = false;
                   switch (aOutcome) {
                     case commit_outcome::kApplied:
+                      mIsWritten = true;
                       mBackoff.Reset();
                       break;
                     case commit_outcome::kNoLease:
-                      mLease = 0;
-                      mValidUntil = {};
+                      Lapsed();
                       break;
                     case commit_outcome::kConflict:
                       // The view has yet to show what stands there now.
@@ -173,6 +172,15 @@
                 });
 }
 
+// The lease has ended, and the key is gone with it.
+void
+registration::Lapsed()
+{
+  mLease = 0;
+  mValidUntil = {};
+  mIsWritten = false;
+}
+
 void
 registration::Failed(clock::time_point aNow)
 {
--- a/src/currantshed/store/registration.hpp
+++ b/src/currantshed/store/registration.hpp
@@ -58,10 +58,14 @@
   /// view tells.
   [[nodiscard]] bool IsListed() const;
 
+  /// Whether the store has taken the key under the present lease.
+  [[nodiscard]] bool IsWritten() const noexcept { return mIsWritten; }
+
 private:
   void Grant(clock::time_point aNow);
   void Renew(clock::time_point aNow);
   void Write(clock::time_point aNow);
+  void Lapsed();
   void Failed(clock::time_point aNow);
 
   key_value& mStore;
@@ -78,6 +82,7 @@
   clock::time_point mWriteSeenBy{};
   bool mIsCalling = false;
   bool mIsEnded = false;
+  bool mIsWritten = false;
   double mRandom = 0;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
