A silent primary's failures are counted

Cause: hearing again of the same old answer reset the count of failures, so a dark primary was found vacant after 3.8 s instead of lost. Ruled out: other VMs that still reach it (their last word was as old). Change: only a newer answer counts as hearing.

--- a/src/currantshed/lead/server_table.cpp
+++ b/src/currantshed/lead/server_table.cpp
@@ -47,7 +47,7 @@
 server_table::Heard(const upstream::server_id& aServer, clock::time_point aAt)
 {
   auto* view = Find(aServer);
-  if (view != nullptr && aAt >= view->heardAt) {
+  if (view != nullptr && aAt > view->heardAt) {
     view->heardAt = aAt;
     view->failures = 0;
   }
