Random sessions against a model of a group; servers kept while entries lapse

Ruled out: staleness after promotions, which three findings of the model seemed to show: each was the model's (positions without the record's term). Change: news from a VM that is behind prove nothing; a server is kept 3 s beyond its entry; only statements that need a server learn of the loss. The test plays callers with random statements against engines, relays and a group that loses its primary, and checks values, prepared names, transactions, freshness, fates and states.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -29,6 +29,9 @@
 constexpr milliseconds kLeaseReserve{ 500 };
 // After this time a VM takes callers though a group has no primary.
 constexpr milliseconds kReadyWithoutProof{ 1500 };
+// How much longer than its listing a server is kept: entries of servers that
+// live come back within two seconds after the store was away.
+constexpr milliseconds kMissingGrace{ 3000 };
 
 clock::time_point
 Now()
@@ -257,6 +260,7 @@
                  { { "key", key }, { "reason", whyNot } });
     }
   }
+  KeepMissing(servers, aNow);
   if (servers == mServers) {
     return;
   }
@@ -283,6 +287,32 @@
   Perform(aNow);
 }
 
+// Entries of servers that live may lapse while the store is away, and are back
+// soon after; until then the servers are kept.
+void
+control::KeepMissing(std::vector<proxy::server>& aServers,
+                     clock::time_point aNow)
+{
+  for (const auto& one : aServers) {
+    mMissing.erase(one.id);
+  }
+  for (const auto& old : mServers) {
+    const bool listed =
+      std::any_of(aServers.begin(), aServers.end(), [&old](const auto& aOne) {
+        return aOne.id == old.id;
+      });
+    if (listed) {
+      continue;
+    }
+    const auto since = mMissing.try_emplace(old.id, aNow).first->second;
+    if (aNow - since < kMissingGrace) {
+      aServers.push_back(old);
+    } else {
+      mMissing.erase(old.id);
+    }
+  }
+}
+
 void
 control::OwnKeysChanged(clock::time_point aNow)
 {
@@ -330,6 +360,13 @@
 {
   const auto now = Now();
   TickStore(now);
+  const bool waned =
+    std::any_of(mMissing.begin(), mMissing.end(), [now](const auto& aEntry) {
+      return now - aEntry.second >= kMissingGrace;
+    });
+  if (waned) {
+    ServersChanged(now);
+  }
   for (auto& [service, one] : mGroups) {
     KeepDuty(service, *one, now);
     one->lead.SetMayAsk(mRegistration.IsWritten());
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -88,6 +88,8 @@
 
   void ConfigurationChanged();
   void ServersChanged(clock::time_point aNow);
+  void KeepMissing(std::vector<proxy::server>& aServers,
+                   clock::time_point aNow);
   void OwnKeysChanged(clock::time_point aNow);
   void NoteStore(const std::string& aWhat,
                  bool aIsReached,
@@ -156,6 +158,8 @@
   absl::btree_map<std::string, clock::time_point> mKnownVms;
   std::uint64_t mVersion = 0;
   std::vector<proxy::server> mServers;
+  // Servers that are listed no longer, and since when.
+  absl::btree_map<upstream::server_id, clock::time_point> mMissing;
   groups mGroups;
   absl::flat_hash_map<std::string, std::optional<clock::time_point>> mHeard;
   clock::time_point mStartedAt;
--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -32,6 +32,21 @@
   return aAsked.kind == statement_kind::kWrite;
 }
 
+// Whether a server must run it; all else is answered here.
+bool
+NeedsServer(statement_kind aKind)
+{
+  switch (aKind) {
+    case statement_kind::kCommit:
+    case statement_kind::kRead:
+    case statement_kind::kWrite:
+    case statement_kind::kExecute:
+      return true;
+    default:
+      return false;
+  }
+}
+
 } // namespace
 
 engine::engine(const engine_settings& aSettings,
@@ -58,16 +73,14 @@
 engine::SetServers(const std::vector<server>& aServers, clock::time_point aNow)
 {
   for (auto& [id, state] : mServers) {
-    if (!state.missingSince) {
-      state.missingSince = aNow;
-    }
+    state.unlisted = true;
   }
   for (const auto& listed : aServers) {
     const bool isNear = listed.failureDomain == mSettings.failureDomain;
     const auto [place, added] = mServers.try_emplace(listed.id, listed, isNear);
     auto& state = place->second;
     state.listed = listed;
-    state.missingSince.reset();
+    state.unlisted = false;
     if (added) {
       MakePlan(state);
       mNextUpkeep = aNow;
@@ -301,7 +314,7 @@
     }
   }
   if (aSession.transaction && aSession.transaction->lost &&
-      aAsked.kind != statement_kind::kRollback) {
+      NeedsServer(aAsked.kind)) {
     AnswerLost(aSession, aAsked, aNow);
     return;
   }
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -342,7 +342,7 @@
   if (id == aLead.proof.primary) {
     return Leads(aLead, id, aNow + kConfirmationReserve);
   }
-  if (aServer.listed.draining || aServer.missingSince) {
+  if (aServer.listed.draining || aServer.unlisted) {
     return false;
   }
   if (!aRequest.floor.position) {
--- a/src/currantshed/proxy/engine_orders.cpp
+++ b/src/currantshed/proxy/engine_orders.cpp
@@ -17,9 +17,6 @@
 // few, those through other VMs cost little.
 constexpr milliseconds kBorrowedIdle{ 1500 };
 constexpr milliseconds kRelayIdle{ 10000 };
-// How much longer than its listing a server is kept: entries of servers that
-// live come back within two seconds after the store was away.
-constexpr milliseconds kMissingGrace{ 2500 };
 
 } // namespace
 
@@ -129,8 +126,6 @@
   std::vector<connection*> ended;
   std::vector<upstream::server_id> gone;
   for (auto& [id, state] : mServers) {
-    const bool isGone =
-      state.missingSince && aNow - *state.missingSince > kMissingGrace;
     auto count = state.connections.size();
     auto direct = state.Count(true);
     const std::size_t kept = state.plan.holds ? 1 : 0;
@@ -143,7 +138,7 @@
       const bool spare = one->IsDirect()
                            ? direct > kept && idleFor > kBorrowedIdle
                            : idleFor > kRelayIdle;
-      const bool unused = one->IsIdle() && (isGone || one->retiring);
+      const bool unused = one->IsIdle() && (state.unlisted || one->retiring);
       if (slow || silent) {
         GiveUp(state, *one, aNow, slow ? "opening_timeout" : "silent");
       }
@@ -153,7 +148,7 @@
         direct -= one->IsDirect() ? 1 : 0;
       }
     }
-    if (isGone && count == 0) {
+    if (state.unlisted && count == 0) {
       gone.push_back(id);
     }
   }
@@ -165,7 +160,7 @@
     mServers.erase(id);
   }
   for (auto& [id, state] : mServers) {
-    const bool wanted = !state.missingSince && !state.listed.draining;
+    const bool wanted = !state.unlisted && !state.listed.draining;
     if (wanted && state.connections.empty() && state.plan.holds &&
         state.MayOpenDirect(state.plan.connections, aNow)) {
       OpenConnection(state, path{}, aNow);
--- a/src/currantshed/proxy/server_state.hpp
+++ b/src/currantshed/proxy/server_state.hpp
@@ -69,8 +69,8 @@
 
   server listed;
   access_plan plan;
-  /// Set while the platform does not list it any longer.
-  std::optional<clock::time_point> missingSince;
+  /// The platform does not list it any longer; it goes once it is idle.
+  bool unlisted = false;
   std::vector<std::unique_ptr<connection>> connections;
   std::optional<position::log_position> applied;
   clock::time_point heardAt;
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -48,8 +48,8 @@
 void
 prefix_view::HeardOf(revision aChange, clock::time_point aNow)
 {
+  // One that is behind itself proves nothing.
   if (aChange <= mSeen || !mIsKnown) {
-    mBehindSince.reset();
     return;
   }
   if (!mBehindSince) {
--- /dev/null
+++ b/test/currantshed/proxy/world.cpp
@@ -0,0 +1,668 @@
+#include "test/currantshed/proxy/world.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace currantshed::test {
+
+using namespace std::chrono_literals;
+using proxy::command_kind;
+using proxy::failure_code;
+using proxy::statement_kind;
+using proxy::transaction_state;
+
+namespace {
+
+constexpr auto kValidity = 1000ms;
+constexpr auto kHop = 1ms;
+constexpr auto kProofInterval = 300ms;
+constexpr auto kFollowInterval = 20ms;
+
+std::string
+VmName(std::size_t aVm)
+{
+  return "vm-" + std::to_string(aVm);
+}
+
+} // namespace
+
+void
+timeline::At(clock::time_point aTime, std::function<void()> aWhat)
+{
+  mEvents.push({ std::max(aTime, mNow), ++mLast, std::move(aWhat) });
+}
+
+void
+timeline::RunUntil(clock::time_point aEnd)
+{
+  while (!mEvents.empty() && mEvents.top().at <= aEnd) {
+    auto next = mEvents.top();
+    mEvents.pop();
+    mNow = next.at;
+    next.what();
+  }
+  mNow = aEnd;
+}
+
+/// A connection to a fake server. Commands run one after the other.
+class fake_link final : public proxy::upstream_link
+{
+public:
+  fake_link(world& aWorld, std::string aServer, proxy::link_listener& aListener)
+    : mWorld(aWorld)
+    , mServer(std::move(aServer))
+    , mListener(&aListener)
+  {
+    mWorld.Time().After(kHop, Guarded([this] { Opened(); }));
+  }
+  fake_link(const fake_link&) = delete;
+  fake_link& operator=(const fake_link&) = delete;
+  ~fake_link() override
+  {
+    *mAlive = false;
+    if (auto* server = mWorld.Find(mServer)) {
+      server->links.erase(this);
+    }
+  }
+
+  void Send(const std::vector<proxy::command>& aCommands) override
+  {
+    for (const auto& one : aCommands) {
+      mWorld.Time().After(kHop, Guarded([this, one] { Run(one); }));
+    }
+  }
+
+  void Break(proxy::link_end aWhy)
+  {
+    if (auto* listener = std::exchange(mListener, nullptr)) {
+      listener->Ended(aWhy, mWorld.Time().Now());
+    }
+  }
+
+private:
+  std::function<void()> Guarded(std::function<void()> aWhat)
+  {
+    return [alive = mAlive, what = std::move(aWhat)] {
+      if (*alive) {
+        what();
+      }
+    };
+  }
+
+  void Opened()
+  {
+    auto* server = mWorld.Find(mServer);
+    if (server == nullptr || !server->up) {
+      Break(proxy::link_end::kUnreachable);
+    } else if (mWorld.Chance(mWorld.Rates().refusedLink)) {
+      Break(proxy::link_end::kServerFull);
+    } else {
+      server->links.insert(this);
+      mListener->Opened(server->At(), mWorld.Time().Now());
+    }
+  }
+
+  void Run(const proxy::command& aCommand)
+  {
+    auto* server = mWorld.Find(mServer);
+    if (mListener == nullptr || server == nullptr || !server->up) {
+      return;
+    }
+    if (mWorld.Chance(mWorld.Rates().brokenLink)) {
+      Break(proxy::link_end::kBroken);
+      return;
+    }
+    proxy::answer made;
+    Carry(aCommand, *server, made);
+    made.state = !mOpen ? transaction_state::kIdle
+                        : (mFailed ? transaction_state::kFailed
+                                   : transaction_state::kOpen);
+    made.position = server->At();
+    if (mWorld.Chance(mWorld.Rates().lostAnswer)) {
+      return;
+    }
+    const auto work = std::chrono::milliseconds{ 1 + mWorld.Random()() % 12 };
+    mBusyUntil = std::max(mBusyUntil, mWorld.Time().Now()) + work;
+    mWorld.Time().At(mBusyUntil, Guarded([this, made] {
+                       if (mListener != nullptr) {
+                         mListener->Answered(made, mWorld.Time().Now());
+                       }
+                     }));
+  }
+
+  static void Refuse(proxy::answer& aOut, failure_code aCode)
+  {
+    aOut.failed = proxy::failure{ aCode, "" };
+  }
+
+  void Carry(const proxy::command& aCommand,
+             fake_group::server& aServer,
+             proxy::answer& aOut)
+  {
+    switch (aCommand.kind) {
+      case command_kind::kReset:
+        mValues.clear();
+        mPrepared.clear();
+        return;
+      case command_kind::kSet:
+        mValues[aCommand.name] = aCommand.argument;
+        return;
+      case command_kind::kPrepare:
+        mPrepared[aCommand.name] = { aCommand.argument, aCommand.writes };
+        return;
+      case command_kind::kBegin:
+      case command_kind::kBeginReadOnly:
+        Begin(aCommand, aServer, aOut);
+        return;
+      case command_kind::kRollback:
+        EndTransaction();
+        return;
+      case command_kind::kVerbatim:
+      case command_kind::kExecute:
+        Statement(aCommand, aServer, aOut);
+        return;
+      default:
+        return;
+    }
+  }
+
+  void Begin(const proxy::command& aCommand,
+             fake_group::server& aServer,
+             proxy::answer& aOut)
+  {
+    if (mOpen) {
+      mWorld.Wrong("a transaction begins inside another one");
+    }
+    if (aCommand.floor && !aServer.Has(*aCommand.floor)) {
+      Refuse(aOut, failure_code::kLagging);
+    } else if (aCommand.kind == command_kind::kBegin && !aServer.leads) {
+      Refuse(aOut, failure_code::kReadOnly);
+    } else if (mWorld.Chance(mWorld.Rates().busy)) {
+      Refuse(aOut, failure_code::kBusy);
+    } else {
+      mOpen = true;
+      mReadOnly = aCommand.kind == command_kind::kBeginReadOnly;
+      mBegunAt = aServer.applied;
+    }
+  }
+
+  void EndTransaction()
+  {
+    mOpen = false;
+    mFailed = false;
+    mCaller = 0;
+    mTransaction = 0;
+    mPending.clear();
+  }
+
+  void Statement(const proxy::command& aCommand,
+                 fake_group::server& aServer,
+                 proxy::answer& aOut)
+  {
+    if (mFailed) {
+      Refuse(aOut, failure_code::kMalformed);
+      return;
+    }
+    const auto& from = mWorld.known[aCommand.id];
+    CheckSession(aCommand, from);
+    const bool isCommit = aCommand.text == "COMMIT";
+    bool writes = aCommand.text.starts_with("WRITE");
+    if (aCommand.kind == command_kind::kExecute) {
+      const auto found = mPrepared.find(aCommand.name);
+      if (found == mPrepared.end()) {
+        Refuse(aOut, failure_code::kNoStatement);
+        return;
+      }
+      if (found->second.first != from.shape) {
+        mWorld.Wrong("a prepared name runs another shape");
+      }
+      writes = found->second.second;
+    }
+    if (mWorld.Chance(mWorld.Rates().busy)) {
+      Refuse(aOut, failure_code::kBusy);
+      mFailed = mOpen;
+      return;
+    }
+    if (aCommand.floor && !aServer.Has(*aCommand.floor)) {
+      Refuse(aOut, failure_code::kLagging);
+      return;
+    }
+    if ((writes && !aServer.leads) || (mOpen && !mReadOnly && !aServer.leads &&
+                                       !(isCommit && mPending.empty()))) {
+      Refuse(aOut, failure_code::kReadOnly);
+      mFailed = mOpen;
+      return;
+    }
+    Apply(aCommand, from, writes, isCommit, aServer);
+    aOut.rows = { "row-" + aCommand.id };
+    aOut.signature = "signed-" + aCommand.id;
+  }
+
+  void CheckSession(const proxy::command& aCommand, const issued& aFrom)
+  {
+    if (mValues != aFrom.values) {
+      mWorld.Wrong("session values differ for " + aCommand.id);
+    }
+    if (mOpen && mCaller == 0) {
+      mCaller = aFrom.caller;
+      mTransaction = aFrom.transaction;
+    }
+    const bool belongs =
+      mOpen ? aFrom.caller == mCaller && aFrom.transaction == mTransaction
+            : aFrom.transaction == 0;
+    if (!belongs) {
+      mWorld.Wrong("statement " + aCommand.id + " in another transaction");
+    }
+  }
+
+  void Apply(const proxy::command& aCommand,
+             const issued& aFrom,
+             bool aWrites,
+             bool aIsCommit,
+             fake_group::server& aServer)
+  {
+    if (aIsCommit) {
+      if (!mPending.empty()) {
+        Commit(aServer, mPending);
+      }
+      EndTransaction();
+      return;
+    }
+    if (aWrites && mOpen) {
+      mPending.push_back(aCommand.id);
+    } else if (aWrites) {
+      Commit(aServer, { aCommand.id });
+    } else {
+      const auto seen = mOpen ? mBegunAt : aServer.applied;
+      if (seen < aFrom.mustSee) {
+        mWorld.Wrong("read " + aCommand.id + " is stale");
+      }
+    }
+  }
+
+  void Commit(fake_group::server& aServer, const std::vector<std::string>& aIds)
+  {
+    aServer.log.push_back(aServer.leads &&
+                              &aServer == mWorld.Find(mWorld.Group().primary)
+                            ? mWorld.Group().term
+                            : mWorld.Group().term - 1);
+    aServer.applied = aServer.log.size();
+    for (const auto& id : aIds) {
+      ++mWorld.fates[id].committed;
+    }
+  }
+
+  world& mWorld;
+  std::string mServer;
+  proxy::link_listener* mListener;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+  clock::time_point mBusyUntil;
+  proxy::session_values mValues;
+  std::map<std::string, std::pair<std::string, bool>> mPrepared;
+  bool mOpen = false;
+  bool mReadOnly = false;
+  bool mFailed = false;
+  std::uint64_t mCaller = 0;
+  std::uint64_t mTransaction = 0;
+  std::uint64_t mBegunAt = 0;
+  std::vector<std::string> mPending;
+};
+
+/// The engine of one VM, and what it needs.
+class world::vm final
+  : public proxy::link_opener
+  , public proxy::engine_host
+{
+public:
+  vm(world& aWorld, std::size_t aNumber)
+    : mWorld(aWorld)
+    , mNumber(aNumber)
+    , engine(
+        { VmName(aNumber), "domain-" + std::to_string(aNumber % 2), kValidity },
+        *this,
+        *this)
+  {
+  }
+
+  std::unique_ptr<proxy::upstream_link> Open(
+    const proxy::server& aServer,
+    const proxy::path& aVia,
+    proxy::link_listener& aListener) override;
+
+  void NeedsConfirmation(const std::string&) override {}
+  void LeadDenied(const std::string&, position::term_id) override {}
+  void Decided(const proxy::decision&) override {}
+  void Reached(const proxy::server&, bool, std::string_view) override {}
+
+private:
+  world& mWorld;
+  std::size_t mNumber;
+
+public:
+  proxy::engine engine;
+};
+
+namespace {
+
+/// A way to a server through another VM's engine.
+class relay_link final
+  : public proxy::upstream_link
+  , public proxy::caller
+{
+public:
+  relay_link(world& aWorld,
+             proxy::engine& aThrough,
+             const std::string& aServer,
+             proxy::link_listener& aListener)
+    : mWorld(aWorld)
+    , mThrough(aThrough)
+    , mListener(&aListener)
+  {
+    mSession = mThrough.OpenRelay(aServer, *this);
+    mWorld.Time().After(kHop, Guarded([this] {
+                          if (!mSession) {
+                            End();
+                          } else if (mListener != nullptr) {
+                            mListener->Opened(std::nullopt,
+                                              mWorld.Time().Now());
+                          }
+                        }));
+  }
+  relay_link(const relay_link&) = delete;
+  relay_link& operator=(const relay_link&) = delete;
+  ~relay_link() override
+  {
+    *mAlive = false;
+    if (mSession && !mWorld.IsEnding()) {
+      mThrough.Close(*mSession, mWorld.Time().Now());
+    }
+  }
+
+  void Send(const std::vector<proxy::command>& aCommands) override
+  {
+    for (const auto& one : aCommands) {
+      mWorld.Time().After(kHop, Guarded([this, one] {
+                            if (mSession) {
+                              mThrough.Submit(
+                                *mSession, Translate(one), mWorld.Time().Now());
+                            }
+                          }));
+    }
+  }
+
+  void Deliver(const proxy::answer& aAnswer) override
+  {
+    mWorld.Time().After(kHop, Guarded([this, aAnswer] {
+                          if (mListener != nullptr) {
+                            mListener->Answered(aAnswer, mWorld.Time().Now());
+                          }
+                        }));
+  }
+
+  void Close() override
+  {
+    mWorld.Time().After(kHop, Guarded([this] { End(); }));
+  }
+
+private:
+  std::function<void()> Guarded(std::function<void()> aWhat)
+  {
+    return [alive = mAlive, what = std::move(aWhat)] {
+      if (*alive) {
+        what();
+      }
+    };
+  }
+
+  void End()
+  {
+    if (auto* listener = std::exchange(mListener, nullptr)) {
+      listener->Ended(proxy::link_end::kBroken, mWorld.Time().Now());
+    }
+  }
+
+  static proxy::statement Translate(const proxy::command& aCommand)
+  {
+    proxy::statement made;
+    made.id = aCommand.id;
+    made.text = aCommand.text;
+    made.name = aCommand.name;
+    made.argument = aCommand.argument;
+    made.writes = aCommand.writes;
+    made.floor = aCommand.floor;
+    switch (aCommand.kind) {
+      case command_kind::kBegin:
+        made.kind = statement_kind::kBegin;
+        break;
+      case command_kind::kBeginReadOnly:
+        made.kind = statement_kind::kBeginReadOnly;
+        break;
+      case command_kind::kRollback:
+        made.kind = statement_kind::kRollback;
+        break;
+      case command_kind::kReset:
+        made.kind = statement_kind::kReset;
+        break;
+      case command_kind::kSet:
+        made.kind = statement_kind::kSet;
+        break;
+      case command_kind::kPrepare:
+        made.kind = statement_kind::kPrepare;
+        break;
+      case command_kind::kExecute:
+        made.kind = statement_kind::kExecute;
+        break;
+      default:
+        made.kind = aCommand.text == "COMMIT" ? statement_kind::kCommit
+                    : aCommand.text.starts_with("WRITE")
+                      ? statement_kind::kWrite
+                      : statement_kind::kRead;
+        break;
+    }
+    return made;
+  }
+
+  world& mWorld;
+  proxy::engine& mThrough;
+  proxy::link_listener* mListener;
+  std::optional<proxy::engine::session_id> mSession;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+} // namespace
+
+std::unique_ptr<proxy::upstream_link>
+world::vm::Open(const proxy::server& aServer,
+                const proxy::path& aVia,
+                proxy::link_listener& aListener)
+{
+  if (aVia.IsDirect()) {
+    return std::make_unique<fake_link>(mWorld, aServer.id, aListener);
+  }
+  const auto through = std::stoul(aVia.vm.substr(3));
+  return std::make_unique<relay_link>(
+    mWorld, mWorld.Engine(through), aServer.id, aListener);
+}
+
+world::world(std::uint32_t aSeed, const fault_rates& aRates, std::size_t aVms)
+  : mRandom(aSeed)
+  , mRates(aRates)
+{
+  mGroup.service = "group";
+  mGroup.primary = "server-0";
+  for (std::size_t number = 0; number < 3; ++number) {
+    fake_group::server server;
+    server.listed.id = "server-" + std::to_string(number);
+    server.listed.service = mGroup.service;
+    server.listed.failureDomain = "domain-" + std::to_string(number % 2);
+    server.leads = number == 0;
+    mGroup.servers[server.listed.id] = server;
+  }
+  for (std::size_t number = 0; number < aVms; ++number) {
+    mVms.push_back(std::make_unique<vm>(*this, number));
+  }
+}
+
+world::~world()
+{
+  mIsEnding = true;
+}
+
+proxy::engine&
+world::Engine(std::size_t aVm)
+{
+  return mVms[aVm]->engine;
+}
+
+bool
+world::Chance(unsigned aOfThousand)
+{
+  return mRandom() % 1000 < aOfThousand;
+}
+
+fake_group::server*
+world::Find(const std::string& aServer)
+{
+  const auto found = mGroup.servers.find(aServer);
+  return found == mGroup.servers.end() ? nullptr : &found->second;
+}
+
+void
+world::Configure(unsigned aMostConnections)
+{
+  auto made = std::make_shared<proxy::configuration>();
+  made->version = 1;
+  proxy::service service{ mGroup.service, aMostConnections };
+  made->services[mGroup.service] = service;
+  const std::pair<const char*, proxy::read_policy> routes[] = {
+    { "db-primary", proxy::read_policy::kPrimary },
+    { "db-bounded", proxy::read_policy::kBoundedStaleness },
+    { "db-own", proxy::read_policy::kReadYourWrites },
+  };
+  for (const auto& [name, policy] : routes) {
+    proxy::route route;
+    route.name = name;
+    route.database = name;
+    route.service = mGroup.service;
+    route.policy = policy;
+    route.maxStaleness = 1500ms;
+    route.statementTimeout = 800ms;
+    made->routes[name] = std::make_shared<proxy::route>(route);
+  }
+  std::vector<proxy::server> servers;
+  for (const auto& [id, server] : mGroup.servers) {
+    servers.push_back(server.listed);
+  }
+  std::vector<proxy::fleet_vm> fleet;
+  for (std::size_t number = 0; number < mVms.size(); ++number) {
+    fleet.push_back({ VmName(number),
+                      "domain-" + std::to_string(number % 2),
+                      "127.0.0.1",
+                      1,
+                      false });
+  }
+  for (std::size_t number = 0; number < mVms.size(); ++number) {
+    auto& engine = Engine(number);
+    engine.SetConfiguration(made, mTime.Now());
+    engine.SetFleet(fleet, mTime.Now());
+    engine.SetServers(servers, mTime.Now());
+    Drive(number);
+  }
+  Prove();
+  Follow();
+}
+
+void
+world::Drive(std::size_t aVm)
+{
+  Engine(aVm).Tick(mTime.Now());
+  mTime.At(std::max(Engine(aVm).NextTick(), mTime.Now() + 1ms),
+           [this, aVm] { Drive(aVm); });
+}
+
+// Replicas receive at once, and apply some time later.
+void
+world::Follow()
+{
+  const auto& primary = *Find(mGroup.primary);
+  for (auto& [id, server] : mGroup.servers) {
+    if (!server.leads && server.up && Chance(700)) {
+      server.applied =
+        std::min<std::uint64_t>(server.log.size(), primary.log.size());
+      server.log = primary.log;
+    }
+  }
+  mTime.After(kFollowInterval, [this] { Follow(); });
+}
+
+void
+world::Prove()
+{
+  auto* primary = Find(mGroup.primary);
+  if (mGroup.proofs && primary->up) {
+    mGroup.provedAt = mTime.Now();
+    const proxy::confirmation proof{ mGroup.term, mGroup.primary, mTime.Now() };
+    mTime.After(2 * kHop, [this, proof] {
+      for (auto& one : mVms) {
+        one->engine.Confirm(mGroup.service, proof, mTime.Now());
+      }
+    });
+  }
+  mTime.After(kProofInterval, [this] { Prove(); });
+}
+
+void
+world::LosePrimary()
+{
+  mGroup.proofs = false;
+  const auto old = mGroup.primary;
+  // Half of the time the old primary lives on and believes that it leads.
+  const bool dies = Chance(500);
+  if (dies) {
+    Find(old)->up = false;
+    const auto links = Find(old)->links;
+    for (auto* link : links) {
+      link->Break(proxy::link_end::kBroken);
+    }
+  }
+  mTime.At(mGroup.provedAt + kValidity, [this, old] {
+    fake_group::server* best = nullptr;
+    for (auto& [id, server] : mGroup.servers) {
+      const bool usable = id != old && server.up;
+      if (usable && (best == nullptr || server.log.size() > best->log.size())) {
+        best = &server;
+      }
+    }
+    if (best == nullptr) {
+      return;
+    }
+    ++mGroup.term;
+    best->leads = true;
+    best->applied = best->log.size();
+    mGroup.primary = best->listed.id;
+    // Servers that were ahead are cut back.
+    for (auto& [id, server] : mGroup.servers) {
+      if (id != old) {
+        server.log.resize(std::min(server.log.size(), best->log.size()));
+        server.applied =
+          std::min<std::uint64_t>(server.applied, server.log.size());
+      }
+    }
+    // What was acknowledged and rolled back need not be seen any more.
+    const std::uint64_t base = best->log.size();
+    bases[mGroup.term] = base;
+    for (auto& [at, position] : acknowledged) {
+      position = std::min(position, base);
+    }
+    mGroup.proofs = true;
+    mTime.After(500ms, [this, old, base] {
+      auto* back = Find(old);
+      back->up = true;
+      back->leads = false;
+      back->log = Find(mGroup.primary)->log;
+      back->applied = std::min<std::uint64_t>(back->applied, base);
+    });
+  });
+}
+
+} // namespace currantshed::test
