--- a/src/currantshed/lead/group_lead.cpp
+++ b/src/currantshed/lead/group_lead.cpp
@@ -313,7 +313,14 @@
       aNow - primary->heardAt < mSettings.silentAfter) {
     return false;
   }
-  return std::none_of(mReach.begin(), mReach.end(), [&](const auto& aEntry) {
+  return !IsReachedElsewhere(aNow);
+}
+
+// Whether another VM has heard the primary lately.
+bool
+group_lead::IsReachedElsewhere(clock::time_point aNow) const
+{
+  return std::any_of(mReach.begin(), mReach.end(), [&](const auto& aEntry) {
     const auto& news = aEntry.second.news;
     return news.primary == mProof.primary && aNow - news.heardAt < kReachLife;
   });
@@ -334,7 +341,8 @@
   const bool unlisted =
     mProof.term == 0 || mTable.Find(mProof.primary) == nullptr;
   const bool stale = aNow - mProof.askedAt > kVacantAfter;
-  if (leads || answering < mTable.Majority() || !(unlisted || stale)) {
+  if (leads || answering < mTable.Majority() || !(unlisted || stale) ||
+      IsReachedElsewhere(aNow)) {
     mVacantSince.reset();
     return false;
   }
@@ -429,7 +437,7 @@
     if (view.report->isPrimary && view.report->term < mProof.term) {
       order.kind = proxy::command_kind::kDemote;
       order.term = mProof.term;
-    } else if (view.report->fencedAt > mProof.term) {
+    } else if (view.report->fencedAt >= mProof.term) {
       order.kind = proxy::command_kind::kUnfence;
     } else {
       continue;
--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -136,6 +136,7 @@
   void CheckObedience();
   [[nodiscard]] bool WantsProof(clock::time_point aNow) const;
   [[nodiscard]] bool IsLost(clock::time_point aNow) const;
+  [[nodiscard]] bool IsReachedElsewhere(clock::time_point aNow) const;
   [[nodiscard]] bool IsVacant(clock::time_point aNow);
   [[nodiscard]] const member_view* Witness(clock::time_point aNow) const;
 
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -149,6 +149,11 @@
   , mTicker(mContext, [this] { Tick(); })
 {
   mRegistration.SetValue(PrintVm(mSelf));
+  mRegistration.OnRegained([this] {
+    mConfigurationView.Renew();
+    mServersView.Renew();
+    mOwnView.Renew();
+  });
 }
 
 control::~control()
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -55,7 +55,15 @@
   if (!mBehindSince) {
     mBehindSince = aNow;
   }
-  if (mIsCalling && !mMustRead && aNow - *mBehindSince > mSettings.patience) {
+  if (aNow - *mBehindSince > mSettings.patience) {
+    Renew();
+  }
+}
+
+void
+prefix_view::Renew()
+{
+  if (mIsCalling && !mMustRead) {
     mMustRead = true;
     mStore.CancelWatch(mPrefix);
   }
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -19,7 +19,7 @@
 {
   /// How long one watch waits. Long, since each call has its price; a dead
   /// connection is noticed by the transport.
-  std::chrono::milliseconds wait{ 25000 };
+  std::chrono::milliseconds wait{ 12000 };
   /// Pause after a change, so that several in a row cost one call.
   std::chrono::milliseconds afterChange{ 120 };
   /// How long another VM's word that there is more may precede the own watch.
@@ -61,6 +61,10 @@
   /// any sign of it; then it is given up, and the keys are read again.
   void HeardOf(revision aChange, clock::time_point aNow);
 
+  /// The store was away, and is back: a watch made meanwhile may never be
+  /// answered, so the keys are read again.
+  void Renew();
+
   /// The newest change seen.
   [[nodiscard]] revision Changed() const noexcept { return mChanged; }
 
--- a/src/currantshed/store/registration.cpp
+++ b/src/currantshed/store/registration.cpp
@@ -102,7 +102,7 @@
                    Failed(aDone);
                    return;
                  }
-                 mBackoff.Reset();
+                 Answered();
                  mLease = aLease;
                  mValidUntil = aNow + mSettings.ttl;
                  mRenewAt = aNow + mSettings.renewAfter;
@@ -122,6 +122,7 @@
                 }
                 mIsCalling = false;
                 if (aError == errc::kNoLease) {
+                  Answered();
                   Lapsed();
                   return;
                 }
@@ -129,7 +130,7 @@
                   Failed(aDone);
                   return;
                 }
-                mBackoff.Reset();
+                Answered();
                 mValidUntil = aNow + mSettings.ttl;
                 mRenewAt = aNow + mSettings.renewAfter;
               });
@@ -155,7 +156,7 @@
                   switch (aOutcome) {
                     case commit_outcome::kApplied:
                       mIsWritten = true;
-                      mBackoff.Reset();
+                      Answered();
                       break;
                     case commit_outcome::kNoLease:
                       Lapsed();
@@ -181,9 +182,25 @@
   mIsWritten = false;
 }
 
+void
+registration::OnRegained(std::function<void()> aRegained)
+{
+  mRegained = std::move(aRegained);
+}
+
+void
+registration::Answered()
+{
+  mBackoff.Reset();
+  if (std::exchange(mIsFailing, false) && mRegained) {
+    mRegained();
+  }
+}
+
 void
 registration::Failed(clock::time_point aNow)
 {
+  mIsFailing = true;
   mNotBefore = aNow + mBackoff.Next(mRandom);
 }
 
--- a/src/currantshed/store/registration.hpp
+++ b/src/currantshed/store/registration.hpp
@@ -2,6 +2,7 @@
 #define CURRANTSHED_STORE_REGISTRATION_HPP
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -42,6 +43,10 @@
   /// What the key is to hold.
   void SetValue(std::string aValue);
 
+  /// Has the callback called whenever the store answers again after calls
+  /// that failed.
+  void OnRegained(std::function<void()> aRegained);
+
   /// Ends the lease, and with it the key.
   void End();
 
@@ -66,6 +71,7 @@
   void Renew(clock::time_point aNow);
   void Write(clock::time_point aNow);
   void Lapsed();
+  void Answered();
   void Failed(clock::time_point aNow);
 
   key_value& mStore;
@@ -83,6 +89,8 @@
   bool mIsCalling = false;
   bool mIsEnded = false;
   bool mIsWritten = false;
+  bool mIsFailing = false;
+  std::function<void()> mRegained;
   double mRandom = 0;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/test/currantshed/lead/group_lead.cpp
@@ -0,0 +1,364 @@
+#include "currantshed/lead/group_lead.hpp"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+using namespace std::chrono_literals;
+using lead::group_lead;
+using proxy::command_kind;
+
+namespace {
+
+constexpr clock::time_point kStart{ 1h };
+constexpr auto kStep = 10ms;
+
+/// One server as the lead sees it through its answers.
+struct fake_server
+{
+  bool answers = true;
+  bool primary = false;
+  position::term_id term = 1;
+  position::log_position received{ 1, 10 };
+  position::term_id fencedAt = 0;
+};
+
+/// A group, its lead at one VM, and the platform that promotes.
+class bench
+{
+public:
+  bench()
+    : lead({})
+  {
+    servers["a"].primary = true;
+    servers["b"];
+    servers["c"];
+    lead.Configure({ { "a" }, { "b" }, { "c" } }, now);
+  }
+
+  /// Lets time pass, answering at once what is asked.
+  void Run(std::chrono::milliseconds aSpan)
+  {
+    for (const auto end = now + aSpan; now < end; now += kStep) {
+      lead.Tick(now);
+      Perform();
+      if (promoting != clock::time_point{} && now >= promoting) {
+        Lead();
+      }
+      if (everyStep) {
+        everyStep();
+      }
+    }
+  }
+
+  [[nodiscard]] int Count(command_kind aKind) const
+  {
+    const auto found = asked.find(aKind);
+    return found == asked.end() ? 0 : found->second;
+  }
+
+  group_lead lead;
+  clock::time_point now = kStart;
+  std::map<std::string, fake_server> servers;
+  std::map<command_kind, int> asked;
+  std::vector<std::string> promoted;
+  std::vector<position::term_id> revocations;
+  std::vector<proxy::confirmation> proofs;
+  bool takesOrders = true;
+  bool rejectsFirst = false;
+  /// The VMs that the store lists; none while it does not answer.
+  std::optional<std::vector<std::string>> vms{ std::vector<std::string>{} };
+  std::function<void()> everyStep;
+  clock::time_point promoting{};
+
+private:
+  void Perform()
+  {
+    for (auto actions = lead.TakeActions(); !actions.empty();
+         actions = lead.TakeActions()) {
+      for (const auto& action : actions) {
+        std::visit([this](const auto& aOne) { Do(aOne); }, action);
+      }
+    }
+  }
+
+  void Do(const lead::ask_server& aAction)
+  {
+    ++asked[aAction.what.kind];
+    auto& server = servers[aAction.server];
+    if (!server.answers) {
+      lead.ServerFailed(aAction.server, std::nullopt, now);
+      return;
+    }
+    switch (aAction.what.kind) {
+      case command_kind::kFence:
+        server.fencedAt = aAction.what.term;
+        break;
+      case command_kind::kUnfence:
+        server.fencedAt = 0;
+        break;
+      case command_kind::kDemote:
+        server.primary = false;
+        break;
+      default:
+        break;
+    }
+    proxy::server_report report;
+    report.isPrimary = server.primary;
+    report.term = server.term;
+    report.received = server.received;
+    report.fencedAt = server.fencedAt;
+    lead.ServerAnswered(aAction.server, report, now, now);
+  }
+
+  void Do(const lead::order_promotion& aAction)
+  {
+    if (!takesOrders) {
+      lead.PromotionAnswered(false, false, now);
+      return;
+    }
+    const bool rejects = rejectsFirst && promoted.empty();
+    promoted.push_back(aAction.server);
+    if (!rejects) {
+      promoting = now + 300ms;
+    }
+    lead.PromotionAnswered(!rejects, rejects, now);
+  }
+
+  void Do(const lead::list_vms&)
+  {
+    if (vms) {
+      lead.VmsListed(*vms, now, now);
+    }
+  }
+
+  void Do(const lead::publish_proof& aAction)
+  {
+    proofs.push_back(aAction.proof);
+  }
+
+  void Do(const lead::publish_sample&) {}
+
+  void Do(const lead::publish_revocation& aAction)
+  {
+    revocations.push_back(aAction.term);
+  }
+
+  void Do(const lead::note_step&) {}
+
+  void Lead()
+  {
+    auto& server = servers[promoted.back()];
+    server.primary = true;
+    server.fencedAt = 0;
+    server.term = 2;
+    promoting = {};
+  }
+};
+
+struct watch_row
+{
+  const char* name;
+  std::function<void(bench&)> given;
+  /// The server promoted in the end, or empty.
+  std::string promoted;
+  /// Bounds on the time until then.
+  std::chrono::milliseconds atLeast;
+  std::chrono::milliseconds atMost;
+};
+
+void
+ReachOf(bench& aBench, const char* aVm, position::term_id aObeyed)
+{
+  aBench.lead.HeardReach(
+    aVm, { 1, "a", aBench.now, aObeyed, aBench.now }, aBench.now);
+}
+
+const watch_row kWatchRows[] = {
+  { "a healthy primary stays", [](bench&) {}, "", 0ms, 0ms },
+  { "a silent one is replaced by the longest log",
+    [](bench& aBench) {
+      aBench.servers["a"].answers = false;
+      aBench.servers["c"].received = { 1, 11 };
+    },
+    "c",
+    600ms,
+    1600ms },
+  { "a silent one that another VM reaches stays",
+    [](bench& aBench) {
+      aBench.servers["a"].answers = false;
+      aBench.everyStep = [&aBench] { ReachOf(aBench, "vm-2", 0); };
+    },
+    "",
+    0ms,
+    0ms },
+  { "with a VM that does not obey, its proofs run out first",
+    [](bench& aBench) {
+      aBench.servers["a"].answers = false;
+      aBench.vms = { { "vm-2" } };
+    },
+    "b",
+    1600ms,
+    2600ms },
+  { "with the list of VMs unknown as well",
+    [](bench& aBench) {
+      aBench.servers["a"].answers = false;
+      aBench.vms.reset();
+    },
+    "b",
+    1600ms,
+    2600ms },
+  { "with a VM that obeys at once, nothing is waited for",
+    [](bench& aBench) {
+      aBench.servers["a"].answers = false;
+      aBench.vms = { { "vm-2" } };
+      aBench.everyStep = [&aBench] {
+        const bool told =
+          !aBench.revocations.empty() && aBench.revocations.back() == 1;
+        aBench.lead.HeardReach(
+          "vm-2", { 1, "", {}, told ? 1U : 0U, aBench.now }, aBench.now);
+      };
+    },
+    "b",
+    600ms,
+    1600ms },
+  { "one of three alone changes nothing while a VM may hold a proof",
+    [](bench& aBench) {
+      aBench.servers["a"].answers = false;
+      aBench.servers["b"].answers = false;
+      aBench.vms = { { "vm-2" } };
+    },
+    "",
+    0ms,
+    0ms },
+  { "a draining primary hands over to a server that has all it had",
+    [](bench& aBench) {
+      aBench.servers["a"].received = { 1, 20 };
+      aBench.servers["c"].received = { 1, 20 };
+      aBench.lead.Configure({ { "a", false, true }, { "b" }, { "c" } },
+                            aBench.now);
+    },
+    "c",
+    0ms,
+    1000ms },
+  { "a server that the platform rejects is passed over",
+    [](bench& aBench) {
+      aBench.servers["a"].answers = false;
+      aBench.servers["b"].received = { 1, 11 };
+      aBench.rejectsFirst = true;
+    },
+    "c",
+    600ms,
+    1900ms },
+  { "a group without any primary gets one",
+    [](bench& aBench) { aBench.servers["a"].primary = false; },
+    "a",
+    1200ms,
+    4500ms },
+};
+
+} // namespace
+
+TEST_GROUP(group_lead){};
+
+TEST(group_lead, watches_and_replaces)
+{
+  for (const auto& row : kWatchRows) {
+    bench made;
+    made.lead.SetDuty(true, 7, made.now);
+    made.Run(2000ms);
+    CHECK_TEXT(made.promoted.empty(), row.name);
+    CHECK_TEXT(!made.proofs.empty(), row.name);
+    row.given(made);
+    const auto from = made.now;
+    clock::time_point at{};
+    while (made.now < from + 6s) {
+      made.Run(kStep);
+      if (at == clock::time_point{} && made.lead.Proof().term == 2) {
+        at = made.now;
+      }
+    }
+    if (row.promoted.empty()) {
+      CHECK_TEXT(made.promoted.empty(), row.name);
+      continue;
+    }
+    CHECK_TEXT(at != clock::time_point{}, row.name);
+    CHECK_TEXT(made.promoted.back() == row.promoted, row.name);
+    CHECK_TEXT(at - from >= row.atLeast, row.name);
+    CHECK_TEXT(at - from <= row.atMost, row.name);
+    CHECK_TEXT(made.lead.Proof().primary == row.promoted, row.name);
+    CHECK_TEXT(made.revocations.back() == 0, row.name);
+  }
+}
+
+TEST(group_lead, an_old_primary_that_comes_back_steps_down)
+{
+  bench made;
+  made.lead.SetDuty(true, 7, made.now);
+  made.Run(2000ms);
+  made.servers["a"].answers = false;
+  made.Run(3000ms);
+  CHECK(made.lead.Proof().term == 2);
+  made.servers["a"].answers = true;
+  made.Run(3000ms);
+  CHECK(!made.servers["a"].primary);
+  CHECK(made.lead.Proof().primary == "b");
+  // Fences of the change are lifted.
+  CHECK_EQUAL(0, static_cast<int>(made.servers["c"].fencedAt));
+}
+
+TEST(group_lead, a_change_after_a_change_chooses_anew)
+{
+  bench made;
+  made.lead.SetDuty(true, 7, made.now);
+  made.Run(2000ms);
+  made.servers["a"].answers = false;
+  made.Run(3000ms);
+  CHECK(made.promoted.back() == "b");
+  made.servers["a"].answers = true;
+  made.Run(3000ms);
+  made.lead.Configure({ { "a" }, { "b", false, true }, { "c" } }, made.now);
+  made.Run(1000ms);
+  CHECK(made.promoted.back() != "b");
+}
+
+TEST(group_lead, without_the_duty_it_asks_only_on_demand)
+{
+  bench made;
+  made.Run(3000ms);
+  CHECK_EQUAL(0, made.Count(command_kind::kReport));
+  made.lead.Wanted(made.now);
+  made.Run(100ms);
+  CHECK(made.lead.Proof().term == 1);
+  // Those who ask without the right to do so would be unknown to a promoter.
+  bench barred;
+  barred.lead.SetMayAsk(false);
+  barred.lead.Wanted(barred.now);
+  barred.Run(500ms);
+  CHECK_EQUAL(0, barred.Count(command_kind::kReport));
+}
+
+TEST(group_lead, a_revocation_holds_until_lifted_or_old)
+{
+  bench made;
+  const lead::lead_news revokes{ {}, std::nullopt, 1, 9 };
+  made.lead.HeardWatch(revokes, made.now);
+  CHECK(made.lead.Reach(std::nullopt).obeyedTerm == 1);
+  made.lead.Wanted(made.now);
+  made.Run(900ms);
+  CHECK(made.proofs.empty());
+  // An older holder of the duty has no say.
+  made.lead.HeardWatch({ {}, std::nullopt, 0, 8 }, made.now);
+  CHECK(made.lead.Reach(std::nullopt).obeyedTerm == 1);
+  made.lead.HeardWatch({ {}, std::nullopt, 0, 9 }, made.now);
+  CHECK(made.lead.Reach(std::nullopt).obeyedTerm == 0);
+  made.lead.HeardWatch(revokes, made.now);
+  made.Run(5200ms);
+  CHECK(made.lead.Reach(std::nullopt).obeyedTerm == 0);
+}
--- /dev/null
+++ b/test/currantshed/node/duty.cpp
@@ -0,0 +1,117 @@
+#include "currantshed/node/duty.hpp"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+using node::duty_record;
+using node::vm_record;
+
+namespace {
+
+vm_record
+Vm(const std::string& aName, std::uint64_t aIncarnation, bool aLeaving = false)
+{
+  vm_record record;
+  record.where = { aName, "10.0.0.1", 7440 };
+  record.relayPort = 7441;
+  record.failureDomain = "marka";
+  record.incarnation = aIncarnation;
+  record.leaving = aLeaving;
+  return record;
+}
+
+store::prefix_view::items
+Items(const std::vector<vm_record>& aVms,
+      const std::optional<duty_record>& aDuty)
+{
+  store::prefix_view::items items;
+  store::revision revision = 10;
+  for (const auto& vm : aVms) {
+    const auto key = node::VmKey(vm.where.vm);
+    items[key] = { key, node::PrintVm(vm), ++revision, 1 };
+  }
+  if (aDuty) {
+    const auto key = node::DutyKey("group");
+    items[key] = { key, node::PrintDuty(*aDuty), ++revision, 0 };
+  }
+  return items;
+}
+
+struct claim_row
+{
+  const char* name;
+  std::vector<vm_record> vms;
+  std::optional<duty_record> duty;
+  /// Whether some VM claims the duty.
+  bool claims;
+};
+
+const claim_row kRows[] = {
+  { "nobody holds it", { Vm("a", 1), Vm("b", 2) }, std::nullopt, true },
+  { "one that is listed holds it",
+    { Vm("a", 1), Vm("b", 2) },
+    duty_record{ "a", 1, 5 },
+    false },
+  { "the holder is gone", { Vm("b", 2) }, duty_record{ "a", 1, 5 }, true },
+  { "the holder began anew",
+    { Vm("a", 3), Vm("b", 2) },
+    duty_record{ "a", 1, 5 },
+    true },
+  { "the holder leaves",
+    { Vm("a", 1, true), Vm("b", 2) },
+    duty_record{ "a", 1, 5 },
+    true },
+  { "all leave", { Vm("a", 1, true) }, std::nullopt, false },
+};
+
+} // namespace
+
+TEST_GROUP(duty){};
+
+TEST(duty, one_vm_claims_what_nobody_holds)
+{
+  for (const auto& row : kRows) {
+    const auto keys = node::ReadOwnKeys(Items(row.vms, row.duty));
+    int claimers = 0;
+    for (const auto& vm : row.vms) {
+      const bool claims = node::ShouldClaim(keys, "group", vm);
+      CHECK_TEXT(!(claims && vm.leaving), row.name);
+      claimers += claims ? 1 : 0;
+    }
+    CHECK_TEXT(claimers == (row.claims ? 1 : 0), row.name);
+  }
+}
+
+TEST(duty, a_claim_holds_only_over_what_was_seen)
+{
+  const auto items =
+    Items({ Vm("a", 1, true), Vm("b", 2) }, duty_record{ "a", 1, 50 });
+  const auto keys = node::ReadOwnKeys(items);
+  const auto claim = node::ClaimOf(keys, "group", Vm("b", 2), 20);
+  CHECK_EQUAL(2, static_cast<int>(claim.conditions.size()));
+  CHECK(claim.conditions[0].changed ==
+        items.at(node::DutyKey("group")).changed);
+  CHECK(claim.conditions[1].changed == items.at(node::VmKey("a")).changed);
+  const auto made = node::ReadDuty(claim.puts.front());
+  CHECK(made && made->holder == "b" && made->epoch == 51);
+  // A record that was lost still leaves a higher number.
+  const auto fresh =
+    node::ClaimOf(node::ReadOwnKeys({}), "group", Vm("b", 2), 90);
+  CHECK(node::ReadDuty(fresh.puts.front())->epoch == 90);
+  CHECK(fresh.conditions.front().changed == 0);
+}
+
+TEST(duty, what_cannot_be_read_is_left_out)
+{
+  store::prefix_view::items items;
+  for (const char* text :
+       { "", "{", "[]", "{\"vm\":1}", "{\"holder\":\"a\"}" }) {
+    items[node::VmKey("x")] = { node::VmKey("x"), text, 1, 0 };
+    items[node::DutyKey("g")] = { node::DutyKey("g"), text, 1, 0 };
+    const auto keys = node::ReadOwnKeys(items);
+    CHECK(keys.vms.empty() && keys.duties.empty());
+  }
+}
--- /dev/null
+++ b/test/currantshed/store/fake_key_value.hpp
@@ -0,0 +1,201 @@
+#ifndef CURRANTSHED_TEST_STORE_FAKE_KEY_VALUE_HPP
+#define CURRANTSHED_TEST_STORE_FAKE_KEY_VALUE_HPP
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "currantshed/store/errors.hpp"
+#include "currantshed/store/key_value.hpp"
+
+namespace currantshed::test {
+
+/// A store in memory. Calls are kept until they are answered one by one, as
+/// well or as badly as a test wants.
+class fake_key_value final : public store::key_value
+{
+public:
+  struct watch
+  {
+    std::string prefix;
+    store::revision after;
+    watch_callback done;
+  };
+
+  clock::time_point now{ std::chrono::hours{ 1 } };
+  std::map<std::string, store::item> items;
+  std::vector<store::change> history;
+  store::revision revision = 1;
+  std::set<store::lease_id> leases;
+  store::lease_id lastLease = 0;
+  /// Calls that fail from now on, with this error.
+  std::error_code failing;
+  store::commit_outcome commitOutcome = store::commit_outcome::kApplied;
+  std::vector<watch> watches;
+  int ranges = 0;
+  int commits = 0;
+
+  void Put(const std::string& aKey,
+           const std::string& aValue,
+           store::lease_id aLease = 0)
+  {
+    items[aKey] = { aKey, aValue, ++revision, aLease };
+    history.push_back({ items[aKey], false });
+  }
+
+  void Remove(const std::string& aKey)
+  {
+    items.erase(aKey);
+    history.push_back({ { aKey, "", ++revision, 0 }, true });
+  }
+
+  void EndLease(store::lease_id aLease)
+  {
+    leases.erase(aLease);
+    std::vector<std::string> keys;
+    for (const auto& [key, item] : items) {
+      if (item.lease == aLease) {
+        keys.push_back(key);
+      }
+    }
+    for (const auto& key : keys) {
+      Remove(key);
+    }
+  }
+
+  /// Answers what can be answered, also calls that this leads to.
+  void Answer()
+  {
+    while (!mCalls.empty()) {
+      const auto call = std::move(mCalls.front());
+      mCalls.pop_front();
+      call();
+    }
+    AnswerWatches();
+  }
+
+  /// Ends every watch with an error.
+  void CutWatches(std::error_code aError)
+  {
+    for (auto& one : std::exchange(watches, {})) {
+      one.done(aError, {}, 0, now);
+    }
+  }
+
+  void Get(std::string aKey, item_callback aDone) override
+  {
+    mCalls.push_back([this, aKey, aDone] {
+      const auto found = items.find(aKey);
+      aDone(failing,
+            found == items.end() ? std::nullopt : std::optional(found->second),
+            now);
+    });
+  }
+
+  void Range(std::string aPrefix, range_callback aDone) override
+  {
+    ++ranges;
+    mCalls.push_back([this, aPrefix, aDone] {
+      std::vector<store::item> found;
+      for (const auto& [key, item] : items) {
+        if (key.starts_with(aPrefix)) {
+          found.push_back(item);
+        }
+      }
+      aDone(failing, found, revision, now);
+    });
+  }
+
+  void Watch(std::string aPrefix,
+             store::revision aAfter,
+             std::chrono::milliseconds,
+             watch_callback aDone) override
+  {
+    watches.push_back({ aPrefix, aAfter, aDone });
+  }
+
+  void CancelWatch(const std::string& aPrefix) override
+  {
+    for (std::size_t i = 0; i < watches.size(); ++i) {
+      if (watches[i].prefix == aPrefix) {
+        const auto done = watches[i].done;
+        watches.erase(watches.begin() + static_cast<std::ptrdiff_t>(i));
+        done(store::errc::kTimeout, {}, 0, now);
+        return;
+      }
+    }
+  }
+
+  void Commit(store::transaction aWhat, commit_callback aDone) override
+  {
+    ++commits;
+    mCalls.push_back([this, aWhat, aDone] {
+      auto outcome = commitOutcome;
+      for (const auto& one : aWhat.conditions) {
+        const auto found = items.find(one.key);
+        const auto now = found == items.end() ? 0 : found->second.changed;
+        if (now != one.changed) {
+          outcome = store::commit_outcome::kConflict;
+        }
+      }
+      if (outcome == store::commit_outcome::kApplied) {
+        for (const auto& one : aWhat.puts) {
+          Put(one.key, one.value, one.lease);
+        }
+      }
+      aDone(outcome, revision, now);
+    });
+  }
+
+  void Grant(std::chrono::milliseconds, grant_callback aDone) override
+  {
+    mCalls.push_back([this, aDone] {
+      if (!failing) {
+        leases.insert(++lastLease);
+      }
+      aDone(failing, lastLease, now);
+    });
+  }
+
+  void Keep(store::lease_id aLease, keep_callback aDone) override
+  {
+    mCalls.push_back([this, aLease, aDone] {
+      const bool lives = leases.contains(aLease);
+      aDone(failing ? failing
+            : lives ? std::error_code{}
+                    : make_error_code(store::errc::kNoLease),
+            now);
+    });
+  }
+
+  void End(store::lease_id aLease) override { EndLease(aLease); }
+
+private:
+  void AnswerWatches()
+  {
+    for (auto& one : std::exchange(watches, {})) {
+      std::vector<store::change> changes;
+      for (const auto& change : history) {
+        if (change.now.changed > one.after &&
+            change.now.key.starts_with(one.prefix)) {
+          changes.push_back(change);
+        }
+      }
+      if (changes.empty()) {
+        watches.push_back(one);
+      } else {
+        one.done({}, changes, revision, now);
+      }
+    }
+  }
+
+  std::deque<std::function<void()>> mCalls;
+};
+
+} // namespace currantshed::test
+
+#endif
--- /dev/null
+++ b/test/currantshed/store/prefix_view.cpp
@@ -0,0 +1,148 @@
+#include "currantshed/store/prefix_view.hpp"
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+#include "test/currantshed/store/fake_key_value.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A view of the keys below "a/", and the store that it follows.
+struct follower
+{
+  follower()
+    : view(
+        store,
+        "a/",
+        {},
+        { [this](clock::time_point) { ++changes; },
+          [this](bool aIsReached, std::error_code) { reached = aIsReached; } })
+  {
+    store.Put("a/1", "one");
+    store.Put("b/1", "other");
+  }
+
+  void Run(std::chrono::milliseconds aSpan)
+  {
+    for (const auto end = store.now + aSpan; store.now < end;
+         store.now += 10ms) {
+      view.Tick(store.now, 0.5);
+      store.Answer();
+    }
+  }
+
+  test::fake_key_value store;
+  store::prefix_view view;
+  int changes = 0;
+  bool reached = false;
+};
+
+struct change_row
+{
+  const char* name;
+  std::function<void(follower&)> given;
+  /// The keys in the end.
+  std::string keys;
+};
+
+const change_row kRows[] = {
+  { "nothing", [](follower&) {}, "a/1=one " },
+  { "a new key",
+    [](follower& aFollower) { aFollower.store.Put("a/2", "two"); },
+    "a/1=one a/2=two " },
+  { "a key written again",
+    [](follower& aFollower) { aFollower.store.Put("a/1", "uno"); },
+    "a/1=uno " },
+  { "a key removed",
+    [](follower& aFollower) { aFollower.store.Remove("a/1"); },
+    "" },
+  { "changes while the watch was cut",
+    [](follower& aFollower) {
+      aFollower.store.CutWatches(store::errc::kTimeout);
+      aFollower.store.Put("a/2", "two");
+    },
+    "a/1=one a/2=two " },
+  { "changes that the store dropped from its history",
+    [](follower& aFollower) {
+      aFollower.store.Put("a/2", "two");
+      aFollower.store.Remove("a/1");
+      aFollower.store.history.clear();
+      aFollower.store.CutWatches(store::errc::kHistoryGone);
+    },
+    "a/2=two " },
+  { "an outage with changes",
+    [](follower& aFollower) {
+      aFollower.store.failing = store::errc::kUnavailable;
+      aFollower.store.CutWatches(store::errc::kUnavailable);
+      aFollower.Run(500ms);
+      aFollower.store.Put("a/2", "two");
+      aFollower.store.failing = {};
+    },
+    "a/1=one a/2=two " },
+};
+
+std::string
+Print(const store::prefix_view& aView)
+{
+  std::string text;
+  for (const auto& [key, item] : aView.Items()) {
+    text += key + "=" + item.value + " ";
+  }
+  return text;
+}
+
+} // namespace
+
+TEST_GROUP(prefix_view){};
+
+TEST(prefix_view, follows_the_store)
+{
+  for (const auto& row : kRows) {
+    follower made;
+    made.Run(100ms);
+    CHECK_TEXT(made.view.IsKnown() && made.reached, row.name);
+    row.given(made);
+    made.Run(3000ms);
+    CHECK_TEXT(Print(made.view) == row.keys, row.name);
+    CHECK_TEXT(made.reached, row.name);
+  }
+}
+
+TEST(prefix_view, is_read_again_when_the_store_is_back)
+{
+  follower made;
+  made.Run(100ms);
+  made.store.Put("a/2", "two");
+  made.store.history.clear();
+  made.Run(1000ms);
+  made.view.Renew();
+  made.Run(1000ms);
+  CHECK(Print(made.view) == "a/1=one a/2=two ");
+}
+
+TEST(prefix_view, a_hung_watch_is_given_up_on_anothers_word)
+{
+  follower made;
+  made.Run(100ms);
+  const auto ranges = made.store.ranges;
+  // The change never comes through the watch.
+  made.store.Put("a/2", "two");
+  made.store.history.clear();
+  const auto change = made.store.revision;
+  made.Run(1000ms);
+  CHECK(Print(made.view) == "a/1=one ");
+  made.view.HeardOf(change, made.store.now);
+  // One that is behind itself takes nothing back.
+  made.view.HeardOf(1, made.store.now);
+  made.Run(500ms);
+  made.view.HeardOf(change, made.store.now);
+  made.Run(1000ms);
+  CHECK(Print(made.view) == "a/1=one a/2=two ");
+  CHECK_EQUAL(ranges + 1, made.store.ranges);
+}
--- /dev/null
+++ b/test/currantshed/store/registration.cpp
@@ -0,0 +1,120 @@
+#include "currantshed/store/registration.hpp"
+
+#include <chrono>
+#include <functional>
+
+#include "test/currantshed/store/fake_key_value.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A VM's key, kept in a store.
+struct keeper
+{
+  keeper()
+    : view(store,
+           "vm/",
+           {},
+           { [](clock::time_point) {}, [](bool, std::error_code) {} })
+    , registration(store, view, "vm/a", {})
+  {
+    registration.SetValue("here");
+  }
+
+  void Run(std::chrono::milliseconds aSpan)
+  {
+    for (const auto end = store.now + aSpan; store.now < end;
+         store.now += 10ms) {
+      view.Tick(store.now, 0.5);
+      registration.Tick(store.now, 0.5);
+      store.Answer();
+    }
+  }
+
+  [[nodiscard]] bool Holds() const
+  {
+    const auto found = store.items.find("vm/a");
+    return found != store.items.end() && found->second.value == "here" &&
+           registration.IsListed() && registration.IsWritten() &&
+           registration.ValidUntil() > store.now;
+  }
+
+  test::fake_key_value store;
+  store::prefix_view view;
+  store::registration registration;
+};
+
+struct trouble_row
+{
+  const char* name;
+  std::function<void(keeper&)> given;
+};
+
+const trouble_row kRows[] = {
+  { "none", [](keeper&) {} },
+  { "the key of an earlier life stands there",
+    [](keeper& aKeeper) { aKeeper.store.Put("vm/a", "before", 99); } },
+  { "the lease ended unseen",
+    [](keeper& aKeeper) { aKeeper.store.EndLease(aKeeper.store.lastLease); } },
+  { "the key was taken away, the lease not",
+    [](keeper& aKeeper) { aKeeper.store.Remove("vm/a"); } },
+  { "an outage longer than the lease",
+    [](keeper& aKeeper) {
+      aKeeper.store.failing = store::errc::kUnavailable;
+      aKeeper.Run(5000ms);
+      CHECK(aKeeper.registration.ValidUntil() < aKeeper.store.now);
+      aKeeper.store.EndLease(aKeeper.store.lastLease);
+      aKeeper.store.failing = {};
+    } },
+  { "writes whose fate is unknown",
+    [](keeper& aKeeper) {
+      aKeeper.store.commitOutcome = store::commit_outcome::kUnknown;
+      aKeeper.store.Remove("vm/a");
+      aKeeper.Run(1000ms);
+      aKeeper.store.commitOutcome = store::commit_outcome::kApplied;
+    } },
+};
+
+} // namespace
+
+TEST_GROUP(registration){};
+
+TEST(registration, stands_again_after_each_trouble)
+{
+  for (const auto& row : kRows) {
+    keeper made;
+    made.Run(500ms);
+    CHECK_TEXT(made.Holds(), row.name);
+    row.given(made);
+    made.Run(4000ms);
+    CHECK_TEXT(made.Holds(), row.name);
+  }
+}
+
+TEST(registration, tells_that_the_store_is_back)
+{
+  keeper made;
+  int regained = 0;
+  made.registration.OnRegained([&regained] { ++regained; });
+  made.Run(2500ms);
+  CHECK_EQUAL(0, regained);
+  made.store.failing = store::errc::kTimeout;
+  made.Run(2500ms);
+  made.store.failing = {};
+  made.Run(2500ms);
+  CHECK_EQUAL(1, regained);
+}
+
+TEST(registration, ends_with_its_lease)
+{
+  keeper made;
+  made.Run(500ms);
+  made.registration.End();
+  CHECK(!made.store.items.contains("vm/a"));
+  made.Run(3000ms);
+  CHECK(!made.store.items.contains("vm/a"));
+}
--- /dev/null
+++ b/test/platform/documents.cpp
@@ -0,0 +1,137 @@
+#include "platform/documents.hpp"
+
+#include <string>
+
+#include "platform/settings_file.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+
+namespace {
+
+constexpr const char* kConfiguration = R"({"version":7,"routes":[
+{"name":"r","host":"db1","prefix":"/","route_type":"read_your_writes",
+"timeout_ms":800,"target_latency_ms":200,"priority":2,"service":"s","attempts":2,
+"max_staleness_ms":2500},
+{"name":"q","host":"db2","route_type":"primary","timeout_ms":500.5,
+"target_latency_ms":100,"service":"s"}],
+"services":[{"name":"s","max_conns":16,"sync_replicas":0}],
+"limits":{"tx_idle_ms":3000}})";
+
+constexpr const char* kServer = R"({"service":"s","address":"10.1.0.9:8080",
+"zone":"marka","version":"v1","slots":2,"state":"ready","warmup_left_ms":0,
+"target_role":"primary","seq":4})";
+
+constexpr const char* kSettings = R"({"node_name":"front-1","zone":"marka",
+"ip":"10.1.0.8","internal_ports":[7440,7455],
+"listen":{"front":"10.1.0.8:8784","ready":"10.1.0.8:8785"},
+"limits":{"max_fds":4200},"bounds":{"grace_s":6,"config_apply_ms":3000},
+"platform":{"address":"10.200.1.7:8783","ttl_min_ms":1000},
+"cloud_api":{"address":"10.200.0.160:8783"}})";
+
+/// Replaces one part of a text.
+std::string
+With(std::string aText, const std::string& aOld, const std::string& aNew)
+{
+  const auto at = aText.find(aOld);
+  return at == std::string::npos ? aText : aText.replace(at, aOld.size(), aNew);
+}
+
+struct broken_row
+{
+  const char* name;
+  const char* old;
+  const char* now;
+};
+
+constexpr broken_row kBrokenConfigurations[] = {
+  { "torn", "\"limits\":{\"tx_idle_ms\":3000}}", "" },
+  { "no version", "\"version\":7,", "" },
+  { "a negative version", "\"version\":7", "\"version\":-7" },
+  { "an unknown policy", "read_your_writes", "eventual" },
+  { "a time that is a text", "\"timeout_ms\":800", "\"timeout_ms\":\"800\"" },
+  { "a negative time", "\"timeout_ms\":800", "\"timeout_ms\":-1" },
+  { "routes that are none", "\"routes\":[", "\"routes\":3,\"x\":[" },
+  { "an array", "{\"version\":7", "[{\"version\":7" },
+};
+
+constexpr broken_row kBrokenServers[] = {
+  { "no address", "\"address\":\"10.1.0.9:8080\",", "" },
+  { "an address without port", "10.1.0.9:8080", "10.1.0.9" },
+  { "a port out of range", "10.1.0.9:8080", "10.1.0.9:80801" },
+  { "torn", "\"seq\":4}", "" },
+};
+
+constexpr broken_row kBrokenSettings[] = {
+  { "no name", "\"node_name\":\"front-1\",", "" },
+  { "no ports", "[7440,7455]", "[]" },
+  { "ports the wrong way round", "[7440,7455]", "[7455,7440]" },
+  { "a port that is none", "10.1.0.8:8784", "10.1.0.8:x" },
+  { "torn", "\"cloud_api\"", "\"cloud" },
+};
+
+} // namespace
+
+TEST_GROUP(documents){};
+
+TEST(documents, a_configuration)
+{
+  std::string whyNot;
+  const auto read =
+    platform::json_documents().ReadConfiguration(kConfiguration, whyNot);
+  CHECK(read != nullptr);
+  CHECK_EQUAL(7, static_cast<int>(read->version));
+  CHECK_EQUAL(2, static_cast<int>(read->routes.size()));
+  const auto& route = *read->routes.at("db1");
+  CHECK(route.policy == proxy::read_policy::kReadYourWrites);
+  CHECK(route.maxStaleness == std::chrono::milliseconds{ 2500 });
+  CHECK(route.statementTimeout == std::chrono::milliseconds{ 800 });
+  CHECK_EQUAL(16, static_cast<int>(read->services.at("s").maxConnections));
+}
+
+TEST(documents, broken_configurations)
+{
+  for (const auto& row : kBrokenConfigurations) {
+    std::string whyNot;
+    const auto text = With(kConfiguration, row.old, row.now);
+    CHECK_TEXT(platform::json_documents().ReadConfiguration(text, whyNot) ==
+                 nullptr,
+               row.name);
+    CHECK_TEXT(!whyNot.empty(), row.name);
+  }
+}
+
+TEST(documents, servers)
+{
+  std::string whyNot;
+  const platform::json_documents documents;
+  const auto read = documents.ReadServer("servers/i-7f", kServer, whyNot);
+  CHECK(read && read->id == "i-7f" && read->port == 8080 && !read->draining);
+  CHECK(read->claimsPrimary);
+  for (const auto& row : kBrokenServers) {
+    whyNot.clear();
+    const auto text = With(kServer, row.old, row.now);
+    CHECK_TEXT(!documents.ReadServer("servers/i-7f", text, whyNot), row.name);
+    CHECK_TEXT(!whyNot.empty(), row.name);
+  }
+}
+
+TEST(documents, settings)
+{
+  std::string whyNot;
+  const auto read = platform::ReadSettings(kSettings, whyNot);
+  CHECK(read && read->vm == "front-1" && read->callers.port == 8784);
+  CHECK_EQUAL(7440, read->peers.port);
+  CHECK_EQUAL(7441, read->relays.port);
+  CHECK_EQUAL(7455, read->metrics.port);
+  CHECK(read->stopTime == std::chrono::seconds{ 6 });
+  for (const auto& row : kBrokenSettings) {
+    whyNot.clear();
+    CHECK_TEXT(
+      !platform::ReadSettings(With(kSettings, row.old, row.now), whyNot),
+      row.name);
+    CHECK_TEXT(!whyNot.empty(), row.name);
+  }
+  CHECK(!platform::ReadSettingsFile("/nonexistent/file", whyNot));
+}
--- /dev/null
+++ b/test/platform/statement_line.cpp
@@ -0,0 +1,197 @@
+#include "platform/statement_line.hpp"
+
+#include <optional>
+#include <string>
+#include <variant>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+using proxy::command_kind;
+using proxy::failure_code;
+using proxy::statement_kind;
+
+namespace {
+
+struct caller_row
+{
+  const char* line;
+  /// None: no message at all.
+  std::optional<bool> known;
+  statement_kind kind = statement_kind::kRead;
+  const char* id = "";
+  const char* name = "";
+  const char* argument = "";
+};
+
+const caller_row kCallerRows[] = {
+  { "QUERY 5c READ 1a4", true, statement_kind::kRead, "5c" },
+  { "QUERY 5c WRITE 1a4 xk  p", true, statement_kind::kWrite, "5c" },
+  { "QUERY 5c BEGIN", true, statement_kind::kBegin, "5c" },
+  { "QUERY 5c BEGIN READ", true, statement_kind::kBeginReadOnly, "5c" },
+  { "QUERY 5c COMMIT", true, statement_kind::kCommit, "5c" },
+  { "QUERY 5c ROLLBACK", true, statement_kind::kRollback, "5c" },
+  { "QUERY 5c SET n v w", true, statement_kind::kSet, "5c", "n", "v w" },
+  { "QUERY 5c PREPARE s READ q",
+    true,
+    statement_kind::kPrepare,
+    "5c",
+    "s",
+    "q" },
+  { "QUERY 5c EXECUTE s 1a4 x",
+    true,
+    statement_kind::kExecute,
+    "5c",
+    "s",
+    "1a4 x" },
+  { "QUERY 5c DEALLOC s", true, statement_kind::kDeallocate, "5c", "s" },
+  { "QUERY 5c BEGIN WRITE", false },
+  { "QUERY 5c PREPARE s SCAN q", false },
+  { "QUERY 5c AFTERLSN 1.2 READ x", false },
+  { "QUERY 5c RESET", false },
+  { "QUERY 5c STATUS", false },
+  { "QUERY 5c PAUSE 9", false },
+  { "QUERY 5c COMMIT now", false },
+  { "QUERY 5c", false },
+  { "QUERY  READ x", std::nullopt },
+  { "QUERY", std::nullopt },
+  { "START a b", std::nullopt },
+  { "", std::nullopt },
+  { " QUERY 5c READ x", std::nullopt },
+};
+
+struct report_row
+{
+  const char* row;
+  bool good;
+};
+
+constexpr report_row kReportRows[] = {
+  { "replica 3 3.1209 0 12 2 17", true },
+  { "primary 3 3.1209 4 0 2 17", true },
+  { "replica 3 - 0 12 2 17", true },
+  { "leader 3 3.1209 0 12 2 17", false },
+  { "replica x 3.1209 0 12 2 17", false },
+  { "replica -3 3.1209 0 12 2 17", false },
+  { "replica 3 3.1209 0 12 2", false },
+  { "replica 99999999999999999999999 3.1 0 1 2 3", false },
+  { "", false },
+};
+
+const platform::statement_line_codec kCodec;
+
+} // namespace
+
+TEST_GROUP(statement_line){};
+
+TEST(statement_line, reads_callers)
+{
+  for (const auto& row : kCallerRows) {
+    const auto read = kCodec.ReadCaller(row.line);
+    CHECK_TEXT(read.has_value() == row.known.has_value(), row.line);
+    if (!read || !*row.known) {
+      CHECK_TEXT(!read || !read->isKnown, row.line);
+      continue;
+    }
+    CHECK_TEXT(read->isKnown, row.line);
+    CHECK_TEXT(read->asked.kind == row.kind, row.line);
+    CHECK_TEXT(read->asked.id == row.id, row.line);
+    CHECK_TEXT(read->asked.name == row.name, row.line);
+    CHECK_TEXT(read->asked.argument == row.argument, row.line);
+  }
+  CHECK(kCodec.ReadCaller("TERMINATE")->ends);
+}
+
+TEST(statement_line, reads_sessions)
+{
+  const auto start = kCodec.ReadStart("START lepu270 u3f1 x");
+  CHECK(start && start->database == "lepu270" && start->who == "u3f1 x");
+  CHECK(!kCodec.ReadStart("START"));
+  CHECK(!kCodec.ReadStart("QUERY 1 READ x"));
+  CHECK(!kCodec.ReadRelayStart("START svc tenant"));
+  CHECK(kCodec.ReadRelayStart("START svc tenant i-7f")->server == "i-7f");
+}
+
+TEST(statement_line, reads_servers)
+{
+  const auto ready = kCodec.ReadServer("READY T 3.1209");
+  CHECK(ready && std::holds_alternative<node::server_ready>(*ready));
+  CHECK((std::get<node::server_ready>(*ready).at ==
+         position::log_position{ 3, 1209 }));
+  const auto error = kCodec.ReadServer("ERROR READONLY i-7f");
+  CHECK(std::get<node::server_error>(*error).why.code ==
+        failure_code::kReadOnly);
+  const auto unknown = kCodec.ReadServer("ERROR ODD thing");
+  CHECK(std::get<node::server_error>(*unknown).why.text == "ODD thing");
+  for (const char* wrong :
+       { "", "READY", "READY X 1.1", "DATA x", "ready I -" }) {
+    CHECK_TEXT(!kCodec.ReadServer(wrong), wrong);
+  }
+}
+
+TEST(statement_line, reads_reports)
+{
+  for (const auto& row : kReportRows) {
+    CHECK_TEXT(kCodec.ReadReport(row.row).has_value() == row.good, row.row);
+  }
+}
+
+TEST(statement_line, writes_answers)
+{
+  proxy::answer made;
+  made.rows = { "a b", "c" };
+  made.signature = "7.1f";
+  made.position = position::log_position{ 3, 1209 };
+  std::string out;
+  kCodec.WriteAnswer(made, out);
+  STRCMP_EQUAL(
+    "DATAROW a b\r\nDATAROW c\r\nCOMPLETE 7.1f\r\nREADY I 3.1209\r\n",
+    out.c_str());
+  made = {};
+  made.failed = proxy::failure{ failure_code::kInDoubt, "why" };
+  made.state = proxy::transaction_state::kFailed;
+  out.clear();
+  kCodec.WriteAnswer(made, out);
+  STRCMP_EQUAL("ERROR INDOUBT why\r\nREADY E -\r\n", out.c_str());
+}
+
+// What one VM sends to another as to a server, the other reads as the same.
+TEST(statement_line, relayed_commands_come_back)
+{
+  const std::pair<proxy::command, statement_kind> rows[] = {
+    { { .kind = command_kind::kBegin }, statement_kind::kBegin },
+    { { .kind = command_kind::kBeginReadOnly,
+        .floor = position::log_position{ 2, 5 } },
+      statement_kind::kBeginReadOnly },
+    { { .kind = command_kind::kRollback }, statement_kind::kRollback },
+    { { .kind = command_kind::kReset }, statement_kind::kReset },
+    { { .kind = command_kind::kSet, .name = "n", .argument = "v" },
+      statement_kind::kSet },
+    { { .kind = command_kind::kPrepare,
+        .name = "n",
+        .argument = "q",
+        .writes = true },
+      statement_kind::kPrepare },
+    { { .kind = command_kind::kExecute,
+        .id = "7",
+        .floor = position::log_position{ 2, 5 },
+        .name = "n",
+        .argument = "x" },
+      statement_kind::kExecute },
+    { { .kind = command_kind::kVerbatim, .id = "7", .text = "READ x" },
+      statement_kind::kRead },
+  };
+  for (const auto& [command, kind] : rows) {
+    std::string line;
+    kCodec.WriteCommand(command, line);
+    CHECK(line.ends_with("\r\n"));
+    line.resize(line.size() - 2);
+    const auto read = kCodec.ReadRelayed(line);
+    CHECK_TEXT(read && read->isKnown, line.c_str());
+    CHECK_TEXT(read->asked.kind == kind, line.c_str());
+    CHECK_TEXT(read->asked.floor == command.floor, line.c_str());
+    CHECK_TEXT(read->asked.name == command.name, line.c_str());
+    CHECK_TEXT(read->asked.argument == command.argument, line.c_str());
+    CHECK_TEXT(read->asked.writes == command.writes, line.c_str());
+  }
+}
