Proofs survive busy servers, and may be asked for through other VMs

Ruled out: connections to the new primary (idle ones were there). Change: once half of a proof's time has passed all members are asked, a busy one again after 60 ms; a VM without the duty asks through the connection's holder.

--- a/src/currantshed/lead/actions.hpp
+++ b/src/currantshed/lead/actions.hpp
@@ -15,6 +15,9 @@
 {
   upstream::server_id server;
   proxy::command what;
+  /// Only on a connection of this VM's own: whoever watches a group must not
+  /// take another VM's trouble for the server's.
+  bool direct = true;
 };
 
 /// Asks the platform to make the server primary; answered by
--- a/src/currantshed/lead/group_lead.cpp
+++ b/src/currantshed/lead/group_lead.cpp
@@ -13,6 +13,8 @@
 
 // Pause before the same server is asked again when it did not answer.
 constexpr milliseconds kRetryPause{ 150 };
+// The same for one that answered that it is busy.
+constexpr milliseconds kBusyPause{ 60 };
 // Every member is asked this often by the VM that watches, so that strayed
 // fences and old primaries are seen.
 constexpr milliseconds kRoundPause{ 2000 };
@@ -383,11 +385,16 @@
   auto* primary = mTable.Find(mProof.primary);
   const bool knows = primary != nullptr && primary->failures == 0 &&
                      mDeniedAt <= mProof.askedAt && !IsChanging();
-  const auto* witness = Witness(aNow);
+  const auto* witness = Witness();
+  // One that is busy gives no report: others are asked before time runs out.
+  const bool isLate =
+    aNow + mSettings.validity / 2 >= mProof.askedAt + mSettings.validity;
   for (const auto& [id, view] : mTable.All()) {
-    const bool inProof = !knows || &view == primary || &view == witness;
+    const bool inProof =
+      !knows || isLate || &view == primary || &view == witness;
     const bool roundDue = mHoldsDuty && aNow >= view.lastAsked + kRoundPause;
-    const bool paused = aNow < view.lastAsked + kRetryPause;
+    const auto pause = view.failures > 0 ? kRetryPause : kBusyPause;
+    const bool paused = aNow < view.lastAsked + pause;
     if (!view.asking && !paused && ((wantsProof && inProof) || roundDue)) {
       AskOne(*mTable.Find(id), aNow);
     }
@@ -401,12 +408,12 @@
   aView.lastAsked = aNow;
   proxy::command question;
   question.kind = proxy::command_kind::kReport;
-  mActions.emplace_back(ask_server{ aView.listed.id, question });
+  mActions.emplace_back(ask_server{ aView.listed.id, question, mHoldsDuty });
 }
 
 // The member to ask besides the primary: one that answers, near by preference.
 const member_view*
-group_lead::Witness(clock::time_point /*aNow*/) const
+group_lead::Witness() const
 {
   const member_view* best = nullptr;
   for (const auto& [id, view] : mTable.All()) {
--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -138,7 +138,7 @@
   [[nodiscard]] bool IsLost(clock::time_point aNow) const;
   [[nodiscard]] bool IsReachedElsewhere(clock::time_point aNow) const;
   [[nodiscard]] bool IsVacant(clock::time_point aNow);
-  [[nodiscard]] const member_view* Witness(clock::time_point aNow) const;
+  [[nodiscard]] const member_view* Witness() const;
 
   lead_settings mSettings;
   server_table mTable;
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -419,6 +419,7 @@
   mTraffic.Order(
     aAction.server,
     aAction.what,
+    aAction.direct,
     mLeadSettings.askTimeout,
     [this, aService, server = aAction.server](
       proxy::order_result aResult, std::optional<clock::time_point> aHeardAt) {
--- a/src/currantshed/node/traffic.cpp
+++ b/src/currantshed/node/traffic.cpp
@@ -159,23 +159,29 @@
 void
 traffic::Order(const upstream::server_id& aServer,
                const proxy::command& aCommand,
+               bool aDirect,
                milliseconds aTimeout,
                order_callback aDone)
 {
-  boost::asio::post(
-    mContext,
-    [this, aServer, aCommand, aTimeout, done = std::move(aDone)]() mutable {
-      mEngine.Order(
-        aServer,
-        aCommand,
-        aTimeout,
-        [this, aServer, done = std::move(done)](
-          const proxy::order_result& aResult) {
-          done(aResult, mEngine.HeardAt(aServer));
-        },
-        Now());
-      After();
-    });
+  boost::asio::post(mContext,
+                    [this,
+                     aServer,
+                     aCommand,
+                     aDirect,
+                     aTimeout,
+                     done = std::move(aDone)]() mutable {
+                      mEngine.Order(
+                        aServer,
+                        aCommand,
+                        aDirect,
+                        aTimeout,
+                        [this, aServer, done = std::move(done)](
+                          const proxy::order_result& aResult) {
+                          done(aResult, mEngine.HeardAt(aServer));
+                        },
+                        Now());
+                      After();
+                    });
 }
 
 void
--- a/src/currantshed/node/traffic.hpp
+++ b/src/currantshed/node/traffic.hpp
@@ -73,6 +73,7 @@
   /// The callback runs on the traffic thread.
   void Order(const upstream::server_id& aServer,
              const proxy::command& aCommand,
+             bool aDirect,
              std::chrono::milliseconds aTimeout,
              order_callback aDone);
   /// When servers were last heard, in the order asked; the callback runs on
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -148,9 +148,11 @@
   /// The caller has gone.
   void Close(session_id aSession, clock::time_point aNow);
 
-  /// Sends a question or order of the system itself to a server.
+  /// Sends a question or order of the system itself to a server, on a direct
+  /// connection or on any.
   void Order(const upstream::server_id& aServer,
              command aCommand,
+             bool aDirect,
              std::chrono::milliseconds aTimeout,
              order_callback aDone,
              clock::time_point aNow);
@@ -186,6 +188,7 @@
   {
     upstream::server_id server;
     command what;
+    bool direct = true;
     clock::time_point deadline;
     order_callback done;
     connection* on = nullptr;
@@ -319,6 +322,9 @@
 
   // Orders.
   void PumpOrders(const upstream::server_id& aServer, clock::time_point aNow);
+  void OpenForOrder(server_state& aServer,
+                    bool aDirect,
+                    clock::time_point aNow);
   void EndOrder(std::uint64_t aNumber, const order_result& aResult);
   void ExpireOrders(clock::time_point aNow);
   void FailOrdersOn(const connection& aConnection);
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -31,6 +31,10 @@
     made.name = aSession.Prepared(aRequest.asked.name)->sharedName;
     made.argument = aRequest.asked.argument;
   }
+  if (aRequest.asked.kind == statement_kind::kReport) {
+    made.kind = command_kind::kReport;
+    made.id.clear();
+  }
   return made;
 }
 
--- a/src/currantshed/proxy/engine_orders.cpp
+++ b/src/currantshed/proxy/engine_orders.cpp
@@ -23,17 +23,33 @@
 void
 engine::Order(const upstream::server_id& aServer,
               command aCommand,
+              bool aDirect,
               milliseconds aTimeout,
               order_callback aDone,
               clock::time_point aNow)
 {
   const auto number = ++mLastNumber;
   mOrders[number] = {
-    aServer, std::move(aCommand), aNow + aTimeout, std::move(aDone)
+    aServer, std::move(aCommand), aDirect, aNow + aTimeout, std::move(aDone)
   };
   PumpOrders(aServer, aNow);
 }
 
+void
+engine::OpenForOrder(server_state& aServer,
+                     bool aDirect,
+                     clock::time_point aNow)
+{
+  if (aDirect) {
+    if (aServer.Opening(true) == 0 &&
+        aServer.Count(true) <= aServer.plan.connections) {
+      OpenConnection(aServer, path{}, aNow);
+    }
+  } else if (const auto* way = aServer.OpenWay(aNow)) {
+    OpenConnection(aServer, *way, aNow);
+  }
+}
+
 // Orders go before requests; one that finds no connection makes one, beyond
 // the limit for requests if need be.
 void
@@ -47,13 +63,10 @@
     if (one.server != aServer || one.on != nullptr) {
       continue;
     }
-    auto* idle = state->Idle({}, true);
+    auto* idle = state->Idle({}, one.direct);
     if (idle == nullptr) {
-      if (state->Opening(true) == 0 &&
-          state->Count(true) <= state->plan.connections) {
-        OpenConnection(*state, path{}, aNow);
-      }
-      return;
+      OpenForOrder(*state, one.direct, aNow);
+      continue;
     }
     one.on = idle;
     one.askedAt = aNow;
--- a/src/currantshed/proxy/statement.hpp
+++ b/src/currantshed/proxy/statement.hpp
@@ -26,6 +26,8 @@
   kDeallocate,
   /// Clears session values and prepared statements; between VMs only.
   kReset,
+  /// How a server stands in its group; between VMs only.
+  kReport,
 };
 
 /// One request of a caller in its session.
--- a/test/currantshed/lead/group_lead.cpp
+++ b/test/currantshed/lead/group_lead.cpp
@@ -23,6 +23,8 @@
 struct fake_server
 {
   bool answers = true;
+  /// Answers that it is busy.
+  bool busy = false;
   bool primary = false;
   position::term_id term = 1;
   position::log_position received{ 1, 10 };
@@ -96,6 +98,10 @@
       lead.ServerFailed(aAction.server, std::nullopt, now);
       return;
     }
+    if (server.busy) {
+      lead.ServerAnswered(aAction.server, std::nullopt, now, now);
+      return;
+    }
     switch (aAction.what.kind) {
       case command_kind::kFence:
         server.fencedAt = aAction.what.term;
@@ -313,6 +319,20 @@
   CHECK_EQUAL(0, static_cast<int>(made.servers["c"].fencedAt));
 }
 
+TEST(group_lead, a_busy_witness_does_not_end_proofs)
+{
+  for (const char* busy : { "b", "c" }) {
+    bench made;
+    made.lead.SetDuty(true, 7, made.now);
+    made.Run(2000ms);
+    made.servers[busy].busy = true;
+    for (int step = 0; step < 500; ++step) {
+      made.Run(kStep);
+      CHECK_TEXT(made.now < made.lead.Proof().askedAt + 1000ms, busy);
+    }
+  }
+}
+
 TEST(group_lead, a_change_after_a_change_chooses_anew)
 {
   bench made;
