A VM that is cut off from a server goes through another one; duties move sooner

Ruled out: more connections (none could be made). Change: every VM has ways through others after its own; who watches a group asks its primary through others while only they reach it; leases of 2 s, renewed each 650 ms; a first look of 400 ms.

--- a/src/currantshed/lead/group_lead.cpp
+++ b/src/currantshed/lead/group_lead.cpp
@@ -24,13 +24,15 @@
 // it less than this.
 constexpr milliseconds kOwnAskReserve{ 350 };
 constexpr unsigned kFailuresToLose = 2;
+// How long a primary that only others reach is asked through them.
+constexpr milliseconds kRelayedTime{ 3000 };
 // How lately another VM must have heard the primary to keep it.
 constexpr milliseconds kReachLife{ 600 };
 // How long nobody may lead before the group counts as vacant.
 constexpr milliseconds kVacantAfter{ 1200 };
 // A new holder of the duty looks on for this long first, so that an order of
 // the holder before it has had its effect.
-constexpr milliseconds kFirstLook{ 1000 };
+constexpr milliseconds kFirstLook{ 400 };
 // A revocation that its author does not repeat lapses.
 constexpr milliseconds kRevocationLife{ 5000 };
 
@@ -406,9 +408,16 @@
 {
   aView.asking = aNow;
   aView.lastAsked = aNow;
+  const bool cutOff = aView.failures >= kFailuresToLose &&
+                      aView.listed.id == mProof.primary &&
+                      IsReachedElsewhere(aNow);
+  if (cutOff) {
+    aView.relayedUntil = aNow + kRelayedTime;
+  }
+  const bool direct = mHoldsDuty && aNow >= aView.relayedUntil;
   proxy::command question;
   question.kind = proxy::command_kind::kReport;
-  mActions.emplace_back(ask_server{ aView.listed.id, question, mHoldsDuty });
+  mActions.emplace_back(ask_server{ aView.listed.id, question, direct });
 }
 
 // The member to ask besides the primary: one that answers, near by preference.
--- a/src/currantshed/lead/server_table.hpp
+++ b/src/currantshed/lead/server_table.hpp
@@ -39,6 +39,8 @@
   clock::time_point lastAsked;
   /// When it last answered anything, also a caller's statement.
   clock::time_point heardAt;
+  /// Until when it is asked through other VMs, since only they reach it.
+  clock::time_point relayedUntil;
   /// Questions without an answer since then.
   unsigned failures = 0;
 };
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -137,7 +137,7 @@
   , mRegistration(*mPlatform.store,
                   mOwnView,
                   VmKey(aSettings.vm),
-                  { std::max(milliseconds{ 3000 }, aSettings.shortestLease) })
+                  { std::max(milliseconds{ 2000 }, aSettings.shortestLease) })
   , mNews(mContext,
           mZmq,
           mSelf.where,
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -340,7 +340,7 @@
   const auto& id = aServer.listed.id;
   const auto& refused = aRequest.refusedBy;
   if (std::find(refused.begin(), refused.end(), id) != refused.end() ||
-      aServer.IsAvoided(aNow)) {
+      !aServer.IsReachable(aNow)) {
     return false;
   }
   if (id == aLead.proof.primary) {
--- a/src/currantshed/proxy/holders.cpp
+++ b/src/currantshed/proxy/holders.cpp
@@ -77,11 +77,12 @@
   const auto usable = aMostConnections > kSpare ? aMostConnections - kSpare : 1;
   const auto vms = std::max<std::size_t>(aFleet.size(), 1);
   access_plan plan;
-  if (usable / vms >= kFewestOfOwn || vms == 1) {
+  if (vms == 1) {
     plan.paths = { path{} };
-    plan.connections = usable / vms;
+    plan.connections = usable;
     return plan;
   }
+  const bool everyone = usable / vms >= kFewestOfOwn;
   const auto holders = Holders(aServer, aFleet);
   const auto self =
     std::find_if(aFleet.begin(), aFleet.end(), [&](const auto& aVm) {
@@ -89,11 +90,13 @@
     });
   const std::string domain =
     self == aFleet.end() ? std::string() : self->failureDomain;
-  plan.holds = std::any_of(holders.begin(),
+  plan.holds = everyone ||
+               std::any_of(holders.begin(),
                            holders.end(),
                            [&](const auto* aVm) { return aVm->name == aSelf; });
+  const auto sharers = everyone ? vms : holders.size();
   plan.connections =
-    plan.holds ? std::max<std::size_t>(usable / holders.size(), 1) : 1;
+    plan.holds ? std::max<std::size_t>(usable / sharers, 1) : 1;
   if (plan.holds) {
     plan.paths.push_back({});
   }
--- a/src/currantshed/proxy/holders.hpp
+++ b/src/currantshed/proxy/holders.hpp
@@ -47,7 +47,8 @@
 };
 
 /// Works out who holds the connections to a server that accepts so many in
-/// all. While there are several for each VM, every VM has its own. Otherwise
+/// all. While there are several for each VM, every VM has its own, and goes
+/// through another one only when it is cut off from the server. Otherwise
 /// one VM in each failure domain holds its domain's share, and the others of
 /// the domain send their work through it: the way within a domain is short,
 /// and a shared pool needs far fewer connections than one a VM, which leaves
--- a/src/currantshed/proxy/server_state.cpp
+++ b/src/currantshed/proxy/server_state.cpp
@@ -31,6 +31,9 @@
 // of some hundred bytes there.
 constexpr std::size_t kMostRelayed = 32;
 constexpr unsigned kMostOpeningRelayed = 4;
+// A connection usually opens within some 20 ms; after this time another way is
+// tried beside it.
+constexpr milliseconds kSlowOpening{ 100 };
 
 } // namespace
 
@@ -93,28 +96,55 @@
 {
   for (const auto& way : plan.paths) {
     if (way.IsDirect()) {
-      // Beyond what this VM holds, the next way is tried.
       if (MayOpenDirect(plan.connections, aNow) && Opening(true) == 0) {
         return &way;
       }
-      if (plan.holds) {
+      // One that holds connections waits for one of them, unless it has none
+      // that works.
+      if (plan.holds && !IsCutOff(aNow)) {
         return nullptr;
       }
-      continue;
-    }
-    const auto failures = mWays.find(way.vm);
-    const bool avoided =
-      failures != mWays.end() && aNow < failures->second.avoidUntil;
-    if (avoided) {
-      continue;
+    } else if (!IsWayAvoided(way.vm, aNow)) {
+      const bool room =
+        Count(false) < kMostRelayed && Opening(false) < kMostOpeningRelayed;
+      return room ? &way : nullptr;
     }
-    const bool room =
-      Count(false) < kMostRelayed && Opening(false) < kMostOpeningRelayed;
-    return room ? &way : nullptr;
   }
   return nullptr;
 }
 
+bool
+server_state::IsWayAvoided(const std::string& aVm, clock::time_point aNow) const
+{
+  const auto failures = mWays.find(aVm);
+  return failures != mWays.end() && aNow < failures->second.avoidUntil;
+}
+
+bool
+server_state::IsCutOff(clock::time_point aNow) const
+{
+  if (IsAvoided(aNow)) {
+    return true;
+  }
+  bool slow = false;
+  for (const auto& one : connections) {
+    if (one->IsDirect() && one->IsOpen()) {
+      return false;
+    }
+    slow = slow || (one->IsDirect() && aNow - one->MadeAt() > kSlowOpening);
+  }
+  return slow;
+}
+
+bool
+server_state::IsReachable(clock::time_point aNow) const
+{
+  return std::any_of(
+    plan.paths.begin(), plan.paths.end(), [&](const auto& aWay) {
+      return aWay.IsDirect() ? !IsAvoided(aNow) : !IsWayAvoided(aWay.vm, aNow);
+    });
+}
+
 bool
 server_state::MayOpenDirect(std::size_t aLimit, clock::time_point aNow) const
 {
--- a/src/currantshed/proxy/server_state.hpp
+++ b/src/currantshed/proxy/server_state.hpp
@@ -41,6 +41,9 @@
   /// Whether requests had better go elsewhere for now.
   [[nodiscard]] bool IsAvoided(clock::time_point aNow) const;
 
+  /// Whether some way to the server, direct or not, is worth trying.
+  [[nodiscard]] bool IsReachable(clock::time_point aNow) const;
+
   /// How long a statement sent now is likely to take.
   [[nodiscard]] clock::duration Expected(clock::time_point aNow) const;
 
@@ -78,6 +81,11 @@
   bool reached = false;
 
 private:
+  [[nodiscard]] bool IsWayAvoided(const std::string& aVm,
+                                  clock::time_point aNow) const;
+  /// Whether direct connections fail, or take too long to open.
+  [[nodiscard]] bool IsCutOff(clock::time_point aNow) const;
+
   clock::duration mUsual;
   clock::duration mMean;
   clock::time_point mMeanAt;
--- a/src/currantshed/store/registration.hpp
+++ b/src/currantshed/store/registration.hpp
@@ -17,9 +17,9 @@
 struct registration_settings
 {
   /// Life of the lease: how long a VM that has died stays listed.
-  std::chrono::milliseconds ttl{ 3000 };
+  std::chrono::milliseconds ttl{ 2000 };
   /// Time between renewals: two may fail before the lease ends.
-  std::chrono::milliseconds renewAfter{ 1000 };
+  std::chrono::milliseconds renewAfter{ 650 };
   backoff_settings afterFailure{ std::chrono::milliseconds{ 100 },
                                  std::chrono::milliseconds{ 500 } };
 };
--- a/test/currantshed/lead/group_lead.cpp
+++ b/test/currantshed/lead/group_lead.cpp
@@ -23,6 +23,8 @@
 struct fake_server
 {
   bool answers = true;
+  /// Answers what comes through other VMs.
+  bool answersOthers = false;
   /// Answers that it is busy.
   bool busy = false;
   bool primary = false;
@@ -94,7 +96,7 @@
   {
     ++asked[aAction.what.kind];
     auto& server = servers[aAction.server];
-    if (!server.answers) {
+    if (!server.answers && !(server.answersOthers && !aAction.direct)) {
       lead.ServerFailed(aAction.server, std::nullopt, now);
       return;
     }
@@ -319,6 +321,22 @@
   CHECK_EQUAL(0, static_cast<int>(made.servers["c"].fencedAt));
 }
 
+TEST(group_lead, a_primary_that_only_others_reach_is_proved_through_them)
+{
+  bench made;
+  made.lead.SetDuty(true, 7, made.now);
+  made.Run(2000ms);
+  made.servers["a"].answers = false;
+  made.servers["a"].answersOthers = true;
+  made.everyStep = [&made] { ReachOf(made, "vm-2", 0); };
+  made.Run(3000ms);
+  for (int step = 0; step < 300; ++step) {
+    made.Run(kStep);
+    CHECK(made.now < made.lead.Proof().askedAt + 1000ms);
+  }
+  CHECK(made.promoted.empty());
+}
+
 TEST(group_lead, a_busy_witness_does_not_end_proofs)
 {
   for (const char* busy : { "b", "c" }) {
