Fewer calls of the store and fewer words between VMs as the fleet grows

Change: the pause after a change grows with the keys followed; VMs connect to those that they have news for; words on reach come each 25 ms by VM, 250 ms to 2 s.

--- a/src/currantshed/news/exchange.cpp
+++ b/src/currantshed/news/exchange.cpp
@@ -67,10 +67,7 @@
       kept[one.vm] = std::move(found->second);
       continue;
     }
-    auto dealer = std::make_unique<net::dealer>(mContext, mZmq, NewsSettings());
-    if (!dealer->Connect(one.address, one.port, [](std::string_view) {})) {
-      kept[one.vm] = { one, std::move(dealer) };
-    }
+    kept[one.vm] = { one, nullptr };
   }
   mLinks = std::move(kept);
 }
@@ -92,8 +89,26 @@
       aNews.set_your_incarnation(known->second.incarnation);
     }
   }
-  // A peer that takes nothing now gets the next news.
-  (void)found->second.dealer->Send(aNews.SerializeAsString());
+  auto* dealer = DealerTo(found->second);
+  if (dealer != nullptr) {
+    // A peer that takes nothing now gets the next news.
+    (void)dealer->Send(aNews.SerializeAsString());
+  }
+}
+
+// Most VMs have news for few others; a connection to each would cost memory.
+net::dealer*
+exchange::DealerTo(link& aLink)
+{
+  if (aLink.dealer == nullptr) {
+    auto made = std::make_unique<net::dealer>(mContext, mZmq, NewsSettings());
+    const auto error =
+      made->Connect(aLink.to.address, aLink.to.port, [](std::string_view) {});
+    if (!error) {
+      aLink.dealer = std::move(made);
+    }
+  }
+  return aLink.dealer.get();
 }
 
 std::optional<clock::time_point>
--- a/src/currantshed/news/exchange.hpp
+++ b/src/currantshed/news/exchange.hpp
@@ -71,6 +71,7 @@
   struct link
   {
     peer to;
+    /// Null until there is something to send.
     std::unique_ptr<net::dealer> dealer;
   };
 
@@ -81,6 +82,7 @@
     clock::time_point heardAt;
   };
 
+  [[nodiscard]] net::dealer* DealerTo(link& aLink);
   void Received(std::string_view aBytes);
 
   boost::asio::io_context& mContext;
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -13,8 +13,12 @@
 
 using std::chrono::milliseconds;
 
-// Time between two words of a VM on its own way to the primaries.
-constexpr milliseconds kReachInterval{ 250 };
+// Time between two words of a VM on its own way to the primaries, for each VM
+// that gives such words, and its bounds: whoever watches a group needs some
+// fresh words, not many.
+constexpr milliseconds kReachByVm{ 25 };
+constexpr milliseconds kShortestReach{ 250 };
+constexpr milliseconds kLongestReach{ 2000 };
 // A VM that was listed or heard this lately may still rest on a proof, whatever
 // the store says of it: its key may have been taken away unseen.
 constexpr milliseconds kVmMemory{ 15000 };
@@ -378,7 +382,9 @@
     one->lead.Tick(now);
   }
   if (now >= mNextReach) {
-    mNextReach = now + kReachInterval;
+    const auto vms = static_cast<int>(mOwnKeys.vms.size());
+    mNextReach =
+      now + std::clamp(kReachByVm * vms, kShortestReach, kLongestReach);
     SendReach(now);
   }
   UpdateReadiness(now);
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -155,7 +155,9 @@
 {
   mBackoff.Reset();
   mBehindSince.reset();
-  mNotBefore = aChanged ? aNow + mSettings.afterChange : clock::time_point{};
+  const auto keys = static_cast<int>(mItems.size());
+  const auto pause = mSettings.afterChange + mSettings.afterChangeByKey * keys;
+  mNotBefore = aChanged ? aNow + pause : clock::time_point{};
   if (!mIsReached) {
     mIsReached = true;
     mListener.reached(true, {});
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -19,9 +19,12 @@
 {
   /// How long one watch waits. Long, since each call has its price; a dead
   /// connection is noticed by the transport.
-  std::chrono::milliseconds wait{ 12000 };
-  /// Pause after a change, so that several in a row cost one call.
-  std::chrono::milliseconds afterChange{ 120 };
+  std::chrono::milliseconds wait{ 25000 };
+  /// Pause after a change, and more of it for each key that is followed, so
+  /// that many changes in a row cost few calls: keys of VMs change together
+  /// when a fleet starts.
+  std::chrono::milliseconds afterChange{ 100 };
+  std::chrono::milliseconds afterChangeByKey{ 15 };
   /// How long another VM's word that there is more may precede the own watch.
   std::chrono::milliseconds patience{ 400 };
   /// Waits after failures: short, so that a configuration made during an
