Stand-in for the users' platform, a calm stretch and a soak of real processes

Change: standin/fleet (store, line servers, promotions), standin/callers (callers that check each answer), process.node_calm and process.node_soak (seeded kills, pauses, stops, lost and leaving primaries).

--- /dev/null
+++ b/standin/fleet/keys.hpp
@@ -0,0 +1,82 @@
+#ifndef CURRANTSHED_STANDIN_FLEET_KEYS_HPP
+#define CURRANTSHED_STANDIN_FLEET_KEYS_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/json.hpp>
+
+namespace currantshed::standin::fleet {
+
+/// The answer to one call of the store.
+struct key_answer
+{
+  unsigned status = 200;
+  boost::json::object body;
+  /// What stands in place of the body, if anything.
+  std::string text = {};
+};
+
+/// The keys of the platform's store, with leases and history.
+class keys
+{
+public:
+  using time_point = std::chrono::steady_clock::time_point;
+
+  void Put(const std::string& aKey,
+           const std::string& aValue,
+           std::uint64_t aLease = 0);
+  void Remove(const std::string& aKey);
+
+  [[nodiscard]] key_answer Get(const std::string& aKey) const;
+  [[nodiscard]] key_answer Range(const std::string& aPrefix) const;
+  /// Changes after a revision; without any the answer has status zero.
+  [[nodiscard]] key_answer Changes(const std::string& aPrefix,
+                                   std::uint64_t aAfter) const;
+  [[nodiscard]] key_answer Commit(const boost::json::object& aWhat);
+  [[nodiscard]] key_answer Grant(std::int64_t aTtlMs, time_point aNow);
+  [[nodiscard]] key_answer Keep(std::uint64_t aLease, time_point aNow);
+  void End(std::uint64_t aLease);
+  /// Ends the leases that have run out.
+  void Expire(time_point aNow);
+
+  [[nodiscard]] std::uint64_t Revision() const { return mRevision; }
+
+private:
+  struct entry
+  {
+    std::string value;
+    std::uint64_t changed = 0;
+    std::uint64_t lease = 0;
+  };
+
+  struct event
+  {
+    std::string key;
+    std::uint64_t revision = 0;
+    bool removed = false;
+    entry content;
+  };
+
+  struct lease
+  {
+    std::chrono::milliseconds ttl{ 0 };
+    time_point until;
+  };
+
+  [[nodiscard]] static boost::json::object Print(const std::string& aKey,
+                                                 const entry& aEntry);
+
+  std::map<std::string, entry> mEntries;
+  std::vector<event> mHistory;
+  std::map<std::uint64_t, lease> mLeases;
+  std::uint64_t mRevision = 1;
+  std::uint64_t mLastLease = 0;
+};
+
+} // namespace currantshed::standin::fleet
+
+#endif
--- /dev/null
+++ b/standin/fleet/main.cpp
@@ -0,0 +1,413 @@
+#include <chrono>
+#include <cstdlib>
+#include <exception>
+#include <functional>
+#include <iostream>
+#include <list>
+#include <memory>
+#include <string>
+
+#include <absl/strings/numbers.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "currantshed/node/line_stream.hpp"
+#include "currantshed/settings/parser.hpp"
+#include "standin/fleet/keys.hpp"
+#include "standin/fleet/session.hpp"
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+namespace fleet = currantshed::standin::fleet;
+using currantshed::node::line_stream;
+using tcp = boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr unsigned kServersPerGroup = 3;
+constexpr unsigned kMostConnections = 16;
+// How far behind replicas are.
+constexpr milliseconds kLag{ 20 };
+// How long a promotion takes.
+constexpr milliseconds kPromotion{ 200 };
+constexpr milliseconds kWatchCheck{ 5 };
+
+struct options
+{
+  std::uint16_t port = 0;
+  std::uint16_t serversPort = 0;
+  unsigned groups = 2;
+};
+
+/// Everything outside the VMs: the store, the servers, and the interface for
+/// promotions, in one process.
+class world
+{
+public:
+  world(boost::asio::io_context& aContext, const options& aOptions)
+    : mContext(aContext)
+    , mTimer(aContext)
+  {
+    for (unsigned number = 0; number < aOptions.groups; ++number) {
+      AddGroup(number, aOptions.serversPort);
+    }
+    Configure(1);
+    Follow();
+  }
+
+  void Listen(std::uint16_t aPort, std::function<void(tcp::socket)> aTake)
+  {
+    auto acceptor = std::make_shared<tcp::acceptor>(
+      mContext,
+      tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), aPort));
+    Accept(acceptor, std::move(aTake));
+  }
+
+  /// Answers a call; false when it has to wait.
+  [[nodiscard]] bool Answer(const http::request<http::string_body>& aCall,
+                            fleet::key_answer& aAnswer)
+  {
+    const std::string target(aCall.target());
+    const auto mark = target.find('?');
+    const auto path = target.substr(0, mark);
+    mQuery = mark == std::string::npos ? "" : target.substr(mark + 1);
+    const auto now = std::chrono::steady_clock::now();
+    mKeys.Expire(now);
+    if (path == "/kv-key") {
+      aAnswer = mKeys.Get(Parameter("key"));
+    } else if (path == "/kv-range") {
+      aAnswer = mKeys.Range(Parameter("prefix"));
+    } else if (path == "/kv-watch") {
+      aAnswer = mKeys.Changes(Parameter("prefix"), Number(Parameter("after")));
+      return aAnswer.status != 0;
+    } else if (path == "/kv-txn") {
+      aAnswer = mKeys.Commit(json::parse(aCall.body()).as_object());
+    } else if (path == "/kv-lease") {
+      const auto body = json::parse(aCall.body()).as_object();
+      aAnswer = mKeys.Grant(body.at("ttl_ms").to_number<std::int64_t>(), now);
+    } else if (path.starts_with("/kv-keep/")) {
+      aAnswer = mKeys.Keep(Number(path.substr(9)), now);
+    } else if (path.starts_with("/kv-lease-end/")) {
+      mKeys.End(Number(path.substr(14)));
+      aAnswer = {};
+    } else if (path == "/promotion") {
+      aAnswer = Promote(json::parse(aCall.body()).as_object());
+    } else {
+      aAnswer = Order(path);
+    }
+    return true;
+  }
+
+  [[nodiscard]] std::uint64_t WaitMs() const
+  {
+    return Number(Parameter("wait_ms"));
+  }
+
+private:
+  void AddGroup(unsigned aNumber, std::uint16_t aFirstPort)
+  {
+    const auto name = "group-" + std::to_string(aNumber);
+    std::vector<fleet::server> servers;
+    for (unsigned member = 0; member < kServersPerGroup; ++member) {
+      fleet::server one;
+      one.id = name + "-" + std::to_string(member);
+      one.group = name;
+      const auto port = static_cast<std::uint16_t>(
+        aFirstPort + aNumber * kServersPerGroup + member);
+      one.address = "127.0.0.1:" + std::to_string(port);
+      servers.push_back(one);
+    }
+    mGroups.emplace_back(name, servers);
+    auto& made = mGroups.back();
+    for (auto& one : made.Servers()) {
+      List(one);
+      std::uint32_t port = 0;
+      (void)absl::SimpleAtoi(one.address.substr(10), &port);
+      Listen(static_cast<std::uint16_t>(port),
+             [this, &made, id = one.id](tcp::socket aSocket) {
+               Serve(made, id, std::move(aSocket));
+             });
+    }
+  }
+
+  void Accept(const std::shared_ptr<tcp::acceptor>& aAcceptor,
+              std::function<void(tcp::socket)> aTake)
+  {
+    aAcceptor->async_accept(
+      [this, aAcceptor, take = std::move(aTake)](
+        boost::system::error_code aError, tcp::socket aSocket) {
+        if (!aError) {
+          take(std::move(aSocket));
+          Accept(aAcceptor, take);
+        }
+      });
+  }
+
+  static void Serve(fleet::group& aGroup,
+                    const std::string& aServer,
+                    tcp::socket aSocket)
+  {
+    if (!aGroup.Find(aServer)->up) {
+      return;
+    }
+    auto stream = std::make_shared<line_stream>(std::move(aSocket));
+    auto session =
+      std::make_shared<fleet::session>(aGroup, aServer, kMostConnections);
+    stream->Start({ [stream, session](std::string_view aLine) {
+                     const auto answer = session->Answer(aLine);
+                     stream->Send(answer);
+                     if (answer.empty()) {
+                       stream->Close();
+                     }
+                   },
+                    [stream, session] {} });
+  }
+
+  void List(const fleet::server& aServer)
+  {
+    const json::object entry{
+      { "service", aServer.group },
+      { "address", aServer.address },
+      { "zone", "here" },
+      { "slots", 8 },
+      { "state", aServer.draining ? "draining" : "ready" },
+      { "target_role", aServer.leads ? "primary" : "replica" },
+      { "seq", 1 }
+    };
+    mKeys.Put("servers/" + aServer.id, json::serialize(entry));
+  }
+
+  void Configure(std::uint64_t aVersion)
+  {
+    json::array routes;
+    json::array services;
+    for (const auto& one : mGroups) {
+      services.push_back(json::object{ { "name", one.Name() },
+                                       { "max_conns", kMostConnections } });
+      for (const char* type :
+           { "primary", "bounded_staleness", "read_your_writes" }) {
+        routes.push_back(json::object{ { "name", one.Name() + type },
+                                       { "host", one.Name() + "." + type },
+                                       { "route_type", type },
+                                       { "timeout_ms", 2000 },
+                                       { "target_latency_ms", 1000 },
+                                       { "max_staleness_ms", 1500 },
+                                       { "service", one.Name() } });
+      }
+    }
+    const json::object configuration{
+      { "version", aVersion },
+      { "routes", std::move(routes) },
+      { "services", std::move(services) },
+      { "limits", json::object{ { "tx_idle_ms", 3000 } } }
+    };
+    mKeys.Put("op/config", json::serialize(configuration));
+  }
+
+  void Follow()
+  {
+    for (auto& one : mGroups) {
+      one.Follow();
+    }
+    mTimer.expires_after(kLag);
+    mTimer.async_wait([this](boost::system::error_code aError) {
+      if (!aError) {
+        Follow();
+      }
+    });
+  }
+
+  fleet::key_answer Promote(const json::object& aOrder)
+  {
+    const auto service = json::value_to<std::string>(aOrder.at("service"));
+    const auto id = json::value_to<std::string>(aOrder.at("id"));
+    for (auto& one : mGroups) {
+      if (one.Name() != service) {
+        continue;
+      }
+      const auto* server = one.Find(id);
+      if (server == nullptr || !server->up) {
+        return { 409, {} };
+      }
+      auto timer =
+        std::make_shared<boost::asio::steady_timer>(mContext, kPromotion);
+      timer->async_wait([timer, &one, id](boost::system::error_code) {
+        (void)one.Promote(id);
+      });
+      return {};
+    }
+    return { 404, {} };
+  }
+
+  // What a test orders: the configuration's version, and servers that stop,
+  // come back or leave. Without an order it tells what is wrong.
+  fleet::key_answer Order(const std::string& aPath)
+  {
+    if (aPath == "/test/configure") {
+      Configure(Number(Parameter("version")));
+    }
+    if (aPath == "/test/primary") {
+      const auto primary = Primary(Parameter("group"));
+      return { 200, {}, primary.empty() ? " " : primary };
+    }
+    unsigned doubled = 0;
+    for (auto& one : mGroups) {
+      doubled += one.Doubled();
+      if (auto* server = one.Find(Parameter("server"))) {
+        server->up = aPath != "/test/stop" && server->up;
+        server->up = aPath == "/test/start" || server->up;
+        server->draining = aPath == "/test/drain" ||
+                           (server->draining && aPath != "/test/start");
+        List(*server);
+      }
+    }
+    return { 200, { { "doubled", doubled } } };
+  }
+
+  // The server that leads the group now, if it is up.
+  std::string Primary(const std::string& aGroup)
+  {
+    for (auto& one : mGroups) {
+      for (const auto& server : one.Servers()) {
+        if (one.Name() == aGroup && server.up && one.Leads(server)) {
+          return server.id;
+        }
+      }
+    }
+    return {};
+  }
+
+  [[nodiscard]] std::string Parameter(const std::string& aName) const
+  {
+    const auto all = "&" + mQuery;
+    const auto at = all.find("&" + aName + "=");
+    if (at == std::string::npos) {
+      return {};
+    }
+    const auto from = at + aName.size() + 2;
+    return all.substr(from, all.find('&', from) - from);
+  }
+
+  static std::uint64_t Number(const std::string& aText)
+  {
+    std::uint64_t number = 0;
+    (void)absl::SimpleAtoi(aText, &number);
+    return number;
+  }
+
+  boost::asio::io_context& mContext;
+  boost::asio::steady_timer mTimer;
+  fleet::keys mKeys;
+  std::list<fleet::group> mGroups;
+  std::string mQuery;
+};
+
+/// One connection to the store or to the interface for promotions.
+class http_session : public std::enable_shared_from_this<http_session>
+{
+public:
+  http_session(world& aWorld, tcp::socket aSocket)
+    : mWorld(aWorld)
+    , mStream(std::move(aSocket))
+    , mTimer(mStream.get_executor())
+  {
+  }
+
+  void Read()
+  {
+    mRequest = {};
+    http::async_read(mStream,
+                     mBuffer,
+                     mRequest,
+                     [self = shared_from_this()](
+                       boost::system::error_code aError, std::size_t) {
+                       if (!aError) {
+                         self->Begin();
+                       }
+                     });
+  }
+
+private:
+  void Begin()
+  {
+    Try();
+    mUntil = std::chrono::steady_clock::now() + milliseconds{ mWorld.WaitMs() };
+  }
+
+  void Try()
+  {
+    fleet::key_answer answer;
+    const bool done = mWorld.Answer(mRequest, answer);
+    if (!done && (mUntil == std::chrono::steady_clock::time_point{} ||
+                  std::chrono::steady_clock::now() < mUntil)) {
+      mTimer.expires_after(kWatchCheck);
+      mTimer.async_wait([self = shared_from_this()](boost::system::error_code) {
+        self->Try();
+      });
+      return;
+    }
+    mUntil = {};
+    mResponse = {};
+    mResponse.result(answer.status == 0 ? 200 : answer.status);
+    mResponse.keep_alive(true);
+    mResponse.body() =
+      answer.text.empty() ? json::serialize(answer.body) : answer.text;
+    mResponse.prepare_payload();
+    http::async_write(mStream,
+                      mResponse,
+                      [self = shared_from_this()](
+                        boost::system::error_code aError, std::size_t) {
+                        if (!aError) {
+                          self->Read();
+                        }
+                      });
+  }
+
+  world& mWorld;
+  beast::tcp_stream mStream;
+  boost::asio::steady_timer mTimer;
+  beast::flat_buffer mBuffer;
+  http::request<http::string_body> mRequest;
+  http::response<http::string_body> mResponse;
+  std::chrono::steady_clock::time_point mUntil{};
+};
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  options chosen;
+  currantshed::settings::parser parser(
+    "currantshed-standin-fleet",
+    "Stands in for the users' platform: its store, its database servers and "
+    "its interface for promotions, on 127.0.0.1.");
+  parser.Port(chosen.port, "port", "Port of the store", true);
+  parser.Port(
+    chosen.serversPort, "servers-port", "First port of the servers", true);
+  parser.Count(chosen.groups, "groups", "Groups of three servers", 1, 8);
+  const auto parsed = parser.Parse(aCount, aValues);
+  if (parsed.end == currantshed::settings::parse_end::kExit) {
+    return parsed.exitCode;
+  }
+  try {
+    boost::asio::io_context context;
+    world made(context, chosen);
+    made.Listen(chosen.port, [&made](tcp::socket aSocket) {
+      std::make_shared<http_session>(made, std::move(aSocket))->Read();
+    });
+    boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+    signals.async_wait([&context](const auto&, int) { context.stop(); });
+    context.run();
+  } catch (const std::exception& failure) {
+    std::cerr << "currantshed-standin-fleet: " << failure.what() << '\n';
+    return EXIT_FAILURE;
+  }
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/standin/fleet/session.hpp
@@ -0,0 +1,59 @@
+#ifndef CURRANTSHED_STANDIN_FLEET_SESSION_HPP
+#define CURRANTSHED_STANDIN_FLEET_SESSION_HPP
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "standin/fleet/group.hpp"
+
+namespace currantshed::standin::fleet {
+
+/// One connection to a server of a group: reads lines, and answers each at
+/// once.
+class session
+{
+public:
+  session(group& aGroup, std::string aServer, unsigned aMostConnections);
+  session(const session&) = delete;
+  session& operator=(const session&) = delete;
+  ~session();
+
+  /// The answer to a line; empty ends the connection.
+  [[nodiscard]] std::string Answer(std::string_view aLine);
+
+private:
+  struct prepared
+  {
+    bool writes = false;
+    std::string shape;
+  };
+
+  [[nodiscard]] std::string Begin(std::string_view aLine);
+  [[nodiscard]] std::string Run(std::string aId, std::string_view aText);
+  [[nodiscard]] std::string Change(const std::string& aId,
+                                   std::string_view aArguments);
+  [[nodiscard]] std::string Control(std::string_view aWord,
+                                    std::string_view aArgument);
+  [[nodiscard]] std::string Ready() const;
+  [[nodiscard]] std::string Done(const std::string& aSignature,
+                                 const std::string& aRow = {}) const;
+  [[nodiscard]] std::string Refuse(const std::string& aCode);
+  [[nodiscard]] server& Self() const;
+
+  group& mGroup;
+  std::string mServer;
+  unsigned mMostConnections;
+  bool mIsOpen = false;
+  bool mInTransaction = false;
+  bool mIsReadOnly = false;
+  bool mFailed = false;
+  std::map<std::string, prepared> mPrepared;
+  std::vector<record> mChanges;
+};
+
+} // namespace currantshed::standin::fleet
+
+#endif
--- a/test/currantshed/proxy/world.hpp
+++ b/test/currantshed/proxy/world.hpp
@@ -82,8 +82,9 @@
   std::string shape;
   std::uint64_t transaction = 0;
   clock::time_point sentAt;
-  /// Positions, counted over the whole history, that a read must see.
+  /// The newest record that a read must see, and the term at that time.
   std::uint64_t mustSee = 0;
+  position::term_id mustSeeTerm = 0;
 };
 
 class fake_link;
@@ -152,6 +153,11 @@
   std::uint64_t answers = 0;
   std::uint64_t successes = 0;
 
+  /// What is left of a count of records of that term after the promotions
+  /// since.
+  [[nodiscard]] std::uint64_t Kept(std::uint64_t aCount,
+                                   position::term_id aTerm) const;
+
   /// Whether the engines are being taken down.
   [[nodiscard]] bool IsEnding() const { return mIsEnding; }
 
--- /dev/null
+++ b/test/process/support/node.sh
@@ -0,0 +1,156 @@
+# What the tests of currantshed-node share: VMs on 127.0.0.1 before the stand-in
+# for the users' platform, and callers that check what they are told. Only
+# processes started here are ended, by their ids.
+set -uo pipefail
+build=${BUILD:-build}
+scratch=$(mktemp -d)
+declare -A vm_pid
+fleet_pid=
+callers_pid=
+readonly GROUPS_OF_SERVERS=2
+
+finish() {
+  local status=$?
+  for pid in "${vm_pid[@]}" $fleet_pid $callers_pid; do
+    kill -s CONT "$pid" 2>/dev/null
+    kill -s KILL "$pid" 2>/dev/null
+  done
+  if [ "$status" -ne 0 ]; then
+    tail -n 25 "$scratch"/*.log
+  fi
+  [ -n "${KEEP:-}" ] && cp -r "$scratch" "$KEEP"
+  rm -rf "$scratch"
+}
+trap finish EXIT
+
+fail() {
+  echo "FAILED: $1"
+  exit 1
+}
+
+check() {
+  local what=$1
+  shift
+  "$@" || fail "$what"
+}
+
+# Waits for a command to succeed, for so many seconds at most.
+await() {
+  local end=$((SECONDS + $1))
+  shift
+  until "$@"; do
+    [ "$SECONDS" -lt "$end" ] || return 1
+    sleep 0.05
+  done
+}
+
+tell() {
+  curl -s --max-time 5 "http://127.0.0.1:$store_port$1"
+}
+
+is_ready() {
+  [ "$(curl -s -o /dev/null -w '%{http_code}' --max-time 2 \
+    "http://127.0.0.1:$((base + 10 * $1 + 1))/readiness")" = 200 ]
+}
+
+metric() {
+  curl -s --max-time 2 "http://127.0.0.1:$((base + 10 * $1 + 4))/metrics" |
+    sed -n "s/^$2 //p"
+}
+
+in_force() {
+  local vm
+  for vm in "${!vm_pid[@]}"; do
+    [ "$(metric "$vm" currantshed_node_configuration_version)" = "$1" ] ||
+      return 1
+  done
+}
+
+# Ports of a VM: callers, readiness, then messages, relays and metrics.
+node_run() {
+  local vm=$1 first=$((base + 10 * $1))
+  cat >"$scratch/vm-$vm.json" <<END
+{"node_name": "vm-$vm", "zone": "here", "ip": "127.0.0.1",
+ "internal_ports": [$((first + 2)), $((first + 4))],
+ "listen": {"front": "127.0.0.1:$first", "ready": "127.0.0.1:$((first + 1))"},
+ "limits": {"max_fds": 1024},
+ "bounds": {"grace_s": 4, "config_apply_ms": 3000},
+ "platform": {"address": "127.0.0.1:$store_port", "ttl_min_ms": 1000},
+ "cloud_api": {"address": "127.0.0.1:$store_port"}}
+END
+  "$build/currantshed-node" --config "$scratch/vm-$vm.json" \
+    >>"$scratch/vm-$vm.log" 2>&1 &
+  vm_pid[$vm]=$!
+}
+
+node_kill() {
+  kill -s "$2" "${vm_pid[$1]}"
+  wait "${vm_pid[$1]}" 2>/dev/null
+}
+
+node_stop() { node_kill "$1" TERM; }
+
+node_pause() {
+  kill -s STOP "${vm_pid[$1]}"
+  sleep "$2"
+  kill -s CONT "${vm_pid[$1]}"
+}
+
+# Starts the stand-in and so many VMs, from a port on.
+node_start() {
+  base=$1
+  store_port=$((base + 1))
+  "$build/currantshed-standin-fleet" --port "$store_port" \
+    --servers-port "$((base + 90))" --groups "$GROUPS_OF_SERVERS" \
+    >"$scratch/fleet.log" 2>&1 &
+  fleet_pid=$!
+  check "the stand-in does not answer" await 20 tell /test/report >/dev/null
+  vms=$2
+  local vm
+  for ((vm = 1; vm <= vms; vm++)); do node_run "$vm"; done
+  for ((vm = 1; vm <= vms; vm++)); do
+    check "vm-$vm is not ready" await 20 is_ready "$vm"
+  done
+}
+
+callers_start() {
+  local ports= vm
+  for ((vm = 1; vm <= vms; vm++)); do ports+=${ports:+,}$((base + 10 * vm)); done
+  "$build/currantshed-standin-callers" --ports "$ports" --length-ms "$1" \
+    --seed "${2:-1}" --groups "$GROUPS_OF_SERVERS" \
+    >"$scratch/callers.log" 2>&1 &
+  callers_pid=$!
+}
+
+served() { [ -n "$(metric 1 'currantshed_node_request_seconds_count{outcome="acknowledged"}')" ]; }
+sleep_until_served() { check "nothing is served" await 15 served; }
+
+callers_end() {
+  wait "$callers_pid"
+  local status=$?
+  callers_pid=
+  cat "$scratch/callers.log"
+  [ "$status" -eq 0 ] || fail "callers saw a wrong answer"
+  grep -Eq '"acknowledged":[1-9][0-9]' "$scratch/callers.log" ||
+    fail "hardly any change was acknowledged"
+}
+
+# The server of a group that calls itself primary.
+primary_of() {
+  tell "/test/primary?group=$1" | tr -d ' '
+}
+
+# Stops or drains the group's primary, waits for another one, and brings the
+# old one back.
+replaced() {
+  local group=$1 how=$2 old
+  old=$(primary_of "$group")
+  tell "/test/$how?server=$old" >/dev/null
+  other_leads() {
+    local now
+    now=$(primary_of "$group")
+    [ -n "$now" ] && [ "$now" != "$old" ]
+  }
+  await 20 other_leads || return 1
+  tell "/test/start?server=$old" >/dev/null
+}
