--- a/src/currantshed/log/log.cpp
+++ b/src/currantshed/log/log.cpp
@@ -82,8 +82,8 @@
   {
     const auto dropped = mBudget.TakeDropped();
     if (dropped > 0 && CanWrite(STDOUT_FILENO)) {
-      Put("{\"event\":\"lines_left_out\",\"count\":" +
-          std::to_string(dropped) + "}\n");
+      Put("{\"event\":\"lines_left_out\",\"count\":" + std::to_string(dropped) +
+          "}\n");
     }
   }
 
