Names that no other module declares

Cause: the linter takes upstream::reply and upstream::statement, which are only declared there, for misplaced declarations of http::reply and proxy::statement. Change: http::call_result, proxy::session_statement.

--- a/src/currantshed/http/channel.cpp
+++ b/src/currantshed/http/channel.cpp
@@ -180,7 +180,7 @@
   void Answered()
   {
     auto& response = mParser->get();
-    reply made;
+    call_result made;
     made.status = response.result_int();
     made.body = std::move(response.body());
     if (!response.keep_alive()) {
@@ -197,13 +197,13 @@
   void Fail(const boost::system::error_code& aError, bool aNotSent)
   {
     CloseStream();
-    reply made;
+    call_result made;
     made.error = aError;
     made.notSent = aNotSent;
     End(std::move(made));
   }
 
-  void End(reply aReply)
+  void End(call_result aReply)
   {
     auto done = std::move(mCalls.front().done);
     mCalls.pop_front();
--- a/src/currantshed/http/channel.hpp
+++ b/src/currantshed/http/channel.hpp
@@ -38,7 +38,7 @@
 };
 
 /// The answer to one call.
-struct reply
+struct call_result
 {
   /// Set when no whole answer came: what became of the call is not known,
   /// unless notSent is set too.
@@ -57,7 +57,7 @@
 class channel
 {
 public:
-  using callback = std::function<void(reply)>;
+  using callback = std::function<void(call_result)>;
 
   channel(boost::asio::io_context& aContext,
           std::string aAddress,
--- a/src/currantshed/http/fwd.hpp
+++ b/src/currantshed/http/fwd.hpp
@@ -6,7 +6,7 @@
 enum class method;
 struct call;
 struct fetched;
-struct reply;
+struct call_result;
 struct status_answer;
 struct status_source;
 class channel;
--- a/src/currantshed/node/line_codec.hpp
+++ b/src/currantshed/node/line_codec.hpp
@@ -25,7 +25,7 @@
   bool ends = false;
   /// Whether the text is a statement; if not, only id and text count.
   bool isKnown = false;
-  proxy::statement asked;
+  proxy::session_statement asked;
 };
 
 /// How another VM opens its way to a server.
--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -23,7 +23,7 @@
 constexpr milliseconds kRelayWait{ 150 };
 
 bool
-IsWrite(const session& aSession, const statement& aAsked)
+IsWrite(const session& aSession, const session_statement& aAsked)
 {
   if (aAsked.kind == statement_kind::kExecute) {
     const auto* prepared = aSession.Prepared(aAsked.name);
@@ -169,7 +169,9 @@
 }
 
 void
-engine::Submit(session_id aSession, statement aAsked, clock::time_point aNow)
+engine::Submit(session_id aSession,
+               session_statement aAsked,
+               clock::time_point aNow)
 {
   mDiscarded.clear();
   const auto found = mSessions.find(aSession);
@@ -301,7 +303,9 @@
 }
 
 void
-engine::Take(session& aSession, statement aAsked, clock::time_point aNow)
+engine::Take(session& aSession,
+             session_statement aAsked,
+             clock::time_point aNow)
 {
   const bool endsFailed = aSession.transaction && aSession.transaction->failed;
   if (aAsked.kind == statement_kind::kRollback || endsFailed) {
@@ -373,7 +377,7 @@
 // it all that the transaction did.
 void
 engine::AnswerLost(session& aSession,
-                   const statement& aAsked,
+                   const session_statement& aAsked,
                    clock::time_point aNow)
 {
   answer made;
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -143,7 +143,9 @@
   [[nodiscard]] std::optional<session_id> OpenRelay(
     const upstream::server_id& aServer,
     caller& aCaller);
-  void Submit(session_id aSession, statement aAsked, clock::time_point aNow);
+  void Submit(session_id aSession,
+              session_statement aAsked,
+              clock::time_point aNow);
   [[nodiscard]] transaction_state StateOf(session_id aSession) const;
   /// The caller has gone.
   void Close(session_id aSession, clock::time_point aNow);
@@ -209,9 +211,11 @@
   using timer = std::pair<clock::time_point, session_id>;
 
   // Sessions and requests.
-  void Take(session& aSession, statement aAsked, clock::time_point aNow);
+  void Take(session& aSession,
+            session_statement aAsked,
+            clock::time_point aNow);
   void AnswerLost(session& aSession,
-                  const statement& aAsked,
+                  const session_statement& aAsked,
                   clock::time_point aNow);
   [[nodiscard]] std::shared_ptr<const route> RouteOf(
     const session& aSession) const;
--- a/src/currantshed/proxy/fwd.hpp
+++ b/src/currantshed/proxy/fwd.hpp
@@ -23,7 +23,7 @@
 struct route;
 struct server;
 struct service;
-struct statement;
+struct session_statement;
 
 } // namespace currantshed::proxy
 
--- a/src/currantshed/proxy/request.hpp
+++ b/src/currantshed/proxy/request.hpp
@@ -42,7 +42,7 @@
 {
   /// Goes up with each request of this process: the order of arrival.
   std::uint64_t number = 0;
-  statement asked;
+  session_statement asked;
   std::shared_ptr<const route> under;
   bool needsPrimary = false;
   /// Whether a success makes a change last: a single write, or a commit.
--- a/src/currantshed/proxy/session.cpp
+++ b/src/currantshed/proxy/session.cpp
@@ -15,7 +15,7 @@
 }
 
 std::optional<answer>
-session::AnswerLocally(const statement& aAsked)
+session::AnswerLocally(const session_statement& aAsked)
 {
   const bool failed = transaction && transaction->failed;
   switch (aAsked.kind) {
@@ -108,7 +108,7 @@
 }
 
 prepared_statement
-MakePrepared(const statement& aPrepare)
+MakePrepared(const session_statement& aPrepare)
 {
   const auto content =
     absl::StrCat(aPrepare.writes ? "w " : "r ", aPrepare.argument);
--- a/src/currantshed/proxy/session.hpp
+++ b/src/currantshed/proxy/session.hpp
@@ -77,7 +77,8 @@
   session(std::uint64_t aNumber, std::string aDatabase, caller& aCaller);
 
   /// Carries out what needs no server; none when a server must be asked.
-  [[nodiscard]] std::optional<answer> AnswerLocally(const statement& aAsked);
+  [[nodiscard]] std::optional<answer> AnswerLocally(
+    const session_statement& aAsked);
 
   /// The prepared statement of that name, or null.
   [[nodiscard]] const prepared_statement* Prepared(
@@ -100,7 +101,7 @@
   /// The newest commit that this session was told of.
   std::optional<own_commit> lastCommit;
   /// Requests that wait for the one under way.
-  std::deque<statement> backlog;
+  std::deque<session_statement> backlog;
   /// The request under way.
   std::optional<request> current;
   /// The caller has gone; the session goes once nothing is under way.
@@ -115,7 +116,7 @@
 
 /// The name under which server connections know a prepared statement.
 [[nodiscard]] prepared_statement
-MakePrepared(const statement& aPrepare);
+MakePrepared(const session_statement& aPrepare);
 
 } // namespace currantshed::proxy
 
--- a/src/currantshed/proxy/statement.hpp
+++ b/src/currantshed/proxy/statement.hpp
@@ -31,7 +31,7 @@
 };
 
 /// One request of a caller in its session.
-struct statement
+struct session_statement
 {
   /// The caller's own name for the request; handed on unchanged.
   std::string id;
--- a/test/currantshed/proxy/random_sessions.cpp
+++ b/test/currantshed/proxy/random_sessions.cpp
@@ -315,7 +315,7 @@
   std::size_t mVm;
   std::string mDatabase;
   std::optional<proxy::engine::session_id> mSession;
-  proxy::statement mAsked;
+  proxy::session_statement mAsked;
   bool mWaiting = false;
   clock::time_point mSentAt;
   std::uint64_t mLast = 0;
--- a/test/currantshed/proxy/world.cpp
+++ b/test/currantshed/proxy/world.cpp
@@ -421,9 +421,9 @@
     }
   }
 
-  static proxy::statement Translate(const proxy::command& aCommand)
+  static proxy::session_statement Translate(const proxy::command& aCommand)
   {
-    proxy::statement made;
+    proxy::session_statement made;
     made.id = aCommand.id;
     made.text = aCommand.text;
     made.name = aCommand.name;
