--- a/src/currantshed/lead/fwd.hpp
+++ b/src/currantshed/lead/fwd.hpp
@@ -8,7 +8,6 @@
 class server_table;
 class takeover;
 enum class takeover_step;
-struct duty_record;
 struct lead_news;
 struct lead_settings;
 struct member;
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -162,7 +162,13 @@
 
 control::~control()
 {
-  Stop();
+  try {
+    Stop();
+  } catch (const std::exception& error) {
+    log::Write(log::level::kError,
+               "control_not_stopped",
+               { { "reason", std::string(error.what()) } });
+  }
 }
 
 std::error_code
@@ -522,7 +528,7 @@
   mPlatform.store->Range(
     VmKey(""),
     [this, aService, asked](std::error_code aError,
-                            std::vector<store::item> aItems,
+                            const std::vector<store::item>& aItems,
                             store::revision,
                             clock::time_point aNow) {
       auto* found = Find(aService);
--- a/src/currantshed/node/metrics.cpp
+++ b/src/currantshed/node/metrics.cpp
@@ -68,11 +68,11 @@
 metrics::Decided(const proxy::decision& aDecision)
 {
   const std::string outcome(aDecision.outcome);
-  // Texts of failures vary; only the words of ordinary reasons are labels.
-  const bool isFailure = aDecision.outcome == "failed";
+  // Texts of failures vary; only words are labels.
+  const bool isWord = aDecision.reason.find(' ') == std::string_view::npos;
   mRequests
     .Add({ { "outcome", outcome },
-           { "reason", isFailure ? "" : std::string(aDecision.reason) } })
+           { "reason", isWord ? std::string(aDecision.reason) : "" } })
     .Increment();
   if (aDecision.isFinal) {
     mTimes.Add({ { "outcome", outcome } }, Boundaries())
--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -442,7 +442,7 @@
              std::string aText,
              clock::time_point aNow)
 {
-  NoteDecision(aSession, "failed", aText, false, aNow);
+  NoteDecision(aSession, NameOf(aCode), aText, false, aNow);
   answer made;
   made.failed = failure{ aCode, std::move(aText) };
   if (aSession.IsRelay()) {
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -297,7 +297,7 @@
              const answer& aAnswer,
              clock::time_point aNow);
   void PreludeAnswered(session& aSession,
-                       answer aAnswer,
+                       const answer& aAnswer,
                        clock::time_point aNow);
   void BeginAnswered(session& aSession, answer aAnswer, clock::time_point aNow);
   void StatementAnswered(session& aSession,
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -13,40 +13,6 @@
 // Reads that a server failed to run are run once more, elsewhere.
 constexpr unsigned kTriesAfterFailure = 2;
 
-std::string_view
-NameOf(failure_code aCode)
-{
-  switch (aCode) {
-    case failure_code::kBusy:
-      return "busy";
-    case failure_code::kAborted:
-      return "aborted";
-    case failure_code::kLagging:
-      return "lagging";
-    case failure_code::kReadOnly:
-      return "read_only";
-    case failure_code::kMisrouted:
-      return "wrong_server";
-    case failure_code::kTooManyConnections:
-      return "server_full";
-    case failure_code::kInDoubt:
-      return "in_doubt";
-    case failure_code::kTimeout:
-      return "timeout";
-    case failure_code::kFailed:
-      return "server_failed";
-    case failure_code::kMalformed:
-      return "malformed";
-    case failure_code::kNoDatabase:
-      return "no_database";
-    case failure_code::kNoStatement:
-      return "no_statement";
-    case failure_code::kOther:
-      break;
-  }
-  return "other";
-}
-
 std::string_view
 NameOf(link_end aWhy)
 {
@@ -114,7 +80,7 @@
   const auto id = user->number;
   switch (aExpected.why) {
     case purpose::kPrelude:
-      PreludeAnswered(*user, std::move(aAnswer), aNow);
+      PreludeAnswered(*user, aAnswer, aNow);
       break;
     case purpose::kPrepare:
       // What it should have made known fails by itself, without running.
@@ -171,7 +137,7 @@
 
 void
 engine::PreludeAnswered(session& aSession,
-                        answer aAnswer,
+                        const answer& aAnswer,
                         clock::time_point aNow)
 {
   auto& request = *aSession.current;
--- a/src/currantshed/proxy/statement.hpp
+++ b/src/currantshed/proxy/statement.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "currantshed/position/log_position.hpp"
@@ -70,6 +71,10 @@
   kOther,
 };
 
+/// The code as one word for logs and counters.
+[[nodiscard]] std::string_view
+NameOf(failure_code aCode);
+
 struct failure
 {
   failure_code code = failure_code::kOther;
--- a/src/currantshed/store/fwd.hpp
+++ b/src/currantshed/store/fwd.hpp
@@ -18,7 +18,7 @@
 struct apply_request;
 struct apply_result;
 struct backoff_settings;
-struct change;
+struct key_change;
 struct condition;
 struct entry;
 struct http_answer;
--- a/src/currantshed/store/key_value.hpp
+++ b/src/currantshed/store/key_value.hpp
@@ -30,7 +30,7 @@
 };
 
 /// One change of a key.
-struct change
+struct key_change
 {
   /// The key as it was written; without value when it was removed.
   item now;
@@ -77,8 +77,10 @@
     void(std::error_code, std::optional<item>, clock::time_point)>;
   using range_callback = std::function<
     void(std::error_code, std::vector<item>, revision, clock::time_point)>;
-  using watch_callback = std::function<
-    void(std::error_code, std::vector<change>, revision, clock::time_point)>;
+  using watch_callback = std::function<void(std::error_code,
+                                            std::vector<key_change>,
+                                            revision,
+                                            clock::time_point)>;
   using commit_callback =
     std::function<void(commit_outcome, revision, clock::time_point)>;
   using grant_callback =
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -106,7 +106,7 @@
                mSeen,
                mSettings.wait,
                [this, alive = mAlive](std::error_code aError,
-                                      std::vector<change> aChanges,
+                                      std::vector<key_change> aChanges,
                                       revision aRevision,
                                       clock::time_point aNow) {
                  if (!*alive) {
--- a/test/currantshed/store/fake_key_value.hpp
+++ b/test/currantshed/store/fake_key_value.hpp
@@ -28,7 +28,7 @@
 
   clock::time_point now{ std::chrono::hours{ 1 } };
   std::map<std::string, store::item> items;
-  std::vector<store::change> history;
+  std::vector<store::key_change> history;
   store::revision revision = 1;
   std::set<store::lease_id> leases;
   store::lease_id lastLease = 0;
@@ -178,7 +178,7 @@
   void AnswerWatches()
   {
     for (auto& one : std::exchange(watches, {})) {
-      std::vector<store::change> changes;
+      std::vector<store::key_change> changes;
       for (const auto& change : history) {
         if (change.now.changed > one.after &&
             change.now.key.starts_with(one.prefix)) {
