Control in three files; one function for the clock of adapters

Change: control.cpp, control_lead.cpp, control_news.cpp, moved unchanged; clock::Now; what the linter found in stand-ins and tests.

--- /dev/null
+++ b/src/currantshed/clock/now.hpp
@@ -0,0 +1,18 @@
+#ifndef CURRANTSHED_CLOCK_NOW_HPP
+#define CURRANTSHED_CLOCK_NOW_HPP
+
+#include "currantshed/clock/time.hpp"
+
+namespace currantshed::clock {
+
+/// The steady clock's time, for adapters to sockets; engines get it as a
+/// parameter.
+[[nodiscard]] inline time_point
+Now() noexcept
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace currantshed::clock
+
+#endif
--- a/src/currantshed/node/caller_server.cpp
+++ b/src/currantshed/node/caller_server.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "currantshed/clock/now.hpp"
 #include "currantshed/log/log.hpp"
 
 namespace currantshed::node {
@@ -19,12 +20,6 @@
 // A caller that has this much unread is not served further.
 constexpr std::size_t kMostUnsent = std::size_t{ 4 } << 20U;
 
-clock::time_point
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 /// One caller's connection.
@@ -83,7 +78,7 @@
       Reject(proxy::failure_code::kMalformed, "no such statement");
       return;
     }
-    mServer.mEngine.Submit(*mSession, std::move(message->asked), Now());
+    mServer.mEngine.Submit(*mSession, std::move(message->asked), clock::Now());
     mServer.mAfter();
   }
 
@@ -162,7 +157,7 @@
     mIsForgotten = true;
     const auto self = shared_from_this();
     if (mSession) {
-      mServer.mEngine.Close(*mSession, Now());
+      mServer.mEngine.Close(*mSession, clock::Now());
       mServer.mAfter();
     }
     mServer.Ended(mNumber);
--- /dev/null
+++ b/src/currantshed/node/control_lead.cpp
@@ -0,0 +1,301 @@
+#include "currantshed/node/control.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "currantshed/clock/now.hpp"
+#include "currantshed/log/log.hpp"
+
+namespace currantshed::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+// A VM that was listed or heard this lately may still rest on a proof, whatever
+// the store says of it: its key may have been taken away unseen.
+constexpr milliseconds kVmMemory{ 15000 };
+// How long the first VMs wait for the others before one claims a duty, so
+// that the duties are spread.
+constexpr milliseconds kSettleTime{ 1000 };
+constexpr milliseconds kClaimPause{ 500 };
+// An order to promote must go out this soon after the store has shown that
+// the duty is still held.
+constexpr milliseconds kDutyCheckLife{ 300 };
+// What must be left of the lease for the duty to count as held.
+constexpr milliseconds kLeaseReserve{ 500 };
+
+} // namespace
+
+// Carries out what the groups' leads ask for, then sends the news of it.
+void
+control::Perform(clock::time_point aNow)
+{
+  for (auto& [service, one] : mGroups) {
+    PerformOne(service, *one);
+  }
+  SendWatch(aNow);
+  Schedule();
+}
+
+void
+control::PerformOne(const std::string& aService, group& aGroup)
+{
+  for (const auto& action : aGroup.lead.TakeActions()) {
+    std::visit([&](const auto& aAction) { Do(aService, aAction); }, action);
+  }
+}
+
+void
+control::Do(const std::string& aService, const lead::ask_server& aAction)
+{
+  mTraffic.Order(
+    aAction.server,
+    aAction.what,
+    aAction.direct,
+    mLeadSettings.askTimeout,
+    [this, aService, server = aAction.server](
+      proxy::order_result aResult, std::optional<clock::time_point> aHeardAt) {
+      boost::asio::post(mContext, [this, aService, server, aResult, aHeardAt] {
+        auto* found = Find(aService);
+        if (found == nullptr) {
+          return;
+        }
+        const auto now = clock::Now();
+        if (aResult.answered) {
+          found->lead.ServerAnswered(
+            server, aResult.report, aResult.askedAt, now);
+        } else {
+          found->lead.ServerFailed(server, aHeardAt, now);
+        }
+        Perform(now);
+      });
+    });
+}
+
+// The right to order is read from the store first: this VM may have lost it
+// without having noticed.
+void
+control::Do(const std::string& aService, const lead::order_promotion& aAction)
+{
+  const auto asked = clock::Now();
+  mPlatform.store->Get(
+    DutyKey(aService),
+    [this, aService, asked, server = aAction.server](
+      std::error_code aError,
+      std::optional<store::item> aItem,
+      clock::time_point aNow) {
+      const auto duty = aItem ? ReadDuty(*aItem) : std::nullopt;
+      const bool held =
+        !aError && duty && duty->holder == mSelf.where.vm &&
+        duty->incarnation == mSelf.incarnation &&
+        clock::Now() < asked + kDutyCheckLife &&
+        clock::Now() + kLeaseReserve < mRegistration.ValidUntil();
+      if (!held) {
+        log::Write(log::level::kWarning,
+                   "promotion_not_ordered",
+                   { { "service", aService },
+                     { "server", server },
+                     { "reason",
+                       aError ? aError.message()
+                              : std::string("the duty is not held") } });
+        PromotionEnded(aService, promotion_outcome::kLater, aNow);
+        return;
+      }
+      Promote(aService, server, duty->epoch);
+    });
+}
+
+void
+control::Promote(const std::string& aService,
+                 const upstream::server_id& aServer,
+                 std::uint64_t aEpoch)
+{
+  log::Write(log::level::kInfo,
+             "promotion_ordered",
+             { { "service", aService },
+               { "server", aServer },
+               { "epoch", static_cast<std::int64_t>(aEpoch) } });
+  mPlatform.promotion->Promote(
+    aService,
+    aServer,
+    { mSelf.where.vm, aEpoch },
+    [this, aService](promotion_outcome aOutcome, clock::time_point aNow) {
+      PromotionEnded(aService, aOutcome, aNow);
+    });
+}
+
+void
+control::PromotionEnded(const std::string& aService,
+                        promotion_outcome aOutcome,
+                        clock::time_point aNow)
+{
+  log::Write(log::level::kInfo,
+             "promotion_answered",
+             { { "service", aService },
+               { "outcome", static_cast<std::int64_t>(aOutcome) } });
+  if (auto* found = Find(aService)) {
+    found->lead.PromotionAnswered(aOutcome == promotion_outcome::kTaken,
+                                  aOutcome == promotion_outcome::kRejected,
+                                  aNow);
+    Perform(aNow);
+  }
+}
+
+// Whoever changes a primary must know all that may rest on proofs of it.
+void
+control::Do(const std::string& aService, const lead::list_vms& /*aAction*/)
+{
+  const auto asked = clock::Now();
+  mPlatform.store->Range(
+    VmKey(""),
+    [this, aService, asked](std::error_code aError,
+                            const std::vector<store::item>& aItems,
+                            store::revision,
+                            clock::time_point aNow) {
+      auto* found = Find(aService);
+      if (aError || found == nullptr) {
+        return;
+      }
+      for (const auto& item : aItems) {
+        if (const auto record = ReadVm(item)) {
+          mKnownVms[record->where.vm] = aNow;
+        }
+      }
+      found->lead.VmsListed(KnownVms(aNow), asked, aNow);
+      Perform(aNow);
+    });
+}
+
+void
+control::NoteVms(clock::time_point aNow)
+{
+  for (const auto& [name, one] : mOwnKeys.vms) {
+    mKnownVms[name] = aNow;
+  }
+}
+
+// The other VMs that are listed now, or were listed or heard lately.
+std::vector<std::string>
+control::KnownVms(clock::time_point aNow)
+{
+  NoteVms(aNow);
+  std::vector<std::string> known;
+  for (const auto& [name, at] : mKnownVms) {
+    const auto heard = mNews.HeardAt(name).value_or(at);
+    if (name != mSelf.where.vm && aNow - std::max(at, heard) < kVmMemory) {
+      known.push_back(name);
+    }
+  }
+  return known;
+}
+
+void
+control::Do(const std::string& aService, const lead::publish_proof& aAction)
+{
+  mTraffic.Confirm(aService, aAction.proof);
+  if (auto* found = Find(aService)) {
+    found->hasNews = true;
+  }
+}
+
+void
+control::Do(const std::string& aService, const lead::publish_sample& aAction)
+{
+  mTraffic.AddSample(aService, aAction.sample);
+}
+
+// Others are told, or the one who asked for it, once traffic has let go.
+void
+control::Do(const std::string& aService,
+            const lead::publish_revocation& aAction)
+{
+  mTraffic.Revoke(aService, aAction.term, [this, aService] {
+    boost::asio::post(mContext, [this, aService] {
+      const auto holder = HolderOf(aService);
+      if (!holder.empty() && holder != mSelf.where.vm) {
+        SendReachTo(holder, false, clock::Now());
+      }
+    });
+  });
+  if (auto* found = Find(aService)) {
+    found->hasNews = true;
+  }
+}
+
+void
+control::Do(const std::string& aService, const lead::note_step& aAction)
+{
+  mMetrics.LeadChanged(aAction.step);
+  log::Write(log::level::kInfo,
+             "lead",
+             { { "service", aService },
+               { "step", aAction.step },
+               { "detail", aAction.detail } });
+}
+
+void
+control::KeepDuty(const std::string& aService,
+                  group& aGroup,
+                  clock::time_point aNow)
+{
+  const auto* duty = DutyOf(aService);
+  const bool isOwn = duty != nullptr && duty->holder == mSelf.where.vm &&
+                     duty->incarnation == mSelf.incarnation;
+  const bool holds = isOwn && !mIsLeaving && mRegistration.IsListed() &&
+                     aNow < mRegistration.ValidUntil();
+  if (holds != aGroup.lead.HoldsDuty()) {
+    log::Write(
+      log::level::kInfo,
+      holds ? "duty_held" : "duty_lost",
+      { { "service", aService },
+        { "epoch",
+          static_cast<std::int64_t>(duty == nullptr ? 0 : duty->epoch) } });
+  }
+  aGroup.lead.SetDuty(holds, duty == nullptr ? 0 : duty->epoch, aNow);
+  const bool mayClaim =
+    !isOwn && !mIsLeaving && !aGroup.isClaiming && aNow >= aGroup.claimFrom &&
+    mListedAt != clock::time_point{} && aNow >= mListedAt + kSettleTime &&
+    mRegistration.IsListed() && mOwnView.IsReached();
+  if (mayClaim && ShouldClaim(mOwnKeys, aService, mSelf)) {
+    Claim(aService, aGroup, aNow);
+  }
+}
+
+void
+control::Claim(const std::string& aService,
+               group& aGroup,
+               clock::time_point aNow)
+{
+  aGroup.isClaiming = true;
+  aGroup.claimFrom = aNow + kClaimPause;
+  mPlatform.store->Commit(
+    ClaimOf(mOwnKeys, aService, mSelf, mOwnView.Seen()),
+    [this, aService](
+      store::commit_outcome aOutcome, store::revision, clock::time_point) {
+      log::Write(log::level::kInfo,
+                 "duty_claimed",
+                 { { "service", aService },
+                   { "outcome", static_cast<std::int64_t>(aOutcome) } });
+      if (auto* found = Find(aService)) {
+        found->isClaiming = false;
+      }
+    });
+}
+
+std::string
+control::HolderOf(const std::string& aService) const
+{
+  const auto* duty = DutyOf(aService);
+  return duty == nullptr ? std::string() : duty->holder;
+}
+
+const duty_record*
+control::DutyOf(const std::string& aService) const
+{
+  const auto found = mOwnKeys.duties.find(aService);
+  return found == mOwnKeys.duties.end() ? nullptr : &found->second.record;
+}
+
+} // namespace currantshed::node
--- a/src/currantshed/node/server_connector.cpp
+++ b/src/currantshed/node/server_connector.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 
+#include "currantshed/clock/now.hpp"
 #include "currantshed/node/line_stream.hpp"
 
 namespace currantshed::node {
@@ -15,12 +16,6 @@
 
 using tcp = boost::asio::ip::tcp;
 
-clock::time_point
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 /// The connection itself; lives on while its callbacks are under way.
 class wire_link : public std::enable_shared_from_this<wire_link>
 {
@@ -126,14 +121,14 @@
   {
     if (!mIsOpen) {
       mIsOpen = true;
-      mListener->Opened(aReady.at, Now());
+      mListener->Opened(aReady.at, clock::Now());
       return;
     }
     mAnswer.state = aReady.state;
     mAnswer.position = aReady.at;
     ReadReport();
     auto answered = std::exchange(mAnswer, {});
-    mListener->Answered(std::move(answered), Now());
+    mListener->Answered(std::move(answered), clock::Now());
   }
 
   void ReadReport()
@@ -179,7 +174,7 @@
   {
     mStream->Close();
     if (auto* listener = std::exchange(mListener, nullptr)) {
-      listener->Ended(aWhy, Now());
+      listener->Ended(aWhy, clock::Now());
     }
   }
 
--- a/src/currantshed/node/traffic.cpp
+++ b/src/currantshed/node/traffic.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "currantshed/clock/now.hpp"
 #include "currantshed/log/log.hpp"
 
 namespace currantshed::node {
@@ -23,12 +24,6 @@
 constexpr milliseconds kLastAnswers{ 400 };
 constexpr milliseconds kDrainCheck{ 50 };
 
-clock::time_point
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 std::int64_t
 Milliseconds(clock::duration aTime)
 {
@@ -71,7 +66,7 @@
       [this] { After(); })
   , mTicker(mContext,
             [this] {
-              mEngine.Tick(Now());
+              mEngine.Tick(clock::Now());
               After();
             })
   , mDrainTimer(mContext)
@@ -104,7 +99,7 @@
   boost::asio::post(
     mContext, [this, configuration = std::move(aConfiguration)]() mutable {
       mIsConfigured = true;
-      mEngine.SetConfiguration(std::move(configuration), Now());
+      mEngine.SetConfiguration(std::move(configuration), clock::Now());
       After();
     });
 }
@@ -113,7 +108,7 @@
 traffic::SetServers(std::vector<proxy::server> aServers)
 {
   boost::asio::post(mContext, [this, servers = std::move(aServers)] {
-    mEngine.SetServers(servers, Now());
+    mEngine.SetServers(servers, clock::Now());
     After();
   });
 }
@@ -122,7 +117,7 @@
 traffic::SetFleet(std::vector<proxy::fleet_vm> aFleet)
 {
   boost::asio::post(mContext, [this, fleet = std::move(aFleet)] {
-    mEngine.SetFleet(fleet, Now());
+    mEngine.SetFleet(fleet, clock::Now());
     After();
   });
 }
@@ -131,7 +126,7 @@
 traffic::Confirm(const std::string& aService, const proxy::confirmation& aProof)
 {
   boost::asio::post(mContext, [this, aService, aProof] {
-    mEngine.Confirm(aService, aProof, Now());
+    mEngine.Confirm(aService, aProof, clock::Now());
     After();
   });
 }
@@ -179,7 +174,7 @@
                           const proxy::order_result& aResult) {
                           done(aResult, mEngine.HeardAt(aServer));
                         },
-                        Now());
+                        clock::Now());
                       After();
                     });
 }
@@ -206,7 +201,7 @@
 {
   boost::asio::post(mContext, [this, aAtMost] {
     mDrainTime = aAtMost;
-    mDrainStart = Now();
+    mDrainStart = clock::Now();
     mDrainTimer.expires_after(std::min(kHandOverTime, aAtMost / 2));
     mDrainTimer.async_wait([this](boost::system::error_code aError) {
       if (!aError) {
@@ -223,7 +218,7 @@
   mEngine.Drain();
   After();
   const auto half = mDrainStart + mDrainTime / 2;
-  mDrainTimer.expires_at(std::max(half, Now()));
+  mDrainTimer.expires_at(std::max(half, clock::Now()));
   mDrainTimer.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
       EndTransactions();
@@ -234,7 +229,7 @@
 void
 traffic::EndTransactions()
 {
-  mEngine.EndIdleTransactions(Now());
+  mEngine.EndIdleTransactions(clock::Now());
   StopIfDone();
 }
 
@@ -242,7 +237,7 @@
 traffic::StopIfDone()
 {
   const auto end = mDrainStart + mDrainTime - kLastAnswers;
-  if (mCallers.Connections() == 0 || Now() >= end) {
+  if (mCallers.Connections() == 0 || clock::Now() >= end) {
     log::Write(
       log::level::kInfo,
       "drained",
@@ -251,7 +246,7 @@
     mContext.stop();
     return;
   }
-  mEngine.EndIdleTransactions(Now());
+  mEngine.EndIdleTransactions(clock::Now());
   mDrainTimer.expires_after(kDrainCheck);
   mDrainTimer.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
--- a/standin/callers/main.cpp
+++ b/standin/callers/main.cpp
@@ -1,4 +1,5 @@
 #include <chrono>
+#include <cstdio>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
@@ -348,10 +349,8 @@
   std::string mFailure;
 };
 
-} // namespace
-
 int
-main(int aCount, char** aValues)
+Play(int aCount, char** aValues)
 {
   options chosen;
   currantshed::settings::parser parser(
@@ -399,3 +398,16 @@
             << seen.firstWrong << "\"}\n";
   return seen.wrong == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  try {
+    return Play(aCount, aValues);
+  } catch (const std::exception& failure) {
+    std::fputs(failure.what(), stderr);
+    return EXIT_FAILURE;
+  }
+}
--- a/standin/fleet/session.cpp
+++ b/standin/fleet/session.cpp
@@ -56,8 +56,8 @@
   if (word != "QUERY") {
     return {};
   }
-  std::string id(Word(aLine));
-  return Run(std::move(id), aLine);
+  const std::string id(Word(aLine));
+  return Run(id, aLine);
 }
 
 std::string
@@ -97,7 +97,7 @@
 }
 
 std::string
-session::Run(std::string aId, std::string_view aText)
+session::Run(const std::string& aId, std::string_view aText)
 {
   auto word = Word(aText);
   if (word == "AFTERLSN") {
--- a/standin/fleet/session.hpp
+++ b/standin/fleet/session.hpp
@@ -32,7 +32,7 @@
   };
 
   [[nodiscard]] std::string Begin(std::string_view aLine);
-  [[nodiscard]] std::string Run(std::string aId, std::string_view aText);
+  [[nodiscard]] std::string Run(const std::string& aId, std::string_view aText);
   [[nodiscard]] std::string Change(const std::string& aId,
                                    std::string_view aArguments);
   [[nodiscard]] std::string Control(std::string_view aWord,
--- a/test/currantshed/lead/clock_offset.cpp
+++ b/test/currantshed/lead/clock_offset.cpp
@@ -19,7 +19,7 @@
   const char* name;
   std::chrono::milliseconds first;
   std::chrono::milliseconds second;
-  std::chrono::milliseconds short_;
+  std::chrono::milliseconds shortest;
 };
 
 constexpr delay_row kRows[] = {
@@ -39,7 +39,7 @@
     offset.Heard(lead::ToWire(kNow - row.first) + kAhead, kNow);
     offset.Heard(lead::ToWire(kNow - row.second) + kAhead, kNow);
     const auto bound = offset.LowerBound(kNow);
-    CHECK_TEXT(bound && *bound == kAhead - row.short_, row.name);
+    CHECK_TEXT(bound && *bound == kAhead - row.shortest, row.name);
     // With time the clocks may have drifted apart.
     CHECK_TEXT(*offset.LowerBound(kNow + 10s) < *bound, row.name);
   }
