Drop a flag and an accessor that nothing reads

Cause: request.offered was written at two places and read at none; no caller of prefix_view::Prefix is left. Change: both are gone; behaviour stays as it is.

--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -60,7 +60,6 @@
     return;
   }
   request.on = on;
-  request.offered = true;
   Advance(aSession, aNow);
 }
 
@@ -126,7 +125,6 @@
 {
   auto& request = *aSession.current;
   request.on = &aOn;
-  request.offered = true;
   ++request.tries;
   aOn.user = &aSession;
   if (aSession.transaction) {
--- a/src/currantshed/proxy/request.hpp
+++ b/src/currantshed/proxy/request.hpp
@@ -58,8 +58,6 @@
   /// Servers tried so far that turned the request away.
   absl::InlinedVector<upstream::server_id, 2> refusedBy;
   unsigned tries = 0;
-  /// Whether a server connection was ever had for it.
-  bool offered = false;
   read_floor floor;
   connection* on = nullptr;
   clock::time_point sentAt;
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -77,7 +77,6 @@
   /// The revision up to which changes are known.
   [[nodiscard]] revision Seen() const noexcept { return mSeen; }
   [[nodiscard]] const items& Items() const noexcept { return mItems; }
-  [[nodiscard]] const std::string& Prefix() const noexcept { return mPrefix; }
 
 private:
   void Read();
