A majority of an old term counts only if the term was not replaced

Together with the old primary, which had come back and knew of nothing, it looked like a majority of term 1. And once the order was out, the old primary was asked to step down no more.

Ruled out: the wait before the order (1,017 ms in the log), a proof that was still running, a VM on the list that did not obey.

Change: a majority counts by itself only if a proof of the same term held until it was asked, or all members answered in one round, or this VM ordered the change. Otherwise the store is read: the term that ends is written into the duty's record before the platform is asked. The old primary is demoted during the promotion too. A revocation that is given up is lifted in the engine as well (it stayed for good), and what was proved before is proved anew. A vacant group's old term follows logs, not fences, so that a new primary of the fence's number is believed.

Tests: five in group_lead; the one on majorities fails when IsTrusted is true.

--- a/src/currantshed/lead/actions.hpp
+++ b/src/currantshed/lead/actions.hpp
@@ -25,8 +25,16 @@
 struct order_promotion
 {
   upstream::server_id server;
+  /// The term that ends with it. It is recorded in the store before the
+  /// platform is asked, since the platform lifts fences when it promotes.
+  position::term_id replaces = 0;
 };
 
+/// Reads from the store which term was replaced last; answered by
+/// TermsChecked.
+struct check_terms
+{};
+
 /// Reads anew which VMs there are; answered by VmsListed.
 struct list_vms
 {};
@@ -58,6 +66,7 @@
 
 using action = std::variant<ask_server,
                             order_promotion,
+                            check_terms,
                             list_vms,
                             publish_proof,
                             publish_sample,
--- a/src/currantshed/lead/group_lead.cpp
+++ b/src/currantshed/lead/group_lead.cpp
@@ -33,6 +33,11 @@
 // A new holder of the duty looks on for this long first, so that an order of
 // the holder before it has had its effect.
 constexpr milliseconds kFirstLook{ 400 };
+// Pause after a check of the terms that failed or found the proof void.
+constexpr milliseconds kCheckPause{ 200 };
+// Reports asked for within this time of each other are one round. It is shorter
+// than the least time from a fence to the effect of a promotion.
+constexpr milliseconds kSameRound{ 300 };
 // A revocation that its author does not repeat lapses.
 constexpr milliseconds kRevocationLife{ 5000 };
 
@@ -64,7 +69,8 @@
   }
   mHoldsDuty = aHolds;
   mEpoch = aEpoch;
-  if (!aHolds) {
+  if (!aHolds && IsChanging()) {
+    LiftRevocation(mTakeover.RevokedTerm());
     mTakeover.Abandon(mActions);
   }
   Evaluate(aNow);
@@ -83,6 +89,32 @@
   Evaluate(aNow);
 }
 
+void
+group_lead::SetReplaced(position::term_id aTerm, clock::time_point aNow)
+{
+  if (aTerm > mReplaced) {
+    mReplaced = aTerm;
+    Evaluate(aNow);
+  }
+}
+
+void
+group_lead::TermsChecked(std::optional<position::term_id> aReplaced,
+                         clock::time_point aNow)
+{
+  const auto checked = std::exchange(mUnchecked, std::nullopt);
+  mNextCheck = aNow + kCheckPause;
+  if (!aReplaced || !checked) {
+    return;
+  }
+  mReplaced = std::max(mReplaced, *aReplaced);
+  const auto revoked = mHoldsDuty ? mTakeover.RevokedTerm() : mRevoked;
+  if (checked->term > std::max(mReplaced, revoked)) {
+    TakeProof(*checked, aNow);
+  }
+  Evaluate(aNow);
+}
+
 void
 group_lead::Wanted(clock::time_point aNow)
 {
@@ -152,6 +184,9 @@
     if (aNews.revokedTerm != mRevoked) {
       mActions.emplace_back(publish_revocation{ aNews.revokedTerm });
     }
+    if (aNews.revokedTerm < mRevoked) {
+      LiftRevocation(mRevoked);
+    }
     mRevoked = aNews.revokedTerm;
     mRevokedEpoch = aNews.epoch;
     mRevokedAt = aNow;
@@ -222,6 +257,7 @@
 {
   mNow = std::max(mNow, aNow);
   if (mRevoked != 0 && !mHoldsDuty && mNow > mRevokedAt + kRevocationLife) {
+    LiftRevocation(mRevoked);
     mRevoked = 0;
     mActions.emplace_back(publish_revocation{ 0 });
   }
@@ -237,10 +273,7 @@
 void
 group_lead::TakeProof(const proxy::confirmation& aProof, clock::time_point aNow)
 {
-  const bool isNewer =
-    aProof.term > mProof.term ||
-    (aProof.term == mProof.term && aProof.askedAt > mProof.askedAt);
-  if (aProof.term == 0 || !isNewer) {
+  if (aProof.term <= mReplaced || !IsNewer(aProof)) {
     return;
   }
   if (aProof.term > mProof.term) {
@@ -259,11 +292,15 @@
 group_lead::TakeOwnProof(clock::time_point aNow)
 {
   const auto proof = mTable.Proof();
-  if (!proof) {
+  if (!proof || !IsNewer(*proof)) {
     return;
   }
   const auto revoked = mHoldsDuty ? mTakeover.RevokedTerm() : mRevoked;
-  if (proof->term <= revoked) {
+  if (proof->term <= std::max(revoked, mReplaced)) {
+    return;
+  }
+  if (!IsTrusted(*proof)) {
+    CheckTerms(*proof, aNow);
     return;
   }
   TakeProof(*proof, aNow);
@@ -272,6 +309,67 @@
   }
 }
 
+bool
+group_lead::IsNewer(const proxy::confirmation& aProof) const noexcept
+{
+  return aProof.term > mProof.term ||
+         (aProof.term == mProof.term && aProof.askedAt > mProof.askedAt);
+}
+
+// The platform lifts fences when it promotes, so that an old primary and a
+// replica behind may look like a majority again. A majority counts by itself
+// only if no promotion can have gone unseen: a proof of the same term held
+// until the asking, every member was asked in one round, or this VM has ordered
+// the promotion itself.
+bool
+group_lead::IsTrusted(const proxy::confirmation& aProof) const
+{
+  if (aProof.term == mProof.term &&
+      aProof.askedAt < mProof.askedAt + mSettings.validity) {
+    return true;
+  }
+  if (mHoldsDuty && mTakeover.Step() == takeover_step::kPromote) {
+    return true;
+  }
+  const auto& all = mTable.All();
+  return std::all_of(all.begin(), all.end(), [&aProof](const auto& aOne) {
+    const auto& view = aOne.second;
+    return view.report && view.report->fencedAt <= aProof.term &&
+           view.askedAt >= aProof.askedAt &&
+           view.askedAt <= aProof.askedAt + kSameRound;
+  });
+}
+
+// A term that was replaced is recorded in the store before the platform is
+// asked to promote: a reading that begins after the servers answered shows it.
+void
+group_lead::CheckTerms(const proxy::confirmation& aProof,
+                       clock::time_point aNow)
+{
+  // The members that have yet to answer may spare the question.
+  const auto& all = mTable.All();
+  const bool isComplete =
+    std::none_of(all.begin(), all.end(), [](const auto& aOne) {
+      return aOne.second.asking.has_value();
+    });
+  if (mUnchecked || !isComplete || aNow < mNextCheck ||
+      aNow >= aProof.askedAt + mSettings.validity) {
+    return;
+  }
+  mUnchecked = aProof;
+  mActions.emplace_back(check_terms{});
+}
+
+// The change was given up. What was proved before it may have been replaced
+// all the same, and must be proved anew.
+void
+group_lead::LiftRevocation(position::term_id aTerm)
+{
+  if (mProof.term <= aTerm) {
+    mProof.askedAt = {};
+  }
+}
+
 void
 group_lead::Judge(clock::time_point aNow)
 {
@@ -302,7 +400,7 @@
   if (IsVacant(aNow)) {
     mTakeover.Begin(takeover_reason::kVacant,
                     mProof.primary,
-                    std::max(mProof.term, mTable.HighestTerm()),
+                    std::max({ mProof.term, mReplaced, mTable.HighestLog() }),
                     aNow,
                     mActions);
   }
@@ -324,6 +422,9 @@
 bool
 group_lead::IsReachedElsewhere(clock::time_point aNow) const
 {
+  if (mProof.term <= mReplaced) {
+    return false;
+  }
   return std::any_of(mReach.begin(), mReach.end(), [&](const auto& aEntry) {
     const auto& news = aEntry.second.news;
     return news.primary == mProof.primary && aNow - news.heardAt < kReachLife;
@@ -340,7 +441,8 @@
   for (const auto& [id, view] : mTable.All()) {
     const bool fresh = view.report && aNow - view.askedAt < kVacantAfter;
     answering += fresh ? 1 : 0;
-    leads = leads || (fresh && view.report->isPrimary);
+    leads = leads ||
+            (fresh && view.report->isPrimary && view.report->term > mReplaced);
   }
   const bool unlisted =
     mProof.term == 0 || mTable.Find(mProof.primary) == nullptr;
--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -75,6 +75,15 @@
                  clock::time_point aAskedAt,
                  clock::time_point aNow);
 
+  /// The newest term that a change of the primary has replaced, as the store
+  /// shows it: no proof of it or an earlier one holds.
+  void SetReplaced(position::term_id aTerm, clock::time_point aNow);
+
+  /// The same, read from the store since the check was asked for; none when
+  /// the store could not be read.
+  void TermsChecked(std::optional<position::term_id> aReplaced,
+                    clock::time_point aNow);
+
   /// Whether this VM may ask for proofs by itself yet.
   void SetMayAsk(bool aMayAsk) { mMayAsk = aMayAsk; }
 
@@ -129,6 +138,10 @@
   void Evaluate(clock::time_point aNow);
   void TakeProof(const proxy::confirmation& aProof, clock::time_point aNow);
   void TakeOwnProof(clock::time_point aNow);
+  [[nodiscard]] bool IsNewer(const proxy::confirmation& aProof) const noexcept;
+  [[nodiscard]] bool IsTrusted(const proxy::confirmation& aProof) const;
+  void CheckTerms(const proxy::confirmation& aProof, clock::time_point aNow);
+  void LiftRevocation(position::term_id aTerm);
   void Judge(clock::time_point aNow);
   void Ask(clock::time_point aNow);
   void AskOne(member_view& aView, clock::time_point aNow);
@@ -153,6 +166,10 @@
   position::term_id mRevoked = 0;
   std::uint64_t mRevokedEpoch = 0;
   clock::time_point mRevokedAt;
+  position::term_id mReplaced = 0;
+  // An own proof that holds only if the store shows that its term still leads.
+  std::optional<proxy::confirmation> mUnchecked;
+  clock::time_point mNextCheck;
   // The VMs that must give up a revoked term, once they are known.
   std::optional<std::vector<std::string>> mMustObey;
   absl::btree_map<std::string, peer_reach> mReach;
--- a/src/currantshed/lead/server_table.cpp
+++ b/src/currantshed/lead/server_table.cpp
@@ -95,6 +95,16 @@
   return highest;
 }
 
+position::term_id
+server_table::HighestLog() const
+{
+  position::term_id highest = 0;
+  for (const auto& [id, view] : mViews) {
+    highest = std::max(highest, view.report ? view.report->term : 0);
+  }
+  return highest;
+}
+
 std::optional<proxy::confirmation>
 server_table::Proof() const
 {
--- a/src/currantshed/lead/server_table.hpp
+++ b/src/currantshed/lead/server_table.hpp
@@ -72,6 +72,10 @@
   /// The highest term that any member told, of its log or its fence.
   [[nodiscard]] position::term_id HighestTerm() const;
 
+  /// The highest term of any member's log: fences may stand above every term
+  /// that has begun.
+  [[nodiscard]] position::term_id HighestLog() const;
+
   /// The primary of the highest term that a majority, itself included, would
   /// follow, and when the oldest of the newest such majority was asked.
   [[nodiscard]] std::optional<proxy::confirmation> Proof() const;
--- a/src/currantshed/lead/takeover.cpp
+++ b/src/currantshed/lead/takeover.cpp
@@ -40,6 +40,7 @@
   mFenceTerm = std::max(mTable.HighestTerm(), mOldTerm) + 1;
   mBegunAt = aNow;
   mNextSend = aNow;
+  mNextOrder = clock::time_point::max();
   mAllObeyed = false;
   mChosen.clear();
   mRejected.clear();
@@ -81,8 +82,9 @@
     }
     mStep = takeover_step::kFence;
     mNextSend = aNow + kRound;
+    mNextOrder = clock::time_point::max();
   } else if (!aTaken) {
-    mNextSend = std::min(mNextSend, aNow + kRound);
+    mNextOrder = std::min(mNextOrder, aNow + kRound);
   }
 }
 
@@ -98,13 +100,16 @@
   if (mStep == takeover_step::kWaitOut && (mAllObeyed || aNow >= mWaitUntil) &&
       !Choose(aNow).empty()) {
     mStep = takeover_step::kPromote;
-    mNextSend = aNow;
+    mNextOrder = aNow;
+  }
+  if (mStep == takeover_step::kPromote && aNow >= mNextOrder) {
+    Promote(aNow, aOut);
   }
   if (aNow < mNextSend) {
     return;
   }
   if (mStep == takeover_step::kPromote) {
-    Promote(aNow, aOut);
+    DemoteOld(aNow, aOut);
   } else {
     Fence(aNow, aOut);
   }
@@ -116,8 +121,8 @@
   if (mStep == takeover_step::kNone) {
     return clock::time_point::max();
   }
-  return mStep == takeover_step::kWaitOut ? std::min(mNextSend, mWaitUntil)
-                                          : mNextSend;
+  return std::min(mNextSend,
+                  mStep == takeover_step::kWaitOut ? mWaitUntil : mNextOrder);
 }
 
 void
@@ -224,12 +229,28 @@
   return best->listed.id;
 }
 
+// While the platform promotes, the old primary may come back, and does not know
+// of it.
+void
+takeover::DemoteOld(clock::time_point aNow, std::vector<action>& aOut)
+{
+  mNextSend = aNow + kRound;
+  const auto* old = mTable.Find(mOld);
+  const bool steppedDown =
+    old == nullptr ||
+    (old->report && old->askedAt >= mBegunAt && !old->report->isPrimary);
+  if (!steppedDown && !old->asking) {
+    Send(mOld, proxy::command_kind::kDemote, aNow, aOut);
+  }
+}
+
 void
 takeover::Promote(clock::time_point aNow, std::vector<action>& aOut)
 {
   const auto chosen = Choose(aNow);
   if (chosen.empty() && mChosen.empty()) {
     mStep = takeover_step::kFence;
+    mNextOrder = clock::time_point::max();
     return;
   }
   // An order may have been taken although no answer came: it stays with the
@@ -237,9 +258,9 @@
   if (mChosen.empty() || mRejected.contains(mChosen)) {
     mChosen = chosen;
   }
-  mNextSend = aNow + kPromoteRound;
+  mNextOrder = aNow + kPromoteRound;
   aOut.emplace_back(note_step{ "promote", mChosen });
-  aOut.emplace_back(order_promotion{ mChosen });
+  aOut.emplace_back(order_promotion{ mChosen, mOldTerm });
 }
 
 void
--- a/src/currantshed/lead/takeover.hpp
+++ b/src/currantshed/lead/takeover.hpp
@@ -85,6 +85,7 @@
 private:
   void Fence(clock::time_point aNow, std::vector<action>& aOut);
   void ReadFences(clock::time_point aNow, std::vector<action>& aOut);
+  void DemoteOld(clock::time_point aNow, std::vector<action>& aOut);
   void Promote(clock::time_point aNow, std::vector<action>& aOut);
   void Send(const upstream::server_id& aServer,
             proxy::command_kind aKind,
@@ -102,6 +103,7 @@
   position::term_id mFenceTerm = 0;
   clock::time_point mBegunAt;
   clock::time_point mNextSend;
+  clock::time_point mNextOrder;
   clock::time_point mWaitUntil;
   clock::time_point mBarredAt;
   bool mAllObeyed = false;
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -100,14 +100,25 @@
   void PerformOne(const std::string& aService, group& aGroup);
   void Do(const std::string& aService, const lead::ask_server& aAction);
   void Do(const std::string& aService, const lead::order_promotion& aAction);
+  void Do(const std::string& aService, const lead::check_terms& aAction);
   void Do(const std::string& aService, const lead::list_vms& aAction);
   void Do(const std::string& aService, const lead::publish_proof& aAction);
   void Do(const std::string& aService, const lead::publish_sample& aAction);
   void Do(const std::string& aService, const lead::publish_revocation& aAction);
   void Do(const std::string& aService, const lead::note_step& aAction);
+  void RecordReplaced(const std::string& aService,
+                      const upstream::server_id& aServer,
+                      duty_record aDuty,
+                      store::revision aChanged);
   void Promote(const std::string& aService,
                const upstream::server_id& aServer,
                std::uint64_t aEpoch);
+  void NotOrdered(const std::string& aService,
+                  const upstream::server_id& aServer,
+                  std::string aReason,
+                  clock::time_point aNow);
+  [[nodiscard]] bool HoldsDutySince(const duty_record& aDuty,
+                                    clock::time_point aAsked) const;
   void PromotionEnded(const std::string& aService,
                       promotion_outcome aOutcome,
                       clock::time_point aNow);
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -75,35 +75,108 @@
 }
 
 // The right to order is read from the store first: this VM may have lost it
-// without having noticed.
+// without having noticed. The term that ends is recorded before the order.
 void
 control::Do(const std::string& aService, const lead::order_promotion& aAction)
 {
   const auto asked = clock::Now();
   mPlatform.store->Get(
     DutyKey(aService),
-    [this, aService, asked, server = aAction.server](
-      std::error_code aError,
-      std::optional<store::item> aItem,
-      clock::time_point aNow) {
-      const auto duty = aItem ? ReadDuty(*aItem) : std::nullopt;
-      const bool held =
-        !aError && duty && duty->holder == mSelf.where.vm &&
-        duty->incarnation == mSelf.incarnation &&
-        clock::Now() < asked + kDutyCheckLife &&
-        clock::Now() + kLeaseReserve < mRegistration.ValidUntil();
-      if (!held) {
-        log::Write(log::level::kWarning,
-                   "promotion_not_ordered",
-                   { { "service", aService },
-                     { "server", server },
-                     { "reason",
-                       aError ? aError.message()
-                              : std::string("the duty is not held") } });
-        PromotionEnded(aService, promotion_outcome::kLater, aNow);
+    [this, aService, asked, aAction](std::error_code aError,
+                                     std::optional<store::item> aItem,
+                                     clock::time_point aNow) {
+      auto duty = aItem ? ReadDuty(*aItem) : std::nullopt;
+      if (aError || !duty || !HoldsDutySince(*duty, asked)) {
+        NotOrdered(aService,
+                   aAction.server,
+                   aError ? aError.message() : "the duty is not held",
+                   aNow);
+      } else if (duty->replacedTerm < aAction.replaces) {
+        duty->replacedTerm = aAction.replaces;
+        RecordReplaced(aService, aAction.server, *duty, aItem->changed);
+      } else {
+        Promote(aService, aAction.server, duty->epoch);
+      }
+    });
+}
+
+// Whether the record, asked for at the given time, lets this VM give orders.
+bool
+control::HoldsDutySince(const duty_record& aDuty,
+                        clock::time_point aAsked) const
+{
+  return aDuty.holder == mSelf.where.vm &&
+         aDuty.incarnation == mSelf.incarnation &&
+         clock::Now() < aAsked + kDutyCheckLife &&
+         clock::Now() + kLeaseReserve < mRegistration.ValidUntil();
+}
+
+// The record is written over the one that was read, so that it shows the duty
+// as well.
+void
+control::RecordReplaced(const std::string& aService,
+                        const upstream::server_id& aServer,
+                        duty_record aDuty,
+                        store::revision aChanged)
+{
+  const auto asked = clock::Now();
+  const auto key = DutyKey(aService);
+  store::transaction made;
+  made.conditions.push_back({ key, aChanged });
+  made.puts.push_back({ key, PrintDuty(aDuty), 0, 0 });
+  mPlatform.store->Commit(
+    std::move(made),
+    [this, aService, aServer, duty = std::move(aDuty), asked](
+      store::commit_outcome aOutcome, store::revision, clock::time_point aNow) {
+      if (aOutcome == store::commit_outcome::kApplied &&
+          HoldsDutySince(duty, asked)) {
+        Promote(aService, aServer, duty.epoch);
+      } else {
+        NotOrdered(
+          aService, aServer, "the replaced term is not recorded", aNow);
+      }
+    });
+}
+
+void
+control::NotOrdered(const std::string& aService,
+                    const upstream::server_id& aServer,
+                    std::string aReason,
+                    clock::time_point aNow)
+{
+  log::Write(log::level::kWarning,
+             "promotion_not_ordered",
+             { { "service", aService },
+               { "server", aServer },
+               { "reason", std::move(aReason) } });
+  PromotionEnded(aService, promotion_outcome::kLater, aNow);
+}
+
+void
+control::Do(const std::string& aService, const lead::check_terms& /*aAction*/)
+{
+  mPlatform.store->Get(
+    DutyKey(aService),
+    [this, aService](std::error_code aError,
+                     std::optional<store::item> aItem,
+                     clock::time_point aNow) {
+      auto* found = Find(aService);
+      if (found == nullptr) {
         return;
       }
-      Promote(aService, server, duty->epoch);
+      std::optional<position::term_id> replaced;
+      if (!aError) {
+        const auto duty = aItem ? ReadDuty(*aItem) : std::nullopt;
+        replaced = duty ? duty->replacedTerm : 0;
+      }
+      log::Write(
+        log::level::kInfo,
+        "terms_checked",
+        { { "service", aService },
+          { "replaced", static_cast<std::int64_t>(replaced.value_or(0)) },
+          { "reason", aError ? aError.message() : std::string() } });
+      found->lead.TermsChecked(replaced, aNow);
+      Perform(aNow);
     });
 }
 
@@ -253,6 +326,9 @@
         { "epoch",
           static_cast<std::int64_t>(duty == nullptr ? 0 : duty->epoch) } });
   }
+  if (duty != nullptr) {
+    aGroup.lead.SetReplaced(duty->replacedTerm, aNow);
+  }
   aGroup.lead.SetDuty(holds, duty == nullptr ? 0 : duty->epoch, aNow);
   const bool mayClaim =
     !isOwn && !mIsLeaving && !aGroup.isClaiming && aNow >= aGroup.claimFrom &&
--- a/src/currantshed/node/duty.cpp
+++ b/src/currantshed/node/duty.cpp
@@ -92,9 +92,11 @@
 std::string
 PrintDuty(const duty_record& aRecord)
 {
-  return json::serialize(json::object{ { "holder", aRecord.holder },
-                                       { "incarnation", aRecord.incarnation },
-                                       { "epoch", aRecord.epoch } });
+  return json::serialize(
+    json::object{ { "holder", aRecord.holder },
+                  { "incarnation", aRecord.incarnation },
+                  { "epoch", aRecord.epoch },
+                  { "replaced_term", aRecord.replacedTerm } });
 }
 
 std::optional<duty_record>
@@ -104,7 +106,8 @@
     const auto object = json::parse(aItem.value).as_object();
     return duty_record{ Text(object, "holder"),
                         Number(object, "incarnation"),
-                        Number(object, "epoch") };
+                        Number(object, "epoch"),
+                        Number(object, "replaced_term") };
   } catch (const std::exception&) {
     return std::nullopt;
   }
@@ -167,6 +170,7 @@
     const auto& old = before->second.record;
     const auto holder = aKeys.vms.find(old.holder);
     made.epoch = std::max(aSeen, old.epoch + 1);
+    made.replacedTerm = old.replacedTerm;
     claim.conditions.push_back({ key, before->second.changed });
     claim.conditions.push_back(
       { VmKey(old.holder),
--- a/src/currantshed/node/duty.hpp
+++ b/src/currantshed/node/duty.hpp
@@ -9,6 +9,7 @@
 #include <absl/container/btree_map.h>
 
 #include "currantshed/news/exchange.hpp"
+#include "currantshed/position/log_position.hpp"
 #include "currantshed/store/prefix_view.hpp"
 
 namespace currantshed::node {
@@ -35,6 +36,9 @@
   std::uint64_t incarnation = 0;
   /// Fencing token: goes up with each change of the holder.
   std::uint64_t epoch = 0;
+  /// The newest term of the group that a holder has had replaced, or is about
+  /// to; no proof of it may be believed.
+  position::term_id replacedTerm = 0;
 };
 
 [[nodiscard]] std::string
--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -134,7 +134,10 @@
 engine::Revoke(const std::string& aService, position::term_id aTerm)
 {
   auto& lead = LeadOf(aService);
-  lead.revoked = std::max(lead.revoked, aTerm);
+  if (aTerm == 0 && lead.proof.term <= lead.revoked) {
+    lead.proof.askedAt = {};
+  }
+  lead.revoked = aTerm == 0 ? 0 : std::max(lead.revoked, aTerm);
 }
 
 std::optional<engine::session_id>
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -132,7 +132,8 @@
                const confirmation& aProof,
                clock::time_point aNow);
   void AddSample(const std::string& aService, const position_sample& aSample);
-  /// Nothing may rest any longer on proof of this term or an earlier one.
+  /// Nothing may rest any longer on proof of this term or an earlier one; zero
+  /// lifts that for proofs that are newer than all so far.
   void Revoke(const std::string& aService, position::term_id aTerm);
 
   /// Begins a session; none when no route has that database.
--- a/test/currantshed/lead/group_lead.cpp
+++ b/test/currantshed/lead/group_lead.cpp
@@ -80,6 +80,11 @@
   std::optional<std::vector<std::string>> vms{ std::vector<std::string>{} };
   std::function<void()> everyStep;
   clock::time_point promoting{};
+  /// The replaced term that the store shows; none while it does not answer.
+  std::optional<position::term_id> replaced{ 0 };
+  int checks = 0;
+  /// The term that the last order told to replace.
+  position::term_id replacedInOrder = 0;
 
 private:
   void Perform()
@@ -127,6 +132,7 @@
 
   void Do(const lead::order_promotion& aAction)
   {
+    replacedInOrder = aAction.replaces;
     if (!takesOrders) {
       lead.PromotionAnswered(false, false, now);
       return;
@@ -139,6 +145,12 @@
     lead.PromotionAnswered(!rejects, rejects, now);
   }
 
+  void Do(const lead::check_terms&)
+  {
+    ++checks;
+    lead.TermsChecked(replaced, now);
+  }
+
   void Do(const lead::list_vms&)
   {
     if (vms) {
@@ -337,6 +349,125 @@
   CHECK(made.promoted.empty());
 }
 
+namespace {
+
+struct majority_row
+{
+  const char* name;
+  std::function<void(bench&)> given;
+  /// Whether the majority of the old term counts as proof.
+  bool proves;
+};
+
+// The bench's servers stand as after a promotion of c, which this VM does not
+// reach: a does not know of it, and b's fence was lifted by the platform.
+const majority_row kMajorityRows[] = {
+  { "a majority that was not replaced, as the store shows",
+    [](bench&) {},
+    true },
+  { "the store shows that its term was replaced",
+    [](bench& aBench) { aBench.replaced = 1; },
+    false },
+  { "the store does not answer",
+    [](bench& aBench) { aBench.replaced.reset(); },
+    false },
+  { "the store does not answer, but all members say the same",
+    [](bench& aBench) {
+      aBench.replaced.reset();
+      aBench.servers["c"].answers = true;
+    },
+    true },
+  { "all answer, and one leads a newer term",
+    [](bench& aBench) {
+      aBench.replaced.reset();
+      auto& promoted = aBench.servers["c"];
+      promoted.answers = true;
+      promoted.primary = true;
+      promoted.term = 2;
+    },
+    false },
+  { "a VM that knows of the replacement asks nobody",
+    [](bench& aBench) { aBench.lead.SetReplaced(1, aBench.now); },
+    false },
+};
+
+} // namespace
+
+TEST(group_lead, a_majority_after_a_pause_counts_only_if_its_term_stands)
+{
+  for (const auto& row : kMajorityRows) {
+    bench made;
+    made.servers["c"].answers = false;
+    row.given(made);
+    made.lead.Wanted(made.now);
+    made.Run(900ms);
+    const auto& proof = made.lead.Proof();
+    CHECK_TEXT((proof.term == 1) == row.proves, row.name);
+  }
+}
+
+TEST(group_lead, a_proof_that_goes_on_needs_no_check)
+{
+  bench made;
+  made.lead.Wanted(made.now);
+  made.Run(100ms);
+  made.servers["c"].answers = false;
+  made.replaced.reset();
+  for (int step = 0; step < 300; ++step) {
+    made.lead.Wanted(made.now);
+    made.Run(kStep);
+    CHECK(made.now < made.lead.Proof().askedAt + 1000ms);
+  }
+  CHECK_EQUAL(0, made.checks);
+}
+
+TEST(group_lead, an_old_primary_that_is_back_during_the_promotion_steps_down)
+{
+  bench made;
+  made.lead.SetDuty(true, 7, made.now);
+  made.Run(2000ms);
+  made.servers["a"].answers = false;
+  made.takesOrders = false;
+  made.Run(2500ms);
+  CHECK(made.lead.IsChanging());
+  CHECK(made.replacedInOrder == 1);
+  made.servers["a"].answers = true;
+  made.Run(200ms);
+  CHECK(!made.servers["a"].primary);
+}
+
+TEST(group_lead, a_group_whose_replacement_was_recorded_but_not_made_is_served)
+{
+  bench made;
+  made.lead.SetReplaced(1, made.now);
+  made.replaced = 1;
+  made.lead.SetDuty(true, 8, made.now);
+  made.everyStep = [&made] { ReachOf(made, "vm-2", 0); };
+  made.Run(5000ms);
+  CHECK(made.lead.Proof().term == 2);
+}
+
+TEST(group_lead, what_was_proved_before_a_change_given_up_is_proved_anew)
+{
+  bench made;
+  made.lead.SetDuty(true, 7, made.now);
+  made.Run(2000ms);
+  made.servers["a"].answers = false;
+  made.takesOrders = false;
+  made.Run(1500ms);
+  CHECK(made.lead.IsChanging());
+  made.servers["a"].answers = true;
+  made.servers["b"].fencedAt = 0;
+  made.servers["c"].fencedAt = 0;
+  const auto proofs = made.proofs.size();
+  made.replaced = 1;
+  made.lead.SetDuty(false, 7, made.now);
+  made.lead.Wanted(made.now);
+  made.servers["c"].answers = false;
+  made.Run(500ms);
+  CHECK_EQUAL(proofs, made.proofs.size());
+}
+
 TEST(group_lead, a_busy_witness_does_not_end_proofs)
 {
   for (const char* busy : { "b", "c" }) {
