VMs that start share connections by the recorded fleet; part of them stays free

Half of a server's connections are used where VMs share a pool, two thirds where each has its own. Connections that wait for an overdue answer or a pausing caller do not count, up to twice the share.

Tests: duty.the_fleet_is_recorded_..., holders.a_vm_that_knows_no_fleet_..., server_state.connections_without_use_...

--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -141,6 +141,8 @@
   void Schedule();
   [[nodiscard]] group* Find(const std::string& aService);
   void NoteVms(clock::time_point aNow);
+  void TellFleet(clock::time_point aNow);
+  void KeepFleet(clock::time_point aNow);
   [[nodiscard]] std::vector<std::string> KnownVms(clock::time_point aNow);
   [[nodiscard]] std::vector<std::string> Peers() const;
   [[nodiscard]] std::string HolderOf(const std::string& aService) const;
@@ -176,6 +178,10 @@
   clock::time_point mStartedAt;
   clock::time_point mListedAt{};
   clock::time_point mNextReach{};
+  // Until when VMs that were recorded count although they are not listed.
+  std::optional<clock::time_point> mSettledAt;
+  // Since when the record of the fleet has differed from those listed.
+  std::optional<clock::time_point> mFleetStaleSince;
   bool mIsLeaving = false;
   std::atomic<bool> mIsReady{ false };
   net::tick_timer mTicker;
--- a/src/currantshed/node/duty.cpp
+++ b/src/currantshed/node/duty.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::string_view kVms = "currantshed/vm/";
 constexpr std::string_view kDuties = "currantshed/duty/";
+constexpr std::string_view kFleet = "currantshed/fleet";
 
 std::string
 Text(const json::object& aObject, std::string_view aName)
@@ -33,6 +34,33 @@
   return aText.compare(0, aWith.size(), aWith) == 0;
 }
 
+json::object
+ToObject(const vm_record& aRecord)
+{
+  return { { "vm", aRecord.where.vm },
+           { "address", aRecord.where.address },
+           { "port", aRecord.where.port },
+           { "relay_port", aRecord.relayPort },
+           { "failure_domain", aRecord.failureDomain },
+           { "incarnation", aRecord.incarnation },
+           { "leaving", aRecord.leaving } };
+}
+
+// Throws what Boost.JSON throws when a member is missing or of another kind.
+vm_record
+FromObject(const json::object& aObject)
+{
+  vm_record record;
+  record.where = { Text(aObject, "vm"),
+                   Text(aObject, "address"),
+                   aObject.at("port").to_number<std::uint16_t>() };
+  record.relayPort = aObject.at("relay_port").to_number<std::uint16_t>();
+  record.failureDomain = Text(aObject, "failure_domain");
+  record.incarnation = Number(aObject, "incarnation");
+  record.leaving = aObject.at("leaving").as_bool();
+  return record;
+}
+
 // Whether the holder is listed in the life that took the duty, and stays.
 bool
 IsHeld(const own_keys& aKeys, const duty_record& aDuty)
@@ -57,38 +85,78 @@
   return std::string(kDuties) + aService;
 }
 
+std::string
+FleetKey()
+{
+  return std::string(kFleet);
+}
+
+std::string
+PrintFleet(const std::vector<vm_record>& aFleet)
+{
+  json::array vms;
+  for (const auto& one : aFleet) {
+    vms.push_back(ToObject(one));
+  }
+  return json::serialize(vms);
+}
+
+std::optional<std::vector<vm_record>>
+ReadFleet(const store::item& aItem)
+{
+  try {
+    std::vector<vm_record> fleet;
+    const auto parsed = json::parse(aItem.value);
+    for (const auto& one : parsed.as_array()) {
+      fleet.push_back(FromObject(one.as_object()));
+    }
+    return fleet;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+bool
+IsSameFleet(const std::vector<vm_record>& aLeft,
+            const std::vector<vm_record>& aRight)
+{
+  return std::equal(aLeft.begin(),
+                    aLeft.end(),
+                    aRight.begin(),
+                    aRight.end(),
+                    [](const auto& aOne, const auto& aOther) {
+                      return aOne.where == aOther.where &&
+                             aOne.relayPort == aOther.relayPort &&
+                             aOne.failureDomain == aOther.failureDomain;
+                    });
+}
+
 std::string
 PrintVm(const vm_record& aRecord)
 {
-  return json::serialize(
-    json::object{ { "vm", aRecord.where.vm },
-                  { "address", aRecord.where.address },
-                  { "port", aRecord.where.port },
-                  { "relay_port", aRecord.relayPort },
-                  { "failure_domain", aRecord.failureDomain },
-                  { "incarnation", aRecord.incarnation },
-                  { "leaving", aRecord.leaving } });
+  return json::serialize(ToObject(aRecord));
 }
 
 std::optional<vm_record>
 ReadVm(const store::item& aItem)
 {
   try {
-    const auto object = json::parse(aItem.value).as_object();
-    vm_record record;
-    record.where = { Text(object, "vm"),
-                     Text(object, "address"),
-                     object.at("port").to_number<std::uint16_t>() };
-    record.relayPort = object.at("relay_port").to_number<std::uint16_t>();
-    record.failureDomain = Text(object, "failure_domain");
-    record.incarnation = Number(object, "incarnation");
-    record.leaving = object.at("leaving").as_bool();
-    return record;
+    return FromObject(json::parse(aItem.value).as_object());
   } catch (const std::exception&) {
     return std::nullopt;
   }
 }
 
+std::vector<vm_record>
+own_keys::Listed() const
+{
+  std::vector<vm_record> listed;
+  for (const auto& [name, one] : vms) {
+    listed.push_back(one.record);
+  }
+  return listed;
+}
+
 std::string
 PrintDuty(const duty_record& aRecord)
 {
@@ -128,6 +196,11 @@
         keys.duties[key.substr(kDuties.size())] = { std::move(*record),
                                                     item.changed };
       }
+    } else if (key == kFleet) {
+      if (auto fleet = ReadFleet(item)) {
+        keys.fleet = std::move(*fleet);
+      }
+      keys.fleetChanged = item.changed;
     }
   }
   return keys;
--- a/src/currantshed/node/duty.hpp
+++ b/src/currantshed/node/duty.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <absl/container/btree_map.h>
 
@@ -46,6 +47,23 @@
 [[nodiscard]] std::string
 DutyKey(const std::string& aService);
 
+/// Where it is recorded which VMs there are, whether they run or not. VMs that
+/// start, all at once after a loss of power, share the servers' connections by
+/// it until the others are listed again.
+[[nodiscard]] std::string
+FleetKey();
+
+[[nodiscard]] std::string
+PrintFleet(const std::vector<vm_record>& aFleet);
+[[nodiscard]] std::optional<std::vector<vm_record>>
+ReadFleet(const store::item& aItem);
+
+/// Whether both name the same VMs at the same places, in the same order; lives
+/// may differ.
+[[nodiscard]] bool
+IsSameFleet(const std::vector<vm_record>& aLeft,
+            const std::vector<vm_record>& aRight);
+
 [[nodiscard]] std::string
 PrintVm(const vm_record& aRecord);
 [[nodiscard]] std::optional<vm_record>
@@ -75,6 +93,12 @@
   absl::btree_map<std::string, listed_vm> vms;
   /// By service.
   absl::btree_map<std::string, listed_duty> duties;
+  /// The recorded fleet, by name, and the record's last change.
+  std::vector<vm_record> fleet;
+  store::revision fleetChanged = 0;
+
+  /// The VMs that are listed, by name.
+  [[nodiscard]] std::vector<vm_record> Listed() const;
 };
 
 /// Reads the keys; what can't be read is left out.
--- a/src/currantshed/proxy/connection.cpp
+++ b/src/currantshed/proxy/connection.cpp
@@ -1,9 +1,19 @@
 #include "currantshed/proxy/connection.hpp"
 
+#include <chrono>
 #include <utility>
 
 namespace currantshed::proxy {
 
+namespace {
+
+// Statements take some 10 ms to 100 ms; an answer that is lost comes never.
+constexpr std::chrono::milliseconds kOverdue{ 200 };
+// Callers that do not pause send the next statement within a round trip.
+constexpr std::chrono::milliseconds kPause{ 30 };
+
+} // namespace
+
 connection::connection(upstream::server_id aServer,
                        std::string aService,
                        std::string aVia,
@@ -87,6 +97,15 @@
                            : mExpected.front().sentAt;
 }
 
+bool
+connection::IsHeldUp(clock::time_point aNow) const noexcept
+{
+  if (!mExpected.empty()) {
+    return aNow > mExpected.front().sentAt + kOverdue;
+  }
+  return user != nullptr && aNow > mAnsweredAt + kPause;
+}
+
 void
 connection::Opened(const std::optional<position::log_position>& aAt,
                    clock::time_point aNow)
@@ -105,6 +124,7 @@
   }
   const auto expected = mExpected.front();
   mExpected.pop_front();
+  mAnsweredAt = aNow;
   mEvents.Answered(*this, expected, std::move(aAnswer), aNow);
 }
 
--- a/src/currantshed/proxy/connection.hpp
+++ b/src/currantshed/proxy/connection.hpp
@@ -99,6 +99,9 @@
   [[nodiscard]] bool IsQuiet() const noexcept { return mExpected.empty(); }
   /// When the oldest command without an answer was sent.
   [[nodiscard]] clock::time_point OldestSent() const noexcept;
+  /// Whether it has been of no use for a while: its answer is overdue, or the
+  /// caller whose transaction it runs is pausing.
+  [[nodiscard]] bool IsHeldUp(clock::time_point aNow) const noexcept;
   [[nodiscard]] clock::time_point MadeAt() const noexcept { return mMadeAt; }
 
   void Opened(const std::optional<position::log_position>& aAt,
@@ -124,6 +127,7 @@
   connection_events& mEvents;
   std::unique_ptr<upstream_link> mLink;
   clock::time_point mMadeAt;
+  clock::time_point mAnsweredAt;
   bool mIsOpen = false;
   session_values mValues;
   absl::flat_hash_set<std::string> mPrepared;
--- a/src/currantshed/proxy/holders.cpp
+++ b/src/currantshed/proxy/holders.cpp
@@ -9,9 +9,20 @@
 
 namespace {
 
-// Connections that are left to restarted VMs, to those that watch the group,
-// and to VMs whose way through another one fails.
-constexpr std::size_t kSpare = 3;
+// A part of a server's connections stays free. When all VMs lose power at
+// once, the server counts their connections for seconds longer, and their
+// successors need some at once. VMs that watch a group, and those whose way
+// through another VM fails, need a few besides. Where the VMs of a failure
+// domain share a pool, half will do: at 83 VMs before 25 connections, two
+// thirds took 8 % of the requests after such a loss of power.
+std::size_t
+UsablePart(std::size_t aMostConnections, bool aIsShared)
+{
+  const auto part =
+    aIsShared ? (aMostConnections + 1) / 2 : aMostConnections * 2 / 3;
+  return std::max<std::size_t>(part, 1);
+}
+
 // With fewer connections a VM, a transaction that waits for its caller blocks
 // the VM's other work.
 constexpr std::size_t kFewestOfOwn = 3;
@@ -74,15 +85,20 @@
            const std::vector<fleet_vm>& aFleet,
            const std::string& aSelf)
 {
-  const auto usable = aMostConnections > kSpare ? aMostConnections - kSpare : 1;
-  const auto vms = std::max<std::size_t>(aFleet.size(), 1);
+  const auto vms = aFleet.size();
   access_plan plan;
+  if (vms == 0) {
+    plan.connections = 0;
+    plan.holds = false;
+    return plan;
+  }
   if (vms == 1) {
     plan.paths = { path{} };
-    plan.connections = usable;
+    plan.connections = UsablePart(aMostConnections, false);
     return plan;
   }
-  const bool everyone = usable / vms >= kFewestOfOwn;
+  const bool everyone =
+    UsablePart(aMostConnections, false) / vms >= kFewestOfOwn;
   const auto holders = Holders(aServer, aFleet);
   const auto self =
     std::find_if(aFleet.begin(), aFleet.end(), [&](const auto& aVm) {
@@ -95,6 +111,7 @@
                            holders.end(),
                            [&](const auto* aVm) { return aVm->name == aSelf; });
   const auto sharers = everyone ? vms : holders.size();
+  const auto usable = UsablePart(aMostConnections, !everyone);
   plan.connections =
     plan.holds ? std::max<std::size_t>(usable / sharers, 1) : 1;
   if (plan.holds) {
--- a/src/currantshed/proxy/server_state.cpp
+++ b/src/currantshed/proxy/server_state.cpp
@@ -27,6 +27,9 @@
 constexpr unsigned kDoublings = 4;
 // How long a server that was full is not asked for another connection.
 constexpr milliseconds kFullPause{ 250 };
+// Connections that wait for a lost answer or a caller's pause do not count, up
+// to this many times the limit: the others' share stays free.
+constexpr std::size_t kMostHeldUp = 2;
 // Ways through other VMs that are kept open to one server; each is a session
 // of some hundred bytes there.
 constexpr std::size_t kMostRelayed = 32;
@@ -150,7 +153,14 @@
 bool
 server_state::MayOpenDirect(std::size_t aLimit, clock::time_point aNow) const
 {
-  return Count(true) < aLimit && aNow >= mNoOpenUntil && !IsAvoided(aNow);
+  std::size_t direct = 0;
+  std::size_t heldUp = 0;
+  for (const auto& one : connections) {
+    direct += one->IsDirect() ? 1 : 0;
+    heldUp += one->IsDirect() && one->IsHeldUp(aNow) ? 1 : 0;
+  }
+  return direct - heldUp < aLimit && direct < kMostHeldUp * aLimit &&
+         aNow >= mNoOpenUntil && !IsAvoided(aNow);
 }
 
 bool
--- a/test/currantshed/node/duty.cpp
+++ b/test/currantshed/node/duty.cpp
@@ -104,6 +104,24 @@
   CHECK(fresh.conditions.front().changed == 0);
 }
 
+TEST(duty, the_fleet_is_recorded_without_its_lives)
+{
+  const std::vector<vm_record> fleet{ Vm("a", 1), Vm("b", 2) };
+  store::prefix_view::items items;
+  items[node::FleetKey()] = { node::FleetKey(), node::PrintFleet(fleet), 7, 0 };
+  const auto keys = node::ReadOwnKeys(items);
+  CHECK(node::IsSameFleet(keys.fleet, fleet));
+  CHECK(keys.fleetChanged == 7);
+  CHECK(keys.Listed().empty());
+  CHECK(node::IsSameFleet(fleet, { Vm("a", 8), Vm("b", 9, true) }));
+  CHECK_FALSE(node::IsSameFleet(fleet, { Vm("a", 1) }));
+  auto moved = fleet;
+  moved.front().where.address = "10.0.0.9";
+  CHECK_FALSE(node::IsSameFleet(fleet, moved));
+  items[node::FleetKey()].value = "{";
+  CHECK(node::ReadOwnKeys(items).fleet.empty());
+}
+
 TEST(duty, what_cannot_be_read_is_left_out)
 {
   store::prefix_view::items items;
--- a/test/currantshed/proxy/holders.cpp
+++ b/test/currantshed/proxy/holders.cpp
@@ -110,3 +110,10 @@
     CHECK(!(plan.holds && vm.leaving));
   }
 }
+
+TEST(holders, a_vm_that_knows_no_fleet_yet_connects_to_nothing)
+{
+  const auto plan = proxy::PlanAccess("server", 16, {}, "vm-0");
+  CHECK(plan.paths.empty());
+  CHECK_FALSE(plan.holds);
+}
--- a/test/currantshed/proxy/server_state.cpp
+++ b/test/currantshed/proxy/server_state.cpp
@@ -1,6 +1,9 @@
 #include "currantshed/proxy/server_state.hpp"
 
 #include <chrono>
+#include <memory>
+#include <optional>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -44,10 +47,67 @@
     "vm-2" },
 };
 
+class no_events final : public proxy::connection_events
+{
+public:
+  void Opened(proxy::connection&,
+              const std::optional<position::log_position>&,
+              clock::time_point) override
+  {
+  }
+  void Answered(proxy::connection&,
+                const proxy::expected_answer&,
+                proxy::answer,
+                clock::time_point) override
+  {
+  }
+  void Ended(proxy::connection&, proxy::link_end, clock::time_point) override {}
+};
+
+class idle_link final : public proxy::upstream_link
+{
+public:
+  void Send(const std::vector<proxy::command>&) override {}
+};
+
+struct limit_row
+{
+  const char* name;
+  std::size_t connections;
+  std::chrono::milliseconds sentBefore;
+  bool mayOpen;
+};
+
+// Four connections are allowed, and all there are owe an answer.
+constexpr limit_row kLimitRows[] = {
+  { "below the limit", 3, 10ms, true },
+  { "at the limit", 4, 10ms, false },
+  { "at the limit, but all answers are overdue", 4, 500ms, true },
+  { "twice the limit", 8, 500ms, false },
+};
+
 } // namespace
 
 TEST_GROUP(server_state){};
 
+TEST(server_state, connections_without_use_make_room_for_others)
+{
+  no_events events;
+  for (const auto& row : kLimitRows) {
+    auto state = Holder();
+    for (std::size_t i = 0; i < row.connections; ++i) {
+      auto made = std::make_unique<proxy::connection>(
+        "i-1", "claims", "", events, kStart);
+      made->Attach(std::make_unique<idle_link>());
+      made->Opened(std::nullopt, kStart);
+      made->Send({ {} }, { proxy::purpose::kStatement, kStart });
+      state.connections.push_back(std::move(made));
+    }
+    CHECK_TEXT(state.MayOpenDirect(4, kStart + row.sentBefore) == row.mayOpen,
+               row.name);
+  }
+}
+
 TEST(server_state, finds_a_way)
 {
   for (const auto& row : kWayRows) {
