What a replica's refusal showed of its lag fades; fewer calls of the store

Change: a refusal counts for 1.5 times the lag that it showed, and half of that fades in 2 s. Views wait up to 1.5 s after failures, but are read at once when the store answers the VM's lease again; pauses after a change are 0.3 s for the configuration and 0.4 s for servers. Terms are checked only while the store answers, a second apart when it does not.

--- a/src/currantshed/lead/group_lead.cpp
+++ b/src/currantshed/lead/group_lead.cpp
@@ -33,8 +33,10 @@
 // A new holder of the duty looks on for this long first, so that an order of
 // the holder before it has had its effect.
 constexpr milliseconds kFirstLook{ 400 };
-// Pause after a check of the terms that failed or found the proof void.
+// Pause after a check of the terms that found the proof void, or that the store
+// did not answer: then it rarely does soon, and each question has its price.
 constexpr milliseconds kCheckPause{ 200 };
+constexpr milliseconds kFailedCheckPause{ 1000 };
 // Reports asked for within this time of each other are one round. It is shorter
 // than the least time from a fence to the effect of a promotion.
 constexpr milliseconds kSameRound{ 300 };
@@ -103,7 +105,7 @@
                          clock::time_point aNow)
 {
   const auto checked = std::exchange(mUnchecked, std::nullopt);
-  mNextCheck = aNow + kCheckPause;
+  mNextCheck = aNow + (aReplaced ? kCheckPause : kFailedCheckPause);
   if (!aReplaced || !checked) {
     return;
   }
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -22,6 +22,11 @@
 constexpr milliseconds kLongestReach{ 2000 };
 // After this time a VM takes callers though a group has no primary.
 constexpr milliseconds kReadyWithoutProof{ 1500 };
+// Pauses after a change, before the next ones are asked for: operators' changes
+// in quick succession, and what servers write while they start, cost each VM a
+// call for each pause. Both are far below the times in which changes count.
+constexpr milliseconds kConfigurationPause{ 300 };
+constexpr milliseconds kServersPause{ 400 };
 // How much longer than its listing a server is kept: entries of servers that
 // live come back within two seconds after the store was away.
 constexpr milliseconds kMissingGrace{ 3000 };
@@ -51,14 +56,14 @@
   , mPlatform(aMaker(mContext))
   , mConfigurationView(*mPlatform.store,
                        aDocuments.ConfigurationKey(),
-                       {},
+                       { .afterChange = kConfigurationPause },
                        { [this](clock::time_point) { ConfigurationChanged(); },
                          [this](bool aIsReached, std::error_code aWhy) {
                            NoteStore("configuration", aIsReached, aWhy);
                          } })
   , mServersView(*mPlatform.store,
                  aDocuments.ServersPrefix(),
-                 {},
+                 { .afterChange = kServersPause },
                  { [this](clock::time_point aNow) { ServersChanged(aNow); },
                    [this](bool aIsReached, std::error_code aWhy) {
                      NoteStore("servers", aIsReached, aWhy);
@@ -86,9 +91,11 @@
 {
   mRegistration.SetValue(PrintVm(mSelf));
   mRegistration.OnRegained([this] {
-    mConfigurationView.Renew();
-    mServersView.Renew();
-    mOwnView.Renew();
+    const auto now = clock::Now();
+    mConfigurationView.Renew(now);
+    mServersView.Renew(now);
+    mOwnView.Renew(now);
+    Schedule();
   });
 }
 
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -155,6 +155,15 @@
 void
 control::Do(const std::string& aService, const lead::check_terms& /*aAction*/)
 {
+  if (!mOwnView.IsReached()) {
+    boost::asio::post(mContext, [this, aService] {
+      if (auto* found = Find(aService)) {
+        found->lead.TermsChecked(std::nullopt, clock::Now());
+        Perform(clock::Now());
+      }
+    });
+    return;
+  }
   mPlatform.store->Get(
     DutyKey(aService),
     [this, aService](std::error_code aError,
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -353,7 +353,7 @@
   if (aServer.applied && *aServer.applied >= *aRequest.floor.position) {
     return true;
   }
-  return aNow - aRequest.floor.writtenBy >= aServer.Lag();
+  return aNow - aRequest.floor.writtenBy >= aServer.Lag(aNow);
 }
 
 void
--- a/src/currantshed/proxy/server_state.cpp
+++ b/src/currantshed/proxy/server_state.cpp
@@ -1,6 +1,7 @@
 #include "currantshed/proxy/server_state.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace currantshed::proxy {
@@ -19,10 +20,15 @@
 // A mean that is not renewed goes back to the usual time, so that a server
 // which was slow is tried again.
 constexpr milliseconds kMeanLife{ 2000 };
+// What a replica is taken to be behind at first, and at the least.
 constexpr milliseconds kFirstLag{ 100 };
+constexpr milliseconds kLeastLag{ 5 };
 constexpr milliseconds kLongestLag{ 5000 };
-// Added to the lag that a refusal shows, since it shows only the least.
-constexpr milliseconds kLagStep{ 30 };
+// A refusal shows only the least lag, which is taken for so many times more.
+// With the time in which half of it fades, a replica that stays behind is tried
+// about once a second by each VM.
+constexpr double kLagBeyond = 1.5;
+constexpr milliseconds kLagHalfLife{ 2000 };
 constexpr milliseconds kFirstAvoidance{ 100 };
 constexpr unsigned kDoublings = 4;
 // How long a server that was full is not asked for another connection.
@@ -201,15 +207,28 @@
   const auto current = aPrimary.CurrentAsOf(aPosition);
   if (current) {
     const auto seen = aNow - *current;
-    mLag = seen < mLag ? mLag + (seen - mLag) / kMeanWeight : mLag;
+    const auto likely = Lag(aNow);
+    mLag = seen < likely ? likely + (seen - likely) / kMeanWeight : likely;
+    mLagAt = aNow;
   }
 }
 
 void
 server_state::Lagged(clock::time_point aWrittenBy, clock::time_point aNow)
 {
-  const clock::duration shown = aNow - aWrittenBy + kLagStep;
-  mLag = std::min<clock::duration>(std::max(mLag, shown), kLongestLag);
+  const auto shown = std::chrono::duration_cast<clock::duration>(
+    (aNow - aWrittenBy) * kLagBeyond);
+  mLag = std::min<clock::duration>(std::max(Lag(aNow), shown), kLongestLag);
+  mLagAt = aNow;
+}
+
+clock::duration
+server_state::Lag(clock::time_point aNow) const
+{
+  const std::chrono::duration<double> since = aNow - mLagAt;
+  const auto fading = std::exp2(-since / kLagHalfLife);
+  const auto faded = std::chrono::duration_cast<clock::duration>(mLag * fading);
+  return std::max<clock::duration>(faded, kLeastLag);
 }
 
 void
--- a/src/currantshed/proxy/server_state.hpp
+++ b/src/currantshed/proxy/server_state.hpp
@@ -47,8 +47,10 @@
   /// How long a statement sent now is likely to take.
   [[nodiscard]] clock::duration Expected(clock::time_point aNow) const;
 
-  /// How far behind the replica's log is likely to be.
-  [[nodiscard]] clock::duration Lag() const { return mLag; }
+  /// How far behind the replica's log is likely to be. What a refusal showed
+  /// fades: nothing else would show that the replica has caught up when no
+  /// statement is sent there.
+  [[nodiscard]] clock::duration Lag(clock::time_point aNow) const;
 
   /// A whole answer came for a statement that was sent at the given time.
   void Served(clock::time_point aSentAt, clock::time_point aNow);
@@ -90,6 +92,7 @@
   clock::duration mMean;
   clock::time_point mMeanAt;
   clock::duration mLag;
+  clock::time_point mLagAt;
   unsigned mFailures = 0;
   clock::time_point mAvoidUntil;
   clock::time_point mNoOpenUntil;
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -56,12 +56,21 @@
     mBehindSince = aNow;
   }
   if (aNow - *mBehindSince > mSettings.patience) {
-    Renew();
+    ReadAgain();
   }
 }
 
 void
-prefix_view::Renew()
+prefix_view::Renew(clock::time_point aNow)
+{
+  ReadAgain();
+  if (!mIsCalling) {
+    mNotBefore = std::min(mNotBefore, aNow);
+  }
+}
+
+void
+prefix_view::ReadAgain()
 {
   if (mIsCalling && !mMustRead) {
     mMustRead = true;
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -27,10 +27,10 @@
   std::chrono::milliseconds afterChangeByKey{ 15 };
   /// How long another VM's word that there is more may precede the own watch.
   std::chrono::milliseconds patience{ 400 };
-  /// Waits after failures: short, so that a configuration made during an
-  /// outage is in force in time after it.
+  /// Waits after failures, each of which has its price as well; short enough
+  /// that a configuration made during an outage is in force in time after it.
   backoff_settings afterFailure{ std::chrono::milliseconds{ 100 },
-                                 std::chrono::milliseconds{ 600 } };
+                                 std::chrono::milliseconds{ 1500 } };
 };
 
 /// The keys below one prefix as the store had them last: read once, then
@@ -65,8 +65,8 @@
   void HeardOf(revision aChange, clock::time_point aNow);
 
   /// The store was away, and is back: a watch made meanwhile may never be
-  /// answered, so the keys are read again.
-  void Renew();
+  /// answered, so the keys are read again, at once.
+  void Renew(clock::time_point aNow);
 
   /// The newest change seen.
   [[nodiscard]] revision Changed() const noexcept { return mChanged; }
@@ -79,6 +79,7 @@
   [[nodiscard]] const items& Items() const noexcept { return mItems; }
 
 private:
+  void ReadAgain();
   void Read();
   void Follow();
   void Failed(std::error_code aError, clock::time_point aNow);
--- a/test/currantshed/proxy/server_state.cpp
+++ b/test/currantshed/proxy/server_state.cpp
@@ -108,6 +108,17 @@
   }
 }
 
+TEST(server_state, a_lag_that_was_shown_fades)
+{
+  auto state = Holder();
+  state.Lagged(kStart - 2400ms, kStart);
+  CHECK(state.Lag(kStart) > 2400ms);
+  // Not tried again at once, but within some seconds even if nothing is heard.
+  CHECK(state.Lag(kStart + 300ms) > 2400ms);
+  CHECK(state.Lag(kStart + 3s) < 2400ms);
+  CHECK(state.Lag(kStart + 30s) < 100ms);
+}
+
 TEST(server_state, finds_a_way)
 {
   for (const auto& row : kWayRows) {
--- a/test/currantshed/store/prefix_view.cpp
+++ b/test/currantshed/store/prefix_view.cpp
@@ -121,11 +121,27 @@
   made.store.Put("a/2", "two");
   made.store.history.clear();
   made.Run(1000ms);
-  made.view.Renew();
+  made.view.Renew(made.store.now);
   made.Run(1000ms);
   CHECK(Print(made.view) == "a/1=one a/2=two ");
 }
 
+TEST(prefix_view, is_read_at_once_when_the_store_is_back)
+{
+  follower made;
+  made.Run(100ms);
+  made.store.failing = store::errc::kUnavailable;
+  made.store.CutWatches(store::errc::kUnavailable);
+  made.Run(6000ms);
+  CHECK_FALSE(made.reached);
+  made.store.failing = {};
+  made.store.Put("a/2", "two");
+  made.view.Renew(made.store.now);
+  made.Run(30ms);
+  CHECK(made.reached);
+  CHECK(Print(made.view) == "a/1=one a/2=two ");
+}
+
 TEST(prefix_view, a_hung_watch_is_given_up_on_anothers_word)
 {
   follower made;
