A group that another holder of the duty left fenced is served again

The next holder found a primary that leads and replicas fenced above its term: no majority, so no proof; a primary that answers, so no change; and fences were lifted only with a proof.

Change: a holder of the duty lifts fences above a primary that leads the highest term, if the store does not show that term as replaced. The claim of the duty kept the earlier holder from recording it later, and unrecorded it orders nothing. If it is recorded, the group counts as vacant and gets a new primary.

--- a/src/currantshed/lead/group_lead.cpp
+++ b/src/currantshed/lead/group_lead.cpp
@@ -568,24 +568,47 @@
   return best;
 }
 
+// The term of a primary that leads but can't be proved, since a holder of the
+// duty before this one fenced its group and went no further; zero if there is
+// none. Taking the duty over kept that holder from recording the term as
+// replaced later, and unrecorded it may not have the platform promote.
+position::term_id
+group_lead::UnreplacedTerm(clock::time_point aNow) const
+{
+  if (aNow < mDutySince + kFirstLook) {
+    return 0;
+  }
+  position::term_id led = 0;
+  for (const auto& [id, view] : mTable.All()) {
+    const bool leads = view.report && view.report->isPrimary &&
+                       aNow - view.askedAt < kVacantAfter;
+    led = std::max(led, leads ? view.report->term : 0);
+  }
+  return led > mReplaced && led >= mTable.HighestLog() ? led : 0;
+}
+
 // Brings servers back that a change of the primary left behind: old primaries
 // step down, fences of a settled term are lifted.
 void
 group_lead::Repair(clock::time_point aNow)
 {
-  if (IsChanging() || aNow >= mProof.askedAt + mSettings.validity) {
+  const bool isProved = aNow < mProof.askedAt + mSettings.validity;
+  const auto settled = isProved ? mProof.term : UnreplacedTerm(aNow);
+  if (IsChanging() || settled == 0) {
     return;
   }
+  // Without a proof, members are asked at short intervals all the while.
+  const auto pause = isProved ? kRetryPause : kBusyPause;
   for (const auto& [id, view] : mTable.All()) {
     if (id == mProof.primary || !view.report || view.asking ||
-        aNow < view.lastAsked + kRetryPause) {
+        aNow < view.lastAsked + pause) {
       continue;
     }
     proxy::command order;
-    if (view.report->isPrimary && view.report->term < mProof.term) {
+    if (isProved && view.report->isPrimary && view.report->term < settled) {
       order.kind = proxy::command_kind::kDemote;
-      order.term = mProof.term;
-    } else if (view.report->fencedAt >= mProof.term) {
+      order.term = settled;
+    } else if (view.report->fencedAt >= settled) {
       order.kind = proxy::command_kind::kUnfence;
     } else {
       continue;
--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -154,6 +154,7 @@
   void Ask(clock::time_point aNow);
   void AskOne(member_view& aView, clock::time_point aNow);
   void Repair(clock::time_point aNow);
+  [[nodiscard]] position::term_id UnreplacedTerm(clock::time_point aNow) const;
   void CheckObedience();
   [[nodiscard]] bool WantsProof(clock::time_point aNow) const;
   [[nodiscard]] bool IsLost(clock::time_point aNow) const;
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -307,6 +307,7 @@
     }
   }
   std::vector<proxy::fleet_vm> fleet;
+  fleet.reserve(vms.size());
   for (const auto& one : vms) {
     fleet.push_back({ one.where.vm,
                       one.failureDomain,
--- a/test/currantshed/lead/group_lead.cpp
+++ b/test/currantshed/lead/group_lead.cpp
@@ -81,6 +81,9 @@
   std::optional<std::vector<std::string>> vms{ std::vector<std::string>{} };
   std::function<void()> everyStep;
   clock::time_point promoting{};
+  /// Whether a promotion lifts every fence, as the platform does for servers
+  /// that it reaches.
+  bool liftsFences = false;
   /// How long a question without an answer takes to fail.
   std::chrono::milliseconds failsAfter{ 0 };
   /// When traffic heard the servers that do not answer.
@@ -200,6 +203,11 @@
     server.fencedAt = 0;
     server.term = 2;
     promoting = {};
+    if (liftsFences) {
+      for (auto& [id, one] : servers) {
+        one.fencedAt = 0;
+      }
+    }
   }
 };
 
@@ -485,6 +493,42 @@
   CHECK(made.lead.Proof().term == 2);
 }
 
+namespace {
+
+struct stranded_row
+{
+  const char* name;
+  position::term_id replaced;
+  /// The term that is proved in the end, and its primary.
+  position::term_id term;
+  const char* primary;
+};
+
+// A holder of the duty fenced the replicas and froze; the primary is well.
+constexpr stranded_row kStrandedRows[] = {
+  { "the replacement was not recorded: the primary stays", 0, 1, "a" },
+  { "it was recorded, so it may have been ordered", 1, 2, "a" },
+};
+
+} // namespace
+
+TEST(group_lead, a_group_that_another_holder_left_fenced_is_served_again)
+{
+  for (const auto& row : kStrandedRows) {
+    bench made;
+    made.servers["b"].fencedAt = 2;
+    made.servers["c"].fencedAt = 2;
+    made.liftsFences = true;
+    made.replaced = row.replaced;
+    made.lead.SetReplaced(row.replaced, made.now);
+    made.lead.SetDuty(true, 8, made.now);
+    made.Run(6000ms);
+    CHECK_TEXT(made.lead.Proof().term == row.term, row.name);
+    CHECK_TEXT(made.lead.Proof().primary == row.primary, row.name);
+    CHECK_TEXT(made.now < made.lead.Proof().askedAt + 1000ms, row.name);
+  }
+}
+
 TEST(group_lead, what_was_proved_before_a_change_given_up_is_proved_anew)
 {
   bench made;
