--- a/src/currantshed/node/settings.hpp
+++ b/src/currantshed/node/settings.hpp
@@ -42,8 +42,6 @@
   std::size_t descriptors = 1024;
   /// From the order to stop until the process is killed.
   std::chrono::milliseconds stopTime{ 6000 };
-  /// How soon a configuration must be in force everywhere.
-  std::chrono::milliseconds configurationTime{ 3000 };
   /// The shortest lease that the store grants.
   std::chrono::milliseconds shortestLease{ 1000 };
 
--- a/src/currantshed/proxy/configuration.hpp
+++ b/src/currantshed/proxy/configuration.hpp
@@ -70,12 +70,8 @@
   std::string address;
   std::uint16_t port = 0;
   std::string failureDomain;
-  /// Statements that the server runs at the same time.
-  unsigned slots = 1;
   /// Leaves soon: gets no new work where another one can take it.
   bool draining = false;
-  /// The server calls itself primary; no proof that it leads.
-  bool claimsPrimary = false;
 
   [[nodiscard]] friend bool operator==(const server&, const server&) = default;
 };
