Pauses of the servers' view grow with the servers

Change: 40 ms of pause for each server after a change (1.4 s at 24 servers, 0.8 s at 9), far below the times in which a leaving server must be left.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -27,6 +27,7 @@
 // call for each pause. Both are far below the times in which changes count.
 constexpr milliseconds kConfigurationPause{ 300 };
 constexpr milliseconds kServersPause{ 400 };
+constexpr milliseconds kServersPauseByServer{ 40 };
 // How much longer than its listing a server is kept: entries of servers that
 // live come back within two seconds after the store was away.
 constexpr milliseconds kMissingGrace{ 3000 };
@@ -63,7 +64,8 @@
                          } })
   , mServersView(*mPlatform.store,
                  aDocuments.ServersPrefix(),
-                 { .afterChange = kServersPause },
+                 { .afterChange = kServersPause,
+                   .afterChangeByKey = kServersPauseByServer },
                  { [this](clock::time_point aNow) { ServersChanged(aNow); },
                    [this](bool aIsReached, std::error_code aWhy) {
                      NoteStore("servers", aIsReached, aWhy);
