--- a/test/platform/statement_line.cpp
+++ b/test/platform/statement_line.cpp
@@ -53,6 +53,7 @@
   { "QUERY 5c PAUSE 9", false },
   { "QUERY 5c COMMIT now", false },
   { "QUERY 5c", false },
+  { "QUERY - READ x", false },
   { "QUERY  READ x", std::nullopt },
   { "QUERY", std::nullopt },
   { "START a b", std::nullopt },
