group_lead and control in files by job; two holes closed on the last reading

Reading them anew: a round of all members counted although a member that does not lead had seen a newer term, and the record of a duty without the field of the replaced term, as a version before wrote it, read as none, so that its duty could never be claimed.

Change: group_lead in events, proof and watch, control's fleet apart, code moved as it was. All members must be of the term or below; the field may be missing.

--- /dev/null
+++ b/src/currantshed/lead/group_lead_proof.cpp
@@ -0,0 +1,238 @@
+// What one VM may believe about who leads: its own reports, and their checks.
+#include "currantshed/lead/group_lead.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+#include "currantshed/lead/internal/group_lead_times.hpp"
+
+namespace currantshed::lead {
+
+using internal::kBusyPause;
+using internal::kDemandLife;
+using internal::kFailuresToLose;
+using internal::kRetryPause;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Every member is asked this often by the VM that watches, so that strayed
+// fences and old primaries are seen.
+constexpr milliseconds kRoundPause{ 2000 };
+// A VM without the duty asks by itself once the proofs that it is told leave
+// it less than this.
+constexpr milliseconds kOwnAskReserve{ 350 };
+// How long a primary that only others reach is asked through them.
+constexpr milliseconds kRelayedTime{ 3000 };
+// Pause after a check of the terms that found the proof void, or that the store
+// did not answer: then it rarely does soon, and each question has its price.
+constexpr milliseconds kCheckPause{ 200 };
+constexpr milliseconds kFailedCheckPause{ 1000 };
+// Reports asked for within this time of each other are one round. It is shorter
+// than the least time from a fence to the effect of a promotion.
+constexpr milliseconds kSameRound{ 300 };
+
+} // namespace
+
+void
+group_lead::TermsChecked(std::optional<position::term_id> aReplaced,
+                         clock::time_point aNow)
+{
+  const auto checked = std::exchange(mUnchecked, std::nullopt);
+  mNextCheck = aNow + (aReplaced ? kCheckPause : kFailedCheckPause);
+  if (!aReplaced || !checked) {
+    return;
+  }
+  mReplaced = std::max(mReplaced, *aReplaced);
+  const auto revoked = mHoldsDuty ? mTakeover.RevokedTerm() : mRevoked;
+  if (checked->term > std::max(mReplaced, revoked)) {
+    TakeProof(*checked, aNow);
+  }
+  Evaluate(aNow);
+}
+
+void
+group_lead::TakeProof(const proxy::confirmation& aProof, clock::time_point aNow)
+{
+  if (aProof.term <= mReplaced || !IsNewer(aProof)) {
+    return;
+  }
+  if (aProof.term > mProof.term) {
+    mSample.reset();
+    mActions.emplace_back(note_step{
+      "primary",
+      absl::StrCat("server=", aProof.primary, " term=", aProof.term) });
+  }
+  mProof = aProof;
+  if (aNow < aProof.askedAt + mSettings.validity) {
+    mActions.emplace_back(publish_proof{ mProof });
+  }
+}
+
+void
+group_lead::TakeOwnProof(clock::time_point aNow)
+{
+  const auto proof = mTable.Proof();
+  if (!proof || !IsNewer(*proof)) {
+    return;
+  }
+  const auto revoked = mHoldsDuty ? mTakeover.RevokedTerm() : mRevoked;
+  if (proof->term <= std::max(revoked, mReplaced)) {
+    return;
+  }
+  if (!IsTrusted(*proof)) {
+    CheckTerms(*proof, aNow);
+    return;
+  }
+  TakeProof(*proof, aNow);
+  if (IsChanging() && mProof.term > mTakeover.RevokedTerm()) {
+    mTakeover.Succeeded(mProof.primary, aNow, mActions);
+  }
+}
+
+bool
+group_lead::IsNewer(const proxy::confirmation& aProof) const noexcept
+{
+  return aProof.term > mProof.term ||
+         (aProof.term == mProof.term && aProof.askedAt > mProof.askedAt);
+}
+
+// The platform lifts fences when it promotes, so that an old primary and a
+// replica behind may look like a majority again. A majority counts by itself
+// only if no promotion can have gone unseen: a proof of the same term held
+// until the asking, every member was asked in one round, or this VM has ordered
+// the promotion itself.
+bool
+group_lead::IsTrusted(const proxy::confirmation& aProof) const
+{
+  if (aProof.term == mProof.term &&
+      aProof.askedAt < mProof.askedAt + mSettings.validity) {
+    return true;
+  }
+  if (mHoldsDuty && mTakeover.Step() == takeover_step::kPromote) {
+    return true;
+  }
+  const auto& all = mTable.All();
+  return std::all_of(all.begin(), all.end(), [&aProof](const auto& aOne) {
+    const auto& view = aOne.second;
+    return view.report && view.report->term <= aProof.term &&
+           view.report->fencedAt <= aProof.term &&
+           view.askedAt >= aProof.askedAt &&
+           view.askedAt <= aProof.askedAt + kSameRound;
+  });
+}
+
+// A term that was replaced is recorded in the store before the platform is
+// asked to promote: a reading that begins after the servers answered shows it.
+void
+group_lead::CheckTerms(const proxy::confirmation& aProof,
+                       clock::time_point aNow)
+{
+  // The members that have yet to answer may spare the question.
+  const auto& all = mTable.All();
+  const bool isComplete =
+    std::none_of(all.begin(), all.end(), [](const auto& aOne) {
+      return aOne.second.asking.has_value();
+    });
+  if (mUnchecked || !isComplete || aNow < mNextCheck ||
+      aNow >= aProof.askedAt + mSettings.validity) {
+    return;
+  }
+  mUnchecked = aProof;
+  mActions.emplace_back(check_terms{});
+}
+
+// The change was given up. What was proved before it may have been replaced
+// all the same, and must be proved anew.
+void
+group_lead::LiftRevocation(position::term_id aTerm)
+{
+  if (mProof.term <= aTerm) {
+    mProof.askedAt = {};
+  }
+}
+
+bool
+group_lead::WantsProof(clock::time_point aNow) const
+{
+  if (IsChanging()) {
+    return true;
+  }
+  const bool wanted =
+    mWantedAt != clock::time_point{} && aNow < mWantedAt + kDemandLife;
+  if (mHoldsDuty || (mStandsIn && mMayAsk)) {
+    return aNow >= mProof.askedAt + mSettings.askInterval ||
+           mDeniedAt > mProof.askedAt;
+  }
+  const bool endsSoon =
+    aNow + kOwnAskReserve >= mProof.askedAt + mSettings.validity;
+  return mMayAsk && wanted && (endsSoon || mDeniedAt > mProof.askedAt);
+}
+
+// A proof takes the primary and as many others as make a majority with it;
+// without a primary that answers, all are asked.
+void
+group_lead::Ask(clock::time_point aNow)
+{
+  for (const auto& [id, view] : mTable.All()) {
+    if (view.asking && aNow - *view.asking > 2 * mSettings.askTimeout) {
+      mTable.Failed(id);
+    }
+  }
+  const bool wantsProof = WantsProof(aNow);
+  auto* primary = mTable.Find(mProof.primary);
+  const bool knows = primary != nullptr && primary->failures == 0 &&
+                     mDeniedAt <= mProof.askedAt && !IsChanging();
+  const auto* witness = Witness();
+  // One that is busy gives no report: others are asked before time runs out.
+  const bool isLate =
+    aNow + mSettings.validity / 2 >= mProof.askedAt + mSettings.validity;
+  for (const auto& [id, view] : mTable.All()) {
+    const bool inProof =
+      !knows || isLate || &view == primary || &view == witness;
+    const bool roundDue = mHoldsDuty && aNow >= view.lastAsked + kRoundPause;
+    const auto pause = view.failures > 0 ? kRetryPause : kBusyPause;
+    const bool paused = aNow < view.lastAsked + pause;
+    if (!view.asking && !paused && ((wantsProof && inProof) || roundDue)) {
+      AskOne(*mTable.Find(id), aNow);
+    }
+  }
+}
+
+void
+group_lead::AskOne(member_view& aView, clock::time_point aNow)
+{
+  aView.asking = aNow;
+  aView.lastAsked = aNow;
+  const bool cutOff = aView.failures >= kFailuresToLose &&
+                      aView.listed.id == mProof.primary &&
+                      IsReachedElsewhere(aNow);
+  if (cutOff) {
+    aView.relayedUntil = aNow + kRelayedTime;
+  }
+  const bool direct = mHoldsDuty && aNow >= aView.relayedUntil;
+  proxy::command question;
+  question.kind = proxy::command_kind::kReport;
+  mActions.emplace_back(ask_server{ aView.listed.id, question, direct });
+}
+
+// The member to ask besides the primary: one that answers, near by preference.
+const member_view*
+group_lead::Witness() const
+{
+  const member_view* best = nullptr;
+  for (const auto& [id, view] : mTable.All()) {
+    if (id == mProof.primary || view.failures > 0) {
+      continue;
+    }
+    if (best == nullptr || (view.listed.isNear && !best->listed.isNear)) {
+      best = &view;
+    }
+  }
+  return best;
+}
+
+} // namespace currantshed::lead
--- /dev/null
+++ b/src/currantshed/lead/group_lead_watch.cpp
@@ -0,0 +1,216 @@
+// What the holder of the duty does: judge the primary, and bring servers back.
+#include "currantshed/lead/group_lead.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+#include "currantshed/lead/internal/group_lead_times.hpp"
+
+namespace currantshed::lead {
+
+using internal::kBusyPause;
+using internal::kFailuresToLose;
+using internal::kRetryPause;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// How lately another VM must have heard the primary to keep it.
+constexpr milliseconds kReachLife{ 600 };
+// How long nobody may lead before the group counts as vacant.
+constexpr milliseconds kVacantAfter{ 1200 };
+// A new holder of the duty looks on for this long first, so that an order of
+// the holder before it has had its effect.
+constexpr milliseconds kFirstLook{ 400 };
+
+} // namespace
+
+void
+group_lead::Judge(clock::time_point aNow)
+{
+  if (IsChanging() || aNow < mDutySince + kFirstLook) {
+    return;
+  }
+  mMustObey.reset();
+  NoteKept(aNow);
+  const auto* primary = mTable.Find(mProof.primary);
+  if (mProof.term != 0 && primary != nullptr && IsLost(aNow)) {
+    mTakeover.Begin(
+      takeover_reason::kLost, mProof.primary, mProof.term, aNow, mActions);
+    return;
+  }
+  const bool leaves = mProof.term != 0 && primary != nullptr &&
+                      primary->listed.draining &&
+                      aNow < mProof.askedAt + mSettings.validity;
+  const auto& all = mTable.All();
+  const bool canMove =
+    std::any_of(all.begin(), all.end(), [](const auto& aOne) {
+      return aOne.second.report && !aOne.second.report->isPrimary &&
+             !aOne.second.listed.draining;
+    });
+  if (leaves && canMove) {
+    mTakeover.Begin(
+      takeover_reason::kDraining, mProof.primary, mProof.term, aNow, mActions);
+    return;
+  }
+  if (IsVacant(aNow)) {
+    mTakeover.Begin(takeover_reason::kVacant,
+                    mProof.primary,
+                    std::max({ mProof.term, mReplaced, mTable.HighestLog() }),
+                    aNow,
+                    mActions);
+  }
+}
+
+// Nobody reaches the primary: neither this VM nor any that told lately.
+bool
+group_lead::IsLost(clock::time_point aNow) const
+{
+  const auto* primary = mTable.Find(mProof.primary);
+  if (primary->failures < kFailuresToLose ||
+      aNow - primary->heardAt < mSettings.silentAfter) {
+    return false;
+  }
+  return !IsReachedElsewhere(aNow);
+}
+
+// Whether another VM has heard the primary lately.
+bool
+group_lead::IsReachedElsewhere(clock::time_point aNow) const
+{
+  return !ReachedBy(aNow).empty();
+}
+
+// A VM that has heard the primary lately, or an empty name.
+std::string
+group_lead::ReachedBy(clock::time_point aNow) const
+{
+  if (mProof.term <= mReplaced) {
+    return {};
+  }
+  const auto found =
+    std::find_if(mReach.begin(), mReach.end(), [&](const auto& aEntry) {
+      const auto& news = aEntry.second.news;
+      return news.primary == mProof.primary && aNow - news.heardAt < kReachLife;
+    });
+  return found == mReach.end() ? std::string() : found->first;
+}
+
+// Tells once for each silence which VM's word keeps the primary.
+void
+group_lead::NoteKept(clock::time_point aNow)
+{
+  const auto* primary = mTable.Find(mProof.primary);
+  const bool silent = primary != nullptr && primary->failures > 0 &&
+                      aNow - primary->heardAt >= mSettings.silentAfter;
+  const auto by = silent ? ReachedBy(aNow) : std::string();
+  if (by != mKeptBy && !by.empty()) {
+    mActions.emplace_back(
+      note_step{ "kept", absl::StrCat(mProof.primary, " heard_by=", by) });
+  }
+  mKeptBy = by;
+}
+
+// A majority answers, and none of the servers leads; or the one that led is
+// gone from the list.
+bool
+group_lead::IsVacant(clock::time_point aNow)
+{
+  std::size_t answering = 0;
+  bool leads = false;
+  for (const auto& [id, view] : mTable.All()) {
+    const bool fresh = view.report && aNow - view.askedAt < kVacantAfter;
+    answering += fresh ? 1 : 0;
+    leads = leads ||
+            (fresh && view.report->isPrimary && view.report->term > mReplaced);
+  }
+  const bool unlisted =
+    mProof.term == 0 || mTable.Find(mProof.primary) == nullptr;
+  const bool stale = aNow - mProof.askedAt > kVacantAfter;
+  if (leads || answering < mTable.Majority() || !(unlisted || stale) ||
+      IsReachedElsewhere(aNow)) {
+    mVacantSince.reset();
+    return false;
+  }
+  if (!mVacantSince) {
+    mVacantSince = aNow;
+  }
+  return aNow - *mVacantSince > kVacantAfter;
+}
+
+// The term of a primary that leads but can't be proved, since a holder of the
+// duty before this one fenced its group and went no further; zero if there is
+// none. Taking the duty over kept that holder from recording the term as
+// replaced later, and unrecorded it may not have the platform promote.
+position::term_id
+group_lead::UnreplacedTerm(clock::time_point aNow) const
+{
+  if (aNow < mDutySince + kFirstLook) {
+    return 0;
+  }
+  position::term_id led = 0;
+  for (const auto& [id, view] : mTable.All()) {
+    const bool leads = view.report && view.report->isPrimary &&
+                       aNow - view.askedAt < kVacantAfter;
+    led = std::max(led, leads ? view.report->term : 0);
+  }
+  return led > mReplaced && led >= mTable.HighestLog() ? led : 0;
+}
+
+// Brings servers back that a change of the primary left behind: old primaries
+// step down, fences of a settled term are lifted.
+void
+group_lead::Repair(clock::time_point aNow)
+{
+  const bool isProved = aNow < mProof.askedAt + mSettings.validity;
+  const auto settled = isProved ? mProof.term : UnreplacedTerm(aNow);
+  if (IsChanging() || settled == 0) {
+    return;
+  }
+  // Without a proof, members are asked at short intervals all the while.
+  const auto pause = isProved ? kRetryPause : kBusyPause;
+  for (const auto& [id, view] : mTable.All()) {
+    if (id == mProof.primary || !view.report || view.asking ||
+        aNow < view.lastAsked + pause) {
+      continue;
+    }
+    proxy::command order;
+    if (isProved && view.report->isPrimary && view.report->term < settled) {
+      order.kind = proxy::command_kind::kDemote;
+      order.term = settled;
+    } else if (view.report->fencedAt >= settled) {
+      order.kind = proxy::command_kind::kUnfence;
+    } else {
+      continue;
+    }
+    auto& asked = *mTable.Find(id);
+    asked.asking = aNow;
+    asked.lastAsked = aNow;
+    mActions.emplace_back(note_step{ "repair", id });
+    mActions.emplace_back(ask_server{ id, order });
+  }
+}
+
+void
+group_lead::CheckObedience()
+{
+  const auto revoked = mTakeover.RevokedTerm();
+  if (revoked == 0 || !mMustObey) {
+    return;
+  }
+  const bool all =
+    std::all_of(mMustObey->begin(), mMustObey->end(), [&](const auto& aVm) {
+      const auto found = mReach.find(aVm);
+      return found != mReach.end() &&
+             found->second.news.obeyedTerm >= revoked &&
+             found->second.news.saidAt >= mTakeover.BegunAt();
+    });
+  if (all) {
+    mTakeover.AllObeyed();
+  }
+}
+
+} // namespace currantshed::lead
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -31,10 +31,6 @@
 // How much longer than its listing a server is kept: entries of servers that
 // live come back within two seconds after the store was away.
 constexpr milliseconds kMissingGrace{ 3000 };
-// How long a VM that starts counts on others that are recorded but not listed:
-// VMs that lost power together are back within a second of each other. Also
-// how long the fleet must stay the same before it is recorded.
-constexpr milliseconds kFleetSettling{ 2000 };
 
 } // namespace
 
@@ -292,68 +288,6 @@
   Tick();
 }
 
-// Traffic shares connections with the VMs that are listed, and for a while
-// after the start also with those that were.
-void
-control::TellFleet(clock::time_point aNow)
-{
-  if (!mSettledAt) {
-    mSettledAt = aNow + kFleetSettling;
-  }
-  auto vms = mOwnKeys.Listed();
-  if (aNow < *mSettledAt) {
-    for (const auto& one : mOwnKeys.fleet) {
-      if (!mOwnKeys.vms.contains(one.where.vm)) {
-        vms.push_back(one);
-      }
-    }
-  }
-  std::vector<proxy::fleet_vm> fleet;
-  fleet.reserve(vms.size());
-  for (const auto& one : vms) {
-    fleet.push_back({ one.where.vm,
-                      one.failureDomain,
-                      one.where.address,
-                      one.relayPort,
-                      one.leaving });
-  }
-  mTraffic.SetFleet(std::move(fleet));
-}
-
-// The VM that holds the first group's duty records the fleet once it has
-// stayed as it is for a while.
-void
-control::KeepFleet(clock::time_point aNow)
-{
-  const bool isDue = !mGroups.empty() &&
-                     mGroups.begin()->second->lead.HoldsDuty() &&
-                     mOwnView.IsReached();
-  const auto listed = mOwnKeys.Listed();
-  if (!isDue || IsSameFleet(listed, mOwnKeys.fleet)) {
-    mFleetStaleSince.reset();
-    return;
-  }
-  if (!mFleetStaleSince) {
-    mFleetStaleSince = aNow;
-  }
-  if (aNow - *mFleetStaleSince < kFleetSettling) {
-    return;
-  }
-  mFleetStaleSince = aNow;
-  store::transaction made;
-  made.conditions.push_back({ FleetKey(), mOwnKeys.fleetChanged });
-  made.puts.push_back({ FleetKey(), PrintFleet(listed), 0, 0 });
-  mPlatform.store->Commit(
-    std::move(made),
-    [vms = listed.size()](
-      store::commit_outcome aOutcome, store::revision, clock::time_point) {
-      log::Write(log::level::kInfo,
-                 "fleet_recorded",
-                 { { "vms", static_cast<std::int64_t>(vms) },
-                   { "outcome", static_cast<std::int64_t>(aOutcome) } });
-    });
-}
-
 void
 control::NoteStore(const std::string& aWhat,
                    bool aIsReached,
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -13,9 +13,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-// A VM that was listed or heard this lately may still rest on a proof, whatever
-// the store says of it: its key may have been taken away unseen.
-constexpr milliseconds kVmMemory{ 15000 };
 // How long the first VMs wait for the others before one claims a duty, so
 // that the duties are spread.
 constexpr milliseconds kSettleTime{ 400 };
@@ -250,29 +247,6 @@
     });
 }
 
-void
-control::NoteVms(clock::time_point aNow)
-{
-  for (const auto& [name, one] : mOwnKeys.vms) {
-    mKnownVms[name] = aNow;
-  }
-}
-
-// The other VMs that are listed now, or were listed or heard lately.
-std::vector<std::string>
-control::KnownVms(clock::time_point aNow)
-{
-  NoteVms(aNow);
-  std::vector<std::string> known;
-  for (const auto& [name, at] : mKnownVms) {
-    const auto heard = mNews.HeardAt(name).value_or(at);
-    if (name != mSelf.where.vm && aNow - std::max(at, heard) < kVmMemory) {
-      known.push_back(name);
-    }
-  }
-  return known;
-}
-
 void
 control::Do(const std::string& aService, const lead::publish_proof& aAction)
 {
--- a/src/currantshed/node/duty.cpp
+++ b/src/currantshed/node/duty.cpp
@@ -172,10 +172,14 @@
 {
   try {
     const auto object = json::parse(aItem.value).as_object();
-    return duty_record{ Text(object, "holder"),
+    duty_record record{ Text(object, "holder"),
                         Number(object, "incarnation"),
-                        Number(object, "epoch"),
-                        Number(object, "replaced_term") };
+                        Number(object, "epoch") };
+    // Versions before the field had no term to tell.
+    if (object.contains("replaced_term")) {
+      record.replacedTerm = Number(object, "replaced_term");
+    }
+    return record;
   } catch (const std::exception&) {
     return std::nullopt;
   }
--- a/test/currantshed/lead/group_lead.cpp
+++ b/test/currantshed/lead/group_lead.cpp
@@ -415,6 +415,14 @@
       promoted.term = 2;
     },
     false },
+  { "all answer, and one that no longer leads has seen a newer term",
+    [](bench& aBench) {
+      aBench.replaced.reset();
+      auto& promoted = aBench.servers["c"];
+      promoted.answers = true;
+      promoted.term = 2;
+    },
+    false },
   { "a VM that knows of the replacement asks nobody",
     [](bench& aBench) { aBench.lead.SetReplaced(1, aBench.now); },
     false },
--- a/test/currantshed/node/duty.cpp
+++ b/test/currantshed/node/duty.cpp
@@ -104,6 +104,20 @@
   CHECK(fresh.conditions.front().changed == 0);
 }
 
+TEST(duty, the_replaced_term_goes_on_to_the_next_holder)
+{
+  const auto items =
+    Items({ Vm("a", 1, true), Vm("b", 2) }, duty_record{ "a", 1, 50, 6 });
+  const auto keys = node::ReadOwnKeys(items);
+  const auto claim = node::ClaimOf(keys, "group", Vm("b", 2), 40);
+  const auto made = node::ReadDuty(claim.puts.front());
+  CHECK(made && made->holder == "b" && made->replacedTerm == 6);
+  // A record of a version that did not have the term is still one.
+  const auto old = node::ReadDuty(
+    { "k", R"({"holder":"a","incarnation":1,"epoch":5})", 1, 0 });
+  CHECK(old && old->epoch == 5 && old->replacedTerm == 0);
+}
+
 TEST(duty, the_fleet_is_recorded_without_its_lives)
 {
   const std::vector<vm_record> fleet{ Vm("a", 1), Vm("b", 2) };
