--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -323,8 +323,8 @@
       now + std::clamp(kReachByVm * vms, kShortestReach, kLongestReach);
     SendReach(now);
   }
-  if (mSettledAt && now >= *mSettledAt && *mSettledAt != clock::time_point{}) {
-    mSettledAt = clock::time_point{};
+  if (!mIsSettled && mSettledAt && now >= *mSettledAt) {
+    mIsSettled = true;
     TellFleet(now);
   }
   KeepFleet(now);
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -178,8 +178,10 @@
   clock::time_point mStartedAt;
   clock::time_point mListedAt{};
   clock::time_point mNextReach{};
-  // Until when VMs that were recorded count although they are not listed.
+  // VMs that were recorded count although they are not listed until that time,
+  // which follows the first reading of the list.
   std::optional<clock::time_point> mSettledAt;
+  bool mIsSettled = false;
   // Since when the record of the fleet has differed from those listed.
   std::optional<clock::time_point> mFleetStaleSince;
   bool mIsLeaving = false;
--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -30,7 +30,7 @@
     mSettledAt = aNow + kFleetSettling;
   }
   auto vms = mOwnKeys.Listed();
-  if (aNow < *mSettledAt) {
+  if (!mIsSettled) {
     for (const auto& one : mOwnKeys.fleet) {
       if (!mOwnKeys.vms.contains(one.where.vm)) {
         vms.push_back(one);
