--- a/src/currantshed/lead/group_lead_proof.cpp
+++ b/src/currantshed/lead/group_lead_proof.cpp
@@ -47,8 +47,7 @@
     return;
   }
   mReplaced = std::max(mReplaced, *aReplaced);
-  const auto revoked = mHoldsDuty ? mTakeover.RevokedTerm() : mRevoked;
-  if (checked->term > std::max(mReplaced, revoked)) {
+  if (checked->term > EndedTerm()) {
     TakeProof(*checked, aNow);
   }
   Evaluate(aNow);
@@ -79,8 +78,7 @@
   if (!proof || !IsNewer(*proof)) {
     return;
   }
-  const auto revoked = mHoldsDuty ? mTakeover.RevokedTerm() : mRevoked;
-  if (proof->term <= std::max(revoked, mReplaced)) {
+  if (proof->term <= EndedTerm()) {
     return;
   }
   if (!IsTrusted(*proof)) {
@@ -93,6 +91,15 @@
   }
 }
 
+// No own proof of this term or an earlier one counts: it was revoked or
+// replaced.
+position::term_id
+group_lead::EndedTerm() const
+{
+  const auto revoked = mHoldsDuty ? mTakeover.RevokedTerm() : mRevoked;
+  return std::max(revoked, mReplaced);
+}
+
 bool
 group_lead::IsNewer(const proxy::confirmation& aProof) const noexcept
 {
--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -57,8 +57,12 @@
   const bool isDue = !mGroups.empty() &&
                      mGroups.begin()->second->lead.HoldsDuty() &&
                      mOwnView.IsReached();
+  if (!isDue) {
+    mFleetStaleSince.reset();
+    return;
+  }
   const auto listed = mOwnKeys.Listed();
-  if (!isDue || IsSameFleet(listed, mOwnKeys.fleet)) {
+  if (IsSameFleet(listed, mOwnKeys.fleet)) {
     mFleetStaleSince.reset();
     return;
   }
--- a/test/currantshed/proxy/engine_orders.cpp
+++ b/test/currantshed/proxy/engine_orders.cpp
@@ -5,6 +5,8 @@
 #include <optional>
 #include <vector>
 
+#include "test/currantshed/proxy/idle_link.hpp"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace currantshed;
@@ -25,12 +27,6 @@
   void Reached(const proxy::server&, bool, std::string_view) override {}
 };
 
-class idle_link final : public proxy::upstream_link
-{
-public:
-  void Send(const std::vector<proxy::command>&) override {}
-};
-
 /// Keeps the listeners of the links that were opened, direct ones apart.
 class recording_opener final : public proxy::link_opener
 {
@@ -41,7 +37,7 @@
     proxy::link_listener& aListener) override
   {
     (aVia.IsDirect() ? direct : relayed).push_back(&aListener);
-    return std::make_unique<idle_link>();
+    return std::make_unique<test::idle_link>();
   }
 
   std::vector<proxy::link_listener*> direct;
--- a/test/currantshed/proxy/server_state.cpp
+++ b/test/currantshed/proxy/server_state.cpp
@@ -5,6 +5,8 @@
 #include <optional>
 #include <vector>
 
+#include "test/currantshed/proxy/idle_link.hpp"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace currantshed;
@@ -64,12 +66,6 @@
   void Ended(proxy::connection&, proxy::link_end, clock::time_point) override {}
 };
 
-class idle_link final : public proxy::upstream_link
-{
-public:
-  void Send(const std::vector<proxy::command>&) override {}
-};
-
 struct limit_row
 {
   const char* name;
@@ -98,7 +94,7 @@
     for (std::size_t i = 0; i < row.connections; ++i) {
       auto made = std::make_unique<proxy::connection>(
         "i-1", "claims", "", events, kStart);
-      made->Attach(std::make_unique<idle_link>());
+      made->Attach(std::make_unique<test::idle_link>());
       made->Opened(std::nullopt, kStart);
       made->Send({ {} }, { proxy::purpose::kStatement, kStart });
       state.connections.push_back(std::move(made));
