The first proof of a term brings the primary's position

Cause: reads that may lag need a sample of the primary's position. Reports counted as samples only if they came after the proof, so that the reports which made the proof were lost as samples, and for up to 650 ms after a start, a change of the primary or a pause every read went to the primary.

Ruled out: late connections (all servers were reached 0.3 s after the start).

Change: the primary's report is taken as a sample as soon as its proof holds.

Test: group_lead.the_first_proof_of_a_term_brings_the_primarys_position; fails before (no sample).

--- a/src/currantshed/lead/group_lead.cpp
+++ b/src/currantshed/lead/group_lead.cpp
@@ -98,12 +98,8 @@
 {
   if (aReport) {
     mTable.Reported(aServer, *aReport, aAskedAt, aNow);
-    const bool isSample = aReport->isPrimary && aServer == mProof.primary &&
-                          aReport->term == mProof.term &&
-                          aAskedAt < mProof.askedAt + mSettings.validity;
-    if (isSample) {
-      mSample = { aReport->term, aReport->received, aAskedAt };
-      mActions.emplace_back(publish_sample{ *mSample });
+    if (aServer == mProof.primary) {
+      TakeSample(aNow);
     }
   } else {
     if (auto* view = mTable.Find(aServer)) {
--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -145,6 +145,7 @@
 
   void Evaluate(clock::time_point aNow);
   void TakeProof(const proxy::confirmation& aProof, clock::time_point aNow);
+  void TakeSample(clock::time_point aNow);
   void TakeOwnProof(clock::time_point aNow);
   [[nodiscard]] position::term_id EndedTerm() const;
   [[nodiscard]] bool IsNewer(const proxy::confirmation& aProof) const noexcept;
--- a/src/currantshed/lead/group_lead_proof.cpp
+++ b/src/currantshed/lead/group_lead_proof.cpp
@@ -49,6 +49,7 @@
   mReplaced = std::max(mReplaced, *aReplaced);
   if (checked->term > EndedTerm()) {
     TakeProof(*checked, aNow);
+    TakeSample(aNow);
   }
   Evaluate(aNow);
 }
@@ -71,6 +72,25 @@
   }
 }
 
+// What the primary said of its position, once it is proved that it led. The
+// first reports of a term bring the proof, so that their position counts too:
+// without it no replica could be used until the primary has answered again.
+void
+group_lead::TakeSample(clock::time_point aNow)
+{
+  const auto* primary = mTable.Find(mProof.primary);
+  const bool isSample = primary != nullptr && primary->report &&
+                        primary->report->isPrimary &&
+                        primary->report->term == mProof.term &&
+                        primary->askedAt < mProof.askedAt + mSettings.validity;
+  if (!isSample || aNow >= mProof.askedAt + mSettings.validity ||
+      (mSample && mSample->askedAt >= primary->askedAt)) {
+    return;
+  }
+  mSample = { mProof.term, primary->report->received, primary->askedAt };
+  mActions.emplace_back(publish_sample{ *mSample });
+}
+
 void
 group_lead::TakeOwnProof(clock::time_point aNow)
 {
@@ -86,6 +106,7 @@
     return;
   }
   TakeProof(*proof, aNow);
+  TakeSample(aNow);
   if (IsChanging() && mProof.term > mTakeover.RevokedTerm()) {
     mTakeover.Succeeded(mProof.primary, aNow, mActions);
   }
--- a/test/currantshed/lead/group_lead.cpp
+++ b/test/currantshed/lead/group_lead.cpp
@@ -75,6 +75,7 @@
   std::vector<std::string> promoted;
   std::vector<position::term_id> revocations;
   std::vector<proxy::confirmation> proofs;
+  std::vector<proxy::position_sample> samples;
   bool takesOrders = true;
   bool rejectsFirst = false;
   /// The VMs that the store lists; none while it does not answer.
@@ -177,7 +178,10 @@
     proofs.push_back(aAction.proof);
   }
 
-  void Do(const lead::publish_sample&) {}
+  void Do(const lead::publish_sample& aAction)
+  {
+    samples.push_back(aAction.sample);
+  }
 
   void Do(const lead::publish_revocation& aAction)
   {
@@ -637,3 +641,14 @@
   made.Run(5200ms);
   CHECK(made.lead.Reach(std::nullopt).obeyedTerm == 0);
 }
+
+TEST(group_lead, the_first_proof_of_a_term_brings_the_primarys_position)
+{
+  bench made;
+  made.lead.Wanted(made.now);
+  made.Run(50ms);
+  CHECK(made.lead.Proof().term == 1);
+  CHECK_EQUAL(1U, made.samples.size());
+  CHECK(made.samples.front().term == 1);
+  CHECK(made.samples.front().position == made.servers["a"].received);
+}
