VMs off the store's list are told who leads, and proofs are asked for in turn

Cause: a VM that is cut off from the store loses its key after 2 s, and the VM that watches a group told its proofs only to those listed. Such VMs asked the servers by themselves, all at once, every 60 ms, until each question found the slots taken by the others'.

Ruled out: lost links between VMs (with lines on each message: cut-off VMs go on hearing those that tell them); overload of the one group whose primary was cut.

Change: known_vms keeps who is listed and who speaks; a watch tells both. A VM off the list speaks to all every 2 s, so that also a new holder of the duty knows it, and counts it among those that may rest on a proof. Without a watch the VMs of a group ask one after the other and pass on what they prove.

Tests: known_vms, group_lead.vms_without_a_watch_ask_in_turn_and_pass_on, group_lead.a_vm_that_is_not_in_the_store_takes_no_proof, a row of registration.

What cut-off VMs can't prove when one of three servers is silent or always busy stays: the round must have all three, and the store can't be read.

--- a/src/currantshed/lead/actions.hpp
+++ b/src/currantshed/lead/actions.hpp
@@ -43,6 +43,8 @@
 struct publish_proof
 {
   proxy::confirmation proof;
+  /// Whether this VM has put it together itself, and others may lack it.
+  bool isOwn = false;
 };
 
 /// Where the confirmed primary stood.
--- a/src/currantshed/lead/group_lead.cpp
+++ b/src/currantshed/lead/group_lead.cpp
@@ -76,6 +76,9 @@
 void
 group_lead::Wanted(clock::time_point aNow)
 {
+  if (mWantedAt == clock::time_point{} || aNow >= mWantedAt + kDemandLife) {
+    mWantedSince = aNow;
+  }
   mWantedAt = aNow;
   Evaluate(aNow);
 }
@@ -146,7 +149,9 @@
     mRevokedEpoch = aNews.epoch;
     mRevokedAt = aNow;
   }
-  TakeProof(aNews.proof, aNow);
+  if (mMayAsk) {
+    TakeProof(aNews.proof, false, aNow);
+  }
   if (aNews.sample && aNews.sample->term == mProof.term) {
     mActions.emplace_back(publish_sample{ *aNews.sample });
   }
--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -2,6 +2,7 @@
 #define CURRANTSHED_LEAD_GROUP_LEAD_HPP
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <utility>
@@ -90,9 +91,15 @@
   void TermsChecked(std::optional<position::term_id> aReplaced,
                     clock::time_point aNow);
 
-  /// Whether this VM may ask for proofs by itself yet.
+  /// Whether this VM may have proofs yet: before it stands in the store,
+  /// whoever promotes does not know that it may rest on one.
   void SetMayAsk(bool aMayAsk) { mMayAsk = aMayAsk; }
 
+  /// How many VMs may ask for proofs of this group, and this VM's place among
+  /// them, from 0 to below 1. Without a word of the holder they ask one after
+  /// the other and pass on what they learn.
+  void SetPlace(std::size_t aVms, double aPlace);
+
   /// Requests need a proof.
   void Wanted(clock::time_point aNow);
 
@@ -144,7 +151,9 @@
   };
 
   void Evaluate(clock::time_point aNow);
-  void TakeProof(const proxy::confirmation& aProof, clock::time_point aNow);
+  void TakeProof(const proxy::confirmation& aProof,
+                 bool aIsOwn,
+                 clock::time_point aNow);
   void TakeSample(clock::time_point aNow);
   void TakeOwnProof(clock::time_point aNow);
   [[nodiscard]] position::term_id EndedTerm() const;
@@ -158,6 +167,9 @@
   void Repair(clock::time_point aNow);
   [[nodiscard]] position::term_id UnreplacedTerm(clock::time_point aNow) const;
   void CheckObedience();
+  [[nodiscard]] bool Watches() const noexcept;
+  [[nodiscard]] clock::time_point AsksFrom() const;
+  [[nodiscard]] std::chrono::milliseconds Pause(const member_view& aView) const;
   [[nodiscard]] bool WantsProof(clock::time_point aNow) const;
   [[nodiscard]] bool IsLost(clock::time_point aNow) const;
   [[nodiscard]] bool IsReachedElsewhere(clock::time_point aNow) const;
@@ -174,6 +186,10 @@
   bool mHoldsDuty = false;
   bool mStandsIn = false;
   bool mMayAsk = true;
+  // How much later than the first VM this one asks, and how long any one VM
+  // pauses between questions.
+  std::chrono::milliseconds mAskDelay{ 0 };
+  std::chrono::milliseconds mAskPause{ 0 };
   std::uint64_t mEpoch = 0;
   clock::time_point mDutySince;
   // The newest word of whoever holds the duty.
@@ -188,6 +204,7 @@
   std::optional<std::vector<std::string>> mMustObey;
   absl::btree_map<std::string, peer_reach> mReach;
   clock::time_point mWantedAt;
+  clock::time_point mWantedSince;
   clock::time_point mDeniedAt;
   // Whose word keeps a primary that this VM does not hear.
   std::string mKeptBy;
--- a/src/currantshed/lead/group_lead_proof.cpp
+++ b/src/currantshed/lead/group_lead_proof.cpp
@@ -25,6 +25,19 @@
 // A VM without the duty asks by itself once the proofs that it is told leave
 // it less than this.
 constexpr milliseconds kOwnAskReserve{ 350 };
+// How far apart the VMs without the duty ask, and over how long at most: the
+// first answer comes back and is passed on in some 30 ms, so that a dozen of 75
+// ask, not all. What is left before the proof ends suffices for a retry.
+constexpr milliseconds kSpreadByVm{ 2 };
+constexpr milliseconds kLongestSpread{ 150 };
+// Pause of one VM between questions, for each VM that may ask: all together put
+// at most 250 questions a second to a server, each a slot for half a
+// millisecond.
+constexpr milliseconds kPauseByVm{ 4 };
+// How long the primary and one witness are given before all members are asked.
+constexpr milliseconds kFirstPairTime{ 150 };
+// A proof that is no newer than this spares the others no question.
+constexpr milliseconds kWorthTelling{ 150 };
 // How long a primary that only others reach is asked through them.
 constexpr milliseconds kRelayedTime{ 3000 };
 // Pause after a check of the terms that found the proof void, or that the store
@@ -48,14 +61,16 @@
   }
   mReplaced = std::max(mReplaced, *aReplaced);
   if (checked->term > EndedTerm()) {
-    TakeProof(*checked, aNow);
+    TakeProof(*checked, true, aNow);
     TakeSample(aNow);
   }
   Evaluate(aNow);
 }
 
 void
-group_lead::TakeProof(const proxy::confirmation& aProof, clock::time_point aNow)
+group_lead::TakeProof(const proxy::confirmation& aProof,
+                      bool aIsOwn,
+                      clock::time_point aNow)
 {
   if (aProof.term <= mReplaced || !IsNewer(aProof)) {
     return;
@@ -66,9 +81,10 @@
       "primary",
       absl::StrCat("server=", aProof.primary, " term=", aProof.term) });
   }
+  const bool isNews = aProof.askedAt >= mProof.askedAt + kWorthTelling;
   mProof = aProof;
   if (aNow < aProof.askedAt + mSettings.validity) {
-    mActions.emplace_back(publish_proof{ mProof });
+    mActions.emplace_back(publish_proof{ mProof, aIsOwn && isNews });
   }
 }
 
@@ -105,7 +121,7 @@
     CheckTerms(*proof, aNow);
     return;
   }
-  TakeProof(*proof, aNow);
+  TakeProof(*proof, true, aNow);
   TakeSample(aNow);
   if (IsChanging() && mProof.term > mTakeover.RevokedTerm()) {
     mTakeover.Succeeded(mProof.primary, aNow, mActions);
@@ -191,13 +207,49 @@
   }
   const bool wanted =
     mWantedAt != clock::time_point{} && aNow < mWantedAt + kDemandLife;
-  if (mHoldsDuty || (mStandsIn && mMayAsk)) {
-    return aNow >= mProof.askedAt + mSettings.askInterval ||
-           mDeniedAt > mProof.askedAt;
+  const bool isDue = aNow >= AsksFrom() || mDeniedAt > mProof.askedAt;
+  return isDue && (Watches() || (mMayAsk && wanted));
+}
+
+void
+group_lead::SetPlace(std::size_t aVms, double aPlace)
+{
+  const auto vms = static_cast<int>(aVms);
+  const auto spread = std::min(kLongestSpread, kSpreadByVm * vms);
+  mAskDelay = std::chrono::duration_cast<milliseconds>(spread * aPlace);
+  mAskPause = kPauseByVm * vms;
+}
+
+// Whether this VM asks all the while, also for the others.
+bool
+group_lead::Watches() const noexcept
+{
+  return mHoldsDuty || (mStandsIn && mMayAsk);
+}
+
+// From when on the next proof is asked for.
+clock::time_point
+group_lead::AsksFrom() const
+{
+  if (Watches()) {
+    return mProof.askedAt + mSettings.askInterval;
+  }
+  // A VM that knows nothing yet asks at once: of those that start together none
+  // can tell the others sooner.
+  if (mProof.term == 0) {
+    return mWantedSince;
   }
-  const bool endsSoon =
-    aNow + kOwnAskReserve >= mProof.askedAt + mSettings.validity;
-  return mMayAsk && wanted && (endsSoon || mDeniedAt > mProof.askedAt);
+  const auto ending = mProof.askedAt + mSettings.validity - kOwnAskReserve;
+  return std::max(ending, mWantedSince) + mAskDelay;
+}
+
+milliseconds
+group_lead::Pause(const member_view& aView) const
+{
+  const auto pause = aView.failures > 0 ? kRetryPause : kBusyPause;
+  return Watches() || IsChanging() || mProof.term == 0
+           ? pause
+           : std::max(pause, mAskPause);
 }
 
 // A proof takes the primary and as many others as make a majority with it;
@@ -216,14 +268,12 @@
                      mDeniedAt <= mProof.askedAt && !IsChanging();
   const auto* witness = Witness();
   // One that is busy gives no report: others are asked before time runs out.
-  const bool isLate =
-    aNow + mSettings.validity / 2 >= mProof.askedAt + mSettings.validity;
+  const bool isLate = aNow >= AsksFrom() + kFirstPairTime;
   for (const auto& [id, view] : mTable.All()) {
     const bool inProof =
       !knows || isLate || &view == primary || &view == witness;
     const bool roundDue = mHoldsDuty && aNow >= view.lastAsked + kRoundPause;
-    const auto pause = view.failures > 0 ? kRetryPause : kBusyPause;
-    const bool paused = aNow < view.lastAsked + pause;
+    const bool paused = aNow < view.lastAsked + Pause(view);
     if (!view.asking && !paused && ((wantsProof && inProof) || roundDue)) {
       AskOne(*mTable.Find(id), aNow);
     }
--- a/src/currantshed/news/exchange.cpp
+++ b/src/currantshed/news/exchange.cpp
@@ -111,16 +111,6 @@
   return aLink.dealer.get();
 }
 
-std::optional<clock::time_point>
-exchange::HeardAt(const std::string& aVm) const
-{
-  const auto found = mSenders.find(aVm);
-  if (found == mSenders.end()) {
-    return std::nullopt;
-  }
-  return found->second.heardAt;
-}
-
 void
 exchange::Close()
 {
@@ -142,7 +132,6 @@
     from = {};
     from.incarnation = told.incarnation();
   }
-  from.heardAt = now;
   from.offset.Heard(std::chrono::microseconds{ told.sent_at_us() }, now);
   clock_reader reader;
   if (told.has_to_your_clock_us() && told.your_incarnation() == mIncarnation) {
--- a/src/currantshed/news/exchange.hpp
+++ b/src/currantshed/news/exchange.hpp
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -61,10 +60,6 @@
   /// Sends the news, with sender and clocks filled in.
   void Send(const std::string& aVm, News aNews, clock::time_point aNow);
 
-  /// When a VM was last heard; none when it never was.
-  [[nodiscard]] std::optional<clock::time_point> HeardAt(
-    const std::string& aVm) const;
-
   void Close();
 
 private:
@@ -79,7 +74,6 @@
   {
     std::uint64_t incarnation = 0;
     lead::clock_offset offset;
-    clock::time_point heardAt;
   };
 
   [[nodiscard]] net::dealer* DealerTo(link& aLink);
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -51,13 +51,14 @@
            aSettings.failureDomain,
            absl::Uniform<std::uint64_t>(mRandom) >> 1U }
   , mPlatform(aMaker(mContext))
-  , mConfigurationView(*mPlatform.store,
-                       aDocuments.ConfigurationKey(),
-                       { .afterChange = kConfigurationPause },
-                       { [this](clock::time_point) { ConfigurationChanged(); },
-                         [this](bool aIsReached, std::error_code aWhy) {
-                           NoteStore("configuration", aIsReached, aWhy);
-                         } })
+  , mConfigurationView(
+      *mPlatform.store,
+      aDocuments.ConfigurationKey(),
+      { .afterChange = kConfigurationPause },
+      { [this](clock::time_point) { ConfigurationChanged(); },
+        [this](bool aIsReached, std::error_code aWhy) {
+          NoteStore("configuration", aIsReached, aWhy);
+        } })
   , mServersView(*mPlatform.store,
                  aDocuments.ServersPrefix(),
                  { .afterChange = kServersPause,
@@ -84,10 +85,12 @@
           [this](const news::News& aNews,
                  const news::exchange::clock_reader& aClock,
                  clock::time_point aNow) { Received(aNews, aClock, aNow); })
+  , mKnownVms(aSettings.vm)
   , mStartedAt(clock::Now())
   , mTicker(mContext, [this] { Tick(); })
 {
   mRegistration.SetValue(PrintVm(mSelf));
+  mRegistration.OnWritten([this] { Tick(); });
   mRegistration.OnRegained([this] {
     const auto now = clock::Now();
     mConfigurationView.Renew(now);
@@ -226,6 +229,7 @@
     auto& place = mGroups[service];
     if (place == nullptr) {
       place = std::make_unique<group>(mLeadSettings);
+      place->lead.SetMayAsk(mRegistration.IsWritten());
     }
     place->lead.Configure(listed, aNow);
   }
@@ -269,21 +273,15 @@
 control::OwnKeysChanged(clock::time_point aNow)
 {
   mOwnKeys = ReadOwnKeys(mOwnView.Items());
-  std::vector<news::peer> peers;
-  for (const auto& [name, one] : mOwnKeys.vms) {
-    peers.push_back(one.record.where);
-  }
-  mNews.SetPeers(peers);
+  NoteVms(aNow);
   TellFleet(aNow);
+  SetPlaces(aNow);
   if (mListedAt == clock::time_point{} && mRegistration.IsListed()) {
     mListedAt = aNow;
-    for (const auto& one : peers) {
-      if (one.vm != mSelf.where.vm) {
-        SendReachTo(one.vm, true, aNow);
-      }
+    for (const auto& vm : Peers(aNow)) {
+      SendReachTo(vm, true, aNow);
     }
   }
-  NoteVms(aNow);
   UpdateReadiness(aNow);
   Tick();
 }
@@ -321,6 +319,8 @@
     const auto vms = static_cast<int>(mOwnKeys.vms.size());
     mNextReach =
       now + std::clamp(kReachByVm * vms, kShortestReach, kLongestReach);
+    NoteVms(now);
+    SetPlaces(now);
     SendReach(now);
   }
   if (!mIsSettled && mSettledAt && now >= *mSettledAt) {
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -22,6 +22,7 @@
 #include "currantshed/news/exchange.hpp"
 #include "currantshed/node/document_codec.hpp"
 #include "currantshed/node/duty.hpp"
+#include "currantshed/node/known_vms.hpp"
 #include "currantshed/node/metrics.hpp"
 #include "currantshed/node/settings.hpp"
 #include "currantshed/node/traffic.hpp"
@@ -82,6 +83,9 @@
     clock::time_point claimFrom{};
     /// News about it go out at the end of this event.
     bool hasNews = false;
+    /// This VM has proved the primary itself, and tells the others, although
+    /// the group is not its to watch.
+    bool passesOn = false;
   };
 
   using groups = absl::btree_map<std::string, std::unique_ptr<group>>;
@@ -130,6 +134,8 @@
              clock::time_point aNow);
   void SendWatch(clock::time_point aNow);
   void FillChanges(news::News& aOut) const;
+  void PassOn(clock::time_point aNow);
+  void AnswerTo(const std::string& aVm, clock::time_point aNow);
   void SendReach(clock::time_point aNow);
   void SendReachTo(const std::string& aVm, bool aAsks, clock::time_point aNow);
   void HeardServers(std::vector<std::string> aServices,
@@ -141,10 +147,11 @@
   void Schedule();
   [[nodiscard]] group* Find(const std::string& aService);
   void NoteVms(clock::time_point aNow);
+  void SetPlaces(clock::time_point aNow);
   void TellFleet(clock::time_point aNow);
   void KeepFleet(clock::time_point aNow);
-  [[nodiscard]] std::vector<std::string> KnownVms(clock::time_point aNow);
-  [[nodiscard]] std::vector<std::string> Peers() const;
+  [[nodiscard]] bool IsOffTheList(clock::time_point aNow) const;
+  [[nodiscard]] std::vector<std::string> Peers(clock::time_point aNow) const;
   [[nodiscard]] std::string HolderOf(const std::string& aService) const;
   /// The duty's record, or null.
   [[nodiscard]] const duty_record* DutyOf(const std::string& aService) const;
@@ -167,8 +174,7 @@
   store::registration mRegistration;
   news::exchange mNews;
   own_keys mOwnKeys;
-  // When each VM was last listed.
-  absl::btree_map<std::string, clock::time_point> mKnownVms;
+  known_vms mKnownVms;
   std::uint64_t mVersion = 0;
   std::vector<proxy::server> mServers;
   // Servers that are listed no longer, and since when.
@@ -178,6 +184,8 @@
   clock::time_point mStartedAt;
   clock::time_point mListedAt{};
   clock::time_point mNextReach{};
+  // When this VM, off the list, next speaks to all others.
+  clock::time_point mNextCallToAll{};
   // VMs that were recorded count although they are not listed until that time,
   // which follows the first reading of the list.
   std::optional<clock::time_point> mSettledAt;
--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -1,8 +1,12 @@
 #include "currantshed/node/control.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
+#include <absl/strings/str_cat.h>
+#include <xxhash.h>
+
 #include "currantshed/log/log.hpp"
 
 namespace currantshed::node {
@@ -15,9 +19,15 @@
 // VMs that lost power together are back within a second of each other. Also
 // how long the fleet must stay the same before it is recorded.
 constexpr milliseconds kFleetSettling{ 2000 };
-// A VM that was listed or heard this lately may still rest on a proof, whatever
-// the store says of it: its key may have been taken away unseen.
-constexpr milliseconds kVmMemory{ 15000 };
+
+// A number from 0 to below 1 that differs by group and VM, the same everywhere.
+double
+PlaceOf(const std::string& aService, const std::string& aVm)
+{
+  const auto text = absl::StrCat(aService, "\n", aVm);
+  const auto hash = XXH3_64bits(text.data(), text.size());
+  return std::ldexp(static_cast<double>(hash >> 11U), -53);
+}
 
 } // namespace
 
@@ -87,27 +97,34 @@
     });
 }
 
+// Takes over who is listed, and whom that leaves to be sent to.
 void
 control::NoteVms(clock::time_point aNow)
 {
+  std::vector<news::peer> listed;
   for (const auto& [name, one] : mOwnKeys.vms) {
-    mKnownVms[name] = aNow;
+    listed.push_back(one.record.where);
   }
+  mKnownVms.Listed(listed, aNow);
+  mNews.SetPeers(mKnownVms.Reachable(aNow));
 }
 
-// The other VMs that are listed now, or were listed or heard lately.
-std::vector<std::string>
-control::KnownVms(clock::time_point aNow)
+// In which order the VMs ask for proofs of a group that nobody watches.
+void
+control::SetPlaces(clock::time_point aNow)
 {
-  NoteVms(aNow);
-  std::vector<std::string> known;
-  for (const auto& [name, at] : mKnownVms) {
-    const auto heard = mNews.HeardAt(name).value_or(at);
-    if (name != mSelf.where.vm && aNow - std::max(at, heard) < kVmMemory) {
-      known.push_back(name);
-    }
+  const auto vms = mKnownVms.Reachable(aNow).size() + 1;
+  for (auto& [service, one] : mGroups) {
+    one->lead.SetPlace(vms, PlaceOf(service, mSelf.where.vm));
   }
-  return known;
+}
+
+// Whether the store has taken this VM off the list by now, as far as it can
+// tell: its way to the store is cut, or the store is away.
+bool
+control::IsOffTheList(clock::time_point aNow) const
+{
+  return mListedAt != clock::time_point{} && aNow >= mRegistration.ValidUntil();
 }
 
 } // namespace currantshed::node
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -33,6 +33,7 @@
     PerformOne(service, *one);
   }
   SendWatch(aNow);
+  PassOn(aNow);
   Schedule();
 }
 
@@ -239,10 +240,10 @@
       }
       for (const auto& item : aItems) {
         if (const auto record = ReadVm(item)) {
-          mKnownVms[record->where.vm] = aNow;
+          mKnownVms.Seen(record->where.vm, aNow);
         }
       }
-      found->lead.VmsListed(KnownVms(aNow), asked, aNow);
+      found->lead.VmsListed(mKnownVms.MayRest(aNow), asked, aNow);
       Perform(aNow);
     });
 }
@@ -253,6 +254,7 @@
   mTraffic.Confirm(aService, aAction.proof);
   if (auto* found = Find(aService)) {
     found->hasNews = true;
+    found->passesOn = found->passesOn || aAction.isOwn;
   }
 }
 
--- a/src/currantshed/node/control_news.cpp
+++ b/src/currantshed/node/control_news.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+// How often a VM that is off the store's list speaks to all others: one word in
+// the time that they go on telling it the news may be lost.
+constexpr std::chrono::milliseconds kCallToAll{ 2000 };
+
 news::Position*
 Fill(news::Position* aOut, const position::log_position& aPosition)
 {
@@ -82,11 +86,48 @@
     return;
   }
   FillChanges(told);
-  for (const auto& vm : Peers()) {
+  for (const auto& vm : Peers(aNow)) {
     mNews.Send(vm, told, aNow);
   }
 }
 
+// Proofs that this VM has put together since nobody told it any, to those that
+// spoke lately: the list may be old, and a new link costs a VM that has just
+// started more time than a question of its own.
+void
+control::PassOn(clock::time_point aNow)
+{
+  news::News told;
+  for (auto& [service, one] : mGroups) {
+    if (std::exchange(one->passesOn, false) && !one->lead.Speaks()) {
+      Fill(*told.add_watches(), service, one->lead.Watch());
+    }
+  }
+  if (told.watches_size() == 0) {
+    return;
+  }
+  FillChanges(told);
+  for (const auto& one : mKnownVms.Speaking(aNow)) {
+    mNews.Send(one.vm, told, aNow);
+  }
+}
+
+// What this VM has proved or been told, where its word counts or nobody's does.
+void
+control::AnswerTo(const std::string& aVm, clock::time_point aNow)
+{
+  news::News told;
+  for (const auto& [service, one] : mGroups) {
+    const auto& proof = one->lead.Proof();
+    const bool holds = aNow < proof.askedAt + mLeadSettings.validity;
+    if (one->lead.Speaks() || (holds && !HasHolder(mOwnKeys, service))) {
+      Fill(*told.add_watches(), service, one->lead.Watch());
+    }
+  }
+  FillChanges(told);
+  mNews.Send(aVm, std::move(told), aNow);
+}
+
 // What this VM's traffic hears of the primaries, to those that watch them.
 void
 control::SendReach(clock::time_point /*aNow*/)
@@ -118,6 +159,15 @@
   for (std::size_t i = 0; i < aServices.size(); ++i) {
     mHeard[aServices[i]] = aHeard[i];
   }
+  // Whoever holds the duties by now may not know of a VM that the store lists
+  // no longer, nor that VM of a new holder: it speaks to all.
+  if (IsOffTheList(now) && now >= mNextCallToAll) {
+    mNextCallToAll = now + kCallToAll;
+    for (const auto& vm : Peers(now)) {
+      SendReachTo(vm, false, now);
+    }
+    return;
+  }
   std::vector<std::string> holders;
   for (const auto& service : aServices) {
     auto holder = HolderOf(service);
@@ -145,7 +195,7 @@
   told.set_answer(aAsks);
   FillChanges(told);
   for (const auto& [service, one] : mGroups) {
-    if (HolderOf(service) == aVm) {
+    if (HolderOf(service) == aVm || IsOffTheList(aNow)) {
       Fill(*told.add_reaches(), service, one->lead.Reach(mHeard[service]));
     }
   }
@@ -157,13 +207,12 @@
                   const news::exchange::clock_reader& aClock,
                   clock::time_point aNow)
 {
+  mKnownVms.Heard(aNews.vm(), aNow);
   mConfigurationView.HeardOf(aNews.configuration_change(), aNow);
   mServersView.HeardOf(aNews.servers_change(), aNow);
   mOwnView.HeardOf(aNews.own_change(), aNow);
   if (aNews.answer()) {
-    for (auto& [service, one] : mGroups) {
-      one->hasNews = one->hasNews || one->lead.Speaks();
-    }
+    AnswerTo(aNews.vm(), aNow);
   }
   if (aClock) {
     for (const auto& watch : aNews.watches()) {
@@ -187,13 +236,11 @@
 }
 
 std::vector<std::string>
-control::Peers() const
+control::Peers(clock::time_point aNow) const
 {
   std::vector<std::string> peers;
-  for (const auto& [name, one] : mOwnKeys.vms) {
-    if (name != mSelf.where.vm) {
-      peers.push_back(name);
-    }
+  for (auto& one : mKnownVms.Reachable(aNow)) {
+    peers.push_back(std::move(one.vm));
   }
   return peers;
 }
--- a/src/currantshed/node/duty.cpp
+++ b/src/currantshed/node/duty.cpp
@@ -210,13 +210,19 @@
   return keys;
 }
 
+bool
+HasHolder(const own_keys& aKeys, const std::string& aService)
+{
+  const auto duty = aKeys.duties.find(aService);
+  return duty != aKeys.duties.end() && IsHeld(aKeys, duty->second.record);
+}
+
 bool
 ShouldClaim(const own_keys& aKeys,
             const std::string& aService,
             const vm_record& aSelf)
 {
-  const auto duty = aKeys.duties.find(aService);
-  if (duty != aKeys.duties.end() && IsHeld(aKeys, duty->second.record)) {
+  if (HasHolder(aKeys, aService)) {
     return false;
   }
   std::vector<store::vm> candidates;
--- a/src/currantshed/node/duty.hpp
+++ b/src/currantshed/node/duty.hpp
@@ -105,6 +105,10 @@
 [[nodiscard]] own_keys
 ReadOwnKeys(const store::prefix_view::items& aItems);
 
+/// Whether a VM that is listed and stays holds the duty.
+[[nodiscard]] bool
+HasHolder(const own_keys& aKeys, const std::string& aService);
+
 /// Whether the VM is to take the duty over: nobody who is listed and stays
 /// holds it, and this VM is the one that all agree on by hashing.
 [[nodiscard]] bool
--- a/src/currantshed/node/fwd.hpp
+++ b/src/currantshed/node/fwd.hpp
@@ -6,6 +6,7 @@
 class caller_server;
 class control;
 class document_codec;
+class known_vms;
 class line_codec;
 class line_stream;
 class metrics;
--- /dev/null
+++ b/src/currantshed/node/known_vms.cpp
@@ -0,0 +1,100 @@
+#include "currantshed/node/known_vms.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace currantshed::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A VM that was listed or heard this lately may still rest on a proof, whatever
+// the store says of it: its key may have been taken away unseen.
+constexpr milliseconds kMemory{ 15000 };
+// A VM off the list that spoke this lately is told the news: one word of each
+// VM comes every two seconds at the least, and one may be lost.
+constexpr milliseconds kSpeaking{ 4500 };
+
+} // namespace
+
+bool
+known_vms::known_vm::IsSpeaking(clock::time_point aNow) const
+{
+  return heardAt && aNow - *heardAt < kSpeaking;
+}
+
+known_vms::known_vms(std::string aSelf)
+  : mSelf(std::move(aSelf))
+{
+}
+
+void
+known_vms::Listed(const std::vector<news::peer>& aVms, clock::time_point aNow)
+{
+  for (auto& [name, one] : mVms) {
+    one.seenAt = one.isListed ? aNow : one.seenAt;
+    one.isListed = false;
+  }
+  for (const auto& listed : aVms) {
+    auto& one = mVms[listed.vm];
+    one.where = listed;
+    one.isListed = true;
+    one.seenAt = aNow;
+  }
+  absl::erase_if(mVms, [aNow](const auto& aEntry) {
+    return !aEntry.second.isListed && aNow - aEntry.second.seenAt >= kMemory;
+  });
+}
+
+void
+known_vms::Seen(const std::string& aVm, clock::time_point aNow)
+{
+  auto& one = mVms[aVm];
+  one.seenAt = std::max(one.seenAt, aNow);
+}
+
+void
+known_vms::Heard(const std::string& aVm, clock::time_point aNow)
+{
+  Seen(aVm, aNow);
+  mVms[aVm].heardAt = aNow;
+}
+
+std::vector<news::peer>
+known_vms::Reachable(clock::time_point aNow) const
+{
+  std::vector<news::peer> reachable;
+  for (const auto& [name, one] : mVms) {
+    const bool isThere = one.isListed || one.IsSpeaking(aNow);
+    if (name != mSelf && one.where && isThere) {
+      reachable.push_back(*one.where);
+    }
+  }
+  return reachable;
+}
+
+std::vector<news::peer>
+known_vms::Speaking(clock::time_point aNow) const
+{
+  auto speaking = Reachable(aNow);
+  std::erase_if(speaking, [&](const auto& aPeer) {
+    return !mVms.at(aPeer.vm).IsSpeaking(aNow);
+  });
+  return speaking;
+}
+
+std::vector<std::string>
+known_vms::MayRest(clock::time_point aNow) const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, one] : mVms) {
+    if (name != mSelf && (one.isListed || aNow - one.seenAt < kMemory)) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+} // namespace currantshed::node
--- /dev/null
+++ b/src/currantshed/node/known_vms.hpp
@@ -0,0 +1,61 @@
+#ifndef CURRANTSHED_NODE_KNOWN_VMS_HPP
+#define CURRANTSHED_NODE_KNOWN_VMS_HPP
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/news/exchange.hpp"
+
+namespace currantshed::node {
+
+/// The other VMs, as the store lists them and as they speak up themselves. A VM
+/// whose way to the store is cut loses its key while it goes on serving: it is
+/// still told who leads, and still asked to give up a term. Asks for no time.
+class known_vms
+{
+public:
+  explicit known_vms(std::string aSelf);
+
+  /// The VMs that the store lists now.
+  void Listed(const std::vector<news::peer>& aVms, clock::time_point aNow);
+
+  /// A VM stands in the store by a reading newer than the list.
+  void Seen(const std::string& aVm, clock::time_point aNow);
+
+  /// A VM has spoken, listed or not.
+  void Heard(const std::string& aVm, clock::time_point aNow);
+
+  /// The VMs that can be told something: those that are listed, and those that
+  /// spoke a moment ago and whose address is known.
+  [[nodiscard]] std::vector<news::peer> Reachable(clock::time_point aNow) const;
+
+  /// Those of them that spoke a moment ago.
+  [[nodiscard]] std::vector<news::peer> Speaking(clock::time_point aNow) const;
+
+  /// The VMs that may rest on a proof of a primary: all that are listed, or
+  /// were listed or heard lately.
+  [[nodiscard]] std::vector<std::string> MayRest(clock::time_point aNow) const;
+
+private:
+  struct known_vm
+  {
+    std::optional<news::peer> where;
+    bool isListed = false;
+    // When it was last listed or heard.
+    clock::time_point seenAt;
+    std::optional<clock::time_point> heardAt;
+
+    [[nodiscard]] bool IsSpeaking(clock::time_point aNow) const;
+  };
+
+  std::string mSelf;
+  absl::btree_map<std::string, known_vm> mVms;
+};
+
+} // namespace currantshed::node
+
+#endif
--- a/src/currantshed/store/registration.cpp
+++ b/src/currantshed/store/registration.cpp
@@ -157,6 +157,9 @@
                     case commit_outcome::kApplied:
                       mIsWritten = true;
                       Answered();
+                      if (mWritten) {
+                        mWritten();
+                      }
                       break;
                     case commit_outcome::kNoLease:
                       Lapsed();
@@ -182,6 +185,12 @@
   mIsWritten = false;
 }
 
+void
+registration::OnWritten(std::function<void()> aWritten)
+{
+  mWritten = std::move(aWritten);
+}
+
 void
 registration::OnRegained(std::function<void()> aRegained)
 {
--- a/src/currantshed/store/registration.hpp
+++ b/src/currantshed/store/registration.hpp
@@ -47,6 +47,9 @@
   /// that failed.
   void OnRegained(std::function<void()> aRegained);
 
+  /// Has the callback called whenever the store has taken the key.
+  void OnWritten(std::function<void()> aWritten);
+
   /// Ends the lease, and with it the key.
   void End();
 
@@ -63,8 +66,9 @@
   /// view tells.
   [[nodiscard]] bool IsListed() const;
 
-  /// Whether the store has taken the key under the present lease.
-  [[nodiscard]] bool IsWritten() const noexcept { return mIsWritten; }
+  /// Whether the store has taken the key under the present lease: by its
+  /// answer, or, where that was lost, by the view.
+  [[nodiscard]] bool IsWritten() const { return mIsWritten || IsListed(); }
 
 private:
   void Grant(clock::time_point aNow);
@@ -89,6 +93,7 @@
   bool mIsCalling = false;
   bool mIsEnded = false;
   bool mIsWritten = false;
+  std::function<void()> mWritten;
   bool mIsFailing = false;
   std::function<void()> mRegained;
   double mRandom = 0;
--- a/test/currantshed/lead/group_lead.cpp
+++ b/test/currantshed/lead/group_lead.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -76,6 +77,8 @@
   std::vector<position::term_id> revocations;
   std::vector<proxy::confirmation> proofs;
   std::vector<proxy::position_sample> samples;
+  /// Proofs that others are to be told of.
+  int passedOn = 0;
   bool takesOrders = true;
   bool rejectsFirst = false;
   /// The VMs that the store lists; none while it does not answer.
@@ -176,6 +179,7 @@
   void Do(const lead::publish_proof& aAction)
   {
     proofs.push_back(aAction.proof);
+    passedOn += aAction.isOwn ? 1 : 0;
   }
 
   void Do(const lead::publish_sample& aAction)
@@ -652,3 +656,79 @@
   CHECK(made.samples.front().term == 1);
   CHECK(made.samples.front().position == made.servers["a"].received);
 }
+
+TEST(group_lead, a_vm_that_is_not_in_the_store_takes_no_proof)
+{
+  bench made;
+  made.lead.SetMayAsk(false);
+  made.lead.HeardWatch({ { 1, "a", made.now }, std::nullopt, 0, 9 }, made.now);
+  made.Run(50ms);
+  CHECK(made.proofs.empty());
+  made.lead.SetMayAsk(true);
+  made.lead.HeardWatch({ { 1, "a", made.now }, std::nullopt, 0, 9 }, made.now);
+  made.Run(50ms);
+  CHECK_EQUAL(1U, made.proofs.size());
+}
+
+namespace {
+
+/// VMs that share one group and hear nothing of a holder: questions that they
+/// put in the time, when each passes on to all what it has learned.
+struct island_row
+{
+  const char* name;
+  std::size_t vms;
+  bool passOn;
+  /// Bounds on the questions a VM and second.
+  double atLeast;
+  double atMost;
+};
+
+const island_row kIslands[] = {
+  { "one VM asks for itself", 1, true, 2.0, 8.0 },
+  { "six VMs that tell each other", 6, true, 0.3, 2.5 },
+  { "forty VMs that tell each other", 40, true, 0.05, 0.8 },
+  { "forty VMs that do not", 40, false, 2.0, 20.0 },
+};
+
+} // namespace
+
+TEST(group_lead, vms_without_a_watch_ask_in_turn_and_pass_on)
+{
+  constexpr int kSeconds = 5;
+  for (const auto& row : kIslands) {
+    std::vector<std::unique_ptr<bench>> all;
+    for (std::size_t i = 0; i < row.vms; ++i) {
+      all.push_back(std::make_unique<bench>());
+      const auto place = static_cast<double>(i) / static_cast<double>(row.vms);
+      all.back()->lead.SetPlace(row.vms, place);
+    }
+    int gaps = 0;
+    for (int step = 0; step < kSeconds * 100; ++step) {
+      for (auto& one : all) {
+        one->lead.Wanted(one->now);
+        const auto before = one->passedOn;
+        one->Run(kStep);
+        const bool tells = row.passOn && one->passedOn > before;
+        for (auto& other : all) {
+          if (tells && other != one) {
+            other->lead.HeardWatch(one->lead.Watch(), other->now);
+          }
+        }
+      }
+      for (const auto& one : all) {
+        const bool proved = one->now < one->lead.Proof().askedAt + 1000ms;
+        gaps += step > 100 && !proved ? 1 : 0;
+      }
+    }
+    int asked = 0;
+    for (const auto& one : all) {
+      asked += one->Count(command_kind::kReport);
+    }
+    const auto each =
+      static_cast<double>(asked) / static_cast<double>(row.vms) / kSeconds;
+    CHECK_EQUAL_TEXT(0, gaps, row.name);
+    CHECK_TEXT(each >= row.atLeast && each <= row.atMost,
+               (std::string(row.name) + ": " + std::to_string(each)).c_str());
+  }
+}
--- a/test/currantshed/store/fake_key_value.hpp
+++ b/test/currantshed/store/fake_key_value.hpp
@@ -35,6 +35,8 @@
   /// Calls that fail from now on, with this error.
   std::error_code failing;
   store::commit_outcome commitOutcome = store::commit_outcome::kApplied;
+  /// Whether commits are done, but their answers lost.
+  bool losesAnswers = false;
   std::vector<watch> watches;
   int ranges = 0;
   int commits = 0;
@@ -147,7 +149,9 @@
           Put(one.key, one.value, one.lease);
         }
       }
-      aDone(outcome, revision, now);
+      aDone(losesAnswers ? store::commit_outcome::kUnknown : outcome,
+            revision,
+            now);
     });
   }
 
--- a/test/currantshed/store/registration.cpp
+++ b/test/currantshed/store/registration.cpp
@@ -77,6 +77,13 @@
       aKeeper.Run(1000ms);
       aKeeper.store.commitOutcome = store::commit_outcome::kApplied;
     } },
+  { "a write that was done, and its answer lost",
+    [](keeper& aKeeper) {
+      aKeeper.store.losesAnswers = true;
+      aKeeper.store.EndLease(aKeeper.store.lastLease);
+      aKeeper.Run(4000ms);
+      aKeeper.store.losesAnswers = false;
+    } },
 };
 
 } // namespace
