Large configurations in quick succession leave the link to the callers

Cause: every VM reads the whole configuration after each change, 300 ms apart at the most. Besides, a watch that was just bringing the change was given up on another VM's word that there was one, and all was read again.

Ruled out: the killed VMs of the same moment (p50 rose on all, before the kill).

Change: the pause after a change is six times the way of the keys on the VM's own link, 1.5 s at the most, so that the bounds on a configuration keep their room. The patience with a silent watch counts from when it was begun.

Tests: prefix_view.changes_in_quick_succession_leave_the_link_free, prefix_view.a_watch_is_given_its_time_after_another_has_seen_a_change; the second fails on the code before (2 reads instead of 1).

Small sites have fast links and are not touched by it.

The storm still costs a tenth of its windows: each VM reads all, where one a failure domain could pass it on.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -32,6 +32,18 @@
 // live come back within two seconds after the store was away.
 constexpr milliseconds kMissingGrace{ 3000 };
 
+// How long a byte of a document takes on the VM's link; the store sends three
+// bytes as four.
+std::chrono::nanoseconds
+ByteTime(const node_settings& aSettings)
+{
+  constexpr double kBitsSent = 8.0 * 4 / 3;
+  const double seconds =
+    kBitsSent / (std::max(aSettings.linkMegabits, 0.001) * 1e6);
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(
+    std::chrono::duration<double>(seconds));
+}
+
 } // namespace
 
 control::control(const node_settings& aSettings,
@@ -54,7 +66,7 @@
   , mConfigurationView(
       *mPlatform.store,
       aDocuments.ConfigurationKey(),
-      { .afterChange = kConfigurationPause },
+      { .afterChange = kConfigurationPause, .byteTime = ByteTime(aSettings) },
       { [this](clock::time_point) { ConfigurationChanged(); },
         [this](bool aIsReached, std::error_code aWhy) {
           NoteStore("configuration", aIsReached, aWhy);
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -1,12 +1,22 @@
 #include "currantshed/store/prefix_view.hpp"
 
 #include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <utility>
 
 #include "currantshed/store/errors.hpp"
 
 namespace currantshed::store {
 
+namespace {
+
+// Pause for each unit of time that a change keeps the link busy, so that
+// changes which never stop take at most a seventh of it.
+constexpr int kPauseByWay = 6;
+
+} // namespace
+
 prefix_view::prefix_view(key_value& aStore,
                          std::string aPrefix,
                          prefix_view_settings aSettings,
@@ -108,9 +118,12 @@
                });
 }
 
+// What another VM has seen before is on its way now: only a watch that says
+// nothing for as long as it may counts as hung.
 void
 prefix_view::Follow()
 {
+  mBehindSince.reset();
   mStore.Watch(mPrefix,
                mSeen,
                mSettings.wait,
@@ -159,14 +172,26 @@
   }
 }
 
+std::chrono::milliseconds
+prefix_view::Pause() const
+{
+  std::size_t bytes = 0;
+  for (const auto& [key, one] : mItems) {
+    bytes += key.size() + one.value.size();
+  }
+  const auto way = std::chrono::duration_cast<std::chrono::milliseconds>(
+    mSettings.byteTime * static_cast<std::int64_t>(bytes));
+  const auto keys = static_cast<int>(mItems.size());
+  const auto usual = mSettings.afterChange + mSettings.afterChangeByKey * keys;
+  return std::max(usual, std::min(way * kPauseByWay, mSettings.longestPause));
+}
+
 void
 prefix_view::Succeeded(bool aChanged, clock::time_point aNow)
 {
   mBackoff.Reset();
   mBehindSince.reset();
-  const auto keys = static_cast<int>(mItems.size());
-  const auto pause = mSettings.afterChange + mSettings.afterChangeByKey * keys;
-  mNotBefore = aChanged ? aNow + pause : clock::time_point{};
+  mNotBefore = aChanged ? aNow + Pause() : clock::time_point{};
   if (!mIsReached) {
     mIsReached = true;
     mListener.reached(true, {});
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -25,6 +25,11 @@
   /// when a fleet starts.
   std::chrono::milliseconds afterChange{ 100 };
   std::chrono::milliseconds afterChangeByKey{ 15 };
+  /// How long one byte of the keys takes on the VM's link. After a change the
+  /// pause is so many times the way of all keys, up to the longest: changes in
+  /// quick succession of what is large must leave the link to the callers.
+  std::chrono::nanoseconds byteTime{ 0 };
+  std::chrono::milliseconds longestPause{ 1500 };
   /// How long another VM's word that there is more may precede the own watch.
   std::chrono::milliseconds patience{ 400 };
   /// Waits after failures, each of which has its price as well; short enough
@@ -84,6 +89,7 @@
   void Follow();
   void Failed(std::error_code aError, clock::time_point aNow);
   void Succeeded(bool aChanged, clock::time_point aNow);
+  [[nodiscard]] std::chrono::milliseconds Pause() const;
 
   key_value& mStore;
   std::string mPrefix;
--- a/test/currantshed/store/prefix_view.cpp
+++ b/test/currantshed/store/prefix_view.cpp
@@ -162,3 +162,78 @@
   CHECK(Print(made.view) == "a/1=one a/2=two ");
   CHECK_EQUAL(ranges + 1, made.store.ranges);
 }
+
+namespace {
+
+struct pause_row
+{
+  const char* name;
+  std::size_t bytes;
+  std::chrono::nanoseconds byteTime;
+  /// Watches in three seconds of a change every 50 ms, at most.
+  std::size_t atMost;
+  std::size_t atLeast;
+};
+
+const pause_row kPauses[] = {
+  { "small keys, a fast link", 100, 10ns, 16, 12 },
+  { "large keys, a fast link", 260000, 10ns, 16, 12 },
+  { "large keys, a slow link", 260000, 1000ns, 3, 2 },
+};
+
+} // namespace
+
+TEST(prefix_view, changes_in_quick_succession_leave_the_link_free)
+{
+  for (const auto& row : kPauses) {
+    test::fake_key_value store;
+    std::size_t changes = 0;
+    store::prefix_view view(
+      store,
+      "a/",
+      { .afterChange = 200ms,
+        .afterChangeByKey = 0ms,
+        .byteTime = row.byteTime },
+      { [&](clock::time_point) { ++changes; }, [](bool, std::error_code) {} });
+    store.Put("a/1", std::string(row.bytes, 'x'));
+    for (int step = 0; step < 300; ++step) {
+      if (step % 5 == 0) {
+        store.Put("a/1", std::string(row.bytes, 'x'));
+      }
+      view.Tick(store.now, 0.5);
+      store.Answer();
+      store.now += 10ms;
+    }
+    CHECK_TEXT(changes >= row.atLeast && changes <= row.atMost,
+               (row.name + (": " + std::to_string(changes))).c_str());
+  }
+}
+
+TEST(prefix_view, a_watch_is_given_its_time_after_another_has_seen_a_change)
+{
+  test::fake_key_value store;
+  store::prefix_view view(
+    store,
+    "a/",
+    { .afterChange = 600ms, .afterChangeByKey = 0ms },
+    { [](clock::time_point) {}, [](bool, std::error_code) {} });
+  store.Put("a/1", "one");
+  const auto pass = [&](std::chrono::milliseconds aSpan) {
+    for (const auto end = store.now + aSpan; store.now < end;
+         store.now += 10ms) {
+      view.HeardOf(store.revision, store.now);
+      view.Tick(store.now, 0.5);
+      // The answer is still on its way when the others' words come.
+      view.HeardOf(store.revision, store.now);
+      store.Answer();
+    }
+  };
+  pass(100ms);
+  store.Put("a/1", "two");
+  pass(50ms);
+  const auto ranges = store.ranges;
+  store.Put("a/1", "three");
+  pass(1000ms);
+  CHECK(Print(view) == "a/1=three ");
+  CHECK_EQUAL(ranges, store.ranges);
+}
