Callers of a VM that has just started are kept for the first configuration

Change: connections are taken once the databases are known, or after 300 ms, from when on callers are told at once that there are none yet.

Ruled out: not to listen until then (the far end is reset at once, which costs the same try).

--- a/src/currantshed/node/caller_server.cpp
+++ b/src/currantshed/node/caller_server.cpp
@@ -17,6 +17,10 @@
 
 // Pause after a connection could not be taken, for want of descriptors.
 constexpr std::chrono::milliseconds kAcceptPause{ 100 };
+// How long callers that connect to a VM which has just started are kept until
+// the databases are known, usually for 20 ms. A refusal at once would cost each
+// one of its few tries; one that waits for longer is told.
+constexpr std::chrono::milliseconds kLongestHold{ 300 };
 // A caller that has this much unread is not served further.
 constexpr std::size_t kMostUnsent = std::size_t{ 4 } << 20U;
 
@@ -186,6 +190,7 @@
   , mAfter(std::move(aAfter))
   , mAcceptor(aContext)
   , mRetry(aContext)
+  , mHold(aContext)
 {
 }
 
@@ -208,12 +213,38 @@
   if (!error) {
     mAcceptor.listen(tcp::acceptor::max_listen_connections, error);
   }
-  if (!error) {
-    Accept();
+  if (error) {
+    return error;
   }
+  if (mDoor == door::kRelays || mIsConfigured()) {
+    Begin();
+    return error;
+  }
+  mHold.expires_after(kLongestHold);
+  mHold.async_wait([this](boost::system::error_code aStopped) {
+    if (!aStopped) {
+      Begin();
+    }
+  });
   return error;
 }
 
+void
+caller_server::Configured()
+{
+  mHold.cancel();
+  Begin();
+}
+
+void
+caller_server::Begin()
+{
+  if (!mHasBegun && mAcceptor.is_open()) {
+    mHasBegun = true;
+    Accept();
+  }
+}
+
 void
 caller_server::StopListening()
 {
--- a/src/currantshed/node/caller_server.hpp
+++ b/src/currantshed/node/caller_server.hpp
@@ -42,6 +42,10 @@
   [[nodiscard]] std::error_code Listen(const std::string& aAddress,
                                        std::uint16_t aPort);
 
+  /// The databases are known now: callers that have connected meanwhile are
+  /// taken.
+  void Configured();
+
   /// Takes no more connections.
   void StopListening();
 
@@ -53,6 +57,7 @@
 private:
   class connection;
 
+  void Begin();
   void Accept();
   void Accepted(boost::asio::ip::tcp::socket aSocket);
   void Ended(std::uint64_t aNumber);
@@ -66,6 +71,9 @@
   std::function<void()> mAfter;
   boost::asio::ip::tcp::acceptor mAcceptor;
   boost::asio::steady_timer mRetry;
+  // Ends the wait for the first configuration.
+  boost::asio::steady_timer mHold;
+  bool mHasBegun = false;
   absl::flat_hash_map<std::uint64_t, std::shared_ptr<connection>> mConnections;
   std::uint64_t mLastNumber = 0;
 };
--- a/src/currantshed/node/traffic.cpp
+++ b/src/currantshed/node/traffic.cpp
@@ -100,6 +100,7 @@
     mContext, [this, configuration = std::move(aConfiguration)]() mutable {
       mIsConfigured = true;
       mEngine.SetConfiguration(std::move(configuration), clock::Now());
+      mCallers.Configured();
       After();
     });
 }
