Waiting requests queue by lane and expected time, and are refused at once beyond it

Cause: requests of one group waited in one queue by priority and arrival, each for its whole target, and were refused then. Under a standing queue everything that was served had waited its target, and so was late. While connections were given out, the first request that found none stopped all that came after it, whichever servers they needed: a statement relayed to a busy primary held up those to idle replicas.

Change: admit::deadline_queue, which the pooler has used so far, orders the waiting requests of the proxy too: one queue for what only the primary may run, one for reads, one for each server that others reach through this VM. A request is admitted if it is expected to end within half of its target at the measured rate, which leaves time for a caller that comes back; others are refused at once, and told to come back when those before them are gone. What can't be in time any more is served only while nothing else can be. blocked_lanes: a lane that finds no connection stops itself.

Tests: worst_load, a model of servers with slots, queues and lag before real engines.

--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <absl/strings/str_cat.h>
-
 namespace currantshed::proxy {
 
 namespace {
@@ -510,12 +508,7 @@
   if (request.at == stage::kWaiting) {
     if (aNow >= std::min(request.waitUntil, request.deadline)) {
       Unqueue(aSession);
-      Fail(aSession,
-           failure_code::kBusy,
-           absl::StrCat("no server in time; retry after ",
-                        request.under->target.count(),
-                        " ms"),
-           aNow);
+      TurnAway(aSession, "no_server_in_time", aNow);
     }
     return;
   }
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -16,10 +16,12 @@
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 
+#include "currantshed/admit/deadline_queue.hpp"
 #include "currantshed/clock/time.hpp"
 #include "currantshed/confirm/position_samples.hpp"
 #include "currantshed/proxy/configuration.hpp"
 #include "currantshed/proxy/connection.hpp"
+#include "currantshed/proxy/lanes.hpp"
 #include "currantshed/proxy/server_state.hpp"
 #include "currantshed/proxy/session.hpp"
 
@@ -198,15 +200,8 @@
     clock::time_point askedAt;
   };
 
-  struct queue_key
-  {
-    unsigned priority = 0;
-    std::uint64_t number = 0;
-    session_id from = 0;
-
-    [[nodiscard]] friend auto operator<=>(const queue_key&,
-                                          const queue_key&) = default;
-  };
+  /// The requests of one group that wait, by lane.
+  using lanes = absl::btree_map<std::string, admit::deadline_queue>;
 
   using servers = absl::btree_map<upstream::server_id, server_state>;
   using timer = std::pair<clock::time_point, session_id>;
@@ -234,6 +229,12 @@
   void Dispatch(session& aSession, clock::time_point aNow);
   [[nodiscard]] bool TryStart(session& aSession, clock::time_point aNow);
   void Wait(session& aSession, clock::time_point aNow);
+  [[nodiscard]] admit::admission Admit(session& aSession,
+                                       clock::time_point aNow);
+  void TurnAway(session& aSession,
+                std::string_view aWhy,
+                clock::time_point aNow);
+  [[nodiscard]] admit::deadline_queue& LaneOf(const session& aSession);
   void Requeue(session& aSession, clock::time_point aNow);
   void Unqueue(session& aSession);
   void Start(session& aSession, connection& aOn, clock::time_point aNow);
@@ -244,6 +245,10 @@
                                        const request& aRequest,
                                        clock::time_point aNow);
   void Pump(const std::string& aService, clock::time_point aNow);
+  void PumpLane(admit::deadline_queue& aLane,
+                bool aInTime,
+                blocked_lanes& aBlocked,
+                clock::time_point aNow);
 
   // Choice of a server.
   [[nodiscard]] lead_state& LeadOf(const std::string& aService);
@@ -343,7 +348,10 @@
   // References to its values are kept while others are added.
   std::map<std::string, lead_state> mLeads;
   absl::flat_hash_map<session_id, std::unique_ptr<session>> mSessions;
-  absl::flat_hash_map<std::string, absl::btree_set<queue_key>> mQueues;
+  // Queues stay where they are while others are added.
+  std::map<std::string, lanes> mQueues;
+  // The sessions whose requests wait, by the request's number.
+  absl::flat_hash_map<std::uint64_t, session_id> mWaiting;
   absl::btree_set<timer> mTimers;
   absl::btree_map<std::uint64_t, order> mOrders;
   // Connections taken out of use that may still be on the call stack.
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -207,6 +207,7 @@
   if (auto* state = Find(request.ranOn)) {
     state->Served(request.sentAt, aNow);
   }
+  LaneOf(aSession).Served(aNow - request.sentAt);
   const bool isCommit = request.asked.kind == statement_kind::kCommit;
   if (aSession.transaction && !isCommit) {
     NoteDecision(aSession, "served", "in_transaction", true, aNow);
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <absl/strings/str_cat.h>
+
 #include "currantshed/proxy/engine.hpp"
 
 namespace currantshed::proxy {
@@ -20,6 +22,22 @@
 constexpr int kPrimaryPenalty = 2;
 // What the opening of a connection adds to the time of a statement.
 constexpr milliseconds kOpeningTime{ 20 };
+// Requests that may wait in one lane: the measured rate bounds them before
+// this does; it keeps memory bounded until a rate is known.
+constexpr std::size_t kMostWaiting = 512;
+constexpr std::string_view kPrimaryLane = "primary";
+constexpr std::string_view kReadsLane = "reads";
+
+// A request's place among those that wait: by its route's priority, then by
+// the time at which it should be answered.
+admit::waiting
+PlaceOf(const request& aRequest)
+{
+  return { aRequest.arrivedAt + (aRequest.waitUntil - aRequest.arrivedAt) / 2,
+           aRequest.number,
+           1.0 / (1.0 + aRequest.under->priority) };
+}
+
 command
 StatementCommand(const session& aSession, const request& aRequest)
 {
@@ -87,9 +105,65 @@
   auto& request = *aSession.current;
   request.at = stage::kWaiting;
   request.refusedBy.clear();
-  mQueues[request.under->service].insert(
-    { request.under->priority, request.number, aSession.number });
+  const auto made = Admit(aSession, aNow);
+  if (!made.admitted) {
+    TurnAway(aSession, "queue_full", aNow);
+    return;
+  }
+  mWaiting[request.number] = aSession.number;
   Schedule(aSession, std::max(request.waitUntil, aNow));
+  // Whoever gave up a place is told at once, and may ask anew meanwhile.
+  for (const auto number : made.displaced) {
+    const auto owner = mWaiting.find(number);
+    if (owner != mWaiting.end()) {
+      auto& displaced = *mSessions.at(owner->second);
+      mWaiting.erase(owner);
+      TurnAway(displaced, "displaced", aNow);
+    }
+  }
+}
+
+// A place in the queue, if the request is expected to end in time by it.
+admit::admission
+engine::Admit(session& aSession, clock::time_point aNow)
+{
+  auto& request = *aSession.current;
+  auto& lane = LaneOf(aSession);
+  const auto place = PlaceOf(request);
+  if (request.isAdmitted) {
+    lane.Put(place);
+    return { true, {} };
+  }
+  auto made = lane.Offer(place, aNow);
+  request.isAdmitted = made.admitted;
+  return made;
+}
+
+// Nothing of the request has run, and none of it will.
+void
+engine::TurnAway(session& aSession,
+                 std::string_view aWhy,
+                 clock::time_point aNow)
+{
+  const auto after =
+    LaneOf(aSession).RetryAfter(aSession.current->number, aNow);
+  Fail(aSession,
+       failure_code::kBusy,
+       absl::StrCat(std::string(aWhy), "; retry after ", after.count(), " ms"),
+       aNow);
+}
+
+// Requests that need the same servers queue together: their rate is measured
+// as one.
+admit::deadline_queue&
+engine::LaneOf(const session& aSession)
+{
+  const auto& request = *aSession.current;
+  const auto name = aSession.IsRelay()     ? aSession.relaysTo
+                    : request.needsPrimary ? std::string(kPrimaryLane)
+                                           : std::string(kReadsLane);
+  auto& lanes = mQueues[request.under->service];
+  return lanes.try_emplace(name, kMostWaiting).first->second;
 }
 
 // The server turned the request away before it ran: it goes to another one.
@@ -113,11 +187,8 @@
 engine::Unqueue(session& aSession)
 {
   const auto& request = *aSession.current;
-  const auto found = mQueues.find(request.under->service);
-  if (found != mQueues.end()) {
-    found->second.erase(
-      { request.under->priority, request.number, aSession.number });
-  }
+  LaneOf(aSession).Remove(PlaceOf(request));
+  mWaiting.erase(request.number);
 }
 
 void
@@ -206,7 +277,8 @@
   on.Send({ sent }, Expect(purpose::kStatement, request, aNow));
 }
 
-// Gives connections to the requests that wait, in their order.
+// Gives connections to the requests that wait: first to those that can still
+// end in time, in their order, then to those that can't.
 void
 engine::Pump(const std::string& aService, clock::time_point aNow)
 {
@@ -214,28 +286,41 @@
   if (found == mQueues.end()) {
     return;
   }
-  bool writesBlocked = false;
-  bool readsBlocked = false;
-  const std::vector<queue_key> waiting(found->second.begin(),
-                                       found->second.end());
-  for (const auto& key : waiting) {
-    const auto from = mSessions.find(key.from);
-    if (from == mSessions.end() || !from->second->current ||
-        from->second->current->number != key.number ||
-        from->second->current->at != stage::kWaiting) {
-      mQueues[aService].erase(key);
+  blocked_lanes blocked;
+  for (const bool inTime : { true, false }) {
+    for (auto& [name, lane] : found->second) {
+      PumpLane(lane, inTime, blocked, aNow);
+    }
+  }
+}
+
+void
+engine::PumpLane(admit::deadline_queue& aLane,
+                 bool aInTime,
+                 blocked_lanes& aBlocked,
+                 clock::time_point aNow)
+{
+  const std::vector<admit::waiting> waiting(aLane.Entries().begin(),
+                                            aLane.Entries().end());
+  for (const auto& place : waiting) {
+    if (aLane.CanEndInTime(place, aNow) != aInTime) {
       continue;
     }
-    auto& request = *from->second->current;
-    bool& blocked = request.needsPrimary ? writesBlocked : readsBlocked;
-    if (blocked) {
+    const auto owner = mWaiting.find(place.request);
+    if (owner == mWaiting.end()) {
       continue;
     }
-    if (TryStart(*from->second, aNow)) {
-      mQueues[aService].erase(key);
-    } else {
-      blocked = true;
+    auto& from = *mSessions.at(owner->second);
+    if (aBlocked.Holds(from)) {
+      continue;
+    }
+    if (!TryStart(from, aNow)) {
+      aBlocked.Add(from);
+      continue;
     }
+    mWaiting.erase(place.request);
+    aLane.Remove(place);
+    aLane.Departed(aNow);
   }
 }
 
--- a/src/currantshed/proxy/fwd.hpp
+++ b/src/currantshed/proxy/fwd.hpp
@@ -4,6 +4,7 @@
 namespace currantshed::proxy {
 
 class caller;
+class blocked_lanes;
 class connection;
 class engine;
 class link_listener;
--- a/src/currantshed/proxy/request.hpp
+++ b/src/currantshed/proxy/request.hpp
@@ -53,6 +53,8 @@
   clock::time_point deadline;
   /// Until when it may wait for a connection.
   clock::time_point waitUntil;
+  /// Whether it was given a place in the queue.
+  bool isAdmitted = false;
   /// Answers of the connection before the next step.
   unsigned awaited = 0;
   /// Servers tried so far that turned the request away.
--- /dev/null
+++ b/test/currantshed/proxy/load_world.cpp
@@ -0,0 +1,499 @@
+#include "test/currantshed/proxy/load_world.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "test/currantshed/proxy/relay_link.hpp"
+
+namespace currantshed::test {
+
+using namespace std::chrono_literals;
+using proxy::command_kind;
+using proxy::failure_code;
+using proxy::statement_kind;
+
+namespace {
+
+constexpr auto kHop = 1ms;
+constexpr auto kHandshake = 12ms;
+constexpr auto kValidity = 1000ms;
+constexpr auto kProofInterval = 350ms;
+constexpr const char* kService = "group";
+constexpr const char* kWrites = "db-writes";
+constexpr const char* kReads = "db-reads";
+constexpr std::size_t kServers = 3;
+constexpr std::size_t kDomains = 3;
+
+std::string
+VmName(std::size_t aVm)
+{
+  return "vm-" + std::to_string(aVm);
+}
+
+std::string
+DomainName(std::size_t aNumber)
+{
+  return "domain-" + std::to_string(aNumber % kDomains);
+}
+
+} // namespace
+
+model_server::model_server(timeline& aTime,
+                           std::mt19937& aRandom,
+                           unsigned aSlots)
+  : mTime(aTime)
+  , mRandom(aRandom)
+  , mSlots(aSlots)
+{
+}
+
+bool
+model_server::Take(std::chrono::microseconds aMean, std::function<void()> aDone)
+{
+  if (!HasSlot() && mWaiting.size() >= mostWaiting) {
+    ++turnedAway;
+    return false;
+  }
+  ++taken;
+  // From half of the mean to one and a half.
+  const auto part = 0.5 + static_cast<double>(mRandom() % 1000) / 1000.0;
+  const auto time = std::chrono::duration_cast<std::chrono::microseconds>(
+    aMean * (part * slow));
+  if (HasSlot()) {
+    Run({ time, std::move(aDone) });
+  } else {
+    mWaiting.push_back({ time, std::move(aDone) });
+  }
+  return true;
+}
+
+void
+model_server::Run(work aWork)
+{
+  ++mRunning;
+  mTime.After(aWork.time, [this, done = std::move(aWork.done)] {
+    --mRunning;
+    done();
+    if (HasSlot() && !mWaiting.empty()) {
+      auto next = std::move(mWaiting.front());
+      mWaiting.pop_front();
+      Run(std::move(next));
+    }
+  });
+}
+
+load_result&
+load_result::operator+=(const load_result& aOther)
+{
+  asked += aOther.asked;
+  inTime += aOther.inTime;
+  late += aOther.late;
+  lost += aOther.lost;
+  refusals += aOther.refusals;
+  promptRefusals += aOther.promptRefusals;
+  return *this;
+}
+
+/// A direct connection to a model server.
+class load_world::link final : public proxy::upstream_link
+{
+public:
+  link(load_world& aWorld,
+       model_server& aServer,
+       proxy::link_listener& aListener)
+    : mWorld(aWorld)
+    , mServer(aServer)
+    , mListener(aListener)
+  {
+    After(2 * kHop + kHandshake, [this] {
+      if (mServer.reachable) {
+        mListener.Opened(mWorld.At(mServer), mWorld.mTime.Now());
+      }
+    });
+  }
+  link(const link&) = delete;
+  link& operator=(const link&) = delete;
+  ~link() override { *mAlive = false; }
+
+  void Send(const std::vector<proxy::command>& aCommands) override
+  {
+    for (const auto& one : aCommands) {
+      After(kHop, [this, one] { Arrived(one); });
+    }
+  }
+
+private:
+  void After(clock::duration aSpan, std::function<void()> aWhat)
+  {
+    mWorld.mTime.After(aSpan, [alive = mAlive, what = std::move(aWhat)] {
+      if (*alive) {
+        what();
+      }
+    });
+  }
+
+  void Arrived(const proxy::command& aCommand)
+  {
+    if (!mServer.reachable) {
+      return;
+    }
+    if (aCommand.kind != command_kind::kVerbatim) {
+      Answer({});
+      return;
+    }
+    const bool writes = aCommand.text.starts_with("WRITE");
+    if (aCommand.floor && mWorld.At(mServer) < *aCommand.floor) {
+      Refuse(failure_code::kLagging);
+      return;
+    }
+    const auto& shape = mWorld.mShape;
+    const auto work = writes ? shape.writeWork : shape.readWork;
+    // The server works on, whether the connection lives or not.
+    const bool isTaken =
+      mServer.Take(work, [this, alive = mAlive, aCommand, writes] {
+        if (writes) {
+          mWorld.mLog.push_back(mWorld.mTime.Now());
+        }
+        if (*alive) {
+          proxy::answer made;
+          made.rows = { "row" };
+          made.signature = "signed-" + aCommand.id;
+          Answer(std::move(made));
+        }
+      });
+    if (!isTaken) {
+      Refuse(failure_code::kBusy);
+    }
+  }
+
+  void Refuse(failure_code aCode)
+  {
+    proxy::answer made;
+    made.failed = proxy::failure{ aCode, "" };
+    Answer(std::move(made));
+  }
+
+  void Answer(proxy::answer aAnswer)
+  {
+    aAnswer.position = mWorld.At(mServer);
+    After(kHop, [this, made = std::move(aAnswer)] {
+      if (mServer.reachable) {
+        mListener.Answered(made, mWorld.mTime.Now());
+      }
+    });
+  }
+
+  load_world& mWorld;
+  model_server& mServer;
+  proxy::link_listener& mListener;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+/// One VM's engine.
+class load_world::vm final
+  : public proxy::link_opener
+  , public proxy::engine_host
+{
+public:
+  vm(load_world& aWorld, std::size_t aNumber)
+    : mWorld(aWorld)
+    , engine({ VmName(aNumber), DomainName(aNumber), kValidity }, *this, *this)
+  {
+  }
+
+  std::unique_ptr<proxy::upstream_link> Open(
+    const proxy::server& aServer,
+    const proxy::path& aVia,
+    proxy::link_listener& aListener) override
+  {
+    if (aVia.IsDirect()) {
+      return std::make_unique<link>(
+        mWorld, *mWorld.Find(aServer.id), aListener);
+    }
+    const auto through = std::stoul(aVia.vm.substr(3));
+    return std::make_unique<relay_link>(mWorld.mTime,
+                                        mWorld.mVms[through]->engine,
+                                        aServer.id,
+                                        aListener,
+                                        [this] { return mWorld.mIsEnding; });
+  }
+
+  void NeedsConfirmation(const std::string&) override {}
+  void LeadDenied(const std::string&, position::term_id) override {}
+  void Decided(const proxy::decision&) override {}
+  void Reached(const proxy::server&, bool, std::string_view) override {}
+
+private:
+  load_world& mWorld;
+
+public:
+  proxy::engine engine;
+};
+
+/// One operation: a session with a single statement, tried again after
+/// refusals.
+class load_world::caller final : public proxy::caller
+{
+public:
+  caller(load_world& aWorld,
+         std::uint64_t aNumber,
+         bool aWrites,
+         clock::time_point aBegan)
+    : mWorld(aWorld)
+    , mNumber(aNumber)
+    , mWrites(aWrites)
+    , mBegan(aBegan)
+    , mRetries(aWorld.mShape.retries)
+  {
+    Try();
+  }
+
+  void Deliver(const proxy::answer& aAnswer) override
+  {
+    const auto now = mWorld.mTime.Now();
+    if (!aAnswer.failed) {
+      End(now - mBegan <= Target() ? &load_result::inTime : &load_result::late);
+      return;
+    }
+    auto& result = Result();
+    ++result.refusals;
+    result.promptRefusals += now - mTriedAt <= Target() / 4 ? 1 : 0;
+    const bool mayRetry =
+      mRetries > 0 && aAnswer.failed->code == failure_code::kBusy;
+    if (!mayRetry) {
+      End(&load_result::lost);
+      return;
+    }
+    --mRetries;
+    mWorld.mTime.After(mWorld.mShape.backoff, [this] { Try(); });
+  }
+
+  void Close() override {}
+
+private:
+  void Try()
+  {
+    Leave();
+    mTriedAt = mWorld.mTime.Now();
+    mVm = mWorld.mRandom() % mWorld.mVms.size();
+    auto& engine = mWorld.mVms[mVm]->engine;
+    mSession = engine.Open(mWrites ? kWrites : kReads, *this);
+    proxy::session_statement asked;
+    asked.kind = mWrites ? statement_kind::kWrite : statement_kind::kRead;
+    asked.id = std::to_string(mNumber) + "-" + std::to_string(mRetries);
+    asked.text = mWrites ? "WRITE a b" : "READ a";
+    engine.Submit(*mSession, asked, mWorld.mTime.Now());
+  }
+
+  // The engine may be in the middle of this session's event.
+  void Leave()
+  {
+    if (mSession) {
+      mWorld.mVms[mVm]->engine.Close(*mSession, mWorld.mTime.Now());
+      mSession.reset();
+    }
+  }
+
+  void End(unsigned load_result::*aHow)
+  {
+    ++(Result().*aHow);
+    mWorld.mTime.After(0ms, [this] {
+      Leave();
+      mWorld.mDone.push_back(mNumber);
+    });
+  }
+
+  [[nodiscard]] load_result& Result()
+  {
+    const auto second =
+      std::chrono::floor<std::chrono::seconds>(mBegan - mWorld.mStart).count();
+    return mWorld.mResults[static_cast<std::size_t>(second)];
+  }
+
+  [[nodiscard]] std::chrono::milliseconds Target() const
+  {
+    return mWrites ? mWorld.mShape.writeTarget : mWorld.mShape.readTarget;
+  }
+
+  load_world& mWorld;
+  std::uint64_t mNumber;
+  bool mWrites;
+  clock::time_point mBegan;
+  clock::time_point mTriedAt;
+  unsigned mRetries;
+  std::size_t mVm = 0;
+  std::optional<proxy::engine::session_id> mSession;
+};
+
+load_world::load_world(const load_shape& aShape, std::uint32_t aSeed)
+  : mShape(aShape)
+  , mRandom(aSeed)
+  , mStart(mTime.Now())
+{
+  std::vector<proxy::server> servers;
+  for (std::size_t i = 0; i < kServers; ++i) {
+    mServers.push_back(
+      std::make_unique<model_server>(mTime, mRandom, aShape.slots));
+    auto& made = *mServers.back();
+    made.leads = i == 0;
+    made.listed.id = "server-" + std::to_string(i);
+    made.listed.service = kService;
+    made.listed.failureDomain = DomainName(i);
+    servers.push_back(made.listed);
+  }
+  auto configuration = std::make_shared<proxy::configuration>();
+  configuration->version = 1;
+  configuration->services[kService] = { kService, aShape.maxConnections };
+  for (const bool writes : { true, false }) {
+    proxy::route route;
+    route.name = writes ? kWrites : kReads;
+    route.database = route.name;
+    route.service = kService;
+    route.policy = writes ? proxy::read_policy::kPrimary
+                          : proxy::read_policy::kBoundedStaleness;
+    route.maxStaleness = aShape.staleness;
+    route.statementTimeout = aShape.timeout;
+    route.target = writes ? aShape.writeTarget : aShape.readTarget;
+    route.priority = writes ? 1 : 2;
+    configuration->routes[route.name] = std::make_shared<proxy::route>(route);
+  }
+  std::vector<proxy::fleet_vm> fleet;
+  for (std::size_t i = 0; i < aShape.vms; ++i) {
+    fleet.push_back({ VmName(i), DomainName(i), "127.0.0.1", 1, false });
+    mVms.push_back(std::make_unique<vm>(*this, i));
+  }
+  for (std::size_t i = 0; i < aShape.vms; ++i) {
+    auto& engine = mVms[i]->engine;
+    engine.SetConfiguration(configuration, mTime.Now());
+    engine.SetFleet(fleet, mTime.Now());
+    engine.SetServers(servers, mTime.Now());
+    Drive(i);
+  }
+  Prove();
+  Ask(true);
+  Ask(false);
+}
+
+load_world::~load_world()
+{
+  mIsEnding = true;
+}
+
+void
+load_world::Run(std::chrono::milliseconds aSpan)
+{
+  mTime.RunUntil(mTime.Now() + aSpan);
+}
+
+load_result
+load_world::Between(std::size_t aFrom, std::size_t aTo) const
+{
+  load_result sum;
+  for (auto i = aFrom; i < std::min(aTo, mResults.size()); ++i) {
+    sum += mResults[i];
+  }
+  return sum;
+}
+
+std::uint64_t
+load_world::Taken() const
+{
+  std::uint64_t sum = 0;
+  for (const auto& one : mServers) {
+    sum += one->taken;
+  }
+  return sum;
+}
+
+std::uint64_t
+load_world::TurnedAway() const
+{
+  std::uint64_t sum = 0;
+  for (const auto& one : mServers) {
+    sum += one->turnedAway;
+  }
+  return sum;
+}
+
+model_server*
+load_world::Find(const std::string& aServer)
+{
+  for (const auto& one : mServers) {
+    if (one->listed.id == aServer) {
+      return one.get();
+    }
+  }
+  return nullptr;
+}
+
+// A replica has what was written before its lag; the primary has all.
+position::log_position
+load_world::At(const model_server& aServer) const
+{
+  const auto upTo = aServer.leads ? mTime.Now() : mTime.Now() - aServer.lag;
+  const auto end = std::upper_bound(mLog.begin(), mLog.end(), upTo);
+  return { 1, static_cast<std::uint64_t>(end - mLog.begin()) };
+}
+
+void
+load_world::Drive(std::size_t aVm)
+{
+  auto& engine = mVms[aVm]->engine;
+  engine.Tick(mTime.Now());
+  mTime.At(std::max(engine.NextTick(), mTime.Now() + 1ms),
+           [this, aVm] { Drive(aVm); });
+}
+
+void
+load_world::Prove()
+{
+  if (proofs) {
+    const auto& primary = *mServers.front();
+    const proxy::confirmation proof{ 1, primary.listed.id, mTime.Now() };
+    const proxy::position_sample sample{ 1, At(primary), mTime.Now() };
+    mTime.After(2 * kHop, [this, proof, sample] {
+      for (auto& one : mVms) {
+        one->engine.Confirm(kService, proof, mTime.Now());
+        one->engine.AddSample(kService, sample);
+      }
+    });
+  }
+  mTime.After(kProofInterval, [this] { Prove(); });
+}
+
+void
+load_world::Ask(bool aWrites)
+{
+  const auto rate = (aWrites ? mShape.writes : mShape.reads) * factor;
+  std::exponential_distribution<double> gap(rate);
+  const auto next = std::chrono::duration_cast<clock::duration>(
+    std::chrono::duration<double>(gap(mRandom)));
+  mTime.After(next, [this, aWrites] {
+    Reap();
+    const auto second = Second();
+    mResults.resize(std::max(mResults.size(), second + 1));
+    ++mResults[second].asked;
+    const auto number = ++mLastCaller;
+    mCallers[number] =
+      std::make_unique<caller>(*this, number, aWrites, mTime.Now());
+    Ask(aWrites);
+  });
+}
+
+void
+load_world::Reap()
+{
+  for (const auto number : std::exchange(mDone, {})) {
+    mCallers.erase(number);
+  }
+}
+
+std::size_t
+load_world::Second() const
+{
+  return static_cast<std::size_t>(
+    std::chrono::floor<std::chrono::seconds>(mTime.Now() - mStart).count());
+}
+
+} // namespace currantshed::test
--- /dev/null
+++ b/test/currantshed/proxy/relay_link.hpp
@@ -0,0 +1,149 @@
+#ifndef CURRANTSHED_TEST_PROXY_RELAY_LINK_HPP
+#define CURRANTSHED_TEST_PROXY_RELAY_LINK_HPP
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "currantshed/proxy/engine.hpp"
+#include "test/currantshed/proxy/world.hpp"
+
+namespace currantshed::test {
+
+/// The way between two VMs.
+inline constexpr std::chrono::milliseconds kRelayHop{ 1 };
+
+/// A way to a server through another VM's engine.
+class relay_link final
+  : public proxy::upstream_link
+  , public proxy::caller
+{
+public:
+  relay_link(timeline& aTime,
+             proxy::engine& aThrough,
+             const std::string& aServer,
+             proxy::link_listener& aListener,
+             std::function<bool()> aIsEnding)
+    : mTime(aTime)
+    , mThrough(aThrough)
+    , mListener(&aListener)
+    , mIsEnding(std::move(aIsEnding))
+  {
+    mSession = mThrough.OpenRelay(aServer, *this);
+    mTime.After(kRelayHop, Guarded([this] {
+                  if (!mSession) {
+                    End();
+                  } else if (mListener != nullptr) {
+                    mListener->Opened(std::nullopt, mTime.Now());
+                  }
+                }));
+  }
+  relay_link(const relay_link&) = delete;
+  relay_link& operator=(const relay_link&) = delete;
+  ~relay_link() override
+  {
+    *mAlive = false;
+    if (mSession && !mIsEnding()) {
+      mThrough.Close(*mSession, mTime.Now());
+    }
+  }
+
+  void Send(const std::vector<proxy::command>& aCommands) override
+  {
+    for (const auto& one : aCommands) {
+      mTime.After(kRelayHop, Guarded([this, one] {
+                    if (mSession) {
+                      mThrough.Submit(*mSession, Translate(one), mTime.Now());
+                    }
+                  }));
+    }
+  }
+
+  void Deliver(const proxy::answer& aAnswer) override
+  {
+    mTime.After(kRelayHop, Guarded([this, aAnswer] {
+                  if (mListener != nullptr) {
+                    mListener->Answered(aAnswer, mTime.Now());
+                  }
+                }));
+  }
+
+  void Close() override
+  {
+    mTime.After(kRelayHop, Guarded([this] { End(); }));
+  }
+
+private:
+  std::function<void()> Guarded(std::function<void()> aWhat)
+  {
+    return [alive = mAlive, what = std::move(aWhat)] {
+      if (*alive) {
+        what();
+      }
+    };
+  }
+
+  void End()
+  {
+    if (auto* listener = std::exchange(mListener, nullptr)) {
+      listener->Ended(proxy::link_end::kBroken, mTime.Now());
+    }
+  }
+
+  static proxy::session_statement Translate(const proxy::command& aCommand)
+  {
+    proxy::session_statement made;
+    made.id = aCommand.id;
+    made.text = aCommand.text;
+    made.name = aCommand.name;
+    made.argument = aCommand.argument;
+    made.writes = aCommand.writes;
+    made.floor = aCommand.floor;
+    switch (aCommand.kind) {
+      case proxy::command_kind::kBegin:
+        made.kind = proxy::statement_kind::kBegin;
+        break;
+      case proxy::command_kind::kBeginReadOnly:
+        made.kind = proxy::statement_kind::kBeginReadOnly;
+        break;
+      case proxy::command_kind::kRollback:
+        made.kind = proxy::statement_kind::kRollback;
+        break;
+      case proxy::command_kind::kReset:
+        made.kind = proxy::statement_kind::kReset;
+        break;
+      case proxy::command_kind::kSet:
+        made.kind = proxy::statement_kind::kSet;
+        break;
+      case proxy::command_kind::kPrepare:
+        made.kind = proxy::statement_kind::kPrepare;
+        break;
+      case proxy::command_kind::kExecute:
+        made.kind = proxy::statement_kind::kExecute;
+        break;
+      default:
+        made.kind = aCommand.text == "COMMIT" ? proxy::statement_kind::kCommit
+                    : aCommand.text.starts_with("WRITE")
+                      ? proxy::statement_kind::kWrite
+                      : proxy::statement_kind::kRead;
+        break;
+    }
+    return made;
+  }
+
+  timeline& mTime;
+  proxy::engine& mThrough;
+  proxy::link_listener* mListener;
+  // Whether the engines are being taken down.
+  std::function<bool()> mIsEnding;
+  std::optional<proxy::engine::session_id> mSession;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+} // namespace currantshed::test
+
+#endif
--- a/test/currantshed/proxy/world.cpp
+++ b/test/currantshed/proxy/world.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "test/currantshed/proxy/relay_link.hpp"
+
 namespace currantshed::test {
 
 using namespace std::chrono_literals;
@@ -342,135 +344,6 @@
   proxy::engine engine;
 };
 
-namespace {
-
-/// A way to a server through another VM's engine.
-class relay_link final
-  : public proxy::upstream_link
-  , public proxy::caller
-{
-public:
-  relay_link(world& aWorld,
-             proxy::engine& aThrough,
-             const std::string& aServer,
-             proxy::link_listener& aListener)
-    : mWorld(aWorld)
-    , mThrough(aThrough)
-    , mListener(&aListener)
-  {
-    mSession = mThrough.OpenRelay(aServer, *this);
-    mWorld.Time().After(kHop, Guarded([this] {
-                          if (!mSession) {
-                            End();
-                          } else if (mListener != nullptr) {
-                            mListener->Opened(std::nullopt,
-                                              mWorld.Time().Now());
-                          }
-                        }));
-  }
-  relay_link(const relay_link&) = delete;
-  relay_link& operator=(const relay_link&) = delete;
-  ~relay_link() override
-  {
-    *mAlive = false;
-    if (mSession && !mWorld.IsEnding()) {
-      mThrough.Close(*mSession, mWorld.Time().Now());
-    }
-  }
-
-  void Send(const std::vector<proxy::command>& aCommands) override
-  {
-    for (const auto& one : aCommands) {
-      mWorld.Time().After(kHop, Guarded([this, one] {
-                            if (mSession) {
-                              mThrough.Submit(
-                                *mSession, Translate(one), mWorld.Time().Now());
-                            }
-                          }));
-    }
-  }
-
-  void Deliver(const proxy::answer& aAnswer) override
-  {
-    mWorld.Time().After(kHop, Guarded([this, aAnswer] {
-                          if (mListener != nullptr) {
-                            mListener->Answered(aAnswer, mWorld.Time().Now());
-                          }
-                        }));
-  }
-
-  void Close() override
-  {
-    mWorld.Time().After(kHop, Guarded([this] { End(); }));
-  }
-
-private:
-  std::function<void()> Guarded(std::function<void()> aWhat)
-  {
-    return [alive = mAlive, what = std::move(aWhat)] {
-      if (*alive) {
-        what();
-      }
-    };
-  }
-
-  void End()
-  {
-    if (auto* listener = std::exchange(mListener, nullptr)) {
-      listener->Ended(proxy::link_end::kBroken, mWorld.Time().Now());
-    }
-  }
-
-  static proxy::session_statement Translate(const proxy::command& aCommand)
-  {
-    proxy::session_statement made;
-    made.id = aCommand.id;
-    made.text = aCommand.text;
-    made.name = aCommand.name;
-    made.argument = aCommand.argument;
-    made.writes = aCommand.writes;
-    made.floor = aCommand.floor;
-    switch (aCommand.kind) {
-      case command_kind::kBegin:
-        made.kind = statement_kind::kBegin;
-        break;
-      case command_kind::kBeginReadOnly:
-        made.kind = statement_kind::kBeginReadOnly;
-        break;
-      case command_kind::kRollback:
-        made.kind = statement_kind::kRollback;
-        break;
-      case command_kind::kReset:
-        made.kind = statement_kind::kReset;
-        break;
-      case command_kind::kSet:
-        made.kind = statement_kind::kSet;
-        break;
-      case command_kind::kPrepare:
-        made.kind = statement_kind::kPrepare;
-        break;
-      case command_kind::kExecute:
-        made.kind = statement_kind::kExecute;
-        break;
-      default:
-        made.kind = aCommand.text == "COMMIT" ? statement_kind::kCommit
-                    : aCommand.text.starts_with("WRITE")
-                      ? statement_kind::kWrite
-                      : statement_kind::kRead;
-        break;
-    }
-    return made;
-  }
-
-  world& mWorld;
-  proxy::engine& mThrough;
-  proxy::link_listener* mListener;
-  std::optional<proxy::engine::session_id> mSession;
-  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
-};
-
-} // namespace
-
 std::unique_ptr<proxy::upstream_link>
 world::vm::Open(const proxy::server& aServer,
                 const proxy::path& aVia,
@@ -481,7 +354,9 @@
   }
   const auto through = std::stoul(aVia.vm.substr(3));
   return std::make_unique<relay_link>(
-    mWorld, mWorld.Engine(through), aServer.id, aListener);
+    mWorld.Time(), mWorld.Engine(through), aServer.id, aListener, [this] {
+      return mWorld.IsEnding();
+    });
 }
 
 world::world(std::uint32_t aSeed, const fault_rates& aRates, std::size_t aVms)
--- /dev/null
+++ b/test/currantshed/proxy/worst_load.cpp
@@ -0,0 +1,160 @@
+#include <functional>
+#include <string>
+
+#include "test/currantshed/proxy/load_world.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+using namespace std::chrono_literals;
+using test::load_shape;
+using test::load_world;
+
+namespace {
+
+constexpr std::uint32_t kSeed = 7;
+constexpr auto kBefore = 3000ms;
+constexpr auto kAfter = 6000ms;
+
+struct load_row
+{
+  const char* name;
+  load_shape shape;
+  /// The trouble, and its end.
+  std::function<void(load_world&)> begin;
+  std::function<void(load_world&)> end;
+  std::chrono::seconds lasts;
+  /// The least part of what is asked during the trouble that must be answered
+  /// in time. Where the servers can't do all, it is close to what they can.
+  double inTime;
+  /// The least part of the refusals that must come within a quarter of the
+  /// target.
+  double prompt;
+};
+
+void
+Nothing(load_world& /*aWorld*/)
+{
+}
+
+std::function<void(load_world&)>
+Load(double aFactor)
+{
+  return [aFactor](load_world& aWorld) { aWorld.factor = aFactor; };
+}
+
+std::function<void(load_world&)>
+Slow(std::size_t aServer, double aSlow)
+{
+  return [=](load_world& aWorld) { aWorld.Server(aServer).slow = aSlow; };
+}
+
+std::function<void(load_world&)>
+BothReplicasBehind(std::chrono::milliseconds aLag)
+{
+  return [aLag](load_world& aWorld) {
+    aWorld.Server(1).lag = aLag;
+    aWorld.Server(2).lag = aLag;
+  };
+}
+
+std::function<void(load_world&)>
+MostWaiting(unsigned aMost)
+{
+  return [aMost](load_world& aWorld) { aWorld.Server(2).mostWaiting = aMost; };
+}
+
+std::function<void(load_world&)>
+Proofs(bool aAre)
+{
+  return [aAre](load_world& aWorld) { aWorld.proofs = aAre; };
+}
+
+// Three servers with three slots each: 5.8 slots' worth of work a second, so
+// that 0.78 of twice the load can be done and 0.39 of four times it.
+const load_shape kBusy{ .writes = 60, .reads = 300 };
+const load_shape kBusyShared{ .vms = 40,
+                              .maxConnections = 24,
+                              .writes = 60,
+                              .reads = 300 };
+const load_shape kShared{ .vms = 40, .maxConnections = 24 };
+// 3.1 slots' worth for the primary's three.
+const load_shape kForOneServer{ .writes = 60, .reads = 150 };
+
+const load_row kRows[] = {
+  { "calm", {}, Nothing, Nothing, 5s, 0.99, 0 },
+  { "calm, through holders", kShared, Nothing, Nothing, 5s, 0.99, 0 },
+  { "both replicas 14 s behind",
+    kForOneServer,
+    BothReplicasBehind(14s),
+    BothReplicasBehind(0s),
+    25s,
+    0.90,
+    0.85 },
+  { "twice the load", kBusy, Load(2), Load(1), 6s, 0.70, 0.85 },
+  { "twice the load, through holders",
+    kBusyShared,
+    Load(2),
+    Load(1),
+    6s,
+    0.62,
+    0.85 },
+  { "four times the load", kBusy, Load(4), Load(1), 6s, 0.35, 0.80 },
+  { "one of three slow by 8", {}, Slow(1, 8), Slow(1, 1), 6s, 0.98, 0 },
+  { "the primary slow by 8, through holders",
+    kShared,
+    Slow(0, 8),
+    Slow(0, 1),
+    6s,
+    0.95,
+    0 },
+  { "a server that turns away what can't run at once",
+    {},
+    MostWaiting(0),
+    MostWaiting(24),
+    6s,
+    0.99,
+    0 },
+  { "no proof for two seconds", {}, Proofs(false), Proofs(true), 2s, 0.80, 0 },
+};
+
+std::string
+Share(const char* aName, const char* aWhat, double aShare)
+{
+  return std::string(aName) + ", " + aWhat + ": " + std::to_string(aShare);
+}
+
+} // namespace
+
+TEST_GROUP(worst_load){};
+
+TEST(worst_load, is_served_as_far_as_the_servers_go_and_is_over_at_once)
+{
+  constexpr double kRecovered = 0.97;
+  for (const auto& row : kRows) {
+    load_world world(row.shape, kSeed);
+    world.Run(kBefore);
+    row.begin(world);
+    world.Run(row.lasts);
+    row.end(world);
+    world.Run(kAfter);
+    const auto from = static_cast<std::size_t>(kBefore / 1s);
+    const auto to = from + static_cast<std::size_t>(row.lasts.count());
+    const auto during = world.Between(from + 1, to);
+    const double inTime = 1.0 * during.inTime / during.asked;
+    CHECK_TEXT(inTime >= row.inTime,
+               Share(row.name, "in time", inTime).c_str());
+    const double prompt = during.refusals == 0
+                            ? 1.0
+                            : 1.0 * during.promptRefusals / during.refusals;
+    CHECK_TEXT(prompt >= row.prompt, Share(row.name, "prompt", prompt).c_str());
+    const auto after = world.Between(to + 2, to + 5);
+    const double recovered = 1.0 * after.inTime / after.asked;
+    CHECK_TEXT(recovered >= kRecovered,
+               Share(row.name, "after", recovered).c_str());
+    const double turnedAway = 1.0 * static_cast<double>(world.TurnedAway()) /
+                              static_cast<double>(world.Taken());
+    CHECK_TEXT(turnedAway < 0.03,
+               Share(row.name, "turned away by servers", turnedAway).c_str());
+  }
+}
