A refusal names what was lacking, and lines leave out what is not known

Cause: every refusal said "no server in time", whether the queue was full, nobody could prove the primary or replicas were behind; a read without a floor was logged with an age of 45,249,615 ms. Causes could not be counted from logs or metrics. A VM off the store's list spoke to all only at every second turn, 3.8 s apart at 75 VMs, which left one lost word for those that tell it the news.

Tests: log.what_is_not_known_is_left_out.

--- a/src/currantshed/log/log.cpp
+++ b/src/currantshed/log/log.cpp
@@ -154,6 +154,7 @@
     return aNumber;
   }
   boost::json::value operator()(bool aTruth) const { return aTruth; }
+  boost::json::value operator()(unknown /*aLack*/) const { return nullptr; }
 };
 
 } // namespace
@@ -188,7 +189,9 @@
   line["vm"] = ToValidUtf8(aSelf.vm);
   line["failure_domain"] = ToValidUtf8(aSelf.failureDomain);
   for (const auto& one : aFields) {
-    line.emplace(ToValidUtf8(one.name), std::visit(to_json{}, one.content));
+    if (!std::holds_alternative<unknown>(one.content)) {
+      line.emplace(ToValidUtf8(one.name), std::visit(to_json{}, one.content));
+    }
   }
   return boost::json::serialize(line);
 }
--- a/src/currantshed/log/log.hpp
+++ b/src/currantshed/log/log.hpp
@@ -29,8 +29,12 @@
   std::string failureDomain;
 };
 
+/// What is not known: its field is left out.
+struct unknown
+{};
+
 /// The content of one field.
-using value = std::variant<std::string, std::int64_t, double, bool>;
+using value = std::variant<std::string, std::int64_t, double, bool, unknown>;
 
 /// One field of a line, beside the fixed ones. Statement texts and values of
 /// parameters never go into a field.
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -20,6 +20,9 @@
 constexpr milliseconds kReachByVm{ 25 };
 constexpr milliseconds kShortestReach{ 250 };
 constexpr milliseconds kLongestReach{ 2000 };
+// The same for a VM that the store lists no longer: whoever takes a duty over
+// learns of it only by that, and until then it has no proofs but its own.
+constexpr milliseconds kOffListReach{ 1000 };
 // After this time a VM takes callers though a group has no primary.
 constexpr milliseconds kReadyWithoutProof{ 1500 };
 // Pauses after a change, before the next ones are asked for: operators' changes
@@ -328,9 +331,7 @@
     one->lead.Tick(now);
   }
   if (now >= mNextReach) {
-    const auto vms = static_cast<int>(mOwnKeys.vms.size());
-    mNextReach =
-      now + std::clamp(kReachByVm * vms, kShortestReach, kLongestReach);
+    mNextReach = now + ReachInterval(now);
     NoteVms(now);
     SetPlaces(now);
     SendReach(now);
@@ -344,6 +345,15 @@
   Perform(now);
 }
 
+std::chrono::milliseconds
+control::ReachInterval(clock::time_point aNow) const
+{
+  const auto vms = static_cast<int>(mOwnKeys.vms.size());
+  const auto usual =
+    std::clamp(kReachByVm * vms, kShortestReach, kLongestReach);
+  return IsOffTheList(aNow) ? std::min(usual, kOffListReach) : usual;
+}
+
 void
 control::TickStore(clock::time_point aNow)
 {
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -151,6 +151,8 @@
   void TellFleet(clock::time_point aNow);
   void KeepFleet(clock::time_point aNow);
   [[nodiscard]] bool IsOffTheList(clock::time_point aNow) const;
+  [[nodiscard]] std::chrono::milliseconds ReachInterval(
+    clock::time_point aNow) const;
   [[nodiscard]] std::vector<std::string> Peers(clock::time_point aNow) const;
   [[nodiscard]] std::string HolderOf(const std::string& aService) const;
   /// The duty's record, or null.
@@ -184,8 +186,6 @@
   clock::time_point mStartedAt;
   clock::time_point mListedAt{};
   clock::time_point mNextReach{};
-  // When this VM, off the list, next speaks to all others.
-  clock::time_point mNextCallToAll{};
   // VMs that were recorded count although they are not listed until that time,
   // which follows the first reading of the list.
   std::optional<clock::time_point> mSettledAt;
--- a/src/currantshed/node/control_news.cpp
+++ b/src/currantshed/node/control_news.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-// How often a VM that is off the store's list speaks to all others: one word in
-// the time that they go on telling it the news may be lost.
-constexpr std::chrono::milliseconds kCallToAll{ 2000 };
-
 news::Position*
 Fill(news::Position* aOut, const position::log_position& aPosition)
 {
@@ -161,8 +157,7 @@
   }
   // Whoever holds the duties by now may not know of a VM that the store lists
   // no longer, nor that VM of a new holder: it speaks to all.
-  if (IsOffTheList(now) && now >= mNextCallToAll) {
-    mNextCallToAll = now + kCallToAll;
+  if (IsOffTheList(now)) {
     for (const auto& vm : Peers(now)) {
       SendReachTo(vm, false, now);
     }
--- a/src/currantshed/node/known_vms.cpp
+++ b/src/currantshed/node/known_vms.cpp
@@ -13,8 +13,9 @@
 // A VM that was listed or heard this lately may still rest on a proof, whatever
 // the store says of it: its key may have been taken away unseen.
 constexpr milliseconds kMemory{ 15000 };
-// A VM off the list that spoke this lately is told the news: one word of each
-// VM comes every two seconds at the least, and one may be lost.
+// A VM off the list that spoke this lately is told the news: each VM speaks
+// every two seconds at the least, off the list every second, and a word may be
+// lost.
 constexpr milliseconds kSpeaking{ 4500 };
 
 } // namespace
--- a/src/currantshed/node/metrics.cpp
+++ b/src/currantshed/node/metrics.cpp
@@ -68,11 +68,13 @@
 metrics::Decided(const proxy::decision& aDecision)
 {
   const std::string outcome(aDecision.outcome);
-  // Texts of failures vary; only words are labels.
-  const bool isWord = aDecision.reason.find(' ') == std::string_view::npos;
+  // Texts of failures vary; only words are labels, and what begins one with a
+  // word of its own before a semicolon.
+  const auto reason = aDecision.reason.substr(0, aDecision.reason.find(';'));
+  const bool isWord = reason.find(' ') == std::string_view::npos;
   mRequests
     .Add({ { "outcome", outcome },
-           { "reason", isWord ? std::string(aDecision.reason) : "" } })
+           { "reason", isWord ? std::string(reason) : "" } })
     .Increment();
   if (aDecision.isFinal) {
     mTimes.Add({ { "outcome", outcome } }, Boundaries())
--- a/src/currantshed/node/traffic.cpp
+++ b/src/currantshed/node/traffic.cpp
@@ -286,6 +286,13 @@
     floor = std::to_string(aDecision.floor->term) + "." +
             std::to_string(aDecision.floor->index);
   }
+  const log::value floorAge = aDecision.floor
+                                ? log::value(Milliseconds(aDecision.floorAge))
+                                : log::unknown{};
+  const log::value proofAge =
+    aDecision.confirmationAge >= clock::duration::zero()
+      ? log::value(Milliseconds(aDecision.confirmationAge))
+      : log::unknown{};
   log::Write(level,
              "request",
              { { "request", std::string(aDecision.requestId) },
@@ -297,9 +304,9 @@
                { "needs_primary", aDecision.needsPrimary },
                { "tries", static_cast<std::int64_t>(aDecision.tries) },
                { "waited_ms", Milliseconds(aDecision.waited) },
-               { "proof_age_ms", Milliseconds(aDecision.confirmationAge) },
+               { "proof_age_ms", proofAge },
                { "floor", floor },
-               { "floor_age_ms", Milliseconds(aDecision.floorAge) } });
+               { "floor_age_ms", floorAge } });
 }
 
 void
--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -508,7 +508,7 @@
   if (request.at == stage::kWaiting) {
     if (aNow >= std::min(request.waitUntil, request.deadline)) {
       Unqueue(aSession);
-      TurnAway(aSession, "no_server_in_time", aNow);
+      TurnAway(aSession, WhatLacks(aSession, aNow), aNow);
     }
     return;
   }
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -234,6 +234,8 @@
   void TurnAway(session& aSession,
                 std::string_view aWhy,
                 clock::time_point aNow);
+  [[nodiscard]] std::string_view WhatLacks(const session& aSession,
+                                           clock::time_point aNow);
   [[nodiscard]] admit::deadline_queue& LaneOf(const session& aSession);
   void Requeue(session& aSession, clock::time_point aNow);
   void Unqueue(session& aSession);
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -153,6 +153,28 @@
        aNow);
 }
 
+// What a request that has waited in vain was waiting for, as one word.
+std::string_view
+engine::WhatLacks(const session& aSession, clock::time_point aNow)
+{
+  if (aSession.IsRelay()) {
+    return "server_busy";
+  }
+  const auto& request = *aSession.current;
+  const auto& lead = LeadOf(request.under->service);
+  if (request.needsPrimary || !request.floor.position) {
+    return Leads(lead, lead.proof.primary, aNow) ? "primary_busy"
+                                                 : "primary_not_proved";
+  }
+  const bool canServe =
+    std::any_of(mServers.begin(), mServers.end(), [&](const auto& aEntry) {
+      const auto& state = aEntry.second;
+      return state.listed.service == request.under->service &&
+             CanServe(state, request, lead, aNow);
+    });
+  return canServe ? "servers_busy" : "replicas_behind";
+}
+
 // Requests that need the same servers queue together: their rate is measured
 // as one.
 admit::deadline_queue&
--- a/test/currantshed/log/log.cpp
+++ b/test/currantshed/log/log.cpp
@@ -81,3 +81,12 @@
     boost::json::parse(Line("e", { { "x", nothing / nothing } })).as_object();
   CHECK(parsed.at("x").is_null());
 }
+
+TEST(log, what_is_not_known_is_left_out)
+{
+  const auto parsed =
+    boost::json::parse(Line("e", { { "x", log::unknown{} }, { "y", true } }))
+      .as_object();
+  CHECK(!parsed.contains("x"));
+  CHECK(parsed.at("y").as_bool());
+}
