First calls of the store wait for less, so that a VM serves soon after it is back

Ruled out: late starts of the VMs; late proofs (0.2 s after the first answer).

Change: until the store has been read, a call waits for 400 ms at first, and for half of the time since the start later, so that a slow store or a large document gets through; then for 1 s as before.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -7,6 +7,7 @@
 
 #include "currantshed/clock/now.hpp"
 #include "currantshed/log/log.hpp"
+#include "currantshed/store/patience.hpp"
 
 namespace currantshed::node {
 
@@ -357,6 +358,9 @@
 void
 control::TickStore(clock::time_point aNow)
 {
+  const bool hasRead = mConfigurationView.IsKnown() && mServersView.IsKnown() &&
+                       mOwnView.IsKnown();
+  mPlatform.store->SetPatience(store::Patience(aNow - mStartedAt, hasRead));
   mConfigurationView.Tick(aNow, absl::Uniform<double>(mRandom, 0, 1));
   mServersView.Tick(aNow, absl::Uniform<double>(mRandom, 0, 1));
   mOwnView.Tick(aNow, absl::Uniform<double>(mRandom, 0, 1));
--- a/src/currantshed/store/key_value.hpp
+++ b/src/currantshed/store/key_value.hpp
@@ -89,6 +89,10 @@
 
   virtual ~key_value() = default;
 
+  /// How long calls that begin from now on wait for their answers, but for
+  /// watches.
+  virtual void SetPatience(std::chrono::milliseconds aPatience) = 0;
+
   virtual void Get(std::string aKey, item_callback aDone) = 0;
 
   /// Reads all keys with the prefix, and the store's revision before.
--- a/test/currantshed/node/known_vms.cpp
+++ b/test/currantshed/node/known_vms.cpp
@@ -87,6 +87,7 @@
 Names(const std::vector<news::peer>& aPeers)
 {
   std::vector<std::string> names;
+  names.reserve(aPeers.size());
   for (const auto& one : aPeers) {
     names.push_back(one.vm);
   }
@@ -104,6 +105,7 @@
     for (const auto& step : row.given) {
       if (step.kind == step_kind::kListed) {
         std::vector<news::peer> listed;
+        listed.reserve(step.vms.size());
         for (const auto& name : step.vms) {
           listed.push_back(Peer(name));
         }
--- a/test/currantshed/store/fake_key_value.hpp
+++ b/test/currantshed/store/fake_key_value.hpp
@@ -38,6 +38,7 @@
   /// Whether commits are done, but their answers lost.
   bool losesAnswers = false;
   std::vector<watch> watches;
+  std::chrono::milliseconds patience{ 0 };
   int ranges = 0;
   int commits = 0;
 
@@ -88,6 +89,11 @@
     }
   }
 
+  void SetPatience(std::chrono::milliseconds aPatience) override
+  {
+    patience = aPatience;
+  }
+
   void Get(std::string aKey, item_callback aDone) override
   {
     mCalls.push_back([this, aKey, aDone] {
