A read that may have run is never refused as one that has not

Cause: found by reading. A read whose server failed it, or whose connection broke while it ran, is sent elsewhere; if it then had to wait, or was turned away, the caller was told BUSY, which promises that nothing of the attempt ran. With early refusals this comes sooner. Besides, a group's lanes stood in a container that moves its entries when another lane begins, while one of them was being served.

Ruled out: changes and commits, which are never sent twice.

Change: a request remembers that it may have run; its refusal then says FAILED, after which a caller may repeat what only reads. Lanes stay where they are.

Test: refusals_of_reads, a row a reason with a server that did run it and one that did not; three rows fail before.

--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -201,8 +201,9 @@
     clock::time_point askedAt;
   };
 
-  /// The requests of one group that wait, by lane.
-  using lanes = absl::btree_map<std::string, admit::deadline_queue>;
+  /// The requests of one group that wait, by lane. Lanes stay where they are
+  /// while others are added: one may begin while another is being served.
+  using lanes = std::map<std::string, admit::deadline_queue>;
 
   using servers = absl::btree_map<upstream::server_id, server_state>;
   using timer = std::pair<clock::time_point, session_id>;
@@ -236,6 +237,7 @@
   void TurnAway(session& aSession,
                 std::string_view aWhy,
                 clock::time_point aNow);
+  [[nodiscard]] static failure_code RefusalOf(const request& aRequest) noexcept;
   [[nodiscard]] std::string_view WhatLacks(const session& aSession,
                                            clock::time_point aNow);
   [[nodiscard]] admit::deadline_queue& LaneOf(const session& aSession);
@@ -355,7 +357,6 @@
   absl::flat_hash_map<session_id, std::unique_ptr<session>> mSessions;
   // What may be sent again after a server or another VM was too busy for it.
   std::map<std::string, admit::retry_budget> mRetries;
-  // Queues stay where they are while others are added.
   std::map<std::string, lanes> mQueues;
   // The sessions whose requests wait, by the request's number.
   absl::flat_hash_map<std::uint64_t, session_id> mWaiting;
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -229,6 +229,7 @@
   if (restsOnLead &&
       (request.term != lead.proof.term || !Leads(lead, request.ranOn, aNow))) {
     NoteDecision(aSession, "read_again", "lead_not_confirmed", false, aNow);
+    request.mayHaveRun = true;
     Requeue(aSession, aNow);
     return;
   }
@@ -340,6 +341,9 @@
       return;
     }
   }
+  if (request.mayHaveRun) {
+    aAnswer.failed->code = failure_code::kFailed;
+  }
   NoteDecision(aSession, "refused", NameOf(why.code), false, aNow);
   const bool isCommit = request.asked.kind == statement_kind::kCommit;
   if (aSession.transaction) {
@@ -386,6 +390,7 @@
       if (request.commits || request.tries >= kTriesAfterFailure) {
         return false;
       }
+      request.mayHaveRun = true;
       break;
     default:
       return false;
@@ -419,6 +424,7 @@
     aSession.transaction->begun = false;
   }
   const bool ran = reached == stage::kRunning;
+  request.mayHaveRun = request.mayHaveRun || ran;
   const bool expired = aNow >= request.deadline;
   const bool mayRepeat = !begun && (!ran || !request.commits);
   if (mayRepeat && !expired && request.tries < kMostTries) {
@@ -440,7 +446,7 @@
   } else if (ran) {
     Fail(aSession, failure_code::kTimeout, "no answer from the server", aNow);
   } else {
-    Fail(aSession, failure_code::kBusy, "no server in time", aNow);
+    Fail(aSession, RefusalOf(request), "no server in time", aNow);
   }
 }
 
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -171,7 +171,8 @@
     });
 }
 
-// Nothing of the request has run, and none of it will.
+// The request is not sent any more. That nothing of it has run is said only
+// where it is known.
 void
 engine::TurnAway(session& aSession,
                  std::string_view aWhy,
@@ -180,11 +181,17 @@
   const auto after =
     LaneOf(aSession).RetryAfter(aSession.current->number, aNow);
   Fail(aSession,
-       failure_code::kBusy,
+       RefusalOf(*aSession.current),
        absl::StrCat(std::string(aWhy), "; retry after ", after.count(), " ms"),
        aNow);
 }
 
+failure_code
+engine::RefusalOf(const request& aRequest) noexcept
+{
+  return aRequest.mayHaveRun ? failure_code::kFailed : failure_code::kBusy;
+}
+
 // What a request that has waited in vain was waiting for, as one word.
 std::string_view
 engine::WhatLacks(const session& aSession, clock::time_point aNow)
--- a/src/currantshed/proxy/request.hpp
+++ b/src/currantshed/proxy/request.hpp
@@ -61,6 +61,9 @@
   /// Servers tried so far that turned the request away.
   absl::InlinedVector<upstream::server_id, 2> refusedBy;
   unsigned tries = 0;
+  /// Whether a server may have run it at an earlier try, so that no refusal may
+  /// say that it has not run.
+  bool mayHaveRun = false;
   read_floor floor;
   connection* on = nullptr;
   clock::time_point sentAt;
--- /dev/null
+++ b/test/currantshed/proxy/refusals.cpp
@@ -0,0 +1,213 @@
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "currantshed/proxy/engine.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+using namespace std::chrono_literals;
+using proxy::failure_code;
+
+namespace {
+
+constexpr clock::time_point kStart{ 1h };
+
+class silent_host final : public proxy::engine_host
+{
+public:
+  void NeedsConfirmation(const std::string&) override {}
+  void LeadDenied(const std::string&, position::term_id) override {}
+  void Decided(const proxy::decision&) override {}
+  void Reached(const proxy::server&, bool, std::string_view) override {}
+};
+
+/// Keeps the newest listener for each server, and who was asked last.
+class keeping_opener final : public proxy::link_opener
+{
+public:
+  class link final : public proxy::upstream_link
+  {
+  public:
+    link(keeping_opener& aOpener, std::string aServer)
+      : mOpener(aOpener)
+      , mServer(std::move(aServer))
+    {
+    }
+
+    void Send(const std::vector<proxy::command>& /*aCommands*/) override
+    {
+      mOpener.asked = mServer;
+    }
+
+  private:
+    keeping_opener& mOpener;
+    std::string mServer;
+  };
+
+  std::unique_ptr<proxy::upstream_link> Open(
+    const proxy::server& aServer,
+    const proxy::path&,
+    proxy::link_listener& aListener) override
+  {
+    listeners[aServer.id] = &aListener;
+    return std::make_unique<link>(*this, aServer.id);
+  }
+
+  std::map<std::string, proxy::link_listener*> listeners;
+  std::string asked;
+};
+
+class hearing_caller final : public proxy::caller
+{
+public:
+  void Deliver(const proxy::answer& aAnswer) override { heard = aAnswer; }
+  void Close() override {}
+
+  std::optional<proxy::answer> heard;
+};
+
+/// What the servers do with one read, in turn.
+enum class fate
+{
+  kBusy,
+  kLagging,
+  kFailed,
+  kConnectionLost,
+  /// No server takes it: its time to wait passes.
+  kWaitsInVain,
+};
+
+struct refusal_row
+{
+  const char* name;
+  std::vector<fate> fates;
+  failure_code told;
+};
+
+const refusal_row kRows[] = {
+  { "no server had it", { fate::kWaitsInVain }, failure_code::kBusy },
+  { "servers said that they had not run it",
+    { fate::kLagging, fate::kBusy },
+    failure_code::kBusy },
+  { "a server ran it in vain", { fate::kFailed }, failure_code::kFailed },
+  { "a server may have run it",
+    { fate::kConnectionLost },
+    failure_code::kFailed },
+  { "one may have run it, another had not",
+    { fate::kConnectionLost, fate::kBusy },
+    failure_code::kFailed },
+};
+
+/// A VM before three servers, and one caller's read.
+class one_read
+{
+public:
+  explicit one_read(bool aReachesServers)
+    : engine({ "vm-1", "north", 100000ms }, opener, host)
+  {
+    auto made = std::make_shared<proxy::configuration>();
+    made->version = 1;
+    made->services["claims"] = { "claims", 3 };
+    proxy::route route;
+    route.name = "claims-read";
+    route.database = route.name;
+    route.service = "claims";
+    route.policy = proxy::read_policy::kBoundedStaleness;
+    route.maxStaleness = 5000ms;
+    made->routes[route.name] = std::make_shared<proxy::route>(route);
+    engine.SetConfiguration(std::move(made), now);
+    engine.SetFleet({ { "vm-1", "north", "10.0.0.1", 1, false } }, now);
+    std::vector<proxy::server> servers;
+    for (const char* id : { "a", "b", "c" }) {
+      proxy::server listed;
+      listed.id = id;
+      listed.service = "claims";
+      listed.failureDomain = "north";
+      servers.push_back(listed);
+    }
+    engine.SetServers(servers, now);
+    engine.Tick(now);
+    engine.Confirm("claims", { 1, "a", now }, now);
+    engine.AddSample("claims", { 1, { 1, 5 }, now });
+    Pass(1000ms);
+    for (const auto& [id, listener] : opener.listeners) {
+      if (aReachesServers) {
+        listener->Opened(position::log_position{ 1, 5 }, now);
+      }
+    }
+    const auto session = engine.Open("claims-read", caller);
+    proxy::session_statement asked;
+    asked.kind = proxy::statement_kind::kRead;
+    asked.id = "id-1";
+    asked.text = "READ 1";
+    engine.Submit(*session, asked, now);
+  }
+
+  void Pass(std::chrono::milliseconds aSpan)
+  {
+    now += aSpan;
+    engine.Tick(now);
+  }
+
+  /// Lets the next server that has the read do that with it.
+  void Do(fate aFate)
+  {
+    if (aFate == fate::kWaitsInVain) {
+      Pass(5000ms);
+      return;
+    }
+    proxy::answer made;
+    made.position = position::log_position{ 1, 5 };
+    made.failed =
+      proxy::failure{ aFate == fate::kBusy      ? failure_code::kBusy
+                      : aFate == fate::kLagging ? failure_code::kLagging
+                                                : failure_code::kFailed,
+                      "" };
+    if (opener.asked.empty()) {
+      return;
+    }
+    auto* listener = opener.listeners.at(std::exchange(opener.asked, {}));
+    if (aFate == fate::kConnectionLost) {
+      listener->Ended(proxy::link_end::kBroken, now);
+    } else {
+      listener->Answered(made, now);
+    }
+  }
+
+  hearing_caller caller;
+
+private:
+  keeping_opener opener;
+  silent_host host;
+
+public:
+  clock::time_point now = kStart;
+  proxy::engine engine;
+};
+
+} // namespace
+
+TEST_GROUP(refusals_of_reads){};
+
+TEST(refusals_of_reads, say_that_nothing_ran_only_where_it_is_known)
+{
+  for (const auto& row : kRows) {
+    one_read read(row.fates.front() != fate::kWaitsInVain);
+    for (const auto one : row.fates) {
+      read.Do(one);
+    }
+    // From then on it is turned away, until no more tries are made.
+    for (int i = 0; i < 40 && !read.caller.heard; ++i) {
+      read.Do(fate::kBusy);
+      read.Pass(50ms);
+    }
+    CHECK_TEXT(read.caller.heard && read.caller.heard->failed, row.name);
+    CHECK_TEXT(read.caller.heard->failed->code == row.told, row.name);
+  }
+}
