--- a/test/currantshed/proxy/engine_orders.cpp
+++ b/test/currantshed/proxy/engine_orders.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "test/currantshed/proxy/idle_link.hpp"
+#include "test/currantshed/proxy/silent_host.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -18,15 +19,6 @@
 
 constexpr clock::time_point kStart{ 1h };
 
-class silent_host final : public proxy::engine_host
-{
-public:
-  void NeedsConfirmation(const std::string&) override {}
-  void LeadDenied(const std::string&, position::term_id) override {}
-  void Decided(const proxy::decision&) override {}
-  void Reached(const proxy::server&, bool, std::string_view) override {}
-};
-
 /// Keeps the listeners of the links that were opened, direct ones apart.
 class recording_opener final : public proxy::link_opener
 {
@@ -81,7 +73,7 @@
       kStart);
   }
 
-  silent_host host;
+  test::silent_host host;
   recording_opener opener;
   proxy::engine engine;
   std::vector<order_result> results;
--- a/test/currantshed/proxy/refusals.cpp
+++ b/test/currantshed/proxy/refusals.cpp
@@ -8,6 +8,8 @@
 
 #include "currantshed/proxy/engine.hpp"
 
+#include "test/currantshed/proxy/silent_host.hpp"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace currantshed;
@@ -18,15 +20,6 @@
 
 constexpr clock::time_point kStart{ 1h };
 
-class silent_host final : public proxy::engine_host
-{
-public:
-  void NeedsConfirmation(const std::string&) override {}
-  void LeadDenied(const std::string&, position::term_id) override {}
-  void Decided(const proxy::decision&) override {}
-  void Reached(const proxy::server&, bool, std::string_view) override {}
-};
-
 /// Keeps the newest listener for each server, and who was asked last.
 class keeping_opener final : public proxy::link_opener
 {
@@ -184,7 +177,7 @@
 
 private:
   keeping_opener opener;
-  silent_host host;
+  test::silent_host host;
 
 public:
   clock::time_point now = kStart;
--- /dev/null
+++ b/test/currantshed/proxy/silent_host.hpp
@@ -0,0 +1,23 @@
+#ifndef CURRANTSHED_TEST_PROXY_SILENT_HOST_HPP
+#define CURRANTSHED_TEST_PROXY_SILENT_HOST_HPP
+
+#include <string>
+#include <string_view>
+
+#include "currantshed/proxy/engine.hpp"
+
+namespace currantshed::test {
+
+/// A host that nothing is made of.
+class silent_host final : public proxy::engine_host
+{
+public:
+  void NeedsConfirmation(const std::string&) override {}
+  void LeadDenied(const std::string&, position::term_id) override {}
+  void Decided(const proxy::decision&) override {}
+  void Reached(const proxy::server&, bool, std::string_view) override {}
+};
+
+} // namespace currantshed::test
+
+#endif
