--- a/test/currantshed/proxy/refusals.cpp
+++ b/test/currantshed/proxy/refusals.cpp
@@ -102,7 +102,7 @@
 {
 public:
   explicit one_read(bool aReachesServers)
-    : engine({ "vm-1", "north", 100000ms }, opener, host)
+    : engine({ "vm-1", "north", 100000ms }, mOpener, mHost)
   {
     auto made = std::make_shared<proxy::configuration>();
     made->version = 1;
@@ -129,7 +129,7 @@
     engine.Confirm("claims", { 1, "a", now }, now);
     engine.AddSample("claims", { 1, { 1, 5 }, now });
     Pass(1000ms);
-    for (const auto& [id, listener] : opener.listeners) {
+    for (const auto& [id, listener] : mOpener.listeners) {
       if (aReachesServers) {
         listener->Opened(position::log_position{ 1, 5 }, now);
       }
@@ -162,10 +162,10 @@
                       : aFate == fate::kLagging ? failure_code::kLagging
                                                 : failure_code::kFailed,
                       "" };
-    if (opener.asked.empty()) {
+    if (mOpener.asked.empty()) {
       return;
     }
-    auto* listener = opener.listeners.at(std::exchange(opener.asked, {}));
+    auto* listener = mOpener.listeners.at(std::exchange(mOpener.asked, {}));
     if (aFate == fate::kConnectionLost) {
       listener->Ended(proxy::link_end::kBroken, now);
     } else {
@@ -176,8 +176,8 @@
   hearing_caller caller;
 
 private:
-  keeping_opener opener;
-  test::silent_host host;
+  keeping_opener mOpener;
+  test::silent_host mHost;
 
 public:
   clock::time_point now = kStart;
