A VM serves relays before it knows a configuration

Its log ends 20 ms after it had reached the servers and before it knew the configuration: another VM had sent a transaction through it, and the time after which an idle one ends was read from no configuration.

Change: the engine holds an empty configuration until the first one.

--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -141,7 +141,7 @@
 std::optional<engine::session_id>
 engine::Open(std::string aDatabase, caller& aCaller)
 {
-  if (!mConfiguration || !mConfiguration->routes.contains(aDatabase)) {
+  if (!mConfiguration->routes.contains(aDatabase)) {
     return std::nullopt;
   }
   const auto id = ++mLastNumber;
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -349,7 +349,10 @@
   engine_settings mSettings;
   link_opener& mOpener;
   engine_host& mHost;
-  std::shared_ptr<const configuration> mConfiguration;
+  // Empty until the first one is known: other VMs may send their statements
+  // through this one before.
+  std::shared_ptr<const configuration> mConfiguration =
+    std::make_shared<const configuration>();
   std::vector<fleet_vm> mFleet;
   servers mServers;
   // References to its values are kept while others are added.
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -367,11 +367,9 @@
 engine::MakePlan(server_state& aServer)
 {
   std::size_t most = 1;
-  if (mConfiguration) {
-    const auto found = mConfiguration->services.find(aServer.listed.service);
-    if (found != mConfiguration->services.end()) {
-      most = found->second.maxConnections;
-    }
+  const auto found = mConfiguration->services.find(aServer.listed.service);
+  if (found != mConfiguration->services.end()) {
+    most = found->second.maxConnections;
   }
   aServer.plan = PlanAccess(aServer.listed.id, most, mFleet, mSettings.vm);
 }
