Logs tell when a server was known to leave, and what a change waits for

Cause: the hypotheses of the incident could not be told apart by the logs. They did not show when a VM came to know that a server leaves, nor what a change of the primary that had begun was waiting for, nor that a revocation had lapsed. Change: a line server_standing for each server whose standing on the list changes, with how it was learned; a line waits once a second while a change goes on; revocation_lapsed; server_leaving_ms on requests; two counters. What control kept of the list is now server_list, without I/O and with a table of tests; behaviour is unchanged.

--- a/src/currantshed/lead/group_lead.cpp
+++ b/src/currantshed/lead/group_lead.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <absl/strings/str_cat.h>
+
 #include "currantshed/lead/internal/group_lead_times.hpp"
 
 namespace currantshed::lead {
@@ -219,6 +221,8 @@
 {
   mNow = std::max(mNow, aNow);
   if (mRevoked != 0 && !mHoldsDuty && mNow > mRevokedAt + kRevocationLife) {
+    mActions.emplace_back(
+      note_step{ "revocation_lapsed", absl::StrCat("term=", mRevoked) });
     LiftRevocation(mRevoked);
     mRevoked = 0;
     mActions.emplace_back(publish_revocation{ 0 });
--- a/src/currantshed/lead/takeover.cpp
+++ b/src/currantshed/lead/takeover.cpp
@@ -14,6 +14,8 @@
 // Pause between two rounds of fences, of questions, or of orders to promote.
 constexpr milliseconds kRound{ 100 };
 constexpr milliseconds kPromoteRound{ 400 };
+// Time between two lines on what a change waits for.
+constexpr milliseconds kNotePause{ 1000 };
 // How long a planned change waits for a replica to have all that the old
 // primary had.
 constexpr milliseconds kCatchUpTime{ 500 };
@@ -40,6 +42,7 @@
   mFenceTerm = std::max(mTable.HighestTerm(), mOldTerm) + 1;
   mBegunAt = aNow;
   mNextSend = aNow;
+  mNextNote = aNow + kNotePause;
   mNextOrder = clock::time_point::max();
   mAllObeyed = false;
   mChosen.clear();
@@ -97,6 +100,7 @@
   if (mStep != takeover_step::kPromote) {
     ReadFences(aNow, aOut);
   }
+  NoteWait(aNow, aOut);
   if (mStep == takeover_step::kWaitOut && (mAllObeyed || aNow >= mWaitUntil) &&
       !Choose(aNow).empty()) {
     mStep = takeover_step::kPromote;
@@ -137,6 +141,37 @@
     "done", absl::StrCat("primary=", aPrimary, " took_ms=", took.count()) });
 }
 
+// Tells at intervals what keeps a change from going on: a change that never
+// ends leaves its group without a primary.
+void
+takeover::NoteWait(clock::time_point aNow, std::vector<action>& aOut)
+{
+  if (aNow < mNextNote) {
+    return;
+  }
+  mNextNote = aNow + kNotePause;
+  std::size_t fenced = 0;
+  std::size_t silent = 0;
+  for (const auto& [id, view] : mTable.All()) {
+    fenced += IsFenced(view) ? 1 : 0;
+    silent += view.failures > 0 ? 1 : 0;
+  }
+  const auto took = std::chrono::duration_cast<milliseconds>(aNow - mBegunAt);
+  aOut.emplace_back(note_step{ "waits",
+                               absl::StrCat("at=",
+                                            std::string(NameOf(mStep)),
+                                            " since_ms=",
+                                            took.count(),
+                                            " old_listed=",
+                                            mTable.Find(mOld) != nullptr,
+                                            " members=",
+                                            mTable.All().size(),
+                                            " fenced=",
+                                            fenced,
+                                            " silent=",
+                                            silent) });
+}
+
 // The old primary is asked to step down, replicas to follow it no longer; a
 // planned change leaves the replicas free to receive its last commits.
 void
@@ -278,6 +313,22 @@
   aOut.emplace_back(ask_server{ aServer, what });
 }
 
+std::string_view
+NameOf(takeover_step aStep)
+{
+  switch (aStep) {
+    case takeover_step::kNone:
+      return "none";
+    case takeover_step::kFence:
+      return "fence";
+    case takeover_step::kWaitOut:
+      return "wait_out";
+    case takeover_step::kPromote:
+      return "promote";
+  }
+  return "unknown";
+}
+
 std::string_view
 NameOf(takeover_reason aReason)
 {
--- a/src/currantshed/lead/takeover.hpp
+++ b/src/currantshed/lead/takeover.hpp
@@ -83,6 +83,7 @@
                  std::vector<action>& aOut);
 
 private:
+  void NoteWait(clock::time_point aNow, std::vector<action>& aOut);
   void Fence(clock::time_point aNow, std::vector<action>& aOut);
   void ReadFences(clock::time_point aNow, std::vector<action>& aOut);
   void DemoteOld(clock::time_point aNow, std::vector<action>& aOut);
@@ -103,6 +104,7 @@
   position::term_id mFenceTerm = 0;
   clock::time_point mBegunAt;
   clock::time_point mNextSend;
+  clock::time_point mNextNote;
   clock::time_point mNextOrder;
   clock::time_point mWaitUntil;
   clock::time_point mBarredAt;
@@ -111,6 +113,9 @@
   absl::btree_set<upstream::server_id> mRejected;
 };
 
+[[nodiscard]] std::string_view
+NameOf(takeover_step aStep);
+
 [[nodiscard]] std::string_view
 NameOf(takeover_reason aReason);
 
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -32,9 +32,6 @@
 constexpr milliseconds kConfigurationPause{ 300 };
 constexpr milliseconds kServersPause{ 400 };
 constexpr milliseconds kServersPauseByServer{ 40 };
-// How much longer than its listing a server is kept: entries of servers that
-// live come back within two seconds after the store was away.
-constexpr milliseconds kMissingGrace{ 3000 };
 
 // How long a byte of a document takes on the VM's link; the store sends three
 // bytes as four.
@@ -217,74 +214,6 @@
   UpdateReadiness(clock::Now());
 }
 
-void
-control::ServersChanged(clock::time_point aNow)
-{
-  std::vector<proxy::server> servers;
-  for (const auto& [key, item] : mServersView.Items()) {
-    std::string whyNot;
-    if (auto read = mDocuments.ReadServer(key, item.value, whyNot)) {
-      servers.push_back(std::move(*read));
-    } else {
-      log::Write(log::level::kError,
-                 "server_unreadable",
-                 { { "key", key }, { "reason", whyNot } });
-    }
-  }
-  KeepMissing(servers, aNow);
-  if (servers == mServers) {
-    return;
-  }
-  mServers = servers;
-  absl::btree_map<std::string, std::vector<lead::member>> members;
-  for (const auto& one : servers) {
-    members[one.service].push_back(
-      { one.id, one.failureDomain == mSettings.failureDomain, one.draining });
-  }
-  for (auto& [service, listed] : members) {
-    auto& place = mGroups[service];
-    if (place == nullptr) {
-      place = std::make_unique<group>(mLeadSettings);
-      place->lead.SetMayAsk(mRegistration.IsWritten());
-    }
-    place->lead.Configure(listed, aNow);
-  }
-  log::Write(
-    log::level::kInfo,
-    "servers_listed",
-    { { "servers", static_cast<std::int64_t>(servers.size()) },
-      { "revision", static_cast<std::int64_t>(mServersView.Seen()) } });
-  mTraffic.SetServers(std::move(servers));
-  UpdateReadiness(aNow);
-  Perform(aNow);
-}
-
-// Entries of servers that live may lapse while the store is away, and are back
-// soon after; until then the servers are kept.
-void
-control::KeepMissing(std::vector<proxy::server>& aServers,
-                     clock::time_point aNow)
-{
-  for (const auto& one : aServers) {
-    mMissing.erase(one.id);
-  }
-  for (const auto& old : mServers) {
-    const bool listed =
-      std::any_of(aServers.begin(), aServers.end(), [&old](const auto& aOne) {
-        return aOne.id == old.id;
-      });
-    if (listed) {
-      continue;
-    }
-    const auto since = mMissing.try_emplace(old.id, aNow).first->second;
-    if (aNow - since < kMissingGrace) {
-      aServers.push_back(old);
-    } else {
-      mMissing.erase(old.id);
-    }
-  }
-}
-
 void
 control::OwnKeysChanged(clock::time_point aNow)
 {
@@ -319,11 +248,7 @@
 {
   const auto now = clock::Now();
   TickStore(now);
-  const bool waned =
-    std::any_of(mMissing.begin(), mMissing.end(), [now](const auto& aEntry) {
-      return now - aEntry.second >= kMissingGrace;
-    });
-  if (waned) {
+  if (mServers.IsDue(now)) {
     ServersChanged(now);
   }
   for (auto& [service, one] : mGroups) {
@@ -375,18 +300,19 @@
     proven =
       proven && aNow < one->lead.Proof().askedAt + mLeadSettings.validity;
   }
-  const bool known =
-    mVersion != 0 && !mServers.empty() && mListedAt != clock::time_point{};
+  const bool known = mVersion != 0 && !mServers.Servers().empty() &&
+                     mListedAt != clock::time_point{};
   const bool enough =
     proven || aNow >= mListedAt + kReadyWithoutProof || mIsReady;
   const bool ready = known && enough && !mIsLeaving;
   if (ready != mIsReady) {
     mIsReady = ready;
-    log::Write(log::level::kInfo,
-               ready ? "ready" : "not_ready",
-               { { "version", static_cast<std::int64_t>(mVersion) },
-                 { "servers", static_cast<std::int64_t>(mServers.size()) },
-                 { "proven", proven } });
+    log::Write(
+      log::level::kInfo,
+      ready ? "ready" : "not_ready",
+      { { "version", static_cast<std::int64_t>(mVersion) },
+        { "servers", static_cast<std::int64_t>(mServers.Servers().size()) },
+        { "proven", proven } });
   }
 }
 
@@ -411,4 +337,11 @@
   return found == mGroups.end() ? nullptr : found->second.get();
 }
 
+const control::group*
+control::Find(const std::string& aService) const
+{
+  const auto found = mGroups.find(aService);
+  return found == mGroups.end() ? nullptr : found->second.get();
+}
+
 } // namespace currantshed::node
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -24,6 +24,7 @@
 #include "currantshed/node/duty.hpp"
 #include "currantshed/node/known_vms.hpp"
 #include "currantshed/node/metrics.hpp"
+#include "currantshed/node/server_list.hpp"
 #include "currantshed/node/settings.hpp"
 #include "currantshed/node/traffic.hpp"
 #include "currantshed/store/prefix_view.hpp"
@@ -92,8 +93,9 @@
 
   void ConfigurationChanged();
   void ServersChanged(clock::time_point aNow);
-  void KeepMissing(std::vector<proxy::server>& aServers,
-                   clock::time_point aNow);
+  [[nodiscard]] std::vector<proxy::server> ReadServers() const;
+  void NoteServers(const std::vector<server_news>& aNews) const;
+  void ConfigureGroups(clock::time_point aNow);
   void OwnKeysChanged(clock::time_point aNow);
   void NoteStore(const std::string& aWhat,
                  bool aIsReached,
@@ -146,6 +148,7 @@
   void UpdateReadiness(clock::time_point aNow);
   void Schedule();
   [[nodiscard]] group* Find(const std::string& aService);
+  [[nodiscard]] const group* Find(const std::string& aService) const;
   void NoteVms(clock::time_point aNow);
   void SetPlaces(clock::time_point aNow);
   void TellFleet(clock::time_point aNow);
@@ -178,9 +181,7 @@
   own_keys mOwnKeys;
   known_vms mKnownVms;
   std::uint64_t mVersion = 0;
-  std::vector<proxy::server> mServers;
-  // Servers that are listed no longer, and since when.
-  absl::btree_map<upstream::server_id, clock::time_point> mMissing;
+  server_list mServers;
   groups mGroups;
   absl::flat_hash_map<std::string, std::optional<clock::time_point>> mHeard;
   clock::time_point mStartedAt;
--- a/src/currantshed/node/fwd.hpp
+++ b/src/currantshed/node/fwd.hpp
@@ -12,8 +12,10 @@
 class metrics;
 class promoter;
 class server_connector;
+class server_list;
 class traffic;
 struct node_settings;
+struct server_news;
 
 } // namespace currantshed::node
 
--- a/src/currantshed/node/metrics.cpp
+++ b/src/currantshed/node/metrics.cpp
@@ -52,6 +52,12 @@
   , mServers(Counter(*mRegistry,
                      "currantshed_node_servers_total",
                      "Servers reached and lost"))
+  , mStandings(Counter(*mRegistry,
+                       "currantshed_node_server_standings_total",
+                       "Servers that came to stand so on the store's list"))
+  , mAtLeaving(Counter(*mRegistry,
+                       "currantshed_node_requests_at_leaving_servers_total",
+                       "Requests whose server had said that it leaves"))
   , mLeadSteps(Counter(*mRegistry,
                        "currantshed_node_lead_steps_total",
                        "Steps in changes of primaries"))
@@ -76,6 +82,9 @@
     .Add({ { "outcome", outcome },
            { "reason", isWord ? std::string(reason) : "" } })
     .Increment();
+  if (aDecision.leavingFor) {
+    mAtLeaving.Add({ { "outcome", outcome } }).Increment();
+  }
   if (aDecision.isFinal) {
     mTimes.Add({ { "outcome", outcome } }, Boundaries())
       .Observe(std::chrono::duration<double>(aDecision.waited).count());
@@ -94,6 +103,12 @@
   mServers.Add({ { "now", aIsReached ? "reached" : "lost" } }).Increment();
 }
 
+void
+metrics::ServerStands(std::string_view aStanding)
+{
+  mStandings.Add({ { "now", std::string(aStanding) } }).Increment();
+}
+
 void
 metrics::LeadChanged(std::string_view aStep)
 {
--- a/src/currantshed/node/metrics.hpp
+++ b/src/currantshed/node/metrics.hpp
@@ -28,6 +28,8 @@
   void StoreCalled(std::string_view aResult);
 
   void ServerReached(bool aIsReached);
+  /// Counts what became of servers on the store's list.
+  void ServerStands(std::string_view aStanding);
   void LeadChanged(std::string_view aStep);
   void SetSessions(std::size_t aCount);
   void SetConfiguration(std::uint64_t aVersion);
@@ -43,6 +45,8 @@
   prometheus::Family<prometheus::Histogram>& mTimes;
   prometheus::Family<prometheus::Counter>& mStoreCalls;
   prometheus::Family<prometheus::Counter>& mServers;
+  prometheus::Family<prometheus::Counter>& mStandings;
+  prometheus::Family<prometheus::Counter>& mAtLeaving;
   prometheus::Family<prometheus::Counter>& mLeadSteps;
   prometheus::Gauge& mSessions;
   prometheus::Gauge& mConfiguration;
--- /dev/null
+++ b/src/currantshed/node/server_list.cpp
@@ -0,0 +1,99 @@
+#include "currantshed/node/server_list.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace currantshed::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// How much longer than its listing a server is kept: entries of servers that
+// live come back within two seconds after the store was away.
+constexpr milliseconds kMissingGrace{ 3000 };
+
+const proxy::server*
+Find(const std::vector<proxy::server>& aServers, const upstream::server_id& aId)
+{
+  const auto found =
+    std::find_if(aServers.begin(), aServers.end(), [&aId](const auto& aOne) {
+      return aOne.id == aId;
+    });
+  return found == aServers.end() ? nullptr : &*found;
+}
+
+server_standing
+StandingOf(const proxy::server& aListed)
+{
+  return aListed.draining ? server_standing::kLeaving : server_standing::kReady;
+}
+
+} // namespace
+
+std::vector<server_news>
+server_list::Take(std::vector<proxy::server> aListed, clock::time_point aNow)
+{
+  std::vector<server_news> news;
+  for (const auto& one : aListed) {
+    const auto* before = Find(mServers, one.id);
+    const bool isNews = before == nullptr || before->draining != one.draining ||
+                        mMissing.contains(one.id);
+    if (isNews) {
+      news.push_back({ one, StandingOf(one) });
+    }
+    mMissing.erase(one.id);
+  }
+  KeepMissing(aListed, news, aNow);
+  mServers = std::move(aListed);
+  return news;
+}
+
+void
+server_list::KeepMissing(std::vector<proxy::server>& aListed,
+                         std::vector<server_news>& aNews,
+                         clock::time_point aNow)
+{
+  for (const auto& old : mServers) {
+    if (Find(aListed, old.id) != nullptr) {
+      continue;
+    }
+    const auto [since, isNew] = mMissing.try_emplace(old.id, aNow);
+    if (isNew) {
+      aNews.push_back({ old, server_standing::kMissing });
+    }
+    if (aNow - since->second < kMissingGrace) {
+      aListed.push_back(old);
+    } else {
+      mMissing.erase(since);
+      aNews.push_back({ old, server_standing::kGone });
+    }
+  }
+}
+
+bool
+server_list::IsDue(clock::time_point aNow) const
+{
+  return std::any_of(
+    mMissing.begin(), mMissing.end(), [aNow](const auto& aEntry) {
+      return aNow - aEntry.second >= kMissingGrace;
+    });
+}
+
+std::string_view
+NameOf(server_standing aStanding)
+{
+  switch (aStanding) {
+    case server_standing::kReady:
+      return "ready";
+    case server_standing::kLeaving:
+      return "leaving";
+    case server_standing::kMissing:
+      return "missing";
+    case server_standing::kGone:
+      return "gone";
+  }
+  return "unknown";
+}
+
+} // namespace currantshed::node
--- /dev/null
+++ b/src/currantshed/node/server_list.hpp
@@ -0,0 +1,69 @@
+#ifndef CURRANTSHED_NODE_SERVER_LIST_HPP
+#define CURRANTSHED_NODE_SERVER_LIST_HPP
+
+#include <string_view>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/proxy/configuration.hpp"
+
+namespace currantshed::node {
+
+/// What a VM comes to believe of one server on the store's list.
+enum class server_standing
+{
+  /// Listed, and stays.
+  kReady,
+  /// Listed, and has said that it leaves.
+  kLeaving,
+  /// Listed no longer, but kept for a while: entries of servers that live may
+  /// lapse while the store is away, and are back soon after.
+  kMissing,
+  /// Missing for so long that it counts as gone.
+  kGone,
+};
+
+/// One belief that has changed, for the log.
+struct server_news
+{
+  proxy::server server;
+  server_standing standing = server_standing::kReady;
+};
+
+/// The servers that the store lists, and those that it listed until lately.
+/// Does no I/O.
+class server_list
+{
+public:
+  /// Takes over what the store lists now. Returns whose standing has changed.
+  std::vector<server_news> Take(std::vector<proxy::server> aListed,
+                                clock::time_point aNow);
+
+  /// Whether the time of a missing server is up, so that the list is to be
+  /// taken anew.
+  [[nodiscard]] bool IsDue(clock::time_point aNow) const;
+
+  [[nodiscard]] const std::vector<proxy::server>& Servers() const noexcept
+  {
+    return mServers;
+  }
+
+private:
+  void KeepMissing(std::vector<proxy::server>& aListed,
+                   std::vector<server_news>& aNews,
+                   clock::time_point aNow);
+
+  std::vector<proxy::server> mServers;
+  // Servers that are listed no longer, and since when.
+  absl::btree_map<upstream::server_id, clock::time_point> mMissing;
+};
+
+/// The standing as one word for logs.
+[[nodiscard]] std::string_view
+NameOf(server_standing aStanding);
+
+} // namespace currantshed::node
+
+#endif
--- a/src/currantshed/node/traffic.cpp
+++ b/src/currantshed/node/traffic.cpp
@@ -293,6 +293,9 @@
     aDecision.confirmationAge >= clock::duration::zero()
       ? log::value(Milliseconds(aDecision.confirmationAge))
       : log::unknown{};
+  const log::value leavingFor =
+    aDecision.leavingFor ? log::value(Milliseconds(*aDecision.leavingFor))
+                         : log::unknown{};
   log::Write(level,
              "request",
              { { "request", std::string(aDecision.requestId) },
@@ -306,7 +309,8 @@
                { "waited_ms", Milliseconds(aDecision.waited) },
                { "proof_age_ms", proofAge },
                { "floor", floor },
-               { "floor_age_ms", floorAge } });
+               { "floor_age_ms", floorAge },
+               { "server_leaving_ms", leavingFor } });
 }
 
 void
--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -77,8 +77,7 @@
     const bool isNear = listed.failureDomain == mSettings.failureDomain;
     const auto [place, added] = mServers.try_emplace(listed.id, listed, isNear);
     auto& state = place->second;
-    state.listed = listed;
-    state.unlisted = false;
+    state.List(listed, aNow);
     if (added) {
       MakePlan(state);
       mNextUpkeep = aNow;
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -524,6 +524,10 @@
   }
   made.floor = request.floor.position;
   made.floorAge = aNow - request.floor.writtenBy;
+  const auto* state = Find(request.ranOn);
+  if (state != nullptr && state->leavingSince) {
+    made.leavingFor = aNow - *state->leavingSince;
+  }
   made.ordinary = aOrdinary;
   made.isFinal =
     aOutcome != "elsewhere" && aOutcome != "held" && aOutcome != "read_again";
--- a/src/currantshed/proxy/server_state.cpp
+++ b/src/currantshed/proxy/server_state.cpp
@@ -54,6 +54,18 @@
 {
 }
 
+void
+server_state::List(const server& aListed, clock::time_point aNow)
+{
+  listed = aListed;
+  unlisted = false;
+  if (!aListed.draining) {
+    leavingSince.reset();
+  } else if (!leavingSince) {
+    leavingSince = aNow;
+  }
+}
+
 unsigned
 server_state::Running() const
 {
--- a/src/currantshed/proxy/server_state.hpp
+++ b/src/currantshed/proxy/server_state.hpp
@@ -19,6 +19,9 @@
 public:
   server_state(server aListed, bool aIsNear);
 
+  /// Takes over what the platform lists of it now.
+  void List(const server& aListed, clock::time_point aNow);
+
   /// Commands under way.
   [[nodiscard]] unsigned Running() const;
   /// Connections that are being opened, direct ones or others.
@@ -74,6 +77,8 @@
 
   server listed;
   access_plan plan;
+  /// Since when this VM knows that the server leaves, if it does.
+  std::optional<clock::time_point> leavingSince;
   /// The platform does not list it any longer; it goes once it is idle.
   bool unlisted = false;
   std::vector<std::unique_ptr<connection>> connections;
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -113,6 +113,7 @@
                  mSeen = aRevision;
                  mMustRead = false;
                  mIsKnown = true;
+                 mWasRead = true;
                  Succeeded(false, aNow);
                  mListener.changed(aNow);
                });
@@ -151,6 +152,7 @@
                    }
                  }
                  mSeen = aRevision;
+                 mWasRead = mWasRead && aChanges.empty();
                  Succeeded(!aChanges.empty(), aNow);
                  if (!aChanges.empty()) {
                    mListener.changed(aNow);
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -79,6 +79,9 @@
   /// Whether the keys were read at least once.
   [[nodiscard]] bool IsKnown() const noexcept { return mIsKnown; }
   [[nodiscard]] bool IsReached() const noexcept { return mIsReached; }
+  /// Whether the last changes came with a reading of all keys, not by a watch:
+  /// then they may be as old as the reading before.
+  [[nodiscard]] bool WasRead() const noexcept { return mWasRead; }
   /// The revision up to which changes are known.
   [[nodiscard]] revision Seen() const noexcept { return mSeen; }
   [[nodiscard]] const items& Items() const noexcept { return mItems; }
@@ -103,6 +106,7 @@
   bool mIsKnown = false;
   bool mMustRead = true;
   bool mIsReached = false;
+  bool mWasRead = true;
   bool mIsCalling = false;
   clock::time_point mNotBefore{};
   double mRandom = 0;
--- /dev/null
+++ b/test/currantshed/node/server_list.cpp
@@ -0,0 +1,135 @@
+#include "currantshed/node/server_list.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+using namespace std::chrono_literals;
+using node::server_standing;
+
+namespace {
+
+const clock::time_point kStart{ 1h };
+
+/// What the store lists at one time: names, those that leave in capitals.
+struct listing
+{
+  std::chrono::milliseconds at;
+  std::vector<std::string> names;
+};
+
+/// What is told of one server.
+struct told
+{
+  std::string name;
+  server_standing standing;
+
+  friend bool operator==(const told&, const told&) = default;
+};
+
+struct row
+{
+  const char* name;
+  std::vector<listing> given;
+  /// What the last listing brings.
+  std::vector<told> expect;
+  /// Who is known after it.
+  std::vector<std::string> known;
+};
+
+const row kRows[] = {
+  { "servers that are new",
+    { { 0ms, { "a", "b" } } },
+    { { "a", server_standing::kReady }, { "b", server_standing::kReady } },
+    { "a", "b" } },
+  { "what is the same is no news",
+    { { 0ms, { "a", "b" } }, { 50ms, { "a", "b" } } },
+    {},
+    { "a", "b" } },
+  { "one that leaves",
+    { { 0ms, { "a", "b" } }, { 50ms, { "A", "b" } } },
+    { { "a", server_standing::kLeaving } },
+    { "A", "b" } },
+  { "one that leaves is missing, and leaves all the same",
+    { { 0ms, { "A", "b" } }, { 50ms, { "b" } } },
+    { { "a", server_standing::kMissing } },
+    { "A", "b" } },
+  { "one that is missing for long is gone",
+    { { 0ms, { "a", "b" } }, { 50ms, { "b" } }, { 3050ms, { "b" } } },
+    { { "a", server_standing::kGone } },
+    { "b" } },
+  { "one that is missing for a short time is back",
+    { { 0ms, { "a", "b" } }, { 50ms, { "b" } }, { 2050ms, { "a", "b" } } },
+    { { "a", server_standing::kReady } },
+    { "a", "b" } },
+  { "one that was gone is back",
+    { { 0ms, { "a", "b" } },
+      { 50ms, { "b" } },
+      { 4000ms, { "b" } },
+      { 9000ms, { "A", "b" } } },
+    { { "a", server_standing::kLeaving } },
+    { "A", "b" } },
+};
+
+std::vector<proxy::server>
+ServersOf(const std::vector<std::string>& aNames)
+{
+  std::vector<proxy::server> made;
+  for (const auto& name : aNames) {
+    proxy::server one;
+    one.draining = name < "a";
+    one.id =
+      one.draining ? std::string(1, static_cast<char>(name[0] + 32)) : name;
+    made.push_back(one);
+  }
+  return made;
+}
+
+std::vector<std::string>
+NamesOf(const std::vector<proxy::server>& aServers)
+{
+  std::vector<std::string> names;
+  for (const auto& one : aServers) {
+    names.push_back(one.draining
+                      ? std::string(1, static_cast<char>(one.id[0] - 32))
+                      : one.id);
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+} // namespace
+
+TEST_GROUP(server_list){};
+
+TEST(server_list, tells_what_becomes_of_servers)
+{
+  for (const auto& row : kRows) {
+    node::server_list list;
+    std::vector<told> heard;
+    for (const auto& listing : row.given) {
+      heard.clear();
+      for (const auto& one :
+           list.Take(ServersOf(listing.names), kStart + listing.at)) {
+        heard.push_back({ one.server.id, one.standing });
+      }
+    }
+    CHECK_TEXT(heard == row.expect, row.name);
+    CHECK_TEXT(NamesOf(list.Servers()) == row.known, row.name);
+  }
+}
+
+TEST(server_list, is_due_when_the_time_of_a_missing_server_is_up)
+{
+  node::server_list list;
+  list.Take(ServersOf({ "a", "b" }), kStart);
+  list.Take(ServersOf({ "b" }), kStart + 100ms);
+  CHECK(!list.IsDue(kStart + 3099ms));
+  CHECK(list.IsDue(kStart + 3100ms));
+  list.Take(ServersOf({ "b" }), kStart + 3100ms);
+  CHECK(!list.IsDue(kStart + 9000ms));
+}
