A leaving server's use ends by itself, and its replacement needs no word of its own

Cause: a change of a leaving primary waited for that primary to step down, an order that only the holder of the duty gives, directly. Where the holder had no way there the change never ended; its revocation lapsed after 5 s, the other VMs used the leaving primary again, and nothing else bounded that. Class: progress and a time limit that rest on one participant's cooperation. Ruled out: late news (known at 9.013 s on all VMs, acknowledged at 9.010), work taken earlier (requests arrived up to 11 s after the word). Change: a planned change fences the replicas, as one of a lost primary does, once the old primary is out of reach, gone from the list, or has not stepped down within 1 s; it begins on the others' word where the holder has no proof. The engine sends no new work, of any kind and also for other VMs, to a server that has been leaving for half of its time, that is gone, or whose leaving is of unknown age since the VM was out of touch with the store.

--- a/bin/currantshed-node/main.cpp
+++ b/bin/currantshed-node/main.cpp
@@ -23,6 +23,11 @@
 
 /// Exit code of a process that could not begin to listen.
 constexpr int kStartFailed = 1;
+/// Into how many parts the time of a server that leaves is divided, of which
+/// the first is for use. The rest is for its word to get here, up to three
+/// seconds where a connection to the store has gone silent, and for work under
+/// way.
+constexpr int kLeavingUsePart = 2;
 
 /// What the status addresses tell.
 class node_status final : public http::status_source
@@ -57,11 +62,13 @@
                const node::node_settings& aSettings)
     : mOptions(aOptions)
     , mSettings(aSettings)
-    , mTraffic(
-        mSettings,
-        { mSettings.vm, mSettings.failureDomain, aOptions.lead.validity },
-        mLines,
-        mMetrics)
+    , mTraffic(mSettings,
+               { mSettings.vm,
+                 mSettings.failureDomain,
+                 aOptions.lead.validity,
+                 mSettings.leavingTime / kLeavingUsePart },
+               mLines,
+               mMetrics)
     , mControl(
         mSettings,
         aOptions.lead,
--- a/src/currantshed/lead/group_lead_watch.cpp
+++ b/src/currantshed/lead/group_lead_watch.cpp
@@ -42,9 +42,12 @@
       takeover_reason::kLost, mProof.primary, mProof.term, aNow, mActions);
     return;
   }
+  // Without a proof of its own this VM goes by the others' word: they use the
+  // primary all the while.
+  const bool isInUse =
+    aNow < mProof.askedAt + mSettings.validity || IsReachedElsewhere(aNow);
   const bool leaves = mProof.term != 0 && primary != nullptr &&
-                      primary->listed.draining &&
-                      aNow < mProof.askedAt + mSettings.validity;
+                      primary->listed.draining && isInUse;
   const auto& all = mTable.All();
   const bool canMove =
     std::any_of(all.begin(), all.end(), [](const auto& aOne) {
--- a/src/currantshed/lead/takeover.cpp
+++ b/src/currantshed/lead/takeover.cpp
@@ -5,6 +5,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "currantshed/lead/internal/group_lead_times.hpp"
+
 namespace currantshed::lead {
 
 namespace {
@@ -16,6 +18,9 @@
 constexpr milliseconds kPromoteRound{ 400 };
 // Time between two lines on what a change waits for.
 constexpr milliseconds kNotePause{ 1000 };
+// How long a planned change waits for the old primary to step down by itself:
+// twice the time after which a server that does not answer is given up.
+constexpr milliseconds kStepDownTime{ 1000 };
 // How long a planned change waits for a replica to have all that the old
 // primary had.
 constexpr milliseconds kCatchUpTime{ 500 };
@@ -45,6 +50,7 @@
   mNextNote = aNow + kNotePause;
   mNextOrder = clock::time_point::max();
   mAllObeyed = false;
+  mFences = mReason != takeover_reason::kDraining;
   mChosen.clear();
   mRejected.clear();
   aOut.emplace_back(publish_revocation{ mOldTerm });
@@ -173,11 +179,13 @@
 }
 
 // The old primary is asked to step down, replicas to follow it no longer; a
-// planned change leaves the replicas free to receive its last commits.
+// planned change leaves the replicas free to receive its last commits, as long
+// as the old primary can be expected to step down.
 void
 takeover::Fence(clock::time_point aNow, std::vector<action>& aOut)
 {
   mNextSend = aNow + kRound;
+  mFences = mFences || NeedsFences(aNow);
   for (const auto& [id, view] : mTable.All()) {
     const bool isOld = id == mOld || (view.report && view.report->isPrimary);
     if (view.asking) {
@@ -190,7 +198,7 @@
                        : proxy::command_kind::kDemote,
            aNow,
            aOut);
-    } else if (mReason == takeover_reason::kDraining || IsFenced(view)) {
+    } else if (!mFences || IsFenced(view)) {
       Send(id, proxy::command_kind::kReport, aNow, aOut);
     } else {
       Send(id, proxy::command_kind::kFence, aNow, aOut);
@@ -198,6 +206,20 @@
   }
 }
 
+// Whether a planned change goes on without the old primary. Only this VM tells
+// it to step down, and may have no way there; a change that waited for it would
+// never end, nor would the use of a server that leaves.
+bool
+takeover::NeedsFences(clock::time_point aNow) const
+{
+  const auto* old = mTable.Find(mOld);
+  const bool steppedDown = old != nullptr && old->report &&
+                           old->askedAt >= mBegunAt && !old->report->isPrimary;
+  return !steppedDown &&
+         (old == nullptr || old->failures >= internal::kFailuresToLose ||
+          aNow >= mBegunAt + kStepDownTime);
+}
+
 bool
 takeover::IsFenced(const member_view& aView) const
 {
@@ -256,8 +278,7 @@
   if (best == nullptr) {
     return {};
   }
-  const bool mayCatchUp =
-    mReason == takeover_reason::kDraining && aNow < mBegunAt + kCatchUpTime;
+  const bool mayCatchUp = !mFences && aNow < mBegunAt + kCatchUpTime;
   if (mayCatchUp && best->report->received < goal) {
     return {};
   }
--- a/src/currantshed/lead/takeover.hpp
+++ b/src/currantshed/lead/takeover.hpp
@@ -93,6 +93,7 @@
             clock::time_point aNow,
             std::vector<action>& aOut);
   [[nodiscard]] bool IsFenced(const member_view& aView) const;
+  [[nodiscard]] bool NeedsFences(clock::time_point aNow) const;
   [[nodiscard]] upstream::server_id Choose(clock::time_point aNow) const;
 
   server_table& mTable;
@@ -109,6 +110,8 @@
   clock::time_point mWaitUntil;
   clock::time_point mBarredAt;
   bool mAllObeyed = false;
+  // Whether replicas are kept from following the old primary.
+  bool mFences = true;
   upstream::server_id mChosen;
   absl::btree_set<upstream::server_id> mRejected;
 };
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -94,7 +94,8 @@
   void ConfigurationChanged();
   void ServersChanged(clock::time_point aNow);
   [[nodiscard]] std::vector<proxy::server> ReadServers() const;
-  void NoteServers(const std::vector<server_news>& aNews) const;
+  void NoteServers(const std::vector<server_news>& aNews,
+                   list_source aSource) const;
   void ConfigureGroups(clock::time_point aNow);
   void OwnKeysChanged(clock::time_point aNow);
   void NoteStore(const std::string& aWhat,
--- a/src/currantshed/node/control_servers.cpp
+++ b/src/currantshed/node/control_servers.cpp
@@ -11,7 +11,9 @@
 control::ServersChanged(clock::time_point aNow)
 {
   const auto before = mServers.Servers();
-  NoteServers(mServers.Take(ReadServers(), aNow));
+  const auto source =
+    mServersView.MayBeOld() ? list_source::kCatchUp : list_source::kWatch;
+  NoteServers(mServers.Take(ReadServers(), source, aNow), source);
   if (mServers.Servers() == before) {
     return;
   }
@@ -46,7 +48,8 @@
 // One line for each server whose standing has changed, so that it can be told
 // when this VM knew that a server leaves, and how it came to know.
 void
-control::NoteServers(const std::vector<server_news>& aNews) const
+control::NoteServers(const std::vector<server_news>& aNews,
+                     list_source aSource) const
 {
   for (const auto& one : aNews) {
     const auto* lead = Find(one.server.service);
@@ -60,7 +63,7 @@
         { "service", one.server.service },
         { "standing", std::string(NameOf(one.standing)) },
         { "is_primary", leads },
-        { "learned_by", mServersView.WasRead() ? "reading" : "watch" },
+        { "learned_by", std::string(NameOf(aSource)) },
         { "revision", static_cast<std::int64_t>(mServersView.Seen()) } });
   }
 }
--- a/src/currantshed/node/server_list.cpp
+++ b/src/currantshed/node/server_list.cpp
@@ -13,6 +13,9 @@
 // live come back within two seconds after the store was away.
 constexpr milliseconds kMissingGrace{ 3000 };
 
+// Longer than any server takes to leave.
+constexpr std::chrono::hours kLongAgo{ 1 };
+
 const proxy::server*
 Find(const std::vector<proxy::server>& aServers, const upstream::server_id& aId)
 {
@@ -32,10 +35,13 @@
 } // namespace
 
 std::vector<server_news>
-server_list::Take(std::vector<proxy::server> aListed, clock::time_point aNow)
+server_list::Take(std::vector<proxy::server> aListed,
+                  list_source aSource,
+                  clock::time_point aNow)
 {
   std::vector<server_news> news;
-  for (const auto& one : aListed) {
+  for (auto& one : aListed) {
+    NoteLeaving(one, aSource, aNow);
     const auto* before = Find(mServers, one.id);
     const bool isNews = before == nullptr || before->draining != one.draining ||
                         mMissing.contains(one.id);
@@ -49,6 +55,25 @@
   return news;
 }
 
+// Since when a server may have been leaving: a VM that was out of touch with
+// the store does not know when it said so, and takes its time to be over.
+void
+server_list::NoteLeaving(proxy::server& aListed,
+                         list_source aSource,
+                         clock::time_point aNow) const
+{
+  if (!aListed.draining) {
+    return;
+  }
+  const auto* before = Find(mServers, aListed.id);
+  if (before != nullptr && before->leavingSince) {
+    aListed.leavingSince = before->leavingSince;
+  } else {
+    aListed.leavingSince =
+      aSource == list_source::kWatch ? aNow : aNow - kLongAgo;
+  }
+}
+
 void
 server_list::KeepMissing(std::vector<proxy::server>& aListed,
                          std::vector<server_news>& aNews,
@@ -96,4 +121,10 @@
   return "unknown";
 }
 
+std::string_view
+NameOf(list_source aSource)
+{
+  return aSource == list_source::kWatch ? "watch" : "catch_up";
+}
+
 } // namespace currantshed::node
--- a/src/currantshed/node/server_list.hpp
+++ b/src/currantshed/node/server_list.hpp
@@ -25,6 +25,15 @@
   kGone,
 };
 
+/// How a VM came to know what the store lists.
+enum class list_source
+{
+  /// Changes came as they were made.
+  kWatch,
+  /// What the changes in between were, and when they were made, is not known.
+  kCatchUp,
+};
+
 /// One belief that has changed, for the log.
 struct server_news
 {
@@ -39,6 +48,7 @@
 public:
   /// Takes over what the store lists now. Returns whose standing has changed.
   std::vector<server_news> Take(std::vector<proxy::server> aListed,
+                                list_source aSource,
                                 clock::time_point aNow);
 
   /// Whether the time of a missing server is up, so that the list is to be
@@ -51,6 +61,9 @@
   }
 
 private:
+  void NoteLeaving(proxy::server& aListed,
+                   list_source aSource,
+                   clock::time_point aNow) const;
   void KeepMissing(std::vector<proxy::server>& aListed,
                    std::vector<server_news>& aNews,
                    clock::time_point aNow);
@@ -64,6 +77,10 @@
 [[nodiscard]] std::string_view
 NameOf(server_standing aStanding);
 
+/// The source as one word for logs.
+[[nodiscard]] std::string_view
+NameOf(list_source aSource);
+
 } // namespace currantshed::node
 
 #endif
--- a/src/currantshed/node/settings.hpp
+++ b/src/currantshed/node/settings.hpp
@@ -42,6 +42,8 @@
   std::size_t descriptors = 1024;
   /// From the order to stop until the process is killed.
   std::chrono::milliseconds stopTime{ 6000 };
+  /// How long after its word a server that leaves may get work.
+  std::chrono::milliseconds leavingTime{ 7000 };
   /// What the VM's own link carries in a second.
   double linkMegabits = 1000;
   /// The shortest lease that the store grants.
--- a/src/currantshed/proxy/configuration.hpp
+++ b/src/currantshed/proxy/configuration.hpp
@@ -4,10 +4,12 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <absl/container/flat_hash_map.h>
 
+#include "currantshed/clock/time.hpp"
 #include "currantshed/proxy/fwd.hpp"
 #include "currantshed/upstream/fwd.hpp"
 
@@ -72,6 +74,9 @@
   std::string failureDomain;
   /// Leaves soon: gets no new work where another one can take it.
   bool draining = false;
+  /// Since when it may have said so, at the earliest; none where only the time
+  /// at which that was learned is known.
+  std::optional<clock::time_point> leavingSince;
 
   [[nodiscard]] friend bool operator==(const server&, const server&) = default;
 };
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -101,6 +101,8 @@
   std::string failureDomain;
   /// How long a confirmation holds.
   std::chrono::milliseconds validity{ 1000 };
+  /// How long a server that leaves may be used after it has said so.
+  std::chrono::milliseconds leavingUse{ 3500 };
 };
 
 /// How an order to a server ended: the server's word, none when it refused
@@ -276,6 +278,9 @@
                               const request& aRequest,
                               const lead_state& aLead,
                               clock::time_point aNow) const;
+  [[nodiscard]] bool TakesWork(const upstream::server_id& aServer,
+                               const request& aRequest,
+                               clock::time_point aNow) const;
   void AskForProof(const std::string& aService, clock::time_point aNow);
 
   // Connections.
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -47,6 +47,10 @@
   Schedule(aSession, request.deadline);
   auto* on = aSession.transaction ? aSession.transaction->on : nullptr;
   if (on == nullptr) {
+    if (aSession.IsRelay() && !TakesWork(aSession.relaysTo, request, aNow)) {
+      TurnAway(aSession, "server_leaves", aNow);
+      return;
+    }
     if (!TryStart(aSession, aNow)) {
       Wait(aSession, aNow);
     }
@@ -130,6 +134,13 @@
     on.Send(prelude, { purpose::kPrelude, aNow });
     return;
   }
+  // Taking the session's values may have held the request up.
+  const bool begun = aSession.transaction && aSession.transaction->begun;
+  if (!begun && !TakesWork(on.server, request, aNow)) {
+    ReleaseConnection(aSession, aNow);
+    Requeue(aSession, aNow);
+    return;
+  }
   const auto& lead = LeadOf(request.under->service);
   request.ranOn = on.server;
   request.term = lead.proof.primary == on.server ? lead.proof.term : 0;
@@ -236,7 +247,7 @@
     return nullptr;
   }
   auto* primary = Find(lead.proof.primary);
-  if (primary == nullptr) {
+  if (primary == nullptr || !primary->TakesWork(mSettings.leavingUse, aNow)) {
     return nullptr;
   }
   return Acquire(*primary, aSession.values, aNow);
@@ -286,13 +297,14 @@
   const auto& id = aServer.listed.id;
   const auto& refused = aRequest.refusedBy;
   if (std::find(refused.begin(), refused.end(), id) != refused.end() ||
-      !aServer.IsReachable(aNow)) {
+      !aServer.IsReachable(aNow) ||
+      !aServer.TakesWork(mSettings.leavingUse, aNow)) {
     return false;
   }
   if (id == aLead.proof.primary) {
     return Leads(aLead, id, aNow + kConfirmationReserve);
   }
-  if (aServer.listed.draining || aServer.unlisted) {
+  if (aServer.listed.draining) {
     return false;
   }
   if (!aRequest.floor.position) {
@@ -304,6 +316,23 @@
   return aNow - aRequest.floor.writtenBy >= aServer.Lag(aNow);
 }
 
+// Whether the request may still be sent to the server. The use of one that
+// leaves ends by itself, however its replacement goes: it may exit at any time
+// after its own time is over, and has had requests 11 s after its word without
+// this. Questions about its state are no work.
+bool
+engine::TakesWork(const upstream::server_id& aServer,
+                  const request& aRequest,
+                  clock::time_point aNow) const
+{
+  if (aRequest.asked.kind == statement_kind::kReport) {
+    return true;
+  }
+  const auto found = mServers.find(aServer);
+  return found != mServers.end() &&
+         found->second.TakesWork(mSettings.leavingUse, aNow);
+}
+
 void
 engine::AskForProof(const std::string& aService, clock::time_point aNow)
 {
@@ -323,6 +352,9 @@
     EndRelay(aSession);
     return nullptr;
   }
+  if (!TakesWork(aSession.relaysTo, *aSession.current, aNow)) {
+    return nullptr;
+  }
   auto* idle = state->Idle(aSession.values, true);
   if (idle == nullptr && state->Opening(true) == 0 &&
       state->MayOpenDirect(state->plan.connections, aNow)) {
--- a/src/currantshed/proxy/engine_wait.cpp
+++ b/src/currantshed/proxy/engine_wait.cpp
@@ -90,7 +90,8 @@
   const auto& request = *aSession.current;
   const auto& lead = LeadOf(request.under->service);
   if (request.needsPrimary) {
-    return !Leads(lead, lead.proof.primary, aNow);
+    return !Leads(lead, lead.proof.primary, aNow) ||
+           !TakesWork(lead.proof.primary, request, aNow);
   }
   return std::none_of(
     mServers.begin(), mServers.end(), [&](const auto& aEntry) {
@@ -130,6 +131,9 @@
   }
   const auto& request = *aSession.current;
   const auto& lead = LeadOf(request.under->service);
+  if (request.needsPrimary && !TakesWork(lead.proof.primary, request, aNow)) {
+    return "primary_leaves";
+  }
   if (request.needsPrimary || !request.floor.position) {
     return Leads(lead, lead.proof.primary, aNow) ? "primary_busy"
                                                  : "primary_not_proved";
--- a/src/currantshed/proxy/server_state.cpp
+++ b/src/currantshed/proxy/server_state.cpp
@@ -62,10 +62,16 @@
   if (!aListed.draining) {
     leavingSince.reset();
   } else if (!leavingSince) {
-    leavingSince = aNow;
+    leavingSince = aListed.leavingSince.value_or(aNow);
   }
 }
 
+bool
+server_state::TakesWork(milliseconds aLeavingUse, clock::time_point aNow) const
+{
+  return !unlisted && !(leavingSince && aNow >= *leavingSince + aLeavingUse);
+}
+
 unsigned
 server_state::Running() const
 {
--- a/src/currantshed/proxy/server_state.hpp
+++ b/src/currantshed/proxy/server_state.hpp
@@ -41,6 +41,11 @@
   [[nodiscard]] bool MayOpenDirect(std::size_t aLimit,
                                    clock::time_point aNow) const;
 
+  /// Whether new work may go there: not to a server that is gone, nor to one
+  /// that has been leaving for longer than the given time.
+  [[nodiscard]] bool TakesWork(std::chrono::milliseconds aLeavingUse,
+                               clock::time_point aNow) const;
+
   /// Whether requests had better go elsewhere for now.
   [[nodiscard]] bool IsAvoided(clock::time_point aNow) const;
 
@@ -77,7 +82,7 @@
 
   server listed;
   access_plan plan;
-  /// Since when this VM knows that the server leaves, if it does.
+  /// Since when the server may have said that it leaves, if it does.
   std::optional<clock::time_point> leavingSince;
   /// The platform does not list it any longer; it goes once it is idle.
   bool unlisted = false;
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -113,7 +113,8 @@
                  mSeen = aRevision;
                  mMustRead = false;
                  mIsKnown = true;
-                 mWasRead = true;
+                 mMayBeOld = true;
+                 mMissedSome = false;
                  Succeeded(false, aNow);
                  mListener.changed(aNow);
                });
@@ -152,7 +153,8 @@
                    }
                  }
                  mSeen = aRevision;
-                 mWasRead = mWasRead && aChanges.empty();
+                 mMayBeOld = mMissedSome;
+                 mMissedSome = false;
                  Succeeded(!aChanges.empty(), aNow);
                  if (!aChanges.empty()) {
                    mListener.changed(aNow);
@@ -163,6 +165,7 @@
 void
 prefix_view::Failed(std::error_code aError, clock::time_point aNow)
 {
+  mMissedSome = true;
   if (aError == errc::kHistoryGone) {
     mNotBefore = aNow;
     return;
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -79,9 +79,9 @@
   /// Whether the keys were read at least once.
   [[nodiscard]] bool IsKnown() const noexcept { return mIsKnown; }
   [[nodiscard]] bool IsReached() const noexcept { return mIsReached; }
-  /// Whether the last changes came with a reading of all keys, not by a watch:
-  /// then they may be as old as the reading before.
-  [[nodiscard]] bool WasRead() const noexcept { return mWasRead; }
+  /// Whether the last changes may have been made long before they were seen:
+  /// they came with a reading of all keys, or after a watch had failed.
+  [[nodiscard]] bool MayBeOld() const noexcept { return mMayBeOld; }
   /// The revision up to which changes are known.
   [[nodiscard]] revision Seen() const noexcept { return mSeen; }
   [[nodiscard]] const items& Items() const noexcept { return mItems; }
@@ -106,7 +106,9 @@
   bool mIsKnown = false;
   bool mMustRead = true;
   bool mIsReached = false;
-  bool mWasRead = true;
+  bool mMayBeOld = true;
+  // A watch has failed since the last answer.
+  bool mMissedSome = true;
   bool mIsCalling = false;
   clock::time_point mNotBefore{};
   double mRandom = 0;
--- a/test/currantshed/node/server_list.cpp
+++ b/test/currantshed/node/server_list.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,7 @@
 
 using namespace currantshed;
 using namespace std::chrono_literals;
+using node::list_source;
 using node::server_standing;
 
 namespace {
@@ -115,8 +117,9 @@
     std::vector<told> heard;
     for (const auto& listing : row.given) {
       heard.clear();
-      for (const auto& one :
-           list.Take(ServersOf(listing.names), kStart + listing.at)) {
+      for (const auto& one : list.Take(ServersOf(listing.names),
+                                       list_source::kWatch,
+                                       kStart + listing.at)) {
         heard.push_back({ one.server.id, one.standing });
       }
     }
@@ -128,10 +131,89 @@
 TEST(server_list, is_due_when_the_time_of_a_missing_server_is_up)
 {
   node::server_list list;
-  list.Take(ServersOf({ "a", "b" }), kStart);
-  list.Take(ServersOf({ "b" }), kStart + 100ms);
+  list.Take(ServersOf({ "a", "b" }), list_source::kWatch, kStart);
+  list.Take(ServersOf({ "b" }), list_source::kWatch, kStart + 100ms);
   CHECK(!list.IsDue(kStart + 3099ms));
   CHECK(list.IsDue(kStart + 3100ms));
-  list.Take(ServersOf({ "b" }), kStart + 3100ms);
+  list.Take(ServersOf({ "b" }), list_source::kWatch, kStart + 3100ms);
   CHECK(!list.IsDue(kStart + 9000ms));
 }
+
+namespace {
+
+struct source_step
+{
+  std::chrono::milliseconds at;
+  list_source source;
+  std::vector<std::string> names;
+};
+
+struct age_row
+{
+  const char* name;
+  std::vector<source_step> given;
+  /// How long "a" may have been leaving at the time of the last step, at the
+  /// most; none if it is not.
+  std::optional<std::chrono::milliseconds> expect;
+};
+
+constexpr std::chrono::milliseconds kUnknownAge = 1h;
+
+const age_row kAgeRows[] = {
+  { "one that stays",
+    { { 0ms, list_source::kCatchUp, { "a" } } },
+    std::nullopt },
+  { "its word came by the watch",
+    { { 0ms, list_source::kCatchUp, { "a" } },
+      { 900ms, list_source::kWatch, { "A" } },
+      { 1500ms, list_source::kWatch, { "A", "b" } } },
+    600ms },
+  { "its word came while this VM was out of touch",
+    { { 0ms, list_source::kCatchUp, { "a" } },
+      { 900ms, list_source::kCatchUp, { "A" } } },
+    kUnknownAge },
+  { "it was leaving when this VM started",
+    { { 0ms, list_source::kCatchUp, { "A" } } },
+    kUnknownAge },
+  { "what was known before this VM was out of touch is kept",
+    { { 0ms, list_source::kCatchUp, { "a" } },
+      { 900ms, list_source::kWatch, { "A" } },
+      { 2900ms, list_source::kCatchUp, { "A" } } },
+    2000ms },
+  { "its entry lapses and is back",
+    { { 0ms, list_source::kCatchUp, { "a" } },
+      { 900ms, list_source::kWatch, { "A" } },
+      { 1900ms, list_source::kWatch, {} },
+      { 2900ms, list_source::kCatchUp, { "A" } } },
+    2000ms },
+  { "it stays after all, and leaves later",
+    { { 0ms, list_source::kCatchUp, { "A" } },
+      { 900ms, list_source::kWatch, { "a" } },
+      { 1900ms, list_source::kWatch, { "A" } },
+      { 2000ms, list_source::kWatch, { "A", "b" } } },
+    100ms },
+};
+
+} // namespace
+
+TEST(server_list, knows_how_long_a_server_may_have_been_leaving)
+{
+  for (const auto& row : kAgeRows) {
+    node::server_list list;
+    for (const auto& step : row.given) {
+      list.Take(ServersOf(step.names), step.source, kStart + step.at);
+    }
+    const auto& servers = list.Servers();
+    const auto found =
+      std::find_if(servers.begin(), servers.end(), [](const auto& aOne) {
+        return aOne.id == "a";
+      });
+    CHECK_TEXT(found != servers.end(), row.name);
+    CHECK_TEXT(found->leavingSince.has_value() == row.expect.has_value(),
+               row.name);
+    if (row.expect) {
+      const auto at = kStart + row.given.back().at;
+      CHECK_TEXT(at - *found->leavingSince == *row.expect, row.name);
+    }
+  }
+}
--- a/test/currantshed/proxy/leaving.cpp
+++ b/test/currantshed/proxy/leaving.cpp
@@ -282,3 +282,46 @@
   vm.Pass(300ms);
   CHECK(!vm.HasWork("a"));
 }
+
+namespace {
+
+struct relay_row
+{
+  const char* name;
+  proxy::statement_kind asked;
+  /// How long the server has been leaving.
+  std::chrono::milliseconds after;
+  /// Whether it is sent on; otherwise it is refused at once.
+  bool expected;
+};
+
+const relay_row kRelayRows[] = {
+  { "in time", proxy::statement_kind::kRead, 500ms, true },
+  { "a statement", proxy::statement_kind::kRead, 6500ms, false },
+  { "a transaction", proxy::statement_kind::kBegin, 6500ms, false },
+  { "a question about its state",
+    proxy::statement_kind::kReport,
+    6500ms,
+    true },
+};
+
+} // namespace
+
+TEST(leaving_servers, get_no_work_from_other_vms_when_their_time_is_nearly_over)
+{
+  for (const auto& row : kRelayRows) {
+    one_vm vm;
+    hearing_caller caller;
+    Leave(vm);
+    vm.Pass(row.after);
+    const auto session = vm.engine.OpenRelay("a", caller);
+    vm.Ask(*session, row.asked, "READ 1");
+    if (!row.expected) {
+      CHECK_TEXT(caller.heard && caller.heard->failed, row.name);
+      CHECK_TEXT(caller.heard->failed->code == proxy::failure_code::kBusy,
+                 row.name);
+    }
+    vm.Pass(500ms);
+    CHECK_TEXT(vm.HasWork("a") == row.expected, row.name);
+  }
+}
--- a/test/platform/documents.cpp
+++ b/test/platform/documents.cpp
@@ -26,7 +26,7 @@
 constexpr const char* kSettings = R"({"node_name":"front-1","zone":"marka",
 "ip":"10.1.0.8","internal_ports":[7440,7455],
 "listen":{"front":"10.1.0.8:8784","ready":"10.1.0.8:8785"},
-"limits":{"max_fds":4200},"bounds":{"grace_s":6,"config_apply_ms":3000},
+"limits":{"max_fds":4200},"bounds":{"grace_s":6,"drain_ms":9000,"config_apply_ms":3000},
 "platform":{"address":"10.200.1.7:8783","ttl_min_ms":1000},
 "cloud_api":{"address":"10.200.0.160:8783"}})";
 
@@ -131,6 +131,7 @@
   CHECK_EQUAL(7441, read->relays.port);
   CHECK_EQUAL(7455, read->metrics.port);
   CHECK(read->stopTime == std::chrono::seconds{ 6 });
+  CHECK(read->leavingTime == std::chrono::seconds{ 9 });
   for (const auto& row : kBrokenSettings) {
     whyNot.clear();
     CHECK_TEXT(
