Failing test: orders to promote that are under way depose a primary rested on

The platform takes a second from an order to its effect; a change repeats its order every 400 ms even when it was taken, and takes any newer term for its own success. When the server that was promoted leaves at once, the orders still under way promote it again, each change begins anew with another choice, and a late order deposes a primary that the VMs rest on. The tests' platform now carries out each order by itself.

--- a/test/currantshed/lead/bench.hpp
+++ b/test/currantshed/lead/bench.hpp
@@ -1,6 +1,7 @@
 #ifndef CURRANTSHED_TEST_LEAD_BENCH_HPP
 #define CURRANTSHED_TEST_LEAD_BENCH_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -54,9 +55,7 @@
     for (const auto end = now + aSpan; now < end; now += kStep) {
       lead.Tick(now);
       Perform();
-      if (promoting != clock::time_point{} && now >= promoting) {
-        Lead();
-      }
+      TakeEffect();
       FailPending();
       if (everyStep) {
         everyStep();
@@ -85,7 +84,20 @@
   /// The VMs that the store lists; none while it does not answer.
   std::optional<std::vector<std::string>> vms{ std::vector<std::string>{} };
   std::function<void()> everyStep;
-  clock::time_point promoting{};
+  /// Orders that have yet to take effect, in their order.
+  struct pending_promotion
+  {
+    std::string server;
+    clock::time_point at;
+  };
+
+  std::vector<pending_promotion> promoting;
+  /// How long the platform takes from an order to its effect.
+  std::chrono::milliseconds promotesAfter{ 300 };
+  /// Whether the platform answers orders that it takes.
+  bool answersOrders = true;
+  /// Promotions that took effect while a proof of another primary held.
+  int unsafe = 0;
   /// Whether a promotion lifts every fence, as the platform does for servers
   /// that it reaches.
   bool liftsFences = false;
@@ -159,9 +171,9 @@
     const bool rejects = rejectsFirst && promoted.empty();
     promoted.push_back(aAction.server);
     if (!rejects) {
-      promoting = now + 300ms;
+      promoting.push_back({ aAction.server, now + promotesAfter });
     }
-    lead.PromotionAnswered(!rejects, rejects, now);
+    lead.PromotionAnswered(!rejects && answersOrders, rejects, now);
   }
 
   void Do(const lead::check_terms&)
@@ -205,13 +217,33 @@
     }
   }
 
-  void Lead()
+  void TakeEffect()
+  {
+    while (!promoting.empty() && now >= promoting.front().at) {
+      const auto promotion = promoting.front();
+      promoting.erase(promoting.begin());
+      Lead(promotion.server);
+    }
+  }
+
+  /// The server leads the next term, unless it leads already.
+  void Lead(const std::string& aServer)
   {
-    auto& server = servers[promoted.back()];
+    position::term_id highest = 0;
+    for (const auto& [id, one] : servers) {
+      highest = std::max(highest, one.term);
+    }
+    auto& server = servers[aServer];
+    if (server.primary && server.term == highest) {
+      return;
+    }
+    const auto& proof = lead.Proof();
+    const bool isHeld =
+      now < proof.askedAt + 1000ms && proof.term > lead.Watch().revokedTerm;
+    unsafe += isHeld && proof.primary != aServer ? 1 : 0;
     server.primary = true;
     server.fencedAt = 0;
-    server.term = 2;
-    promoting = {};
+    server.term = highest + 1;
     if (liftsFences) {
       for (auto& [id, one] : servers) {
         one.fencedAt = 0;
