An order to promote is repeated only when it may be lost, and is waited for

Class: an effect under way that is not accounted for. Change: an order that was taken is repeated after 2 s, or when its server falls silent; no change begins while repeated orders of the last one may still take effect; a server that leads by an earlier order, while a later one is under way, is revoked and demoted instead of being rested on.

--- a/src/currantshed/lead/group_lead_proof.cpp
+++ b/src/currantshed/lead/group_lead_proof.cpp
@@ -121,6 +121,10 @@
     CheckTerms(*proof, aNow);
     return;
   }
+  if (mTakeover.IsOvertakenBy(proof->primary, aNow)) {
+    mTakeover.Overtaken(*proof, mActions);
+    return;
+  }
   TakeProof(*proof, true, aNow);
   TakeSample(aNow);
   if (IsChanging() && mProof.term > mTakeover.RevokedTerm()) {
--- a/src/currantshed/lead/group_lead_watch.cpp
+++ b/src/currantshed/lead/group_lead_watch.cpp
@@ -31,7 +31,8 @@
 void
 group_lead::Judge(clock::time_point aNow)
 {
-  if (IsChanging() || aNow < mDutySince + kFirstLook) {
+  if (IsChanging() || aNow < mDutySince + kFirstLook ||
+      aNow < mTakeover.QuietUntil()) {
     return;
   }
   mMustObey.reset();
--- a/src/currantshed/lead/takeover.cpp
+++ b/src/currantshed/lead/takeover.cpp
@@ -16,6 +16,10 @@
 // Pause between two rounds of fences, of questions, or of orders to promote.
 constexpr milliseconds kRound{ 100 };
 constexpr milliseconds kPromoteRound{ 400 };
+// How long after an order its effect may come: nearly twice the 1.1 s that it
+// took at the most. An order that was taken is not repeated before, since each
+// takes effect, one after the other.
+constexpr milliseconds kOrderEffect{ 2000 };
 // Time between two lines on what a change waits for.
 constexpr milliseconds kNotePause{ 1000 };
 // How long a planned change waits for the old primary to step down by itself:
@@ -52,6 +56,7 @@
   mAllObeyed = false;
   mFences = mReason != takeover_reason::kDraining;
   mChosen.clear();
+  mOrders = 0;
   mRejected.clear();
   aOut.emplace_back(publish_revocation{ mOldTerm });
   aOut.emplace_back(note_step{
@@ -92,7 +97,9 @@
     mStep = takeover_step::kFence;
     mNextSend = aNow + kRound;
     mNextOrder = clock::time_point::max();
-  } else if (!aTaken) {
+  } else if (aTaken) {
+    mNextOrder = mLastOrderAt + kOrderEffect;
+  } else {
     mNextOrder = std::min(mNextOrder, aNow + kRound);
   }
 }
@@ -112,6 +119,9 @@
     mStep = takeover_step::kPromote;
     mNextOrder = aNow;
   }
+  if (mStep == takeover_step::kPromote) {
+    OrderAnew(aNow);
+  }
   if (mStep == takeover_step::kPromote && aNow >= mNextOrder) {
     Promote(aNow, aOut);
   }
@@ -142,6 +152,10 @@
 {
   const auto took = std::chrono::duration_cast<milliseconds>(aNow - mBegunAt);
   mStep = takeover_step::kNone;
+  const bool allCameTrue = mOrders == 1 && aPrimary == mChosen;
+  if (mOrders > 0 && !allCameTrue) {
+    mQuietUntil = mLastOrderAt + kOrderEffect;
+  }
   aOut.emplace_back(publish_revocation{ 0 });
   aOut.emplace_back(note_step{
     "done", absl::StrCat("primary=", aPrimary, " took_ms=", took.count()) });
@@ -178,6 +192,41 @@
                                             silent) });
 }
 
+bool
+takeover::IsOvertakenBy(const upstream::server_id& aPrimary,
+                        clock::time_point aNow) const
+{
+  return mStep == takeover_step::kPromote && mOrders > 0 &&
+         aPrimary != mChosen && aNow < mLastOrderAt + kOrderEffect;
+}
+
+// An order of a change before, or of another holder, had its effect late. The
+// server that leads by it is about to be deposed: nobody may rest on it.
+void
+takeover::Overtaken(const proxy::confirmation& aProof,
+                    std::vector<action>& aOut)
+{
+  mOld = aProof.primary;
+  mOldTerm = aProof.term;
+  aOut.emplace_back(publish_revocation{ mOldTerm });
+  aOut.emplace_back(
+    note_step{ "overtaken", absl::StrCat("by=", mOld, " term=", mOldTerm) });
+}
+
+// A chosen server that falls silent may have failed before the order took
+// effect; the platform tells so when it is ordered again.
+void
+takeover::OrderAnew(clock::time_point aNow)
+{
+  const auto* chosen = mTable.Find(mChosen);
+  const bool isSilent =
+    chosen != nullptr && chosen->failures >= internal::kFailuresToLose;
+  if (isSilent && mOrders > 0) {
+    mNextOrder =
+      std::min(mNextOrder, std::max(aNow, mLastOrderAt + kPromoteRound));
+  }
+}
+
 // The old primary is asked to step down, replicas to follow it no longer; a
 // planned change leaves the replicas free to receive its last commits, as long
 // as the old primary can be expected to step down.
@@ -314,6 +363,8 @@
   if (mChosen.empty() || mRejected.contains(mChosen)) {
     mChosen = chosen;
   }
+  ++mOrders;
+  mLastOrderAt = aNow;
   mNextOrder = aNow + kPromoteRound;
   aOut.emplace_back(note_step{ "promote", mChosen });
   aOut.emplace_back(order_promotion{ mChosen, mOldTerm });
--- a/src/currantshed/lead/takeover.hpp
+++ b/src/currantshed/lead/takeover.hpp
@@ -69,6 +69,16 @@
 
   [[nodiscard]] takeover_step Step() const noexcept { return mStep; }
   [[nodiscard]] clock::time_point BegunAt() const noexcept { return mBegunAt; }
+  /// Until when orders of the last change may still take effect: no other
+  /// change begins before.
+  [[nodiscard]] clock::time_point QuietUntil() const noexcept
+  {
+    return mQuietUntil;
+  }
+  /// Whether a server that leads a newer term will be deposed by an order to
+  /// promote another one that is still under way.
+  [[nodiscard]] bool IsOvertakenBy(const upstream::server_id& aPrimary,
+                                   clock::time_point aNow) const;
   /// When no new proof of the old term could come about any more.
   [[nodiscard]] clock::time_point BarredAt() const noexcept
   {
@@ -77,6 +87,10 @@
   /// The term that no VM may rest on any more, or zero.
   [[nodiscard]] position::term_id RevokedTerm() const noexcept;
 
+  /// A server leads a newer term, but not for long: the change goes on, to
+  /// replace that one.
+  void Overtaken(const proxy::confirmation& aProof, std::vector<action>& aOut);
+
   /// A server leads a newer term: the change is done.
   void Succeeded(const upstream::server_id& aPrimary,
                  clock::time_point aNow,
@@ -86,6 +100,7 @@
   void NoteWait(clock::time_point aNow, std::vector<action>& aOut);
   void Fence(clock::time_point aNow, std::vector<action>& aOut);
   void ReadFences(clock::time_point aNow, std::vector<action>& aOut);
+  void OrderAnew(clock::time_point aNow);
   void DemoteOld(clock::time_point aNow, std::vector<action>& aOut);
   void Promote(clock::time_point aNow, std::vector<action>& aOut);
   void Send(const upstream::server_id& aServer,
@@ -113,6 +128,9 @@
   // Whether replicas are kept from following the old primary.
   bool mFences = true;
   upstream::server_id mChosen;
+  clock::time_point mLastOrderAt;
+  unsigned mOrders = 0;
+  clock::time_point mQuietUntil;
   absl::btree_set<upstream::server_id> mRejected;
 };
 
