Failing tests: a server that starts again under its id; the start is read

Cause: nothing read when a server had started, so that what was believed of it (that it leads, where its log stands, that it leaves, its reports) outlived it.

--- a/src/currantshed/lead/server_table.hpp
+++ b/src/currantshed/lead/server_table.hpp
@@ -24,6 +24,8 @@
   bool isNear = false;
   /// Leaves soon.
   bool draining = false;
+  /// Which of its lives it is.
+  proxy::start_time startedAt{};
 };
 
 /// What a member said last, and how it answers.
--- a/src/currantshed/node/control_servers.cpp
+++ b/src/currantshed/node/control_servers.cpp
@@ -74,7 +74,10 @@
   absl::btree_map<std::string, std::vector<lead::member>> members;
   for (const auto& one : mServers.Servers()) {
     members[one.service].push_back(
-      { one.id, one.failureDomain == mSettings.failureDomain, one.draining });
+      { one.id,
+        one.failureDomain == mSettings.failureDomain,
+        one.draining,
+        one.startedAt });
   }
   for (auto& [service, listed] : members) {
     auto& place = mGroups[service];
--- a/src/currantshed/proxy/configuration.hpp
+++ b/src/currantshed/proxy/configuration.hpp
@@ -63,10 +63,28 @@
   std::chrono::milliseconds transactionIdle{ 3000 };
 };
 
+/// The time of day at which a server says that it started; zero where it says
+/// nothing of it.
+using start_time = std::chrono::sys_time<std::chrono::milliseconds>;
+
+/// One life of a server. A server may start again under its id, and then holds
+/// and knows nothing of before: what is believed of one incarnation says nothing
+/// of another. Clocks step, so that two of them have no order but that in which
+/// the platform's store shows them.
+struct incarnation
+{
+  upstream::server_id id;
+  start_time startedAt{};
+
+  [[nodiscard]] friend bool operator==(const incarnation&,
+                                       const incarnation&) = default;
+};
+
 /// One server as the platform lists it.
 struct server
 {
   upstream::server_id id;
+  start_time startedAt{};
   std::string service;
   /// IP number.
   std::string address;
@@ -78,6 +96,8 @@
   /// at which that was learned is known.
   std::optional<clock::time_point> leavingSince;
 
+  [[nodiscard]] incarnation Life() const { return { id, startedAt }; }
+
   [[nodiscard]] friend bool operator==(const server&, const server&) = default;
 };
 
--- /dev/null
+++ b/test/currantshed/proxy/restarted.cpp
@@ -0,0 +1,134 @@
+// A server may start again under the id that it had, and then holds nothing of
+// what it had acknowledged. What this VM believes of its life before, that it
+// leads, where its log stands, that it leaves, must not count for the new one.
+#include <chrono>
+#include <functional>
+
+#include "test/currantshed/proxy/one_vm.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+using namespace std::chrono_literals;
+using test::hearing_caller;
+using test::one_vm;
+
+namespace {
+
+struct restart_row
+{
+  const char* name;
+  proxy::statement_kind asked;
+  std::function<void(one_vm&)> given;
+  /// Whether "a" gets the request.
+  bool expected;
+};
+
+void
+ProveAgain(one_vm& aVm, std::chrono::milliseconds aAge)
+{
+  aVm.Pass(100ms);
+  aVm.engine.Confirm("claims", { 1, "a", aVm.now - aAge }, aVm.now);
+}
+
+const restart_row kRows[] = {
+  { "the primary is the same",
+    proxy::statement_kind::kRead,
+    [](one_vm&) {},
+    true },
+  { "the primary has started again",
+    proxy::statement_kind::kRead,
+    [](one_vm& aVm) { aVm.Restart("a"); },
+    false },
+  { "the primary has started again, and a change is asked for",
+    proxy::statement_kind::kWrite,
+    [](one_vm& aVm) { aVm.Restart("a"); },
+    false },
+  { "another server has started again",
+    proxy::statement_kind::kRead,
+    [](one_vm& aVm) { aVm.Restart("b"); },
+    true },
+  { "a proof of its life before comes late",
+    proxy::statement_kind::kRead,
+    [](one_vm& aVm) {
+      aVm.Restart("a");
+      ProveAgain(aVm, 200ms);
+    },
+    false },
+  { "it is proved in its new life",
+    proxy::statement_kind::kRead,
+    [](one_vm& aVm) {
+      aVm.Restart("a");
+      ProveAgain(aVm, 50ms);
+    },
+    true },
+  { "it was leaving, and starts again",
+    proxy::statement_kind::kRead,
+    [](one_vm& aVm) {
+      aVm.List({ "a", "b" }, { "a" });
+      aVm.Pass(20000ms);
+      aVm.Restart("a");
+      ProveAgain(aVm, 50ms);
+    },
+    true },
+};
+
+} // namespace
+
+TEST_GROUP(restarted_servers){};
+
+TEST(restarted_servers, are_not_taken_for_what_they_were)
+{
+  for (const auto& row : kRows) {
+    one_vm vm;
+    hearing_caller caller;
+    row.given(vm);
+    const auto session = vm.engine.Open("claims", caller);
+    vm.Ask(*session, row.asked, "READ 1");
+    vm.Pass(500ms);
+    CHECK_TEXT(vm.HasWork("a") == row.expected, row.name);
+  }
+}
+
+// The replica held what the read must see; its next life does not.
+TEST(restarted_servers, hold_nothing_of_before)
+{
+  for (const bool restarts : { false, true }) {
+    one_vm vm;
+    hearing_caller caller;
+    vm.engine.AddSample("claims", { 1, { 1, 5 }, vm.now });
+    // The primary is not proved any more: only the replica may serve.
+    vm.engine.Revoke("claims", 1);
+    if (restarts) {
+      vm.opensAt = {};
+      vm.Restart("b");
+    }
+    const auto session = vm.engine.Open("claims-read", caller);
+    vm.Ask(*session, proxy::statement_kind::kRead, "READ 1");
+    CHECK_EQUAL(!restarts, vm.HasWork("b"));
+  }
+}
+
+// A connection may belong to the life before. What is under way on it ends as
+// ever; nothing else is sent on it.
+TEST(restarted_servers, get_no_new_work_on_connections_of_before)
+{
+  one_vm vm;
+  hearing_caller caller;
+  const auto session = vm.engine.Open("claims", caller);
+  vm.Ask(*session, proxy::statement_kind::kRead, "READ 1");
+  vm.Pass(50ms);
+  auto* before = vm.servers.listeners["a"];
+  const auto opened = vm.servers.opened;
+  vm.Restart("a");
+  ProveAgain(vm, 0ms);
+  proxy::answer made;
+  made.signature = "a.1";
+  made.position = position::log_position{ 1, 5 };
+  before->Answered(made, vm.now);
+  CHECK(caller.heard && !caller.heard->failed);
+  vm.Ask(*session, proxy::statement_kind::kRead, "READ 2");
+  vm.Pass(500ms);
+  CHECK(vm.servers.opened > opened);
+  CHECK(vm.servers.listeners["a"] != before);
+}
