A server is known by id and start; what was believed of an earlier life is void

Ruled out: an order by the time of the start, since clocks step; the store's order of revisions decides, and any other start than the one believed counts as a new life. Change: a new life voids the proof, the reports, the position, what was learned and the leaving of the one before; its connections take no new work; proofs and answers asked for before it was known are not taken. One check of the tests was wrong and is replaced: it compared the address of a listener that had been freed, and an allocation may reuse it; now the number of the connection that was used last must be above those of before.

--- a/src/currantshed/lead/group_lead.cpp
+++ b/src/currantshed/lead/group_lead.cpp
@@ -31,6 +31,10 @@
                       clock::time_point aNow)
 {
   mTable.Configure(aMembers, aNow);
+  if (IsOfOldLife(mProof)) {
+    mProof.askedAt = {};
+    mSample.reset();
+  }
   Evaluate(aNow);
 }
 
--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -157,6 +157,7 @@
   void TakeSample(clock::time_point aNow);
   void TakeOwnProof(clock::time_point aNow);
   [[nodiscard]] position::term_id EndedTerm() const;
+  [[nodiscard]] bool IsOfOldLife(const proxy::confirmation& aProof) const;
   [[nodiscard]] bool IsNewer(const proxy::confirmation& aProof) const noexcept;
   [[nodiscard]] bool IsTrusted(const proxy::confirmation& aProof) const;
   void CheckTerms(const proxy::confirmation& aProof, clock::time_point aNow);
--- a/src/currantshed/lead/group_lead_proof.cpp
+++ b/src/currantshed/lead/group_lead_proof.cpp
@@ -72,7 +72,7 @@
                       bool aIsOwn,
                       clock::time_point aNow)
 {
-  if (aProof.term <= mReplaced || !IsNewer(aProof)) {
+  if (aProof.term <= mReplaced || !IsNewer(aProof) || IsOfOldLife(aProof)) {
     return;
   }
   if (aProof.term > mProof.term) {
@@ -141,6 +141,14 @@
   return std::max(revoked, mReplaced);
 }
 
+// Whether the primary has started again since it was proved.
+bool
+group_lead::IsOfOldLife(const proxy::confirmation& aProof) const
+{
+  const auto* primary = mTable.Find(aProof.primary);
+  return primary != nullptr && aProof.askedAt < primary->livesSince;
+}
+
 bool
 group_lead::IsNewer(const proxy::confirmation& aProof) const noexcept
 {
--- a/src/currantshed/lead/server_table.cpp
+++ b/src/currantshed/lead/server_table.cpp
@@ -15,9 +15,15 @@
   for (const auto& one : aMembers) {
     listed.insert(one.id);
     const auto [place, added] = mViews.try_emplace(one.id);
-    place->second.listed = one;
-    if (added) {
-      place->second.heardAt = aNow;
+    auto& view = place->second;
+    const bool isAnew = !added && view.listed.startedAt != one.startedAt;
+    if (isAnew) {
+      view = {};
+      view.livesSince = aNow;
+    }
+    view.listed = one;
+    if (added || isAnew) {
+      view.heardAt = aNow;
     }
   }
   absl::erase_if(mViews, [&listed](const auto& aEntry) {
@@ -32,7 +38,7 @@
                        clock::time_point aNow)
 {
   auto* view = Find(aServer);
-  if (view == nullptr) {
+  if (view == nullptr || aAskedAt < view->livesSince) {
     return;
   }
   view->asking.reset();
--- a/src/currantshed/lead/server_table.hpp
+++ b/src/currantshed/lead/server_table.hpp
@@ -39,6 +39,9 @@
   std::optional<clock::time_point> asking;
   /// When it was last asked, answered or not.
   clock::time_point lastAsked;
+  /// When this VM came to know that it has started again: what was asked for
+  /// before says nothing of it.
+  clock::time_point livesSince{};
   /// When it last answered anything, also a caller's statement.
   clock::time_point heardAt;
   /// Until when it is asked through other VMs, since only they reach it.
--- a/src/currantshed/node/control_servers.cpp
+++ b/src/currantshed/node/control_servers.cpp
@@ -62,6 +62,9 @@
       { { "server", one.server.id },
         { "service", one.server.service },
         { "standing", std::string(NameOf(one.standing)) },
+        { "started_at_ms",
+          static_cast<std::int64_t>(
+            one.server.startedAt.time_since_epoch().count()) },
         { "is_primary", leads },
         { "learned_by", std::string(NameOf(aSource)) },
         { "revision", static_cast<std::int64_t>(mServersView.Seen()) } });
--- a/src/currantshed/node/server_list.cpp
+++ b/src/currantshed/node/server_list.cpp
@@ -43,7 +43,8 @@
   for (auto& one : aListed) {
     NoteLeaving(one, aSource, aNow);
     const auto* before = Find(mServers, one.id);
-    const bool isNews = before == nullptr || before->draining != one.draining ||
+    const bool isNews = before == nullptr || before->Life() != one.Life() ||
+                        before->draining != one.draining ||
                         mMissing.contains(one.id);
     if (isNews) {
       news.push_back({ one, StandingOf(one) });
@@ -66,7 +67,8 @@
     return;
   }
   const auto* before = Find(mServers, aListed.id);
-  if (before != nullptr && before->leavingSince) {
+  const bool livesOn = before != nullptr && before->Life() == aListed.Life();
+  if (livesOn && before->leavingSince) {
     aListed.leavingSince = before->leavingSince;
   } else {
     aListed.leavingSince =
--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -83,6 +83,13 @@
       mNextUpkeep = aNow;
     }
   }
+  // What proved a server to lead says nothing of it once it has started again.
+  for (auto& [service, lead] : mLeads) {
+    const auto* primary = Find(lead.proof.primary);
+    if (primary != nullptr && !primary->IsOfThisLife(lead.proof.askedAt)) {
+      lead.proof.askedAt = {};
+    }
+  }
   for (const auto& [name, queue] : mQueues) {
     Pump(name, aNow);
   }
@@ -104,7 +111,11 @@
                 clock::time_point aNow)
 {
   auto& lead = LeadOf(aService);
-  if (aProof.term < lead.proof.term || aProof.term <= lead.revoked) {
+  const auto* primary = Find(aProof.primary);
+  const bool isOfOldLife =
+    primary != nullptr && !primary->IsOfThisLife(aProof.askedAt);
+  if (aProof.term < lead.proof.term || aProof.term <= lead.revoked ||
+      isOfOldLife) {
     return;
   }
   if (aProof.term > lead.proof.term) {
--- a/src/currantshed/proxy/server_state.cpp
+++ b/src/currantshed/proxy/server_state.cpp
@@ -57,6 +57,9 @@
 void
 server_state::List(const server& aListed, clock::time_point aNow)
 {
+  if (listed.Life() != aListed.Life()) {
+    StartAnew(aNow);
+  }
   listed = aListed;
   unlisted = false;
   if (!aListed.draining) {
@@ -66,6 +69,27 @@
   }
 }
 
+// A server that has just started holds nothing: reads go elsewhere until it has
+// shown where its log stands, or has had the time to catch up.
+void
+server_state::StartAnew(clock::time_point aNow)
+{
+  mLivesSince = aNow;
+  leavingSince.reset();
+  applied.reset();
+  mLag = kLongestLag;
+  mLagAt = aNow;
+  mMean = mUsual;
+  mMeanAt = {};
+  mFailures = 0;
+  mAvoidUntil = {};
+  mNoOpenUntil = {};
+  mWays.clear();
+  for (const auto& one : connections) {
+    one->retiring = true;
+  }
+}
+
 bool
 server_state::TakesWork(milliseconds aLeavingUse, clock::time_point aNow) const
 {
--- a/src/currantshed/proxy/server_state.hpp
+++ b/src/currantshed/proxy/server_state.hpp
@@ -19,9 +19,18 @@
 public:
   server_state(server aListed, bool aIsNear);
 
-  /// Takes over what the platform lists of it now.
+  /// Takes over what the platform lists of it now. Of a server that has
+  /// started again all that was believed is given up, and its connections take
+  /// no new work.
   void List(const server& aListed, clock::time_point aNow);
 
+  /// Whether something that was asked for then may be believed of this life of
+  /// the server.
+  [[nodiscard]] bool IsOfThisLife(clock::time_point aAskedAt) const noexcept
+  {
+    return aAskedAt >= mLivesSince;
+  }
+
   /// Commands under way.
   [[nodiscard]] unsigned Running() const;
   /// Connections that are being opened, direct ones or others.
@@ -93,11 +102,14 @@
   bool reached = false;
 
 private:
+  void StartAnew(clock::time_point aNow);
   [[nodiscard]] bool IsWayAvoided(const std::string& aVm,
                                   clock::time_point aNow) const;
   /// Whether direct connections fail, or take too long to open.
   [[nodiscard]] bool IsCutOff(clock::time_point aNow) const;
 
+  // When this VM came to know that it has started again.
+  clock::time_point mLivesSince{};
   clock::duration mUsual;
   clock::duration mMean;
   clock::time_point mMeanAt;
--- a/test/currantshed/node/server_list.cpp
+++ b/test/currantshed/node/server_list.cpp
@@ -128,6 +128,33 @@
   }
 }
 
+// What an earlier life of a server had said is not carried over to the next,
+// and the next one's word is not taken back with it.
+TEST(server_list, a_server_that_starts_again_begins_anew)
+{
+  const auto listed = [](std::chrono::milliseconds aStart, bool aLeaves) {
+    proxy::server one;
+    one.id = "a";
+    one.startedAt = proxy::start_time{ aStart };
+    one.draining = aLeaves;
+    return std::vector<proxy::server>{ one };
+  };
+  node::server_list list;
+  list.Take(listed(5000ms, true), list_source::kWatch, kStart);
+  list.Take({}, list_source::kWatch, kStart + 100ms);
+  auto news =
+    list.Take(listed(9000ms, false), list_source::kWatch, kStart + 1s);
+  CHECK(news.size() == 1 && news[0].standing == server_standing::kReady);
+  CHECK(!list.Servers()[0].leavingSince);
+  // The clock of the next start was set back.
+  news = list.Take(listed(7000ms, true), list_source::kWatch, kStart + 2s);
+  CHECK(news.size() == 1 && news[0].standing == server_standing::kLeaving);
+  CHECK(*list.Servers()[0].leavingSince == kStart + 2s);
+  news = list.Take(listed(8000ms, true), list_source::kWatch, kStart + 3s);
+  CHECK(news.size() == 1);
+  CHECK(*list.Servers()[0].leavingSince == kStart + 3s);
+}
+
 TEST(server_list, is_due_when_the_time_of_a_missing_server_is_up)
 {
   node::server_list list;
--- a/test/currantshed/proxy/one_vm.hpp
+++ b/test/currantshed/proxy/one_vm.hpp
@@ -31,11 +31,13 @@
     link(keeping_servers& aServers, std::string aServer)
       : mServers(aServers)
       , mServer(std::move(aServer))
+      , mNumber(aServers.opened)
     {
     }
 
     void Send(const std::vector<proxy::command>& aCommands) override
     {
+      mServers.lastUsed = mNumber;
       for (const auto& one : aCommands) {
         mServers.sent[mServer].push_back(one.kind);
       }
@@ -44,6 +46,7 @@
   private:
     keeping_servers& mServers;
     std::string mServer;
+    int mNumber;
   };
 
   std::unique_ptr<proxy::upstream_link> Open(
@@ -58,7 +61,10 @@
   }
 
   std::vector<proxy::link_listener*> opening;
+  /// Connections are numbered as they are opened.
   int opened = 0;
+  /// The connection that commands were sent on last.
+  int lastUsed = 0;
   std::map<std::string, proxy::link_listener*> listeners;
   std::map<std::string, std::vector<command_kind>> sent;
 };
--- a/test/currantshed/proxy/restarted.cpp
+++ b/test/currantshed/proxy/restarted.cpp
@@ -130,5 +130,5 @@
   vm.Ask(*session, proxy::statement_kind::kRead, "READ 2");
   vm.Pass(500ms);
   CHECK(vm.servers.opened > opened);
-  CHECK(vm.servers.listeners["a"] != before);
+  CHECK(vm.servers.lastUsed > opened);
 }
--- a/test/platform/documents.cpp
+++ b/test/platform/documents.cpp
@@ -108,6 +108,13 @@
   const platform::json_documents documents;
   const auto read = documents.ReadServer("servers/i-7f", kServer, whyNot);
   CHECK(read && read->id == "i-7f" && read->port == 8080 && !read->draining);
+  CHECK(read->startedAt.time_since_epoch().count() == 0);
+  const auto started =
+    documents.ReadServer("servers/i-7f",
+                         With(kServer, "\"seq\":4", "\"born\":1795000000123"),
+                         whyNot);
+  CHECK(started &&
+        started->startedAt.time_since_epoch().count() == 1795000000123);
   // What servers tell of themselves and nothing here depends on makes no
   // difference: who leads is asked of the servers.
   const auto other =
