Format of a comment, as the formatter has it

Cause: the comment on incarnation was wrapped by hand after the formatter had run; the linter's first step refused it. Only the comment's lines differ.

--- a/src/currantshed/proxy/configuration.hpp
+++ b/src/currantshed/proxy/configuration.hpp
@@ -68,9 +68,9 @@
 using start_time = std::chrono::sys_time<std::chrono::milliseconds>;
 
 /// One life of a server. A server may start again under its id, and then holds
-/// and knows nothing of before: what is believed of one incarnation says nothing
-/// of another. Clocks step, so that two of them have no order but that in which
-/// the platform's store shows them.
+/// and knows nothing of before: what is believed of one incarnation says
+/// nothing of another. Clocks step, so that two of them have no order but that
+/// in which the platform's store shows them.
 struct incarnation
 {
   upstream::server_id id;
