The fuzzer takes entries of the server list; servers start again in the soak

Cause: entries of other writers had tables but no fuzzer, and nothing started a server again under its id with the real programs. That changes which faults a seed of the soak names; no seed was kept as a regression case so far.

--- a/standin/fleet/group.cpp
+++ b/standin/fleet/group.cpp
@@ -89,7 +89,7 @@
 group::Follow()
 {
   const auto& primary = *Find(mPrimary);
-  if (!primary.up) {
+  if (!primary.up || !primary.leads) {
     return;
   }
   for (auto& one : mServers) {
@@ -124,6 +124,20 @@
   return true;
 }
 
+void
+group::Restart(const std::string& aId)
+{
+  auto* server = Find(aId);
+  if (server == nullptr) {
+    return;
+  }
+  ++server->starts;
+  server->leads = false;
+  server->fencedAt = 0;
+  server->log.clear();
+  server->applied = 0;
+}
+
 unsigned
 group::Doubled() const
 {
--- a/standin/fleet/group.hpp
+++ b/standin/fleet/group.hpp
@@ -26,6 +26,8 @@
   bool draining = false;
   bool leads = false;
   std::uint64_t fencedAt = 0;
+  /// Starts so far; connections end with the one that they were made in.
+  unsigned starts = 1;
   std::vector<record> log;
   /// Records that reads see.
   std::size_t applied = 0;
@@ -74,6 +76,9 @@
   /// Makes a server primary of the next term; false if it is not up.
   [[nodiscard]] bool Promote(const std::string& aId);
 
+  /// The server starts again under its id: it holds nothing and leads nothing.
+  void Restart(const std::string& aId);
+
   /// Values that were committed more than once for an item, in the log of the
   /// present primary.
   [[nodiscard]] unsigned Doubled() const;
--- a/standin/fleet/main.cpp
+++ b/standin/fleet/main.cpp
@@ -37,6 +37,9 @@
 // How long a promotion takes.
 constexpr milliseconds kPromotion{ 200 };
 constexpr milliseconds kWatchCheck{ 5 };
+// When a server started for the first time, in milliseconds of the time of day;
+// each start after it counts one more.
+constexpr std::int64_t kFirstStart = 1795000000000;
 
 struct options
 {
@@ -182,7 +185,8 @@
       { "warmup_left_ms", 0 },
       { "state", aServer.draining ? "draining" : "ready" },
       { "target_role", aServer.leads ? "primary" : "replica" },
-      { "seq", 1 }
+      { "seq", 1 },
+      { "born", kFirstStart + static_cast<std::int64_t>(aServer.starts) }
     };
     mKeys.Put("servers/" + aServer.id, json::serialize(entry));
   }
@@ -250,7 +254,8 @@
   }
 
   // What a test orders: the configuration's version, and servers that stop,
-  // come back or leave. Without an order it tells what is wrong.
+  // come back, leave, or start again empty. Without an order it tells what is
+  // wrong.
   fleet::key_answer Order(const std::string& aPath)
   {
     if (aPath == "/test/configure") {
@@ -263,6 +268,9 @@
     unsigned doubled = 0;
     for (auto& one : mGroups) {
       doubled += one.Doubled();
+      if (aPath == "/test/restart") {
+        one.Restart(Parameter("server"));
+      }
       if (auto* server = one.Find(Parameter("server"))) {
         server->up = aPath != "/test/stop" && server->up;
         server->up = aPath == "/test/start" || server->up;
--- a/standin/fleet/session.cpp
+++ b/standin/fleet/session.cpp
@@ -28,6 +28,7 @@
   : mGroup(aGroup)
   , mServer(std::move(aServer))
   , mMostConnections(aMostConnections)
+  , mStart(Self().starts)
 {
   ++Self().connections;
 }
@@ -46,7 +47,7 @@
 std::string
 session::Answer(std::string_view aLine)
 {
-  if (!Self().up) {
+  if (!Self().up || Self().starts != mStart) {
     return {};
   }
   const auto word = Word(aLine);
--- a/standin/fleet/session.hpp
+++ b/standin/fleet/session.hpp
@@ -46,6 +46,7 @@
   group& mGroup;
   std::string mServer;
   unsigned mMostConnections;
+  unsigned mStart;
   bool mIsOpen = false;
   bool mInTransaction = false;
   bool mIsReadOnly = false;
--- a/test/platform/corpus_replay.cpp
+++ b/test/platform/corpus_replay.cpp
@@ -2,24 +2,43 @@
 #include <fstream>
 #include <iterator>
 #include <string>
+#include <string_view>
 
+#include "test/platform/fuzz_entry.hpp"
 #include "test/platform/fuzz_line.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace currantshed;
 
-TEST_GROUP(line_corpus){};
+namespace {
 
-TEST(line_corpus, every_line_keeps_its_promises)
+/// Hands each file of the folder to the check. Returns how many there were.
+std::size_t
+Play(const char* aFolder, void (*aCheck)(std::string_view))
 {
   std::size_t played = 0;
-  for (const auto& entry :
-       std::filesystem::directory_iterator(CURRANTSHED_LINE_CORPUS)) {
+  for (const auto& entry : std::filesystem::directory_iterator(aFolder)) {
     std::ifstream file(entry.path(), std::ios::binary);
-    const std::string line{ std::istreambuf_iterator<char>(file), {} };
-    test::CheckLine(line);
+    const std::string text{ std::istreambuf_iterator<char>(file), {} };
+    aCheck(text);
     ++played;
   }
-  CHECK(played >= 30);
+  return played;
+}
+
+} // namespace
+
+TEST_GROUP(line_corpus){};
+
+TEST(line_corpus, every_line_keeps_its_promises)
+{
+  CHECK(Play(CURRANTSHED_LINE_CORPUS, test::CheckLine) >= 30);
+}
+
+TEST_GROUP(entry_corpus){};
+
+TEST(entry_corpus, every_entry_keeps_its_promises)
+{
+  CHECK(Play(CURRANTSHED_ENTRY_CORPUS, test::CheckEntry) >= 29);
 }
--- a/test/process/node_soak.sh
+++ b/test/process/node_soak.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Faults in a seeded order against the real programs, while callers check every
-# answer: VMs are killed, paused and stopped, primaries are lost or leave, ways
+# answer: VMs are killed, paused and stopped, primaries are lost or leave, servers
+# start again empty under their ids, ways
 # to the store and to servers are delayed, held, cut one way, silenced or reset.
 # Faults of ways last while others begin. SEEDS names the seeds to play; with
 # none, those that CI plays each time.
@@ -30,7 +31,7 @@
 one_fault() {
   local vm=$((RANDOM % 4 + 1)) group=$((RANDOM % 2)) way lasts=$((RANDOM % 3 + 1))
   way=$(any_way)
-  case $((RANDOM % 10)) in
+  case $((RANDOM % 11)) in
     0) echo "kill vm-$vm"; node_kill "$vm" KILL; node_run "$vm" ;;
     1) echo "pause vm-$vm"; node_pause "$vm" 2 ;;
     2) echo "stop vm-$vm"; node_stop "$vm"; node_run "$vm" ;;
@@ -41,6 +42,7 @@
     7) passing_fault "$way" "$lasts" delay $((RANDOM % 300)) ;;
     8) fault "$way" silence ;;
     9) fault "$way" reset ;;
+    10) echo "restart in group-$group"; restarted "group-$group" ;;
   esac
 }
 
--- a/test/process/support/node.sh
+++ b/test/process/support/node.sh
@@ -177,6 +177,10 @@
   tell "/test/primary?group=$1" | tr -d ' '
 }
 
+# Has one server of the group, which may be its primary, start again under its id
+# with nothing of what it held.
+restarted() { tell "/test/restart?server=$1-$((RANDOM % 3))" >/dev/null; }
+
 # Stops or drains the group's primary, waits for another one, and brings the
 # old one back.
 replaced() {
