The servers' list is read again within 2.5 s of a change, however many there are

Cause: the pause after a change of the list grew by 40 ms a server without an end: 12 s at 300 servers, longer than the time that a leaving one has. Tests: the_pause_does_not_grow_for_ever_with_the_keys (4.1 s without the cap, by reckoning); follows_the_store also checks which changes may be old.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -32,6 +32,9 @@
 constexpr milliseconds kConfigurationPause{ 300 };
 constexpr milliseconds kServersPause{ 400 };
 constexpr milliseconds kServersPauseByServer{ 40 };
+// With hundreds of servers this still leaves most of the time in which a server
+// that leaves may be used.
+constexpr milliseconds kLongestServersPause{ 2500 };
 
 // How long a byte of a document takes on the VM's link; the store sends three
 // bytes as four.
@@ -75,7 +78,8 @@
   , mServersView(*mPlatform.store,
                  aDocuments.ServersPrefix(),
                  { .afterChange = kServersPause,
-                   .afterChangeByKey = kServersPauseByServer },
+                   .afterChangeByKey = kServersPauseByServer,
+                   .longestByKeys = kLongestServersPause },
                  { [this](clock::time_point aNow) { ServersChanged(aNow); },
                    [this](bool aIsReached, std::error_code aWhy) {
                      NoteStore("servers", aIsReached, aWhy);
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <absl/strings/str_cat.h>
+
 #include "currantshed/proxy/engine.hpp"
 
 namespace currantshed::proxy {
@@ -344,7 +346,11 @@
   if (request.mayHaveRun) {
     aAnswer.failed->code = failure_code::kFailed;
   }
-  NoteDecision(aSession, "refused", NameOf(why.code), false, aNow);
+  // The log has the server's word, and what the caller is told instead.
+  const auto word =
+    absl::StrCat(std::string(NameOf(why.code)),
+                 request.mayHaveRun ? "; told that it may have run" : "");
+  NoteDecision(aSession, "refused", word, false, aNow);
   const bool isCommit = request.asked.kind == statement_kind::kCommit;
   if (aSession.transaction) {
     EndTransaction(aSession, aNow);
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -187,7 +187,9 @@
   const auto way = std::chrono::duration_cast<std::chrono::milliseconds>(
     mSettings.byteTime * static_cast<std::int64_t>(bytes));
   const auto keys = static_cast<int>(mItems.size());
-  const auto usual = mSettings.afterChange + mSettings.afterChangeByKey * keys;
+  const auto usual =
+    std::min(mSettings.afterChange + mSettings.afterChangeByKey * keys,
+             mSettings.longestByKeys);
   return std::max(usual, std::min(way * kPauseByWay, mSettings.longestPause));
 }
 
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -25,6 +25,8 @@
   /// when a fleet starts.
   std::chrono::milliseconds afterChange{ 100 };
   std::chrono::milliseconds afterChangeByKey{ 15 };
+  /// The longest that this gets, however many keys there are.
+  std::chrono::milliseconds longestByKeys{ std::chrono::milliseconds::max() };
   /// How long one byte of the keys takes on the VM's link. After a change the
   /// pause is so many times the way of all keys, up to the longest: changes in
   /// quick succession of what is large must leave the link to the callers.
--- a/test/currantshed/store/prefix_view.cpp
+++ b/test/currantshed/store/prefix_view.cpp
@@ -49,10 +49,12 @@
   std::function<void(follower&)> given;
   /// The keys in the end.
   std::string keys;
+  /// Whether the last change may have been made long before it was seen.
+  bool mayBeOld = false;
 };
 
 const change_row kRows[] = {
-  { "nothing", [](follower&) {}, "a/1=one " },
+  { "nothing", [](follower&) {}, "a/1=one ", true },
   { "a new key",
     [](follower& aFollower) { aFollower.store.Put("a/2", "two"); },
     "a/1=one a/2=two " },
@@ -67,7 +69,8 @@
       aFollower.store.CutWatches(store::errc::kTimeout);
       aFollower.store.Put("a/2", "two");
     },
-    "a/1=one a/2=two " },
+    "a/1=one a/2=two ",
+    true },
   { "changes that the store dropped from its history",
     [](follower& aFollower) {
       aFollower.store.Put("a/2", "two");
@@ -75,7 +78,8 @@
       aFollower.store.history.clear();
       aFollower.store.CutWatches(store::errc::kHistoryGone);
     },
-    "a/2=two " },
+    "a/2=two ",
+    true },
   { "an outage with changes",
     [](follower& aFollower) {
       aFollower.store.failing = store::errc::kUnavailable;
@@ -84,7 +88,8 @@
       aFollower.store.Put("a/2", "two");
       aFollower.store.failing = {};
     },
-    "a/1=one a/2=two " },
+    "a/1=one a/2=two ",
+    true },
 };
 
 std::string
@@ -111,6 +116,7 @@
     made.Run(3000ms);
     CHECK_TEXT(Print(made.view) == row.keys, row.name);
     CHECK_TEXT(made.reached, row.name);
+    CHECK_EQUAL_TEXT(row.mayBeOld, made.view.MayBeOld(), row.name);
   }
 }
 
@@ -209,6 +215,28 @@
   }
 }
 
+TEST(prefix_view, the_pause_does_not_grow_for_ever_with_the_keys)
+{
+  test::fake_key_value store;
+  clock::time_point changedAt{};
+  store::prefix_view view(
+    store,
+    "a/",
+    { .afterChange = 100ms, .afterChangeByKey = 40ms, .longestByKeys = 500ms },
+    { [&](clock::time_point aNow) { changedAt = aNow; },
+      [](bool, std::error_code) {} });
+  for (int key = 0; key < 100; ++key) {
+    store.Put("a/" + std::to_string(key), "one");
+  }
+  for (int step = 0; step < 200; ++step) {
+    store.Put("a/1", std::to_string(step));
+    view.Tick(store.now, 0.5);
+    store.Answer();
+    store.now += 10ms;
+  }
+  CHECK(store.now - changedAt <= 510ms);
+}
+
 TEST(prefix_view, a_watch_is_given_its_time_after_another_has_seen_a_change)
 {
   test::fake_key_value store;
