--- a/test/process/node_soak.sh
+++ b/test/process/node_soak.sh
@@ -1,13 +1,14 @@
 #!/usr/bin/env bash
 # Faults in a seeded order against the real programs, while callers check every
 # answer: VMs are killed, paused and stopped, primaries are lost or leave, servers
-# start again empty under their ids, ways
-# to the store and to servers are delayed, held, cut one way, silenced or reset.
+# start again empty under their ids, ways to the store and to servers are delayed,
+# held, cut one way, silenced or reset.
 # Faults of ways last while others begin. SEEDS names the seeds to play; with
-# none, those that CI plays each time.
+# none, those that CI plays each time. SOAK_BASE names the first port, so that
+# several runs may go side by side.
 source "$(dirname "$0")/support/node.sh"
 proxied=yes
-node_start 28400 4
+node_start "${SOAK_BASE:-28400}" 4
 
 any_way() {
   if ((RANDOM % 2)); then
