--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -65,7 +65,7 @@
   std::optional<position::log_position> floor;
   /// Age of the floor's position.
   clock::duration floorAge{ 0 };
-  /// Since when this VM knows that the server leaves, if it does.
+  /// How long the server may have been leaving, if it does.
   std::optional<clock::duration> leavingFor;
   /// Whether it is one of the ordinary successes.
   bool ordinary = false;
--- a/test/currantshed/proxy/refusals.cpp
+++ b/test/currantshed/proxy/refusals.cpp
@@ -1,20 +1,20 @@
 #include <chrono>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "currantshed/proxy/engine.hpp"
 
-#include "test/currantshed/proxy/silent_host.hpp"
+#include "test/currantshed/proxy/one_vm.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace currantshed;
 using namespace std::chrono_literals;
 using proxy::failure_code;
+using test::hearing_caller;
 
 namespace {
 
@@ -56,15 +56,6 @@
   std::string asked;
 };
 
-class hearing_caller final : public proxy::caller
-{
-public:
-  void Deliver(const proxy::answer& aAnswer) override { heard = aAnswer; }
-  void Close() override {}
-
-  std::optional<proxy::answer> heard;
-};
-
 /// What the servers do with one read, in turn.
 enum class fate
 {
