Failing test: a read on a primary that has started again empty is answered

The primary's connections broke, the list's news comes after a pause of 640 ms, and until then the proof of its life before let a read go to it on a new connection. Reads of replicas say what they must see; those of the primary did not.

--- a/test/currantshed/proxy/one_vm.hpp
+++ b/test/currantshed/proxy/one_vm.hpp
@@ -40,6 +40,7 @@
       mServers.lastUsed = mNumber;
       for (const auto& one : aCommands) {
         mServers.sent[mServer].push_back(one.kind);
+        mServers.last = one;
       }
     }
 
@@ -63,6 +64,8 @@
   std::vector<proxy::link_listener*> opening;
   /// Connections are numbered as they are opened.
   int opened = 0;
+  /// The command that was sent last.
+  proxy::command last;
   /// The connection that commands were sent on last.
   int lastUsed = 0;
   std::map<std::string, proxy::link_listener*> listeners;
--- a/test/currantshed/proxy/restarted.cpp
+++ b/test/currantshed/proxy/restarted.cpp
@@ -3,6 +3,7 @@
 // leads, where its log stands, that it leaves, must not count for the new one.
 #include <chrono>
 #include <functional>
+#include <vector>
 
 #include "test/currantshed/proxy/one_vm.hpp"
 
@@ -132,3 +133,71 @@
   CHECK(vm.servers.opened > opened);
   CHECK(vm.servers.lastUsed > opened);
 }
+
+// A primary started again, empty, while a proof of its life before still held.
+// The list told of it only after a pause, its connections broke at once, and a
+// read on a new one was answered from nothing:
+//   restart in group-0
+//   item-141-4 shows - after 118 was acknowledged
+// So a read says also to the primary what it must hold.
+namespace {
+
+struct primary_row
+{
+  const char* name;
+  std::vector<proxy::statement_kind> asked;
+  /// Whether the last command sent carries what its server must hold.
+  bool expected;
+};
+
+const primary_row kPrimaryRows[] = {
+  { "a read", { proxy::statement_kind::kRead }, true },
+  { "a change, which only a primary takes",
+    { proxy::statement_kind::kWrite },
+    false },
+  { "a transaction that reads",
+    { proxy::statement_kind::kBeginReadOnly, proxy::statement_kind::kRead },
+    true },
+  { "a transaction that may write",
+    { proxy::statement_kind::kBegin, proxy::statement_kind::kRead },
+    false },
+};
+
+} // namespace
+
+TEST(restarted_servers, are_told_what_a_read_of_the_primary_must_see)
+{
+  for (const auto& row : kPrimaryRows) {
+    one_vm vm;
+    hearing_caller caller;
+    const auto session = vm.engine.Open("claims", caller);
+    for (const auto kind : row.asked) {
+      vm.Ask(*session, kind, "READ 1");
+    }
+    vm.Pass(50ms);
+    CHECK_TEXT(vm.HasWork("a"), row.name);
+    const auto& floor = vm.servers.last.floor;
+    CHECK_TEXT(floor.has_value() == row.expected, row.name);
+    CHECK_TEXT(!floor || *floor == (position::log_position{ 1, 5 }), row.name);
+  }
+}
+
+TEST(restarted_servers, that_lack_what_the_primary_held_lead_no_more)
+{
+  one_vm vm;
+  hearing_caller caller;
+  const auto session = vm.engine.Open("claims", caller);
+  vm.Ask(*session, proxy::statement_kind::kRead, "READ 1");
+  vm.Pass(50ms);
+  proxy::answer lacking;
+  lacking.position = position::log_position{ 1, 0 };
+  lacking.failed = proxy::failure{ proxy::failure_code::kLagging, "" };
+  vm.servers.listeners["a"]->Answered(lacking, vm.now);
+  const auto sent = vm.servers.sent["a"].size();
+  vm.Pass(500ms);
+  CHECK_EQUAL(sent, vm.servers.sent["a"].size());
+  CHECK(!caller.heard);
+  vm.engine.Confirm("claims", { 2, "b", vm.now }, vm.now);
+  vm.Pass(100ms);
+  CHECK(vm.HasWork("b"));
+}
