Reads of the primary carry its last known position

Ruled out: voiding the proof when a position goes back; answers of several connections overtake each other, so that it would often be false. Change: a read, or a transaction that only reads, tells the primary too what it must hold. One that refuses is asked who leads, as one that is none.

--- a/src/currantshed/confirm/position_samples.cpp
+++ b/src/currantshed/confirm/position_samples.cpp
@@ -32,6 +32,15 @@
   }
 }
 
+std::optional<position::log_position>
+position_samples::Newest() const
+{
+  if (mSamples.empty()) {
+    return std::nullopt;
+  }
+  return mSamples.back().position;
+}
+
 std::optional<clock::time_point>
 position_samples::CurrentAsOf(const position::log_position& aPosition) const
 {
--- a/src/currantshed/confirm/position_samples.hpp
+++ b/src/currantshed/confirm/position_samples.hpp
@@ -31,6 +31,9 @@
   [[nodiscard]] std::optional<position::log_position> LowestSince(
     clock::time_point aDate) const;
 
+  /// The newest position; none when there is no sample.
+  [[nodiscard]] std::optional<position::log_position> Newest() const;
+
   /// Date of the first sample that covers the position: it was written by
   /// then. None when no sample covers it.
   [[nodiscard]] std::optional<clock::time_point> WrittenBy(
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -281,6 +281,8 @@
   [[nodiscard]] bool TakesWork(const upstream::server_id& aServer,
                                const request& aRequest,
                                clock::time_point aNow) const;
+  [[nodiscard]] std::optional<position::log_position> MustHold(
+    const request& aRequest);
   void AskForProof(const std::string& aService, clock::time_point aNow);
 
   // Connections.
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -321,7 +321,10 @@
 {
   auto& request = *aSession.current;
   const auto why = *aAnswer.failed;
-  if (why.code == failure_code::kReadOnly && request.needsPrimary) {
+  // A primary that is none, or lacks what the primary has held.
+  const bool isDenied =
+    why.code == failure_code::kReadOnly || why.code == failure_code::kLagging;
+  if (isDenied && request.needsPrimary) {
     auto& lead = LeadOf(request.under->service);
     if (lead.proof.primary == request.ranOn) {
       lead.proof.askedAt = {};
@@ -376,7 +379,7 @@
   auto* state = Find(request.ranOn);
   switch (aWhy.code) {
     case failure_code::kLagging:
-      if (state != nullptr) {
+      if (state != nullptr && !request.needsPrimary) {
         state->Lagged(request.floor.writtenBy, aNow);
       }
       break;
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -158,8 +158,8 @@
   command begin;
   begin.kind = aSession.transaction->readOnly ? command_kind::kBeginReadOnly
                                               : command_kind::kBegin;
-  if (!request.needsPrimary) {
-    begin.floor = request.floor.position;
+  if (aSession.transaction->readOnly || !request.needsPrimary) {
+    begin.floor = MustHold(request);
   }
   request.at = stage::kBeginning;
   request.sentAt = aNow;
@@ -190,14 +190,25 @@
     }
   }
   auto sent = StatementCommand(aSession, request);
-  if (!aSession.transaction && !request.needsPrimary) {
-    sent.floor = request.floor.position;
+  if (!aSession.transaction && !request.commits) {
+    sent.floor = MustHold(request);
   }
   request.at = stage::kRunning;
   request.sentAt = aNow;
   on.Send({ sent }, Expect(purpose::kStatement, request, aNow));
 }
 
+// What a server must hold to answer a read. The primary is told as well: one
+// that has started again since it was proved holds nothing, and its connections
+// break long before the list tells of it.
+std::optional<position::log_position>
+engine::MustHold(const request& aRequest)
+{
+  return aRequest.needsPrimary
+           ? LeadOf(aRequest.under->service).samples.Newest()
+           : aRequest.floor.position;
+}
+
 engine::lead_state&
 engine::LeadOf(const std::string& aService)
 {
