--- a/test/currantshed/lead/restarted_members.cpp
+++ b/test/currantshed/lead/restarted_members.cpp
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <vector>
 
-#include "currantshed/lead/server_table.hpp"
+#include "test/currantshed/lead/bench.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -81,3 +81,32 @@
     CHECK_TEXT(table.Proof().has_value(), row.name);
   }
 }
+
+// The server that a change had ordered to be promoted started again, empty,
+// just after it had begun to lead. The change had not seen it lead, stayed with
+// it, and had it promoted once more, over one that held every acknowledged
+// commit:
+//   49.761 server_standing server=group-0-1 standing=ready started_at_ms=...003
+//   50.903 promotion_ordered server=group-0-1
+//   item-141-7 shows 593, which was refused
+TEST(restarted_members, are_not_promoted_by_the_choice_of_a_life_before)
+{
+  test::bench made;
+  made.promotesAfter = 1000ms;
+  made.lead.SetDuty(true, 7, made.now);
+  made.servers["b"].received = { 1, 11 };
+  made.Run(2000ms);
+  made.lead.Configure({ { "a", false, true }, { "b" }, { "c" } }, made.now);
+  made.Run(700ms);
+  CHECK(made.promoted.size() == 1 && made.promoted.back() == "b");
+  made.promoting.clear();
+  made.servers["b"].received = { 1, 0 };
+  made.lead.Configure({ { "a", false, true }, Member("b", 2000ms), { "c" } },
+                      made.now);
+  made.Run(5000ms);
+  CHECK(made.lead.Proof().primary == "c");
+  CHECK_EQUAL(0, made.unsafe);
+  for (std::size_t order = 1; order < made.promoted.size(); ++order) {
+    CHECK(made.promoted[order] == "c");
+  }
+}
