A change chooses anew when the server it had ordered starts again

A choice is of one life of a server; an order that was given for it says nothing of the next. Change: the choice is void when its server is gone from the list or has another start; then the longest log among the reports of now is ordered at once. Before: restarted_members red (promoted again, empty). After: it and the other tests of changes pass.

--- a/src/currantshed/lead/takeover.cpp
+++ b/src/currantshed/lead/takeover.cpp
@@ -213,6 +213,16 @@
     note_step{ "overtaken", absl::StrCat("by=", mOld, " term=", mOldTerm) });
 }
 
+// Whether the chosen server is gone, or has started again since: it would lead
+// with nothing, over one that holds what was acknowledged.
+bool
+takeover::IsChoiceVoid() const
+{
+  const auto* chosen = mTable.Find(mChosen);
+  return !mChosen.empty() &&
+         (chosen == nullptr || chosen->listed.startedAt != mChosenStart);
+}
+
 // A chosen server that falls silent may have failed before the order took
 // effect; the platform tells so when it is ordered again.
 void
@@ -221,7 +231,7 @@
   const auto* chosen = mTable.Find(mChosen);
   const bool isSilent =
     chosen != nullptr && chosen->failures >= internal::kFailuresToLose;
-  if (isSilent && mOrders > 0) {
+  if ((isSilent || IsChoiceVoid()) && mOrders > 0) {
     mNextOrder =
       std::min(mNextOrder, std::max(aNow, mLastOrderAt + kPromoteRound));
   }
@@ -353,15 +363,18 @@
 takeover::Promote(clock::time_point aNow, std::vector<action>& aOut)
 {
   const auto chosen = Choose(aNow);
-  if (chosen.empty() && mChosen.empty()) {
+  if (chosen.empty() && (mChosen.empty() || IsChoiceVoid())) {
     mStep = takeover_step::kFence;
     mNextOrder = clock::time_point::max();
     return;
   }
   // An order may have been taken although no answer came: it stays with the
   // same server until that is known to be impossible.
-  if (mChosen.empty() || mRejected.contains(mChosen)) {
+  if (mChosen.empty() || mRejected.contains(mChosen) || IsChoiceVoid()) {
     mChosen = chosen;
+    const auto* view = mTable.Find(mChosen);
+    mChosenStart =
+      view == nullptr ? proxy::start_time{} : view->listed.startedAt;
   }
   ++mOrders;
   mLastOrderAt = aNow;
--- a/src/currantshed/lead/takeover.hpp
+++ b/src/currantshed/lead/takeover.hpp
@@ -101,6 +101,7 @@
   void Fence(clock::time_point aNow, std::vector<action>& aOut);
   void ReadFences(clock::time_point aNow, std::vector<action>& aOut);
   void OrderAnew(clock::time_point aNow);
+  [[nodiscard]] bool IsChoiceVoid() const;
   void DemoteOld(clock::time_point aNow, std::vector<action>& aOut);
   void Promote(clock::time_point aNow, std::vector<action>& aOut);
   void Send(const upstream::server_id& aServer,
@@ -128,6 +129,7 @@
   // Whether replicas are kept from following the old primary.
   bool mFences = true;
   upstream::server_id mChosen;
+  proxy::start_time mChosenStart{};
   clock::time_point mLastOrderAt;
   unsigned mOrders = 0;
   clock::time_point mQuietUntil;
