--- a/test/currantshed/lead/restarted_members.cpp
+++ b/test/currantshed/lead/restarted_members.cpp
@@ -88,7 +88,6 @@
 // commit:
 //   49.761 server_standing server=group-0-1 standing=ready started_at_ms=...003
 //   50.903 promotion_ordered server=group-0-1
-//   item-141-7 shows 593, which was refused
 TEST(restarted_members, are_not_promoted_by_the_choice_of_a_life_before)
 {
   test::bench made;
