The old primary leads on where all others have started again and hold less

The old primary, which had stepped down and held all, was never a candidate. Change: a candidate that has started again and holds less than the old primary is passed over while that one answers; if there is no other, the old one leads on, and the next change finds the others caught up. Where no server starts again under its id nothing changes.

--- a/src/currantshed/lead/takeover.cpp
+++ b/src/currantshed/lead/takeover.cpp
@@ -311,23 +311,48 @@
   }
 }
 
+// Whether the server has told of its log since the change began, and may be
+// promoted.
+bool
+takeover::IsUsable(const member_view& aView) const
+{
+  return aView.report && aView.askedAt >= mBegunAt &&
+         !aView.report->isPrimary && !mRejected.contains(aView.listed.id);
+}
+
+// Whether the server has started again and holds less than the old primary,
+// which may lead on.
+bool
+takeover::IsEmptied(const member_view& aView) const
+{
+  const auto* old = mTable.Find(mOld);
+  return old != nullptr && IsUsable(*old) &&
+         aView.livesSince != clock::time_point{} &&
+         aView.report->received < old->report->received;
+}
+
 // The longest log among the servers that answered lately. A server that leaves
 // comes last. While a planned change may still bring all that the old primary
-// had to one of them, none is chosen.
+// had to one of them, none is chosen. Where all others have started again and
+// hold less, the old primary leads on until they have caught up: what was
+// acknowledged is nowhere else.
 upstream::server_id
 takeover::Choose(clock::time_point aNow) const
 {
   const member_view* best = nullptr;
   position::log_position goal;
+  bool isAnyEmptied = false;
   for (const auto& [id, view] : mTable.All()) {
-    const bool usable = view.report && view.askedAt >= mBegunAt &&
-                        !view.report->isPrimary && !mRejected.contains(id);
     if (id == mOld && view.report) {
       goal = view.report->received;
     }
     const bool leaves = view.listed.draining ||
                         (id == mOld && mReason != takeover_reason::kVacant);
-    if (!usable || leaves) {
+    if (!IsUsable(view) || leaves) {
+      continue;
+    }
+    if (IsEmptied(view)) {
+      isAnyEmptied = true;
       continue;
     }
     if (best == nullptr || view.report->received > best->report->received) {
@@ -335,7 +360,7 @@
     }
   }
   if (best == nullptr) {
-    return {};
+    return isAnyEmptied ? mOld : upstream::server_id{};
   }
   const bool mayCatchUp = !mFences && aNow < mBegunAt + kCatchUpTime;
   if (mayCatchUp && best->report->received < goal) {
@@ -352,7 +377,7 @@
   mNextSend = aNow + kRound;
   const auto* old = mTable.Find(mOld);
   const bool steppedDown =
-    old == nullptr ||
+    old == nullptr || mChosen == mOld ||
     (old->report && old->askedAt >= mBegunAt && !old->report->isPrimary);
   if (!steppedDown && !old->asking) {
     Send(mOld, proxy::command_kind::kDemote, aNow, aOut);
--- a/src/currantshed/lead/takeover.hpp
+++ b/src/currantshed/lead/takeover.hpp
@@ -102,6 +102,8 @@
   void ReadFences(clock::time_point aNow, std::vector<action>& aOut);
   void OrderAnew(clock::time_point aNow);
   [[nodiscard]] bool IsChoiceVoid() const;
+  [[nodiscard]] bool IsUsable(const member_view& aView) const;
+  [[nodiscard]] bool IsEmptied(const member_view& aView) const;
   void DemoteOld(clock::time_point aNow, std::vector<action>& aOut);
   void Promote(clock::time_point aNow, std::vector<action>& aOut);
   void Send(const upstream::server_id& aServer,
