A VM's links are those it has news for, and cost no timers

Cause: at full size each VM opened a link to every other one as soon as it was listed, and answers opened one back: 87,000 links that were never closed, each with ZeroMQ's own ping every second and timers that libzmq looks up by walking all of them. A VM that the store lists no longer spoke to all others once a second, to the same effect.

Change: a VM that starts asks the holders of duties and six others; one that is off the list speaks to those too, to other ones each time; a link that nothing was sent on for 6 s is closed; the kernel, not ZeroMQ, finds silent connections (TCP_USER_TIMEOUT, keep-alive). Since links come and go, news that were sent before what came already are dropped. While the store is away, the VM that had a duty goes on proving the primary for the others. Proofs of other VMs are passed on to 24 at most.

Tests: exchange (links open and close; old news are dropped), audience.

--- a/src/currantshed/net/zmq_socket.cpp
+++ b/src/currantshed/net/zmq_socket.cpp
@@ -13,12 +13,33 @@
 /// Messages handed over before others on the same thread get their turn.
 constexpr int kMostAtOnce = 128;
 
+/// When the kernel asks whether the peer of a silent connection is still there:
+/// after how many seconds, how many apart, and how often before the connection
+/// counts as lost. A connection that is used every two seconds costs no
+/// question.
+constexpr int kKeepAliveIdle = 3;
+constexpr int kKeepAliveInterval = 1;
+constexpr int kKeepAliveCount = 2;
+
 int
 Count(std::chrono::milliseconds aSpan)
 {
   return static_cast<int>(aSpan.count());
 }
 
+void
+ApplySilence(std::chrono::milliseconds aLimit, zmq::socket_t& aSocket)
+{
+  if (aLimit == std::chrono::milliseconds::zero()) {
+    return;
+  }
+  aSocket.set(zmq::sockopt::tcp_maxrt, Count(aLimit));
+  aSocket.set(zmq::sockopt::tcp_keepalive, 1);
+  aSocket.set(zmq::sockopt::tcp_keepalive_idle, kKeepAliveIdle);
+  aSocket.set(zmq::sockopt::tcp_keepalive_intvl, kKeepAliveInterval);
+  aSocket.set(zmq::sockopt::tcp_keepalive_cnt, kKeepAliveCount);
+}
+
 void
 Apply(const socket_settings& aSettings, zmq::socket_t& aSocket)
 {
@@ -27,9 +48,12 @@
   aSocket.set(zmq::sockopt::sndhwm, aSettings.highWater);
   aSocket.set(zmq::sockopt::rcvhwm, aSettings.highWater);
   aSocket.set(zmq::sockopt::maxmsgsize, aSettings.longestMessage);
-  aSocket.set(zmq::sockopt::heartbeat_ivl, Count(aSettings.pingInterval));
-  aSocket.set(zmq::sockopt::heartbeat_timeout, Count(aSettings.pingTimeout));
-  aSocket.set(zmq::sockopt::heartbeat_ttl, Count(aSettings.pingTimeout));
+  if (aSettings.pingInterval > std::chrono::milliseconds::zero()) {
+    aSocket.set(zmq::sockopt::heartbeat_ivl, Count(aSettings.pingInterval));
+    aSocket.set(zmq::sockopt::heartbeat_timeout, Count(aSettings.pingTimeout));
+    aSocket.set(zmq::sockopt::heartbeat_ttl, Count(aSettings.pingTimeout));
+  }
+  ApplySilence(aSettings.unacknowledged, aSocket);
   aSocket.set(zmq::sockopt::handshake_ivl, Count(aSettings.pingTimeout));
   aSocket.set(zmq::sockopt::connect_timeout, Count(aSettings.pingTimeout));
   aSocket.set(zmq::sockopt::reconnect_ivl, Count(aSettings.reconnectFirst));
--- a/src/currantshed/net/zmq_socket.hpp
+++ b/src/currantshed/net/zmq_socket.hpp
@@ -30,8 +30,12 @@
   /// Longest message taken from a peer, in bytes; a peer that sends more is
   /// disconnected.
   std::int64_t longestMessage = std::int64_t{ 16 } * 1024 * 1024;
-  /// Time between the transport's own pings.
+  /// Time between the transport's own pings; zero for none.
   std::chrono::milliseconds pingInterval{ 250 };
+  /// How long sent bytes may stay without the peer's acknowledgement before
+  /// the kernel gives the connection up, and after how much silence it begins
+  /// to ask whether the peer is there; zero leaves both to the system.
+  std::chrono::milliseconds unacknowledged{ 0 };
   /// A peer that has been silent for this long is disconnected.
   std::chrono::milliseconds pingTimeout{ 1000 };
   /// Pause between attempts to connect, at first and at most.
--- a/src/currantshed/news/exchange.cpp
+++ b/src/currantshed/news/exchange.cpp
@@ -1,5 +1,6 @@
 #include "currantshed/news/exchange.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -14,9 +15,14 @@
 // a connection fails while its receiving side is full, so this is far above
 // what a frozen VM leaves unread.
 constexpr int kHighWater = 512;
-// Each second of silence costs a ping; a dead peer is known from the store.
-constexpr std::chrono::milliseconds kPing{ 1000 };
-constexpr std::chrono::milliseconds kPingTimeout{ 2500 };
+// How long a connection may take to stand, and how long what was sent on it may
+// stay without acknowledgement before it is given up. The kernel keeps that
+// time: pings of ZeroMQ's own cost a timer for each link, which it looks up by
+// walking all timers.
+constexpr std::chrono::milliseconds kSilence{ 2500 };
+// A link that nothing was sent on for this long is closed. Far longer than the
+// pause between two words of a VM, which is two seconds at most.
+constexpr std::chrono::milliseconds kIdle{ 6000 };
 
 net::socket_settings
 NewsSettings()
@@ -24,8 +30,9 @@
   net::socket_settings settings;
   settings.longestMessage = kLongestNews;
   settings.highWater = kHighWater;
-  settings.pingInterval = kPing;
-  settings.pingTimeout = kPingTimeout;
+  settings.pingInterval = std::chrono::milliseconds{ 0 };
+  settings.pingTimeout = kSilence;
+  settings.unacknowledged = kSilence;
   return settings;
 }
 
@@ -90,6 +97,7 @@
     }
   }
   auto* dealer = DealerTo(found->second);
+  found->second.usedAt = aNow;
   if (dealer != nullptr) {
     // A peer that takes nothing now gets the next news.
     (void)dealer->Send(aNews.SerializeAsString());
@@ -111,6 +119,25 @@
   return aLink.dealer.get();
 }
 
+void
+exchange::CloseIdle(clock::time_point aNow)
+{
+  for (auto& [name, one] : mLinks) {
+    if (one.dealer != nullptr && aNow - one.usedAt >= kIdle) {
+      one.dealer.reset();
+    }
+  }
+}
+
+std::size_t
+exchange::Links() const noexcept
+{
+  return static_cast<std::size_t>(
+    std::count_if(mLinks.begin(), mLinks.end(), [](const auto& aEntry) {
+      return aEntry.second.dealer != nullptr;
+    }));
+}
+
 void
 exchange::Close()
 {
@@ -132,6 +159,12 @@
     from = {};
     from.incarnation = told.incarnation();
   }
+  // Links are closed and opened again: what an earlier one brings late must not
+  // undo what a later one has brought.
+  if (told.sent_at_us() < from.sentAt) {
+    return;
+  }
+  from.sentAt = told.sent_at_us();
   from.offset.Heard(std::chrono::microseconds{ told.sent_at_us() }, now);
   clock_reader reader;
   if (told.has_to_your_clock_us() && told.your_incarnation() == mIncarnation) {
--- a/src/currantshed/news/exchange.hpp
+++ b/src/currantshed/news/exchange.hpp
@@ -2,8 +2,10 @@
 #define CURRANTSHED_NEWS_EXCHANGE_HPP
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <system_error>
@@ -35,7 +37,9 @@
 
 /// News to and from the other VMs, and what is known of their clocks. Belongs
 /// to the thread of the io_context. Nothing waits: what a peer does not take
-/// at once is dropped, since newer news follow soon.
+/// at once is dropped, since newer news follow soon. A link to a peer is open
+/// only while there is news for it, so that a VM has as many as it speaks to,
+/// not as many as there are VMs.
 class exchange
 {
 public:
@@ -60,20 +64,30 @@
   /// Sends the news, with sender and clocks filled in.
   void Send(const std::string& aVm, News aNews, clock::time_point aNow);
 
+  /// Closes the links that nothing was sent on for a while. To be called about
+  /// once a second.
+  void CloseIdle(clock::time_point aNow);
+
+  /// How many links to peers are open.
+  [[nodiscard]] std::size_t Links() const noexcept;
+
   void Close();
 
 private:
   struct link
   {
     peer to;
-    /// Null until there is something to send.
+    /// Null while there is nothing to send.
     std::unique_ptr<net::dealer> dealer;
+    clock::time_point usedAt{};
   };
 
   struct sender
   {
     std::uint64_t incarnation = 0;
     lead::clock_offset offset;
+    /// When the newest message was sent, by the sender's clock.
+    std::int64_t sentAt = std::numeric_limits<std::int64_t>::min();
   };
 
   [[nodiscard]] net::dealer* DealerTo(link& aLink);
--- /dev/null
+++ b/src/currantshed/node/audience.cpp
@@ -0,0 +1,33 @@
+#include "currantshed/node/audience.hpp"
+
+#include <algorithm>
+
+#include "currantshed/news/exchange.hpp"
+
+namespace currantshed::node {
+
+std::vector<std::string>
+SomeOf(const std::vector<news::peer>& aPeers,
+       std::size_t aCount,
+       std::size_t aTurn)
+{
+  std::vector<std::string> chosen;
+  const auto count = std::min(aCount, aPeers.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    chosen.push_back(aPeers[(aTurn * count + i) % aPeers.size()].vm);
+  }
+  return chosen;
+}
+
+void
+AddNew(std::vector<std::string>& aNames,
+       const std::vector<std::string>& aOthers)
+{
+  for (const auto& one : aOthers) {
+    if (std::find(aNames.begin(), aNames.end(), one) == aNames.end()) {
+      aNames.push_back(one);
+    }
+  }
+}
+
+} // namespace currantshed::node
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -7,6 +7,7 @@
 
 #include "currantshed/clock/now.hpp"
 #include "currantshed/log/log.hpp"
+#include "currantshed/node/audience.hpp"
 #include "currantshed/store/patience.hpp"
 
 namespace currantshed::node {
@@ -22,7 +23,8 @@
 constexpr milliseconds kShortestReach{ 250 };
 constexpr milliseconds kLongestReach{ 2000 };
 // The same for a VM that the store lists no longer: whoever takes a duty over
-// learns of it only by that, and until then it has no proofs but its own.
+// learns of it only by that, and until then it has no proofs but its own. It
+// also speaks to a few others at a time, so that its links stay few.
 constexpr milliseconds kOffListReach{ 1000 };
 // After this time a VM takes callers though a group has no primary.
 constexpr milliseconds kReadyWithoutProof{ 1500 };
@@ -102,6 +104,7 @@
           [this](const news::News& aNews,
                  const news::exchange::clock_reader& aClock,
                  clock::time_point aNow) { Received(aNews, aClock, aNow); })
+  , mTurn(absl::Uniform<std::size_t>(mRandom, 0, 4096))
   , mKnownVms(aSettings.vm)
   , mStartedAt(clock::Now())
   , mTicker(mContext, [this] { Tick(); })
@@ -234,7 +237,9 @@
   SetPlaces(aNow);
   if (mListedAt == clock::time_point{} && mRegistration.IsListed()) {
     mListedAt = aNow;
-    for (const auto& vm : Peers(aNow)) {
+    auto asked = DutyHolders();
+    AddNew(asked, NextFew(aNow));
+    for (const auto& vm : asked) {
       SendReachTo(vm, true, aNow);
     }
   }
@@ -272,6 +277,7 @@
     NoteVms(now);
     SetPlaces(now);
     SendReach(now);
+    mNews.CloseIdle(now);
   }
   if (!mIsSettled && mSettledAt && now >= *mSettledAt) {
     mIsSettled = true;
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -163,6 +164,8 @@
   [[nodiscard]] std::chrono::milliseconds ReachInterval(
     clock::time_point aNow) const;
   [[nodiscard]] std::vector<std::string> Peers(clock::time_point aNow) const;
+  [[nodiscard]] std::vector<std::string> NextFew(clock::time_point aNow);
+  [[nodiscard]] std::vector<std::string> DutyHolders() const;
   [[nodiscard]] std::string HolderOf(const std::string& aService) const;
   /// The duty's record, or null.
   [[nodiscard]] const duty_record* DutyOf(const std::string& aService) const;
@@ -185,6 +188,8 @@
   store::registration mRegistration;
   news::exchange mNews;
   own_keys mOwnKeys;
+  // Counts the times that a few of the others were chosen.
+  std::size_t mTurn;
   known_vms mKnownVms;
   std::uint64_t mVersion = 0;
   server_list mServers;
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -319,7 +319,10 @@
                       mListedAt != clock::time_point{} &&
                       mRegistration.IsListed() && mOwnView.IsReached() &&
                       ShouldClaim(mOwnKeys, aService, mSelf);
-  aGroup.lead.SetStandsIn(isNext);
+  // While the store is away the VM that had the duty goes on proving the
+  // primary for the others, who would else all ask the servers themselves.
+  const bool isLast = isOwn && !holds && !mIsLeaving;
+  aGroup.lead.SetStandsIn(isNext || isLast);
   if (isNext && !aGroup.isClaiming && aNow >= aGroup.claimFrom &&
       aNow >= mListedAt + kSettleTime) {
     Claim(aService, aGroup, aNow);
--- a/src/currantshed/node/control_news.cpp
+++ b/src/currantshed/node/control_news.cpp
@@ -6,11 +6,17 @@
 #include <boost/asio/post.hpp>
 
 #include "currantshed/clock/now.hpp"
+#include "currantshed/node/audience.hpp"
 
 namespace currantshed::node {
 
 namespace {
 
+// How many VMs are spoken to at a time where it does not matter which.
+constexpr std::size_t kFewVms = 6;
+// How many VMs are passed on what this one has proved by itself.
+constexpr std::size_t kMostPassedOn = 24;
+
 news::Position*
 Fill(news::Position* aOut, const position::log_position& aPosition)
 {
@@ -103,8 +109,9 @@
     return;
   }
   FillChanges(told);
-  for (const auto& one : mKnownVms.Speaking(aNow)) {
-    mNews.Send(one.vm, told, aNow);
+  for (const auto& vm :
+       SomeOf(mKnownVms.Speaking(aNow), kMostPassedOn, mTurn++)) {
+    mNews.Send(vm, told, aNow);
   }
 }
 
@@ -155,23 +162,16 @@
   for (std::size_t i = 0; i < aServices.size(); ++i) {
     mHeard[aServices[i]] = aHeard[i];
   }
+  auto told = DutyHolders();
   // Whoever holds the duties by now may not know of a VM that the store lists
-  // no longer, nor that VM of a new holder: it speaks to all.
+  // no longer, nor that VM of a new holder: it speaks to others as well. To all
+  // at once would cost a link to each: a third of 295 VMs cut off from the
+  // store opened some 30,000.
   if (IsOffTheList(now)) {
-    for (const auto& vm : Peers(now)) {
-      SendReachTo(vm, false, now);
-    }
-    return;
+    AddNew(told, NextFew(now));
   }
-  std::vector<std::string> holders;
-  for (const auto& service : aServices) {
-    auto holder = HolderOf(service);
-    const bool isNew =
-      std::find(holders.begin(), holders.end(), holder) == holders.end();
-    if (!holder.empty() && holder != mSelf.where.vm && isNew) {
-      SendReachTo(holder, false, now);
-      holders.push_back(std::move(holder));
-    }
+  for (const auto& vm : told) {
+    SendReachTo(vm, false, now);
   }
 }
 
@@ -230,6 +230,27 @@
   Perform(aNow);
 }
 
+// Some of the VMs that can be told something, others each time.
+std::vector<std::string>
+control::NextFew(clock::time_point aNow)
+{
+  return SomeOf(mKnownVms.Reachable(aNow), kFewVms, mTurn++);
+}
+
+// The other VMs that hold duties, as far as this one knows.
+std::vector<std::string>
+control::DutyHolders() const
+{
+  std::vector<std::string> holders;
+  for (const auto& [service, one] : mGroups) {
+    auto holder = HolderOf(service);
+    if (!holder.empty() && holder != mSelf.where.vm) {
+      AddNew(holders, { std::move(holder) });
+    }
+  }
+  return holders;
+}
+
 std::vector<std::string>
 control::Peers(clock::time_point aNow) const
 {
