Two VMs of a failure domain follow the store for the others there

In an outage every VM tried every prefix anew by itself.

Change: in a failure domain with five VMs or more two of them, the same for all by hashing, watch the store (node/feeders); the others ask them by turns every 400 ms for what has changed since the revision that they know, and at once when a feeder says that there is something new. An answer says when it was surely current; without one that is current within 1.8 s (configuration) or 2.5 s, or when others know of a change for longer, a VM follows the store by itself. What is passed on never takes a VM back. Long answers stay off slow links: those VMs ask the store. While a VM's lease can't be renewed, it tries nothing else of the store. Whether a VM is to take a duty that nobody holds is worked out when the VMs change, not at each tick.

Ruled out: longer leases for all (a dead holder of a duty would be replaced a second later).

Tests: fed_view (what is passed on, gaps, never back, age, lapse, hold), feeders.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -34,9 +34,14 @@
 constexpr milliseconds kConfigurationPause{ 300 };
 constexpr milliseconds kServersPause{ 400 };
 constexpr milliseconds kServersPauseByServer{ 40 };
-// With hundreds of servers this still leaves most of the time in which a server
-// that leaves may be used.
-constexpr milliseconds kLongestServersPause{ 2500 };
+// However many there are: only a few VMs of a failure domain make these calls,
+// and what they learn must be soon enough for all.
+constexpr milliseconds kLongestServersPause{ 800 };
+constexpr milliseconds kLongestOwnPause{ 300 };
+// How long after its start a VM looks for others that follow the store for it,
+// before it begins to follow what it has read by itself.
+constexpr milliseconds kFeederSearch{ 2500 };
+constexpr milliseconds kOwnFeederSearch{ 1000 };
 
 // How long a byte of a document takes on the VM's link; the store sends three
 // bytes as four.
@@ -73,7 +78,10 @@
       *mPlatform.store,
       aDocuments.ConfigurationKey(),
       { .afterChange = kConfigurationPause, .byteTime = ByteTime(aSettings) },
-      { [this](clock::time_point) { ConfigurationChanged(); },
+      { [this](clock::time_point aNow) {
+         ConfigurationChanged();
+         TellFollowers(aNow);
+       },
         [this](bool aIsReached, std::error_code aWhy) {
           NoteStore("configuration", aIsReached, aWhy);
         } })
@@ -82,14 +90,20 @@
                  { .afterChange = kServersPause,
                    .afterChangeByKey = kServersPauseByServer,
                    .longestByKeys = kLongestServersPause },
-                 { [this](clock::time_point aNow) { ServersChanged(aNow); },
+                 { [this](clock::time_point aNow) {
+                    ServersChanged(aNow);
+                    TellFollowers(aNow);
+                  },
                    [this](bool aIsReached, std::error_code aWhy) {
                      NoteStore("servers", aIsReached, aWhy);
                    } })
   , mOwnView(*mPlatform.store,
              std::string(kOwnPrefix),
-             {},
-             { [this](clock::time_point aNow) { OwnKeysChanged(aNow); },
+             { .longestByKeys = kLongestOwnPause },
+             { [this](clock::time_point aNow) {
+                OwnKeysChanged(aNow);
+                TellFollowers(aNow);
+              },
                [this](bool aIsReached, std::error_code aWhy) {
                  NoteStore("own_keys", aIsReached, aWhy);
                } })
@@ -109,13 +123,19 @@
   , mStartedAt(clock::Now())
   , mTicker(mContext, [this] { Tick(); })
 {
+  mConfigurationView.FedUntil(mStartedAt + kFeederSearch);
+  mServersView.FedUntil(mStartedAt + kFeederSearch);
+  mOwnView.FedUntil(mStartedAt + kOwnFeederSearch);
   mRegistration.SetValue(PrintVm(mSelf));
   mRegistration.OnWritten([this] { Tick(); });
   mRegistration.OnRegained([this] {
     const auto now = clock::Now();
-    mConfigurationView.Renew(now);
-    mServersView.Renew(now);
-    mOwnView.Renew(now);
+    HoldViews();
+    for (auto* view : Views()) {
+      if (now >= view->FedUntil()) {
+        view->Renew(now);
+      }
+    }
     Schedule();
   });
 }
@@ -233,6 +253,8 @@
 {
   mOwnKeys = ReadOwnKeys(mOwnView.Items());
   NoteVms(aNow);
+  NoteFeeders(aNow);
+  NoteNext();
   TellFleet(aNow);
   SetPlaces(aNow);
   if (mListedAt == clock::time_point{} && mRegistration.IsListed()) {
@@ -264,6 +286,7 @@
 {
   const auto now = clock::Now();
   TickStore(now);
+  Poll(now);
   if (mServers.IsDue(now)) {
     ServersChanged(now);
   }
@@ -303,12 +326,29 @@
   const bool hasRead = mConfigurationView.IsKnown() && mServersView.IsKnown() &&
                        mOwnView.IsKnown();
   mPlatform.store->SetPatience(store::Patience(aNow - mStartedAt, hasRead));
+  HoldViews();
   mConfigurationView.Tick(aNow, absl::Uniform<double>(mRandom, 0, 1));
   mServersView.Tick(aNow, absl::Uniform<double>(mRandom, 0, 1));
   mOwnView.Tick(aNow, absl::Uniform<double>(mRandom, 0, 1));
   mRegistration.Tick(aNow, absl::Uniform<double>(mRandom, 0, 1));
 }
 
+// While the store does not answer this VM, only the renewal of its lease goes
+// on asking, which costs a tenth of any other call.
+void
+control::HoldViews()
+{
+  for (auto* view : Views()) {
+    view->SetHeld(view->IsKnown() && mRegistration.IsFailing());
+  }
+}
+
+bool
+control::ReachesStore() const
+{
+  return mOwnView.IsReached() && !mRegistration.IsFailing();
+}
+
 void
 control::UpdateReadiness(clock::time_point aNow)
 {
@@ -341,6 +381,9 @@
                          mOwnView.NextTick(),
                          mRegistration.NextTick(),
                          mNextReach });
+  if (!mFeeders.empty()) {
+    next = std::min(next, mNextPoll);
+  }
   for (const auto& [service, one] : mGroups) {
     next = std::min(next, one->lead.NextTick());
   }
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -1,6 +1,7 @@
 #ifndef CURRANTSHED_NODE_CONTROL_HPP
 #define CURRANTSHED_NODE_CONTROL_HPP
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <cstddef>
@@ -83,6 +84,9 @@
     }
 
     lead::group_lead lead;
+    // Whether this VM is to take the duty, which nobody holds. It takes a look
+    // at all VMs, so it is worked out only when they change.
+    bool isNext = false;
     bool isClaiming = false;
     clock::time_point claimFrom{};
     /// News about it go out at the end of this event.
@@ -164,6 +168,22 @@
   [[nodiscard]] std::chrono::milliseconds ReachInterval(
     clock::time_point aNow) const;
   [[nodiscard]] std::vector<std::string> Peers(clock::time_point aNow) const;
+  void NoteNext();
+  void EndFeederSearch(bool aIsFeeder, clock::time_point aNow);
+  void NoteFeeders(clock::time_point aNow);
+  void Poll(clock::time_point aNow);
+  void SendWanted(const std::string& aVm, clock::time_point aNow);
+  void AnswerWanted(const news::News& aNews, clock::time_point aNow);
+  void TakeUpdates(const news::News& aNews,
+                   const news::exchange::clock_reader& aClock,
+                   clock::time_point aNow);
+  void HeardChanges(const news::News& aNews, clock::time_point aNow);
+  void TellFollowers(clock::time_point aNow);
+  /// The followed prefixes, in the order of their numbers in messages.
+  [[nodiscard]] std::array<store::prefix_view*, 3> Views();
+  void HoldViews();
+  /// Whether calls of the store are answered, as far as is known.
+  [[nodiscard]] bool ReachesStore() const;
   [[nodiscard]] std::vector<std::string> NextFew(clock::time_point aNow);
   [[nodiscard]] std::vector<std::string> DutyHolders() const;
   [[nodiscard]] std::string HolderOf(const std::string& aService) const;
@@ -190,6 +210,12 @@
   own_keys mOwnKeys;
   // Counts the times that a few of the others were chosen.
   std::size_t mTurn;
+  // Who follows the store for this VM, when it last asked them and next does.
+  std::vector<std::string> mFeeders;
+  clock::time_point mWantedAt{};
+  clock::time_point mNextPoll{};
+  // The VMs that ask this one, and when they last did.
+  absl::btree_map<std::string, clock::time_point> mFollowers;
   known_vms mKnownVms;
   std::uint64_t mVersion = 0;
   server_list mServers;
--- /dev/null
+++ b/src/currantshed/node/control_feed.cpp
@@ -0,0 +1,262 @@
+// News of the store: a few VMs in each failure domain follow it, the others ask
+// those for what has changed.
+#include "currantshed/node/control.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "currantshed/log/log.hpp"
+#include "currantshed/node/audience.hpp"
+#include "currantshed/node/feeders.hpp"
+
+namespace currantshed::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Time between two questions of a VM, to its feeders by turns.
+constexpr milliseconds kPollInterval{ 400 };
+// Until when a VM that has found feeders waits for their first answer.
+constexpr milliseconds kFirstAnswer{ 600 };
+// How long keys count as current after they were surely those of the store.
+// Shorter for the configuration, which must be in force within three seconds of
+// its acknowledgement wherever the VM itself reaches the store.
+constexpr milliseconds kConfigurationLife{ 1800 };
+constexpr milliseconds kOtherLife{ 2500 };
+// How long a VM that asked is told that there is something new.
+constexpr milliseconds kFollowerLife{ 2000 };
+// Pause between two questions that such words lead to.
+constexpr milliseconds kHintPause{ 20 };
+// The part of a second for which one answer may keep the feeder's link busy:
+// some sixty VMs may ask at once, and callers' work goes by the same link.
+constexpr double kLinkPart = 0.01;
+constexpr double kBytesByMegabit = 1e6 / 8;
+
+store::key_change
+ReadKey(const news::Key& aKey)
+{
+  return { { aKey.key(), aKey.value(), aKey.changed(), aKey.lease() },
+           aKey.removed() };
+}
+
+void
+Fill(news::Key& aOut, const store::key_change& aChange)
+{
+  aOut.set_key(aChange.now.key);
+  aOut.set_value(aChange.now.value);
+  aOut.set_changed(aChange.now.changed);
+  aOut.set_lease(aChange.now.lease);
+  aOut.set_removed(aChange.removed);
+}
+
+std::size_t
+LengthOf(const store::key_update& aUpdate)
+{
+  std::size_t bytes = 0;
+  for (const auto& one : aUpdate.changes) {
+    bytes += one.now.key.size() + one.now.value.size();
+  }
+  return bytes;
+}
+
+store::key_update
+ReadUpdate(const news::KeysUpdate& aUpdate)
+{
+  store::key_update made;
+  made.isWhole = aUpdate.whole();
+  made.after = aUpdate.after();
+  made.upTo = aUpdate.up_to();
+  made.mayBeOld = aUpdate.may_be_old();
+  std::transform(aUpdate.keys().begin(),
+                 aUpdate.keys().end(),
+                 std::back_inserter(made.changes),
+                 ReadKey);
+  return made;
+}
+
+} // namespace
+
+// A VM that starts first looks for feeders: most others may not be listed yet.
+// It need not where it is known that there are few VMs, or that it is a feeder.
+void
+control::EndFeederSearch(bool aIsFeeder, clock::time_point aNow)
+{
+  const auto recorded = std::count_if(
+    mOwnKeys.fleet.begin(), mOwnKeys.fleet.end(), [this](const auto& aVm) {
+      return aVm.failureDomain == mSelf.failureDomain;
+    });
+  const bool areFew =
+    recorded > 0 && static_cast<std::size_t>(recorded) < kFewestFed;
+  if (aIsFeeder || areFew) {
+    for (auto* view : Views()) {
+      view->FedUntil(std::min(view->FedUntil(), aNow));
+    }
+  }
+}
+
+// Who feeds this VM: nobody while it is a feeder itself.
+void
+control::NoteFeeders(clock::time_point aNow)
+{
+  auto feeders = Feeders(mOwnKeys, mSelf.failureDomain);
+  const bool isFeeder =
+    std::find(feeders.begin(), feeders.end(), mSelf.where.vm) != feeders.end();
+  if (isFeeder) {
+    feeders.clear();
+  }
+  if (feeders.empty()) {
+    EndFeederSearch(isFeeder, aNow);
+  }
+  if (feeders == mFeeders) {
+    return;
+  }
+  log::Write(log::level::kInfo,
+             "feeders",
+             { { "feeds", isFeeder },
+               { "first", feeders.empty() ? std::string() : feeders.front() },
+               { "last", feeders.empty() ? std::string() : feeders.back() } });
+  const bool isNew = mFeeders.empty();
+  mFeeders = std::move(feeders);
+  if (!isNew || mFeeders.empty()) {
+    return;
+  }
+  for (auto* view : Views()) {
+    view->FedUntil(std::max(view->FedUntil(), aNow + kFirstAnswer));
+  }
+  for (const auto& vm : mFeeders) {
+    SendWanted(vm, aNow);
+  }
+}
+
+// Asks a feeder, the next one each time.
+void
+control::Poll(clock::time_point aNow)
+{
+  if (mFeeders.empty() || aNow < mNextPoll) {
+    return;
+  }
+  mNextPoll = aNow + kPollInterval;
+  SendWanted(mFeeders[++mTurn % mFeeders.size()], aNow);
+  // The feeders are cut off from the store as well: others may not be.
+  if (mRegistration.IsFailing() && aNow >= mOwnView.FedUntil()) {
+    for (const auto& vm : NextFew(aNow)) {
+      SendWanted(vm, aNow);
+    }
+  }
+}
+
+void
+control::SendWanted(const std::string& aVm, clock::time_point aNow)
+{
+  news::News told;
+  FillChanges(told);
+  std::uint32_t number = 0;
+  for (const auto* view : Views()) {
+    auto* wanted = told.add_wanted();
+    wanted->set_prefix(number++);
+    wanted->set_known(view->IsKnown() ? view->Seen() : 0);
+  }
+  mWantedAt = aNow;
+  mNews.Send(aVm, std::move(told), aNow);
+}
+
+// What a VM that asked lacks of the keys, and how old this VM's are.
+void
+control::AnswerWanted(const news::News& aNews, clock::time_point aNow)
+{
+  if (aNews.wanted_size() == 0) {
+    return;
+  }
+  mFollowers[aNews.vm()] = aNow;
+  const auto views = Views();
+  const auto longest = static_cast<std::size_t>(mSettings.linkMegabits *
+                                                kBytesByMegabit * kLinkPart);
+  news::News told;
+  FillChanges(told);
+  for (const auto& wanted : aNews.wanted()) {
+    if (wanted.prefix() >= views.size() || !views[wanted.prefix()]->IsKnown()) {
+      continue;
+    }
+    const auto& view = *views[wanted.prefix()];
+    auto update = view.After(wanted.known());
+    auto& out = *told.add_updates();
+    out.set_prefix(wanted.prefix());
+    out.set_whole(update.isWhole);
+    out.set_after(update.after);
+    out.set_up_to(update.upTo);
+    out.set_may_be_old(update.mayBeOld);
+    out.set_current_at_us(
+      lead::ToWire(view.CurrentAt(mRegistration.AnsweredFor())).count());
+    out.set_too_long(LengthOf(update) > longest);
+    if (!out.too_long()) {
+      for (const auto& one : update.changes) {
+        Fill(*out.add_keys(), one);
+      }
+    }
+  }
+  mNews.Send(aNews.vm(), std::move(told), aNow);
+}
+
+void
+control::TakeUpdates(const news::News& aNews,
+                     const news::exchange::clock_reader& aClock,
+                     clock::time_point aNow)
+{
+  const auto views = Views();
+  for (const auto& update : aNews.updates()) {
+    if (update.prefix() >= views.size()) {
+      continue;
+    }
+    auto& view = *views[update.prefix()];
+    if (update.too_long()) {
+      view.FedUntil(aNow);
+      continue;
+    }
+    if (!view.Take(ReadUpdate(update), aNow) || !aClock) {
+      continue;
+    }
+    const auto life =
+      &view == &mConfigurationView ? kConfigurationLife : kOtherLife;
+    view.FedUntil(
+      std::max(view.FedUntil(), aClock(update.current_at_us()) + life));
+  }
+}
+
+// A feeder that has seen something new is asked at once.
+void
+control::HeardChanges(const news::News& aNews, clock::time_point aNow)
+{
+  const bool isFeeder =
+    std::find(mFeeders.begin(), mFeeders.end(), aNews.vm()) != mFeeders.end();
+  const bool isNews =
+    aNews.configuration_change() > mConfigurationView.Seen() ||
+    aNews.servers_change() > mServersView.Seen() ||
+    aNews.own_change() > mOwnView.Seen();
+  if (isFeeder && isNews && aNow >= mWantedAt + kHintPause) {
+    SendWanted(aNews.vm(), aNow);
+  }
+}
+
+// Tells the VMs that ask this one that there is something new.
+void
+control::TellFollowers(clock::time_point aNow)
+{
+  absl::erase_if(mFollowers, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second > kFollowerLife;
+  });
+  news::News told;
+  FillChanges(told);
+  for (const auto& [vm, at] : mFollowers) {
+    mNews.Send(vm, told, aNow);
+  }
+}
+
+std::array<store::prefix_view*, 3>
+control::Views()
+{
+  return { &mConfigurationView, &mServersView, &mOwnView };
+}
+
+} // namespace currantshed::node
--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -66,7 +66,7 @@
 {
   const bool isDue = !mGroups.empty() &&
                      mGroups.begin()->second->lead.HoldsDuty() &&
-                     mOwnView.IsReached();
+                     ReachesStore();
   if (!isDue) {
     mFleetStaleSince.reset();
     return;
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -153,7 +153,7 @@
 void
 control::Do(const std::string& aService, const lead::check_terms& /*aAction*/)
 {
-  if (!mOwnView.IsReached()) {
+  if (!ReachesStore()) {
     boost::asio::post(mContext, [this, aService] {
       if (auto* found = Find(aService)) {
         found->lead.TermsChecked(std::nullopt, clock::Now());
@@ -315,10 +315,9 @@
     aGroup.lead.SetReplaced(duty->replacedTerm, aNow);
   }
   aGroup.lead.SetDuty(holds, duty == nullptr ? 0 : duty->epoch, aNow);
-  const bool isNext = !isOwn && !mIsLeaving &&
-                      mListedAt != clock::time_point{} &&
-                      mRegistration.IsListed() && mOwnView.IsReached() &&
-                      ShouldClaim(mOwnKeys, aService, mSelf);
+  const bool isNext =
+    !isOwn && !mIsLeaving && mListedAt != clock::time_point{} &&
+    mRegistration.IsListed() && ReachesStore() && aGroup.isNext;
   // While the store is away the VM that had the duty goes on proving the
   // primary for the others, who would else all ask the servers themselves.
   const bool isLast = isOwn && !holds && !mIsLeaving;
@@ -329,6 +328,14 @@
   }
 }
 
+void
+control::NoteNext()
+{
+  for (auto& [service, one] : mGroups) {
+    one->isNext = ShouldClaim(mOwnKeys, service, mSelf);
+  }
+}
+
 void
 control::Claim(const std::string& aService,
                group& aGroup,
--- a/src/currantshed/node/control_news.cpp
+++ b/src/currantshed/node/control_news.cpp
@@ -206,6 +206,9 @@
   mConfigurationView.HeardOf(aNews.configuration_change(), aNow);
   mServersView.HeardOf(aNews.servers_change(), aNow);
   mOwnView.HeardOf(aNews.own_change(), aNow);
+  AnswerWanted(aNews, aNow);
+  TakeUpdates(aNews, aClock, aNow);
+  HeardChanges(aNews, aNow);
   if (aNews.answer()) {
     AnswerTo(aNews.vm(), aNow);
   }
--- a/src/currantshed/node/control_servers.cpp
+++ b/src/currantshed/node/control_servers.cpp
@@ -117,6 +117,7 @@
     }
     place->lead.Configure(listed, aNow);
   }
+  NoteNext();
 }
 
 } // namespace currantshed::node
--- a/src/currantshed/node/duty.cpp
+++ b/src/currantshed/node/duty.cpp
@@ -61,6 +61,20 @@
   return record;
 }
 
+// The same for a row of the recorded fleet, without names: the record is read
+// by all VMs and grows with them. Of lives it tells nothing.
+vm_record
+FromRow(const json::array& aRow)
+{
+  vm_record record;
+  record.where = { json::value_to<std::string>(aRow.at(0)),
+                   json::value_to<std::string>(aRow.at(1)),
+                   aRow.at(2).to_number<std::uint16_t>() };
+  record.relayPort = aRow.at(3).to_number<std::uint16_t>();
+  record.failureDomain = json::value_to<std::string>(aRow.at(4));
+  return record;
+}
+
 // Whether the holder is listed in the life that took the duty, and stays.
 bool
 IsHeld(const own_keys& aKeys, const duty_record& aDuty)
@@ -96,7 +110,11 @@
 {
   json::array vms;
   for (const auto& one : aFleet) {
-    vms.push_back(ToObject(one));
+    vms.push_back(json::array{ one.where.vm,
+                               one.where.address,
+                               one.where.port,
+                               one.relayPort,
+                               one.failureDomain });
   }
   return json::serialize(vms);
 }
@@ -108,7 +126,7 @@
     std::vector<vm_record> fleet;
     const auto parsed = json::parse(aItem.value);
     for (const auto& one : parsed.as_array()) {
-      fleet.push_back(FromObject(one.as_object()));
+      fleet.push_back(FromRow(one.as_array()));
     }
     return fleet;
   } catch (const std::exception&) {
--- /dev/null
+++ b/src/currantshed/node/feeders.hpp
@@ -0,0 +1,24 @@
+#ifndef CURRANTSHED_NODE_FEEDERS_HPP
+#define CURRANTSHED_NODE_FEEDERS_HPP
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "currantshed/node/duty.hpp"
+
+namespace currantshed::node {
+
+/// With fewer VMs in a failure domain, most of them would be feeders.
+constexpr std::size_t kFewestFed = 5;
+
+/// The VMs of a failure domain that follow the store for the others there, so
+/// that its calls grow with the domains, not with the VMs. All VMs come to the
+/// same answer from the same list. None where the VMs are so few that it would
+/// spare next to nothing: then each follows the store by itself.
+[[nodiscard]] std::vector<std::string>
+Feeders(const own_keys& aKeys, const std::string& aFailureDomain);
+
+} // namespace currantshed::node
+
+#endif
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -14,6 +14,8 @@
 // Pause for each unit of time that a change keeps the link busy, so that
 // changes which never stop take at most a seventh of it.
 constexpr int kPauseByWay = 6;
+// Removals that are kept for others. A VM that lacks more gets all keys.
+constexpr std::size_t kMostRemovals = 1024;
 
 } // namespace
 
@@ -38,7 +40,8 @@
 prefix_view::Tick(clock::time_point aNow, double aRandom)
 {
   mRandom = aRandom;
-  if (mIsCalling || aNow < mNotBefore) {
+  const bool isFed = mIsKnown && !mMustRead && aNow < mFedUntil;
+  if (mIsCalling || mIsHeld || isFed || aNow < mNotBefore) {
     return;
   }
   mIsCalling = true;
@@ -52,7 +55,11 @@
 clock::time_point
 prefix_view::NextTick() const noexcept
 {
-  return mIsCalling ? clock::time_point::max() : mNotBefore;
+  if (mIsCalling || mIsHeld) {
+    return clock::time_point::max();
+  }
+  const bool canBeFed = mIsKnown && !mMustRead;
+  return canBeFed ? std::max(mNotBefore, mFedUntil) : mNotBefore;
 }
 
 void
@@ -65,8 +72,12 @@
   if (!mBehindSince) {
     mBehindSince = aNow;
   }
-  if (aNow - *mBehindSince > mSettings.patience) {
+  // Whoever passes changes on pauses after each, as this VM would.
+  const auto patience =
+    mIsCalling ? mSettings.patience : mSettings.patience + Pause();
+  if (aNow - *mBehindSince > patience) {
     ReadAgain();
+    mFedUntil = {};
   }
 }
 
@@ -104,13 +115,8 @@
                    Failed(aError, aNow);
                    return;
                  }
-                 mItems.clear();
-                 for (auto& one : aItems) {
-                   auto key = one.key;
-                   mChanged = std::max(mChanged, one.changed);
-                   mItems.emplace(std::move(key), std::move(one));
-                 }
-                 mSeen = aRevision;
+                 mAnsweredAt = aNow;
+                 TakeAll(std::move(aItems), aRevision);
                  mMustRead = false;
                  mIsKnown = true;
                  mMayBeOld = true;
@@ -143,25 +149,130 @@
                    Failed(aError, aNow);
                    return;
                  }
+                 mAnsweredAt = aNow;
+                 bool isChanged = false;
                  for (auto& one : aChanges) {
-                   auto key = one.now.key;
-                   mChanged = std::max(mChanged, one.now.changed);
-                   if (one.removed) {
-                     mItems.erase(key);
-                   } else {
-                     mItems[std::move(key)] = std::move(one.now);
-                   }
+                   isChanged = TakeOne(std::move(one)) || isChanged;
                  }
-                 mSeen = aRevision;
+                 mSeen = std::max(mSeen, aRevision);
                  mMayBeOld = mMissedSome;
                  mMissedSome = false;
                  Succeeded(!aChanges.empty(), aNow);
-                 if (!aChanges.empty()) {
+                 if (isChanged) {
                    mListener.changed(aNow);
                  }
                });
 }
 
+// All keys, as a reading of the store or another VM has them.
+void
+prefix_view::TakeAll(std::vector<item> aItems, revision aRevision)
+{
+  // Passed on meanwhile: this is an older state.
+  if (mIsKnown && aRevision < mSeen) {
+    return;
+  }
+  mItems.clear();
+  for (auto& one : aItems) {
+    auto key = one.key;
+    mChanged = std::max(mChanged, one.changed);
+    mItems.emplace(std::move(key), std::move(one));
+  }
+  mSeen = aRevision;
+  mRemovals.clear();
+  mRemovalsAfter = aRevision;
+}
+
+// Returns whether the change is news.
+bool
+prefix_view::TakeOne(key_change aChange)
+{
+  const auto found = mItems.find(aChange.now.key);
+  const bool isOld =
+    found != mItems.end() && found->second.changed >= aChange.now.changed;
+  if (isOld || (aChange.now.changed <= mSeen && found == mItems.end())) {
+    return false;
+  }
+  mChanged = std::max(mChanged, aChange.now.changed);
+  if (!aChange.removed) {
+    mItems[aChange.now.key] = std::move(aChange.now);
+    return true;
+  }
+  if (found != mItems.end()) {
+    mItems.erase(found);
+  }
+  mRemovals.push_back(std::move(aChange));
+  if (mRemovals.size() > kMostRemovals) {
+    mRemovalsAfter = mRemovals.front().now.changed;
+    mRemovals.pop_front();
+  }
+  return true;
+}
+
+bool
+prefix_view::Take(const key_update& aUpdate, clock::time_point aNow)
+{
+  if (mIsKnown && aUpdate.upTo < mSeen) {
+    return false;
+  }
+  if (!aUpdate.isWhole && (!mIsKnown || aUpdate.after > mSeen)) {
+    return false;
+  }
+  const bool wasKnown = mIsKnown;
+  bool isChanged = false;
+  if (aUpdate.isWhole && (!mIsKnown || aUpdate.upTo > mSeen)) {
+    std::vector<item> items;
+    for (const auto& one : aUpdate.changes) {
+      items.push_back(one.now);
+    }
+    TakeAll(std::move(items), aUpdate.upTo);
+    isChanged = true;
+  } else if (!aUpdate.isWhole) {
+    for (const auto& one : aUpdate.changes) {
+      isChanged = TakeOne(one) || isChanged;
+    }
+  }
+  mIsKnown = true;
+  mMustRead = mMustRead && mIsCalling;
+  mSeen = std::max(mSeen, aUpdate.upTo);
+  mMayBeOld = !wasKnown || aUpdate.isWhole || aUpdate.mayBeOld || mMissedSome ||
+              aNow >= mFedUntil;
+  mMissedSome = false;
+  mBehindSince.reset();
+  if (isChanged) {
+    mListener.changed(aNow);
+  }
+  return true;
+}
+
+key_update
+prefix_view::After(revision aKnown) const
+{
+  key_update made;
+  made.isWhole = aKnown < mRemovalsAfter;
+  made.after = made.isWhole ? 0 : aKnown;
+  made.upTo = mSeen;
+  made.mayBeOld = mMayBeOld;
+  for (const auto& [key, one] : mItems) {
+    if (one.changed > made.after) {
+      made.changes.push_back({ one, false });
+    }
+  }
+  for (const auto& one : mRemovals) {
+    if (!made.isWhole && one.now.changed > made.after) {
+      made.changes.push_back(one);
+    }
+  }
+  return made;
+}
+
+clock::time_point
+prefix_view::CurrentAt(clock::time_point aLastAnswer) const noexcept
+{
+  const bool waits = mIsCalling && !mMustRead && mIsReached;
+  return waits ? std::max(mAnsweredAt, aLastAnswer) : mAnsweredAt;
+}
+
 void
 prefix_view::Failed(std::error_code aError, clock::time_point aNow)
 {
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -2,10 +2,12 @@
 #define CURRANTSHED_STORE_PREFIX_VIEW_HPP
 
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <absl/container/btree_map.h>
 
@@ -40,9 +42,23 @@
                                  std::chrono::milliseconds{ 1500 } };
 };
 
+/// What one VM passes on to another of the keys below a prefix.
+struct key_update
+{
+  /// Whether these are all keys, not changes alone.
+  bool isWhole = false;
+  /// The changes are those after this revision, up to the other.
+  revision after = 0;
+  revision upTo = 0;
+  /// Whether the changes may have been made long before the sender saw them.
+  bool mayBeOld = false;
+  std::vector<key_change> changes;
+};
+
 /// The keys below one prefix as the store had them last: read once, then
 /// followed by watches, and read again when the store has dropped the changes
-/// in between. Belongs to one thread.
+/// in between. Other VMs may pass the changes on instead; while they do, the
+/// store is not called. Belongs to one thread.
 class prefix_view
 {
 public:
@@ -75,6 +91,29 @@
   /// answered, so the keys are read again, at once.
   void Renew(clock::time_point aNow);
 
+  /// Until then other VMs pass the changes on, so that no watch is begun.
+  void FedUntil(clock::time_point aUntil) noexcept { mFedUntil = aUntil; }
+  [[nodiscard]] clock::time_point FedUntil() const noexcept
+  {
+    return mFedUntil;
+  }
+
+  /// Another VM passes changes on. What does not follow on what is known here,
+  /// or is no newer, is left out. Returns whether all up to its end is known.
+  bool Take(const key_update& aUpdate, clock::time_point aNow);
+
+  /// What another VM lacks that knows all up to that revision.
+  [[nodiscard]] key_update After(revision aKnown) const;
+
+  /// Whether nothing is asked of the store for now, since calls of this VM
+  /// fail: one kind of call finds out when it answers again.
+  void SetHeld(bool aIsHeld) noexcept { mIsHeld = aIsHeld; }
+
+  /// When the keys were known to be as the store had them: a watch that waits
+  /// tells nothing, so its time is that of the last answer to any call.
+  [[nodiscard]] clock::time_point CurrentAt(
+    clock::time_point aLastAnswer) const noexcept;
+
   /// The newest change seen.
   [[nodiscard]] revision Changed() const noexcept { return mChanged; }
 
@@ -91,6 +130,8 @@
 private:
   void ReadAgain();
   void Read();
+  void TakeAll(std::vector<item> aItems, revision aRevision);
+  [[nodiscard]] bool TakeOne(key_change aChange);
   void Follow();
   void Failed(std::error_code aError, clock::time_point aNow);
   void Succeeded(bool aChanged, clock::time_point aNow);
@@ -112,6 +153,13 @@
   // A watch has failed since the last answer.
   bool mMissedSome = true;
   bool mIsCalling = false;
+  bool mIsHeld = false;
+  clock::time_point mFedUntil{};
+  // When the last answer came of a call for these keys.
+  clock::time_point mAnsweredAt{};
+  // The removals after a revision, oldest first, for others that lack them.
+  std::deque<key_change> mRemovals;
+  revision mRemovalsAfter = 0;
   clock::time_point mNotBefore{};
   double mRandom = 0;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
--- a/src/currantshed/store/registration.cpp
+++ b/src/currantshed/store/registration.cpp
@@ -102,7 +102,7 @@
                    Failed(aDone);
                    return;
                  }
-                 Answered();
+                 Answered(aNow);
                  mLease = aLease;
                  mValidUntil = aNow + mSettings.ttl;
                  mRenewAt = aNow + mSettings.renewAfter;
@@ -122,7 +122,7 @@
                 }
                 mIsCalling = false;
                 if (aError == errc::kNoLease) {
-                  Answered();
+                  Answered(aNow);
                   Lapsed();
                   return;
                 }
@@ -130,7 +130,7 @@
                   Failed(aDone);
                   return;
                 }
-                Answered();
+                Answered(aNow);
                 mValidUntil = aNow + mSettings.ttl;
                 mRenewAt = aNow + mSettings.renewAfter;
               });
@@ -147,7 +147,7 @@
   made.conditions.push_back({ mKey, seen });
   made.puts.push_back({ mKey, mValue, 0, mLease });
   mStore.Commit(std::move(made),
-                [this, alive = mAlive](
+                [this, alive = mAlive, aNow](
                   commit_outcome aOutcome, revision, clock::time_point aDone) {
                   if (!*alive) {
                     return;
@@ -156,7 +156,7 @@
                   switch (aOutcome) {
                     case commit_outcome::kApplied:
                       mIsWritten = true;
-                      Answered();
+                      Answered(aNow);
                       if (mWritten) {
                         mWritten();
                       }
@@ -198,8 +198,9 @@
 }
 
 void
-registration::Answered()
+registration::Answered(clock::time_point aAsked)
 {
+  mAnsweredFor = aAsked;
   mBackoff.Reset();
   if (std::exchange(mIsFailing, false) && mRegained) {
     mRegained();
--- a/src/currantshed/store/registration.hpp
+++ b/src/currantshed/store/registration.hpp
@@ -43,6 +43,15 @@
   /// What the key is to hold.
   void SetValue(std::string aValue);
 
+  /// Whether the last call failed: the store, or this VM's way to it, is away.
+  [[nodiscard]] bool IsFailing() const noexcept { return mIsFailing; }
+
+  /// When the last call that was answered was sent.
+  [[nodiscard]] clock::time_point AnsweredFor() const noexcept
+  {
+    return mAnsweredFor;
+  }
+
   /// Has the callback called whenever the store answers again after calls
   /// that failed.
   void OnRegained(std::function<void()> aRegained);
@@ -75,7 +84,7 @@
   void Renew(clock::time_point aNow);
   void Write(clock::time_point aNow);
   void Lapsed();
-  void Answered();
+  void Answered(clock::time_point aAsked);
   void Failed(clock::time_point aNow);
 
   key_value& mStore;
@@ -95,6 +104,7 @@
   bool mIsWritten = false;
   std::function<void()> mWritten;
   bool mIsFailing = false;
+  clock::time_point mAnsweredFor{};
   std::function<void()> mRegained;
   double mRandom = 0;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
--- /dev/null
+++ b/test/currantshed/node/feeders.cpp
@@ -0,0 +1,106 @@
+#include "currantshed/node/feeders.hpp"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+
+namespace {
+
+struct listed
+{
+  std::string name;
+  std::string failureDomain;
+  bool leaving = false;
+};
+
+std::vector<listed>
+Domain(const std::string& aName, int aVms)
+{
+  std::vector<listed> vms;
+  for (int i = 0; i < aVms; ++i) {
+    vms.push_back({ aName + std::to_string(i), aName });
+  }
+  return vms;
+}
+
+std::vector<listed>
+Join(std::vector<listed> aLeft, const std::vector<listed>& aRight)
+{
+  aLeft.insert(aLeft.end(), aRight.begin(), aRight.end());
+  return aLeft;
+}
+
+node::own_keys
+Keys(const std::vector<listed>& aVms)
+{
+  node::own_keys keys;
+  for (const auto& one : aVms) {
+    auto& record = keys.vms[one.name].record;
+    record.where.vm = one.name;
+    record.failureDomain = one.failureDomain;
+    record.leaving = one.leaving;
+  }
+  return keys;
+}
+
+struct feeder_row
+{
+  const char* name;
+  std::vector<listed> vms;
+  std::size_t feeders;
+};
+
+const feeder_row kRows[] = {
+  { "no VM", {}, 0 },
+  { "too few to be worth it", Domain("marka", 4), 0 },
+  { "a few", Domain("marka", 5), 2 },
+  { "many", Domain("marka", 60), 2 },
+  { "those of other failure domains don't count",
+    Join(Domain("marka", 4), Domain("khalda", 60)),
+    0 },
+  { "those that leave don't count",
+    Join(Domain("marka", 4), { { "going", "marka", true } }),
+    0 },
+};
+
+} // namespace
+
+TEST_GROUP(feeders){};
+
+TEST(feeders, two_of_a_failure_domain_with_several_vms)
+{
+  for (const auto& row : kRows) {
+    const auto chosen = node::Feeders(Keys(row.vms), "marka");
+    CHECK_EQUAL_TEXT(row.feeders, chosen.size(), row.name);
+    for (const auto& one : chosen) {
+      const auto found =
+        std::find_if(row.vms.begin(), row.vms.end(), [&](const auto& aVm) {
+          return aVm.name == one;
+        });
+      CHECK_TEXT(found != row.vms.end() && found->failureDomain == "marka" &&
+                   !found->leaving,
+                 row.name);
+    }
+  }
+}
+
+TEST(feeders, a_vm_that_comes_or_goes_moves_few)
+{
+  const auto all = Domain("marka", 20);
+  const auto before = node::Feeders(Keys(all), "marka");
+  for (std::size_t gone = 0; gone < all.size(); ++gone) {
+    auto left = all;
+    left.erase(left.begin() + static_cast<std::ptrdiff_t>(gone));
+    const auto after = node::Feeders(Keys(left), "marka");
+    for (const auto& one : before) {
+      const bool isGone = one == all[gone].name;
+      const bool isThere =
+        std::find(after.begin(), after.end(), one) != after.end();
+      CHECK(isGone != isThere);
+    }
+  }
+}
--- /dev/null
+++ b/test/currantshed/store/fed_view.cpp
@@ -0,0 +1,307 @@
+#include "currantshed/store/prefix_view.hpp"
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+#include "test/currantshed/store/fake_key_value.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A view of the keys below "a/".
+struct one_view
+{
+  explicit one_view(test::fake_key_value& aStore)
+    : view(aStore,
+           "a/",
+           {},
+           { [this](clock::time_point) { ++changes; },
+             [](bool, std::error_code) {} })
+  {
+  }
+
+  [[nodiscard]] std::string Keys() const
+  {
+    std::string text;
+    for (const auto& [key, item] : view.Items()) {
+      text += key + "=" + item.value + " ";
+    }
+    return text;
+  }
+
+  store::prefix_view view;
+  int changes = 0;
+};
+
+/// One VM that follows the store, and another that it passes changes on to.
+struct pair
+{
+  pair()
+  {
+    store.Put("a/1", "one");
+    store.Put("a/2", "two");
+  }
+
+  void Run(std::chrono::milliseconds aSpan)
+  {
+    for (const auto end = store.now + aSpan; store.now < end;
+         store.now += 10ms) {
+      feeder.view.Tick(store.now, 0.5);
+      fed.view.Tick(store.now, 0.5);
+      store.Answer();
+    }
+  }
+
+  /// Passes on what the other lacks.
+  bool Feed(std::chrono::milliseconds aFor = 2000ms)
+  {
+    const bool taken =
+      fed.view.Take(feeder.view.After(fed.view.Seen()), store.now);
+    if (taken) {
+      fed.view.FedUntil(store.now + aFor);
+    }
+    return taken;
+  }
+
+  /// Both know the keys, and only the one follows the store from now on.
+  void Begin()
+  {
+    fed.view.FedUntil(store.now + 1h);
+    Run(100ms);
+    fed.view.FedUntil(store.now);
+    CHECK(Feed());
+  }
+
+  test::fake_key_value store;
+  one_view feeder{ store };
+  one_view fed{ store };
+};
+
+struct feed_row
+{
+  const char* name;
+  std::function<void(pair&)> given;
+  std::string keys;
+  bool mayBeOld = false;
+};
+
+const feed_row kRows[] = {
+  { "nothing new", [](pair&) {}, "a/1=one a/2=two ", true },
+  { "a new key",
+    [](pair& aPair) { aPair.store.Put("a/3", "three"); },
+    "a/1=one a/2=two a/3=three " },
+  { "a key written again and again",
+    [](pair& aPair) {
+      aPair.store.Put("a/1", "uno");
+      aPair.store.Put("a/1", "ein");
+    },
+    "a/1=ein a/2=two " },
+  { "a key removed",
+    [](pair& aPair) { aPair.store.Remove("a/1"); },
+    "a/2=two " },
+  { "a key removed and written again",
+    [](pair& aPair) {
+      aPair.store.Remove("a/1");
+      aPair.store.Put("a/1", "uno");
+    },
+    "a/1=uno a/2=two " },
+  { "more removals than are kept",
+    [](pair& aPair) {
+      for (int i = 0; i < 1200; ++i) {
+        const auto key = "a/x" + std::to_string(i);
+        aPair.store.Put(key, "x");
+        aPair.store.Remove(key);
+      }
+      aPair.store.Remove("a/2");
+    },
+    "a/1=one ",
+    true },
+  { "the other has read all keys anew meanwhile",
+    [](pair& aPair) {
+      aPair.store.Remove("a/1");
+      aPair.store.history.clear();
+      aPair.store.CutWatches(store::errc::kHistoryGone);
+    },
+    "a/2=two ",
+    true },
+  { "the other had lost its watch",
+    [](pair& aPair) {
+      aPair.store.CutWatches(store::errc::kTimeout);
+      aPair.store.Put("a/1", "uno");
+    },
+    "a/1=uno a/2=two ",
+    true },
+};
+
+} // namespace
+
+TEST_GROUP(fed_view){};
+
+TEST(fed_view, knows_what_is_passed_on)
+{
+  for (const auto& row : kRows) {
+    pair made;
+    made.Begin();
+    row.given(made);
+    made.Run(800ms);
+    CHECK_TEXT(made.Feed(), row.name);
+    STRCMP_EQUAL_TEXT(row.keys.c_str(), made.fed.Keys().c_str(), row.name);
+    CHECK_EQUAL_TEXT(made.feeder.view.Seen(), made.fed.view.Seen(), row.name);
+    CHECK_EQUAL_TEXT(row.mayBeOld, made.fed.view.MayBeOld(), row.name);
+  }
+}
+
+TEST(fed_view, begins_no_watch_while_it_is_fed)
+{
+  pair made;
+  made.Begin();
+  made.Run(1500ms);
+  CHECK_EQUAL(1U, made.store.watches.size());
+  made.Feed();
+  made.Run(1500ms);
+  CHECK_EQUAL(1U, made.store.watches.size());
+}
+
+TEST(fed_view, follows_the_store_itself_once_nobody_feeds_it)
+{
+  pair made;
+  made.Begin();
+  made.store.Put("a/1", "uno");
+  made.Run(1900ms);
+  STRCMP_EQUAL("a/1=one a/2=two ", made.fed.Keys().c_str());
+  made.Run(200ms);
+  STRCMP_EQUAL("a/1=uno a/2=two ", made.fed.Keys().c_str());
+}
+
+TEST(fed_view, follows_the_store_itself_when_others_know_more)
+{
+  pair made;
+  made.Begin();
+  made.fed.view.FedUntil(made.store.now + 1h);
+  made.store.Put("a/1", "uno");
+  for (int i = 0; i < 120; ++i) {
+    made.fed.view.HeardOf(made.store.revision, made.store.now);
+    made.Run(10ms);
+  }
+  STRCMP_EQUAL("a/1=uno a/2=two ", made.fed.Keys().c_str());
+}
+
+TEST(fed_view, never_goes_back)
+{
+  pair made;
+  made.Begin();
+  const auto old = made.feeder.view.After(0);
+  auto oldChanges = made.feeder.view.After(1);
+  made.store.Put("a/1", "uno");
+  made.store.Remove("a/2");
+  made.Run(800ms);
+  CHECK(made.Feed());
+  // What took a detour comes late.
+  CHECK_FALSE(made.fed.view.Take(old, made.store.now));
+  CHECK_FALSE(made.fed.view.Take(oldChanges, made.store.now));
+  STRCMP_EQUAL("a/1=uno ", made.fed.Keys().c_str());
+  // So does a reading of the store that began before.
+  oldChanges = made.feeder.view.After(made.fed.view.Seen());
+  CHECK(oldChanges.changes.empty());
+}
+
+TEST(fed_view, takes_no_changes_that_leave_a_gap)
+{
+  pair made;
+  made.Begin();
+  const auto known = made.fed.view.Seen();
+  made.store.Put("a/1", "uno");
+  made.Run(800ms);
+  const auto between = made.feeder.view.Seen();
+  made.store.Put("a/2", "due");
+  made.Run(800ms);
+  CHECK_FALSE(
+    made.fed.view.Take(made.feeder.view.After(between), made.store.now));
+  CHECK_EQUAL(known, made.fed.view.Seen());
+  STRCMP_EQUAL("a/1=one a/2=two ", made.fed.Keys().c_str());
+}
+
+TEST(fed_view, a_reading_older_than_what_was_passed_on_is_dropped)
+{
+  pair made;
+  made.Run(100ms);
+  made.fed.view.Renew(made.store.now);
+  // The reading is on its way when the change is passed on.
+  made.fed.view.Tick(made.store.now, 0.5);
+  made.store.Put("a/1", "uno");
+  store::key_update update{ false, 1, made.store.revision, false, {} };
+  update.changes.push_back({ made.store.items["a/1"], false });
+  const auto fed = made.fed.view.Take(update, made.store.now);
+  made.Run(500ms);
+  CHECK(fed);
+  STRCMP_EQUAL("a/1=uno a/2=two ", made.fed.Keys().c_str());
+}
+
+struct current_row
+{
+  const char* name;
+  std::function<void(pair&)> given;
+  /// How long ago the keys were surely those of the store, if any call of the
+  /// VM was answered just now.
+  std::chrono::milliseconds age;
+};
+
+const current_row kCurrent[] = {
+  { "a watch waits", [](pair& aPair) { aPair.Run(2000ms); }, 0ms },
+  { "the watch was cut",
+    [](pair& aPair) {
+      aPair.store.failing = store::errc::kUnavailable;
+      aPair.store.CutWatches(store::errc::kUnavailable);
+      aPair.store.now += 700ms;
+    },
+    710ms },
+  { "a pause after a change",
+    [](pair& aPair) {
+      aPair.store.Put("a/3", "three");
+      aPair.Run(10ms);
+      aPair.store.now += 90ms;
+    },
+    100ms },
+};
+
+TEST(fed_view, tells_how_old_its_keys_may_be)
+{
+  for (const auto& row : kCurrent) {
+    pair made;
+    made.Run(10ms);
+    row.given(made);
+    const auto age =
+      made.store.now - made.feeder.view.CurrentAt(made.store.now);
+    CHECK_EQUAL_TEXT(
+      row.age.count(),
+      std::chrono::duration_cast<std::chrono::milliseconds>(age).count(),
+      row.name);
+  }
+}
+
+TEST(fed_view, asks_nothing_while_it_is_held)
+{
+  pair made;
+  made.Run(100ms);
+  made.store.failing = store::errc::kUnavailable;
+  made.feeder.view.SetHeld(true);
+  made.store.CutWatches(store::errc::kUnavailable);
+  const auto ranges = made.store.ranges;
+  for (int i = 0; i < 50; ++i) {
+    made.store.now += 100ms;
+    made.feeder.view.Tick(made.store.now, 0.5);
+    made.store.Answer();
+  }
+  CHECK_EQUAL(ranges, made.store.ranges);
+  CHECK(made.store.watches.empty());
+  made.store.failing = {};
+  made.store.Put("a/1", "uno");
+  made.feeder.view.SetHeld(false);
+  made.Run(50ms);
+  STRCMP_EQUAL("a/1=uno a/2=two ", made.feeder.Keys().c_str());
+}
