Words between watchers and VMs go by way of feeders

Cause: whoever watches a group spoke to every VM at each proof, and every VM to every watcher: at 295 VMs and 20 groups 57 messages a second came to each VM, each of which woke three threads, and a watcher held 590 links (862 files, 25 MB, 0.063 of a core at most).

Ways weighed: gossip (a proof lives for a second and is renewed every 350 ms; several hops of some 100 ms each leave nothing), a tree for each group (20 trees to keep, each VM inner node of some), the feeders of each failure domain that follow the store already (one hop more, two of them, known to all from the list). The last one was taken.

Change: a watcher speaks to the feeders of each failure domain; those gather words of all groups for 150 ms (the second one 300) and pass them on to the VMs that ask them for news of the store, at once where a term is revoked. The other way feeders pass on the freshest word on each primary, and each word that a term was given up. Times are turned over at each hop, so that a detour only makes them older. Since words now come by two ways, revocations are numbered: an older word by a slower way changes nothing.

--- a/src/currantshed/lead/group_lead.cpp
+++ b/src/currantshed/lead/group_lead.cpp
@@ -1,6 +1,7 @@
 #include "currantshed/lead/group_lead.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include <absl/strings/str_cat.h>
@@ -144,7 +145,9 @@
 void
 group_lead::HeardWatch(const lead_news& aNews, clock::time_point aNow)
 {
-  if (aNews.epoch >= mRevokedEpoch && !mHoldsDuty) {
+  const bool isNewest = std::tie(aNews.epoch, aNews.sequence) >=
+                        std::tie(mRevokedEpoch, mRevokedSequence);
+  if (isNewest && !mHoldsDuty) {
     if (aNews.revokedTerm != mRevoked) {
       mActions.emplace_back(publish_revocation{ aNews.revokedTerm });
     }
@@ -153,12 +156,16 @@
     }
     mRevoked = aNews.revokedTerm;
     mRevokedEpoch = aNews.epoch;
+    mRevokedSequence = aNews.sequence;
     mRevokedAt = aNow;
   }
   if (mMayAsk) {
     TakeProof(aNews.proof, false, aNow);
   }
   if (aNews.sample && aNews.sample->term == mProof.term) {
+    if (!mSample || aNews.sample->askedAt > mSample->askedAt) {
+      mSample = aNews.sample;
+    }
     mActions.emplace_back(publish_sample{ *aNews.sample });
   }
   Evaluate(aNow);
@@ -178,8 +185,16 @@
 group_lead::Watch() const
 {
   // Only the word of who holds the duty revokes and lifts revocations.
-  const auto epoch = mHoldsDuty ? mEpoch : 0;
-  return { mProof, mSample, mTakeover.RevokedTerm(), epoch };
+  if (!mHoldsDuty) {
+    return { mProof, mSample, 0, 0, 0 };
+  }
+  return { mProof, mSample, mOwnRevoked, mEpoch, mOwnSequence };
+}
+
+lead_news
+group_lead::Relayed() const
+{
+  return { mProof, mSample, mRevoked, mRevokedEpoch, mRevokedSequence };
 }
 
 reach_news
@@ -237,6 +252,10 @@
     mTakeover.Tick(mNow, mActions);
     Repair(mNow);
   }
+  if (mTakeover.RevokedTerm() != mOwnRevoked) {
+    mOwnRevoked = mTakeover.RevokedTerm();
+    ++mOwnSequence;
+  }
   Ask(mNow);
 }
 
--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -39,8 +39,11 @@
   std::optional<proxy::position_sample> sample;
   /// The term that no VM may rest on, or zero.
   position::term_id revokedTerm = 0;
-  /// Number of the sender's duty; a higher one overrides.
+  /// Number of the duty of whoever revokes; a higher one overrides.
   std::uint64_t epoch = 0;
+  /// Goes up whenever the holder of the duty revokes or lifts a revocation:
+  /// words that come by several ways may overtake each other.
+  std::uint64_t sequence = 0;
 };
 
 /// What one VM says of its own way to the primary.
@@ -124,6 +127,8 @@
   /// What this VM says to others. The reach is when traffic last heard the
   /// primary.
   [[nodiscard]] lead_news Watch() const;
+  /// What it passes on of what it was told by whoever holds the duty.
+  [[nodiscard]] lead_news Relayed() const;
   [[nodiscard]] reach_news Reach(
     std::optional<clock::time_point> aHeardAt) const;
 
@@ -193,9 +198,13 @@
   std::chrono::milliseconds mAskPause{ 0 };
   std::uint64_t mEpoch = 0;
   clock::time_point mDutySince;
+  // The term that this VM revokes, and how often that has changed.
+  position::term_id mOwnRevoked = 0;
+  std::uint64_t mOwnSequence = 0;
   // The newest word of whoever holds the duty.
   position::term_id mRevoked = 0;
   std::uint64_t mRevokedEpoch = 0;
+  std::uint64_t mRevokedSequence = 0;
   clock::time_point mRevokedAt;
   position::term_id mReplaced = 0;
   // An own proof that holds only if the store shows that its term still leads.
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -259,7 +259,7 @@
   SetPlaces(aNow);
   if (mListedAt == clock::time_point{} && mRegistration.IsListed()) {
     mListedAt = aNow;
-    auto asked = DutyHolders();
+    auto asked = mFeeders.empty() ? DutyHolders() : mFeeders;
     AddNew(asked, NextFew(aNow));
     for (const auto& vm : asked) {
       SendReachTo(vm, true, aNow);
@@ -384,6 +384,9 @@
   if (!mFeeders.empty()) {
     next = std::min(next, mNextPoll);
   }
+  if (!mFollowers.empty()) {
+    next = std::min(next, mRelays.NextTick());
+  }
   for (const auto& [service, one] : mGroups) {
     next = std::min(next, one->lead.NextTick());
   }
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -28,6 +28,7 @@
 #include "currantshed/node/duty.hpp"
 #include "currantshed/node/known_vms.hpp"
 #include "currantshed/node/metrics.hpp"
+#include "currantshed/node/relay_box.hpp"
 #include "currantshed/node/server_list.hpp"
 #include "currantshed/node/settings.hpp"
 #include "currantshed/node/traffic.hpp"
@@ -169,6 +170,25 @@
     clock::time_point aNow) const;
   [[nodiscard]] std::vector<std::string> Peers(clock::time_point aNow) const;
   void NoteNext();
+  void NoteDomains();
+  [[nodiscard]] std::vector<std::string> Audience(clock::time_point aNow) const;
+  [[nodiscard]] bool IsAsking(const std::string& aVm,
+                              clock::time_point aNow) const;
+  [[nodiscard]] bool IsRelayed(clock::time_point aNow) const;
+  [[nodiscard]] std::vector<std::string> ReachAudience(clock::time_point aNow);
+  [[nodiscard]] std::vector<std::string> ObedienceAudience(
+    const std::string& aService,
+    clock::time_point aNow) const;
+  void PassWords(clock::time_point aNow);
+  void TakeWatches(const news::News& aNews,
+                   const news::exchange::clock_reader& aClock,
+                   clock::time_point aNow);
+  void TakeReach(const std::string& aFrom,
+                 const std::string& aService,
+                 const lead::reach_news& aReach,
+                 clock::time_point aNow);
+  void PassReaches(clock::time_point aNow);
+  [[nodiscard]] bool IsFeeder(const std::string& aVm) const;
   void EndFeederSearch(bool aIsFeeder, clock::time_point aNow);
   void NoteFeeders(clock::time_point aNow);
   void Poll(clock::time_point aNow);
@@ -212,6 +232,14 @@
   std::size_t mTurn;
   // Who follows the store for this VM, when it last asked them and next does.
   std::vector<std::string> mFeeders;
+  // The feeders of this VM's failure domain, itself perhaps among them, the
+  // failure domains that have feeders, and the feeders of all.
+  std::vector<std::string> mOwnFeeders;
+  absl::flat_hash_set<std::string> mFedDomains;
+  absl::flat_hash_set<std::string> mFeedersOfAll;
+  relay_box mRelays;
+  // When a feeder last passed words of those that watch groups on to this VM.
+  clock::time_point mRelayedAt{};
   clock::time_point mWantedAt{};
   clock::time_point mNextPoll{};
   // The VMs that ask this one, and when they last did.
--- a/src/currantshed/node/control_feed.cpp
+++ b/src/currantshed/node/control_feed.cpp
@@ -100,7 +100,9 @@
 void
 control::NoteFeeders(clock::time_point aNow)
 {
+  NoteDomains();
   auto feeders = Feeders(mOwnKeys, mSelf.failureDomain);
+  mOwnFeeders = feeders;
   const bool isFeeder =
     std::find(feeders.begin(), feeders.end(), mSelf.where.vm) != feeders.end();
   if (isFeeder) {
@@ -228,17 +230,22 @@
 void
 control::HeardChanges(const news::News& aNews, clock::time_point aNow)
 {
-  const bool isFeeder =
-    std::find(mFeeders.begin(), mFeeders.end(), aNews.vm()) != mFeeders.end();
   const bool isNews =
     aNews.configuration_change() > mConfigurationView.Seen() ||
     aNews.servers_change() > mServersView.Seen() ||
     aNews.own_change() > mOwnView.Seen();
-  if (isFeeder && isNews && aNow >= mWantedAt + kHintPause) {
+  if (isNews && IsFeeder(aNews.vm()) && aNow >= mWantedAt + kHintPause) {
     SendWanted(aNews.vm(), aNow);
   }
 }
 
+// Whether the VM is one of those that feed this one.
+bool
+control::IsFeeder(const std::string& aVm) const
+{
+  return std::find(mFeeders.begin(), mFeeders.end(), aVm) != mFeeders.end();
+}
+
 // Tells the VMs that ask this one that there is something new.
 void
 control::TellFollowers(clock::time_point aNow)
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -34,6 +34,8 @@
   }
   SendWatch(aNow);
   PassOn(aNow);
+  PassWords(aNow);
+  PassReaches(aNow);
   Schedule();
 }
 
@@ -256,6 +258,7 @@
     found->hasNews = true;
     found->passesOn = found->passesOn || aAction.isOwn;
   }
+  mRelays.HasWord(aService, false, clock::Now());
 }
 
 void
@@ -271,15 +274,16 @@
 {
   mTraffic.Revoke(aService, aAction.term, [this, aService] {
     boost::asio::post(mContext, [this, aService] {
-      const auto holder = HolderOf(aService);
-      if (!holder.empty() && holder != mSelf.where.vm) {
-        SendReachTo(holder, false, clock::Now());
+      const auto now = clock::Now();
+      for (const auto& vm : ObedienceAudience(aService, now)) {
+        SendReachTo(vm, false, now);
       }
     });
   });
   if (auto* found = Find(aService)) {
     found->hasNews = true;
   }
+  mRelays.HasWord(aService, true, clock::Now());
 }
 
 void
--- a/src/currantshed/node/control_news.cpp
+++ b/src/currantshed/node/control_news.cpp
@@ -7,6 +7,7 @@
 
 #include "currantshed/clock/now.hpp"
 #include "currantshed/node/audience.hpp"
+#include "currantshed/node/control_words.hpp"
 
 namespace currantshed::node {
 
@@ -17,64 +18,9 @@
 // How many VMs are passed on what this one has proved by itself.
 constexpr std::size_t kMostPassedOn = 24;
 
-news::Position*
-Fill(news::Position* aOut, const position::log_position& aPosition)
-{
-  aOut->set_term(aPosition.term);
-  aOut->set_index(aPosition.index);
-  return aOut;
-}
-
-void
-Fill(news::Watch& aOut,
-     const std::string& aService,
-     const lead::lead_news& aNews)
-{
-  aOut.set_group(aService);
-  aOut.set_term(aNews.proof.term);
-  aOut.set_primary(aNews.proof.primary);
-  aOut.set_asked_at_us(lead::ToWire(aNews.proof.askedAt).count());
-  aOut.set_revoked_term(aNews.revokedTerm);
-  aOut.set_epoch(aNews.epoch);
-  if (aNews.sample) {
-    aOut.set_sample_term(aNews.sample->term);
-    Fill(aOut.mutable_sample(), aNews.sample->position);
-    aOut.set_sampled_at_us(lead::ToWire(aNews.sample->askedAt).count());
-  }
-}
-
-void
-Fill(news::Reach& aOut,
-     const std::string& aService,
-     const lead::reach_news& aNews)
-{
-  aOut.set_group(aService);
-  aOut.set_term(aNews.term);
-  aOut.set_primary(aNews.primary);
-  aOut.set_heard_at_us(lead::ToWire(aNews.heardAt).count());
-  aOut.set_obeyed_term(aNews.obeyedTerm);
-}
-
-lead::lead_news
-ReadWatch(const news::Watch& aWatch, const news::exchange::clock_reader& aClock)
-{
-  lead::lead_news made;
-  made.proof = { aWatch.term(),
-                 aWatch.primary(),
-                 aClock(aWatch.asked_at_us()) };
-  made.revokedTerm = aWatch.revoked_term();
-  made.epoch = aWatch.epoch();
-  if (aWatch.has_sample()) {
-    made.sample = { aWatch.sample_term(),
-                    { aWatch.sample().term(), aWatch.sample().index() },
-                    aClock(aWatch.sampled_at_us()) };
-  }
-  return made;
-}
-
 } // namespace
 
-// The word of the VM that watches a group, to all others.
+// The word of the VM that watches a group, to all others, by way of feeders.
 void
 control::SendWatch(clock::time_point aNow)
 {
@@ -88,7 +34,7 @@
     return;
   }
   FillChanges(told);
-  for (const auto& vm : Peers(aNow)) {
+  for (const auto& vm : Audience(aNow)) {
     mNews.Send(vm, told, aNow);
   }
 }
@@ -125,6 +71,8 @@
     const bool holds = aNow < proof.askedAt + mLeadSettings.validity;
     if (one->lead.Speaks() || (holds && !HasHolder(mOwnKeys, service))) {
       Fill(*told.add_watches(), service, one->lead.Watch());
+    } else if (holds && mFollowers.contains(aVm)) {
+      Fill(*told.add_watches(), service, one->lead.Relayed());
     }
   }
   FillChanges(told);
@@ -162,15 +110,7 @@
   for (std::size_t i = 0; i < aServices.size(); ++i) {
     mHeard[aServices[i]] = aHeard[i];
   }
-  auto told = DutyHolders();
-  // Whoever holds the duties by now may not know of a VM that the store lists
-  // no longer, nor that VM of a new holder: it speaks to others as well. To all
-  // at once would cost a link to each: a third of 295 VMs cut off from the
-  // store opened some 30,000.
-  if (IsOffTheList(now)) {
-    AddNew(told, NextFew(now));
-  }
-  for (const auto& vm : told) {
+  for (const auto& vm : ReachAudience(now)) {
     SendReachTo(vm, false, now);
   }
 }
@@ -190,7 +130,8 @@
   told.set_answer(aAsks);
   FillChanges(told);
   for (const auto& [service, one] : mGroups) {
-    if (HolderOf(service) == aVm || IsOffTheList(aNow)) {
+    const bool isForAll = IsOffTheList(aNow) || IsFeeder(aVm);
+    if (isForAll || HolderOf(service) == aVm) {
       Fill(*told.add_reaches(), service, one->lead.Reach(mHeard[service]));
     }
   }
@@ -213,21 +154,12 @@
     AnswerTo(aNews.vm(), aNow);
   }
   if (aClock) {
-    for (const auto& watch : aNews.watches()) {
-      if (auto* found = Find(watch.group())) {
-        found->lead.HeardWatch(ReadWatch(watch, aClock), aNow);
-      }
-    }
+    TakeWatches(aNews, aClock, aNow);
     for (const auto& reach : aNews.reaches()) {
-      if (auto* found = Find(reach.group())) {
-        found->lead.HeardReach(aNews.vm(),
-                               { reach.term(),
-                                 reach.primary(),
-                                 aClock(reach.heard_at_us()),
-                                 reach.obeyed_term(),
-                                 aClock(aNews.sent_at_us()) },
-                               aNow);
-      }
+      TakeReach(reach.vm().empty() ? aNews.vm() : reach.vm(),
+                reach.group(),
+                ReadReach(reach, aNews.sent_at_us(), aClock),
+                aNow);
     }
   }
   Perform(aNow);
@@ -254,6 +186,21 @@
   return holders;
 }
 
+void
+control::TakeWatches(const news::News& aNews,
+                     const news::exchange::clock_reader& aClock,
+                     clock::time_point aNow)
+{
+  if (aNews.watches_size() > 0 && IsFeeder(aNews.vm())) {
+    mRelayedAt = aNow;
+  }
+  for (const auto& watch : aNews.watches()) {
+    if (auto* found = Find(watch.group())) {
+      found->lead.HeardWatch(ReadWatch(watch, aClock), aNow);
+    }
+  }
+}
+
 std::vector<std::string>
 control::Peers(clock::time_point aNow) const
 {
--- /dev/null
+++ b/src/currantshed/node/control_relay.cpp
@@ -0,0 +1,186 @@
+// Words between those that watch groups and all others, by way of the VMs that
+// feed a failure domain. A VM speaks to its feeders, and whoever watches a
+// group to the feeders of each failure domain, so that the links of neither
+// grow with the VMs.
+#include "currantshed/node/control.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "currantshed/node/audience.hpp"
+#include "currantshed/node/control_words.hpp"
+#include "currantshed/node/feeders.hpp"
+
+namespace currantshed::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Pause between two times that a feeder passes words on. A proof is asked for
+// every 350 ms and holds for a second, and a VM asks by itself once it has less
+// than 350 ms left: this much later it still is in time. The second feeder is
+// there for when the first one fails, and does with half as many.
+constexpr milliseconds kFirstPause{ 150 };
+constexpr milliseconds kSecondPause{ 300 };
+// A VM that its feeders passed no words on for this long speaks to those that
+// watch groups by itself, and they answer.
+constexpr milliseconds kRelayLife{ 1200 };
+
+} // namespace
+
+// To whom a VM that watches groups speaks: the feeders of each failure domain,
+// all VMs of those without, and the VMs that speak to it since they have nobody
+// who passes words on.
+std::vector<std::string>
+control::Audience(clock::time_point aNow) const
+{
+  std::vector<std::string> audience;
+  for (const auto& one : mKnownVms.Reachable(aNow)) {
+    const auto found = mOwnKeys.vms.find(one.vm);
+    const bool isListed = found != mOwnKeys.vms.end();
+    const bool isFed =
+      isListed && mFedDomains.contains(found->second.record.failureDomain);
+    if (!isFed || mFeedersOfAll.contains(one.vm) || IsAsking(one.vm, aNow)) {
+      audience.push_back(one.vm);
+    }
+  }
+  return audience;
+}
+
+// Whether the VM has spoken to this one by itself, though others could pass its
+// words on. Those that this VM feeds speak to it as a feeder.
+bool
+control::IsAsking(const std::string& aVm, clock::time_point aNow) const
+{
+  return mKnownVms.IsSpeaking(aVm, aNow) && !mFollowers.contains(aVm);
+}
+
+// Who feeds which failure domain.
+void
+control::NoteDomains()
+{
+  mFedDomains.clear();
+  mFeedersOfAll.clear();
+  absl::flat_hash_set<std::string> domains;
+  for (const auto& [name, one] : mOwnKeys.vms) {
+    domains.insert(one.record.failureDomain);
+  }
+  for (const auto& domain : domains) {
+    const auto feeders = Feeders(mOwnKeys, domain);
+    if (!feeders.empty()) {
+      mFedDomains.insert(domain);
+      mFeedersOfAll.insert(feeders.begin(), feeders.end());
+    }
+  }
+}
+
+// Whether this VM's feeders pass words on to it, and so take its own.
+bool
+control::IsRelayed(clock::time_point aNow) const
+{
+  return !mFeeders.empty() && aNow < mRelayedAt + kRelayLife &&
+         !IsOffTheList(aNow);
+}
+
+// Those that are told what this VM hears of the primaries. Whoever holds the
+// duties by now may not know of a VM that the store lists no longer, nor that
+// VM of a new holder: it speaks to others as well. To all at once would cost a
+// link to each: a third of 295 VMs cut off from the store opened some 30,000.
+std::vector<std::string>
+control::ReachAudience(clock::time_point aNow)
+{
+  if (IsRelayed(aNow)) {
+    return mFeeders;
+  }
+  auto told = DutyHolders();
+  if (IsOffTheList(aNow)) {
+    AddNew(told, NextFew(aNow));
+  }
+  return told;
+}
+
+// Those that are told that this VM has given a term up.
+std::vector<std::string>
+control::ObedienceAudience(const std::string& aService,
+                           clock::time_point aNow) const
+{
+  if (IsRelayed(aNow)) {
+    return mFeeders;
+  }
+  const auto holder = HolderOf(aService);
+  if (holder.empty() || holder == mSelf.where.vm) {
+    return {};
+  }
+  return { holder };
+}
+
+// Passes words of those that watch groups on to the VMs that this one feeds.
+void
+control::PassWords(clock::time_point aNow)
+{
+  if (mFollowers.empty()) {
+    return;
+  }
+  const bool isFirst =
+    !mOwnFeeders.empty() && mOwnFeeders.front() == mSelf.where.vm;
+  news::News told;
+  for (const auto& service :
+       mRelays.TakeWords(isFirst ? kFirstPause : kSecondPause, aNow)) {
+    if (const auto* found = Find(service)) {
+      const auto& lead = found->lead;
+      Fill(*told.add_watches(),
+           service,
+           lead.Speaks() ? lead.Watch() : lead.Relayed());
+    }
+  }
+  if (told.watches_size() == 0) {
+    return;
+  }
+  FillChanges(told);
+  for (const auto& [vm, at] : mFollowers) {
+    mNews.Send(vm, told, aNow);
+  }
+}
+
+// Takes another VM's word on its way to a primary: for this VM if it watches
+// the group, else to be passed on.
+void
+control::TakeReach(const std::string& aFrom,
+                   const std::string& aService,
+                   const lead::reach_news& aReach,
+                   clock::time_point aNow)
+{
+  const auto holder = HolderOf(aService);
+  const bool isFollower = mFollowers.contains(aFrom);
+  if (isFollower && !holder.empty() && holder != mSelf.where.vm) {
+    mRelays.Heard({ aService, aFrom, aReach }, aNow);
+    return;
+  }
+  mKnownVms.Seen(aFrom, aNow);
+  if (auto* found = Find(aService)) {
+    found->lead.HeardReach(aFrom, aReach, aNow);
+  }
+}
+
+void
+control::PassReaches(clock::time_point aNow)
+{
+  absl::btree_map<std::string, news::News> told;
+  for (const auto& one : mRelays.TakeReaches(aNow)) {
+    const auto holder = HolderOf(one.service);
+    if (holder.empty() || holder == mSelf.where.vm) {
+      continue;
+    }
+    auto& out = *told[holder].add_reaches();
+    Fill(out, one.service, one.news);
+    out.set_vm(one.vm);
+    out.set_said_at_us(lead::ToWire(one.news.saidAt).count());
+  }
+  for (auto& [holder, news] : told) {
+    FillChanges(news);
+    mNews.Send(holder, std::move(news), aNow);
+  }
+}
+
+} // namespace currantshed::node
--- /dev/null
+++ b/src/currantshed/node/control_words.cpp
@@ -0,0 +1,79 @@
+#include "currantshed/node/control_words.hpp"
+
+namespace currantshed::node {
+
+namespace {
+
+news::Position*
+Fill(news::Position* aOut, const position::log_position& aPosition)
+{
+  aOut->set_term(aPosition.term);
+  aOut->set_index(aPosition.index);
+  return aOut;
+}
+
+} // namespace
+
+void
+Fill(news::Watch& aOut,
+     const std::string& aService,
+     const lead::lead_news& aNews)
+{
+  aOut.set_group(aService);
+  aOut.set_term(aNews.proof.term);
+  aOut.set_primary(aNews.proof.primary);
+  aOut.set_asked_at_us(lead::ToWire(aNews.proof.askedAt).count());
+  aOut.set_revoked_term(aNews.revokedTerm);
+  aOut.set_epoch(aNews.epoch);
+  aOut.set_sequence(aNews.sequence);
+  if (aNews.sample) {
+    aOut.set_sample_term(aNews.sample->term);
+    Fill(aOut.mutable_sample(), aNews.sample->position);
+    aOut.set_sampled_at_us(lead::ToWire(aNews.sample->askedAt).count());
+  }
+}
+
+void
+Fill(news::Reach& aOut,
+     const std::string& aService,
+     const lead::reach_news& aNews)
+{
+  aOut.set_group(aService);
+  aOut.set_term(aNews.term);
+  aOut.set_primary(aNews.primary);
+  aOut.set_heard_at_us(lead::ToWire(aNews.heardAt).count());
+  aOut.set_obeyed_term(aNews.obeyedTerm);
+}
+
+lead::lead_news
+ReadWatch(const news::Watch& aWatch, const news::exchange::clock_reader& aClock)
+{
+  lead::lead_news made;
+  made.proof = { aWatch.term(),
+                 aWatch.primary(),
+                 aClock(aWatch.asked_at_us()) };
+  made.revokedTerm = aWatch.revoked_term();
+  made.epoch = aWatch.epoch();
+  made.sequence = aWatch.sequence();
+  if (aWatch.has_sample()) {
+    made.sample = { aWatch.sample_term(),
+                    { aWatch.sample().term(), aWatch.sample().index() },
+                    aClock(aWatch.sampled_at_us()) };
+  }
+  return made;
+}
+
+lead::reach_news
+ReadReach(const news::Reach& aReach,
+          std::int64_t aSentAt,
+          const news::exchange::clock_reader& aClock)
+{
+  const bool isPassedOn = !aReach.vm().empty();
+  return { aReach.term(),
+           aReach.primary(),
+           aClock(aReach.heard_at_us()),
+           aReach.obeyed_term(),
+           aClock(isPassedOn ? aReach.said_at_us() : aSentAt) };
+}
+
+} // namespace currantshed::node
--- /dev/null
+++ b/src/currantshed/node/control_words.hpp
@@ -0,0 +1,37 @@
+#ifndef CURRANTSHED_NODE_CONTROL_WORDS_HPP
+#define CURRANTSHED_NODE_CONTROL_WORDS_HPP
+
+#include <string>
+
+#include "currantshed/lead/group_lead.hpp"
+#include "currantshed/news/exchange.hpp"
+
+namespace currantshed::node {
+
+/// Writes what a VM says of a group that it watches into a message.
+void
+Fill(news::Watch& aOut,
+     const std::string& aService,
+     const lead::lead_news& aNews);
+
+/// Writes what a VM says of its own way to a group's primary into a message.
+void
+Fill(news::Reach& aOut,
+     const std::string& aService,
+     const lead::reach_news& aNews);
+
+/// Reads what a VM that watches a group said; times become those of this VM.
+[[nodiscard]] lead::lead_news
+ReadWatch(const news::Watch& aWatch,
+          const news::exchange::clock_reader& aClock);
+
+/// Reads what a VM said of its way to a primary, in a message sent at the given
+/// time of the sender's clock.
+[[nodiscard]] lead::reach_news
+ReadReach(const news::Reach& aReach,
+          std::int64_t aSentAt,
+          const news::exchange::clock_reader& aClock);
+
+} // namespace currantshed::node
+
+#endif
--- a/src/currantshed/node/known_vms.cpp
+++ b/src/currantshed/node/known_vms.cpp
@@ -86,6 +86,13 @@
   return speaking;
 }
 
+bool
+known_vms::IsSpeaking(const std::string& aVm, clock::time_point aNow) const
+{
+  const auto found = mVms.find(aVm);
+  return found != mVms.end() && found->second.IsSpeaking(aNow);
+}
+
 std::vector<std::string>
 known_vms::MayRest(clock::time_point aNow) const
 {
--- a/src/currantshed/node/known_vms.hpp
+++ b/src/currantshed/node/known_vms.hpp
@@ -36,6 +36,10 @@
   /// Those of them that spoke a moment ago.
   [[nodiscard]] std::vector<news::peer> Speaking(clock::time_point aNow) const;
 
+  /// Whether the VM spoke a moment ago.
+  [[nodiscard]] bool IsSpeaking(const std::string& aVm,
+                                clock::time_point aNow) const;
+
   /// The VMs that may rest on a proof of a primary: all that are listed, or
   /// were listed or heard lately.
   [[nodiscard]] std::vector<std::string> MayRest(clock::time_point aNow) const;
--- /dev/null
+++ b/src/currantshed/node/relay_box.cpp
@@ -0,0 +1,97 @@
+#include "currantshed/node/relay_box.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace currantshed::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// How long words of several VMs are gathered. A primary counts as reached for
+// 600 ms after it was heard, of which this is less than half.
+constexpr milliseconds kReachPause{ 250 };
+// The same while a change of a primary waits for them.
+constexpr milliseconds kObeyedPause{ 15 };
+
+bool
+IsFresher(const lead::reach_news& aLeft, const lead::reach_news& aRight)
+{
+  return std::tie(aLeft.term, aLeft.heardAt) >
+         std::tie(aRight.term, aRight.heardAt);
+}
+
+} // namespace
+
+void
+relay_box::HasWord(const std::string& aService,
+                   bool aIsUrgent,
+                   clock::time_point aNow)
+{
+  mWords.insert(aService);
+  // Not urgent words wait for their pause, which TakeWords knows.
+  mWordsAt = std::min(mWordsAt, aIsUrgent ? clock::time_point{} : aNow);
+}
+
+std::vector<std::string>
+relay_box::TakeWords(milliseconds aPause, clock::time_point aNow)
+{
+  if (mWords.empty()) {
+    return {};
+  }
+  const bool isUrgent = mWordsAt == clock::time_point{};
+  if (!isUrgent && aNow < mLastWords + aPause) {
+    mWordsAt = mLastWords + aPause;
+    return {};
+  }
+  std::vector<std::string> taken(mWords.begin(), mWords.end());
+  mWords.clear();
+  mWordsAt = clock::time_point::max();
+  mLastWords = aNow;
+  return taken;
+}
+
+void
+relay_box::Heard(relayed_reach aReach, clock::time_point aNow)
+{
+  const bool obeys = aReach.news.obeyedTerm != 0;
+  mReachesAt =
+    std::min(mReachesAt, aNow + (obeys ? kObeyedPause : kReachPause));
+  if (obeys) {
+    mObeyed[{ aReach.service, aReach.vm }] = aReach;
+  }
+  auto& freshest = mFreshest[aReach.service];
+  if (freshest.vm.empty() || IsFresher(aReach.news, freshest.news)) {
+    freshest = std::move(aReach);
+  }
+}
+
+std::vector<relayed_reach>
+relay_box::TakeReaches(clock::time_point aNow)
+{
+  std::vector<relayed_reach> taken;
+  if (aNow < mReachesAt) {
+    return taken;
+  }
+  for (auto& [service, one] : mFreshest) {
+    if (!mObeyed.contains({ service, one.vm })) {
+      taken.push_back(std::move(one));
+    }
+  }
+  for (auto& [key, one] : mObeyed) {
+    taken.push_back(std::move(one));
+  }
+  mFreshest.clear();
+  mObeyed.clear();
+  mReachesAt = clock::time_point::max();
+  return taken;
+}
+
+clock::time_point
+relay_box::NextTick() const noexcept
+{
+  return std::min(mWordsAt, mReachesAt);
+}
+
+} // namespace currantshed::node
