Long leases but for those whose loss others wait for; older feeders feed

Change: a VM takes a lease of 4 s, renewed every 1.3 s; one that feeds others or is about to take a duty moves to one of 2 s, renewed every 650 ms, without its key going away.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -42,6 +42,13 @@
 // before it begins to follow what it has read by itself.
 constexpr milliseconds kFeederSearch{ 2500 };
 constexpr milliseconds kOwnFeederSearch{ 1000 };
+// Life of a VM's lease, and the time between renewals. VMs that hold a duty or
+// feed others have a short one. For all others the price counts: with the long
+// one a VM's renewals cost half as much.
+constexpr milliseconds kShortLease{ 2000 };
+constexpr milliseconds kShortRenewal{ 650 };
+constexpr milliseconds kLongLease{ 4000 };
+constexpr milliseconds kLongRenewal{ 1300 };
 
 // How long a byte of a document takes on the VM's link; the store sends three
 // bytes as four.
@@ -110,7 +117,7 @@
   , mRegistration(*mPlatform.store,
                   mOwnView,
                   VmKey(aSettings.vm),
-                  { std::max(milliseconds{ 2000 }, aSettings.shortestLease) })
+                  { LongLease() })
   , mNews(mContext,
           mZmq,
           mSelf.where,
@@ -248,6 +255,19 @@
   UpdateReadiness(clock::Now());
 }
 
+// A VM that is gone must be known soon where others wait for what it did.
+store::lease_times
+control::ShortLease() const
+{
+  return { std::max(kShortLease, mSettings.shortestLease), kShortRenewal };
+}
+
+store::lease_times
+control::LongLease() const
+{
+  return { std::max(kLongLease, mSettings.shortestLease), kLongRenewal };
+}
+
 void
 control::OwnKeysChanged(clock::time_point aNow)
 {
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -169,6 +169,8 @@
   [[nodiscard]] std::chrono::milliseconds ReachInterval(
     clock::time_point aNow) const;
   [[nodiscard]] std::vector<std::string> Peers(clock::time_point aNow) const;
+  [[nodiscard]] store::lease_times ShortLease() const;
+  [[nodiscard]] store::lease_times LongLease() const;
   void NoteNext();
   void NoteDomains();
   [[nodiscard]] std::vector<std::string> Audience(clock::time_point aNow) const;
--- a/src/currantshed/node/control_feed.cpp
+++ b/src/currantshed/node/control_feed.cpp
@@ -106,6 +106,7 @@
   const bool isFeeder =
     std::find(feeders.begin(), feeders.end(), mSelf.where.vm) != feeders.end();
   if (isFeeder) {
+    mRegistration.SetLease(ShortLease());
     feeders.clear();
   }
   if (feeders.empty()) {
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -326,8 +326,13 @@
   // primary for the others, who would else all ask the servers themselves.
   const bool isLast = isOwn && !holds && !mIsLeaving;
   aGroup.lead.SetStandsIn(isNext || isLast);
-  if (isNext && !aGroup.isClaiming && aNow >= aGroup.claimFrom &&
-      aNow >= mListedAt + kSettleTime) {
+  const bool mayClaim = isNext && !aGroup.isClaiming &&
+                        aNow >= aGroup.claimFrom &&
+                        aNow >= mListedAt + kSettleTime;
+  if (mayClaim) {
+    mRegistration.SetLease(ShortLease());
+  }
+  if (mayClaim && mRegistration.IsWrittenWith(ShortLease())) {
     Claim(aService, aGroup, aNow);
   }
 }
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -212,8 +212,10 @@
 bool
 prefix_view::Take(const key_update& aUpdate, clock::time_point aNow)
 {
+  // Revisions count the changes of the whole store: another VM's keys may be
+  // those of today though its last call is older than this VM's.
   if (mIsKnown && aUpdate.upTo < mSeen) {
-    return false;
+    return true;
   }
   if (!aUpdate.isWhole && (!mIsKnown || aUpdate.after > mSeen)) {
     return false;
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -99,7 +99,8 @@
   }
 
   /// Another VM passes changes on. What does not follow on what is known here,
-  /// or is no newer, is left out. Returns whether all up to its end is known.
+  /// or is no newer, is left out. Returns whether all up to its end is known
+  /// here, so that these keys are as new as the other VM's.
   bool Take(const key_update& aUpdate, clock::time_point aNow);
 
   /// What another VM lacks that knows all up to that revision.
--- a/src/currantshed/store/registration.cpp
+++ b/src/currantshed/store/registration.cpp
@@ -39,6 +39,22 @@
   mWriteSeenBy = {};
 }
 
+void
+registration::SetLease(const lease_times& aLease)
+{
+  if (aLease != mSettings.lease) {
+    mSettings.lease = aLease;
+    mMustGrant = true;
+  }
+}
+
+bool
+registration::IsWrittenWith(const lease_times& aLease) const
+{
+  const bool isWritten = mWrittenLease == mLease || IsListed();
+  return !mMustGrant && mSettings.lease == aLease && isWritten;
+}
+
 void
 registration::End()
 {
@@ -64,7 +80,7 @@
   if (mIsCalling || mIsEnded || aNow < mNotBefore) {
     return;
   }
-  if (mLease == 0) {
+  if (mMustGrant) {
     Grant(aNow);
   } else if (aNow >= mRenewAt) {
     Renew(aNow);
@@ -79,7 +95,7 @@
   if (mIsCalling || mIsEnded) {
     return clock::time_point::max();
   }
-  if (mLease == 0) {
+  if (mMustGrant) {
     return mNotBefore;
   }
   const auto due = IsListed() ? mRenewAt : std::min(mRenewAt, mWriteSeenBy);
@@ -90,24 +106,25 @@
 registration::Grant(clock::time_point aNow)
 {
   mIsCalling = true;
-  mStore.Grant(mSettings.ttl,
-               [this, alive = mAlive, aNow](std::error_code aError,
-                                            lease_id aLease,
-                                            clock::time_point aDone) {
-                 if (!*alive) {
-                   return;
-                 }
-                 mIsCalling = false;
-                 if (aError) {
-                   Failed(aDone);
-                   return;
-                 }
-                 Answered(aNow);
-                 mLease = aLease;
-                 mValidUntil = aNow + mSettings.ttl;
-                 mRenewAt = aNow + mSettings.renewAfter;
-                 mWriteSeenBy = {};
-               });
+  mStore.Grant(
+    mSettings.lease.ttl,
+    [this, alive = mAlive, aNow, lease = mSettings.lease](
+      std::error_code aError, lease_id aLease, clock::time_point aDone) {
+      if (!*alive) {
+        return;
+      }
+      mIsCalling = false;
+      if (aError) {
+        Failed(aDone);
+        return;
+      }
+      Answered(aNow);
+      mLease = aLease;
+      mMustGrant = lease != mSettings.lease;
+      mValidUntil = aNow + lease.ttl;
+      mRenewAt = aNow + lease.renewAfter;
+      mWriteSeenBy = {};
+    });
 }
 
 void
@@ -131,8 +148,8 @@
                   return;
                 }
                 Answered(aNow);
-                mValidUntil = aNow + mSettings.ttl;
-                mRenewAt = aNow + mSettings.renewAfter;
+                mValidUntil = aNow + mSettings.lease.ttl;
+                mRenewAt = aNow + mSettings.lease.renewAfter;
               });
 }
 
@@ -147,7 +164,7 @@
   made.conditions.push_back({ mKey, seen });
   made.puts.push_back({ mKey, mValue, 0, mLease });
   mStore.Commit(std::move(made),
-                [this, alive = mAlive, aNow](
+                [this, alive = mAlive, aNow, lease = mLease](
                   commit_outcome aOutcome, revision, clock::time_point aDone) {
                   if (!*alive) {
                     return;
@@ -156,6 +173,7 @@
                   switch (aOutcome) {
                     case commit_outcome::kApplied:
                       mIsWritten = true;
+                      mWrittenLease = lease;
                       Answered(aNow);
                       if (mWritten) {
                         mWritten();
@@ -181,6 +199,7 @@
 registration::Lapsed()
 {
   mLease = 0;
+  mMustGrant = true;
   mValidUntil = {};
   mIsWritten = false;
 }
--- a/src/currantshed/store/registration.hpp
+++ b/src/currantshed/store/registration.hpp
@@ -14,12 +14,21 @@
 
 namespace currantshed::store {
 
-struct registration_settings
+/// How long a lease lasts, and how often it is renewed.
+struct lease_times
 {
   /// Life of the lease: how long a VM that has died stays listed.
   std::chrono::milliseconds ttl{ 2000 };
   /// Time between renewals: two may fail before the lease ends.
   std::chrono::milliseconds renewAfter{ 650 };
+
+  [[nodiscard]] friend bool operator==(const lease_times&,
+                                       const lease_times&) = default;
+};
+
+struct registration_settings
+{
+  lease_times lease;
   backoff_settings afterFailure{ std::chrono::milliseconds{ 100 },
                                  std::chrono::milliseconds{ 500 } };
 };
@@ -43,6 +52,13 @@
   /// What the key is to hold.
   void SetValue(std::string aValue);
 
+  /// Takes a lease with other times, and moves the key to it; the former lease
+  /// is left to end by itself.
+  void SetLease(const lease_times& aLease);
+
+  /// Whether the store has taken the key under a lease with these times.
+  [[nodiscard]] bool IsWrittenWith(const lease_times& aLease) const;
+
   /// Whether the last call failed: the store, or this VM's way to it, is away.
   [[nodiscard]] bool IsFailing() const noexcept { return mIsFailing; }
 
@@ -94,6 +110,8 @@
   backoff mBackoff;
   std::string mValue;
   lease_id mLease = 0;
+  /// The lease under which the store last took the key.
+  lease_id mWrittenLease = 0;
   clock::time_point mValidUntil{};
   clock::time_point mRenewAt{};
   clock::time_point mNotBefore{};
@@ -101,6 +119,8 @@
   clock::time_point mWriteSeenBy{};
   bool mIsCalling = false;
   bool mIsEnded = false;
+  /// The lease that the key has is not the one that is wanted.
+  bool mMustGrant = true;
   bool mIsWritten = false;
   std::function<void()> mWritten;
   bool mIsFailing = false;
--- a/test/currantshed/store/registration.cpp
+++ b/test/currantshed/store/registration.cpp
@@ -125,3 +125,44 @@
   made.Run(3000ms);
   CHECK(!made.store.items.contains("vm/a"));
 }
+
+TEST(registration, moves_to_another_lease_and_is_listed_all_the_while)
+{
+  const store::lease_times longer{ 4000ms, 1300ms };
+  const store::lease_times shorter{ 2000ms, 650ms };
+  test::fake_key_value store;
+  store::prefix_view view(
+    store,
+    "vm/",
+    {},
+    { [](clock::time_point) {}, [](bool, std::error_code) {} });
+  store::registration moved(store, view, "vm/a", { longer });
+  moved.SetValue("here");
+  const auto run = [&](std::chrono::milliseconds aSpan, bool aMustStand) {
+    for (const auto end = store.now + aSpan; store.now < end;
+         store.now += 10ms) {
+      view.Tick(store.now, 0.5);
+      moved.Tick(store.now, 0.5);
+      store.Answer();
+      CHECK(!aMustStand || store.items.contains("vm/a"));
+    }
+  };
+  run(500ms, false);
+  CHECK(moved.IsWrittenWith(longer));
+  CHECK_FALSE(moved.IsWrittenWith(shorter));
+  const auto first = store.lastLease;
+  moved.SetLease(shorter);
+  CHECK_FALSE(moved.IsWrittenWith(longer));
+  run(500ms, true);
+  CHECK(moved.IsWrittenWith(shorter));
+  // The former lease ends in its own time.
+  store.EndLease(first);
+  run(3000ms, true);
+  CHECK(moved.IsWrittenWith(shorter));
+  CHECK(moved.ValidUntil() <= store.now + 2000ms);
+  // The same times again change nothing.
+  const auto second = store.lastLease;
+  moved.SetLease(shorter);
+  run(500ms, true);
+  CHECK_EQUAL(second, store.lastLease);
+}
