Strong VMs work for others, and a silent VM is gone round for all servers

In a failure domain of 59 VMs with some hundred holders of connections each VM had to find out for each of 60 servers by itself that the way through another VM was dead, by one statement lost for 790 ms or four connections that were being opened for a second, and tried it again 100 ms later.

Change: connections are held, and the store followed, by the strong VMs of a failure domain where they are enough (at least two with half of the strongest's processor time, a twelfth of the domain's together); their leases are short. A VM that owes answers for 300 ms and has said nothing since is out of reach for all servers: its connections that are not in use are closed, reads go by others, writes wait for their answer. A way that takes 100 ms to open is passed over, and what is being opened through one VM no longer counts against the others.

Left: VMs on the primary's side lack proofs of groups whose watchers they can't reach.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -79,7 +79,8 @@
   , mSelf{ { aSettings.vm, aSettings.peers.host, aSettings.peers.port },
            aSettings.relays.port,
            aSettings.failureDomain,
-           absl::Uniform<std::uint64_t>(mRandom) >> 1U }
+           absl::Uniform<std::uint64_t>(mRandom) >> 1U,
+           aSettings.processorShare }
   , mPlatform(aMaker(mContext))
   , mConfigurationView(
       *mPlatform.store,
--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include "currantshed/log/log.hpp"
+#include "currantshed/proxy/strength.hpp"
 
 namespace currantshed::node {
 
@@ -47,14 +48,23 @@
       }
     }
   }
-  std::vector<proxy::fleet_vm> fleet;
-  fleet.reserve(vms.size());
+  std::vector<proxy::vm_strength> strengths;
   for (const auto& one : vms) {
+    strengths.push_back({ one.failureDomain, one.processorShare, one.leaving });
+  }
+  const auto works = proxy::WorkForOthers(strengths);
+  std::vector<proxy::fleet_vm> fleet;
+  for (std::size_t i = 0; i < vms.size(); ++i) {
+    const auto& one = vms[i];
     fleet.push_back({ one.where.vm,
                       one.failureDomain,
                       one.where.address,
                       one.relayPort,
-                      one.leaving });
+                      one.leaving,
+                      works[i] });
+    if (works[i] && one.where.vm == mSelf.where.vm) {
+      mRegistration.SetLease(ShortLease());
+    }
   }
   mTraffic.SetFleet(std::move(fleet));
 }
--- a/src/currantshed/node/duty.cpp
+++ b/src/currantshed/node/duty.cpp
@@ -43,6 +43,7 @@
            { "relay_port", aRecord.relayPort },
            { "failure_domain", aRecord.failureDomain },
            { "incarnation", aRecord.incarnation },
+           { "share", aRecord.processorShare },
            { "leaving", aRecord.leaving } };
 }
 
@@ -57,6 +58,7 @@
   record.relayPort = aObject.at("relay_port").to_number<std::uint16_t>();
   record.failureDomain = Text(aObject, "failure_domain");
   record.incarnation = Number(aObject, "incarnation");
+  record.processorShare = aObject.at("share").to_number<unsigned>();
   record.leaving = aObject.at("leaving").as_bool();
   return record;
 }
@@ -72,6 +74,7 @@
                    aRow.at(2).to_number<std::uint16_t>() };
   record.relayPort = aRow.at(3).to_number<std::uint16_t>();
   record.failureDomain = json::value_to<std::string>(aRow.at(4));
+  record.processorShare = aRow.at(5).to_number<unsigned>();
   return record;
 }
 
@@ -114,7 +117,8 @@
                                one.where.address,
                                one.where.port,
                                one.relayPort,
-                               one.failureDomain });
+                               one.failureDomain,
+                               one.processorShare });
   }
   return json::serialize(vms);
 }
@@ -145,7 +149,8 @@
                     [](const auto& aOne, const auto& aOther) {
                       return aOne.where == aOther.where &&
                              aOne.relayPort == aOther.relayPort &&
-                             aOne.failureDomain == aOther.failureDomain;
+                             aOne.failureDomain == aOther.failureDomain &&
+                             aOne.processorShare == aOther.processorShare;
                     });
 }
 
--- a/src/currantshed/node/duty.hpp
+++ b/src/currantshed/node/duty.hpp
@@ -26,6 +26,8 @@
   std::uint16_t relayPort = 0;
   std::string failureDomain;
   std::uint64_t incarnation = 0;
+  /// Processor time that it has, in thousandths of a core.
+  unsigned processorShare = 0;
   /// Stops soon: takes no duty.
   bool leaving = false;
 };
--- a/src/currantshed/node/feeders.cpp
+++ b/src/currantshed/node/feeders.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "currantshed/member/roster.hpp"
+#include "currantshed/proxy/strength.hpp"
 
 namespace currantshed::node {
 
@@ -16,19 +17,29 @@
 std::vector<std::string>
 Feeders(const own_keys& aKeys, const std::string& aFailureDomain)
 {
-  std::vector<store::vm> candidates;
+  std::vector<store::vm> staying;
+  std::vector<proxy::vm_strength> strengths;
   for (const auto& [name, one] : aKeys.vms) {
-    if (one.record.failureDomain == aFailureDomain && !one.record.leaving) {
-      store::vm candidate;
-      candidate.id = name;
-      candidate.failureDomain = aFailureDomain;
-      candidates.push_back(std::move(candidate));
+    const auto& record = one.record;
+    if (record.failureDomain == aFailureDomain && !record.leaving) {
+      store::vm vm;
+      vm.id = name;
+      vm.failureDomain = aFailureDomain;
+      staying.push_back(std::move(vm));
+      strengths.push_back({ aFailureDomain, record.processorShare });
     }
   }
   std::vector<std::string> feeders;
-  if (candidates.size() < kFewestFed) {
+  if (staying.size() < kFewestFed) {
     return feeders;
   }
+  const auto works = proxy::WorkForOthers(strengths);
+  std::vector<store::vm> candidates;
+  for (std::size_t i = 0; i < staying.size(); ++i) {
+    if (works[i]) {
+      candidates.push_back(std::move(staying[i]));
+    }
+  }
   const auto chosen =
     member::ChooseOwners("feeders of " + aFailureDomain, candidates, kFeeders);
   for (const auto& one : chosen) {
--- a/src/currantshed/node/feeders.hpp
+++ b/src/currantshed/node/feeders.hpp
@@ -12,10 +12,11 @@
 /// With fewer VMs in a failure domain, most of them would be feeders.
 constexpr std::size_t kFewestFed = 5;
 
-/// The VMs of a failure domain that follow the store for the others there, so
-/// that its calls grow with the domains, not with the VMs. All VMs come to the
-/// same answer from the same list. None where the VMs are so few that it would
-/// spare next to nothing: then each follows the store by itself.
+/// The VMs of a failure domain that follow the store for the others there,
+/// strong ones where there are, so that its calls grow with the domains, not
+/// with the VMs. All VMs come to the same answer from the same list. None where
+/// the VMs are so few that it would spare next to nothing: then each follows
+/// the store by itself.
 [[nodiscard]] std::vector<std::string>
 Feeders(const own_keys& aKeys, const std::string& aFailureDomain);
 
--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -293,6 +293,7 @@
   }
   if (aNow >= mNextUpkeep) {
     mNextUpkeep = aNow + kUpkeepInterval;
+    AvoidSilentRelays(aNow);
     TrimConnections(aNow);
     for (const auto& [name, queue] : mQueues) {
       Pump(name, aNow);
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -294,6 +294,9 @@
                       clock::time_point aNow);
   void MakePlan(server_state& aServer);
   void MakePlans();
+  void AvoidSilentRelays(clock::time_point aNow);
+  void AvoidRelay(const std::string& aVm, clock::time_point aNow);
+  [[nodiscard]] static bool MayMove(const session& aSession);
   void GiveBack(connection& aConnection, clock::time_point aNow);
   void Discard(connection& aConnection);
   void GiveUp(server_state& aState,
@@ -362,6 +365,8 @@
   // through this one before.
   std::shared_ptr<const configuration> mConfiguration =
     std::make_shared<const configuration>();
+  // When each VM that work goes through was last heard.
+  absl::btree_map<std::string, clock::time_point> mRelaysHeard;
   std::vector<fleet_vm> mFleet;
   servers mServers;
   // References to its values are kept while others are added.
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -56,6 +56,8 @@
   if (aConnection.IsDirect()) {
     state->heardAt = aNow;
     NoteReached(*state, true, "answered");
+  } else {
+    mRelaysHeard[aConnection.via] = aNow;
   }
   if (aAt) {
     state->At(*aAt, LeadOf(aConnection.service).samples, aNow);
@@ -71,6 +73,9 @@
                  clock::time_point aNow)
 {
   Learn(aConnection, aExpected, aAnswer, aNow);
+  if (!aConnection.IsDirect()) {
+    mRelaysHeard[aConnection.via] = aNow;
+  }
   if (aExpected.why == purpose::kControl) {
     const bool isServers = IsServersWord(aConnection, aAnswer);
     EndOrder(aExpected.order, { aAnswer.report, isServers, aExpected.sentAt });
--- a/src/currantshed/proxy/holders.cpp
+++ b/src/currantshed/proxy/holders.cpp
@@ -39,7 +39,8 @@
                                      : aLeft.vm->name < aRight.vm->name;
 }
 
-// The VMs that stay, with the hash of their name and the server's.
+// The VMs that may hold connections for others, with the hash of their name and
+// the server's.
 std::vector<scored_vm>
 Scored(const upstream::server_id& aServer, const std::vector<fleet_vm>& aFleet)
 {
@@ -49,7 +50,7 @@
   std::vector<scored_vm> scored;
   scored.reserve(aFleet.size());
   for (const auto& vm : aFleet) {
-    if (!vm.leaving) {
+    if (!vm.leaving && vm.worksForOthers) {
       text.resize(stem);
       text += vm.name;
       scored.push_back({ XXH3_64bits(text.data(), text.size()), &vm });
--- a/src/currantshed/proxy/holders.hpp
+++ b/src/currantshed/proxy/holders.hpp
@@ -20,6 +20,8 @@
   std::uint16_t relayPort = 0;
   /// Stops soon.
   bool leaving = false;
+  /// Holds connections for others of its failure domain, if it is chosen.
+  bool worksForOthers = true;
 
   [[nodiscard]] friend bool operator==(const fleet_vm&,
                                        const fleet_vm&) = default;
--- a/src/currantshed/proxy/server_state.cpp
+++ b/src/currantshed/proxy/server_state.cpp
@@ -156,14 +156,32 @@
         return nullptr;
       }
     } else if (!IsWayAvoided(way.vm, aNow)) {
+      // One that takes long to open is not waited for if there are others.
+      const auto opening = OpeningVia(way.vm, aNow);
+      if (opening.slow > 0) {
+        continue;
+      }
       const bool room =
-        Count(false) < kMostRelayed && Opening(false) < kMostOpeningRelayed;
+        Count(false) < kMostRelayed && opening.all < kMostOpeningRelayed;
       return room ? &way : nullptr;
     }
   }
   return nullptr;
 }
 
+server_state::openings
+server_state::OpeningVia(const std::string& aVm, clock::time_point aNow) const
+{
+  openings found;
+  for (const auto& one : connections) {
+    if (!one->IsOpen() && one->via == aVm) {
+      ++found.all;
+      found.slow += aNow - one->MadeAt() > kSlowOpening ? 1 : 0;
+    }
+  }
+  return found;
+}
+
 bool
 server_state::IsWayAvoided(const std::string& aVm, clock::time_point aNow) const
 {
--- a/src/currantshed/proxy/server_state.hpp
+++ b/src/currantshed/proxy/server_state.hpp
@@ -102,6 +102,15 @@
   bool reached = false;
 
 private:
+  /// Connections that are being opened, and those of them that take long.
+  struct openings
+  {
+    unsigned all = 0;
+    unsigned slow = 0;
+  };
+
+  [[nodiscard]] openings OpeningVia(const std::string& aVm,
+                                    clock::time_point aNow) const;
   void StartAnew(clock::time_point aNow);
   [[nodiscard]] bool IsWayAvoided(const std::string& aVm,
                                   clock::time_point aNow) const;
--- a/test/currantshed/proxy/server_state.cpp
+++ b/test/currantshed/proxy/server_state.cpp
@@ -115,6 +115,27 @@
   CHECK(state.Lag(kStart + 30s) < 100ms);
 }
 
+TEST(server_state, passes_over_a_way_that_takes_long_to_open)
+{
+  no_events events;
+  auto state = Holder();
+  state.plan.holds = false;
+  state.plan.paths = { path{ "vm-2", "10.0.0.2", 7442 },
+                       path{ "vm-3", "10.0.0.3", 7442 },
+                       path{} };
+  state.connections.push_back(std::make_unique<proxy::connection>(
+    "i-1", "claims", "vm-2", events, kStart));
+  STRCMP_EQUAL("vm-2", state.OpenWay(kStart + 50ms)->vm.c_str());
+  STRCMP_EQUAL("vm-3", state.OpenWay(kStart + 150ms)->vm.c_str());
+  for (int i = 0; i < 4; ++i) {
+    state.connections.push_back(std::make_unique<proxy::connection>(
+      "i-1", "claims", "vm-3", events, kStart + 150ms));
+  }
+  // As many as may be opened through one VM at a time.
+  CHECK(state.OpenWay(kStart + 160ms) == nullptr);
+  STRCMP_EQUAL("", state.OpenWay(kStart + 300ms)->vm.c_str());
+}
+
 TEST(server_state, finds_a_way)
 {
   for (const auto& row : kWayRows) {
--- /dev/null
+++ b/test/currantshed/proxy/strength.cpp
@@ -0,0 +1,73 @@
+#include "currantshed/proxy/strength.hpp"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+using proxy::vm_strength;
+
+namespace {
+
+struct strength_row
+{
+  const char* name;
+  std::vector<vm_strength> vms;
+  /// One letter a VM: y if it works for others.
+  std::string works;
+};
+
+std::vector<vm_strength>
+Domain(unsigned aStrong, unsigned aWeak)
+{
+  std::vector<vm_strength> vms(aStrong, { "marka", 500 });
+  vms.insert(vms.end(), aWeak, { "marka", 120 });
+  return vms;
+}
+
+std::vector<vm_strength>
+Leaving(std::vector<vm_strength> aVms, std::size_t aWhich)
+{
+  aVms[aWhich].leaving = true;
+  return aVms;
+}
+
+const strength_row kRows[] = {
+  { "no VM", {}, "" },
+  { "one", { { "marka", 250 } }, "y" },
+  { "all alike", Domain(0, 4), "yyyy" },
+  { "a few strong ones", Domain(3, 4), "yyynnnn" },
+  { "one strong one is not enough", Domain(1, 4), "yyyyy" },
+  { "strong ones that leave don't count", Leaving(Domain(2, 3), 0), "nyyyy" },
+  { "one of three strong ones leaves", Leaving(Domain(3, 2), 1), "ynynn" },
+  { "strong ones that would do too much for others",
+    Domain(2, 100),
+    std::string(102, 'y') },
+  { "half as strong as the strongest is strong",
+    { { "marka", 500 }, { "marka", 250 }, { "marka", 249 } },
+    "yyn" },
+  { "each failure domain by itself",
+    { { "marka", 500 },
+      { "marka", 500 },
+      { "marka", 120 },
+      { "khalda", 120 },
+      { "khalda", 120 } },
+    "yynyy" },
+  { "strength unknown", { { "marka", 0 }, { "marka", 0 } }, "yy" },
+};
+
+} // namespace
+
+TEST_GROUP(strength){};
+
+TEST(strength, strong_vms_work_for_others_where_they_are_enough)
+{
+  for (const auto& row : kRows) {
+    std::string works;
+    for (const bool one : proxy::WorkForOthers(row.vms)) {
+      works += one ? 'y' : 'n';
+    }
+    STRCMP_EQUAL_TEXT(row.works.c_str(), works.c_str(), row.name);
+  }
+}
