--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -49,11 +49,13 @@
     }
   }
   std::vector<proxy::vm_strength> strengths;
+  strengths.reserve(vms.size());
   for (const auto& one : vms) {
     strengths.push_back({ one.failureDomain, one.processorShare, one.leaving });
   }
   const auto works = proxy::WorkForOthers(strengths);
   std::vector<proxy::fleet_vm> fleet;
+  fleet.reserve(vms.size());
   for (std::size_t i = 0; i < vms.size(); ++i) {
     const auto& one = vms[i];
     fleet.push_back({ one.where.vm,
--- a/src/currantshed/proxy/holders.cpp
+++ b/src/currantshed/proxy/holders.cpp
@@ -99,6 +99,7 @@
     best.push_back(BestBut(*best.front().vm, scored));
   }
   std::vector<const fleet_vm*> holders;
+  holders.reserve(best.size());
   for (const auto& one : best) {
     holders.push_back(one.vm);
   }
--- a/test/currantshed/node/feeders.cpp
+++ b/test/currantshed/node/feeders.cpp
@@ -21,6 +21,7 @@
 Domain(const std::string& aName, int aVms)
 {
   std::vector<listed> vms;
+  vms.reserve(static_cast<std::size_t>(aVms));
   for (int i = 0; i < aVms; ++i) {
     vms.push_back({ aName + std::to_string(i), aName });
   }
