A feeder's answers fit into what a VM takes in one message

Cause, by reading: the bound of an answer was a hundredth of a second of the feeder's link, 1.25 MB where links have 1,000 Mbit/s. A VM takes messages of 256 KB at most and drops the connection that brings a longer one. It then asked again and was sent the same, every 400 ms by each VM, while up to 512 such messages queued at the feeder.

Change: 64 KB at most, so that the three answers of a message stay below what is taken; what is longer is left to the store, as before. The bound is a function of its own with a table (feeders.answers_fit_into_...; the former bound gives 1,250,000 bytes in its third row and fails).

--- a/src/currantshed/node/control_feed.cpp
+++ b/src/currantshed/node/control_feed.cpp
@@ -29,10 +29,6 @@
 constexpr milliseconds kFollowerLife{ 2000 };
 // Pause between two questions that such words lead to.
 constexpr milliseconds kHintPause{ 20 };
-// The part of a second for which one answer may keep the feeder's link busy:
-// some sixty VMs may ask at once, and callers' work goes by the same link.
-constexpr double kLinkPart = 0.01;
-constexpr double kBytesByMegabit = 1e6 / 8;
 
 store::key_change
 ReadKey(const news::Key& aKey)
@@ -174,8 +170,7 @@
   }
   mFollowers[aNews.vm()] = aNow;
   const auto views = Views();
-  const auto longest = static_cast<std::size_t>(mSettings.linkMegabits *
-                                                kBytesByMegabit * kLinkPart);
+  const auto longest = LongestAnswer(mSettings.linkMegabits);
   news::News told;
   FillChanges(told);
   for (const auto& wanted : aNews.wanted()) {
--- a/src/currantshed/node/feeders.cpp
+++ b/src/currantshed/node/feeders.cpp
@@ -1,5 +1,6 @@
 #include "currantshed/node/feeders.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "currantshed/member/roster.hpp"
@@ -11,6 +12,14 @@
 
 // Two, so that one that dies, hangs or loses its way to the store leaves one.
 constexpr unsigned kFeeders = 2;
+// The part of a second for which one answer may keep the feeder's link busy:
+// some sixty VMs may ask at once, and callers' work goes by the same link.
+constexpr double kLinkPart = 0.01;
+constexpr double kBytesByMegabit = 1e6 / 8;
+// All answers of a message together stay below the 256 KB that a VM takes at
+// once: it drops the connection of one that sends more, asks again, and is sent
+// the same.
+constexpr double kLongestAnswer = 64.0 * 1024;
 
 } // namespace
 
@@ -48,4 +57,11 @@
   return feeders;
 }
 
+std::size_t
+LongestAnswer(double aLinkMegabits) noexcept
+{
+  const auto byLink = aLinkMegabits * kBytesByMegabit * kLinkPart;
+  return static_cast<std::size_t>(std::min(byLink, kLongestAnswer));
+}
+
 } // namespace currantshed::node
--- a/src/currantshed/node/feeders.hpp
+++ b/src/currantshed/node/feeders.hpp
@@ -20,6 +20,11 @@
 [[nodiscard]] std::vector<std::string>
 Feeders(const own_keys& aKeys, const std::string& aFailureDomain);
 
+/// The longest answer that a feeder gives, in bytes of keys and values; what is
+/// longer is left to the store. The link's rate is in megabits a second.
+[[nodiscard]] std::size_t
+LongestAnswer(double aLinkMegabits) noexcept;
+
 } // namespace currantshed::node
 
 #endif
--- a/test/currantshed/node/feeders.cpp
+++ b/test/currantshed/node/feeders.cpp
@@ -68,6 +68,19 @@
     0 },
 };
 
+struct answer_row
+{
+  const char* name;
+  double linkMegabits;
+  std::size_t longest;
+};
+
+constexpr answer_row kAnswers[] = {
+  { "a slow link", 20, 25000 },
+  { "a fast link", 200, 65536 },
+  { "a very fast link", 1000, 65536 },
+};
+
 } // namespace
 
 TEST_GROUP(feeders){};
@@ -105,3 +118,15 @@
     }
   }
 }
+
+// Three answers at most, one for each followed prefix, make one message.
+TEST(feeders, answers_fit_into_what_a_vm_takes_at_once)
+{
+  constexpr std::size_t kLongestMessage = std::size_t{ 256 } * 1024;
+  for (const auto& row : kAnswers) {
+    CHECK_EQUAL_TEXT(
+      row.longest, node::LongestAnswer(row.linkMegabits), row.name);
+    CHECK_TEXT(3 * node::LongestAnswer(row.linkMegabits) < kLongestMessage,
+               row.name);
+  }
+}
