--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -168,7 +168,6 @@
   [[nodiscard]] bool IsOffTheList(clock::time_point aNow) const;
   [[nodiscard]] std::chrono::milliseconds ReachInterval(
     clock::time_point aNow) const;
-  [[nodiscard]] std::vector<std::string> Peers(clock::time_point aNow) const;
   [[nodiscard]] store::lease_times ShortLease() const;
   [[nodiscard]] store::lease_times LongLease() const;
   void NoteNext();
--- a/src/currantshed/node/control_feed.cpp
+++ b/src/currantshed/node/control_feed.cpp
@@ -97,8 +97,7 @@
 control::NoteFeeders(clock::time_point aNow)
 {
   NoteDomains();
-  auto feeders = Feeders(mOwnKeys, mSelf.failureDomain);
-  mOwnFeeders = feeders;
+  auto feeders = mOwnFeeders;
   const bool isFeeder =
     std::find(feeders.begin(), feeders.end(), mSelf.where.vm) != feeders.end();
   if (isFeeder) {
--- a/src/currantshed/node/control_news.cpp
+++ b/src/currantshed/node/control_news.cpp
@@ -201,14 +201,4 @@
   }
 }
 
-std::vector<std::string>
-control::Peers(clock::time_point aNow) const
-{
-  std::vector<std::string> peers;
-  for (auto& one : mKnownVms.Reachable(aNow)) {
-    peers.push_back(std::move(one.vm));
-  }
-  return peers;
-}
-
 } // namespace currantshed::node
--- a/src/currantshed/node/control_relay.cpp
+++ b/src/currantshed/node/control_relay.cpp
@@ -62,6 +62,7 @@
 {
   mFedDomains.clear();
   mFeedersOfAll.clear();
+  mOwnFeeders.clear();
   absl::flat_hash_set<std::string> domains;
   for (const auto& [name, one] : mOwnKeys.vms) {
     domains.insert(one.record.failureDomain);
@@ -72,6 +73,9 @@
       mFedDomains.insert(domain);
       mFeedersOfAll.insert(feeders.begin(), feeders.end());
     }
+    if (domain == mSelf.failureDomain) {
+      mOwnFeeders = feeders;
+    }
   }
 }
 
