Sight first: which connection a lost request went over, and what a gateway closes

Symptom: process.rolling_replacement and process.graceful_shutdown (KNOWN-RED) count one request cut off, at times. Neither the load's records nor the gateway's log told hypotheses apart: (1) a kept connection closed as idle and used again, (2) a connection closed between connecting and its first request, (3) one in the queue of a listening socket that closes, (4) a request dropped when the last thread has drained, (5) the caller's own time running out.

Records of answers now tell the gateway's port, how many exchanges the connection had carried, for how long it had been unused and the system's word on the failure. The gateway writes one line, callers_closed, for each end of connections: how many were kept, fresh, unread or busy.

--- a/src/currantshed/gateway/caller_connection.cpp
+++ b/src/currantshed/gateway/caller_connection.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "currantshed/gateway/caller_server.hpp"
 #include "currantshed/gateway/error.hpp"
 #include "currantshed/gateway/http_call.hpp"
 #include "currantshed/gateway/json_codec.hpp"
@@ -422,6 +423,18 @@
   End();
 }
 
+void
+caller_connection::Note(closed_connections& aClosed) const
+{
+  if (mPhase == phase::kIdle) {
+    error_code error;
+    const bool isUnread = mSocket.available(error) > 0;
+    ++(isUnread ? aClosed.unread : mServed > 0 ? aClosed.kept : aClosed.fresh);
+  } else if (mPhase != phase::kLingering && mPhase != phase::kClosed) {
+    ++aClosed.busy;
+  }
+}
+
 void
 caller_connection::Close()
 {
--- a/src/currantshed/gateway/caller_connection.hpp
+++ b/src/currantshed/gateway/caller_connection.hpp
@@ -13,6 +13,7 @@
 namespace currantshed::gateway {
 
 class caller_connection;
+struct closed_connections;
 
 /// What a connection needs of its server.
 class connection_owner
@@ -59,6 +60,9 @@
   /// Ends what has taken too long.
   void CheckTime(clock::time_point aNow);
 
+  /// Counts this connection as one that is about to be closed.
+  void Note(closed_connections& aClosed) const;
+
   /// Closes at once; the owner is not told.
   void Close();
 
--- a/src/currantshed/gateway/caller_server.cpp
+++ b/src/currantshed/gateway/caller_server.cpp
@@ -77,27 +77,33 @@
 
   void Leave() { mLeaving = true; }
 
-  void CloseIdle()
+  closed_connections CloseIdle()
   {
+    closed_connections closed;
     for (const auto& connection : Connections()) {
       if (connection->Idle()) {
+        connection->Note(closed);
         connection->Close();
         mConnections.erase(connection.get());
       }
     }
+    return closed;
   }
 
-  void Stop()
+  closed_connections Stop()
   {
+    closed_connections closed;
     error_code ignored;
     mAcceptor.close(ignored);
     mSweep.cancel();
     mPause.cancel();
     mWaiting.clear();
     for (const auto& connection : Connections()) {
+      connection->Note(closed);
       connection->Close();
     }
     mConnections.clear();
+    return closed;
   }
 
   [[nodiscard]] std::size_t Count() const { return mConnections.size(); }
@@ -277,16 +283,16 @@
   mImplementation->Leave();
 }
 
-void
+closed_connections
 caller_server::CloseIdle()
 {
-  mImplementation->CloseIdle();
+  return mImplementation->CloseIdle();
 }
 
-void
+closed_connections
 caller_server::Stop()
 {
-  mImplementation->Stop();
+  return mImplementation->Stop();
 }
 
 std::size_t
--- a/src/currantshed/gateway/caller_server.hpp
+++ b/src/currantshed/gateway/caller_server.hpp
@@ -31,6 +31,19 @@
   virtual void Refused() = 0;
 };
 
+/// The connections that a server has closed at its end, by what they were at.
+struct closed_connections
+{
+  /// Had brought requests before, and waited for the next one.
+  std::size_t kept = 0;
+  /// Had brought none yet.
+  std::size_t fresh = 0;
+  /// Held bytes that were not read: their request is cut off.
+  std::size_t unread = 0;
+  /// Had a request that was not answered in full: it is cut off.
+  std::size_t busy = 0;
+};
+
 /// The HTTP server that faces callers, on one thread's io_context and used
 /// only there. Several of them listen at the same port, and the operating
 /// system shares the connections out. A connection holds buffers only while
@@ -60,11 +73,11 @@
   void Leave();
 
   /// Ends the connections that are idle now, too.
-  void CloseIdle();
+  closed_connections CloseIdle();
 
   /// Closes the port and every connection. To be called before the end of
   /// the io_context's thread.
-  void Stop();
+  closed_connections Stop();
 
   /// Connections that stand, and those among them that are not idle.
   [[nodiscard]] std::size_t Connections() const noexcept;
--- a/src/currantshed/gateway/worker.cpp
+++ b/src/currantshed/gateway/worker.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include "currantshed/log/log.hpp"
+
 namespace currantshed::gateway {
 
 namespace {
@@ -26,6 +28,23 @@
   return made;
 }
 
+// One line for each end of connections, so that a request that a caller lost
+// can be traced to the moment and the state in which it was.
+void
+NoteClosed(std::string_view aWhen, const closed_connections& aClosed)
+{
+  const auto count = [](std::size_t aCount) {
+    return static_cast<std::int64_t>(aCount);
+  };
+  log::Write(log::level::kInfo,
+             "callers_closed",
+             { { "when", std::string(aWhen) },
+               { "kept", count(aClosed.kept) },
+               { "fresh", count(aClosed.fresh) },
+               { "unread", count(aClosed.unread) },
+               { "busy", count(aClosed.busy) } });
+}
+
 } // namespace
 
 worker::worker(const gateway_settings& aSettings,
@@ -91,7 +110,7 @@
   boost::asio::post(mContext, [this, done = std::move(aDrained)]() mutable {
     mDrained = std::move(done);
     mEngine->Drain();
-    mServer.CloseIdle();
+    NoteClosed("drain", mServer.CloseIdle());
     CheckDrained();
   });
 }
@@ -112,7 +131,7 @@
     return;
   }
   boost::asio::post(mContext, [this] {
-    mServer.Stop();
+    NoteClosed("stop", mServer.Stop());
     mContext.stop();
   });
   mThread.join();
--- a/src/currantshed/load/caller.cpp
+++ b/src/currantshed/load/caller.cpp
@@ -194,10 +194,11 @@
   mBeginAt.reset();
   aRequest.session = mToken;
   aRequest.deadline = aWork.deadline;
-  const http_answer raw = co_await mConnections[mGateway]->Exchange(
+  http_answer raw = co_await mConnections[mGateway]->Exchange(
     aRequest, aWork.deadline + kPatience);
   answer reply = ReadAnswer(raw.body);
   reply.end = raw.end;
+  reply.trace = std::move(raw.trace);
   Record(aWork, aRequest, reply, sent);
   if (!reply.session.empty()) {
     mToken = reply.session;
@@ -219,6 +220,7 @@
   record.outcome = aAnswer.outcome;
   record.deadline = aWork.deadline;
   record.end = aAnswer.end;
+  record.trace = aAnswer.trace;
   record.reason = aAnswer.reason;
   record.read = aWork.kind == policy::access::kRead && !aRequest.get;
   record.byReplica = aAnswer.replica;
--- a/src/currantshed/load/history.hpp
+++ b/src/currantshed/load/history.hpp
@@ -36,6 +36,19 @@
   kCutOff,
 };
 
+/// The connection that an exchange went over, and how it failed.
+struct exchange_trace
+{
+  /// Where the gateway listens.
+  std::uint16_t port = 0;
+  /// Exchanges that the connection had carried before.
+  unsigned earlier = 0;
+  /// How long the connection had been unused; zero for a new one.
+  moment unused{ 0 };
+  /// What ended the exchange, in the system's words; empty if it was answered.
+  std::string fault;
+};
+
 /// One change that a caller asked for: one row with a name of its own.
 struct change_record
 {
@@ -96,6 +109,7 @@
   /// The class's deadline.
   std::chrono::milliseconds deadline{ 0 };
   exchange_end end = exchange_end::kAnswered;
+  exchange_trace trace;
   std::string reason;
   std::string servedBy;
   /// The idempotency key and the session's token that were sent.
--- a/src/currantshed/load/http_connection.cpp
+++ b/src/currantshed/load/http_connection.cpp
@@ -56,7 +56,7 @@
   {
   }
 
-  asio::awaitable<bool> Connect()
+  asio::awaitable<beast::error_code> Connect()
   {
     const tcp::endpoint endpoint(asio::ip::make_address(gateway.address),
                                  gateway.port);
@@ -66,7 +66,7 @@
       stream.socket().set_option(tcp::no_delay(true), ignored);
     }
     open = !fault;
-    co_return open;
+    co_return fault;
   }
 
   void Close()
@@ -74,12 +74,38 @@
     stream.close();
     buffer.clear();
     open = false;
+    exchanges = 0;
+  }
+
+  /// Begins an exchange's account of the connection.
+  [[nodiscard]] exchange_trace Begin()
+  {
+    exchange_trace trace;
+    trace.port = gateway.port;
+    trace.earlier = exchanges++;
+    const auto now = std::chrono::steady_clock::now();
+    if (trace.earlier > 0) {
+      trace.unused = std::chrono::duration_cast<moment>(now - usedAt);
+    }
+    return trace;
+  }
+
+  /// Ends the connection and the exchange, which got no whole answer.
+  [[nodiscard]] http_answer Failed(exchange_end aEnd,
+                                   exchange_trace aTrace,
+                                   const beast::error_code& aFault)
+  {
+    Close();
+    aTrace.fault = aFault.message();
+    return { aEnd, {}, std::move(aTrace) };
   }
 
   beast::tcp_stream stream;
   gateway_address gateway;
   beast::flat_buffer buffer;
   bool open = false;
+  unsigned exchanges = 0;
+  std::chrono::steady_clock::time_point usedAt;
 };
 
 http_connection::http_connection(asio::io_context& aContext,
@@ -95,28 +121,33 @@
                           std::chrono::milliseconds aAtMost)
 {
   mState->stream.expires_after(aAtMost);
-  if (!mState->open && !co_await mState->Connect()) {
-    mState->Close();
-    co_return http_answer{};
+  exchange_trace trace = mState->Begin();
+  if (!mState->open) {
+    if (const auto fault = co_await mState->Connect()) {
+      co_return mState->Failed(exchange_end::kNotSent, std::move(trace), fault);
+    }
   }
   const auto request = MakeRequest(aRequest, mState->gateway.address);
   const auto [writeFault, written] =
     co_await http::async_write(mState->stream, request, kUseTuple);
   if (writeFault) {
-    mState->Close();
-    co_return http_answer{ exchange_end::kCutOff, {} };
+    co_return mState->Failed(
+      exchange_end::kCutOff, std::move(trace), writeFault);
   }
   http::response<http::string_body> response;
   const auto [readFault, read] = co_await http::async_read(
     mState->stream, mState->buffer, response, kUseTuple);
   if (readFault) {
-    mState->Close();
-    co_return http_answer{ exchange_end::kCutOff, {} };
+    co_return mState->Failed(
+      exchange_end::kCutOff, std::move(trace), readFault);
   }
+  mState->usedAt = std::chrono::steady_clock::now();
   if (!response.keep_alive()) {
     mState->Close();
   }
-  co_return http_answer{ exchange_end::kAnswered, std::move(response.body()) };
+  co_return http_answer{ exchange_end::kAnswered,
+                         std::move(response.body()),
+                         std::move(trace) };
 }
 
 } // namespace currantshed::load
--- a/src/currantshed/load/http_connection.hpp
+++ b/src/currantshed/load/http_connection.hpp
@@ -37,6 +37,7 @@
 {
   exchange_end end = exchange_end::kNotSent;
   std::string body;
+  exchange_trace trace;
 };
 
 /// A caller's connection to one gateway, opened when first needed and kept
--- a/src/currantshed/load/message.hpp
+++ b/src/currantshed/load/message.hpp
@@ -23,6 +23,7 @@
 struct answer
 {
   exchange_end end = exchange_end::kAnswered;
+  exchange_trace trace;
   /// Unknown as well when no answer came.
   told outcome = told::kUnknown;
   std::string reason;
