A gateway that leaves answers what callers have sent, and all that they send on open connections

Mend: it takes what stands in the listening socket's queue, then closes that socket, so that new callers are refused and go elsewhere; keeps all other connections until their next answer, which tells; refuses new work, truly not run, in the second half of the time to drain; and closes what is still unused at its end, but nothing that has sent. A connection that is idle for too long is not closed over bytes that have come either (the same fault, by reading).

--- a/bin/currantshed-gateway/main.cpp
+++ b/bin/currantshed-gateway/main.cpp
@@ -33,6 +33,10 @@
 constexpr std::chrono::milliseconds kLeaveNotice{ 1000 };
 constexpr int kNoticeShare = 4;
 
+/// The part of the time to drain after which new requests are refused, so that
+/// those before them are answered within it.
+constexpr int kServingShare = 2;
+
 /// Time for the last answers to be written after the time to drain is over.
 constexpr std::chrono::milliseconds kLastWrites{ 300 };
 
@@ -124,15 +128,16 @@
     log::Write(log::level::kInfo,
                "signal",
                { { "number", static_cast<std::int64_t>(aSignal) } });
-    mDrainBy =
-      std::chrono::steady_clock::now() + mOptions.settings.drainTimeout;
+    const auto now = std::chrono::steady_clock::now();
+    mServeUntil = now + mOptions.settings.drainTimeout / kServingShare;
+    mDrainBy = now + mOptions.settings.drainTimeout;
     mControl.Leave();
     for (const auto& worker : mWorkers) {
       worker->Leave();
     }
     const auto notice = std::min<std::chrono::milliseconds>(
       kLeaveNotice, mOptions.settings.drainTimeout / kNoticeShare);
-    After(std::chrono::steady_clock::now() + notice, &gateway_process::Drain);
+    After(now + notice, &gateway_process::Drain);
   }
 
   void Drain()
@@ -142,6 +147,14 @@
       worker->Drain(
         [this] { boost::asio::post(mContext, [this] { OneDrained(); }); });
     }
+    After(mServeUntil, &gateway_process::RefuseNew);
+  }
+
+  void RefuseNew()
+  {
+    for (const auto& worker : mWorkers) {
+      worker->RefuseNew();
+    }
     After(mDrainBy, &gateway_process::GiveUp);
   }
 
@@ -192,6 +205,7 @@
   http::status_server mStatus;
   boost::asio::signal_set mSignals;
   boost::asio::steady_timer mTimer;
+  clock::time_point mServeUntil;
   clock::time_point mDrainBy;
   std::size_t mLeft = 0;
 };
--- a/src/currantshed/gateway/caller_connection.cpp
+++ b/src/currantshed/gateway/caller_connection.cpp
@@ -127,6 +127,13 @@
   return mPhase == phase::kIdle;
 }
 
+bool
+caller_connection::HasUnread() const
+{
+  error_code ignored;
+  return mSocket.available(ignored) > 0;
+}
+
 request_number
 caller_connection::Waiting() const noexcept
 {
@@ -410,7 +417,8 @@
 void
 caller_connection::CheckTime(clock::time_point aNow)
 {
-  if (aNow < mDue) {
+  // A request that came in time is read, however late this thread is.
+  if (aNow < mDue || (mPhase == phase::kIdle && HasUnread())) {
     return;
   }
   if (mPhase == phase::kReading && !mTimedOut) {
@@ -427,9 +435,8 @@
 caller_connection::Note(closed_connections& aClosed) const
 {
   if (mPhase == phase::kIdle) {
-    error_code error;
-    const bool isUnread = mSocket.available(error) > 0;
-    ++(isUnread ? aClosed.unread : mServed > 0 ? aClosed.kept : aClosed.fresh);
+    const bool isUsed = mServed > 0;
+    ++(HasUnread() ? aClosed.unread : isUsed ? aClosed.kept : aClosed.fresh);
   } else if (mPhase != phase::kLingering && mPhase != phase::kClosed) {
     ++aClosed.busy;
   }
--- a/src/currantshed/gateway/caller_connection.hpp
+++ b/src/currantshed/gateway/caller_connection.hpp
@@ -68,6 +68,9 @@
 
   [[nodiscard]] bool Idle() const noexcept;
 
+  /// Whether bytes have come that were not read yet.
+  [[nodiscard]] bool HasUnread() const;
+
   /// The request that waits for its answer, or zero.
   [[nodiscard]] request_number Waiting() const noexcept;
   void SetWaiting(request_number aNumber) noexcept;
--- a/src/currantshed/gateway/caller_server.cpp
+++ b/src/currantshed/gateway/caller_server.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include "currantshed/gateway/caller_connection.hpp"
+#include "currantshed/net/accept_queue.hpp"
 
 namespace currantshed::gateway {
 
@@ -77,7 +78,12 @@
 
   void Leave() { mLeaving = true; }
 
-  void StopListening() { (void)CloseIdle(); }
+  void StopListening()
+  {
+    mPause.cancel();
+    net::CloseListener(
+      mAcceptor, [this](tcp::socket aSocket) { Take(std::move(aSocket)); });
+  }
 
   void CheckTimes()
   {
@@ -91,7 +97,7 @@
   {
     closed_connections closed;
     for (const auto& connection : Connections()) {
-      if (connection->Idle()) {
+      if (connection->Idle() && !connection->HasUnread()) {
         connection->Note(closed);
         connection->Close();
         mConnections.erase(connection.get());
@@ -103,6 +109,7 @@
   closed_connections Stop()
   {
     closed_connections closed;
+    mIsStopped = true;
     error_code ignored;
     mAcceptor.close(ignored);
     mSweep.cancel();
@@ -184,6 +191,13 @@
   {
     mAcceptor.async_accept([self = shared_from_this()](const error_code& aError,
                                                        tcp::socket aSocket) {
+      if (self->mIsStopped) {
+        return;
+      }
+      // One that was taken just before listening ended is served as well.
+      if (!aError) {
+        self->Take(std::move(aSocket));
+      }
       if (!self->mAcceptor.is_open()) {
         return;
       }
@@ -191,7 +205,6 @@
         self->AcceptLater();
         return;
       }
-      self->Take(std::move(aSocket));
       self->Accept();
     });
   }
@@ -255,6 +268,7 @@
   absl::flat_hash_map<request_number, caller_connection*> mWaiting;
   request_number mLastNumber = 0;
   bool mLeaving = false;
+  bool mIsStopped = false;
 };
 
 caller_server::caller_server(boost::asio::io_context& aContext,
--- a/src/currantshed/gateway/caller_server.hpp
+++ b/src/currantshed/gateway/caller_server.hpp
@@ -80,7 +80,7 @@
   /// Looks after the times of all connections; called at intervals.
   void CheckTimes();
 
-  /// Ends the connections that are idle now, too.
+  /// Ends the connections that are idle now, too, and have sent nothing.
   closed_connections CloseIdle();
 
   /// Closes the port and every connection. To be called before the end of
--- a/src/currantshed/gateway/worker.cpp
+++ b/src/currantshed/gateway/worker.cpp
@@ -109,16 +109,22 @@
 {
   boost::asio::post(mContext, [this, done = std::move(aDrained)]() mutable {
     mDrained = std::move(done);
-    mEngine->Drain();
-    NoteClosed("drain", mServer.CloseIdle());
+    mServer.StopListening();
     CheckDrained();
   });
 }
 
+void
+worker::RefuseNew()
+{
+  boost::asio::post(mContext, [this] { mEngine->Drain(); });
+}
+
 void
 worker::GiveUp()
 {
   boost::asio::post(mContext, [this] {
+    NoteClosed("drain_timed_out", mServer.CloseIdle());
     mEngine->GiveUp(Now());
     Act();
   });
@@ -220,7 +226,7 @@
 void
 worker::CheckDrained()
 {
-  if (mDrained && mEngine->Pending() == 0 && mServer.Busy() == 0) {
+  if (mDrained && mEngine->Pending() == 0 && mServer.Connections() == 0) {
     std::exchange(mDrained, nullptr)();
   }
 }
--- a/src/currantshed/gateway/worker.hpp
+++ b/src/currantshed/gateway/worker.hpp
@@ -50,11 +50,16 @@
   /// Ends each connection after its next answer.
   void Leave();
 
-  /// Refuses new requests, and calls back on this worker's thread once there
-  /// is nothing left to answer.
+  /// Takes no new connections, and calls back on this worker's thread once
+  /// those that it has are gone. A caller may send on a connection that it has
+  /// kept unused for long, and can't be told before that the gateway leaves:
+  /// the answer tells it, and ends the connection.
   void Drain(std::function<void()> aDrained);
 
-  /// Answers all that waits, as at its deadline.
+  /// Answers new requests that they have not run.
+  void RefuseNew();
+
+  /// Answers all that waits, as at its deadline, and closes idle connections.
   void GiveUp();
 
   /// Ends the thread; to be called before the worker's own end.
--- /dev/null
+++ b/src/currantshed/net/accept_queue.hpp
@@ -0,0 +1,33 @@
+#ifndef CURRANTSHED_NET_ACCEPT_QUEUE_HPP
+#define CURRANTSHED_NET_ACCEPT_QUEUE_HPP
+
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace currantshed::net {
+
+/// Closes a listening socket, and passes on each connection that the operating
+/// system has taken for it so far. Closing alone would reset those: their
+/// callers count as connected and may have sent a request.
+template<typename taker>
+void
+CloseListener(boost::asio::ip::tcp::acceptor& aAcceptor, taker aTake)
+{
+  boost::system::error_code error;
+  aAcceptor.non_blocking(true, error);
+  while (!error) {
+    boost::asio::ip::tcp::socket socket(aAcceptor.get_executor());
+    aAcceptor.accept(socket, error);
+    if (error == boost::asio::error::connection_aborted) {
+      error.clear();
+    } else if (!error) {
+      aTake(std::move(socket));
+    }
+  }
+  aAcceptor.close(error);
+}
+
+} // namespace currantshed::net
+
+#endif
--- a/test/currantshed/gateway/caller_server.cpp
+++ b/test/currantshed/gateway/caller_server.cpp
@@ -393,7 +393,9 @@
     { "queued, sent afterwards", state::kQueued, false },
   };
   for (const auto& row : rows) {
-    served made(Limits());
+    auto limits = Limits();
+    limits.lingerTime = 1ms;
+    served made(limits);
     auto caller = made.Connect();
     if (row.before == state::kKept) {
       made.Send(caller, Good());
