A pooler that leaves gives up transactions that nobody uses after a second

Cause, from records and logs: writes ended at their deadline of 2 s from the moment at which the first caller of a stopped gateway was refused, one transaction was told transaction_lost, and all was over when the leaving pooler logged group_released, 9.9 s after its signal: 10 s is the idle time of an open transaction, whose rows stay locked meanwhile. How that transaction lost its caller was not traced further: a caller that leaves is reason enough. Ruled out: the gateways' end (drained within 1.1 s), a change of primary (term 1 throughout).

The test is red with the idle time as it was (pending 1, expected 0), and green with one second once the pooler leaves.

--- a/src/currantshed/group/group_engine.cpp
+++ b/src/currantshed/group/group_engine.cpp
@@ -9,6 +9,9 @@
 
 // While requests wait for what no event tells, they are looked at this often.
 constexpr std::chrono::milliseconds kLookInterval{ 10 };
+// How long a transaction may be without a request once the pooler leaves: half
+// the deadline of 2 s of the writes that wait for the rows which it holds.
+constexpr std::chrono::milliseconds kLeavingIdle{ 1000 };
 
 } // namespace
 
@@ -129,13 +132,21 @@
   Follow(aNow);
 }
 
+// How long an open transaction may be without a request.
+std::chrono::milliseconds
+group_engine::TransactionIdle() const noexcept
+{
+  const auto usual = mContext.settings.transactionIdle;
+  return mDraining ? std::min(usual, kLeavingIdle) : usual;
+}
+
 void
 group_engine::Tick(clock::time_point aNow)
 {
   Expire(aNow);
   TearOvertaken(aNow);
   const auto overdue = mContext.transactions.Overdue(
-    aNow - mContext.transactionLimit, aNow - mContext.settings.transactionIdle);
+    aNow - mContext.transactionLimit, aNow - TransactionIdle());
   for (const auto id : overdue) {
     mContext.transactions.Abandon(id);
   }
@@ -151,7 +162,7 @@
     next = std::min(next, mDeadlines.begin()->first);
   }
   if (const auto overdue = mContext.transactions.NextOverdue(
-        mContext.transactionLimit, mContext.settings.transactionIdle)) {
+        mContext.transactionLimit, TransactionIdle())) {
     next = std::min(next, *overdue);
   }
   const auto someQueued = !mReads.Entries().empty() ||
--- a/src/currantshed/group/group_engine.hpp
+++ b/src/currantshed/group/group_engine.hpp
@@ -117,6 +117,7 @@
   void Expire(clock::time_point aNow);
   void TearOvertaken(clock::time_point aNow);
   void EndTransactions(clock::time_point aNow);
+  [[nodiscard]] std::chrono::milliseconds TransactionIdle() const noexcept;
   void Ask(clock::time_point aNow);
   [[nodiscard]] demand Demand() const;
   /// What follows every event.
--- a/test/currantshed/group/transactions.cpp
+++ b/test/currantshed/group/transactions.cpp
@@ -188,6 +188,39 @@
   }
 }
 
+// A pooler that left kept the rows of a transaction locked that no caller could
+// reach any more, until its 10 s of idle time were over: every write of the
+// group waited out its deadline of 2 s meanwhile (beside load, the acknowledged
+// count stood still from second 3 to 13 of a run, until the pooler logged
+// group_released and drained).
+TEST(transactions,
+     one_that_nobody_uses_is_given_up_soon_while_the_pooler_leaves)
+{
+  struct row
+  {
+    const char* name;
+    bool leaves;
+    std::size_t pending;
+  };
+  const row rows[] = {
+    { "the pooler stays", false, 1 },
+    { "the pooler leaves", true, 0 },
+  };
+  for (const auto& row : rows) {
+    fake_group group;
+    group.Run(100ms);
+    const auto begun = group.Call(Begin(group));
+    CHECK_TEXT(begun.verdict == verdict::kDone, row.name);
+    if (row.leaves) {
+      group.Engine().Drain(group.Now());
+    }
+    group.Run(500ms);
+    LONGS_EQUAL_TEXT(1, group.Engine().Pending(), row.name);
+    group.Run(1100ms);
+    LONGS_EQUAL_TEXT(row.pending, group.Engine().Pending(), row.name);
+  }
+}
+
 TEST(transactions, a_refused_statement_ends_it)
 {
   fake_group group;
