Words on groups go to the VMs that use them

Change: a VM names the groups that its callers have used for 3 s with each question to its relays, is told of these alone, and of all groups when a term is revoked or another primary leads. One that begins to use a group asks at once, is told the last positions as well, and asks servers itself 30 ms later. Words on the way to a primary leave out those not heard for a second. At most 16 messages wait for one peer.

--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -103,6 +103,10 @@
   /// the other and pass on what they learn.
   void SetPlace(std::size_t aVms, double aPlace);
 
+  /// Whether another VM passes on what is known of the group: it is asked
+  /// first, and given time to answer.
+  void SetIsRelayed(bool aIsRelayed) noexcept { mIsRelayed = aIsRelayed; }
+
   /// Requests need a proof.
   void Wanted(clock::time_point aNow);
 
@@ -192,6 +196,7 @@
   bool mHoldsDuty = false;
   bool mStandsIn = false;
   bool mMayAsk = true;
+  bool mIsRelayed = false;
   // How much later than the first VM this one asks, and how long any one VM
   // pauses between questions.
   std::chrono::milliseconds mAskDelay{ 0 };
--- a/src/currantshed/lead/group_lead_proof.cpp
+++ b/src/currantshed/lead/group_lead_proof.cpp
@@ -30,6 +30,8 @@
 // ask, not all. What is left before the proof ends suffices for a retry.
 constexpr milliseconds kSpreadByVm{ 2 };
 constexpr milliseconds kLongestSpread{ 150 };
+// How long a VM of the same failure domain is given to tell what it knows.
+constexpr milliseconds kRelayTime{ 30 };
 // Pause of one VM between questions, for each VM that may ask: all together put
 // at most 250 questions a second to a server, each a slot for half a
 // millisecond.
@@ -252,7 +254,8 @@
     return mWantedSince;
   }
   const auto ending = mProof.askedAt + mSettings.validity - kOwnAskReserve;
-  return std::max(ending, mWantedSince) + mAskDelay;
+  const auto wanted = mWantedSince + (mIsRelayed ? kRelayTime : milliseconds{});
+  return std::max(ending, wanted) + mAskDelay;
 }
 
 milliseconds
--- a/src/currantshed/net/zmq_socket.cpp
+++ b/src/currantshed/net/zmq_socket.cpp
@@ -45,7 +45,7 @@
 {
   aSocket.set(zmq::sockopt::linger, Count(aSettings.linger));
   aSocket.set(zmq::sockopt::immediate, aSettings.onlyConnected);
-  aSocket.set(zmq::sockopt::sndhwm, aSettings.highWater);
+  aSocket.set(zmq::sockopt::sndhwm, aSettings.sendHighWater);
   aSocket.set(zmq::sockopt::rcvhwm, aSettings.highWater);
   aSocket.set(zmq::sockopt::maxmsgsize, aSettings.longestMessage);
   if (aSettings.pingInterval > std::chrono::milliseconds::zero()) {
--- a/src/currantshed/net/zmq_socket.hpp
+++ b/src/currantshed/net/zmq_socket.hpp
@@ -25,8 +25,10 @@
   /// Whether a message is refused while no connection to the peer stands. If
   /// not, it waits for one, and may arrive late.
   bool onlyConnected = true;
-  /// Messages queued for one peer, each way; more are refused.
+  /// Messages of one peer queued here; more wait on the way.
   int highWater = 20000;
+  /// Messages queued for one peer; more are refused.
+  int sendHighWater = 20000;
   /// Longest message taken from a peer, in bytes; a peer that sends more is
   /// disconnected.
   std::int64_t longestMessage = std::int64_t{ 16 } * 1024 * 1024;
--- a/src/currantshed/news/exchange.cpp
+++ b/src/currantshed/news/exchange.cpp
@@ -11,10 +11,14 @@
 
 // A message has a few dozen groups at most.
 constexpr std::int64_t kLongestNews = std::int64_t{ 256 } * 1024;
-// Messages that wait for one peer, each way. ZeroMQ 4.3 aborts the process when
-// a connection fails while its receiving side is full, so this is far above
-// what a frozen VM leaves unread.
+// Messages that wait to be taken from one peer. ZeroMQ 4.3 aborts the process
+// when a connection fails while its receiving side is full, so this is far
+// above what a frozen VM leaves unread.
 constexpr int kHighWater = 512;
+// Messages that wait to be sent to one peer. Each says anew what those before
+// it said, so that behind a link that is busy a few suffice; with 512 for each
+// of 20 peers a VM ran out of its 160 MB.
+constexpr int kSendHighWater = 16;
 // How long a connection may take to stand, and how long what was sent on it may
 // stay without acknowledgement before it is given up. The kernel keeps that
 // time: pings of ZeroMQ's own cost a timer for each link, which it looks up by
@@ -30,6 +34,7 @@
   net::socket_settings settings;
   settings.longestMessage = kLongestNews;
   settings.highWater = kHighWater;
+  settings.sendHighWater = kSendHighWater;
   settings.pingInterval = std::chrono::milliseconds{ 0 };
   settings.pingTimeout = kSilence;
   settings.unacknowledged = kSilence;
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -167,12 +167,8 @@
   }
   mTraffic.SetListener(
     { [this](const std::string& aService) {
-       boost::asio::post(mContext, [this, aService] {
-         if (auto* found = Find(aService)) {
-           found->lead.Wanted(clock::Now());
-           Perform(clock::Now());
-         }
-       });
+       boost::asio::post(mContext,
+                         [this, aService] { Wanted(aService, clock::Now()); });
      },
       [this](const std::string& aService, position::term_id aTerm) {
         boost::asio::post(mContext, [this, aService, aTerm] {
@@ -405,7 +401,7 @@
   if (!mFeeders.empty()) {
     next = std::min(next, mNextPoll);
   }
-  if (!mFollowers.empty()) {
+  if (!mSubscribers.Empty()) {
     next = std::min(next, mRelays.NextTick());
   }
   for (const auto& [service, one] : mGroups) {
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -31,6 +32,7 @@
 #include "currantshed/node/relay_box.hpp"
 #include "currantshed/node/server_list.hpp"
 #include "currantshed/node/settings.hpp"
+#include "currantshed/node/subscribers.hpp"
 #include "currantshed/node/traffic.hpp"
 #include "currantshed/store/prefix_view.hpp"
 #include "currantshed/store/registration.hpp"
@@ -95,6 +97,13 @@
     /// This VM has proved the primary itself, and tells the others, although
     /// the group is not its to watch.
     bool passesOn = false;
+    /// What is passed on next is for all subscribers: another primary leads, or
+    /// a term was revoked.
+    bool isForAll = false;
+    position::term_id toldTerm = 0;
+    /// The primary's positions that were told last, oldest first, for those
+    /// that begin to use the group: a read may be as old as they are.
+    std::deque<proxy::position_sample> recent;
   };
 
   using groups = absl::btree_map<std::string, std::unique_ptr<group>>;
@@ -180,6 +189,7 @@
   [[nodiscard]] std::vector<std::string> ObedienceAudience(
     const std::string& aService,
     clock::time_point aNow) const;
+  [[nodiscard]] static lead::lead_news WordOn(const group& aGroup);
   void PassWords(clock::time_point aNow);
   void TakeWatches(const news::News& aNews,
                    const news::exchange::clock_reader& aClock,
@@ -193,7 +203,10 @@
   void EndFeederSearch(bool aIsFeeder, clock::time_point aNow);
   void NoteFeeders(clock::time_point aNow);
   void Poll(clock::time_point aNow);
+  void AskUse(clock::time_point aNow);
+  void Wanted(const std::string& aService, clock::time_point aNow);
   void SendWanted(const std::string& aVm, clock::time_point aNow);
+  void FillRecent(news::News& aOut, const std::vector<std::string>& aServices);
   void AnswerWanted(const news::News& aNews, clock::time_point aNow);
   void TakeUpdates(const news::News& aNews,
                    const news::exchange::clock_reader& aClock,
@@ -243,8 +256,11 @@
   clock::time_point mRelayedAt{};
   clock::time_point mWantedAt{};
   clock::time_point mNextPoll{};
-  // The VMs that ask this one, and when they last did.
-  absl::btree_map<std::string, clock::time_point> mFollowers;
+  // The VMs that ask this one.
+  subscribers mSubscribers;
+  // The groups that callers of this VM use, and up to when that is known.
+  groups_in_use mInUse;
+  clock::time_point mUseKnownAt{};
   known_vms mKnownVms;
   std::uint64_t mVersion = 0;
   server_list mServers;
--- a/src/currantshed/node/control_feed.cpp
+++ b/src/currantshed/node/control_feed.cpp
@@ -6,6 +6,8 @@
 #include <iterator>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 #include "currantshed/log/log.hpp"
 #include "currantshed/node/audience.hpp"
 #include "currantshed/node/feeders.hpp"
@@ -25,8 +27,6 @@
 // its acknowledgement wherever the VM itself reaches the store.
 constexpr milliseconds kConfigurationLife{ 1800 };
 constexpr milliseconds kOtherLife{ 2500 };
-// How long a VM that asked is told that there is something new.
-constexpr milliseconds kFollowerLife{ 2000 };
 // Pause between two questions that such words lead to.
 constexpr milliseconds kHintPause{ 20 };
 
@@ -136,6 +136,7 @@
     return;
   }
   mNextPoll = aNow + kPollInterval;
+  AskUse(aNow);
   SendWanted(mFeeders[++mTurn % mFeeders.size()], aNow);
   // The feeders are cut off from the store as well: others may not be.
   if (mRegistration.IsFailing() && aNow >= mOwnView.FedUntil()) {
@@ -145,11 +146,46 @@
   }
 }
 
+// Traffic knows which groups callers use; the next question names them.
+void
+control::AskUse(clock::time_point aNow)
+{
+  const auto since = std::exchange(mUseKnownAt, aNow);
+  mTraffic.AskUsed(since, [this, aNow](std::vector<std::string> aUsed) {
+    boost::asio::post(mContext, [this, aNow, used = std::move(aUsed)] {
+      for (const auto& service : used) {
+        mInUse.Used(service, aNow);
+      }
+    });
+  });
+}
+
+// Callers need a proof. A VM that has no words on the group, since nobody used
+// it, asks one that passes words on, which has them.
+void
+control::Wanted(const std::string& aService, clock::time_point aNow)
+{
+  auto* found = Find(aService);
+  if (found == nullptr) {
+    return;
+  }
+  const bool isNew = !mInUse.Contains(aService, aNow);
+  mInUse.Used(aService, aNow);
+  if (isNew && IsRelayed(aNow)) {
+    SendWanted(mFeeders[mTurn % mFeeders.size()], aNow);
+  }
+  found->lead.Wanted(aNow);
+  Perform(aNow);
+}
+
 void
 control::SendWanted(const std::string& aVm, clock::time_point aNow)
 {
   news::News told;
   FillChanges(told);
+  for (auto& service : mInUse.All(aNow)) {
+    told.add_groups(std::move(service));
+  }
   std::uint32_t number = 0;
   for (const auto* view : Views()) {
     auto* wanted = told.add_wanted();
@@ -167,11 +203,13 @@
   if (aNews.wanted_size() == 0) {
     return;
   }
-  mFollowers[aNews.vm()] = aNow;
+  const auto added = mSubscribers.Asked(
+    aNews.vm(), { aNews.groups().begin(), aNews.groups().end() }, aNow);
   const auto views = Views();
   const auto longest = LongestAnswer(mSettings.linkMegabits);
   news::News told;
   FillChanges(told);
+  FillRecent(told, added);
   for (const auto& wanted : aNews.wanted()) {
     if (wanted.prefix() >= views.size() || !views[wanted.prefix()]->IsKnown()) {
       continue;
@@ -245,12 +283,10 @@
 void
 control::TellFollowers(clock::time_point aNow)
 {
-  absl::erase_if(mFollowers, [aNow](const auto& aEntry) {
-    return aNow - aEntry.second > kFollowerLife;
-  });
+  mSubscribers.Forget(aNow);
   news::News told;
   FillChanges(told);
-  for (const auto& [vm, at] : mFollowers) {
+  for (const auto& vm : mSubscribers.All()) {
     mNews.Send(vm, told, aNow);
   }
 }
--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -128,6 +128,7 @@
   const auto vms = mKnownVms.Reachable(aNow).size() + 1;
   for (auto& [service, one] : mGroups) {
     one->lead.SetPlace(vms, PlaceOf(service, mSelf.where.vm));
+    one->lead.SetIsRelayed(IsRelayed(aNow));
   }
 }
 
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -20,6 +20,9 @@
 // An order to promote must go out this soon after the store has shown that
 // the duty is still held.
 constexpr milliseconds kDutyCheckLife{ 300 };
+// Positions of a primary that are kept for VMs that begin to use its group: one
+// is told every 350 ms, so that these reach back as far as reads may, 2.5 s.
+constexpr std::size_t kRecentSamples = 7;
 // What must be left of the lease for the duty to count as held.
 constexpr milliseconds kLeaseReserve{ 500 };
 
@@ -257,6 +260,9 @@
   if (auto* found = Find(aService)) {
     found->hasNews = true;
     found->passesOn = found->passesOn || aAction.isOwn;
+    const bool isNewTerm = found->toldTerm != aAction.proof.term;
+    found->isForAll = found->isForAll || isNewTerm;
+    found->toldTerm = aAction.proof.term;
   }
   mRelays.HasWord(aService, false, clock::Now());
 }
@@ -265,6 +271,18 @@
 control::Do(const std::string& aService, const lead::publish_sample& aAction)
 {
   mTraffic.AddSample(aService, aAction.sample);
+  auto* found = Find(aService);
+  if (found == nullptr) {
+    return;
+  }
+  auto& recent = found->recent;
+  if (!recent.empty() && recent.back().term != aAction.sample.term) {
+    recent.clear();
+  }
+  recent.push_back(aAction.sample);
+  if (recent.size() > kRecentSamples) {
+    recent.pop_front();
+  }
 }
 
 // Others are told, or the one who asked for it, once traffic has let go.
@@ -282,6 +300,7 @@
   });
   if (auto* found = Find(aService)) {
     found->hasNews = true;
+    found->isForAll = true;
   }
   mRelays.HasWord(aService, true, clock::Now());
 }
--- a/src/currantshed/node/control_news.cpp
+++ b/src/currantshed/node/control_news.cpp
@@ -15,6 +15,9 @@
 
 // How many VMs are spoken to at a time where it does not matter which.
 constexpr std::size_t kFewVms = 6;
+// How lately a primary must have been heard for that to be told: longer than it
+// counts, 600 ms, by what two VMs take to pass it on.
+constexpr std::chrono::milliseconds kToldReach{ 1000 };
 // How many VMs are passed on what this one has proved by itself.
 constexpr std::size_t kMostPassedOn = 24;
 
@@ -71,7 +74,7 @@
     const bool holds = aNow < proof.askedAt + mLeadSettings.validity;
     if (one->lead.Speaks() || (holds && !HasHolder(mOwnKeys, service))) {
       Fill(*told.add_watches(), service, one->lead.Watch());
-    } else if (holds && mFollowers.contains(aVm)) {
+    } else if (holds && mSubscribers.Contains(aVm)) {
       Fill(*told.add_watches(), service, one->lead.Relayed());
     }
   }
@@ -131,8 +134,12 @@
   FillChanges(told);
   for (const auto& [service, one] : mGroups) {
     const bool isForAll = IsOffTheList(aNow) || IsFeeder(aVm);
-    if (isForAll || HolderOf(service) == aVm) {
-      Fill(*told.add_reaches(), service, one->lead.Reach(mHeard[service]));
+    const auto reach = one->lead.Reach(mHeard[service]);
+    // A primary that was not heard lately is kept by no such word.
+    const bool tells =
+      reach.obeyedTerm != 0 || aNow - reach.heardAt < kToldReach;
+    if (tells && (isForAll || HolderOf(service) == aVm)) {
+      Fill(*told.add_reaches(), service, reach);
     }
   }
   mNews.Send(aVm, std::move(told), aNow);
@@ -191,7 +198,7 @@
                      const news::exchange::clock_reader& aClock,
                      clock::time_point aNow)
 {
-  if (aNews.watches_size() > 0 && IsFeeder(aNews.vm())) {
+  if (aNews.passes_on() && IsFeeder(aNews.vm())) {
     mRelayedAt = aNow;
   }
   for (const auto& watch : aNews.watches()) {
--- a/src/currantshed/node/control_relay.cpp
+++ b/src/currantshed/node/control_relay.cpp
@@ -53,7 +53,7 @@
 bool
 control::IsAsking(const std::string& aVm, clock::time_point aNow) const
 {
-  return mKnownVms.IsSpeaking(aVm, aNow) && !mFollowers.contains(aVm);
+  return mKnownVms.IsSpeaking(aVm, aNow) && !mSubscribers.Contains(aVm);
 }
 
 // Who feeds which failure domain.
@@ -119,31 +119,72 @@
   return { holder };
 }
 
-// Passes words of those that watch groups on to the VMs that this one feeds.
+// What this VM says on a group to those that it feeds.
+lead::lead_news
+control::WordOn(const group& aGroup)
+{
+  const auto& lead = aGroup.lead;
+  return lead.Speaks() ? lead.Watch() : lead.Relayed();
+}
+
+// The same as it was told over the last seconds, to one that has had no word on
+// the groups: the oldest position first.
+void
+control::FillRecent(news::News& aOut, const std::vector<std::string>& aServices)
+{
+  for (const auto& service : aServices) {
+    const auto* found = Find(service);
+    if (found == nullptr) {
+      continue;
+    }
+    const auto newest = WordOn(*found);
+    for (const auto& sample : found->recent) {
+      auto word = newest;
+      word.sample = sample;
+      Fill(*aOut.add_watches(), service, word);
+    }
+    Fill(*aOut.add_watches(), service, newest);
+  }
+}
+
+// Passes words of those that watch groups on to the VMs that this one feeds, to
+// each on the groups that it uses. That another primary leads, or a term is
+// revoked, all must know.
 void
 control::PassWords(clock::time_point aNow)
 {
-  if (mFollowers.empty()) {
+  if (mSubscribers.Empty()) {
     return;
   }
   const bool isFirst =
     !mOwnFeeders.empty() && mOwnFeeders.front() == mSelf.where.vm;
-  news::News told;
-  for (const auto& service :
+  std::vector<std::pair<std::string, lead::lead_news>> words;
+  absl::flat_hash_set<std::string> forAll;
+  for (auto& service :
        mRelays.TakeWords(isFirst ? kFirstPause : kSecondPause, aNow)) {
-    if (const auto* found = Find(service)) {
-      const auto& lead = found->lead;
-      Fill(*told.add_watches(),
-           service,
-           lead.Speaks() ? lead.Watch() : lead.Relayed());
+    auto* found = Find(service);
+    if (found == nullptr) {
+      continue;
+    }
+    auto word = WordOn(*found);
+    if (std::exchange(found->isForAll, false) || word.revokedTerm != 0) {
+      forAll.insert(service);
     }
+    words.emplace_back(std::move(service), std::move(word));
   }
-  if (told.watches_size() == 0) {
+  if (words.empty()) {
     return;
   }
-  FillChanges(told);
-  for (const auto& [vm, at] : mFollowers) {
-    mNews.Send(vm, told, aNow);
+  for (const auto& vm : mSubscribers.All()) {
+    news::News told;
+    for (const auto& [service, word] : words) {
+      if (forAll.contains(service) || mSubscribers.Wants(vm, service)) {
+        Fill(*told.add_watches(), service, word);
+      }
+    }
+    told.set_passes_on(true);
+    FillChanges(told);
+    mNews.Send(vm, std::move(told), aNow);
   }
 }
 
@@ -156,7 +197,7 @@
                    clock::time_point aNow)
 {
   const auto holder = HolderOf(aService);
-  const bool isFollower = mFollowers.contains(aFrom);
+  const bool isFollower = mSubscribers.Contains(aFrom);
   if (isFollower && !holder.empty() && holder != mSelf.where.vm) {
     mRelays.Heard({ aService, aFrom, aReach }, aNow);
     return;
--- a/src/currantshed/node/traffic.cpp
+++ b/src/currantshed/node/traffic.cpp
@@ -195,6 +195,15 @@
     });
 }
 
+void
+traffic::AskUsed(clock::time_point aSince,
+                 std::function<void(std::vector<std::string>)> aDone)
+{
+  boost::asio::post(mContext, [this, aSince, done = std::move(aDone)] {
+    done(mEngine.UsedSince(aSince));
+  });
+}
+
 // The platform sends callers elsewhere within two seconds; until then all is
 // served as ever, and then sessions end as they become idle.
 void
--- a/src/currantshed/node/traffic.hpp
+++ b/src/currantshed/node/traffic.hpp
@@ -81,6 +81,11 @@
   void AskHeard(std::vector<upstream::server_id> aServers,
                 heard_callback aDone);
 
+  /// The services that callers have used since then; the callback runs on the
+  /// traffic thread.
+  void AskUsed(clock::time_point aSince,
+               std::function<void(std::vector<std::string>)> aDone);
+
   /// Lets sessions end and stops after the given time at the latest.
   void Drain(std::chrono::milliseconds aAtMost);
 
--- a/src/currantshed/pooler/peer_links.cpp
+++ b/src/currantshed/pooler/peer_links.cpp
@@ -23,6 +23,7 @@
   net::socket_settings settings;
   settings.longestMessage = kLongestMessage;
   settings.highWater = kHighWater;
+  settings.sendHighWater = kHighWater;
   // In a large fleet most heartbeats go to a peer that was not written to
   // lately, and are the first on their connection.
   settings.onlyConnected = false;
--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -267,6 +267,18 @@
     }));
 }
 
+std::vector<std::string>
+engine::UsedSince(clock::time_point aTime) const
+{
+  std::vector<std::string> used;
+  for (const auto& [service, lead] : mLeads) {
+    if (lead.usedAt >= aTime) {
+      used.push_back(service);
+    }
+  }
+  return used;
+}
+
 std::optional<clock::time_point>
 engine::HeardAt(const upstream::server_id& aServer) const
 {
@@ -347,6 +359,9 @@
     Finish(aSession, std::move(refused), aNow);
     return;
   }
+  if (!aSession.IsRelay()) {
+    LeadOf(route->service).usedAt = aNow;
+  }
   if (aAsked.kind == statement_kind::kBegin ||
       aAsked.kind == statement_kind::kBeginReadOnly) {
     open_transaction begun;
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -178,6 +178,10 @@
   /// Requests under way.
   [[nodiscard]] std::size_t Requests() const;
 
+  /// The services that callers have used since then.
+  [[nodiscard]] std::vector<std::string> UsedSince(
+    clock::time_point aTime) const;
+
   /// When a server last answered anything; none when it never did.
   [[nodiscard]] std::optional<clock::time_point> HeardAt(
     const upstream::server_id& aServer) const;
@@ -192,6 +196,8 @@
     position::term_id revoked = 0;
     confirm::position_samples samples;
     clock::time_point wantedAt;
+    // When a caller of this VM last sent a request or began a transaction.
+    clock::time_point usedAt;
   };
 
   struct order
