Sight: what the judgement that a primary is lost rests on, and how late the VM that judges is

A line 'lost' now tells for how long the primary was silent, how many members were, how old the last words of other VMs were, and by how much this VM ran late; 'kept' tells the last as well.

--- a/src/currantshed/lead/group_lead.cpp
+++ b/src/currantshed/lead/group_lead.cpp
@@ -213,7 +213,14 @@
 void
 group_lead::Tick(clock::time_point aNow)
 {
+  if (mHoldsDuty && mPlanned) {
+    mLateness.Ran(*mPlanned, aNow);
+  }
   Evaluate(aNow);
+  mPlanned.reset();
+  if (Speaks()) {
+    mPlanned = NextTick();
+  }
 }
 
 clock::time_point
--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -12,6 +12,7 @@
 
 #include "currantshed/clock/time.hpp"
 #include "currantshed/lead/actions.hpp"
+#include "currantshed/lead/lateness.hpp"
 #include "currantshed/lead/server_table.hpp"
 #include "currantshed/lead/takeover.hpp"
 
@@ -185,6 +186,7 @@
   [[nodiscard]] bool IsReachedElsewhere(clock::time_point aNow) const;
   [[nodiscard]] std::string ReachedBy(clock::time_point aNow) const;
   void NoteKept(clock::time_point aNow);
+  void NoteLost(const member_view& aPrimary, clock::time_point aNow);
   [[nodiscard]] bool IsVacant(clock::time_point aNow);
   [[nodiscard]] const member_view* Witness() const;
 
@@ -223,6 +225,9 @@
   clock::time_point mDeniedAt;
   // Whose word keeps a primary that this VM does not hear.
   std::string mKeptBy;
+  lateness mLateness;
+  // When the holder of the duty has planned to look next.
+  std::optional<clock::time_point> mPlanned;
   std::optional<clock::time_point> mVacantSince;
   clock::time_point mNow;
   std::vector<action> mActions;
--- a/src/currantshed/lead/group_lead_watch.cpp
+++ b/src/currantshed/lead/group_lead_watch.cpp
@@ -26,6 +26,12 @@
 // the holder before it has had its effect.
 constexpr milliseconds kFirstLook{ 400 };
 
+std::int64_t
+Milliseconds(clock::duration aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime).count();
+}
+
 } // namespace
 
 void
@@ -39,6 +45,7 @@
   NoteKept(aNow);
   const auto* primary = mTable.Find(mProof.primary);
   if (mProof.term != 0 && primary != nullptr && IsLost(aNow)) {
+    NoteLost(*primary, aNow);
     mTakeover.Begin(
       takeover_reason::kLost, mProof.primary, mProof.term, aNow, mActions);
     return;
@@ -88,6 +95,38 @@
   return !ReachedBy(aNow).empty();
 }
 
+// What the judgement that a primary is lost rests on.
+void
+group_lead::NoteLost(const member_view& aPrimary, clock::time_point aNow)
+{
+  clock::time_point told{};
+  clock::time_point heard{};
+  for (const auto& [vm, reach] : mReach) {
+    told = std::max(told, reach.at);
+    heard = std::max(
+      heard, reach.news.primary == mProof.primary ? reach.news.heardAt : heard);
+  }
+  std::size_t silent = 0;
+  for (const auto& [id, view] : mTable.All()) {
+    silent += view.failures > 0 ? 1 : 0;
+  }
+  mActions.emplace_back(
+    note_step{ "lost",
+               absl::StrCat(mProof.primary,
+                            " silent_ms=",
+                            Milliseconds(aNow - aPrimary.heardAt),
+                            " failures=",
+                            aPrimary.failures,
+                            " members_silent=",
+                            silent,
+                            " last_word_ms=",
+                            Milliseconds(aNow - told),
+                            " heard_elsewhere_ms=",
+                            Milliseconds(aNow - heard),
+                            " late_ms=",
+                            Milliseconds(mLateness.At(aNow))) });
+}
+
 // A VM that has heard the primary lately, or an empty name.
 std::string
 group_lead::ReachedBy(clock::time_point aNow) const
@@ -113,7 +152,12 @@
   const auto by = silent ? ReachedBy(aNow) : std::string();
   if (by != mKeptBy && !by.empty()) {
     mActions.emplace_back(
-      note_step{ "kept", absl::StrCat(mProof.primary, " heard_by=", by) });
+      note_step{ "kept",
+                 absl::StrCat(mProof.primary,
+                              " heard_by=",
+                              by,
+                              " late_ms=",
+                              Milliseconds(mLateness.At(aNow))) });
   }
   mKeptBy = by;
 }
--- /dev/null
+++ b/src/currantshed/lead/lateness.cpp
@@ -0,0 +1,38 @@
+#include "currantshed/lead/lateness.hpp"
+
+#include <algorithm>
+
+namespace currantshed::lead {
+
+namespace {
+
+// How long the worst delay counts in full, and then until it counts no more: a
+// VM that was slow works off what lies unread meanwhile.
+constexpr std::chrono::milliseconds kFull{ 1000 };
+constexpr std::chrono::milliseconds kFading{ 2000 };
+
+} // namespace
+
+void
+lateness::Ran(clock::time_point aPlanned, clock::time_point aAt) noexcept
+{
+  const auto late = std::max(aAt - aPlanned, clock::duration::zero());
+  if (late >= At(aAt)) {
+    mWorst = late;
+    mSeenAt = aAt;
+  }
+}
+
+clock::duration
+lateness::At(clock::time_point aNow) const noexcept
+{
+  const auto since = aNow - mSeenAt;
+  if (since <= kFull) {
+    return mWorst;
+  }
+  const auto left =
+    std::max<clock::duration>(kFull + kFading - since, clock::duration::zero());
+  return mWorst * left.count() / clock::duration(kFading).count();
+}
+
+} // namespace currantshed::lead
