A late VM takes no primary for lost that others use, and no group stays without a primary after a change given up

A watcher took what lay unread at itself for the primary's silence. Mend: its own lateness, twice, is added to the silences that it judges by, and a primary is lost only for a VM that hears another member.

Cause 2, by the model of what a holder leaves (abandoned_changes, 52 states, red first): an old primary that stepped down on the order of a holder that gave up counted as reached, since others hear its answers to reads, so that the group was never vacant. Mend: a primary that says itself that it does not lead is kept by nobody's word; and a new holder waits 0.2 s in place of 1.2 s where no order to promote can be under way, since none was recorded. The model found a third: fences of a higher term than the promoted server's own were never lifted, and the change never ended. Mend: lifted while the change waits for a majority.

--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -183,10 +183,13 @@
   [[nodiscard]] std::chrono::milliseconds Pause(const member_view& aView) const;
   [[nodiscard]] bool WantsProof(clock::time_point aNow) const;
   [[nodiscard]] bool IsLost(clock::time_point aNow) const;
+  [[nodiscard]] clock::duration OwnDelay(clock::time_point aNow) const;
   [[nodiscard]] bool IsReachedElsewhere(clock::time_point aNow) const;
   [[nodiscard]] std::string ReachedBy(clock::time_point aNow) const;
   void NoteKept(clock::time_point aNow);
   void NoteLost(const member_view& aPrimary, clock::time_point aNow);
+  [[nodiscard]] bool DeniesToLead(const member_view& aView,
+                                  clock::time_point aNow) const;
   [[nodiscard]] bool IsVacant(clock::time_point aNow);
   [[nodiscard]] const member_view* Witness() const;
 
--- a/src/currantshed/lead/group_lead_watch.cpp
+++ b/src/currantshed/lead/group_lead_watch.cpp
@@ -22,6 +22,11 @@
 constexpr milliseconds kReachLife{ 600 };
 // How long nobody may lead before the group counts as vacant.
 constexpr milliseconds kVacantAfter{ 1200 };
+// The same where the holder before left the group so, and no server can be
+// about to lead: two rounds of questions. And for how long what a new holder
+// sees counts as left by the one before.
+constexpr milliseconds kSurelyVacantAfter{ 200 };
+constexpr milliseconds kInheritance{ 1500 };
 // A new holder of the duty looks on for this long first, so that an order of
 // the holder before it has had its effect.
 constexpr milliseconds kFirstLook{ 400 };
@@ -37,8 +42,11 @@
 void
 group_lead::Judge(clock::time_point aNow)
 {
-  if (IsChanging() || aNow < mDutySince + kFirstLook ||
-      aNow < mTakeover.QuietUntil()) {
+  if (IsChanging()) {
+    return;
+  }
+  const bool isVacant = IsVacant(aNow);
+  if (aNow < mDutySince + kFirstLook || aNow < mTakeover.QuietUntil()) {
     return;
   }
   mMustObey.reset();
@@ -67,7 +75,7 @@
       takeover_reason::kDraining, mProof.primary, mProof.term, aNow, mActions);
     return;
   }
-  if (IsVacant(aNow)) {
+  if (isVacant) {
     mTakeover.Begin(takeover_reason::kVacant,
                     mProof.primary,
                     std::max({ mProof.term, mReplaced, mTable.HighestLog() }),
@@ -76,16 +84,35 @@
   }
 }
 
-// Nobody reaches the primary: neither this VM nor any that told lately.
+// Nobody reaches the primary: neither this VM nor any that told lately. A VM
+// that hears none of the other members either says nothing of the primary, and
+// could not replace it.
 bool
 group_lead::IsLost(clock::time_point aNow) const
 {
   const auto* primary = mTable.Find(mProof.primary);
+  const auto silentAfter = mSettings.silentAfter + OwnDelay(aNow);
   if (primary->failures < kFailuresToLose ||
-      aNow - primary->heardAt < mSettings.silentAfter) {
+      aNow - primary->heardAt < silentAfter) {
     return false;
   }
-  return !IsReachedElsewhere(aNow);
+  const auto& all = mTable.All();
+  const bool hearsOthers =
+    std::any_of(all.begin(), all.end(), [&](const auto& aOne) {
+      const auto& view = aOne.second;
+      return &view != primary && view.heardAt > primary->heardAt &&
+             aNow - view.heardAt < silentAfter;
+    });
+  return hearsOthers && !IsReachedElsewhere(aNow);
+}
+
+// What this VM's own lateness adds to another one's silence: an answer or a
+// word may have lain unread for as long as the question before it.
+clock::duration
+group_lead::OwnDelay(clock::time_point aNow) const
+{
+  constexpr int kWays = 2;
+  return kWays * mLateness.At(aNow);
 }
 
 // Whether another VM has heard the primary lately.
@@ -134,10 +161,11 @@
   if (mProof.term <= mReplaced) {
     return {};
   }
+  const auto life = kReachLife + OwnDelay(aNow);
   const auto found =
     std::find_if(mReach.begin(), mReach.end(), [&](const auto& aEntry) {
       const auto& news = aEntry.second.news;
-      return news.primary == mProof.primary && aNow - news.heardAt < kReachLife;
+      return news.primary == mProof.primary && aNow - news.heardAt < life;
     });
   return found == mReach.end() ? std::string() : found->first;
 }
@@ -162,8 +190,19 @@
   mKeptBy = by;
 }
 
+// Whether the server has said lately, and since it was proved last, that it
+// does not lead.
+bool
+group_lead::DeniesToLead(const member_view& aView, clock::time_point aNow) const
+{
+  return aView.report && !aView.report->isPrimary &&
+         aNow - aView.askedAt < kVacantAfter && aView.askedAt > mProof.askedAt;
+}
+
 // A majority answers, and none of the servers leads; or the one that led is
-// gone from the list.
+// gone from the list. That others hear the one that led counts only as long as
+// it does not say itself that it leads no longer: it may have stepped down on
+// the order of a holder that gave up, and answers reads as ever.
 bool
 group_lead::IsVacant(clock::time_point aNow)
 {
@@ -175,18 +214,24 @@
     leads = leads ||
             (fresh && view.report->isPrimary && view.report->term > mReplaced);
   }
-  const bool unlisted =
-    mProof.term == 0 || mTable.Find(mProof.primary) == nullptr;
+  const auto* primary = mTable.Find(mProof.primary);
+  const bool unlisted = mProof.term == 0 || primary == nullptr;
   const bool stale = aNow - mProof.askedAt > kVacantAfter;
-  if (leads || answering < mTable.Majority() || !(unlisted || stale) ||
-      IsReachedElsewhere(aNow)) {
+  const bool denies = !unlisted && DeniesToLead(*primary, aNow);
+  if (leads || answering < mTable.Majority() ||
+      !(unlisted || stale || denies) || (!denies && IsReachedElsewhere(aNow))) {
     mVacantSince.reset();
     return false;
   }
   if (!mVacantSince) {
     mVacantSince = aNow;
   }
-  return aNow - *mVacantSince > kVacantAfter;
+  // What the holder before left. Without an order to promote, which it would
+  // have recorded first, no server can come to lead.
+  const bool mayBeOrdered = mReplaced >= mTable.HighestLog();
+  const bool isSure = aNow < mDutySince + kInheritance && !mayBeOrdered &&
+                      (denies || answering == mTable.All().size());
+  return aNow - *mVacantSince > (isSure ? kSurelyVacantAfter : kVacantAfter);
 }
 
 // The term of a primary that leads but can't be proved, since a holder of the
--- a/src/currantshed/lead/takeover.cpp
+++ b/src/currantshed/lead/takeover.cpp
@@ -130,6 +130,7 @@
   }
   if (mStep == takeover_step::kPromote) {
     DemoteOld(aNow, aOut);
+    LiftFences(aNow, aOut);
   } else {
     Fence(aNow, aOut);
   }
@@ -384,6 +385,28 @@
   }
 }
 
+// A server leads by now, and fences of a higher term than its own are left, by
+// this change or one before it: until they are lifted no majority follows it,
+// and the change would never end.
+void
+takeover::LiftFences(clock::time_point aNow, std::vector<action>& aOut)
+{
+  position::term_id led = 0;
+  for (const auto& [id, view] : mTable.All()) {
+    const bool leads =
+      view.report && view.report->isPrimary && view.askedAt >= mLastOrderAt;
+    led = std::max(led, leads ? view.report->term : 0);
+  }
+  if (mOrders == 0 || led <= mOldTerm) {
+    return;
+  }
+  for (const auto& [id, view] : mTable.All()) {
+    if (view.report && view.report->fencedAt > led && !view.asking) {
+      Send(id, proxy::command_kind::kUnfence, aNow, aOut);
+    }
+  }
+}
+
 void
 takeover::Promote(clock::time_point aNow, std::vector<action>& aOut)
 {
--- a/src/currantshed/lead/takeover.hpp
+++ b/src/currantshed/lead/takeover.hpp
@@ -105,6 +105,7 @@
   [[nodiscard]] bool IsUsable(const member_view& aView) const;
   [[nodiscard]] bool IsEmptied(const member_view& aView) const;
   void DemoteOld(clock::time_point aNow, std::vector<action>& aOut);
+  void LiftFences(clock::time_point aNow, std::vector<action>& aOut);
   void Promote(clock::time_point aNow, std::vector<action>& aOut);
   void Send(const upstream::server_id& aServer,
             proxy::command_kind aKind,
