Strong VMs pass words on, also where a failure domain has only one

Cause, by reading: with fewer than two strong VMs in a failure domain, work for others went to all its VMs by hashing, also that of the VMs that pass words on, which can't be shared out. The test is red before (0 strong of 2 in some domains).

--- a/src/currantshed/node/feeders.cpp
+++ b/src/currantshed/node/feeders.cpp
@@ -27,7 +27,7 @@
 Feeders(const own_keys& aKeys, const std::string& aFailureDomain)
 {
   std::vector<store::vm> staying;
-  std::vector<proxy::vm_strength> strengths;
+  std::vector<unsigned> shares;
   for (const auto& [name, one] : aKeys.vms) {
     const auto& record = one.record;
     if (record.failureDomain == aFailureDomain && !record.leaving) {
@@ -35,25 +35,30 @@
       vm.id = name;
       vm.failureDomain = aFailureDomain;
       staying.push_back(std::move(vm));
-      strengths.push_back({ aFailureDomain, record.processorShare });
+      shares.push_back(record.processorShare);
     }
   }
   std::vector<std::string> feeders;
   if (staying.size() < kFewestFed) {
     return feeders;
   }
-  const auto works = proxy::WorkForOthers(strengths);
-  std::vector<store::vm> candidates;
+  const auto strongest = *std::max_element(shares.begin(), shares.end());
+  std::vector<store::vm> strong;
+  std::vector<store::vm> others;
   for (std::size_t i = 0; i < staying.size(); ++i) {
-    if (works[i]) {
-      candidates.push_back(std::move(staying[i]));
-    }
+    const bool isStrong = proxy::IsStrong(shares[i], strongest);
+    (isStrong ? strong : others).push_back(std::move(staying[i]));
   }
-  const auto chosen =
-    member::ChooseOwners("feeders of " + aFailureDomain, candidates, kFeeders);
-  for (const auto& one : chosen) {
+  const auto text = "feeders of " + aFailureDomain;
+  for (const auto& one : member::ChooseOwners(text, strong, kFeeders)) {
     feeders.push_back(one.id);
   }
+  const auto lacking = kFeeders - static_cast<unsigned>(feeders.size());
+  if (lacking > 0) {
+    for (const auto& one : member::ChooseOwners(text, others, lacking)) {
+      feeders.push_back(one.id);
+    }
+  }
   return feeders;
 }
 
--- a/src/currantshed/proxy/strength.cpp
+++ b/src/currantshed/proxy/strength.cpp
@@ -24,7 +24,7 @@
 
   [[nodiscard]] bool IsStrong(unsigned aShare) const
   {
-    return 2 * aShare >= strongest;
+    return proxy::IsStrong(aShare, strongest);
   }
 
   [[nodiscard]] bool AreEnough() const
--- a/src/currantshed/proxy/strength.hpp
+++ b/src/currantshed/proxy/strength.hpp
@@ -16,6 +16,14 @@
   bool leaving = false;
 };
 
+/// Whether a VM counts as strong beside the strongest of its failure domain:
+/// with half of what that one has.
+[[nodiscard]] constexpr bool
+IsStrong(unsigned aShare, unsigned aStrongest) noexcept
+{
+  return 2 * aShare >= aStrongest;
+}
+
 /// Which of the VMs work for others of their failure domain: hold connections
 /// to servers for them, and follow the store for them. These are the strong
 /// ones, where they are enough: at least two with half of what the strongest
--- a/test/currantshed/node/feeders.cpp
+++ b/test/currantshed/node/feeders.cpp
@@ -119,6 +119,54 @@
   }
 }
 
+// In the sweep at 100 VMs a failure domain has one VM with half a core and
+// nineteen with 0.12 of one. By hashing over all of them weak ones passed all
+// words on to the others: one used 95.6 % of its processor time, and handled
+// requests by a configuration that was 6 s old.
+TEST(feeders, strong_vms_come_first)
+{
+  struct row
+  {
+    const char* name;
+    std::vector<unsigned> shares;
+    /// How many of the two are strong.
+    std::size_t strong;
+  };
+  const row rows[] = {
+    { "one", { 120, 120, 500, 120, 120, 120 }, 1 },
+    { "two", { 120, 120, 500, 120, 400, 120 }, 2 },
+    { "three", { 120, 500, 500, 120, 400, 120 }, 2 },
+    { "all alike", { 120, 120, 120, 120, 120, 120 }, 2 },
+  };
+  for (const auto& row : rows) {
+    // Other names each time, so that none is strong by luck.
+    for (int turn = 0; turn < 20; ++turn) {
+      const auto domain = "marka" + std::to_string(turn);
+      auto vms = Domain(domain, static_cast<int>(row.shares.size()));
+      auto keys = Keys(vms);
+      for (std::size_t i = 0; i < vms.size(); ++i) {
+        keys.vms[vms[i].name].record.processorShare = row.shares[i];
+      }
+      const auto chosen = node::Feeders(keys, domain);
+      CHECK_EQUAL_TEXT(2U, chosen.size(), row.name);
+      std::size_t strong = 0;
+      for (const auto& one : chosen) {
+        const auto share = keys.vms[one].record.processorShare;
+        strong +=
+          2 * share >= *std::max_element(row.shares.begin(), row.shares.end())
+            ? 1
+            : 0;
+      }
+      CHECK_EQUAL_TEXT(row.strong, strong, row.name);
+      // The first one does most of the work.
+      const auto first = keys.vms[chosen.front()].record.processorShare;
+      CHECK_TEXT(2 * first >=
+                   *std::max_element(row.shares.begin(), row.shares.end()),
+                 row.name);
+    }
+  }
+}
+
 // Three answers at most, one for each followed prefix, make one message.
 TEST(feeders, answers_fit_into_what_a_vm_takes_at_once)
 {
