Words on how primaries are heard are passed on to watchers that ask for them

Worked out for 420 groups before 300 VMs: ten relays sent each of up to 300 watchers a message every 250 ms, 1,200 a second each, though a watcher needs others' words only when its primary does not answer itself. It asks then, at most every 500 ms, is told the freshest known at once, and for 1.2 s what comes. Words that a term is given up go on as before.

--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -148,6 +148,9 @@
   [[nodiscard]] bool HoldsDuty() const noexcept { return mHoldsDuty; }
   /// Whether its word on the group is for all VMs.
   [[nodiscard]] bool Speaks() const noexcept { return mHoldsDuty || mStandsIn; }
+  /// Whether this VM watches the group and lacks the primary's own word, so
+  /// that it judges by others'.
+  [[nodiscard]] bool DoubtsPrimary(clock::time_point aNow) const;
   [[nodiscard]] bool IsChanging() const noexcept
   {
     return mTakeover.Step() != takeover_step::kNone;
--- a/src/currantshed/lead/group_lead_watch.cpp
+++ b/src/currantshed/lead/group_lead_watch.cpp
@@ -115,6 +115,14 @@
   return kWays * mLateness.At(aNow);
 }
 
+bool
+group_lead::DoubtsPrimary(clock::time_point aNow) const
+{
+  const auto* primary = mTable.Find(mProof.primary);
+  return mHoldsDuty && (primary == nullptr || primary->failures > 0 ||
+                        aNow >= mProof.askedAt + mSettings.validity);
+}
+
 // Whether another VM has heard the primary lately.
 bool
 group_lead::IsReachedElsewhere(clock::time_point aNow) const
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -100,6 +100,12 @@
     /// What is passed on next is for all subscribers: another primary leads, or
     /// a term was revoked.
     bool isForAll = false;
+    /// When this VM last asked others about the primary, which it watches.
+    clock::time_point doubtedAt{};
+    /// Until when the VM that watches the group wants words on the primary, and
+    /// the freshest of this VM's subscribers.
+    clock::time_point reachWantedUntil{};
+    relayed_reach freshest;
     position::term_id toldTerm = 0;
     /// The primary's positions that were told last, oldest first, for those
     /// that begin to use the group: a read may be as old as they are.
@@ -198,6 +204,8 @@
                  const std::string& aService,
                  const lead::reach_news& aReach,
                  clock::time_point aNow);
+  void SendDoubts(clock::time_point aNow);
+  void HeardDoubts(const news::News& aNews, clock::time_point aNow);
   void PassReaches(clock::time_point aNow);
   [[nodiscard]] bool IsFeeder(const std::string& aVm) const;
   void EndFeederSearch(bool aIsFeeder, clock::time_point aNow);
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -38,6 +38,7 @@
   SendWatch(aNow);
   PassOn(aNow);
   PassWords(aNow);
+  SendDoubts(aNow);
   PassReaches(aNow);
   Schedule();
 }
--- a/src/currantshed/node/control_news.cpp
+++ b/src/currantshed/node/control_news.cpp
@@ -155,6 +155,7 @@
   mServersView.HeardOf(aNews.servers_change(), aNow);
   mOwnView.HeardOf(aNews.own_change(), aNow);
   AnswerWanted(aNews, aNow);
+  HeardDoubts(aNews, aNow);
   TakeUpdates(aNews, aClock, aNow);
   HeardChanges(aNews, aNow);
   if (aNews.answer()) {
--- a/src/currantshed/node/control_relay.cpp
+++ b/src/currantshed/node/control_relay.cpp
@@ -26,6 +26,18 @@
 // A VM that its feeders passed no words on for this long speaks to those that
 // watch groups by itself, and they answer.
 constexpr milliseconds kRelayLife{ 1200 };
+// Pause between two questions about a primary that does not answer, and how
+// long each of them is answered.
+constexpr milliseconds kDoubtPause{ 500 };
+constexpr milliseconds kReachWanted{ 1200 };
+
+void
+FillRelayed(news::Reach& aOut, const relayed_reach& aReach)
+{
+  Fill(aOut, aReach.service, aReach.news);
+  aOut.set_vm(aReach.vm);
+  aOut.set_said_at_us(lead::ToWire(aReach.news.saidAt).count());
+}
 
 } // namespace
 
@@ -208,19 +220,64 @@
   }
 }
 
+// A primary that this VM watches does not answer it: the VMs that pass words on
+// are asked what others hear of it. All the while, words that nobody needs
+// would cost them a message for each group and quarter of a second.
+void
+control::SendDoubts(clock::time_point aNow)
+{
+  news::News told;
+  for (auto& [service, one] : mGroups) {
+    if (one->lead.DoubtsPrimary(aNow) && aNow >= one->doubtedAt + kDoubtPause) {
+      one->doubtedAt = aNow;
+      told.add_doubted(service);
+    }
+  }
+  if (told.doubted_size() == 0) {
+    return;
+  }
+  FillChanges(told);
+  for (const auto& vm : mFeedersOfAll) {
+    mNews.Send(vm, told, aNow);
+  }
+}
+
+void
+control::HeardDoubts(const news::News& aNews, clock::time_point aNow)
+{
+  news::News told;
+  for (const auto& service : aNews.doubted()) {
+    auto* found = Find(service);
+    if (found == nullptr) {
+      continue;
+    }
+    found->reachWantedUntil = aNow + kReachWanted;
+    if (!found->freshest.vm.empty()) {
+      FillRelayed(*told.add_reaches(), found->freshest);
+    }
+  }
+  if (told.reaches_size() > 0) {
+    FillChanges(told);
+    mNews.Send(aNews.vm(), std::move(told), aNow);
+  }
+}
+
+// Words on primaries go to whoever watches the group where it asked for them,
+// and those that give a term up in any case.
 void
 control::PassReaches(clock::time_point aNow)
 {
   absl::btree_map<std::string, news::News> told;
-  for (const auto& one : mRelays.TakeReaches(aNow)) {
+  for (auto& one : mRelays.TakeReaches(aNow)) {
     const auto holder = HolderOf(one.service);
-    if (holder.empty() || holder == mSelf.where.vm) {
+    auto* found = Find(one.service);
+    if (holder.empty() || holder == mSelf.where.vm || found == nullptr) {
       continue;
     }
-    auto& out = *told[holder].add_reaches();
-    Fill(out, one.service, one.news);
-    out.set_vm(one.vm);
-    out.set_said_at_us(lead::ToWire(one.news.saidAt).count());
+    if (one.news.obeyedTerm != 0 || aNow < found->reachWantedUntil) {
+      FillRelayed(*told[holder].add_reaches(), one);
+    }
+    found->freshest = std::move(one);
   }
   for (auto& [holder, news] : told) {
     FillChanges(news);
--- a/test/currantshed/lead/late_watcher.cpp
+++ b/test/currantshed/lead/late_watcher.cpp
@@ -81,3 +81,30 @@
     }
   }
 }
+
+// Whoever watches a group asks for others' words on its primary only then.
+TEST(late_watcher, asks_for_others_words_when_the_primary_does_not_answer)
+{
+  struct row
+  {
+    const char* name;
+    bool holdsDuty;
+    bool answers;
+    bool doubts;
+  };
+  const row rows[] = {
+    { "the primary answers", true, true, false },
+    { "the primary is silent", true, false, true },
+    { "another VM watches", false, false, false },
+  };
+  for (const auto& row : rows) {
+    bench made;
+    made.lead.SetDuty(row.holdsDuty, 7, made.now);
+    made.lead.Wanted(made.now);
+    made.Run(500ms);
+    CHECK_FALSE_TEXT(made.lead.DoubtsPrimary(made.now), row.name);
+    made.servers["a"].answers = row.answers;
+    made.Run(500ms);
+    CHECK_EQUAL_TEXT(row.doubts, made.lead.DoubtsPrimary(made.now), row.name);
+  }
+}
