--- a/src/currantshed/node/caller_server.cpp
+++ b/src/currantshed/node/caller_server.cpp
@@ -8,6 +8,7 @@
 
 #include "currantshed/clock/now.hpp"
 #include "currantshed/log/log.hpp"
+#include "currantshed/net/accept_queue.hpp"
 
 namespace currantshed::node {
 
@@ -57,6 +58,8 @@
     }
   }
 
+  [[nodiscard]] bool HasUnread() const override { return mStream->HasUnread(); }
+
   // The engine may be in the middle of this session's event.
   void Close() override
   {
@@ -248,8 +251,8 @@
 void
 caller_server::StopListening()
 {
-  boost::system::error_code ignored;
-  mAcceptor.close(ignored);
+  net::CloseListener(
+    mAcceptor, [this](tcp::socket aSocket) { Accepted(std::move(aSocket)); });
 }
 
 void
@@ -257,8 +260,14 @@
 {
   mAcceptor.async_accept(
     [this](boost::system::error_code aError, tcp::socket aSocket) {
-      if (aError == boost::asio::error::operation_aborted ||
-          !mAcceptor.is_open()) {
+      if (aError == boost::asio::error::operation_aborted) {
+        return;
+      }
+      // One that was taken just before listening ended is served as well.
+      if (!aError) {
+        Accepted(std::move(aSocket));
+      }
+      if (!mAcceptor.is_open()) {
         return;
       }
       if (aError) {
@@ -273,7 +282,6 @@
         });
         return;
       }
-      Accepted(std::move(aSocket));
       Accept();
     });
 }
--- a/src/currantshed/node/line_stream.cpp
+++ b/src/currantshed/node/line_stream.cpp
@@ -84,6 +84,13 @@
   }
 }
 
+bool
+line_stream::HasUnread() const
+{
+  boost::system::error_code ignored;
+  return !mPart.empty() || mSocket.available(ignored) > 0;
+}
+
 void
 line_stream::Close()
 {
--- a/src/currantshed/node/line_stream.hpp
+++ b/src/currantshed/node/line_stream.hpp
@@ -45,6 +45,9 @@
   /// Bytes that wait to be sent.
   [[nodiscard]] std::size_t Unsent() const noexcept { return mOut.size(); }
 
+  /// Whether bytes have come that were not read yet, or part of a line.
+  [[nodiscard]] bool HasUnread() const;
+
   /// Closes at once.
   void Close();
 
--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -234,7 +234,9 @@
   mIsDraining = true;
   std::vector<session*> idle;
   for (const auto& [id, one] : mSessions) {
-    if (!one->current && !one->transaction && one->backlog.empty()) {
+    const bool isIdle =
+      !one->current && !one->transaction && one->backlog.empty();
+    if (isIdle && !one->farEnd.HasUnread()) {
       idle.push_back(one.get());
     }
   }
--- a/src/currantshed/proxy/session.hpp
+++ b/src/currantshed/proxy/session.hpp
@@ -26,6 +26,9 @@
 
   /// Ends the session's connection once all that was delivered is sent.
   virtual void Close() = 0;
+
+  /// Whether it has sent what was not read yet.
+  [[nodiscard]] virtual bool HasUnread() const { return false; }
 };
 
 /// Values of a session, by name.
--- /dev/null
+++ b/test/currantshed/net/accept_queue.cpp
@@ -0,0 +1,63 @@
+#include "currantshed/net/accept_queue.hpp"
+
+#include <array>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+namespace net = currantshed::net;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+struct queue_row
+{
+  const char* name;
+  std::size_t waiting;
+};
+
+constexpr queue_row kRows[] = {
+  { "none waits", 0 },
+  { "one waits", 1 },
+  { "several wait", 5 },
+};
+
+} // namespace
+
+TEST_GROUP(accept_queue){};
+
+// What has connected is passed on with all that it has sent; who comes later is
+// refused.
+TEST(accept_queue, is_passed_on_before_listening_ends)
+{
+  for (const auto& row : kRows) {
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context,
+                           { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    const auto where = acceptor.local_endpoint();
+    std::vector<tcp::socket> callers;
+    for (std::size_t i = 0; i < row.waiting; ++i) {
+      callers.emplace_back(context).connect(where);
+      callers.back().write_some(boost::asio::buffer("x", 1));
+    }
+    std::vector<tcp::socket> taken;
+    net::CloseListener(acceptor, [&taken](tcp::socket aSocket) {
+      taken.push_back(std::move(aSocket));
+    });
+    CHECK_FALSE_TEXT(acceptor.is_open(), row.name);
+    CHECK_EQUAL_TEXT(row.waiting, taken.size(), row.name);
+    for (auto& one : taken) {
+      std::array<char, 1> sent{};
+      CHECK_EQUAL_TEXT(1U, one.read_some(boost::asio::buffer(sent)), row.name);
+    }
+    boost::system::error_code error;
+    tcp::socket(context).connect(where, error);
+    CHECK_TEXT(error == boost::asio::error::connection_refused, row.name);
+  }
+}
