--- a/src/currantshed/lead/group_lead.cpp
+++ b/src/currantshed/lead/group_lead.cpp
@@ -258,6 +258,7 @@
     Judge(mNow);
     mTakeover.Tick(mNow, mActions);
     Repair(mNow);
+    NoteUnproved(mNow);
   }
   if (mTakeover.RevokedTerm() != mOwnRevoked) {
     mOwnRevoked = mTakeover.RevokedTerm();
--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -190,6 +190,7 @@
   [[nodiscard]] bool IsReachedElsewhere(clock::time_point aNow) const;
   [[nodiscard]] std::string ReachedBy(clock::time_point aNow) const;
   void NoteKept(clock::time_point aNow);
+  void NoteUnproved(clock::time_point aNow);
   void NoteLost(const member_view& aPrimary, clock::time_point aNow);
   [[nodiscard]] bool DeniesToLead(const member_view& aView,
                                   clock::time_point aNow) const;
@@ -235,6 +236,8 @@
   // When the holder of the duty has planned to look next.
   std::optional<clock::time_point> mPlanned;
   std::optional<clock::time_point> mVacantSince;
+  // When the next line on a group without a primary is due.
+  clock::time_point mNextUnproved{};
   clock::time_point mNow;
   std::vector<action> mActions;
 };
--- a/src/currantshed/lead/group_lead_watch.cpp
+++ b/src/currantshed/lead/group_lead_watch.cpp
@@ -31,6 +31,9 @@
 // the holder before it has had its effect.
 constexpr milliseconds kFirstLook{ 400 };
 
+// Time between two lines on a group without a primary.
+constexpr milliseconds kUnprovedPause{ 1000 };
+
 std::int64_t
 Milliseconds(clock::duration aTime)
 {
@@ -130,6 +133,50 @@
   return !ReachedBy(aNow).empty();
 }
 
+// Tells once a second that the group has no primary that anyone could use,
+// since when, and what that may wait for.
+void
+group_lead::NoteUnproved(clock::time_point aNow)
+{
+  const auto provedUntil =
+    std::max(mProof.askedAt + mSettings.validity, mDutySince);
+  if (aNow < std::max(mNextUnproved, provedUntil + kUnprovedPause)) {
+    return;
+  }
+  mNextUnproved = aNow + kUnprovedPause;
+  std::size_t answering = 0;
+  std::size_t leading = 0;
+  std::size_t fenced = 0;
+  for (const auto& [id, view] : mTable.All()) {
+    const bool fresh = view.report && aNow - view.askedAt < kVacantAfter;
+    answering += fresh ? 1 : 0;
+    leading += fresh && view.report->isPrimary ? 1 : 0;
+    fenced += fresh && view.report->fencedAt != 0 ? 1 : 0;
+  }
+  mActions.emplace_back(
+    note_step{ "unproved",
+               absl::StrCat("since_ms=",
+                            Milliseconds(aNow - provedUntil),
+                            " primary=",
+                            mProof.primary,
+                            " term=",
+                            mProof.term,
+                            " replaced=",
+                            mReplaced,
+                            " change=",
+                            std::string(NameOf(mTakeover.Step())),
+                            " members=",
+                            mTable.All().size(),
+                            " answering=",
+                            answering,
+                            " leading=",
+                            leading,
+                            " fenced=",
+                            fenced,
+                            " heard_by=",
+                            ReachedBy(aNow)) });
+}
+
 // What the judgement that a primary is lost rests on.
 void
 group_lead::NoteLost(const member_view& aPrimary, clock::time_point aNow)
--- a/test/currantshed/lead/abandoned_changes.cpp
+++ b/test/currantshed/lead/abandoned_changes.cpp
@@ -135,3 +135,44 @@
     }
   }
 }
+
+// A group without a primary shows in the log of whoever is to give it one, with
+// since when and what for, once a second.
+TEST(abandoned_changes, a_group_without_a_primary_is_told_of)
+{
+  struct row
+  {
+    const char* name;
+    bool holdsDuty;
+    bool answer;
+    std::size_t lines;
+    std::string has;
+  };
+  const row rows[] = {
+    { "all is well", true, true, 0, "" },
+    { "no server answers", true, false, 3, "answering=0" },
+    { "another VM holds the duty", false, false, 0, "" },
+  };
+  for (const auto& row : rows) {
+    bench made;
+    made.lead.SetDuty(true, 7, made.now);
+    made.Run(1000ms);
+    made.lead.SetDuty(row.holdsDuty, 7, made.now);
+    for (auto& [id, server] : made.servers) {
+      server.answers = row.answer;
+    }
+    // The last proof ends within 1 s, and a second later the first line is due.
+    made.Run(4500ms);
+    std::vector<std::string> told;
+    for (const auto& note : made.notes) {
+      if (note.rfind("unproved ", 0) == 0) {
+        told.push_back(note);
+      }
+    }
+    CHECK_EQUAL_TEXT(row.lines, told.size(), row.name);
+    for (const auto& note : told) {
+      CHECK_TEXT(note.find(row.has) != std::string::npos, note.c_str());
+      CHECK_TEXT(note.find("since_ms=") != std::string::npos, note.c_str());
+    }
+  }
+}
--- a/test/currantshed/lead/bench.hpp
+++ b/test/currantshed/lead/bench.hpp
@@ -110,6 +110,8 @@
   int checks = 0;
   /// The term that the last order told to replace.
   position::term_id replacedInOrder = 0;
+  /// Lines for the log.
+  std::vector<std::string> notes;
   /// Questions that are going to fail, and when.
   std::vector<std::pair<std::string, clock::time_point>> pending;
 
@@ -205,7 +207,10 @@
     revocations.push_back(aAction.term);
   }
 
-  void Do(const lead::note_step&) {}
+  void Do(const lead::note_step& aAction)
+  {
+    notes.push_back(aAction.step + " " + aAction.detail);
+  }
 
   void FailPending()
   {
