Lateness does not overflow; words to one that begins to use groups stay short

Both found in reading the diff. A span of some seconds in nanoseconds times another overflowed, so that a VM that had stood still for five seconds might judge too early: in milliseconds, and two seconds at most (test: lateness). A VM that begins to use many groups at once, at its start say, was sent up to 285 KB in one message with 420 groups (worked out), more than is taken: a message of its own, positions of 32 groups at most; and nothing counts as used at the start.

--- a/src/currantshed/lead/lateness.cpp
+++ b/src/currantshed/lead/lateness.cpp
@@ -10,13 +10,16 @@
 // VM that was slow works off what lies unread meanwhile.
 constexpr std::chrono::milliseconds kFull{ 1000 };
 constexpr std::chrono::milliseconds kFading{ 2000 };
+// A longer delay tells no more of what lies unread: a VM that stood still, say.
+constexpr std::chrono::milliseconds kMost{ 2000 };
 
 } // namespace
 
 void
 lateness::Ran(clock::time_point aPlanned, clock::time_point aAt) noexcept
 {
-  const auto late = std::max(aAt - aPlanned, clock::duration::zero());
+  const auto late =
+    std::clamp<clock::duration>(aAt - aPlanned, clock::duration::zero(), kMost);
   if (late >= At(aAt)) {
     mWorst = late;
     mSeenAt = aAt;
@@ -32,7 +35,10 @@
   }
   const auto left =
     std::max<clock::duration>(kFull + kFading - since, clock::duration::zero());
-  return mWorst * left.count() / clock::duration(kFading).count();
+  // In milliseconds, since the product of two spans in nanoseconds overflows.
+  using std::chrono::milliseconds;
+  const auto part = std::chrono::duration_cast<milliseconds>(left);
+  return mWorst * part.count() / kFading.count();
 }
 
 } // namespace currantshed::lead
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -131,6 +131,7 @@
   , mStartedAt(clock::Now())
   , mTicker(mContext, [this] { Tick(); })
 {
+  mUseKnownAt = mStartedAt;
   mConfigurationView.FedUntil(mStartedAt + kFeederSearch);
   mServersView.FedUntil(mStartedAt + kFeederSearch);
   mOwnView.FedUntil(mStartedAt + kOwnFeederSearch);
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -214,7 +214,9 @@
   void AskUse(clock::time_point aNow);
   void Wanted(const std::string& aService, clock::time_point aNow);
   void SendWanted(const std::string& aVm, clock::time_point aNow);
-  void FillRecent(news::News& aOut, const std::vector<std::string>& aServices);
+  void SendRecent(const std::string& aVm,
+                  const std::vector<std::string>& aServices,
+                  clock::time_point aNow);
   void AnswerWanted(const news::News& aNews, clock::time_point aNow);
   void TakeUpdates(const news::News& aNews,
                    const news::exchange::clock_reader& aClock,
--- a/src/currantshed/node/control_feed.cpp
+++ b/src/currantshed/node/control_feed.cpp
@@ -205,11 +205,11 @@
   }
   const auto added = mSubscribers.Asked(
     aNews.vm(), { aNews.groups().begin(), aNews.groups().end() }, aNow);
+  SendRecent(aNews.vm(), added, aNow);
   const auto views = Views();
   const auto longest = LongestAnswer(mSettings.linkMegabits);
   news::News told;
   FillChanges(told);
-  FillRecent(told, added);
   for (const auto& wanted : aNews.wanted()) {
     if (wanted.prefix() >= views.size() || !views[wanted.prefix()]->IsKnown()) {
       continue;
--- a/src/currantshed/node/control_relay.cpp
+++ b/src/currantshed/node/control_relay.cpp
@@ -26,6 +26,10 @@
 // A VM that its feeders passed no words on for this long speaks to those that
 // watch groups by itself, and they answer.
 constexpr milliseconds kRelayLife{ 1200 };
+// Groups whose last positions one message tells, 600 bytes each: it must stay
+// far below the 256 KB that a VM takes, and not fill a slow link. For others
+// their newest one has to do.
+constexpr std::size_t kMostLongWords = 32;
 // Pause between two questions about a primary that does not answer, and how
 // long each of them is answered.
 constexpr milliseconds kDoubtPause{ 500 };
@@ -142,20 +146,30 @@
 // The same as it was told over the last seconds, to one that has had no word on
 // the groups: the oldest position first.
 void
-control::FillRecent(news::News& aOut, const std::vector<std::string>& aServices)
+control::SendRecent(const std::string& aVm,
+                    const std::vector<std::string>& aServices,
+                    clock::time_point aNow)
 {
+  news::News told;
+  std::size_t longWords = 0;
   for (const auto& service : aServices) {
     const auto* found = Find(service);
     if (found == nullptr) {
       continue;
     }
     const auto newest = WordOn(*found);
-    for (const auto& sample : found->recent) {
-      auto word = newest;
-      word.sample = sample;
-      Fill(*aOut.add_watches(), service, word);
+    if (++longWords <= kMostLongWords) {
+      for (const auto& sample : found->recent) {
+        auto word = newest;
+        word.sample = sample;
+        Fill(*told.add_watches(), service, word);
+      }
     }
-    Fill(*aOut.add_watches(), service, newest);
+    Fill(*told.add_watches(), service, newest);
+  }
+  if (told.watches_size() > 0) {
+    FillChanges(told);
+    mNews.Send(aVm, std::move(told), aNow);
   }
 }
 
