--- a/src/currantshed/pooler/peer_links.cpp
+++ b/src/currantshed/pooler/peer_links.cpp
@@ -15,7 +15,11 @@
 /// Longest message between poolers; a configuration is the longest.
 constexpr std::int64_t kLongestMessage = std::int64_t{ 2 } * 1024 * 1024;
 /// Messages waiting for one peer: a few heartbeats, no more.
-constexpr int kHighWater = 8;
+constexpr int kSendHighWater = 8;
+/// Messages of one peer waiting to be taken. ZeroMQ 4.3 aborts the process when
+/// a connection fails while its receiving side is full, which eight heartbeats
+/// did in a process that got no processor time for a second.
+constexpr int kHighWater = 512;
 
 net::socket_settings
 PeerSettings()
@@ -23,7 +27,7 @@
   net::socket_settings settings;
   settings.longestMessage = kLongestMessage;
   settings.highWater = kHighWater;
-  settings.sendHighWater = kHighWater;
+  settings.sendHighWater = kSendHighWater;
   // In a large fleet most heartbeats go to a peer that was not written to
   // lately, and are the first on their connection.
   settings.onlyConnected = false;
