--- a/src/currantshed/lead/group_lead_watch.cpp
+++ b/src/currantshed/lead/group_lead_watch.cpp
@@ -40,6 +40,13 @@
   return std::chrono::duration_cast<milliseconds>(aTime).count();
 }
 
+// Whether the member has reported lately enough to tell who leads now.
+bool
+IsFresh(const member_view& aView, clock::time_point aNow)
+{
+  return aView.report && aNow - aView.askedAt < kVacantAfter;
+}
+
 } // namespace
 
 void
@@ -148,7 +155,7 @@
   std::size_t leading = 0;
   std::size_t fenced = 0;
   for (const auto& [id, view] : mTable.All()) {
-    const bool fresh = view.report && aNow - view.askedAt < kVacantAfter;
+    const bool fresh = IsFresh(view, aNow);
     answering += fresh ? 1 : 0;
     leading += fresh && view.report->isPrimary ? 1 : 0;
     fenced += fresh && view.report->fencedAt != 0 ? 1 : 0;
@@ -185,12 +192,9 @@
   clock::time_point heard{};
   for (const auto& [vm, reach] : mReach) {
     told = std::max(told, reach.at);
-    heard = std::max(
-      heard, reach.news.primary == mProof.primary ? reach.news.heardAt : heard);
-  }
-  std::size_t silent = 0;
-  for (const auto& [id, view] : mTable.All()) {
-    silent += view.failures > 0 ? 1 : 0;
+    if (reach.news.primary == mProof.primary) {
+      heard = std::max(heard, reach.news.heardAt);
+    }
   }
   mActions.emplace_back(
     note_step{ "lost",
@@ -200,7 +204,7 @@
                             " failures=",
                             aPrimary.failures,
                             " members_silent=",
-                            silent,
+                            mTable.Silent(),
                             " last_word_ms=",
                             Milliseconds(aNow - told),
                             " heard_elsewhere_ms=",
@@ -250,8 +254,8 @@
 bool
 group_lead::DeniesToLead(const member_view& aView, clock::time_point aNow) const
 {
-  return aView.report && !aView.report->isPrimary &&
-         aNow - aView.askedAt < kVacantAfter && aView.askedAt > mProof.askedAt;
+  return IsFresh(aView, aNow) && !aView.report->isPrimary &&
+         aView.askedAt > mProof.askedAt;
 }
 
 // A majority answers, and none of the servers leads; or the one that led is
@@ -264,7 +268,7 @@
   std::size_t answering = 0;
   bool leads = false;
   for (const auto& [id, view] : mTable.All()) {
-    const bool fresh = view.report && aNow - view.askedAt < kVacantAfter;
+    const bool fresh = IsFresh(view, aNow);
     answering += fresh ? 1 : 0;
     leads = leads ||
             (fresh && view.report->isPrimary && view.report->term > mReplaced);
@@ -301,8 +305,7 @@
   }
   position::term_id led = 0;
   for (const auto& [id, view] : mTable.All()) {
-    const bool leads = view.report && view.report->isPrimary &&
-                       aNow - view.askedAt < kVacantAfter;
+    const bool leads = IsFresh(view, aNow) && view.report->isPrimary;
     led = std::max(led, leads ? view.report->term : 0);
   }
   return led > mReplaced && led >= mTable.HighestLog() ? led : 0;
--- a/src/currantshed/lead/server_table.cpp
+++ b/src/currantshed/lead/server_table.cpp
@@ -89,6 +89,15 @@
   return mViews.size() / 2 + 1;
 }
 
+std::size_t
+server_table::Silent() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mViews.begin(), mViews.end(), [](const auto& aEntry) {
+      return aEntry.second.failures > 0;
+    }));
+}
+
 position::term_id
 server_table::HighestTerm() const
 {
--- a/src/currantshed/lead/server_table.hpp
+++ b/src/currantshed/lead/server_table.hpp
@@ -74,6 +74,9 @@
   /// More than half of the members.
   [[nodiscard]] std::size_t Majority() const noexcept;
 
+  /// Members whose last question had no answer.
+  [[nodiscard]] std::size_t Silent() const;
+
   /// The highest term that any member told, of its log or its fence.
   [[nodiscard]] position::term_id HighestTerm() const;
 
--- a/src/currantshed/lead/takeover.cpp
+++ b/src/currantshed/lead/takeover.cpp
@@ -172,10 +172,8 @@
   }
   mNextNote = aNow + kNotePause;
   std::size_t fenced = 0;
-  std::size_t silent = 0;
   for (const auto& [id, view] : mTable.All()) {
     fenced += IsFenced(view) ? 1 : 0;
-    silent += view.failures > 0 ? 1 : 0;
   }
   const auto took = std::chrono::duration_cast<milliseconds>(aNow - mBegunAt);
   aOut.emplace_back(note_step{ "waits",
@@ -190,7 +188,7 @@
                                             " fenced=",
                                             fenced,
                                             " silent=",
-                                            silent) });
+                                            mTable.Silent()) });
 }
 
 bool
@@ -273,18 +271,24 @@
 takeover::NeedsFences(clock::time_point aNow) const
 {
   const auto* old = mTable.Find(mOld);
-  const bool steppedDown = old != nullptr && old->report &&
-                           old->askedAt >= mBegunAt && !old->report->isPrimary;
-  return !steppedDown &&
+  return !DoesNotLead(old) &&
          (old == nullptr || old->failures >= internal::kFailuresToLose ||
           aNow >= mBegunAt + kStepDownTime);
 }
 
+// Whether the server, if it is listed, has told since the change began that it
+// does not lead.
+bool
+takeover::DoesNotLead(const member_view* aView) const
+{
+  return aView != nullptr && aView->report && aView->askedAt >= mBegunAt &&
+         !aView->report->isPrimary;
+}
+
 bool
 takeover::IsFenced(const member_view& aView) const
 {
-  return aView.report && aView.askedAt >= mBegunAt &&
-         !aView.report->isPrimary && aView.report->fencedAt >= mFenceTerm;
+  return DoesNotLead(&aView) && aView.report->fencedAt >= mFenceTerm;
 }
 
 // Once a majority won't follow the old primary, or it has stepped down itself,
@@ -293,15 +297,11 @@
 takeover::ReadFences(clock::time_point aNow, std::vector<action>& aOut)
 {
   std::size_t fenced = 0;
-  bool steppedDown = false;
   for (const auto& [id, view] : mTable.All()) {
     fenced += IsFenced(view) ? 1 : 0;
-    steppedDown =
-      steppedDown || (id == mOld && view.report && view.askedAt >= mBegunAt &&
-                      !view.report->isPrimary);
   }
-  const bool barred =
-    steppedDown || fenced >= mTable.Majority() || (mAllObeyed && fenced > 0);
+  const bool barred = DoesNotLead(mTable.Find(mOld)) ||
+                      fenced >= mTable.Majority() || (mAllObeyed && fenced > 0);
   if (!barred) {
     mStep = takeover_step::kFence;
   } else if (mStep == takeover_step::kFence) {
@@ -317,8 +317,7 @@
 bool
 takeover::IsUsable(const member_view& aView) const
 {
-  return aView.report && aView.askedAt >= mBegunAt &&
-         !aView.report->isPrimary && !mRejected.contains(aView.listed.id);
+  return DoesNotLead(&aView) && !mRejected.contains(aView.listed.id);
 }
 
 // Whether the server has started again and holds less than the old primary,
@@ -377,10 +376,8 @@
 {
   mNextSend = aNow + kRound;
   const auto* old = mTable.Find(mOld);
-  const bool steppedDown =
-    old == nullptr || mChosen == mOld ||
-    (old->report && old->askedAt >= mBegunAt && !old->report->isPrimary);
-  if (!steppedDown && !old->asking) {
+  const bool isDone = old == nullptr || mChosen == mOld || DoesNotLead(old);
+  if (!isDone && !old->asking) {
     Send(mOld, proxy::command_kind::kDemote, aNow, aOut);
   }
 }
--- a/src/currantshed/lead/takeover.hpp
+++ b/src/currantshed/lead/takeover.hpp
@@ -111,6 +111,7 @@
             proxy::command_kind aKind,
             clock::time_point aNow,
             std::vector<action>& aOut);
+  [[nodiscard]] bool DoesNotLead(const member_view* aView) const;
   [[nodiscard]] bool IsFenced(const member_view& aView) const;
   [[nodiscard]] bool NeedsFences(clock::time_point aNow) const;
   [[nodiscard]] upstream::server_id Choose(clock::time_point aNow) const;
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -88,7 +88,7 @@
       { .afterChange = kConfigurationPause, .byteTime = ByteTime(aSettings) },
       { [this](clock::time_point aNow) {
          ConfigurationChanged();
-         TellFollowers(aNow);
+         TellSubscribers(aNow);
        },
         [this](bool aIsReached, std::error_code aWhy) {
           NoteStore("configuration", aIsReached, aWhy);
@@ -100,7 +100,7 @@
                    .longestByKeys = kLongestServersPause },
                  { [this](clock::time_point aNow) {
                     ServersChanged(aNow);
-                    TellFollowers(aNow);
+                    TellSubscribers(aNow);
                   },
                    [this](bool aIsReached, std::error_code aWhy) {
                      NoteStore("servers", aIsReached, aWhy);
@@ -110,7 +110,7 @@
              { .longestByKeys = kLongestOwnPause },
              { [this](clock::time_point aNow) {
                 OwnKeysChanged(aNow);
-                TellFollowers(aNow);
+                TellSubscribers(aNow);
               },
                [this](bool aIsReached, std::error_code aWhy) {
                  NoteStore("own_keys", aIsReached, aWhy);
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -222,7 +222,7 @@
                    const news::exchange::clock_reader& aClock,
                    clock::time_point aNow);
   void HeardChanges(const news::News& aNews, clock::time_point aNow);
-  void TellFollowers(clock::time_point aNow);
+  void TellSubscribers(clock::time_point aNow);
   /// The followed prefixes, in the order of their numbers in messages.
   [[nodiscard]] std::array<store::prefix_view*, 3> Views();
   void HoldViews();
--- a/src/currantshed/node/control_feed.cpp
+++ b/src/currantshed/node/control_feed.cpp
@@ -281,7 +281,7 @@
 
 // Tells the VMs that ask this one that there is something new.
 void
-control::TellFollowers(clock::time_point aNow)
+control::TellSubscribers(clock::time_point aNow)
 {
   mSubscribers.Forget(aNow);
   news::News told;
--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -126,9 +126,10 @@
 control::SetPlaces(clock::time_point aNow)
 {
   const auto vms = mKnownVms.Reachable(aNow).size() + 1;
+  const bool isRelayed = IsRelayed(aNow);
   for (auto& [service, one] : mGroups) {
     one->lead.SetPlace(vms, PlaceOf(service, mSelf.where.vm));
-    one->lead.SetIsRelayed(IsRelayed(aNow));
+    one->lead.SetIsRelayed(isRelayed);
   }
 }
 
--- a/src/currantshed/node/control_relay.cpp
+++ b/src/currantshed/node/control_relay.cpp
@@ -223,8 +223,8 @@
                    clock::time_point aNow)
 {
   const auto holder = HolderOf(aService);
-  const bool isFollower = mSubscribers.Contains(aFrom);
-  if (isFollower && !holder.empty() && holder != mSelf.where.vm) {
+  const bool isSubscriber = mSubscribers.Contains(aFrom);
+  if (isSubscriber && !holder.empty() && holder != mSelf.where.vm) {
     mRelays.Heard({ aService, aFrom, aReach }, aNow);
     return;
   }
