--- /dev/null
+++ b/src/currantshed/customer/token_bank.hpp
@@ -0,0 +1,73 @@
+#ifndef CURRANTSHED_CUSTOMER_TOKEN_BANK_HPP
+#define CURRANTSHED_CUSTOMER_TOKEN_BANK_HPP
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/customer/directory.hpp"
+#include "currantshed/customer/time_share.hpp"
+
+namespace currantshed::customer {
+
+/// What a VM gets that asks for tokens.
+struct token_grant
+{
+  unsigned count = 0;
+  /// When there is nothing: when to ask again.
+  std::chrono::milliseconds retryAfter{ 0 };
+};
+
+/// The tokens of all customers at the VM that collects the shares of its
+/// failure domain. A token lets one operation of the customer begin. A bank
+/// that starts is empty; what it holds is bounded, so that no span of time sees
+/// more operations than the customer's rate and burst allow. Asks for no time.
+class token_bank
+{
+public:
+  /// How many banks hold tokens: each holds that part of a burst.
+  void SetBanks(std::size_t aBanks) noexcept { mBanks = aBanks; }
+
+  /// A VM hands its share on. It counts once: not a second time when the
+  /// message comes twice, nor when an older one comes later. aSentAt is the
+  /// sender's clock, in its present life.
+  void Deposit(const std::string& aVm,
+               std::uint64_t aIncarnation,
+               std::chrono::microseconds aSentAt,
+               share aShare);
+
+  [[nodiscard]] token_grant Withdraw(const std::string& aCustomer,
+                                     const quota& aLimit,
+                                     unsigned aWanted);
+
+private:
+  struct depositor
+  {
+    std::uint64_t incarnation = 0;
+    std::chrono::microseconds sentAt{};
+  };
+
+  struct account
+  {
+    double tokens = 0;
+    /// The shares that are counted in.
+    share counted{ 0 };
+    /// Operations refused since the last that was granted.
+    unsigned refused = 0;
+  };
+
+  [[nodiscard]] double Most(const quota& aLimit) const noexcept;
+
+  std::size_t mBanks = 1;
+  share mDeposited{ 0 };
+  absl::flat_hash_map<std::string, depositor> mDepositors;
+  absl::flat_hash_map<std::string, account> mAccounts;
+};
+
+} // namespace currantshed::customer
+
+#endif
--- a/src/currantshed/node/caller_server.cpp
+++ b/src/currantshed/node/caller_server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include "currantshed/clock/now.hpp"
+#include "currantshed/customer/directory.hpp"
 #include "currantshed/log/log.hpp"
 #include "currantshed/net/accept_queue.hpp"
 
@@ -22,6 +23,10 @@
 // the databases are known, usually for 20 ms. A refusal at once would cost each
 // one of its few tries; one that waits for longer is told.
 constexpr std::chrono::milliseconds kLongestHold{ 300 };
+// How long a caller whose key no customer has waits for word on whether a newer
+// configuration has it, and how many may: callers give up after two seconds.
+constexpr std::chrono::milliseconds kLongestDoubt{ 1500 };
+constexpr std::size_t kMostDoubted = 256;
 // A caller that has this much unread is not served further.
 constexpr std::size_t kMostUnsent = std::size_t{ 4 } << 20U;
 
@@ -68,9 +73,13 @@
                       [self = shared_from_this()] { self->Forget(); });
   }
 
-private:
   void Line(std::string_view aLine)
   {
+    if (!mSession && !mStart.database.empty()) {
+      // Nothing may come before the answer to the opening.
+      Refuse(proxy::failure_code::kMalformed, "the session is not open yet");
+      return;
+    }
     if (!mSession) {
       Open(aLine);
       return;
@@ -122,9 +131,50 @@
       Refuse(proxy::failure_code::kBusy, "no configuration yet; retry");
       return;
     }
-    mSession = mServer.mEngine.Open(start->database, *this);
+    mStart = *start;
+    mAskedAt = clock::Now();
+    Enter();
+  }
+
+  // Refuses the session, begins it, or leaves it to wait for the next word on
+  // the configuration.
+  void Enter()
+  {
+    const auto now = clock::Now();
+    switch (
+      mServer.mEngine.Admits(mStart.database, mStart.key, mAskedAt, now)) {
+      case proxy::entry::kGranted:
+        Begin();
+        return;
+      case proxy::entry::kNoDatabase:
+        Refuse(proxy::failure_code::kNoDatabase, mStart.database);
+        return;
+      case proxy::entry::kUnknownKey:
+        Refuse(proxy::failure_code::kNotAuthorized,
+               "no customer has the key " + customer::KeyTag(mStart.key));
+        return;
+      case proxy::entry::kKeysOld:
+        Refuse(proxy::failure_code::kBusy, "keys can't be checked; retry");
+        return;
+      case proxy::entry::kKeyMayBeNew:
+        break;
+    }
+    if (now >= mAskedAt + kLongestDoubt || !mServer.Hold(shared_from_this())) {
+      Refuse(proxy::failure_code::kBusy,
+             "the key may be new: " + customer::KeyTag(mStart.key) + "; retry");
+    }
+  }
+
+  [[nodiscard]] clock::time_point AskedAt() const noexcept { return mAskedAt; }
+  [[nodiscard]] bool IsForgotten() const noexcept { return mIsForgotten; }
+
+private:
+  void Begin()
+  {
+    mSession =
+      mServer.mEngine.Open(mStart.database, *this, std::move(mStart.key));
     if (!mSession) {
-      Refuse(proxy::failure_code::kNoDatabase, start->database);
+      Refuse(proxy::failure_code::kNoDatabase, mStart.database);
       return;
     }
     std::string out;
@@ -174,6 +224,9 @@
   std::uint64_t mNumber;
   std::shared_ptr<line_stream> mStream;
   std::optional<proxy::engine::session_id> mSession;
+  // What the caller asked for, and when.
+  session_start mStart;
+  clock::time_point mAskedAt;
   bool mIsForgotten = false;
 };
 
@@ -194,6 +247,7 @@
   , mAcceptor(aContext)
   , mRetry(aContext)
   , mHold(aContext)
+  , mDoubtEnd(aContext)
 {
 }
 
@@ -239,6 +293,34 @@
   Begin();
 }
 
+// Keeps a caller whose key may be in a newer configuration until there is word
+// of it. Returns false where too many wait.
+bool
+caller_server::Hold(const std::shared_ptr<connection>& aCaller)
+{
+  if (mDoubted.size() >= kMostDoubted) {
+    return false;
+  }
+  mDoubted.push_back(aCaller);
+  mDoubtEnd.expires_at(mDoubted.front()->AskedAt() + kLongestDoubt);
+  mDoubtEnd.async_wait([this](boost::system::error_code aStopped) {
+    if (!aStopped) {
+      LookAgain();
+    }
+  });
+  return true;
+}
+
+void
+caller_server::LookAgain()
+{
+  for (const auto& one : std::exchange(mDoubted, {})) {
+    if (!one->IsForgotten()) {
+      one->Enter();
+    }
+  }
+}
+
 void
 caller_server::Begin()
 {
--- a/src/currantshed/node/caller_server.hpp
+++ b/src/currantshed/node/caller_server.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <system_error>
+#include <vector>
 
 #include <absl/container/flat_hash_map.h>
 #include <boost/asio/io_context.hpp>
@@ -46,6 +47,10 @@
   /// taken.
   void Configured();
 
+  /// There is word on which customers there are: callers whose key was not
+  /// known are looked at again.
+  void LookAgain();
+
   /// Takes no more connections.
   void StopListening();
 
@@ -57,6 +62,7 @@
 private:
   class connection;
 
+  [[nodiscard]] bool Hold(const std::shared_ptr<connection>& aCaller);
   void Begin();
   void Accept();
   void Accepted(boost::asio::ip::tcp::socket aSocket);
@@ -73,6 +79,10 @@
   boost::asio::steady_timer mRetry;
   // Ends the wait for the first configuration.
   boost::asio::steady_timer mHold;
+  // Callers whose key may be in a newer configuration, and the end of the wait
+  // of the first one.
+  std::vector<std::shared_ptr<connection>> mDoubted;
+  boost::asio::steady_timer mDoubtEnd;
   bool mHasBegun = false;
   absl::flat_hash_map<std::uint64_t, std::shared_ptr<connection>> mConnections;
   std::uint64_t mLastNumber = 0;
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -128,6 +128,7 @@
                  clock::time_point aNow) { Received(aNews, aClock, aNow); })
   , mTurn(absl::Uniform<std::size_t>(mRandom, 0, 4096))
   , mKnownVms(aSettings.vm)
+  , mFreshness(aSettings.keyBound)
   , mStartedAt(clock::Now())
   , mTicker(mContext, [this] { Tick(); })
 {
@@ -178,6 +179,11 @@
             Perform(clock::Now());
           }
         });
+      },
+      [this](const std::string& aCustomer, unsigned aCount) {
+        boost::asio::post(mContext, [this, aCustomer, aCount] {
+          WantTokens(aCustomer, aCount, clock::Now());
+        });
       } });
   boost::asio::post(mContext, [this] { Tick(); });
   mThread = std::thread([this] { mContext.run(); });
@@ -227,6 +233,9 @@
       log::level::kError, "configuration_unreadable", { { "reason", whyNot } });
     return;
   }
+  if (read->version == mVersion) {
+    mInForce = found->second.changed;
+  }
   if (read->version <= mVersion) {
     log::Write(log::level::kWarning,
                "configuration_ignored",
@@ -235,17 +244,27 @@
     return;
   }
   mVersion = read->version;
+  mInForce = found->second.changed;
   mMetrics.SetConfiguration(mVersion);
   log::Write(
     log::level::kInfo,
     "configuration_in_force",
     { { "version", static_cast<std::int64_t>(mVersion) },
       { "routes", static_cast<std::int64_t>(read->routes.size()) },
-      { "services", static_cast<std::int64_t>(read->services.size()) } });
+      { "services", static_cast<std::int64_t>(read->services.size()) },
+      { "customers",
+        read->customers == nullptr
+          ? log::value(log::unknown{})
+          : log::value(static_cast<std::int64_t>(read->customers->Size())) } });
+  for (const auto& reason : read->unreadableCustomers) {
+    log::Write(
+      log::level::kError, "customer_unreadable", { { "reason", reason } });
+  }
   mServices.emplace();
   for (const auto& [name, service] : read->services) {
     mServices->insert(name);
   }
+  mCustomers = read->customers;
   mTraffic.SetConfiguration(std::move(read));
   if (mServersView.IsKnown()) {
     ServersChanged(clock::Now());
@@ -272,6 +291,8 @@
   mOwnKeys = ReadOwnKeys(mOwnView.Items());
   NoteVms(aNow);
   NoteFeeders(aNow);
+  SetCheckPlace();
+  NoteCollectors();
   NoteNext();
   TellFleet(aNow);
   SetPlaces(aNow);
@@ -304,6 +325,8 @@
 {
   const auto now = clock::Now();
   TickStore(now);
+  KeepFresh(now);
+  KeepQuotas(now);
   Poll(now);
   if (mServers.IsDue(now)) {
     ServersChanged(now);
@@ -379,7 +402,9 @@
                      mListedAt != clock::time_point{};
   const bool enough =
     proven || aNow >= mListedAt + kReadyWithoutProof || mIsReady;
-  const bool ready = known && enough && !mIsLeaving;
+  const bool hasKeys = mFreshness.Holds(aNow) || mIsReady;
+  const bool ready =
+    known && enough && hasKeys && !mIsLeaving && !IsCutOff(aNow);
   if (ready != mIsReady) {
     mIsReady = ready;
     log::Write(
@@ -398,10 +423,15 @@
                          mServersView.NextTick(),
                          mOwnView.NextTick(),
                          mRegistration.NextTick(),
+                         NextFreshness(),
+                         mTokens.NextTick(),
                          mNextReach });
   if (!mFeeders.empty()) {
     next = std::min(next, mNextPoll);
   }
+  if (KeepsQuotas()) {
+    next = std::min(next, mNextShare);
+  }
   if (!mSubscribers.Empty()) {
     next = std::min(next, mRelays.NextTick());
   }
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -22,9 +22,14 @@
 #include <boost/asio/io_context.hpp>
 #include <zmq.hpp>
 
+#include "currantshed/customer/directory.hpp"
+#include "currantshed/customer/freshness.hpp"
+#include "currantshed/customer/time_share.hpp"
+#include "currantshed/customer/token_bank.hpp"
 #include "currantshed/lead/group_lead.hpp"
 #include "currantshed/net/tick_timer.hpp"
 #include "currantshed/news/exchange.hpp"
+#include "currantshed/node/check_schedule.hpp"
 #include "currantshed/node/document_codec.hpp"
 #include "currantshed/node/duty.hpp"
 #include "currantshed/node/known_vms.hpp"
@@ -33,6 +38,7 @@
 #include "currantshed/node/server_list.hpp"
 #include "currantshed/node/settings.hpp"
 #include "currantshed/node/subscribers.hpp"
+#include "currantshed/node/token_desk.hpp"
 #include "currantshed/node/traffic.hpp"
 #include "currantshed/store/prefix_view.hpp"
 #include "currantshed/store/registration.hpp"
@@ -173,6 +179,30 @@
                 const news::exchange::clock_reader& aClock,
                 clock::time_point aNow);
   void UpdateReadiness(clock::time_point aNow);
+  void NoteCollectors();
+  [[nodiscard]] std::size_t FleetSize() const;
+  [[nodiscard]] bool KeepsQuotas() const;
+  void FillShare(const std::string& aVm,
+                 news::News& aOut,
+                 clock::time_point aNow);
+  void KeepQuotas(clock::time_point aNow);
+  void WantTokens(const std::string& aCustomer,
+                  unsigned aCount,
+                  clock::time_point aNow);
+  [[nodiscard]] customer::token_grant Withdraw(const std::string& aCustomer,
+                                               unsigned aCount);
+  void CarryTokens(clock::time_point aNow);
+  void HeardOfTokens(const news::News& aNews,
+                     const news::exchange::clock_reader& aClock,
+                     clock::time_point aNow);
+  void SetCheckPlace();
+  void KeepFresh(clock::time_point aNow);
+  void NoteProof(clock::time_point aNow);
+  void NoteFreshness(bool aHolds, clock::time_point aNow);
+  void SpreadProof(clock::time_point aNow);
+  [[nodiscard]] bool IsCutOff(clock::time_point aNow) const;
+  [[nodiscard]] bool LacksProof(clock::time_point aNow) const;
+  [[nodiscard]] clock::time_point NextFreshness() const;
   void Schedule();
   [[nodiscard]] group* Find(const std::string& aService);
   [[nodiscard]] const group* Find(const std::string& aService) const;
@@ -273,6 +303,21 @@
   clock::time_point mUseKnownAt{};
   known_vms mKnownVms;
   std::uint64_t mVersion = 0;
+  // The change of the store that the configuration in force came with.
+  store::revision mInForce = 0;
+  // How old it may be, who asks the store about that, and when.
+  customer::freshness mFreshness;
+  check_schedule mChecks;
+  std::vector<std::string> mCheckers;
+  bool mWasFresh = false;
+  // The customers in force; their tokens, as far as this VM collects them; its
+  // own share of them; and whom it asks for some.
+  std::shared_ptr<const customer::directory> mCustomers;
+  customer::token_bank mBank;
+  customer::time_share mShare;
+  token_desk mTokens;
+  clock::time_point mNextShare{};
+  clock::time_point mNextEnd{};
   server_list mServers;
   // The services of the configuration in force, once there is one.
   std::optional<absl::flat_hash_set<std::string>> mServices;
--- a/src/currantshed/node/control_feed.cpp
+++ b/src/currantshed/node/control_feed.cpp
@@ -139,7 +139,9 @@
   AskUse(aNow);
   SendWanted(mFeeders[++mTurn % mFeeders.size()], aNow);
   // The feeders are cut off from the store as well: others may not be.
-  if (mRegistration.IsFailing() && aNow >= mOwnView.FedUntil()) {
+  const bool areCutOff =
+    mRegistration.IsFailing() && aNow >= mOwnView.FedUntil();
+  if (areCutOff || LacksProof(aNow)) {
     for (const auto& vm : NextFew(aNow)) {
       SendWanted(vm, aNow);
     }
@@ -193,6 +195,7 @@
     wanted->set_known(view->IsKnown() ? view->Seen() : 0);
   }
   mWantedAt = aNow;
+  FillShare(aVm, told, aNow);
   mNews.Send(aVm, std::move(told), aNow);
 }
 
@@ -224,6 +227,9 @@
     out.set_may_be_old(update.mayBeOld);
     out.set_current_at_us(
       lead::ToWire(view.CurrentAt(mRegistration.AnsweredFor())).count());
+    if (wanted.prefix() == 0) {
+      out.set_proved_at_us(lead::ToWire(view.ProvedAt()).count());
+    }
     out.set_too_long(LengthOf(update) > longest);
     if (!out.too_long()) {
       for (const auto& one : update.changes) {
@@ -252,6 +258,10 @@
     if (!view.Take(ReadUpdate(update), aNow) || !aClock) {
       continue;
     }
+    if (update.proved_at_us() != 0) {
+      view.Prove(aClock(update.proved_at_us()));
+      NoteProof(aNow);
+    }
     const auto life =
       &view == &mConfigurationView ? kConfigurationLife : kOtherLife;
     view.FedUntil(
--- a/src/currantshed/node/control_news.cpp
+++ b/src/currantshed/node/control_news.cpp
@@ -154,6 +154,7 @@
   mConfigurationView.HeardOf(aNews.configuration_change(), aNow);
   mServersView.HeardOf(aNews.servers_change(), aNow);
   mOwnView.HeardOf(aNews.own_change(), aNow);
+  HeardOfTokens(aNews, aClock, aNow);
   AnswerWanted(aNews, aNow);
   HeardDoubts(aNews, aNow);
   TakeUpdates(aNews, aClock, aNow);
--- a/src/currantshed/node/line_codec.hpp
+++ b/src/currantshed/node/line_codec.hpp
@@ -15,7 +15,8 @@
 struct session_start
 {
   std::string database;
-  std::string who;
+  /// Tells whose requests the session sends, where the route needs it.
+  std::string key;
 };
 
 /// What a caller sends in its session.
@@ -79,17 +80,22 @@
   virtual void WriteAnswer(const proxy::answer& aAnswer,
                            std::string& aOut) const = 0;
 
-  /// The same as WriteServerStart and WriteCommand write, read by the VM that
+  /// The same as WriteServerStart and WriteRelayed write, read by the VM that
   /// relays it.
   [[nodiscard]] virtual std::optional<relay_start> ReadRelayStart(
     std::string_view aLine) const = 0;
   [[nodiscard]] virtual std::optional<caller_message> ReadRelayed(
     std::string_view aLine) const = 0;
 
+  /// The customer is empty for what the system asks itself.
   virtual void WriteServerStart(const proxy::server& aServer,
+                                std::string_view aCustomer,
                                 std::string& aOut) const = 0;
   virtual void WriteCommand(const proxy::command& aCommand,
                             std::string& aOut) const = 0;
+  /// The same for another VM, which learns whose request it is.
+  virtual void WriteRelayed(const proxy::command& aCommand,
+                            std::string& aOut) const = 0;
   [[nodiscard]] virtual std::optional<server_message> ReadServer(
     std::string_view aLine) const = 0;
   /// Reads the row that answers a question or order of the system itself.
--- a/src/currantshed/node/server_connector.cpp
+++ b/src/currantshed/node/server_connector.cpp
@@ -24,10 +24,13 @@
             const line_codec& aCodec,
             proxy::server aServer,
             const proxy::path& aVia,
+            std::string aCustomer,
             proxy::link_listener& aListener)
     : mContext(aContext)
     , mCodec(aCodec)
     , mServer(std::move(aServer))
+    , mIsDirect(aVia.IsDirect())
+    , mCustomer(std::move(aCustomer))
     , mHost(aVia.IsDirect() ? mServer.address : aVia.address)
     , mPort(aVia.IsDirect() ? mServer.port : aVia.port)
     , mListener(&aListener)
@@ -53,7 +56,11 @@
   {
     std::string out;
     for (const auto& one : aCommands) {
-      mCodec.WriteCommand(one, out);
+      if (mIsDirect) {
+        mCodec.WriteCommand(one, out);
+      } else {
+        mCodec.WriteRelayed(one, out);
+      }
       mKinds.push_back(one.kind);
     }
     mStream->Send(out);
@@ -81,7 +88,7 @@
        },
         [self = shared_from_this()] { self->End(proxy::link_end::kBroken); } });
     std::string out;
-    mCodec.WriteServerStart(mServer, out);
+    mCodec.WriteServerStart(mServer, mCustomer, out);
     mStream->Send(out);
   }
 
@@ -181,6 +188,8 @@
   boost::asio::io_context& mContext;
   const line_codec& mCodec;
   proxy::server mServer;
+  bool mIsDirect;
+  std::string mCustomer;
   std::string mHost;
   std::uint16_t mPort;
   proxy::link_listener* mListener;
@@ -224,10 +233,11 @@
 std::unique_ptr<proxy::upstream_link>
 server_connector::Open(const proxy::server& aServer,
                        const proxy::path& aVia,
+                       const std::string& aCustomer,
                        proxy::link_listener& aListener)
 {
-  auto link =
-    std::make_shared<wire_link>(mContext, mCodec, aServer, aVia, aListener);
+  auto link = std::make_shared<wire_link>(
+    mContext, mCodec, aServer, aVia, aCustomer, aListener);
   link->Open();
   return std::make_unique<owned_link>(std::move(link));
 }
--- a/src/currantshed/node/server_connector.hpp
+++ b/src/currantshed/node/server_connector.hpp
@@ -20,6 +20,7 @@
   [[nodiscard]] std::unique_ptr<proxy::upstream_link> Open(
     const proxy::server& aServer,
     const proxy::path& aVia,
+    const std::string& aCustomer,
     proxy::link_listener& aListener) override;
 
 private:
--- a/src/currantshed/node/settings.hpp
+++ b/src/currantshed/node/settings.hpp
@@ -44,6 +44,9 @@
   std::chrono::milliseconds stopTime{ 6000 };
   /// How long after its word a server that leaves may get work.
   std::chrono::milliseconds leavingTime{ 7000 };
+  /// How long after a key was taken away, at most, requests with it may run;
+  /// zero where there is no such bound.
+  std::chrono::milliseconds keyBound{ 0 };
   /// What the VM's own link carries in a second.
   double linkMegabits = 1000;
   /// Processor time of the VM, in thousandths of a core.
--- /dev/null
+++ b/src/currantshed/node/token_desk.cpp
@@ -0,0 +1,151 @@
+#include "currantshed/node/token_desk.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace currantshed::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// An answer takes a few milliseconds, on a busy VM some dozen.
+constexpr milliseconds kPatience{ 100 };
+// How long a collector that said nothing is not asked.
+constexpr milliseconds kSilence{ 1000 };
+// Collectors that are asked for one operation: its time is short.
+constexpr std::size_t kMostAsked = 3;
+// How long a customer whose tokens are used up everywhere is refused without
+// asking again.
+constexpr milliseconds kExhausted{ 100 };
+// When to come back where nobody could tell.
+constexpr milliseconds kUnknownRetry{ 500 };
+
+} // namespace
+
+void
+token_desk::SetCollectors(std::vector<std::string> aCollectors)
+{
+  mCollectors = std::move(aCollectors);
+}
+
+bool
+token_desk::IsSilent(const std::string& aVm, clock::time_point aNow) const
+{
+  const auto found = mSilentUntil.find(aVm);
+  return found != mSilentUntil.end() && aNow < found->second;
+}
+
+std::string
+token_desk::Current(clock::time_point aNow) const
+{
+  for (const auto& vm : mCollectors) {
+    if (!IsSilent(vm, aNow)) {
+      return vm;
+    }
+  }
+  return {};
+}
+
+void
+token_desk::Want(const std::string& aCustomer,
+                 unsigned aCount,
+                 clock::time_point aNow)
+{
+  const auto used = mExhausted.find(aCustomer);
+  if (used != mExhausted.end() && aNow < used->second.until) {
+    const auto after =
+      std::chrono::duration_cast<milliseconds>(used->second.retryAt - aNow);
+    mOutcomes.push_back({ aCustomer, 0, aCount, after });
+    return;
+  }
+  AskNext({ aCustomer, aCount }, aNow);
+}
+
+// Asks the first collector that was not asked yet, or refuses.
+void
+token_desk::AskNext(pending aWhat, clock::time_point aNow)
+{
+  for (const auto& vm : mCollectors) {
+    const bool wasAsked =
+      std::find(aWhat.asked.begin(), aWhat.asked.end(), vm) !=
+      aWhat.asked.end();
+    if (wasAsked || IsSilent(vm, aNow) || aWhat.asked.size() >= kMostAsked) {
+      continue;
+    }
+    aWhat.asked.push_back(vm);
+    aWhat.askedAt = aNow;
+    const auto number = ++mLastNumber;
+    mAsks.push_back({ vm, number, aWhat.customer, aWhat.count });
+    mPending.emplace(number, std::move(aWhat));
+    return;
+  }
+  const bool areUsedUp = aWhat.retryAfter.count() > 0;
+  const auto after = areUsedUp ? aWhat.retryAfter : kUnknownRetry;
+  if (areUsedUp) {
+    mExhausted[aWhat.customer] = { aNow + kExhausted, aNow + after };
+  }
+  mOutcomes.push_back({ aWhat.customer, 0, aWhat.count, after });
+}
+
+void
+token_desk::Answered(std::uint64_t aNumber,
+                     unsigned aCount,
+                     milliseconds aRetryAfter,
+                     clock::time_point aNow)
+{
+  const auto found = mPending.find(aNumber);
+  if (found == mPending.end()) {
+    return;
+  }
+  auto what = std::move(found->second);
+  mPending.erase(found);
+  const auto granted = std::min(aCount, what.count);
+  if (granted > 0) {
+    mExhausted.erase(what.customer);
+    mOutcomes.push_back({ what.customer, granted, 0, {}, what.askedAt });
+    what.count -= granted;
+  }
+  if (what.count == 0) {
+    return;
+  }
+  const bool isSooner =
+    what.retryAfter.count() == 0 || aRetryAfter < what.retryAfter;
+  if (aRetryAfter.count() > 0 && isSooner) {
+    what.retryAfter = aRetryAfter;
+  }
+  AskNext(std::move(what), aNow);
+}
+
+void
+token_desk::Tick(clock::time_point aNow)
+{
+  while (!mPending.empty() &&
+         aNow >= mPending.begin()->second.askedAt + kPatience) {
+    auto what = std::move(mPending.begin()->second);
+    mPending.erase(mPending.begin());
+    mSilentUntil[what.asked.back()] = aNow + kSilence;
+    AskNext(std::move(what), aNow);
+  }
+}
+
+clock::time_point
+token_desk::NextTick() const
+{
+  return mPending.empty() ? clock::time_point::max()
+                          : mPending.begin()->second.askedAt + kPatience;
+}
+
+std::vector<token_ask>
+token_desk::TakeAsks()
+{
+  return std::exchange(mAsks, {});
+}
+
+std::vector<token_outcome>
+token_desk::TakeOutcomes()
+{
+  return std::exchange(mOutcomes, {});
+}
+
+} // namespace currantshed::node
--- a/src/currantshed/node/traffic.cpp
+++ b/src/currantshed/node/traffic.cpp
@@ -101,10 +101,46 @@
       mIsConfigured = true;
       mEngine.SetConfiguration(std::move(configuration), clock::Now());
       mCallers.Configured();
+      mCallers.LookAgain();
       After();
     });
 }
 
+void
+traffic::SetFreshness(const customer::freshness& aFreshness)
+{
+  boost::asio::post(mContext, [this, aFreshness] {
+    mEngine.SetFreshness(aFreshness);
+    mCallers.LookAgain();
+    After();
+  });
+}
+
+void
+traffic::TakeTokens(std::vector<token_outcome> aOutcomes)
+{
+  boost::asio::post(mContext, [this, outcomes = std::move(aOutcomes)] {
+    const auto now = clock::Now();
+    for (const auto& one : outcomes) {
+      if (one.granted > 0) {
+        mEngine.GrantTokens(one.customer, one.granted, one.askedAt, now);
+      } else {
+        mEngine.RefuseTokens(one.customer, one.refused, one.retryAfter, now);
+      }
+    }
+    After();
+  });
+}
+
+void
+traffic::EndRestingOfCustomers()
+{
+  boost::asio::post(mContext, [this] {
+    mEngine.EndRestingOfCustomers();
+    After();
+  });
+}
+
 void
 traffic::SetServers(std::vector<proxy::server> aServers)
 {
@@ -281,6 +317,14 @@
   }
 }
 
+void
+traffic::NeedsTokens(const std::string& aCustomer, unsigned aCount)
+{
+  if (mListener.needsTokens) {
+    mListener.needsTokens(aCustomer, aCount);
+  }
+}
+
 void
 traffic::Decided(const proxy::decision& aDecision)
 {
--- a/src/currantshed/node/traffic.hpp
+++ b/src/currantshed/node/traffic.hpp
@@ -16,6 +16,7 @@
 #include "currantshed/node/metrics.hpp"
 #include "currantshed/node/server_connector.hpp"
 #include "currantshed/node/settings.hpp"
+#include "currantshed/node/token_desk.hpp"
 #include "currantshed/proxy/engine.hpp"
 
 namespace currantshed::node {
@@ -26,6 +27,7 @@
 {
   std::function<void(const std::string&)> needsConfirmation;
   std::function<void(const std::string&, position::term_id)> leadDenied;
+  std::function<void(const std::string&, unsigned)> needsTokens;
 };
 
 /// The traffic thread's world: callers, servers, and the engine between them.
@@ -61,6 +63,10 @@
 
   void SetConfiguration(
     std::shared_ptr<const proxy::configuration> aConfiguration);
+  void SetFreshness(const customer::freshness& aFreshness);
+  void TakeTokens(std::vector<token_outcome> aOutcomes);
+  /// Ends the sessions of customers that rest.
+  void EndRestingOfCustomers();
   void SetServers(std::vector<proxy::server> aServers);
   void SetFleet(std::vector<proxy::fleet_vm> aFleet);
   void Confirm(const std::string& aService, const proxy::confirmation& aProof);
@@ -93,6 +99,7 @@
   void NeedsConfirmation(const std::string& aService) override;
   void LeadDenied(const std::string& aService,
                   position::term_id aTerm) override;
+  void NeedsTokens(const std::string& aCustomer, unsigned aCount) override;
   void Decided(const proxy::decision& aDecision) override;
   void Reached(const proxy::server& aServer,
                bool aIsReached,
--- a/src/currantshed/proxy/configuration.hpp
+++ b/src/currantshed/proxy/configuration.hpp
@@ -6,10 +6,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <absl/container/flat_hash_map.h>
 
 #include "currantshed/clock/time.hpp"
+#include "currantshed/customer/directory.hpp"
 #include "currantshed/proxy/fwd.hpp"
 #include "currantshed/upstream/fwd.hpp"
 
@@ -41,6 +43,8 @@
   /// Zero goes first.
   unsigned priority = 0;
   std::chrono::milliseconds maxStaleness{ 0 };
+  /// Whether anyone may use it, with a customer's key or without.
+  bool isPublic = false;
 };
 
 /// What the operators declare for one group of servers.
@@ -59,6 +63,10 @@
   absl::flat_hash_map<std::string, std::shared_ptr<const route>> routes;
   /// By name.
   absl::flat_hash_map<std::string, service> services;
+  /// Who may ask; null where nobody is told apart.
+  std::shared_ptr<const customer::directory> customers;
+  /// Why customers were left out that can't be read.
+  std::vector<std::string> unreadableCustomers;
   /// A transaction idle for longer may be ended.
   std::chrono::milliseconds transactionIdle{ 3000 };
 };
--- a/src/currantshed/proxy/connection.cpp
+++ b/src/currantshed/proxy/connection.cpp
@@ -17,11 +17,13 @@
 connection::connection(upstream::server_id aServer,
                        std::string aService,
                        std::string aVia,
+                       std::string aCustomer,
                        connection_events& aEvents,
                        clock::time_point aNow)
   : server(std::move(aServer))
   , service(std::move(aService))
   , via(std::move(aVia))
+  , customer(std::move(aCustomer))
   , idleSince(aNow)
   , mEvents(aEvents)
   , mMadeAt(aNow)
--- a/src/currantshed/proxy/connection.hpp
+++ b/src/currantshed/proxy/connection.hpp
@@ -68,12 +68,19 @@
   connection(upstream::server_id aServer,
              std::string aService,
              std::string aVia,
+             std::string aCustomer,
              connection_events& aEvents,
              clock::time_point aNow);
 
   /// Whether it leads to the server itself, not through another VM.
   [[nodiscard]] bool IsDirect() const noexcept { return via.empty(); }
 
+  /// Whether requests of the customer may go on it.
+  [[nodiscard]] bool Serves(const std::string& aCustomer) const noexcept
+  {
+    return !IsDirect() || customer == aCustomer;
+  }
+
   void Attach(std::unique_ptr<upstream_link> aLink);
 
   /// Sends commands, each for the purpose given.
@@ -113,6 +120,9 @@
   std::string service;
   /// The VM that it leads through, or empty.
   std::string via;
+  /// Whose requests the server takes on it; empty where customers are not told
+  /// apart, and for another VM, which has connections for each.
+  std::string customer;
   /// The session that the connection works for, or null.
   session* user = nullptr;
   /// Whether a transaction may be open on it.
--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -20,6 +20,10 @@
 // a target of 150 ms or more: longer, that VM had better know.
 constexpr milliseconds kRelayWait{ 75 };
 
+// When a caller comes back whose quota can't be checked: those who keep it may
+// be out of reach for a while.
+constexpr milliseconds kTokenRetry{ 500 };
+
 bool
 IsWrite(const session& aSession, const session_statement& aAsked)
 {
@@ -65,6 +69,7 @@
   mConfiguration = std::move(aConfiguration);
   MakePlans();
   mNextUpkeep = aNow;
+  EndResting(false);
 }
 
 void
@@ -149,14 +154,15 @@
 }
 
 std::optional<engine::session_id>
-engine::Open(std::string aDatabase, caller& aCaller)
+engine::Open(std::string aDatabase, caller& aCaller, std::string aKey)
 {
   if (!mConfiguration->routes.contains(aDatabase)) {
     return std::nullopt;
   }
   const auto id = ++mLastNumber;
-  mSessions.emplace(
-    id, std::make_unique<session>(id, std::move(aDatabase), aCaller));
+  auto made = std::make_unique<session>(id, std::move(aDatabase), aCaller);
+  made->key = std::move(aKey);
+  mSessions.emplace(id, std::move(made));
   return id;
 }
 
@@ -215,7 +221,10 @@
   auto& closed = *found->second;
   closed.gone = true;
   closed.backlog.clear();
-  if (closed.current && closed.current->at == stage::kWaiting) {
+  if (closed.current && closed.current->at == stage::kAwaitingToken) {
+    NoteDecision(closed, "caller_left", "waiting", false, aNow);
+    closed.current.reset();
+  } else if (closed.current && closed.current->at == stage::kWaiting) {
     Unqueue(closed);
     NoteDecision(closed, "caller_left", "waiting", false, aNow);
     closed.current.reset();
@@ -364,10 +373,25 @@
   if (!aSession.IsRelay()) {
     LeadOf(route->service).usedAt = aNow;
   }
+  if (const auto why = WhyNotEntitled(aSession, *route, aNow)) {
+    request refused;
+    refused.number = ++mLastNumber;
+    refused.arrivedAt = aNow;
+    refused.asked = std::move(aAsked);
+    refused.under = std::move(route);
+    aSession.current = std::move(refused);
+    Fail(aSession, why->code, why->text, aNow);
+    return;
+  }
+  const auto owner = OwnerOf(aSession, *route);
+  const auto customer = aSession.IsRelay() ? aAsked.customer
+                        : owner == nullptr ? std::string()
+                                           : owner->name;
   if (aAsked.kind == statement_kind::kBegin ||
       aAsked.kind == statement_kind::kBeginReadOnly) {
     open_transaction begun;
     begun.under = route;
+    begun.customer = customer;
     begun.readOnly = aAsked.kind == statement_kind::kBeginReadOnly;
     aSession.transaction = std::move(begun);
     // The server is asked with the first statement; another VM wants to know
@@ -398,8 +422,12 @@
   }
   made.asked = std::move(aAsked);
   made.under = std::move(route);
+  made.customer =
+    aSession.transaction ? aSession.transaction->customer : customer;
   aSession.current = std::move(made);
-  Dispatch(aSession, aNow);
+  if (MayBegin(aSession, aNow)) {
+    Dispatch(aSession, aNow);
+  }
 }
 
 // The transaction's server connection broke between two statements, and with
@@ -533,6 +561,12 @@
     return;
   }
   auto& request = *aSession.current;
+  if (request.at == stage::kAwaitingToken) {
+    if (aNow >= request.waitUntil) {
+      RefuseOverQuota(aSession, kTokenRetry, aNow);
+    }
+    return;
+  }
   if (request.at == stage::kWaiting) {
     if (aNow >= std::min(request.waitUntil, request.deadline)) {
       Unqueue(aSession);
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,6 +21,9 @@
 #include "currantshed/admit/retry_budget.hpp"
 #include "currantshed/clock/time.hpp"
 #include "currantshed/confirm/position_samples.hpp"
+#include "currantshed/customer/directory.hpp"
+#include "currantshed/customer/freshness.hpp"
+#include "currantshed/customer/token_purse.hpp"
 #include "currantshed/proxy/configuration.hpp"
 #include "currantshed/proxy/connection.hpp"
 #include "currantshed/proxy/lanes.hpp"
@@ -73,6 +77,20 @@
   bool isFinal = false;
 };
 
+/// Whether a session may begin.
+enum class entry
+{
+  kGranted,
+  kNoDatabase,
+  /// No customer has the key.
+  kUnknownKey,
+  /// No customer is known to have the key; a newer configuration may say
+  /// otherwise.
+  kKeyMayBeNew,
+  /// The keys that are known may have been taken away.
+  kKeysOld,
+};
+
 /// What the engine tells the process around it.
 class engine_host
 {
@@ -86,6 +104,9 @@
   virtual void LeadDenied(const std::string& aService,
                           position::term_id aTerm) = 0;
 
+  /// So many operations of a customer wait for tokens.
+  virtual void NeedsTokens(const std::string& aCustomer, unsigned aCount) = 0;
+
   virtual void Decided(const decision& aDecision) = 0;
 
   /// A server became reachable, or stopped being so.
@@ -143,9 +164,35 @@
   /// lifts that for proofs that are newer than all so far.
   void Revoke(const std::string& aService, position::term_id aTerm);
 
+  /// What the store showed of the keys' age; nothing is checked before.
+  void SetFreshness(const customer::freshness& aFreshness);
+
+  /// So many operations of the customer may begin; asked for at that time.
+  void GrantTokens(const std::string& aCustomer,
+                   unsigned aCount,
+                   clock::time_point aAskedAt,
+                   clock::time_point aNow);
+  /// So many operations of the customer may not begin now, and had better come
+  /// back later.
+  void RefuseTokens(const std::string& aCustomer,
+                    unsigned aCount,
+                    std::chrono::milliseconds aRetryAfter,
+                    clock::time_point aNow);
+
+  /// Ends the sessions of customers that rest: their callers find a VM that can
+  /// tell whether their keys are still in force.
+  void EndRestingOfCustomers();
+
+  /// Whether a session may begin that was asked for at that time.
+  [[nodiscard]] entry Admits(const std::string& aDatabase,
+                             const std::string& aKey,
+                             clock::time_point aAskedAt,
+                             clock::time_point aNow) const;
+
   /// Begins a session; none when no route has that database.
   [[nodiscard]] std::optional<session_id> Open(std::string aDatabase,
-                                               caller& aCaller);
+                                               caller& aCaller,
+                                               std::string aKey = {});
   /// Begins a session by which another VM reaches a server; none when there
   /// is no such server.
   [[nodiscard]] std::optional<session_id> OpenRelay(
@@ -237,6 +284,23 @@
   void Schedule(session& aSession, clock::time_point aAt);
   void Expire(session& aSession, clock::time_point aNow);
 
+  // Customers.
+  [[nodiscard]] bool TellsCustomersApart(const route& aRoute) const;
+  [[nodiscard]] std::optional<failure> WhyNotEntitled(
+    const session& aSession,
+    const route& aRoute,
+    clock::time_point aNow) const;
+  [[nodiscard]] std::shared_ptr<const customer::customer> OwnerOf(
+    const session& aSession,
+    const route& aRoute) const;
+  void EndResting(bool aAll);
+  [[nodiscard]] bool MayBegin(session& aSession, clock::time_point aNow);
+  [[nodiscard]] session* NextForToken(const std::string& aCustomer);
+  void RefuseOverQuota(session& aSession,
+                       std::chrono::milliseconds aRetryAfter,
+                       clock::time_point aNow);
+  [[nodiscard]] bool IsOfCustomer(const session& aSession) const;
+
   // Dispatch.
   void Dispatch(session& aSession, clock::time_point aNow);
   [[nodiscard]] bool TryStart(session& aSession, clock::time_point aNow);
@@ -262,6 +326,7 @@
                                        const request& aRequest,
                                        clock::time_point aNow);
   void Pump(const std::string& aService, clock::time_point aNow);
+  void PumpLanes(lanes& aLanes, clock::time_point aNow);
   void PumpLane(admit::deadline_queue& aLane,
                 bool aInTime,
                 blocked_lanes& aBlocked,
@@ -293,10 +358,11 @@
 
   // Connections.
   [[nodiscard]] connection* Acquire(server_state& aServer,
-                                    const session_values& aValues,
+                                    const session& aSession,
                                     clock::time_point aNow);
   void OpenConnection(server_state& aServer,
                       const path& aVia,
+                      const std::string& aCustomer,
                       clock::time_point aNow);
   void MakePlan(server_state& aServer);
   void MakePlans();
@@ -309,6 +375,9 @@
               const connection& aConnection,
               clock::time_point aNow,
               std::string_view aReason);
+  [[nodiscard]] static std::chrono::milliseconds LongestIdle(
+    const server_state& aState,
+    const connection& aConnection);
   void TrimConnections(clock::time_point aNow);
   [[nodiscard]] server_state* Find(const upstream::server_id& aServer);
 
@@ -371,6 +440,7 @@
   // through this one before.
   std::shared_ptr<const configuration> mConfiguration =
     std::make_shared<const configuration>();
+  customer::freshness mFreshness{ std::chrono::milliseconds{ 0 } };
   // When each VM that work goes through was last heard.
   absl::btree_map<std::string, clock::time_point> mRelaysHeard;
   std::vector<fleet_vm> mFleet;
@@ -378,6 +448,9 @@
   // References to its values are kept while others are added.
   std::map<std::string, lead_state> mLeads;
   absl::flat_hash_map<session_id, std::unique_ptr<session>> mSessions;
+  // Tokens at hand, and the sessions whose requests wait for some, by customer.
+  customer::token_purse mTokens;
+  absl::flat_hash_map<std::string, std::deque<session_id>> mTokenQueues;
   // What may be sent again after a server or another VM was too busy for it.
   std::map<std::string, admit::retry_budget> mRetries;
   std::map<std::string, lanes> mQueues;
@@ -389,6 +462,8 @@
   std::vector<std::unique_ptr<connection>> mDiscarded;
   std::uint64_t mLastNumber = 0;
   bool mIsDraining = false;
+  // Whether requests are given connections that stand, and none is opened.
+  bool mOnlyIdle = false;
   clock::time_point mNextUpkeep;
 };
 
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -24,6 +24,7 @@
 StatementCommand(const session& aSession, const request& aRequest)
 {
   command made;
+  made.customer = aRequest.customer;
   made.id = aRequest.asked.id;
   made.text = aRequest.asked.text;
   if (aRequest.asked.kind == statement_kind::kExecute) {
@@ -136,6 +137,13 @@
   }
   // Taking the session's values may have held the request up.
   const bool begun = aSession.transaction && aSession.transaction->begun;
+  if (const auto why = WhyNotEntitled(aSession, *request.under, aNow)) {
+    if (!begun) {
+      ReleaseConnection(aSession, aNow);
+    }
+    Fail(aSession, why->code, why->text, aNow);
+    return;
+  }
   if (!begun && !TakesWork(on.server, request, aNow)) {
     ReleaseConnection(aSession, aNow);
     Requeue(aSession, aNow);
@@ -156,6 +164,7 @@
 {
   auto& request = *aSession.current;
   command begin;
+  begin.customer = request.customer;
   begin.kind = aSession.transaction->readOnly ? command_kind::kBeginReadOnly
                                               : command_kind::kBegin;
   if (aSession.transaction->readOnly || !request.needsPrimary) {
@@ -261,7 +270,7 @@
   if (primary == nullptr || !primary->TakesWork(mSettings.leavingUse, aNow)) {
     return nullptr;
   }
-  return Acquire(*primary, aSession.values, aNow);
+  return Acquire(*primary, aSession, aNow);
 }
 
 connection*
@@ -281,8 +290,10 @@
       needsProof = needsProof || id == lead.proof.primary;
       continue;
     }
-    const bool isIdle = state.Idle(aSession.values, false) != nullptr;
-    if (!isIdle && state.OpenWay(aNow) == nullptr) {
+    const auto& customer = request.customer;
+    const bool isIdle =
+      state.Idle(aSession.values, false, &customer) != nullptr;
+    if (!isIdle && (mOnlyIdle || state.OpenWay(aNow, customer) == nullptr)) {
       continue;
     }
     auto time = state.Expected(aNow);
@@ -296,7 +307,7 @@
   if (!request.floor.position || (best == nullptr && needsProof)) {
     AskForProof(request.under->service, aNow);
   }
-  return best == nullptr ? nullptr : Acquire(*best, aSession.values, aNow);
+  return best == nullptr ? nullptr : Acquire(*best, aSession, aNow);
 }
 
 bool
@@ -366,10 +377,10 @@
   if (!TakesWork(aSession.relaysTo, *aSession.current, aNow)) {
     return nullptr;
   }
-  auto* idle = state->Idle(aSession.values, true);
-  if (idle == nullptr && state->Opening(true) == 0 &&
-      state->MayOpenDirect(state->plan.connections, aNow)) {
-    OpenConnection(*state, path{}, aNow);
+  const auto& customer = aSession.current->customer;
+  auto* idle = state->Idle(aSession.values, true, &customer);
+  if (idle == nullptr && !mOnlyIdle && state->MayOpenFor(customer, aNow)) {
+    OpenConnection(*state, path{}, customer, aNow);
   }
   return idle;
 }
@@ -377,15 +388,16 @@
 // An idle connection; where there is none, one is opened for those that wait.
 connection*
 engine::Acquire(server_state& aServer,
-                const session_values& aValues,
+                const session& aSession,
                 clock::time_point aNow)
 {
-  auto* idle = aServer.Idle(aValues, false);
-  if (idle != nullptr) {
+  const auto& customer = aSession.current->customer;
+  auto* idle = aServer.Idle(aSession.values, false, &customer);
+  if (idle != nullptr || mOnlyIdle) {
     return idle;
   }
-  if (const auto* way = aServer.OpenWay(aNow)) {
-    OpenConnection(aServer, *way, aNow);
+  if (const auto* way = aServer.OpenWay(aNow, customer)) {
+    OpenConnection(aServer, *way, customer, aNow);
   }
   return nullptr;
 }
@@ -393,17 +405,26 @@
 void
 engine::OpenConnection(server_state& aServer,
                        const path& aVia,
+                       const std::string& aCustomer,
                        clock::time_point aNow)
 {
+  // One of another customer makes room: what a connection is for can't change.
+  if (aVia.IsDirect() && !aCustomer.empty() &&
+      !aServer.HasRoom(aServer.plan.connections, aNow)) {
+    if (auto* least = aServer.LeastUsed(aCustomer)) {
+      Discard(*least);
+    }
+  }
   auto made =
     std::make_unique<connection>(aServer.listed.id,
                                  aServer.listed.service,
                                  aVia.vm,
+                                 aVia.IsDirect() ? aCustomer : std::string(),
                                  static_cast<connection_events&>(*this),
                                  aNow);
   auto& place = *made;
   aServer.connections.push_back(std::move(made));
-  place.Attach(mOpener.Open(aServer.listed, aVia, place));
+  place.Attach(mOpener.Open(aServer.listed, aVia, place.customer, place));
 }
 
 void
--- a/src/currantshed/proxy/engine_orders.cpp
+++ b/src/currantshed/proxy/engine_orders.cpp
@@ -17,6 +17,7 @@
 // few, those through other VMs cost little.
 constexpr milliseconds kBorrowedIdle{ 1500 };
 constexpr milliseconds kRelayIdle{ 10000 };
+constexpr milliseconds kCustomersIdle{ 20000 };
 
 } // namespace
 
@@ -43,10 +44,10 @@
   if (aDirect) {
     if (aServer.Opening(true) == 0 &&
         aServer.Count(true) <= aServer.plan.connections) {
-      OpenConnection(aServer, path{}, aNow);
+      OpenConnection(aServer, path{}, {}, aNow);
     }
   } else if (const auto* way = aServer.OpenWay(aNow)) {
-    OpenConnection(aServer, *way, aNow);
+    OpenConnection(aServer, *way, {}, aNow);
   }
 }
 
@@ -132,6 +133,16 @@
   NoteReached(aState, false, aReason);
 }
 
+// One that belongs to a customer costs little while it stands, and much to open
+// again; others of the customer's may come at any time.
+milliseconds
+engine::LongestIdle(const server_state& aState, const connection& aConnection)
+{
+  const bool isWithin = aState.Count(true) <= aState.plan.connections;
+  return isWithin && !aConnection.customer.empty() ? kCustomersIdle
+                                                   : kBorrowedIdle;
+}
+
 // Closes what is no longer needed, gives up what does not answer, and keeps
 // one connection to each server.
 void
@@ -150,7 +161,7 @@
                           aNow - one->OldestSent() > kLongestSilence;
       const auto idleFor = aNow - one->idleSince;
       const bool spare = one->IsDirect()
-                           ? direct > kept && idleFor > kBorrowedIdle
+                           ? direct > kept && idleFor > LongestIdle(state, *one)
                            : idleFor > kRelayIdle;
       const bool unused = one->IsIdle() && (state.unlisted || one->retiring);
       if (slow || silent) {
@@ -177,7 +188,7 @@
     const bool wanted = !state.unlisted && !state.listed.draining;
     if (wanted && state.connections.empty() && state.plan.holds &&
         state.MayOpenDirect(state.plan.connections, aNow)) {
-      OpenConnection(state, path{}, aNow);
+      OpenConnection(state, path{}, {}, aNow);
     }
   }
 }
--- a/src/currantshed/proxy/engine_wait.cpp
+++ b/src/currantshed/proxy/engine_wait.cpp
@@ -180,9 +180,22 @@
   if (found == mQueues.end()) {
     return;
   }
+  // A connection that stands goes to whoever can use it as it is; only then
+  // does one give way to a new one.
+  if (mConfiguration->customers != nullptr) {
+    mOnlyIdle = true;
+    PumpLanes(found->second, aNow);
+    mOnlyIdle = false;
+  }
+  PumpLanes(found->second, aNow);
+}
+
+void
+engine::PumpLanes(lanes& aLanes, clock::time_point aNow)
+{
   blocked_lanes blocked;
   for (const bool inTime : { true, false }) {
-    for (auto& [name, lane] : found->second) {
+    for (auto& [name, lane] : aLanes) {
       PumpLane(lane, inTime, blocked, aNow);
     }
   }
@@ -208,13 +221,16 @@
     if (aBlocked.Holds(from)) {
       continue;
     }
-    if (!TryStart(from, aNow)) {
-      aBlocked.Add(from);
-      continue;
-    }
+    // A start may give its connection back at once, and look at all that wait.
     mWaiting.erase(place.request);
     aLane.Remove(place);
-    aLane.Departed(aNow);
+    if (TryStart(from, aNow)) {
+      aLane.Departed(aNow);
+      continue;
+    }
+    mWaiting[place.request] = from.number;
+    aLane.Put(place);
+    aBlocked.Add(from);
   }
 }
 
--- a/src/currantshed/proxy/lanes.cpp
+++ b/src/currantshed/proxy/lanes.cpp
@@ -1,6 +1,7 @@
 #include "currantshed/proxy/lanes.hpp"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace currantshed::proxy {
 
@@ -9,6 +10,11 @@
 // Reads differ in the position that they must see: one that no replica has
 // reached says little of the next. Each try looks at a group's servers once.
 constexpr unsigned kReadsTried = 4;
+// Customers of one lane that are looked at before the rest waits for the next
+// time: each look costs as much as a request.
+constexpr std::size_t kCustomersTried = 16;
+constexpr std::string_view kPrimaryLane = "primary";
+constexpr std::string_view kReadsLane = "reads";
 
 bool
 NeedsPrimary(const request& aRequest)
@@ -16,28 +22,57 @@
   return aRequest.needsPrimary || !aRequest.floor.position;
 }
 
+unsigned
+MostTried(const session& aWaiting)
+{
+  const bool isRead = !aWaiting.IsRelay() && !NeedsPrimary(*aWaiting.current);
+  return isRead ? kReadsTried : 1;
+}
+
 } // namespace
 
+std::string_view
+blocked_lanes::LaneOf(const session& aWaiting)
+{
+  if (aWaiting.IsRelay()) {
+    return aWaiting.relaysTo;
+  }
+  return NeedsPrimary(*aWaiting.current) ? kPrimaryLane : kReadsLane;
+}
+
+const blocked_lanes::blocked_lane*
+blocked_lanes::Find(const session& aWaiting) const
+{
+  const auto found =
+    std::find_if(mBlocked.begin(), mBlocked.end(), [&](const auto& aOne) {
+      return aOne.lane == LaneOf(aWaiting) &&
+             aOne.customer == aWaiting.current->customer;
+    });
+  return found == mBlocked.end() ? nullptr : &*found;
+}
+
 bool
 blocked_lanes::Holds(const session& aWaiting) const
 {
-  if (aWaiting.IsRelay()) {
-    return std::find(mRelays.begin(), mRelays.end(), aWaiting.relaysTo) !=
-           mRelays.end();
+  if (const auto* found = Find(aWaiting)) {
+    return found->found >= MostTried(aWaiting);
   }
-  return NeedsPrimary(*aWaiting.current) ? mPrimary : mReads >= kReadsTried;
+  const auto customers =
+    std::count_if(mBlocked.begin(), mBlocked.end(), [&](const auto& aOne) {
+      return aOne.lane == LaneOf(aWaiting);
+    });
+  return static_cast<std::size_t>(customers) >= kCustomersTried;
 }
 
 void
 blocked_lanes::Add(const session& aWaiting)
 {
-  if (aWaiting.IsRelay()) {
-    mRelays.push_back(aWaiting.relaysTo);
-  } else if (NeedsPrimary(*aWaiting.current)) {
-    mPrimary = true;
-  } else {
-    ++mReads;
+  if (const auto* found = Find(aWaiting)) {
+    ++mBlocked[static_cast<std::size_t>(found - mBlocked.data())].found;
+    return;
   }
+  mBlocked.push_back(
+    { std::string(LaneOf(aWaiting)), aWaiting.current->customer, 1 });
 }
 
 } // namespace currantshed::proxy
--- a/src/currantshed/proxy/request.hpp
+++ b/src/currantshed/proxy/request.hpp
@@ -17,6 +17,8 @@
 /// How far a request has come.
 enum class stage
 {
+  /// Waits for leave to begin within its customer's quota.
+  kAwaitingToken,
   /// Waits for a server connection.
   kWaiting,
   /// The session's values are being brought to the connection.
@@ -45,6 +47,8 @@
   std::uint64_t number = 0;
   session_statement asked;
   std::shared_ptr<const route> under;
+  /// Whose it is; empty where customers are not told apart.
+  std::string customer;
   bool needsPrimary = false;
   /// Whether a success makes a change last: a single write, or a commit.
   bool commits = false;
--- a/src/currantshed/proxy/server_state.cpp
+++ b/src/currantshed/proxy/server_state.cpp
@@ -40,6 +40,9 @@
 // of some hundred bytes there.
 constexpr std::size_t kMostRelayed = 32;
 constexpr unsigned kMostOpeningRelayed = 4;
+// Direct connections that are opened at once where each belongs to a customer:
+// each opening takes one of the server's few slots from those that work.
+constexpr unsigned kMostOpeningDirect = 2;
 // A connection usually opens within some 20 ms; after this time another way is
 // tried beside it.
 constexpr milliseconds kSlowOpening{ 100 };
@@ -124,12 +127,15 @@
 }
 
 connection*
-server_state::Idle(const session_values& aValues, bool aOnlyDirect)
+server_state::Idle(const session_values& aValues,
+                   bool aOnlyDirect,
+                   const std::string* aCustomer)
 {
   connection* found = nullptr;
   int best = 0;
   for (const auto& one : connections) {
-    if (!one->IsIdle() || one->retiring || (aOnlyDirect && !one->IsDirect())) {
+    if (!one->IsIdle() || one->retiring || (aOnlyDirect && !one->IsDirect()) ||
+        (aCustomer != nullptr && !one->Serves(*aCustomer))) {
       continue;
     }
     const int worth =
@@ -143,11 +149,12 @@
 }
 
 const path*
-server_state::OpenWay(clock::time_point aNow) const
+server_state::OpenWay(clock::time_point aNow,
+                      const std::string& aCustomer) const
 {
   for (const auto& way : plan.paths) {
     if (way.IsDirect()) {
-      if (MayOpenDirect(plan.connections, aNow) && Opening(true) == 0) {
+      if (MayOpenFor(aCustomer, aNow)) {
         return &way;
       }
       // One that holds connections waits for one of them, unless it has none
@@ -216,8 +223,51 @@
     });
 }
 
+bool
+server_state::MayOpenFor(const std::string& aCustomer,
+                         clock::time_point aNow) const
+{
+  const auto opening = Opening(true);
+  const bool isAwaited = std::any_of(
+    connections.begin(), connections.end(), [&aCustomer](const auto& aOne) {
+      return !aOne->IsOpen() && aOne->IsDirect() && aOne->customer == aCustomer;
+    });
+  const auto most = aCustomer.empty() ? 1 : kMostOpeningDirect;
+  if (isAwaited || opening >= most) {
+    return false;
+  }
+  return MayOpenDirect(plan.connections, aNow) ||
+         (MayAsk(aNow) && LeastUsed(aCustomer) != nullptr);
+}
+
+connection*
+server_state::LeastUsed(const std::string& aCustomer) const
+{
+  connection* found = nullptr;
+  for (const auto& one : connections) {
+    const bool isOther =
+      one->IsIdle() && one->IsDirect() && one->customer != aCustomer;
+    if (isOther && (found == nullptr || one->idleSince < found->idleSince)) {
+      found = one.get();
+    }
+  }
+  return found;
+}
+
+bool
+server_state::MayAsk(clock::time_point aNow) const
+{
+  return aNow >= mNoOpenUntil && !IsAvoided(aNow);
+}
+
 bool
 server_state::MayOpenDirect(std::size_t aLimit, clock::time_point aNow) const
+{
+  return HasRoom(aLimit, aNow) && MayAsk(aNow);
+}
+
+bool
+server_state::HasRoom(std::size_t aLimit, clock::time_point aNow) const
 {
   std::size_t direct = 0;
   std::size_t heldUp = 0;
@@ -225,8 +275,7 @@
     direct += one->IsDirect() ? 1 : 0;
     heldUp += one->IsDirect() && one->IsHeldUp(aNow) ? 1 : 0;
   }
-  return direct - heldUp < aLimit && direct < kMostHeldUp * aLimit &&
-         aNow >= mNoOpenUntil && !IsAvoided(aNow);
+  return direct - heldUp < aLimit && direct < kMostHeldUp * aLimit;
 }
 
 bool
--- a/src/currantshed/proxy/server_state.hpp
+++ b/src/currantshed/proxy/server_state.hpp
@@ -39,12 +39,27 @@
   [[nodiscard]] std::size_t Count(bool aDirect) const;
 
   /// An idle connection: a direct one if there is one, and one that has the
-  /// session's values.
+  /// session's values. With a customer, one that serves it.
   [[nodiscard]] connection* Idle(const session_values& aValues,
-                                 bool aOnlyDirect);
+                                 bool aOnlyDirect,
+                                 const std::string* aCustomer = nullptr);
 
-  /// The way on which another connection may be opened now, or null.
-  [[nodiscard]] const path* OpenWay(clock::time_point aNow) const;
+  /// The way on which another connection for the customer may be opened now, or
+  /// null.
+  [[nodiscard]] const path* OpenWay(clock::time_point aNow,
+                                    const std::string& aCustomer = {}) const;
+
+  /// Whether a direct connection for the customer may be opened: there is room,
+  /// or an idle one of another customer can make some.
+  [[nodiscard]] bool MayOpenFor(const std::string& aCustomer,
+                                clock::time_point aNow) const;
+
+  /// Whether this VM may have more direct connections than it has.
+  [[nodiscard]] bool HasRoom(std::size_t aLimit, clock::time_point aNow) const;
+
+  /// The idle direct connection of another customer that has been idle for
+  /// longest, or null.
+  [[nodiscard]] connection* LeastUsed(const std::string& aCustomer) const;
 
   /// Whether another direct connection may be opened.
   [[nodiscard]] bool MayOpenDirect(std::size_t aLimit,
@@ -112,6 +127,8 @@
   [[nodiscard]] openings OpeningVia(const std::string& aVm,
                                     clock::time_point aNow) const;
   void StartAnew(clock::time_point aNow);
+  /// Whether the server may be asked for a connection now.
+  [[nodiscard]] bool MayAsk(clock::time_point aNow) const;
   [[nodiscard]] bool IsWayAvoided(const std::string& aVm,
                                   clock::time_point aNow) const;
   /// Whether direct connections fail, or take too long to open.
--- a/src/currantshed/proxy/session.hpp
+++ b/src/currantshed/proxy/session.hpp
@@ -57,6 +57,10 @@
 struct open_transaction
 {
   std::shared_ptr<const route> under;
+  /// Whose it is; empty where customers are not told apart.
+  std::string customer;
+  /// Whether it counts into its customer's quota already.
+  bool isCounted = false;
   bool readOnly = false;
   bool failed = false;
   /// Its server connection broke while no statement was under way.
@@ -94,6 +98,8 @@
 
   std::uint64_t number;
   std::string database;
+  /// What the caller showed to tell whose its requests are.
+  std::string key;
   /// The server that another VM reaches through this session, or empty.
   upstream::server_id relaysTo;
   /// What takes the place of a route then.
--- a/src/currantshed/proxy/statement.cpp
+++ b/src/currantshed/proxy/statement.cpp
@@ -30,6 +30,8 @@
       return "no_database";
     case failure_code::kNoStatement:
       return "no_statement";
+    case failure_code::kNotAuthorized:
+      return "not_authorized";
     case failure_code::kOther:
       break;
   }
--- a/src/currantshed/proxy/statement.hpp
+++ b/src/currantshed/proxy/statement.hpp
@@ -48,6 +48,8 @@
   bool writes = false;
   /// The log must have this position; between VMs only.
   std::optional<position::log_position> floor;
+  /// Whose request it is; between VMs only.
+  std::string customer;
 };
 
 /// Why a request has no result. The first group promises that nothing of the
@@ -67,6 +69,8 @@
   kMalformed,
   kNoDatabase,
   kNoStatement,
+  /// No customer holds the caller's key.
+  kNotAuthorized,
   /// A code that this version does not know; the text has it.
   kOther,
 };
@@ -167,6 +171,9 @@
   bool writes = false;
   /// For kFence and kDemote.
   position::term_id term = 0;
+  /// Whose request it is: told to other VMs, on whose connections to servers
+  /// it runs.
+  std::string customer;
 };
 
 } // namespace currantshed::proxy
--- a/src/currantshed/proxy/upstream_link.hpp
+++ b/src/currantshed/proxy/upstream_link.hpp
@@ -2,6 +2,7 @@
 #define CURRANTSHED_PROXY_UPSTREAM_LINK_HPP
 
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "currantshed/clock/time.hpp"
@@ -55,9 +56,14 @@
 public:
   virtual ~link_opener() = default;
 
-  /// Begins to connect on the given way. The listener outlives the link.
-  [[nodiscard]] virtual std::unique_ptr<upstream_link>
-  Open(const server& aServer, const path& aVia, link_listener& aListener) = 0;
+  /// Begins to connect on the given way. A direct connection belongs to the
+  /// customer; one through another VM serves all. The listener outlives the
+  /// link.
+  [[nodiscard]] virtual std::unique_ptr<upstream_link> Open(
+    const server& aServer,
+    const path& aVia,
+    const std::string& aCustomer,
+    link_listener& aListener) = 0;
 };
 
 } // namespace currantshed::proxy
--- a/src/currantshed/store/key_value.hpp
+++ b/src/currantshed/store/key_value.hpp
@@ -105,6 +105,11 @@
                      std::chrono::milliseconds aAtMost,
                      watch_callback aDone) = 0;
 
+  /// The changes after the revision, at once; beside a watch of the prefix.
+  virtual void ChangesSince(std::string aPrefix,
+                            revision aAfter,
+                            watch_callback aDone) = 0;
+
   /// Gives a watch up: its callback comes with an error.
   virtual void CancelWatch(const std::string& aPrefix) = 0;
 
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -46,9 +46,9 @@
   }
   mIsCalling = true;
   if (mMustRead) {
-    Read();
+    Read(aNow);
   } else {
-    Follow();
+    Follow(aNow);
   }
 }
 
@@ -100,68 +100,117 @@
 }
 
 void
-prefix_view::Read()
+prefix_view::Read(clock::time_point aNow)
 {
   mStore.Range(mPrefix,
-               [this, alive = mAlive](std::error_code aError,
-                                      std::vector<item> aItems,
-                                      revision aRevision,
-                                      clock::time_point aNow) {
+               [this, alive = mAlive, asked = aNow](std::error_code aError,
+                                                    std::vector<item> aItems,
+                                                    revision aRevision,
+                                                    clock::time_point aDone) {
                  if (!*alive) {
                    return;
                  }
                  mIsCalling = false;
                  if (aError) {
-                   Failed(aError, aNow);
+                   Failed(aError, aDone);
                    return;
                  }
-                 mAnsweredAt = aNow;
+                 mAnsweredAt = aDone;
                  TakeAll(std::move(aItems), aRevision);
+                 Prove(asked);
                  mMustRead = false;
                  mIsKnown = true;
                  mMayBeOld = true;
                  mMissedSome = false;
-                 Succeeded(false, aNow);
-                 mListener.changed(aNow);
+                 Succeeded(false, aDone);
+                 mListener.changed(aDone);
                });
 }
 
+void
+prefix_view::Check(clock::time_point aNow,
+                   std::function<void(bool, clock::time_point)> aDone)
+{
+  if (mIsChecking || !mIsKnown) {
+    return;
+  }
+  mIsChecking = true;
+  mStore.ChangesSince(
+    mPrefix,
+    mSeen,
+    [this, alive = mAlive, asked = aNow, done = std::move(aDone)](
+      std::error_code aError,
+      std::vector<key_change> aChanges,
+      revision aRevision,
+      clock::time_point aAnswered) {
+      if (!*alive) {
+        return;
+      }
+      mIsChecking = false;
+      if (!aError) {
+        const bool isChanged = TakeChanges(std::move(aChanges), aRevision);
+        Prove(asked);
+        if (isChanged) {
+          mListener.changed(aAnswered);
+        }
+      }
+      done(!aError, aAnswered);
+    });
+}
+
+void
+prefix_view::Prove(clock::time_point aAt) noexcept
+{
+  mProvedAt = std::max(mProvedAt, aAt);
+}
+
+// Returns whether there was anything new.
+bool
+prefix_view::TakeChanges(std::vector<key_change> aChanges, revision aUpTo)
+{
+  bool isChanged = false;
+  for (auto& one : aChanges) {
+    isChanged = TakeOne(std::move(one)) || isChanged;
+  }
+  mSeen = std::max(mSeen, aUpTo);
+  return isChanged;
+}
+
 // What another VM has seen before is on its way now: only a watch that says
 // nothing for as long as it may counts as hung.
 void
-prefix_view::Follow()
+prefix_view::Follow(clock::time_point aNow)
 {
   mBehindSince.reset();
-  mStore.Watch(mPrefix,
-               mSeen,
-               mSettings.wait,
-               [this, alive = mAlive](std::error_code aError,
-                                      std::vector<key_change> aChanges,
-                                      revision aRevision,
-                                      clock::time_point aNow) {
-                 if (!*alive) {
-                   return;
-                 }
-                 mIsCalling = false;
-                 if (aError) {
-                   // What was missed while there was no watch may be gone.
-                   mMustRead = mMustRead || aError == errc::kHistoryGone;
-                   Failed(aError, aNow);
-                   return;
-                 }
-                 mAnsweredAt = aNow;
-                 bool isChanged = false;
-                 for (auto& one : aChanges) {
-                   isChanged = TakeOne(std::move(one)) || isChanged;
-                 }
-                 mSeen = std::max(mSeen, aRevision);
-                 mMayBeOld = mMissedSome;
-                 mMissedSome = false;
-                 Succeeded(!aChanges.empty(), aNow);
-                 if (isChanged) {
-                   mListener.changed(aNow);
-                 }
-               });
+  mStore.Watch(
+    mPrefix,
+    mSeen,
+    mSettings.wait,
+    [this, alive = mAlive, asked = aNow](std::error_code aError,
+                                         std::vector<key_change> aChanges,
+                                         revision aRevision,
+                                         clock::time_point aDone) {
+      if (!*alive) {
+        return;
+      }
+      mIsCalling = false;
+      if (aError) {
+        // What was missed while there was no watch may be gone.
+        mMustRead = mMustRead || aError == errc::kHistoryGone;
+        Failed(aError, aDone);
+        return;
+      }
+      mAnsweredAt = aDone;
+      const bool hasSome = !aChanges.empty();
+      const bool isChanged = TakeChanges(std::move(aChanges), aRevision);
+      Prove(asked);
+      mMayBeOld = mMissedSome;
+      mMissedSome = false;
+      Succeeded(hasSome, aDone);
+      if (isChanged) {
+        mListener.changed(aDone);
+      }
+    });
 }
 
 // All keys, as a reading of the store or another VM has them.
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -98,6 +98,22 @@
     return mFedUntil;
   }
 
+  /// Asks the store whether there is anything newer, whatever is under way.
+  /// Calls back with whether it has answered.
+  void Check(clock::time_point aNow,
+             std::function<void(bool, clock::time_point)> aDone);
+
+  /// Another VM has shown that nothing newer than these keys stood in the store
+  /// at that time.
+  void Prove(clock::time_point aAt) noexcept;
+
+  /// The latest time at which nothing newer than these keys is known to have
+  /// stood in the store.
+  [[nodiscard]] clock::time_point ProvedAt() const noexcept
+  {
+    return mProvedAt;
+  }
+
   /// Another VM passes changes on. What does not follow on what is known here,
   /// or is no newer, is left out. Returns whether all up to its end is known
   /// here, so that these keys are as new as the other VM's.
@@ -130,10 +146,12 @@
 
 private:
   void ReadAgain();
-  void Read();
+  void Read(clock::time_point aNow);
   void TakeAll(std::vector<item> aItems, revision aRevision);
   [[nodiscard]] bool TakeOne(key_change aChange);
-  void Follow();
+  [[nodiscard]] bool TakeChanges(std::vector<key_change> aChanges,
+                                 revision aUpTo);
+  void Follow(clock::time_point aNow);
   void Failed(std::error_code aError, clock::time_point aNow);
   void Succeeded(bool aChanged, clock::time_point aNow);
   [[nodiscard]] std::chrono::milliseconds Pause() const;
@@ -155,6 +173,8 @@
   bool mMissedSome = true;
   bool mIsCalling = false;
   bool mIsHeld = false;
+  bool mIsChecking = false;
+  clock::time_point mProvedAt{};
   clock::time_point mFedUntil{};
   // When the last answer came of a call for these keys.
   clock::time_point mAnsweredAt{};
--- /dev/null
+++ b/test/currantshed/node/token_desk.cpp
@@ -0,0 +1,148 @@
+#include "currantshed/node/token_desk.hpp"
+
+#include <chrono>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr clock::time_point kStart{ 1h };
+
+node::token_desk
+Desk()
+{
+  node::token_desk made;
+  made.SetCollectors({ "own-1", "own-2", "far-1", "far-2" });
+  return made;
+}
+
+/// One collector's answer; none where it is silent.
+struct reply
+{
+  const char* vm;
+  bool isSilent = false;
+  unsigned count = 0;
+  std::chrono::milliseconds retryAfter{ 0 };
+};
+
+struct desk_row
+{
+  const char* name;
+  unsigned wanted;
+  std::vector<reply> replies;
+  unsigned granted;
+  unsigned refused;
+  std::chrono::milliseconds retryAfter;
+};
+
+const desk_row kRows[] = {
+  { "the own collector has some", 1, { { "own-1", false, 1 } }, 1, 0, 0ms },
+  { "the second one helps out",
+    3,
+    { { "own-1", false, 1, 300ms }, { "own-2", false, 2 } },
+    3,
+    0,
+    0ms },
+  { "all asked are short: the soonest counts",
+    1,
+    { { "own-1", false, 0, 300ms },
+      { "own-2", false, 0, 200ms },
+      { "far-1", false, 0, 900ms } },
+    0,
+    1,
+    200ms },
+  { "a silent one is passed over",
+    1,
+    { { "own-1", true }, { "own-2", false, 1 } },
+    1,
+    0,
+    0ms },
+  { "nobody says anything",
+    1,
+    { { "own-1", true }, { "own-2", true }, { "far-1", true } },
+    0,
+    1,
+    500ms },
+};
+
+} // namespace
+
+TEST_GROUP(token_desk){};
+
+TEST(token_desk, Collectors_are_asked_in_turn)
+{
+  for (const auto& row : kRows) {
+    auto desk = Desk();
+    auto now = kStart;
+    desk.Want("baker", row.wanted, now);
+    for (const auto& one : row.replies) {
+      const auto asks = desk.TakeAsks();
+      LONGS_EQUAL_TEXT(1, asks.size(), row.name);
+      STRCMP_EQUAL_TEXT(one.vm, asks.front().vm.c_str(), row.name);
+      if (one.isSilent) {
+        now = desk.NextTick();
+        desk.Tick(now);
+      } else {
+        now += 2ms;
+        desk.Answered(asks.front().number, one.count, one.retryAfter, now);
+      }
+    }
+    CHECK_TEXT(desk.TakeAsks().empty(), row.name);
+    unsigned granted = 0;
+    unsigned refused = 0;
+    for (const auto& one : desk.TakeOutcomes()) {
+      granted += one.granted;
+      refused += one.refused;
+      CHECK_TEXT(one.refused == 0 || one.retryAfter == row.retryAfter,
+                 row.name);
+    }
+    LONGS_EQUAL_TEXT(row.granted, granted, row.name);
+    LONGS_EQUAL_TEXT(row.refused, refused, row.name);
+  }
+}
+
+TEST(token_desk, An_answer_counts_once)
+{
+  auto desk = Desk();
+  desk.Want("baker", 1, kStart);
+  const auto number = desk.TakeAsks().front().number;
+  desk.Answered(number, 1, 0ms, kStart + 2ms);
+  desk.Answered(number, 1, 0ms, kStart + 3ms);
+  LONGS_EQUAL(1, desk.TakeOutcomes().size());
+}
+
+TEST(token_desk, Shares_go_to_one_that_speaks)
+{
+  auto desk = Desk();
+  STRCMP_EQUAL("own-1", desk.Current(kStart).c_str());
+  desk.Want("baker", 1, kStart);
+  desk.Tick(kStart + 100ms);
+  STRCMP_EQUAL("own-2", desk.Current(kStart + 100ms).c_str());
+  STRCMP_EQUAL("own-1", desk.Current(kStart + 1100ms).c_str());
+  desk.SetCollectors({});
+  STRCMP_EQUAL("", desk.Current(kStart).c_str());
+}
+
+// While a customer's tokens are used up everywhere nobody is asked again.
+TEST(token_desk, A_customer_without_tokens_is_refused_at_once)
+{
+  auto desk = Desk();
+  desk.Want("baker", 1, kStart);
+  for (auto asks = desk.TakeAsks(); !asks.empty(); asks = desk.TakeAsks()) {
+    desk.Answered(asks.front().number, 0, 400ms, kStart);
+  }
+  LONGS_EQUAL(1, desk.TakeOutcomes().size());
+  desk.Want("baker", 2, kStart + 50ms);
+  CHECK(desk.TakeAsks().empty());
+  const auto told = desk.TakeOutcomes();
+  LONGS_EQUAL(2, told.front().refused);
+  CHECK(told.front().retryAfter == 350ms);
+  desk.Want("smith", 1, kStart + 50ms);
+  LONGS_EQUAL(1, desk.TakeAsks().size());
+  desk.Want("baker", 1, kStart + 100ms);
+  LONGS_EQUAL(1, desk.TakeAsks().size());
+}
--- a/test/currantshed/proxy/engine_orders.cpp
+++ b/test/currantshed/proxy/engine_orders.cpp
@@ -26,6 +26,7 @@
   std::unique_ptr<proxy::upstream_link> Open(
     const proxy::server&,
     const path& aVia,
+    const std::string& /*aCustomer*/,
     proxy::link_listener& aListener) override
   {
     (aVia.IsDirect() ? direct : relayed).push_back(&aListener);
--- a/test/currantshed/proxy/load_world.cpp
+++ b/test/currantshed/proxy/load_world.cpp
@@ -205,6 +205,7 @@
   std::unique_ptr<proxy::upstream_link> Open(
     const proxy::server& aServer,
     const proxy::path& aVia,
+    const std::string& /*aCustomer*/,
     proxy::link_listener& aListener) override
   {
     if (aVia.IsDirect()) {
@@ -221,6 +222,10 @@
 
   void NeedsConfirmation(const std::string&) override {}
   void LeadDenied(const std::string&, position::term_id) override {}
+  void NeedsTokens(const std::string& /*aCustomer*/,
+                   unsigned /*aCount*/) override
+  {
+  }
   void Decided(const proxy::decision& aDecision) override
   {
     mWorld.mSentElsewhere += aDecision.outcome == "elsewhere" ? 1 : 0;
--- a/test/currantshed/proxy/refusals.cpp
+++ b/test/currantshed/proxy/refusals.cpp
@@ -46,6 +46,7 @@
   std::unique_ptr<proxy::upstream_link> Open(
     const proxy::server& aServer,
     const proxy::path&,
+    const std::string& /*aCustomer*/,
     proxy::link_listener& aListener) override
   {
     listeners[aServer.id] = &aListener;
--- a/test/currantshed/proxy/relays.cpp
+++ b/test/currantshed/proxy/relays.cpp
@@ -23,6 +23,7 @@
   std::unique_ptr<proxy::upstream_link> Open(
     const proxy::server& /*aServer*/,
     const proxy::path& /*aVia*/,
+    const std::string& /*aCustomer*/,
     proxy::link_listener& aListener) override
   {
     listener = &aListener;
--- a/test/currantshed/proxy/server_state.cpp
+++ b/test/currantshed/proxy/server_state.cpp
@@ -93,7 +93,7 @@
     auto state = Holder();
     for (std::size_t i = 0; i < row.connections; ++i) {
       auto made = std::make_unique<proxy::connection>(
-        "i-1", "claims", "", events, kStart);
+        "i-1", "claims", "", "", events, kStart);
       made->Attach(std::make_unique<test::idle_link>());
       made->Opened(std::nullopt, kStart);
       made->Send({ {} }, { proxy::purpose::kStatement, kStart });
@@ -124,12 +124,12 @@
                        path{ "vm-3", "10.0.0.3", 7442 },
                        path{} };
   state.connections.push_back(std::make_unique<proxy::connection>(
-    "i-1", "claims", "vm-2", events, kStart));
+    "i-1", "claims", "vm-2", "", events, kStart));
   STRCMP_EQUAL("vm-2", state.OpenWay(kStart + 50ms)->vm.c_str());
   STRCMP_EQUAL("vm-3", state.OpenWay(kStart + 150ms)->vm.c_str());
   for (int i = 0; i < 4; ++i) {
     state.connections.push_back(std::make_unique<proxy::connection>(
-      "i-1", "claims", "vm-3", events, kStart + 150ms));
+      "i-1", "claims", "vm-3", "", events, kStart + 150ms));
   }
   // As many as may be opened through one VM at a time.
   CHECK(state.OpenWay(kStart + 160ms) == nullptr);
--- a/test/currantshed/proxy/silent_host.hpp
+++ b/test/currantshed/proxy/silent_host.hpp
@@ -14,6 +14,10 @@
 public:
   void NeedsConfirmation(const std::string&) override {}
   void LeadDenied(const std::string&, position::term_id) override {}
+  void NeedsTokens(const std::string& /*aCustomer*/,
+                   unsigned /*aCount*/) override
+  {
+  }
   void Decided(const proxy::decision&) override {}
   void Reached(const proxy::server&, bool, std::string_view) override {}
 };
--- a/test/currantshed/proxy/world.cpp
+++ b/test/currantshed/proxy/world.cpp
@@ -329,10 +329,15 @@
   std::unique_ptr<proxy::upstream_link> Open(
     const proxy::server& aServer,
     const proxy::path& aVia,
+    const std::string& /*aCustomer*/,
     proxy::link_listener& aListener) override;
 
   void NeedsConfirmation(const std::string&) override {}
   void LeadDenied(const std::string&, position::term_id) override {}
+  void NeedsTokens(const std::string& /*aCustomer*/,
+                   unsigned /*aCount*/) override
+  {
+  }
   void Decided(const proxy::decision&) override {}
   void Reached(const proxy::server&, bool, std::string_view) override {}
 
@@ -347,6 +352,7 @@
 std::unique_ptr<proxy::upstream_link>
 world::vm::Open(const proxy::server& aServer,
                 const proxy::path& aVia,
+                const std::string& /*aCustomer*/,
                 proxy::link_listener& aListener)
 {
   if (aVia.IsDirect()) {
--- a/test/currantshed/store/fake_key_value.hpp
+++ b/test/currantshed/store/fake_key_value.hpp
@@ -40,6 +40,7 @@
   std::vector<watch> watches;
   std::chrono::milliseconds patience{ 0 };
   int ranges = 0;
+  int checks = 0;
   int commits = 0;
 
   void Put(const std::string& aKey,
@@ -126,6 +127,16 @@
     watches.push_back({ aPrefix, aAfter, aDone });
   }
 
+  void ChangesSince(std::string aPrefix,
+                    store::revision aAfter,
+                    watch_callback aDone) override
+  {
+    ++checks;
+    mCalls.push_back([this, aPrefix, aAfter, aDone] {
+      aDone(failing, Changes(aPrefix, aAfter), revision, now);
+    });
+  }
+
   void CancelWatch(const std::string& aPrefix) override
   {
     for (std::size_t i = 0; i < watches.size(); ++i) {
@@ -185,16 +196,23 @@
   void End(store::lease_id aLease) override { EndLease(aLease); }
 
 private:
+  [[nodiscard]] std::vector<store::key_change> Changes(
+    const std::string& aPrefix,
+    store::revision aAfter) const
+  {
+    std::vector<store::key_change> changes;
+    for (const auto& change : history) {
+      if (change.now.changed > aAfter && change.now.key.starts_with(aPrefix)) {
+        changes.push_back(change);
+      }
+    }
+    return changes;
+  }
+
   void AnswerWatches()
   {
     for (auto& one : std::exchange(watches, {})) {
-      std::vector<store::key_change> changes;
-      for (const auto& change : history) {
-        if (change.now.changed > one.after &&
-            change.now.key.starts_with(one.prefix)) {
-          changes.push_back(change);
-        }
-      }
+      const auto changes = Changes(one.prefix, one.after);
       if (changes.empty()) {
         watches.push_back(one);
       } else {
--- a/test/platform/documents.cpp
+++ b/test/platform/documents.cpp
@@ -55,6 +55,9 @@
 constexpr broken_row kBrokenSettings[] = {
   { "no name", "\"node_name\":\"front-1\",", "" },
   { "no ports", "[7440,7455]", "[]" },
+  { "a bound on keys without a time",
+    "\"bounds\":{",
+    "\"bounds\":{\"enforce_revoke_all\":true," },
   { "ports the wrong way round", "[7440,7455]", "[7455,7440]" },
   { "a port that is none", "10.1.0.8:8784", "10.1.0.8:x" },
   { "torn", "\"cloud_api\"", "\"cloud" },
@@ -91,6 +94,128 @@
   }
 }
 
+struct customers_row
+{
+  const char* name;
+  const char* customers;
+  const char* key;
+  /// Null where the key is nobody's.
+  const char* customer;
+  double perSecond;
+  double burst;
+};
+
+constexpr customers_row kCustomersRows[] = {
+  { "a limited one",
+    R"([{"name":"a","api_keys":["k","l"],"priority":1,"rate_per_s":18.5,"burst":20}])",
+    "l",
+    "a",
+    18.5,
+    20 },
+  { "a burst as large as the rate",
+    R"([{"name":"a","api_keys":["k"],"rate_per_s":18}])",
+    "k",
+    "a",
+    18,
+    18 },
+  { "one without limit",
+    R"([{"name":"a","api_keys":["k"]}])",
+    "k",
+    "a",
+    -1,
+    0 },
+  { "nobody", "[]", "k", nullptr, 0, 0 },
+  { "a name of two words is left out",
+    R"([{"name":"a b","api_keys":["k"]}])",
+    "k",
+    nullptr,
+    0,
+    0 },
+  { "one without a name is left out, the others are not",
+    R"([{"api_keys":["k"]},{"name":"b","api_keys":["l"]}])",
+    "l",
+    "b",
+    -1,
+    0 },
+  { "a negative rate is left out",
+    R"([{"name":"a","api_keys":["k"],"rate_per_s":-1}])",
+    "k",
+    nullptr,
+    0,
+    0 },
+  { "keys that are none",
+    R"([{"name":"a","api_keys":[7]}])",
+    "7",
+    nullptr,
+    0,
+    0 },
+};
+
+TEST(documents, customers)
+{
+  std::string whyNot;
+  const platform::json_documents documents;
+  CHECK(documents.ReadConfiguration(kConfiguration, whyNot)->customers ==
+        nullptr);
+  for (const auto& row : kCustomersRows) {
+    const auto text =
+      With(kConfiguration,
+           "\"services\"",
+           std::string("\"tenants\":") + row.customers + ",\"services\"");
+    const auto read = documents.ReadConfiguration(text, whyNot);
+    CHECK_TEXT(read != nullptr && read->customers != nullptr, row.name);
+    const auto found = read->customers->Find(row.key);
+    CHECK_TEXT((found == nullptr) == (row.customer == nullptr), row.name);
+    if (found == nullptr) {
+      continue;
+    }
+    STRCMP_EQUAL_TEXT(row.customer, found->name.c_str(), row.name);
+    CHECK_TEXT(found->limit.has_value() == (row.perSecond >= 0), row.name);
+    if (found->limit) {
+      DOUBLES_EQUAL_TEXT(
+        row.perSecond, found->limit->perSecond, 1e-9, row.name);
+      DOUBLES_EQUAL_TEXT(row.burst, found->limit->burst, 1e-9, row.name);
+    }
+  }
+}
+
+TEST(documents, routes_for_anyone)
+{
+  std::string whyNot;
+  const auto read = platform::json_documents().ReadConfiguration(
+    With(kConfiguration, "\"prefix\":\"/\"", "\"public\":true"), whyNot);
+  CHECK(read->routes.at("db1")->isPublic);
+  CHECK(!read->routes.at("db2")->isPublic);
+}
+
+struct bound_row
+{
+  const char* name;
+  const char* bounds;
+  std::chrono::milliseconds expect;
+};
+
+constexpr bound_row kBoundRows[] = {
+  { "none", "", std::chrono::milliseconds{ 0 } },
+  { "not enforced",
+    "\"enforce_revoke_all\":false,\"revoke_ms\":5000,",
+    std::chrono::milliseconds{ 0 } },
+  { "enforced",
+    "\"enforce_revoke_all\":true,\"revoke_ms\":5000,",
+    std::chrono::milliseconds{ 5000 } },
+};
+
+TEST(documents, how_long_keys_may_be_trusted)
+{
+  for (const auto& row : kBoundRows) {
+    std::string whyNot;
+    const auto read = platform::ReadSettings(
+      With(kSettings, "\"grace_s\"", std::string(row.bounds) + "\"grace_s\""),
+      whyNot);
+    CHECK_TEXT(read && read->keyBound == row.expect, row.name);
+  }
+}
+
 TEST(documents, settings)
 {
   std::string whyNot;
--- a/test/platform/statement_line.cpp
+++ b/test/platform/statement_line.cpp
@@ -106,7 +106,7 @@
 TEST(statement_line, reads_sessions)
 {
   const auto start = kCodec.ReadStart("START lepu270 u3f1 x");
-  CHECK(start && start->database == "lepu270" && start->who == "u3f1 x");
+  CHECK(start && start->database == "lepu270" && start->key == "u3f1 x");
   CHECK(!kCodec.ReadStart("START"));
   CHECK(!kCodec.ReadStart("QUERY 1 READ x"));
   CHECK(!kCodec.ReadRelayStart("START svc tenant"));
@@ -156,6 +156,60 @@
   STRCMP_EQUAL("ERROR INDOUBT why\r\nREADY E -\r\n", out.c_str());
 }
 
+// Servers are told the customer's name; what the system asks itself has a word
+// of its own.
+TEST(statement_line, sessions_at_servers_name_the_customer)
+{
+  proxy::server server;
+  server.service = "svc";
+  server.id = "i-7f";
+  std::string out;
+  kCodec.WriteServerStart(server, "baker", out);
+  STRCMP_EQUAL("START svc baker i-7f\r\n", out.c_str());
+  out.clear();
+  kCodec.WriteServerStart(server, "", out);
+  STRCMP_EQUAL("START svc currantshed i-7f\r\n", out.c_str());
+}
+
+struct relayed_row
+{
+  const char* line;
+  const char* customer;
+  bool isKnown;
+};
+
+constexpr relayed_row kRelayedRows[] = {
+  { "FOR baker QUERY 7 READ x", "baker", true },
+  { "FOR baker QUERY 7 AFTERLSN 1.2 READ x", "baker", true },
+  { "QUERY 7 READ x", "", true },
+};
+
+TEST(statement_line, relayed_commands_name_the_customer)
+{
+  for (const auto& row : kRelayedRows) {
+    const auto read = kCodec.ReadRelayed(row.line);
+    CHECK_TEXT(read && read->isKnown == row.isKnown, row.line);
+    STRCMP_EQUAL_TEXT(row.customer, read->asked.customer.c_str(), row.line);
+  }
+  for (const char* wrong : { "FOR", "FOR baker", "FOR QUERY 7 READ x" }) {
+    CHECK_TEXT(!kCodec.ReadRelayed(wrong), wrong);
+  }
+  proxy::command command;
+  command.id = "7";
+  command.text = "READ x";
+  command.customer = "baker";
+  std::string out;
+  kCodec.WriteRelayed(command, out);
+  STRCMP_EQUAL("FOR baker QUERY 7 READ x\r\n", out.c_str());
+}
+
+TEST(statement_line, a_key_that_is_not_known_is_no_promise)
+{
+  std::string out;
+  kCodec.WriteRefusedStart({ failure_code::kNotAuthorized, "why" }, out);
+  STRCMP_EQUAL("ERROR NOAUTH why\r\n", out.c_str());
+}
+
 // What one VM sends to another as to a server, the other reads as the same.
 TEST(statement_line, relayed_commands_come_back)
 {
