--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -317,6 +317,7 @@
   customer::time_share mShare;
   token_desk mTokens;
   clock::time_point mNextShare{};
+  clock::time_point mSharedAt{};
   clock::time_point mNextEnd{};
   server_list mServers;
   // The services of the configuration in force, once there is one.
--- a/src/currantshed/node/control_quota.cpp
+++ b/src/currantshed/node/control_quota.cpp
@@ -10,7 +10,6 @@
 
 #include "currantshed/clock/now.hpp"
 #include "currantshed/log/log.hpp"
-#include "currantshed/node/audience.hpp"
 #include "currantshed/node/feeders.hpp"
 
 namespace currantshed::node {
@@ -21,6 +20,9 @@
 
 // Time between two shares where no other message takes them along.
 constexpr milliseconds kShareInterval{ 400 };
+// The least time between two: what asks for tokens takes a share along, so that
+// after a start of all VMs the first operations find some.
+constexpr milliseconds kShortestShare{ 50 };
 // A share that was under way for longer is lost: what a broken way has held up
 // must not come all at once.
 constexpr milliseconds kLongestWay{ 700 };
@@ -42,7 +44,7 @@
 
 } // namespace
 
-// The own failure domain's collectors first, then the first of each other one.
+// The own failure domain's collectors, and the first of each other one.
 void
 control::NoteCollectors()
 {
@@ -54,14 +56,15 @@
     domains.insert(one.record.failureDomain);
   }
   mBank.SetBanks(std::max<std::size_t>(domains.size(), 1));
-  auto collectors = CollectorsOf(mOwnKeys, mSelf.failureDomain);
+  std::vector<std::string> others;
   for (const auto& domain : domains) {
-    const auto others = CollectorsOf(mOwnKeys, domain);
-    if (domain != mSelf.failureDomain && !others.empty()) {
-      AddNew(collectors, { others.front() });
+    const auto theirs = CollectorsOf(mOwnKeys, domain);
+    if (domain != mSelf.failureDomain && !theirs.empty()) {
+      others.push_back(theirs.front());
     }
   }
-  mTokens.SetCollectors(std::move(collectors));
+  mTokens.SetCollectors(CollectorsOf(mOwnKeys, mSelf.failureDomain),
+                        std::move(others));
 }
 
 // How many VMs share the customers' rates: those that are recorded count while
@@ -89,7 +92,9 @@
                    news::News& aOut,
                    clock::time_point aNow)
 {
-  if (KeepsQuotas() && aVm == mTokens.Current(aNow)) {
+  const bool isDue = aNow >= mSharedAt + kShortestShare;
+  if (isDue && KeepsQuotas() && aVm == mTokens.Current(aNow)) {
+    mSharedAt = aNow;
     mNextShare = aNow + 2 * kShareInterval;
     aOut.set_share_s(mShare.Take(FleetSize(), aNow).count());
   }
@@ -164,6 +169,7 @@
     }
   }
   for (auto& [vm, news] : told) {
+    FillShare(vm, news, aNow);
     mNews.Send(vm, std::move(news), aNow);
   }
   auto outcomes = mTokens.TakeOutcomes();
--- a/src/currantshed/node/token_desk.cpp
+++ b/src/currantshed/node/token_desk.cpp
@@ -13,7 +13,7 @@
 constexpr milliseconds kPatience{ 100 };
 // How long a collector that said nothing is not asked.
 constexpr milliseconds kSilence{ 1000 };
-// Collectors that are asked for one operation: its time is short.
+// VMs that are asked for one operation: its time is short.
 constexpr std::size_t kMostAsked = 3;
 // How long a customer whose tokens are used up everywhere is refused without
 // asking again.
@@ -24,9 +24,11 @@
 } // namespace
 
 void
-token_desk::SetCollectors(std::vector<std::string> aCollectors)
+token_desk::SetCollectors(std::vector<std::string> aOwn,
+                          std::vector<std::string> aOthers)
 {
-  mCollectors = std::move(aCollectors);
+  mOwn = std::move(aOwn);
+  mOthers = std::move(aOthers);
 }
 
 bool
@@ -39,8 +41,33 @@
 std::string
 token_desk::Current(clock::time_point aNow) const
 {
-  for (const auto& vm : mCollectors) {
-    if (!IsSilent(vm, aNow)) {
+  for (const auto* some : { &mOwn, &mOthers }) {
+    for (const auto& vm : *some) {
+      if (!IsSilent(vm, aNow)) {
+        return vm;
+      }
+    }
+  }
+  return {};
+}
+
+// The collector to ask next; empty where there is none left.
+std::string
+token_desk::NextFor(const pending& aWhat, clock::time_point aNow) const
+{
+  const auto wasAsked = [&aWhat](const std::string& aVm) {
+    return std::find(aWhat.asked.begin(), aWhat.asked.end(), aVm) !=
+           aWhat.asked.end();
+  };
+  if (aWhat.asked.size() >= kMostAsked) {
+    return {};
+  }
+  const auto current = Current(aNow);
+  if (!current.empty() && !wasAsked(current)) {
+    return current;
+  }
+  for (const auto& vm : mOthers) {
+    if (!wasAsked(vm) && !IsSilent(vm, aNow)) {
       return vm;
     }
   }
@@ -66,13 +93,7 @@
 void
 token_desk::AskNext(pending aWhat, clock::time_point aNow)
 {
-  for (const auto& vm : mCollectors) {
-    const bool wasAsked =
-      std::find(aWhat.asked.begin(), aWhat.asked.end(), vm) !=
-      aWhat.asked.end();
-    if (wasAsked || IsSilent(vm, aNow) || aWhat.asked.size() >= kMostAsked) {
-      continue;
-    }
+  if (const auto vm = NextFor(aWhat, aNow); !vm.empty()) {
     aWhat.asked.push_back(vm);
     aWhat.askedAt = aNow;
     const auto number = ++mLastNumber;
--- a/src/currantshed/node/token_desk.hpp
+++ b/src/currantshed/node/token_desk.hpp
@@ -35,14 +35,16 @@
   clock::time_point askedAt;
 };
 
-/// Whom this VM asks for tokens, and for how long: the collector of its own
-/// failure domain first, and those of others where that one has none or says
-/// nothing. Asks for no time and sends nothing itself.
+/// Whom this VM asks for tokens, and for how long: the VM that collects those
+/// of its own failure domain first, then those of others, where that one has
+/// none or says nothing. Asks for no time and sends nothing itself.
 class token_desk
 {
 public:
-  /// Who collects tokens, in the order in which this VM asks them.
-  void SetCollectors(std::vector<std::string> aCollectors);
+  /// Who collects the tokens of the own failure domain, one after the other
+  /// while those before are silent, and who those of other domains.
+  void SetCollectors(std::vector<std::string> aOwn,
+                     std::vector<std::string> aOthers);
 
   /// The collector that this VM's share goes to; empty while there is none.
   [[nodiscard]] std::string Current(clock::time_point aNow) const;
@@ -78,10 +80,13 @@
   };
 
   void AskNext(pending aWhat, clock::time_point aNow);
+  [[nodiscard]] std::string NextFor(const pending& aWhat,
+                                    clock::time_point aNow) const;
   [[nodiscard]] bool IsSilent(const std::string& aVm,
                               clock::time_point aNow) const;
 
-  std::vector<std::string> mCollectors;
+  std::vector<std::string> mOwn;
+  std::vector<std::string> mOthers;
   absl::btree_map<std::string, clock::time_point> mSilentUntil;
   absl::btree_map<std::string, exhausted> mExhausted;
   std::map<std::uint64_t, pending> mPending;
--- a/test/currantshed/node/token_desk.cpp
+++ b/test/currantshed/node/token_desk.cpp
@@ -16,7 +16,7 @@
 Desk()
 {
   node::token_desk made;
-  made.SetCollectors({ "own-1", "own-2", "far-1", "far-2" });
+  made.SetCollectors({ "own-1", "own-2" }, { "far-1", "far-2" });
   return made;
 }
 
@@ -41,17 +41,17 @@
 
 const desk_row kRows[] = {
   { "the own collector has some", 1, { { "own-1", false, 1 } }, 1, 0, 0ms },
-  { "the second one helps out",
+  { "another failure domain helps out",
     3,
-    { { "own-1", false, 1, 300ms }, { "own-2", false, 2 } },
+    { { "own-1", false, 1, 300ms }, { "far-1", false, 2 } },
     3,
     0,
     0ms },
   { "all asked are short: the soonest counts",
     1,
     { { "own-1", false, 0, 300ms },
-      { "own-2", false, 0, 200ms },
-      { "far-1", false, 0, 900ms } },
+      { "far-1", false, 0, 200ms },
+      { "far-2", false, 0, 900ms } },
     0,
     1,
     200ms },
@@ -123,7 +123,7 @@
   desk.Tick(kStart + 100ms);
   STRCMP_EQUAL("own-2", desk.Current(kStart + 100ms).c_str());
   STRCMP_EQUAL("own-1", desk.Current(kStart + 1100ms).c_str());
-  desk.SetCollectors({});
+  desk.SetCollectors({}, {});
   STRCMP_EQUAL("", desk.Current(kStart).c_str());
 }
 
