Operations after a start of all VMs find tokens

The collectors were taken from the list of VMs, empty until leases are granted anew; one timeout of 100 ms while both ends started silenced a collector for a second; its late answer was thrown away; shares that the receiver could not date were lost. Change: collectors come from the recorded fleet while a VM starts; operations wait until one is known; a silent one is asked last, for 400 ms; a late answer counts; shares go out once the receiver can date them; the 400 ms that a restart takes at the least count as earned. A VM without proof of its keys asks others even if it takes itself for one that others follow. Ruled out: too small a share of a failure domain (refusals named 500 ms, the time given where nobody answers, before, and real waits after).

--- a/src/currantshed/customer/time_share.cpp
+++ b/src/currantshed/customer/time_share.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+// The least time between the end of a process and its next start. Customers
+// earn tokens in it as at any other time, and when all VMs start again nobody
+// else has kept them.
+constexpr std::chrono::milliseconds kRestart{ 400 };
 // Longer than VMs take between two times; what is handed on at once stays small
 // beside the burst that a customer is allowed.
 constexpr std::chrono::milliseconds kLongest{ 1000 };
@@ -13,10 +17,10 @@
 } // namespace
 
 void
-time_share::Begin(clock::time_point aNow) noexcept
+time_share::Begin(clock::time_point aStartedAt) noexcept
 {
   if (!mTakenAt) {
-    mTakenAt = aNow;
+    mTakenAt = aStartedAt - kRestart;
   }
 }
 
--- a/src/currantshed/customer/time_share.hpp
+++ b/src/currantshed/customer/time_share.hpp
@@ -21,8 +21,9 @@
 class time_share
 {
 public:
-  /// Shares are made from now on.
-  void Begin(clock::time_point aNow) noexcept;
+  /// The process has started at that time: shares are made from then on, and
+  /// for the time that it takes at the least until a VM that ends is back.
+  void Begin(clock::time_point aStartedAt) noexcept;
 
   /// What has been made since the last time, as one of so many VMs; what a VM
   /// that stood still might have made is lost.
--- a/src/currantshed/news/exchange.cpp
+++ b/src/currantshed/news/exchange.cpp
@@ -109,6 +109,14 @@
   }
 }
 
+bool
+exchange::IsReadable(const std::string& aVm, clock::time_point aNow) const
+{
+  const auto known = mSenders.find(aVm);
+  return known != mSenders.end() &&
+         known->second.offset.LowerBound(aNow).has_value();
+}
+
 // Most VMs have news for few others; a connection to each would cost memory.
 net::dealer*
 exchange::DealerTo(link& aLink)
--- a/src/currantshed/news/exchange.hpp
+++ b/src/currantshed/news/exchange.hpp
@@ -64,6 +64,10 @@
   /// Sends the news, with sender and clocks filled in.
   void Send(const std::string& aVm, News aNews, clock::time_point aNow);
 
+  /// Whether the VM can read the times of what is sent to it now.
+  [[nodiscard]] bool IsReadable(const std::string& aVm,
+                                clock::time_point aNow) const;
+
   /// Closes the links that nothing was sent on for a while. To be called about
   /// once a second.
   void CloseIdle(clock::time_point aNow);
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -346,6 +346,7 @@
   if (!mIsSettled && mSettledAt && now >= *mSettledAt) {
     mIsSettled = true;
     TellFleet(now);
+    NoteCollectors();
   }
   KeepFleet(now);
   UpdateReadiness(now);
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -180,6 +180,7 @@
                 clock::time_point aNow);
   void UpdateReadiness(clock::time_point aNow);
   void NoteCollectors();
+  [[nodiscard]] own_keys WithRecorded() const;
   [[nodiscard]] std::size_t FleetSize() const;
   [[nodiscard]] bool KeepsQuotas() const;
   void FillShare(const std::string& aVm,
@@ -251,6 +252,7 @@
   void TakeUpdates(const news::News& aNews,
                    const news::exchange::clock_reader& aClock,
                    clock::time_point aNow);
+  void AnswerSender(const std::string& aVm, clock::time_point aNow);
   void HeardChanges(const news::News& aNews, clock::time_point aNow);
   void TellSubscribers(clock::time_point aNow);
   /// The followed prefixes, in the order of their numbers in messages.
--- a/src/currantshed/node/control_feed.cpp
+++ b/src/currantshed/node/control_feed.cpp
@@ -128,16 +128,18 @@
   }
 }
 
-// Asks a feeder, the next one each time.
+// Asks a feeder, the next one each time, and others where those can't help.
 void
 control::Poll(clock::time_point aNow)
 {
-  if (mFeeders.empty() || aNow < mNextPoll) {
+  if (aNow < mNextPoll || (mFeeders.empty() && !LacksProof(aNow))) {
     return;
   }
   mNextPoll = aNow + kPollInterval;
-  AskUse(aNow);
-  SendWanted(mFeeders[++mTurn % mFeeders.size()], aNow);
+  if (!mFeeders.empty()) {
+    AskUse(aNow);
+    SendWanted(mFeeders[++mTurn % mFeeders.size()], aNow);
+  }
   // The feeders are cut off from the store as well: others may not be.
   const bool areCutOff =
     mRegistration.IsFailing() && aNow >= mOwnView.FedUntil();
@@ -251,6 +253,9 @@
       continue;
     }
     auto& view = *views[update.prefix()];
+    if (update.proved_at_us() != 0 && !aClock) {
+      AnswerSender(aNews.vm(), aNow);
+    }
     if (update.too_long()) {
       view.FedUntil(aNow);
       continue;
@@ -269,6 +274,16 @@
   }
 }
 
+// Says anything, so that the other VM can put its next times in terms of this
+// one's clock.
+void
+control::AnswerSender(const std::string& aVm, clock::time_point aNow)
+{
+  news::News told;
+  FillChanges(told);
+  mNews.Send(aVm, std::move(told), aNow);
+}
+
 // A feeder that has seen something new is asked at once.
 void
 control::HeardChanges(const news::News& aNews, clock::time_point aNow)
--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -118,7 +118,17 @@
     listed.push_back(one.record.where);
   }
   mKnownVms.Listed(listed, aNow);
-  mNews.SetPeers(mKnownVms.Reachable(aNow));
+  auto peers = mKnownVms.Reachable(aNow);
+  for (const auto& [name, one] : WithRecorded().vms) {
+    const bool isKnown =
+      std::any_of(peers.begin(), peers.end(), [&name](const auto& aPeer) {
+        return aPeer.vm == name;
+      });
+    if (!isKnown) {
+      peers.push_back(one.record.where);
+    }
+  }
+  mNews.SetPeers(peers);
 }
 
 // In which order the VMs ask for proofs of a group that nobody watches.
--- a/src/currantshed/node/control_quota.cpp
+++ b/src/currantshed/node/control_quota.cpp
@@ -48,25 +48,40 @@
 void
 control::NoteCollectors()
 {
+  const auto keys = WithRecorded();
   std::set<std::string> domains;
   for (const auto& one : mOwnKeys.fleet) {
     domains.insert(one.failureDomain);
   }
-  for (const auto& [name, one] : mOwnKeys.vms) {
+  for (const auto& [name, one] : keys.vms) {
     domains.insert(one.record.failureDomain);
   }
   mBank.SetBanks(std::max<std::size_t>(domains.size(), 1));
   std::vector<std::string> others;
   for (const auto& domain : domains) {
-    const auto theirs = CollectorsOf(mOwnKeys, domain);
+    const auto theirs = CollectorsOf(keys, domain);
     if (domain != mSelf.failureDomain && !theirs.empty()) {
       others.push_back(theirs.front());
     }
   }
-  mTokens.SetCollectors(CollectorsOf(mOwnKeys, mSelf.failureDomain),
+  mTokens.SetCollectors(CollectorsOf(keys, mSelf.failureDomain),
                         std::move(others));
 }
 
+// The VMs that are listed and, for a while after the start, those that were:
+// VMs that start together find each other's tokens before the list has them.
+own_keys
+control::WithRecorded() const
+{
+  auto keys = mOwnKeys;
+  if (!mIsSettled) {
+    for (const auto& one : mOwnKeys.fleet) {
+      keys.vms.try_emplace(one.where.vm, own_keys::listed_vm{ one, 0 });
+    }
+  }
+  return keys;
+}
+
 // How many VMs share the customers' rates: those that are recorded count while
 // they are away, since they may be back at any time.
 std::size_t
@@ -93,7 +108,9 @@
                    clock::time_point aNow)
 {
   const bool isDue = aNow >= mSharedAt + kShortestShare;
-  if (isDue && KeepsQuotas() && aVm == mTokens.Current(aNow)) {
+  // One that can't tell how old a share is would leave it out.
+  if (isDue && KeepsQuotas() && aVm == mTokens.Current(aNow) &&
+      mNews.IsReadable(aVm, aNow)) {
     mSharedAt = aNow;
     mNextShare = aNow + 2 * kShareInterval;
     aOut.set_share_s(mShare.Take(FleetSize(), aNow).count());
@@ -108,7 +125,7 @@
   if (!KeepsQuotas()) {
     return;
   }
-  mShare.Begin(aNow);
+  mShare.Begin(mStartedAt);
   mTokens.Tick(aNow);
   if (aNow >= mNextShare) {
     mNextShare = aNow + kShareInterval;
--- a/src/currantshed/node/token_desk.cpp
+++ b/src/currantshed/node/token_desk.cpp
@@ -11,14 +11,15 @@
 
 // An answer takes a few milliseconds, on a busy VM some dozen.
 constexpr milliseconds kPatience{ 100 };
-// How long a collector that said nothing is not asked.
-constexpr milliseconds kSilence{ 1000 };
+// How long a collector that said nothing is asked after all others. It may just
+// have started, as this VM has.
+constexpr milliseconds kSilence{ 400 };
 // VMs that are asked for one operation: its time is short.
 constexpr std::size_t kMostAsked = 3;
 // How long a customer whose tokens are used up everywhere is refused without
 // asking again.
 constexpr milliseconds kExhausted{ 100 };
-// When to come back where nobody could tell.
+// When to come back where nobody could tell; also how long an answer counts.
 constexpr milliseconds kUnknownRetry{ 500 };
 
 } // namespace
@@ -29,6 +30,13 @@
 {
   mOwn = std::move(aOwn);
   mOthers = std::move(aOthers);
+  if (IsAlone()) {
+    return;
+  }
+  for (auto& one : std::exchange(mUnasked, {})) {
+    const auto since = one.askedAt;
+    AskNext(std::move(one), since);
+  }
 }
 
 bool
@@ -48,7 +56,10 @@
       }
     }
   }
-  return {};
+  if (IsAlone()) {
+    return {};
+  }
+  return mOwn.empty() ? mOthers.front() : mOwn.front();
 }
 
 // The collector to ask next; empty where there is none left.
@@ -86,7 +97,13 @@
     mOutcomes.push_back({ aCustomer, 0, aCount, after });
     return;
   }
-  AskNext({ aCustomer, aCount }, aNow);
+  pending wanted{ aCustomer, aCount };
+  wanted.askedAt = aNow;
+  if (IsAlone()) {
+    mUnasked.push_back(std::move(wanted));
+    return;
+  }
+  AskNext(std::move(wanted), aNow);
 }
 
 // Asks the first collector that was not asked yet, or refuses.
@@ -115,6 +132,15 @@
                      milliseconds aRetryAfter,
                      clock::time_point aNow)
 {
+  if (const auto late = mLate.find(aNumber); late != mLate.end()) {
+    const auto granted = std::min(aCount, late->second.count);
+    if (granted > 0) {
+      mOutcomes.push_back(
+        { late->second.customer, granted, 0, {}, late->second.askedAt });
+    }
+    mLate.erase(late);
+    return;
+  }
   const auto found = mPending.find(aNumber);
   if (found == mPending.end()) {
     return;
@@ -141,10 +167,17 @@
 void
 token_desk::Tick(clock::time_point aNow)
 {
+  std::erase_if(mUnasked, [aNow](const auto& aOne) {
+    return aNow >= aOne.askedAt + kUnknownRetry;
+  });
+  while (!mLate.empty() &&
+         aNow >= mLate.begin()->second.askedAt + kUnknownRetry) {
+    mLate.erase(mLate.begin());
+  }
   while (!mPending.empty() &&
          aNow >= mPending.begin()->second.askedAt + kPatience) {
-    auto what = std::move(mPending.begin()->second);
-    mPending.erase(mPending.begin());
+    auto what = mPending.begin()->second;
+    mLate.insert(mPending.extract(mPending.begin()));
     mSilentUntil[what.asked.back()] = aNow + kSilence;
     AskNext(std::move(what), aNow);
   }
--- a/src/currantshed/node/token_desk.hpp
+++ b/src/currantshed/node/token_desk.hpp
@@ -84,12 +84,20 @@
                                     clock::time_point aNow) const;
   [[nodiscard]] bool IsSilent(const std::string& aVm,
                               clock::time_point aNow) const;
+  [[nodiscard]] bool IsAlone() const noexcept
+  {
+    return mOwn.empty() && mOthers.empty();
+  }
 
   std::vector<std::string> mOwn;
   std::vector<std::string> mOthers;
   absl::btree_map<std::string, clock::time_point> mSilentUntil;
   absl::btree_map<std::string, exhausted> mExhausted;
   std::map<std::uint64_t, pending> mPending;
+  /// Those that were asked elsewhere since: an answer may still come.
+  std::map<std::uint64_t, pending> mLate;
+  /// Wait for a collector to be known.
+  std::vector<pending> mUnasked;
   std::uint64_t mLastNumber = 0;
   std::vector<token_ask> mAsks;
   std::vector<token_outcome> mOutcomes;
--- a/test/currantshed/customer/tokens.cpp
+++ b/test/currantshed/customer/tokens.cpp
@@ -16,6 +16,7 @@
 
 constexpr clock::time_point kStart{ 1h };
 
+/// The time that passes has nothing of the start in it.
 struct share_row
 {
   const char* name;
@@ -63,7 +64,9 @@
   for (const auto& row : kShareRows) {
     customer::time_share made;
     CHECK_EQUAL(0.0, made.Take(1, kStart).count());
+    // What a start brings is taken first.
     made.Begin(kStart);
+    DOUBLES_EQUAL_TEXT(0.4, made.Take(1, kStart).count(), 1e-9, row.name);
     const auto got = made.Take(row.vms, kStart + row.passed);
     DOUBLES_EQUAL_TEXT(row.expect, got.count(), 1e-9, row.name);
     const auto again = made.Take(row.vms, kStart + row.passed);
