--- /dev/null
+++ b/test/currantshed/store/proved_view.cpp
@@ -0,0 +1,110 @@
+#include <chrono>
+#include <string>
+
+#include "currantshed/store/prefix_view.hpp"
+#include "test/currantshed/store/fake_key_value.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A view of one key, and what it was told.
+struct proved
+{
+  proved()
+    : view(store,
+           "a/",
+           {},
+           { [this](clock::time_point) { ++changes; },
+             [](bool, std::error_code) {} })
+  {
+    store.Put("a/1", "x");
+    view.Tick(store.now, 0);
+    asked = store.now;
+    store.now += 100ms;
+    store.Answer();
+  }
+
+  void Check()
+  {
+    asked = store.now;
+    view.Check(store.now, [this](bool aIsProof, clock::time_point) {
+      isProof = aIsProof;
+    });
+    store.now += 300ms;
+    store.Answer();
+  }
+
+  test::fake_key_value store;
+  int changes = 0;
+  bool isProof = false;
+  clock::time_point asked;
+  store::prefix_view view;
+};
+
+} // namespace
+
+TEST_GROUP(proved_view){};
+
+TEST(proved_view, A_reading_proves_as_of_its_asking)
+{
+  proved one;
+  CHECK(one.view.ProvedAt() == one.asked);
+}
+
+TEST(proved_view, A_watch_that_waits_proves_nothing)
+{
+  proved one;
+  const auto before = one.view.ProvedAt();
+  one.view.Tick(one.store.now, 0);
+  one.store.now += 20s;
+  one.store.Answer();
+  CHECK(one.view.ProvedAt() == before);
+}
+
+TEST(proved_view, A_check_proves_as_of_its_asking_and_brings_changes)
+{
+  proved one;
+  one.Check();
+  CHECK(one.isProof);
+  CHECK(one.view.ProvedAt() == one.asked);
+  const auto before = one.changes;
+  one.store.Put("a/1", "y");
+  one.Check();
+  LONGS_EQUAL(before + 1, one.changes);
+  STRCMP_EQUAL("y", one.view.Items().at("a/1").value.c_str());
+}
+
+TEST(proved_view, A_check_that_fails_proves_nothing)
+{
+  proved one;
+  const auto before = one.view.ProvedAt();
+  one.store.failing = store::make_error_code(store::errc::kTimeout);
+  one.Check();
+  CHECK(!one.isProof);
+  CHECK(one.view.ProvedAt() == before);
+}
+
+// The watch that is under way brings the same change a second time.
+TEST(proved_view, A_change_counts_once_beside_a_watch)
+{
+  proved one;
+  one.view.Tick(one.store.now, 0);
+  one.store.Put("a/1", "y");
+  const auto before = one.changes;
+  one.Check();
+  LONGS_EQUAL(before + 1, one.changes);
+}
+
+TEST(proved_view, Another_VMs_proof_takes_nothing_back)
+{
+  proved one;
+  const auto before = one.view.ProvedAt();
+  one.view.Prove(before - 1s);
+  CHECK(one.view.ProvedAt() == before);
+  one.view.Prove(before + 1s);
+  CHECK(one.view.ProvedAt() == before + 1s);
+}
