--- a/src/currantshed/customer/token_bank.cpp
+++ b/src/currantshed/customer/token_bank.cpp
@@ -13,11 +13,19 @@
 // the rule on quotas leaves room for: customers with a burst of less than an
 // operation a bank could begin none.
 constexpr double kBeyondBurst = 12;
+// The part of a burst that can be saved up where the rest is spread over the
+// window: both fit into one window with what the rule leaves room for.
+constexpr double kSavedPart = 0.3;
 constexpr milliseconds kSoonest{ 100 };
 constexpr milliseconds kLatest{ 2000 };
 
 } // namespace
 
+token_bank::token_bank(milliseconds aWindow) noexcept
+  : mWindow(aWindow)
+{
+}
+
 void
 token_bank::Deposit(const std::string& aVm,
                     std::uint64_t aIncarnation,
@@ -32,10 +40,19 @@
   mDeposited += aShare;
 }
 
+// What can be saved up.
 double
 token_bank::Most(const quota& aLimit) const noexcept
 {
-  return (aLimit.burst + kBeyondBurst) / static_cast<double>(mBanks);
+  const double part = mWindow.count() > 0 ? kSavedPart : 1.0;
+  return (aLimit.burst * part + kBeyondBurst) / static_cast<double>(mBanks);
+}
+
+double
+token_bank::Rate(const quota& aLimit) const noexcept
+{
+  return mWindow.count() > 0 ? aLimit.perSecond + aLimit.burst / mWindow.count()
+                             : aLimit.perSecond;
 }
 
 token_grant
@@ -48,7 +65,7 @@
   auto& held = mAccounts[aCustomer];
   const auto since = (mDeposited - held.counted).count();
   held.counted = mDeposited;
-  held.tokens = std::min(held.tokens + aLimit.perSecond * since, Most(aLimit));
+  held.tokens = std::min(held.tokens + Rate(aLimit) * since, Most(aLimit));
   const auto whole = std::floor(std::max(held.tokens, 0.0));
   const auto count =
     static_cast<unsigned>(std::min(whole, static_cast<double>(aWanted)));
@@ -59,7 +76,7 @@
   }
   held.refused += aWanted;
   const double rate =
-    std::max(aLimit.perSecond / static_cast<double>(mBanks), 1e-3);
+    std::max(Rate(aLimit) / static_cast<double>(mBanks), 1e-3);
   const auto until = std::chrono::duration<double>(
     (static_cast<double>(held.refused) - held.tokens) / rate);
   const auto bounded = std::min(until, std::chrono::duration<double>(kLatest));
--- a/src/currantshed/customer/token_bank.hpp
+++ b/src/currantshed/customer/token_bank.hpp
@@ -24,11 +24,17 @@
 
 /// The tokens of all customers at the VM that collects the shares of its
 /// failure domain. A token lets one operation of the customer begin. A bank
-/// that starts is empty; what it holds is bounded, so that no span of time sees
-/// more operations than the customer's rate and burst allow. Asks for no time.
+/// that starts is empty; what it holds is bounded, so that no window of time
+/// sees more operations than the customer's rate over it and its burst. A
+/// customer that asks for more all the time gets as much in every window; one
+/// that comes after a rest finds part of its burst. Asks for no time.
 class token_bank
 {
 public:
+  /// The window in which operations are counted; zero where a customer's burst
+  /// is what it may save up.
+  explicit token_bank(std::chrono::milliseconds aWindow) noexcept;
+
   /// How many banks hold tokens: each holds that part of a burst.
   void SetBanks(std::size_t aBanks) noexcept { mBanks = aBanks; }
 
@@ -61,7 +67,9 @@
   };
 
   [[nodiscard]] double Most(const quota& aLimit) const noexcept;
+  [[nodiscard]] double Rate(const quota& aLimit) const noexcept;
 
+  std::chrono::duration<double> mWindow;
   std::size_t mBanks = 1;
   share mDeposited{ 0 };
   absl::flat_hash_map<std::string, depositor> mDepositors;
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -129,6 +129,7 @@
   , mTurn(absl::Uniform<std::size_t>(mRandom, 0, 4096))
   , mKnownVms(aSettings.vm)
   , mFreshness(aSettings.keyBound)
+  , mBank(aSettings.quotaWindow)
   , mStartedAt(clock::Now())
   , mTicker(mContext, [this] { Tick(); })
 {
--- a/src/currantshed/node/settings.hpp
+++ b/src/currantshed/node/settings.hpp
@@ -47,6 +47,9 @@
   /// How long after a key was taken away, at most, requests with it may run;
   /// zero where there is no such bound.
   std::chrono::milliseconds keyBound{ 0 };
+  /// The window in which a customer's operations are counted; zero where none
+  /// is told.
+  std::chrono::milliseconds quotaWindow{ 0 };
   /// What the VM's own link carries in a second.
   double linkMegabits = 1000;
   /// Processor time of the VM, in thousandths of a core.
--- a/src/currantshed/node/traffic.cpp
+++ b/src/currantshed/node/traffic.cpp
@@ -355,6 +355,7 @@
                { "session", static_cast<std::int64_t>(aDecision.session) },
                { "outcome", std::string(aDecision.outcome) },
                { "reason", std::string(aDecision.reason) },
+               { "customer", std::string(aDecision.customer) },
                { "service", std::string(aDecision.service) },
                { "server", std::string(aDecision.server) },
                { "needs_primary", aDecision.needsPrimary },
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -57,6 +57,8 @@
   std::string_view outcome;
   std::uint64_t session = 0;
   std::string_view requestId;
+  /// Whose it is; empty where customers are not told apart.
+  std::string_view customer;
   std::string_view service;
   std::string_view server;
   std::string_view reason;
@@ -345,6 +347,9 @@
                                               clock::time_point aNow);
   [[nodiscard]] connection* ConnectionForRelay(session& aSession,
                                                clock::time_point aNow);
+  [[nodiscard]] const server_state* HomeOf(const request& aRequest,
+                                           const lead_state& aLead,
+                                           clock::time_point aNow) const;
   [[nodiscard]] bool CanServe(const server_state& aServer,
                               const request& aRequest,
                               const lead_state& aLead,
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -527,6 +527,7 @@
   made.outcome = aOutcome;
   made.session = aSession.number;
   made.requestId = request.asked.id;
+  made.customer = request.customer;
   made.service = request.under->service;
   made.server = request.ranOn;
   made.reason = aReason;
--- a/test/currantshed/customer/model.cpp
+++ b/test/currantshed/customer/model.cpp
@@ -61,7 +61,7 @@
   customer::freshness freshness{ kKeyBound };
   node::check_schedule checks;
   customer::time_share share;
-  customer::token_bank bank;
+  customer::token_bank bank{ kWindow };
   customer::token_purse purse;
   node::token_desk desk;
   clock::time_point nextShare{};
@@ -75,6 +75,7 @@
   , mMistake(aMistake)
   , mVms(kVms)
   , mNextChange(mTime.Now() + 4s)
+  , mLoops(aSeed % 4 == 0 ? 6 : 1)
 {
   for (std::size_t i = 0; i < kVms; ++i) {
     Restart(i);
@@ -246,7 +247,7 @@
       one.frozenUntil = Chance(250) ? until : one.frozenUntil;
     }
   }
-  if (Chance(1)) {
+  if (Chance(mLoops)) {
     mLoopUntil = now + 6s;
   }
   if (now < mLoopUntil && now >= mNextLoop) {
--- a/test/currantshed/customer/model.hpp
+++ b/test/currantshed/customer/model.hpp
@@ -90,6 +90,8 @@
   std::uint64_t mVersion = 0;
   clock::time_point mRevokedAt{};
   clock::time_point mNextChange;
+  /// How often, of a thousand steps, such a loop begins.
+  unsigned mLoops;
   bool mIsStoreAway = false;
   /// Until when those that collect tokens end and start again and again.
   clock::time_point mLoopUntil{};
--- a/test/currantshed/customer/tokens.cpp
+++ b/test/currantshed/customer/tokens.cpp
@@ -36,6 +36,8 @@
 struct withdrawal_row
 {
   const char* name;
+  /// Zero for none.
+  std::chrono::milliseconds window;
   std::size_t banks;
   customer::quota limit;
   /// Seconds of the whole rate that come in before.
@@ -46,13 +48,21 @@
 
 // Twelve tokens beyond the burst are held by all banks together.
 const withdrawal_row kWithdrawalRows[] = {
-  { "a bank that starts is empty", 1, { 100, 100 }, 0.0, 1, 0 },
-  { "what has come in", 1, { 100, 100 }, 0.1, 20, 10 },
-  { "no more than is wanted", 1, { 100, 100 }, 0.1, 3, 3 },
-  { "no more than the burst and a little", 1, { 100, 100 }, 60.0, 500, 112 },
-  { "a third of them in each of three", 3, { 100, 100 }, 60.0, 500, 37 },
-  { "a small customer's whole operations", 3, { 2, 2 }, 10.0, 9, 4 },
-  { "no rate", 1, { 0, 0 }, 60.0, 1, 0 },
+  { "a bank that starts is empty", 0ms, 1, { 100, 100 }, 0.0, 1, 0 },
+  { "what has come in", 0ms, 1, { 100, 100 }, 0.1, 20, 10 },
+  { "no more than is wanted", 0ms, 1, { 100, 100 }, 0.1, 3, 3 },
+  { "no more than the burst and a little",
+    0ms,
+    1,
+    { 100, 100 },
+    60.0,
+    500,
+    112 },
+  { "a third of them in each of three", 0ms, 3, { 100, 100 }, 60.0, 500, 37 },
+  { "a small customer's whole operations", 0ms, 3, { 2, 2 }, 10.0, 9, 4 },
+  { "no rate", 0ms, 1, { 0, 0 }, 60.0, 1, 0 },
+  { "a burst spread over a window", 5000ms, 1, { 100, 100 }, 0.1, 20, 12 },
+  { "what is saved up of it", 5000ms, 1, { 100, 100 }, 60.0, 500, 42 },
 };
 
 } // namespace
@@ -77,7 +87,7 @@
 TEST(tokens, A_bank_gives_what_came_in)
 {
   for (const auto& row : kWithdrawalRows) {
-    customer::token_bank bank;
+    customer::token_bank bank(row.window);
     bank.SetBanks(row.banks);
     (void)bank.Withdraw("baker", row.limit, 0);
     bank.Deposit("vm", 1, 1us, share{ row.deposited });
@@ -89,7 +99,7 @@
 
 TEST(tokens, A_share_counts_once)
 {
-  customer::token_bank bank;
+  customer::token_bank bank(0ms);
   const customer::quota limit{ 100, 100 };
   bank.Deposit("vm", 1, 5us, share{ 0.1 });
   bank.Deposit("vm", 1, 5us, share{ 0.1 });
@@ -102,7 +112,7 @@
 
 TEST(tokens, A_customer_does_not_take_anothers)
 {
-  customer::token_bank bank;
+  customer::token_bank bank(0ms);
   const customer::quota limit{ 100, 100 };
   bank.Deposit("vm", 1, 1us, share{ 0.1 });
   LONGS_EQUAL(10, bank.Withdraw("baker", limit, 99).count);
@@ -113,7 +123,7 @@
 // The more are refused, the later they come back, each in turn.
 TEST(tokens, Refused_operations_come_back_in_turn)
 {
-  customer::token_bank bank;
+  customer::token_bank bank(0ms);
   const customer::quota limit{ 10, 0 };
   const auto first = bank.Withdraw("baker", limit, 5).retryAfter;
   const auto second = bank.Withdraw("baker", limit, 5).retryAfter;
