--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -347,9 +347,6 @@
                                               clock::time_point aNow);
   [[nodiscard]] connection* ConnectionForRelay(session& aSession,
                                                clock::time_point aNow);
-  [[nodiscard]] const server_state* HomeOf(const request& aRequest,
-                                           const lead_state& aLead,
-                                           clock::time_point aNow) const;
   [[nodiscard]] bool CanServe(const server_state& aServer,
                               const request& aRequest,
                               const lead_state& aLead,
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -1,9 +1,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <absl/strings/str_cat.h>
-#include <xxhash.h>
-
 #include "currantshed/proxy/engine.hpp"
 
 namespace currantshed::proxy {
@@ -282,7 +279,6 @@
   auto& request = *aSession.current;
   auto& lead = LeadOf(request.under->service);
   request.floor = FloorOf(aSession, aNow);
-  const auto* home = HomeOf(request, lead, aNow);
   server_state* best = nullptr;
   clock::duration bestTime = clock::duration::max();
   bool needsProof = false;
@@ -301,8 +297,7 @@
       continue;
     }
     auto time = state.Expected(aNow);
-    const bool mayOpen = !isIdle || (home != nullptr && &state != home);
-    time += mayOpen ? kOpeningTime : milliseconds{ 0 };
+    time += isIdle ? milliseconds{ 0 } : kOpeningTime;
     time *= id == lead.proof.primary ? kPrimaryPenalty : 1;
     if (time < bestTime) {
       best = &state;
@@ -315,34 +310,6 @@
   return best == nullptr ? nullptr : Acquire(*best, aSession, aNow);
 }
 
-// The replica that a customer's reads go to where all are as fast: by hashing,
-// so that every VM picks the same, and the connection there is likely to be the
-// customer's. Null where connections serve all, or no replica can.
-const server_state*
-engine::HomeOf(const request& aRequest,
-               const lead_state& aLead,
-               clock::time_point aNow) const
-{
-  const server_state* home = nullptr;
-  std::uint64_t best = 0;
-  if (aRequest.customer.empty()) {
-    return nullptr;
-  }
-  for (const auto& [id, state] : mServers) {
-    if (state.listed.service != aRequest.under->service ||
-        id == aLead.proof.primary || !CanServe(state, aRequest, aLead, aNow)) {
-      continue;
-    }
-    const auto text = absl::StrCat(aRequest.customer, "\n", id);
-    const auto score = XXH3_64bits(text.data(), text.size());
-    if (home == nullptr || score > best) {
-      home = &state;
-      best = score;
-    }
-  }
-  return home;
-}
-
 bool
 engine::CanServe(const server_state& aServer,
                  const request& aRequest,
@@ -468,12 +435,7 @@
   if (found != mConfiguration->services.end()) {
     most = found->second.maxConnections;
   }
-  const auto& customers = mConfiguration->customers;
-  aServer.plan = PlanAccess(aServer.listed.id,
-                            most,
-                            mFleet,
-                            mSettings.vm,
-                            customers == nullptr ? 0 : customers->Size());
+  aServer.plan = PlanAccess(aServer.listed.id, most, mFleet, mSettings.vm);
 }
 
 void
--- a/src/currantshed/proxy/holders.cpp
+++ b/src/currantshed/proxy/holders.cpp
@@ -22,12 +22,6 @@
   return std::max<std::size_t>(part, 1);
 }
 
-// Of the connections, what one VM uses that holds them for all, and what each
-// of those may that stand in for it: the rest stays free for those that watch
-// the group, and for VMs that start again.
-constexpr std::size_t kParts = 7;
-constexpr std::size_t kHoldersParts = 5;
-
 // With fewer connections a VM, a transaction that waits for its caller blocks
 // the VM's other work.
 constexpr std::size_t kFewestOfOwn = 3;
@@ -112,18 +106,6 @@
   return holders;
 }
 
-// One VM holds most connections, those of other failure domains stand in.
-void
-PlanSingleHolder(access_plan& aPlan,
-                 std::size_t aMostConnections,
-                 bool aIsHolder,
-                 bool aStandsIn)
-{
-  const auto part = std::max<std::size_t>(aMostConnections / kParts, 1);
-  aPlan.holds = aIsHolder;
-  aPlan.connections = aIsHolder ? part * kHoldersParts : aStandsIn ? part : 1;
-}
-
 path
 PathOf(const fleet_vm& aVm)
 {
@@ -136,8 +118,7 @@
 PlanAccess(const upstream::server_id& aServer,
            std::size_t aMostConnections,
            const std::vector<fleet_vm>& aFleet,
-           const std::string& aSelf,
-           std::size_t aCustomers)
+           const std::string& aSelf)
 {
   const auto vms = aFleet.size();
   access_plan plan;
@@ -168,20 +149,6 @@
   const auto usable = UsablePart(aMostConnections, !everyone);
   plan.connections =
     plan.holds ? std::max<std::size_t>(usable / sharers, 1) : 1;
-  if (!everyone && aCustomers > plan.connections && !holders.empty()) {
-    const bool isHolder = holders.front()->name == aSelf;
-    PlanSingleHolder(plan, aMostConnections, isHolder, plan.holds);
-    if (!isHolder) {
-      plan.paths.push_back(PathOf(*holders.front()));
-    }
-    plan.paths.push_back({});
-    for (const auto* vm : holders) {
-      if (vm != holders.front() && vm->name != aSelf) {
-        plan.paths.push_back(PathOf(*vm));
-      }
-    }
-    return plan;
-  }
   if (plan.holds) {
     plan.paths.push_back({});
   }
--- a/src/currantshed/proxy/holders.hpp
+++ b/src/currantshed/proxy/holders.hpp
@@ -55,16 +55,12 @@
 /// the domain send their work through it: the way within a domain is short,
 /// and a shared pool needs far fewer connections than one a VM, which leaves
 /// some for VMs that are restarted while the server still keeps their former
-/// ones. Where connections belong to customers, and these are more than a
-/// domain's share, one VM holds most connections for all domains: the longer
-/// way costs less than the connections that are opened in vain. All VMs come to
-/// the same answer from the same list.
+/// ones. All VMs come to the same answer from the same list.
 [[nodiscard]] access_plan
 PlanAccess(const upstream::server_id& aServer,
            std::size_t aMostConnections,
            const std::vector<fleet_vm>& aFleet,
-           const std::string& aSelf,
-           std::size_t aCustomers = 0);
+           const std::string& aSelf);
 
 } // namespace currantshed::proxy
 
