Tokens are collected by parts of the customers, by several VMs of a failure domain

Cause: one VM of a failure domain gave all tokens; at 300 VMs that is some 1,500 questions a second for one VM, which also follows the store for the others. Change: customers fall into sixteen parts by hashing; for each part the first of at most four strong VMs collects, and the next one while that is silent. A VM's shares are kept apart by part, so that they are still handed on once.

--- /dev/null
+++ b/src/currantshed/customer/part.hpp
@@ -0,0 +1,19 @@
+#ifndef CURRANTSHED_CUSTOMER_PART_HPP
+#define CURRANTSHED_CUSTOMER_PART_HPP
+
+#include <cstddef>
+#include <string>
+
+namespace currantshed::customer {
+
+/// Customers fall into so many parts, each collected by one VM of a failure
+/// domain, so that none has to collect for all: the same for every VM.
+constexpr std::size_t kParts = 16;
+
+/// The part that the customer belongs to.
+[[nodiscard]] std::size_t
+PartOf(const std::string& aCustomer);
+
+} // namespace currantshed::customer
+
+#endif
--- a/src/currantshed/customer/token_bank.cpp
+++ b/src/currantshed/customer/token_bank.cpp
@@ -30,14 +30,18 @@
 token_bank::Deposit(const std::string& aVm,
                     std::uint64_t aIncarnation,
                     std::chrono::microseconds aSentAt,
+                    std::size_t aPart,
                     share aShare)
 {
-  auto& from = mDepositors[aVm];
+  if (aPart >= kParts) {
+    return;
+  }
+  auto& from = mDepositors[aVm][aPart];
   if (from.incarnation == aIncarnation && aSentAt <= from.sentAt) {
     return;
   }
   from = { aIncarnation, aSentAt };
-  mDeposited += aShare;
+  mDeposited[aPart] += aShare;
 }
 
 // What can be saved up.
@@ -63,8 +67,9 @@
   // A customer that was not seen here before has what a rest would have left
   // it, as far as shares came in.
   auto& held = mAccounts[aCustomer];
-  const auto since = (mDeposited - held.counted).count();
-  held.counted = mDeposited;
+  const auto deposited = mDeposited[PartOf(aCustomer)];
+  const auto since = (deposited - held.counted).count();
+  held.counted = deposited;
   held.tokens = std::min(held.tokens + Rate(aLimit) * since, Most(aLimit));
   const auto whole = std::floor(std::max(held.tokens, 0.0));
   const auto count =
--- a/src/currantshed/customer/token_bank.hpp
+++ b/src/currantshed/customer/token_bank.hpp
@@ -1,6 +1,7 @@
 #ifndef CURRANTSHED_CUSTOMER_TOKEN_BANK_HPP
 #define CURRANTSHED_CUSTOMER_TOKEN_BANK_HPP
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -10,6 +11,7 @@
 
 #include "currantshed/clock/time.hpp"
 #include "currantshed/customer/directory.hpp"
+#include "currantshed/customer/part.hpp"
 #include "currantshed/customer/time_share.hpp"
 
 namespace currantshed::customer {
@@ -22,12 +24,12 @@
   std::chrono::milliseconds retryAfter{ 0 };
 };
 
-/// The tokens of all customers at the VM that collects the shares of its
-/// failure domain. A token lets one operation of the customer begin. A bank
-/// that starts is empty; what it holds is bounded, so that no window of time
-/// sees more operations than the customer's rate over it and its burst. A
-/// customer that asks for more all the time gets as much in every window; one
-/// that comes after a rest finds part of its burst. Asks for no time.
+/// The tokens of customers at a VM that collects shares of its failure domain.
+/// A token lets one operation of the customer begin. A bank that starts is
+/// empty; what it holds is bounded, so that no window of time sees more
+/// operations than the customer's rate over it and its burst. A customer that
+/// asks for more all the time gets as much in every window; one that comes
+/// after a rest finds part of its burst. Asks for no time.
 class token_bank
 {
 public:
@@ -38,12 +40,13 @@
   /// How many banks hold tokens: each holds that part of a burst.
   void SetBanks(std::size_t aBanks) noexcept { mBanks = aBanks; }
 
-  /// A VM hands its share on. It counts once: not a second time when the
-  /// message comes twice, nor when an older one comes later. aSentAt is the
-  /// sender's clock, in its present life.
+  /// A VM hands its share on, of the customers of one part. It counts once: not
+  /// a second time when the message comes twice, nor when an older one comes
+  /// later. aSentAt is the sender's clock, in its present life.
   void Deposit(const std::string& aVm,
                std::uint64_t aIncarnation,
                std::chrono::microseconds aSentAt,
+               std::size_t aPart,
                share aShare);
 
   [[nodiscard]] token_grant Withdraw(const std::string& aCustomer,
@@ -71,8 +74,9 @@
 
   std::chrono::duration<double> mWindow;
   std::size_t mBanks = 1;
-  share mDeposited{ 0 };
-  absl::flat_hash_map<std::string, depositor> mDepositors;
+  std::array<share, kParts> mDeposited{};
+  /// By VM, for each part.
+  absl::flat_hash_map<std::string, std::array<depositor, kParts>> mDepositors;
   absl::flat_hash_map<std::string, account> mAccounts;
 };
 
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -24,6 +24,7 @@
 
 #include "currantshed/customer/directory.hpp"
 #include "currantshed/customer/freshness.hpp"
+#include "currantshed/customer/part.hpp"
 #include "currantshed/customer/time_share.hpp"
 #include "currantshed/customer/token_bank.hpp"
 #include "currantshed/lead/group_lead.hpp"
@@ -183,9 +184,11 @@
   [[nodiscard]] own_keys WithRecorded() const;
   [[nodiscard]] std::size_t FleetSize() const;
   [[nodiscard]] bool KeepsQuotas() const;
-  void FillShare(const std::string& aVm,
-                 news::News& aOut,
-                 clock::time_point aNow);
+  void FillShares(const std::string& aVm,
+                  news::News& aOut,
+                  clock::time_point aNow);
+  void ShareAll(clock::time_point aNow);
+  void TakeShares(const news::News& aNews);
   void KeepQuotas(clock::time_point aNow);
   void WantTokens(const std::string& aCustomer,
                   unsigned aCount,
@@ -316,10 +319,10 @@
   // own share of them; and whom it asks for some.
   std::shared_ptr<const customer::directory> mCustomers;
   customer::token_bank mBank;
-  customer::time_share mShare;
+  std::array<customer::time_share, customer::kParts> mShares;
   token_desk mTokens;
   clock::time_point mNextShare{};
-  clock::time_point mSharedAt{};
+  absl::btree_map<std::string, clock::time_point> mSharedAt;
   clock::time_point mNextEnd{};
   server_list mServers;
   // The services of the configuration in force, once there is one.
--- a/src/currantshed/node/control_feed.cpp
+++ b/src/currantshed/node/control_feed.cpp
@@ -197,7 +197,6 @@
     wanted->set_known(view->IsKnown() ? view->Seen() : 0);
   }
   mWantedAt = aNow;
-  FillShare(aVm, told, aNow);
   mNews.Send(aVm, std::move(told), aNow);
 }
 
--- a/src/currantshed/node/control_quota.cpp
+++ b/src/currantshed/node/control_quota.cpp
@@ -10,7 +10,8 @@
 
 #include "currantshed/clock/now.hpp"
 #include "currantshed/log/log.hpp"
-#include "currantshed/node/feeders.hpp"
+#include "currantshed/member/roster.hpp"
+#include "currantshed/proxy/strength.hpp"
 
 namespace currantshed::node {
 
@@ -23,28 +24,46 @@
 // The least time between two: what asks for tokens takes a share along, so that
 // after a start of all VMs the first operations find some.
 constexpr milliseconds kShortestShare{ 50 };
+// VMs of a failure domain that collect tokens: each of the others has a link to
+// them.
+constexpr unsigned kMostCollectors = 4;
 // A share that was under way for longer is lost: what a broken way has held up
 // must not come all at once.
 constexpr milliseconds kLongestWay{ 700 };
 
+// The strong VMs of a failure domain, as many as are worth a link from each of
+// the others.
 std::vector<std::string>
 CollectorsOf(const own_keys& aKeys, const std::string& aFailureDomain)
 {
-  auto collectors = Feeders(aKeys, aFailureDomain);
-  if (!collectors.empty()) {
-    return collectors;
+  std::vector<store::vm> strong;
+  unsigned strongest = 0;
+  for (const auto& [name, one] : aKeys.vms) {
+    if (one.record.failureDomain == aFailureDomain) {
+      strongest = std::max(strongest, one.record.processorShare);
+    }
   }
   for (const auto& [name, one] : aKeys.vms) {
-    if (one.record.failureDomain == aFailureDomain && !one.record.leaving) {
-      collectors.push_back(name);
+    const auto& record = one.record;
+    if (record.failureDomain == aFailureDomain && !record.leaving &&
+        proxy::IsStrong(record.processorShare, strongest)) {
+      store::vm vm;
+      vm.id = name;
+      vm.failureDomain = aFailureDomain;
+      strong.push_back(std::move(vm));
     }
   }
+  std::vector<std::string> collectors;
+  for (const auto& one : member::ChooseOwners(
+         "tokens of " + aFailureDomain, strong, kMostCollectors)) {
+    collectors.push_back(one.id);
+  }
   return collectors;
 }
 
 } // namespace
 
-// The own failure domain's collectors, and the first of each other one.
+// The own failure domain's collectors, and those of each other one.
 void
 control::NoteCollectors()
 {
@@ -57,15 +76,13 @@
     domains.insert(one.record.failureDomain);
   }
   mBank.SetBanks(std::max<std::size_t>(domains.size(), 1));
-  std::vector<std::string> others;
+  std::vector<std::vector<std::string>> others;
   for (const auto& domain : domains) {
-    const auto theirs = CollectorsOf(keys, domain);
-    if (domain != mSelf.failureDomain && !theirs.empty()) {
-      others.push_back(theirs.front());
+    if (domain != mSelf.failureDomain) {
+      others.push_back(CollectorsOf(keys, domain));
     }
   }
-  mTokens.SetCollectors(CollectorsOf(keys, mSelf.failureDomain),
-                        std::move(others));
+  mTokens.SetCollectors(CollectorsOf(keys, mSelf.failureDomain), others);
 }
 
 // The VMs that are listed and, for a while after the start, those that were:
@@ -101,49 +118,88 @@
          (mIsSettled || !mOwnKeys.fleet.empty());
 }
 
-// Puts what this VM has earned on a message to its collector.
+// Puts what this VM has earned of the parts that the VM collects on a message
+// to it.
 void
-control::FillShare(const std::string& aVm,
-                   news::News& aOut,
-                   clock::time_point aNow)
+control::FillShares(const std::string& aVm,
+                    news::News& aOut,
+                    clock::time_point aNow)
 {
-  const bool isDue = aNow >= mSharedAt + kShortestShare;
+  auto& sharedAt = mSharedAt[aVm];
   // One that can't tell how old a share is would leave it out.
-  if (isDue && KeepsQuotas() && aVm == mTokens.Current(aNow) &&
-      mNews.IsReadable(aVm, aNow)) {
-    mSharedAt = aNow;
-    mNextShare = aNow + 2 * kShareInterval;
-    aOut.set_share_s(mShare.Take(FleetSize(), aNow).count());
+  const bool isDue = aNow >= sharedAt + kShortestShare &&
+                     (aVm == mSelf.where.vm || mNews.IsReadable(aVm, aNow));
+  if (!isDue || !KeepsQuotas()) {
+    return;
+  }
+  for (std::size_t part = 0; part < customer::kParts; ++part) {
+    if (mTokens.Current(part, aNow) == aVm) {
+      auto& out = *aOut.add_shares();
+      out.set_part(static_cast<std::uint32_t>(part));
+      out.set_seconds(mShares[part].Take(FleetSize(), aNow).count());
+    }
+  }
+  if (aOut.shares_size() > 0) {
+    sharedAt = aNow;
   }
 }
 
-// Hands this VM's share on where no message took it along, to itself if it
-// collects.
+// Hands this VM's shares on where no message took them along, to itself for the
+// parts that it collects.
 void
 control::KeepQuotas(clock::time_point aNow)
 {
   if (!KeepsQuotas()) {
     return;
   }
-  mShare.Begin(mStartedAt);
+  for (auto& share : mShares) {
+    share.Begin(mStartedAt);
+  }
   mTokens.Tick(aNow);
   if (aNow >= mNextShare) {
     mNextShare = aNow + kShareInterval;
-    const auto collector = mTokens.Current(aNow);
-    if (collector == mSelf.where.vm) {
-      mBank.Deposit(mSelf.where.vm,
-                    mSelf.incarnation,
-                    lead::ToWire(aNow),
-                    mShare.Take(FleetSize(), aNow));
-    } else if (!collector.empty()) {
-      news::News told;
-      FillShare(collector, told, aNow);
-      mNews.Send(collector, std::move(told), aNow);
-    }
+    ShareAll(aNow);
   }
   CarryTokens(aNow);
 }
 
+void
+control::ShareAll(clock::time_point aNow)
+{
+  std::set<std::string> collectors;
+  for (std::size_t part = 0; part < customer::kParts; ++part) {
+    collectors.insert(mTokens.Current(part, aNow));
+  }
+  for (const auto& vm : collectors) {
+    const bool isOld = aNow >= mSharedAt[vm] + kShareInterval;
+    if (vm.empty() || !isOld) {
+      continue;
+    }
+    news::News told;
+    FillShares(vm, told, aNow);
+    if (vm == mSelf.where.vm) {
+      told.set_incarnation(mSelf.incarnation);
+      told.set_vm(vm);
+      told.set_sent_at_us(lead::ToWire(aNow).count());
+      TakeShares(told);
+    } else {
+      mNews.Send(vm, std::move(told), aNow);
+    }
+  }
+}
+
+void
+control::TakeShares(const news::News& aNews)
+{
+  for (const auto& one : aNews.shares()) {
+    mBank.Deposit(aNews.vm(),
+                  aNews.incarnation(),
+                  std::chrono::microseconds{ aNews.sent_at_us() },
+                  one.part(),
+                  customer::share{ one.seconds() });
+  }
+}
+
 void
 control::WantTokens(const std::string& aCustomer,
                     unsigned aCount,
@@ -186,7 +242,7 @@
     }
   }
   for (auto& [vm, news] : told) {
-    FillShare(vm, news, aNow);
+    FillShares(vm, news, aNow);
     mNews.Send(vm, std::move(news), aNow);
   }
   auto outcomes = mTokens.TakeOutcomes();
@@ -200,12 +256,8 @@
                        const news::exchange::clock_reader& aClock,
                        clock::time_point aNow)
 {
-  if (aNews.share_s() > 0 && aClock &&
-      aNow - aClock(aNews.sent_at_us()) < kLongestWay) {
-    mBank.Deposit(aNews.vm(),
-                  aNews.incarnation(),
-                  std::chrono::microseconds{ aNews.sent_at_us() },
-                  customer::share{ aNews.share_s() });
+  if (aClock && aNow - aClock(aNews.sent_at_us()) < kLongestWay) {
+    TakeShares(aNews);
   }
   news::News told;
   for (const auto& wanted : aNews.tokens_wanted()) {
--- a/src/currantshed/node/token_desk.cpp
+++ b/src/currantshed/node/token_desk.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace currantshed::node {
 
 namespace {
@@ -22,14 +24,36 @@
 // When to come back where nobody could tell; also how long an answer counts.
 constexpr milliseconds kUnknownRetry{ 500 };
 
+// The VMs by a hash of their name and the part, the same at every VM.
+std::vector<std::string>
+InOrder(std::size_t aPart, std::vector<std::string> aVms)
+{
+  const auto place = [aPart](const std::string& aVm) {
+    return XXH3_64bits_withSeed(aVm.data(), aVm.size(), aPart);
+  };
+  std::sort(
+    aVms.begin(), aVms.end(), [&place](const auto& aLeft, const auto& aRight) {
+      return place(aLeft) < place(aRight);
+    });
+  return aVms;
+}
+
 } // namespace
 
 void
-token_desk::SetCollectors(std::vector<std::string> aOwn,
-                          std::vector<std::string> aOthers)
+token_desk::SetCollectors(const std::vector<std::string>& aOwn,
+                          const std::vector<std::vector<std::string>>& aOthers)
 {
-  mOwn = std::move(aOwn);
-  mOthers = std::move(aOthers);
+  for (std::size_t part = 0; part < customer::kParts; ++part) {
+    mOwn[part] = InOrder(part, aOwn);
+    mOthers[part].clear();
+    for (const auto& domain : aOthers) {
+      const auto theirs = InOrder(part, domain);
+      if (!theirs.empty()) {
+        mOthers[part].push_back(theirs.front());
+      }
+    }
+  }
   if (IsAlone()) {
     return;
   }
@@ -47,9 +71,11 @@
 }
 
 std::string
-token_desk::Current(clock::time_point aNow) const
+token_desk::Current(std::size_t aPart, clock::time_point aNow) const
 {
-  for (const auto* some : { &mOwn, &mOthers }) {
+  const auto& own = mOwn[aPart];
+  const auto& others = mOthers[aPart];
+  for (const auto* some : { &own, &others }) {
     for (const auto& vm : *some) {
       if (!IsSilent(vm, aNow)) {
         return vm;
@@ -59,7 +85,7 @@
   if (IsAlone()) {
     return {};
   }
-  return mOwn.empty() ? mOthers.front() : mOwn.front();
+  return own.empty() ? others.front() : own.front();
 }
 
 // The collector to ask next; empty where there is none left.
@@ -73,11 +99,12 @@
   if (aWhat.asked.size() >= kMostAsked) {
     return {};
   }
-  const auto current = Current(aNow);
+  const auto part = customer::PartOf(aWhat.customer);
+  const auto current = Current(part, aNow);
   if (!current.empty() && !wasAsked(current)) {
     return current;
   }
-  for (const auto& vm : mOthers) {
+  for (const auto& vm : mOthers[part]) {
     if (!wasAsked(vm) && !IsSilent(vm, aNow)) {
       return vm;
     }
--- a/src/currantshed/node/token_desk.hpp
+++ b/src/currantshed/node/token_desk.hpp
@@ -1,6 +1,7 @@
 #ifndef CURRANTSHED_NODE_TOKEN_DESK_HPP
 #define CURRANTSHED_NODE_TOKEN_DESK_HPP
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -11,6 +12,7 @@
 #include <absl/container/btree_map.h>
 
 #include "currantshed/clock/time.hpp"
+#include "currantshed/customer/part.hpp"
 
 namespace currantshed::node {
 
@@ -41,13 +43,16 @@
 class token_desk
 {
 public:
-  /// Who collects the tokens of the own failure domain, one after the other
-  /// while those before are silent, and who those of other domains.
-  void SetCollectors(std::vector<std::string> aOwn,
-                     std::vector<std::string> aOthers);
-
-  /// The collector that this VM's share goes to; empty while there is none.
-  [[nodiscard]] std::string Current(clock::time_point aNow) const;
+  /// The VMs that may collect in the own failure domain, and in each other one.
+  /// For each part of the customers it is the first by hashing; in the own
+  /// domain the next one stands in while that is silent.
+  void SetCollectors(const std::vector<std::string>& aOwn,
+                     const std::vector<std::vector<std::string>>& aOthers);
+
+  /// The collector that this VM's share of a part goes to; empty while there is
+  /// none.
+  [[nodiscard]] std::string Current(std::size_t aPart,
+                                    clock::time_point aNow) const;
 
   void Want(const std::string& aCustomer,
             unsigned aCount,
@@ -86,11 +91,12 @@
                               clock::time_point aNow) const;
   [[nodiscard]] bool IsAlone() const noexcept
   {
-    return mOwn.empty() && mOthers.empty();
+    return mOwn.front().empty() && mOthers.front().empty();
   }
 
-  std::vector<std::string> mOwn;
-  std::vector<std::string> mOthers;
+  /// By part, in the order in which they are asked.
+  std::array<std::vector<std::string>, customer::kParts> mOwn;
+  std::array<std::vector<std::string>, customer::kParts> mOthers;
   absl::btree_map<std::string, clock::time_point> mSilentUntil;
   absl::btree_map<std::string, exhausted> mExhausted;
   std::map<std::uint64_t, pending> mPending;
--- a/test/currantshed/customer/model.cpp
+++ b/test/currantshed/customer/model.cpp
@@ -141,18 +141,22 @@
   one.checks.SetPlace(aVm);
   one.bank.SetBanks(kDomains);
   // The first VMs of each domain collect.
-  std::vector<std::string> own{ Name(aVm % kDomains),
-                                Name(aVm % kDomains + kDomains) };
-  std::vector<std::string> others;
+  const std::vector<std::string> own{ Name(aVm % kDomains),
+                                      Name(aVm % kDomains + kDomains) };
+  std::vector<std::vector<std::string>> others;
   for (std::size_t i = 0; i < kDomains; ++i) {
     if (i != aVm % kDomains) {
-      others.push_back(Name(i));
+      others.push_back({ Name(i) });
     }
   }
-  one.desk.SetCollectors(std::move(own), std::move(others));
+  one.desk.SetCollectors(own, others);
   if (mMistake == mistake::kBankStartsFull) {
+    // A third of the whole burst.
+    one.bank = customer::token_bank{ 0ms };
+    one.bank.SetBanks(kDomains);
     (void)one.bank.Withdraw(kCustomer, kLimit, 0);
-    one.bank.Deposit("full", life, 1us, customer::share{ 60 });
+    one.bank.Deposit(
+      "full", life, 1us, customer::PartOf(kCustomer), customer::share{ 60 });
   }
 }
 
@@ -354,7 +358,7 @@
 {
   auto& one = mVms[aVm];
   const auto now = mTime.Now();
-  const auto collector = one.desk.Current(now);
+  const auto collector = one.desk.Current(customer::PartOf(kCustomer), now);
   if (now < one.nextShare || collector.empty()) {
     return;
   }
@@ -371,7 +375,8 @@
     if (mMistake == mistake::kSharesCountTwice) {
       sentAt = std::chrono::microseconds{ static_cast<std::int64_t>(++steps) };
     }
-    mVms[to].bank.Deposit(Name(aVm), life, sentAt, share);
+    mVms[to].bank.Deposit(
+      Name(aVm), life, sentAt, customer::PartOf(kCustomer), share);
   };
   if (to == aVm) {
     arrive();
--- a/test/currantshed/customer/tokens.cpp
+++ b/test/currantshed/customer/tokens.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr clock::time_point kStart{ 1h };
+const std::size_t kBakers = customer::PartOf("baker");
+const std::size_t kSmiths = customer::PartOf("smith");
 
 /// The time that passes has nothing of the start in it.
 struct share_row
@@ -90,7 +92,7 @@
     customer::token_bank bank(row.window);
     bank.SetBanks(row.banks);
     (void)bank.Withdraw("baker", row.limit, 0);
-    bank.Deposit("vm", 1, 1us, share{ row.deposited });
+    bank.Deposit("vm", 1, 1us, kBakers, share{ row.deposited });
     const auto got = bank.Withdraw("baker", row.limit, row.wanted);
     LONGS_EQUAL_TEXT(row.expect, got.count, row.name);
     CHECK_TEXT((got.count == 0) == (got.retryAfter > 0ms), row.name);
@@ -101,12 +103,12 @@
 {
   customer::token_bank bank(0ms);
   const customer::quota limit{ 100, 100 };
-  bank.Deposit("vm", 1, 5us, share{ 0.1 });
-  bank.Deposit("vm", 1, 5us, share{ 0.1 });
-  bank.Deposit("vm", 1, 4us, share{ 0.1 });
+  bank.Deposit("vm", 1, 5us, kBakers, share{ 0.1 });
+  bank.Deposit("vm", 1, 5us, kBakers, share{ 0.1 });
+  bank.Deposit("vm", 1, 4us, kBakers, share{ 0.1 });
   LONGS_EQUAL(10, bank.Withdraw("baker", limit, 99).count);
   // The VM has started again, with another clock.
-  bank.Deposit("vm", 2, 1us, share{ 0.1 });
+  bank.Deposit("vm", 2, 1us, kBakers, share{ 0.1 });
   LONGS_EQUAL(10, bank.Withdraw("baker", limit, 99).count);
 }
 
@@ -114,9 +116,12 @@
 {
   customer::token_bank bank(0ms);
   const customer::quota limit{ 100, 100 };
-  bank.Deposit("vm", 1, 1us, share{ 0.1 });
+  bank.Deposit("vm", 1, 1us, kBakers, share{ 0.1 });
   LONGS_EQUAL(10, bank.Withdraw("baker", limit, 99).count);
   LONGS_EQUAL(0, bank.Withdraw("baker", limit, 1).count);
+  CHECK(kBakers != kSmiths);
+  LONGS_EQUAL(0, bank.Withdraw("smith", limit, 99).count);
+  bank.Deposit("vm", 1, 1us, kSmiths, share{ 0.1 });
   LONGS_EQUAL(10, bank.Withdraw("smith", limit, 99).count);
 }
 
--- a/test/currantshed/node/token_desk.cpp
+++ b/test/currantshed/node/token_desk.cpp
@@ -1,6 +1,8 @@
 #include "currantshed/node/token_desk.hpp"
 
 #include <chrono>
+#include <map>
+#include <string>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -16,10 +18,22 @@
 Desk()
 {
   node::token_desk made;
-  made.SetCollectors({ "own-1", "own-2" }, { "far-1", "far-2" });
+  made.SetCollectors({ "own-1", "own-2" }, { { "far-1" }, { "far-2" } });
   return made;
 }
 
+const std::size_t kBakers = customer::PartOf("baker");
+
+/// The own collectors are "own-1" and "own-2" in the order in which they are
+/// asked for the baker's tokens, which their names don't tell.
+std::string
+Named(const std::string& aRole)
+{
+  const auto first = Desk().Current(kBakers, kStart);
+  const std::string second = first == "own-1" ? "own-2" : "own-1";
+  return aRole == "own-1" ? first : aRole == "own-2" ? second : aRole;
+}
+
 /// One collector's answer; none where it is silent.
 struct reply
 {
@@ -82,7 +96,8 @@
     for (const auto& one : row.replies) {
       const auto asks = desk.TakeAsks();
       LONGS_EQUAL_TEXT(1, asks.size(), row.name);
-      STRCMP_EQUAL_TEXT(one.vm, asks.front().vm.c_str(), row.name);
+      STRCMP_EQUAL_TEXT(
+        Named(one.vm).c_str(), asks.front().vm.c_str(), row.name);
       if (one.isSilent) {
         now = desk.NextTick();
         desk.Tick(now);
@@ -136,13 +151,36 @@
 TEST(token_desk, Shares_go_to_one_that_speaks)
 {
   auto desk = Desk();
-  STRCMP_EQUAL("own-1", desk.Current(kStart).c_str());
+  STRCMP_EQUAL(Named("own-1").c_str(), desk.Current(kBakers, kStart).c_str());
   desk.Want("baker", 1, kStart);
   desk.Tick(kStart + 100ms);
-  STRCMP_EQUAL("own-2", desk.Current(kStart + 100ms).c_str());
-  STRCMP_EQUAL("own-1", desk.Current(kStart + 500ms).c_str());
+  STRCMP_EQUAL(Named("own-2").c_str(),
+               desk.Current(kBakers, kStart + 100ms).c_str());
+  STRCMP_EQUAL(Named("own-1").c_str(),
+               desk.Current(kBakers, kStart + 500ms).c_str());
   desk.SetCollectors({}, {});
-  STRCMP_EQUAL("", desk.Current(kStart).c_str());
+  STRCMP_EQUAL("", desk.Current(kBakers, kStart).c_str());
+}
+
+// Each VM finds the same collector for a part, and the parts spread.
+TEST(token_desk, Parts_are_spread_over_the_collectors)
+{
+  node::token_desk one;
+  node::token_desk other;
+  one.SetCollectors({ "own-1", "own-2", "own-3" }, { { "far" } });
+  other.SetCollectors({ "near" }, { { "own-3", "own-1", "own-2" } });
+  std::map<std::string, int> parts;
+  for (std::size_t part = 0; part < customer::kParts; ++part) {
+    const auto collector = one.Current(part, kStart);
+    ++parts[collector];
+    STRCMP_EQUAL("near", other.Current(part, kStart).c_str());
+  }
+  LONGS_EQUAL(3, parts.size());
+  // Who has none at home asks the one that collects there.
+  other.Want("baker", 1, kStart);
+  other.Answered(other.TakeAsks().front().number, 0, 100ms, kStart);
+  STRCMP_EQUAL(one.Current(kBakers, kStart).c_str(),
+               other.TakeAsks().front().vm.c_str());
 }
 
 // A VM that has just started knows nobody yet: its operations wait.
