--- a/test/currantshed/proxy/customers.cpp
+++ b/test/currantshed/proxy/customers.cpp
@@ -262,6 +262,7 @@
   CHECK(!vm.HasWork("a"));
   for (const auto* one : { &first, &second }) {
     CHECK(one->heard && one->heard->failed);
+    STRCMP_CONTAINS("keys", one->heard->failed->text.c_str());
     CHECK(one->heard->failed->code == failure_code::kBusy);
   }
 }
