--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -119,13 +119,15 @@
   }
   mKnownVms.Listed(listed, aNow);
   auto peers = mKnownVms.Reachable(aNow);
-  for (const auto& [name, one] : WithRecorded().vms) {
+  const auto recorded = WithRecorded();
+  for (const auto& entry : recorded.vms) {
+    const auto& where = entry.second.record.where;
     const bool isKnown =
-      std::any_of(peers.begin(), peers.end(), [&name](const auto& aPeer) {
-        return aPeer.vm == name;
+      std::any_of(peers.begin(), peers.end(), [&where](const auto& aPeer) {
+        return aPeer.vm == where.vm;
       });
     if (!isKnown) {
-      peers.push_back(one.record.where);
+      peers.push_back(where);
     }
   }
   mNews.SetPeers(peers);
--- a/src/currantshed/node/control_quota.cpp
+++ b/src/currantshed/node/control_quota.cpp
@@ -10,8 +10,7 @@
 
 #include "currantshed/clock/now.hpp"
 #include "currantshed/log/log.hpp"
-#include "currantshed/member/roster.hpp"
-#include "currantshed/proxy/strength.hpp"
+#include "currantshed/node/collectors.hpp"
 
 namespace currantshed::node {
 
@@ -24,43 +23,10 @@
 // The least time between two: what asks for tokens takes a share along, so that
 // after a start of all VMs the first operations find some.
 constexpr milliseconds kShortestShare{ 50 };
-// VMs of a failure domain that collect tokens: each of the others has a link to
-// them.
-constexpr unsigned kMostCollectors = 4;
 // A share that was under way for longer is lost: what a broken way has held up
 // must not come all at once.
 constexpr milliseconds kLongestWay{ 700 };
 
-// The strong VMs of a failure domain, as many as are worth a link from each of
-// the others.
-std::vector<std::string>
-CollectorsOf(const own_keys& aKeys, const std::string& aFailureDomain)
-{
-  std::vector<store::vm> strong;
-  unsigned strongest = 0;
-  for (const auto& [name, one] : aKeys.vms) {
-    if (one.record.failureDomain == aFailureDomain) {
-      strongest = std::max(strongest, one.record.processorShare);
-    }
-  }
-  for (const auto& [name, one] : aKeys.vms) {
-    const auto& record = one.record;
-    if (record.failureDomain == aFailureDomain && !record.leaving &&
-        proxy::IsStrong(record.processorShare, strongest)) {
-      store::vm vm;
-      vm.id = name;
-      vm.failureDomain = aFailureDomain;
-      strong.push_back(std::move(vm));
-    }
-  }
-  std::vector<std::string> collectors;
-  for (const auto& one : member::ChooseOwners(
-         "tokens of " + aFailureDomain, strong, kMostCollectors)) {
-    collectors.push_back(one.id);
-  }
-  return collectors;
-}
-
 } // namespace
 
 // The own failure domain's collectors, and those of each other one.
@@ -79,10 +45,10 @@
   std::vector<std::vector<std::string>> others;
   for (const auto& domain : domains) {
     if (domain != mSelf.failureDomain) {
-      others.push_back(CollectorsOf(keys, domain));
+      others.push_back(Collectors(keys, domain));
     }
   }
-  mTokens.SetCollectors(CollectorsOf(keys, mSelf.failureDomain), others);
+  mTokens.SetCollectors(Collectors(keys, mSelf.failureDomain), others);
 }
 
 // The VMs that are listed and, for a while after the start, those that were:
--- a/src/currantshed/node/token_desk.cpp
+++ b/src/currantshed/node/token_desk.cpp
@@ -100,7 +100,7 @@
     return {};
   }
   const auto part = customer::PartOf(aWhat.customer);
-  const auto current = Current(part, aNow);
+  auto current = Current(part, aNow);
   if (!current.empty() && !wasAsked(current)) {
     return current;
   }
