Questions for tokens that nobody answers end also while this VM earns none

Cause, found by reading: the desk was looked at only once the fleet was known, while its next time was scheduled in any case, so that a VM that was asked in its first two seconds would have looked again and again without pause.

--- a/src/currantshed/node/control_quota.cpp
+++ b/src/currantshed/node/control_quota.cpp
@@ -115,16 +115,16 @@
 void
 control::KeepQuotas(clock::time_point aNow)
 {
-  if (!KeepsQuotas()) {
-    return;
-  }
-  for (auto& share : mShares) {
-    share.Begin(mStartedAt);
-  }
+  // Operations may wait for tokens before this VM can earn any.
   mTokens.Tick(aNow);
-  if (aNow >= mNextShare) {
-    mNextShare = aNow + kShareInterval;
-    ShareAll(aNow);
+  if (KeepsQuotas()) {
+    for (auto& share : mShares) {
+      share.Begin(mStartedAt);
+    }
+    if (aNow >= mNextShare) {
+      mNextShare = aNow + kShareInterval;
+      ShareAll(aNow);
+    }
   }
   CarryTokens(aNow);
 }
