Readings of the store that are left out are told, with both revisions and the store's era

Cause: in the incident every VM dropped what it read for twelve seconds, and no line says so: prefix_view leaves out a reading below the revision seen before without a word, and the header by which the store tells that it came back from an older copy is read nowhere. So the record can't tell a store that went back from readings that lag.

Change, no decision touched: the adapter asks for that header on each call (http::call::wantedHeader) and each callback of key_value gets a reply, the time and the era. A dropped reading is one line `reading_ignored` for each revision read (what, revision, seen, store_era) and counts in currantshed_node_store_calls_total. Three listeners that were written out alike are made by control::Listener.

--- a/src/currantshed/http/channel.cpp
+++ b/src/currantshed/http/channel.cpp
@@ -183,6 +183,9 @@
     call_result made;
     made.status = response.result_int();
     made.body = std::move(response.body());
+    if (const auto& name = mCalls.front().what.wantedHeader; !name.empty()) {
+      made.wantedHeader = std::string(response[name]);
+    }
     if (!response.keep_alive()) {
       CloseStream();
     } else {
--- a/src/currantshed/http/channel.hpp
+++ b/src/currantshed/http/channel.hpp
@@ -35,6 +35,8 @@
   std::string body;
   /// Time until the whole answer must be there.
   std::chrono::milliseconds timeout{ 1000 };
+  /// The header of the answer that the caller wants, if any.
+  std::string wantedHeader = {};
 };
 
 /// The answer to one call.
@@ -47,6 +49,8 @@
   bool notSent = false;
   unsigned status = 0;
   std::string body;
+  /// What the header that the call named holds; empty where there is none.
+  std::string wantedHeader;
 };
 
 /// One connection to a service, made when needed and kept. Calls wait for
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -86,35 +86,21 @@
       *mPlatform.store,
       aDocuments.ConfigurationKey(),
       { .afterChange = kConfigurationPause, .byteTime = ByteTime(aSettings) },
-      { [this](clock::time_point aNow) {
-         ConfigurationChanged();
-         TellSubscribers(aNow);
-       },
-        [this](bool aIsReached, std::error_code aWhy) {
-          NoteStore("configuration", aIsReached, aWhy);
-        } })
-  , mServersView(*mPlatform.store,
-                 aDocuments.ServersPrefix(),
-                 { .afterChange = kServersPause,
-                   .afterChangeByKey = kServersPauseByServer,
-                   .longestByKeys = kLongestServersPause },
-                 { [this](clock::time_point aNow) {
-                    ServersChanged(aNow);
-                    TellSubscribers(aNow);
-                  },
-                   [this](bool aIsReached, std::error_code aWhy) {
-                     NoteStore("servers", aIsReached, aWhy);
-                   } })
+      Listener("configuration",
+               [this](clock::time_point) { ConfigurationChanged(); }))
+  , mServersView(
+      *mPlatform.store,
+      aDocuments.ServersPrefix(),
+      { .afterChange = kServersPause,
+        .afterChangeByKey = kServersPauseByServer,
+        .longestByKeys = kLongestServersPause },
+      Listener("servers",
+               [this](clock::time_point aNow) { ServersChanged(aNow); }))
   , mOwnView(*mPlatform.store,
              std::string(kOwnPrefix),
              { .longestByKeys = kLongestOwnPause },
-             { [this](clock::time_point aNow) {
-                OwnKeysChanged(aNow);
-                TellSubscribers(aNow);
-              },
-               [this](bool aIsReached, std::error_code aWhy) {
-                 NoteStore("own_keys", aIsReached, aWhy);
-               } })
+             Listener("own_keys",
+                      [this](clock::time_point aNow) { OwnKeysChanged(aNow); }))
   , mRegistration(*mPlatform.store,
                   mOwnView,
                   VmKey(aSettings.vm),
@@ -309,6 +295,39 @@
   Tick();
 }
 
+store::prefix_view::listener
+control::Listener(std::string aWhat,
+                  std::function<void(clock::time_point)> aChanged)
+{
+  return { [this, changed = std::move(aChanged)](clock::time_point aNow) {
+            changed(aNow);
+            TellSubscribers(aNow);
+          },
+           [this, aWhat](bool aIsReached, std::error_code aWhy) {
+             NoteStore(aWhat, aIsReached, aWhy);
+           },
+           [this, aWhat](store::revision aRead,
+                         store::revision aSeen,
+                         const store::reply& aReply) {
+             NoteIgnored(aWhat, aRead, aSeen, aReply);
+           } };
+}
+
+void
+control::NoteIgnored(const std::string& aWhat,
+                     store::revision aRead,
+                     store::revision aSeen,
+                     const store::reply& aReply)
+{
+  mMetrics.StoreCalled("ignored");
+  log::Write(log::level::kWarning,
+             "reading_ignored",
+             { { "what", aWhat },
+               { "revision", static_cast<std::int64_t>(aRead) },
+               { "seen", static_cast<std::int64_t>(aSeen) },
+               { "store_era", static_cast<std::int64_t>(aReply.era) } });
+}
+
 void
 control::NoteStore(const std::string& aWhat,
                    bool aIsReached,
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -134,6 +134,13 @@
   void NoteStore(const std::string& aWhat,
                  bool aIsReached,
                  std::error_code aWhy);
+  [[nodiscard]] store::prefix_view::listener Listener(
+    std::string aWhat,
+    std::function<void(clock::time_point)> aChanged);
+  void NoteIgnored(const std::string& aWhat,
+                   store::revision aRead,
+                   store::revision aSeen,
+                   const store::reply& aReply);
   void Tick();
   void TickStore(clock::time_point aNow);
   void Perform(clock::time_point aNow);
--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -101,7 +101,7 @@
   mPlatform.store->Commit(
     std::move(made),
     [vms = listed.size()](
-      store::commit_outcome aOutcome, store::revision, clock::time_point) {
+      store::commit_outcome aOutcome, store::revision, store::reply) {
       log::Write(log::level::kInfo,
                  "fleet_recorded",
                  { { "vms", static_cast<std::int64_t>(vms) },
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -88,13 +88,13 @@
     DutyKey(aService),
     [this, aService, asked, aAction](std::error_code aError,
                                      std::optional<store::item> aItem,
-                                     clock::time_point aNow) {
+                                     store::reply aReply) {
       auto duty = aItem ? ReadDuty(*aItem) : std::nullopt;
       if (aError || !duty || !HoldsDutySince(*duty, asked)) {
         NotOrdered(aService,
                    aAction.server,
                    aError ? aError.message() : "the duty is not held",
-                   aNow);
+                   aReply.at);
       } else if (duty->replacedTerm < aAction.replaces) {
         duty->replacedTerm = aAction.replaces;
         RecordReplaced(aService, aAction.server, *duty, aItem->changed);
@@ -131,13 +131,13 @@
   mPlatform.store->Commit(
     std::move(made),
     [this, aService, aServer, duty = std::move(aDuty), asked](
-      store::commit_outcome aOutcome, store::revision, clock::time_point aNow) {
+      store::commit_outcome aOutcome, store::revision, store::reply aReply) {
       if (aOutcome == store::commit_outcome::kApplied &&
           HoldsDutySince(duty, asked)) {
         Promote(aService, aServer, duty.epoch);
       } else {
         NotOrdered(
-          aService, aServer, "the replaced term is not recorded", aNow);
+          aService, aServer, "the replaced term is not recorded", aReply.at);
       }
     });
 }
@@ -172,7 +172,7 @@
     DutyKey(aService),
     [this, aService](std::error_code aError,
                      std::optional<store::item> aItem,
-                     clock::time_point aNow) {
+                     store::reply aReply) {
       auto* found = Find(aService);
       if (found == nullptr) {
         return;
@@ -188,8 +188,8 @@
         { { "service", aService },
           { "replaced", static_cast<std::int64_t>(replaced.value_or(0)) },
           { "reason", aError ? aError.message() : std::string() } });
-      found->lead.TermsChecked(replaced, aNow);
-      Perform(aNow);
+      found->lead.TermsChecked(replaced, aReply.at);
+      Perform(aReply.at);
     });
 }
 
@@ -239,18 +239,19 @@
     [this, aService, asked](std::error_code aError,
                             const std::vector<store::item>& aItems,
                             store::revision,
-                            clock::time_point aNow) {
+                            store::reply aReply) {
+      const auto now = aReply.at;
       auto* found = Find(aService);
       if (aError || found == nullptr) {
         return;
       }
       for (const auto& item : aItems) {
         if (const auto record = ReadVm(item)) {
-          mKnownVms.Seen(record->where.vm, aNow);
+          mKnownVms.Seen(record->where.vm, now);
         }
       }
-      found->lead.VmsListed(mKnownVms.MayRest(aNow), asked, aNow);
-      Perform(aNow);
+      found->lead.VmsListed(mKnownVms.MayRest(now), asked, now);
+      Perform(now);
     });
 }
 
@@ -374,8 +375,8 @@
   aGroup.claimFrom = aNow + kClaimPause;
   mPlatform.store->Commit(
     ClaimOf(mOwnKeys, aService, mSelf, mOwnView.Seen()),
-    [this, aService](
-      store::commit_outcome aOutcome, store::revision, clock::time_point) {
+    [this,
+     aService](store::commit_outcome aOutcome, store::revision, store::reply) {
       log::Write(log::level::kInfo,
                  "duty_claimed",
                  { { "service", aService },
--- a/src/currantshed/store/key_value.hpp
+++ b/src/currantshed/store/key_value.hpp
@@ -19,6 +19,19 @@
 /// Names a lease; zero stands for none.
 using lease_id = std::uint64_t;
 
+/// Counts the times that the store has come back from an older copy of itself;
+/// zero where it tells nothing of that.
+using era_id = std::uint64_t;
+
+/// What goes with the end of each call.
+struct reply
+{
+  /// When the answer came, or the lack of one was noticed.
+  clock::time_point at;
+  /// The era that the answer was given in; zero without an answer.
+  era_id era = 0;
+};
+
 /// One key with its value.
 struct item
 {
@@ -73,19 +86,15 @@
 class key_value
 {
 public:
-  using item_callback = std::function<
-    void(std::error_code, std::optional<item>, clock::time_point)>;
-  using range_callback = std::function<
-    void(std::error_code, std::vector<item>, revision, clock::time_point)>;
-  using watch_callback = std::function<void(std::error_code,
-                                            std::vector<key_change>,
-                                            revision,
-                                            clock::time_point)>;
-  using commit_callback =
-    std::function<void(commit_outcome, revision, clock::time_point)>;
-  using grant_callback =
-    std::function<void(std::error_code, lease_id, clock::time_point)>;
-  using keep_callback = std::function<void(std::error_code, clock::time_point)>;
+  using item_callback =
+    std::function<void(std::error_code, std::optional<item>, reply)>;
+  using range_callback =
+    std::function<void(std::error_code, std::vector<item>, revision, reply)>;
+  using watch_callback = std::function<
+    void(std::error_code, std::vector<key_change>, revision, reply)>;
+  using commit_callback = std::function<void(commit_outcome, revision, reply)>;
+  using grant_callback = std::function<void(std::error_code, lease_id, reply)>;
+  using keep_callback = std::function<void(std::error_code, reply)>;
 
   virtual ~key_value() = default;
 
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -106,24 +106,26 @@
                [this, alive = mAlive, asked = aNow](std::error_code aError,
                                                     std::vector<item> aItems,
                                                     revision aRevision,
-                                                    clock::time_point aDone) {
+                                                    reply aReply) {
                  if (!*alive) {
                    return;
                  }
                  mIsCalling = false;
                  if (aError) {
-                   Failed(aError, aDone);
+                   Failed(aError, aReply.at);
                    return;
                  }
-                 mAnsweredAt = aDone;
-                 TakeAll(std::move(aItems), aRevision);
+                 mAnsweredAt = aReply.at;
+                 if (!TakeAll(std::move(aItems), aRevision)) {
+                   NoteIgnored(aRevision, aReply);
+                 }
                  Prove(asked);
                  mMustRead = false;
                  mIsKnown = true;
                  mMayBeOld = true;
                  mMissedSome = false;
-                 Succeeded(false, aDone);
-                 mListener.changed(aDone);
+                 Succeeded(false, aReply.at);
+                 mListener.changed(aReply.at);
                });
 }
 
@@ -142,7 +144,7 @@
       std::error_code aError,
       std::vector<key_change> aChanges,
       revision aRevision,
-      clock::time_point aAnswered) {
+      reply aReply) {
       if (!*alive) {
         return;
       }
@@ -151,10 +153,10 @@
         const bool isChanged = TakeChanges(std::move(aChanges), aRevision);
         Prove(asked);
         if (isChanged) {
-          mListener.changed(aAnswered);
+          mListener.changed(aReply.at);
         }
       }
-      done(!aError, aAnswered);
+      done(!aError, aReply.at);
     });
 }
 
@@ -189,7 +191,7 @@
     [this, alive = mAlive, asked = aNow](std::error_code aError,
                                          std::vector<key_change> aChanges,
                                          revision aRevision,
-                                         clock::time_point aDone) {
+                                         reply aReply) {
       if (!*alive) {
         return;
       }
@@ -197,29 +199,30 @@
       if (aError) {
         // What was missed while there was no watch may be gone.
         mMustRead = mMustRead || aError == errc::kHistoryGone;
-        Failed(aError, aDone);
+        Failed(aError, aReply.at);
         return;
       }
-      mAnsweredAt = aDone;
+      mAnsweredAt = aReply.at;
       const bool hasSome = !aChanges.empty();
       const bool isChanged = TakeChanges(std::move(aChanges), aRevision);
       Prove(asked);
       mMayBeOld = mMissedSome;
       mMissedSome = false;
-      Succeeded(hasSome, aDone);
+      Succeeded(hasSome, aReply.at);
       if (isChanged) {
-        mListener.changed(aDone);
+        mListener.changed(aReply.at);
       }
     });
 }
 
-// All keys, as a reading of the store or another VM has them.
-void
+// All keys, as a reading of the store or another VM has them. Returns whether
+// they are as new as those known.
+bool
 prefix_view::TakeAll(std::vector<item> aItems, revision aRevision)
 {
   // Passed on meanwhile: this is an older state.
   if (mIsKnown && aRevision < mSeen) {
-    return;
+    return false;
   }
   mItems.clear();
   for (auto& one : aItems) {
@@ -230,6 +233,16 @@
   mSeen = aRevision;
   mRemovals.clear();
   mRemovalsAfter = aRevision;
+  return true;
+}
+
+// The same reading again tells nothing more.
+void
+prefix_view::NoteIgnored(revision aRead, const reply& aReply)
+{
+  if (std::exchange(mIgnored, aRead) != aRead && mListener.ignored) {
+    mListener.ignored(aRead, mSeen, aReply);
+  }
 }
 
 // Returns whether the change is news.
@@ -276,8 +289,7 @@
     for (const auto& one : aUpdate.changes) {
       items.push_back(one.now);
     }
-    TakeAll(std::move(items), aUpdate.upTo);
-    isChanged = true;
+    isChanged = TakeAll(std::move(items), aUpdate.upTo);
   } else if (!aUpdate.isWhole) {
     for (const auto& one : aUpdate.changes) {
       isChanged = TakeOne(one) || isChanged;
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -70,6 +70,9 @@
     std::function<void(clock::time_point)> changed;
     /// The store answers again, or no longer does.
     std::function<void(bool, std::error_code)> reached;
+    /// A reading was left out, since its revision, the first one, is below the
+    /// other, which was seen before.
+    std::function<void(revision, revision, reply)> ignored = {};
   };
 
   prefix_view(key_value& aStore,
@@ -147,7 +150,8 @@
 private:
   void ReadAgain();
   void Read(clock::time_point aNow);
-  void TakeAll(std::vector<item> aItems, revision aRevision);
+  [[nodiscard]] bool TakeAll(std::vector<item> aItems, revision aRevision);
+  void NoteIgnored(revision aRead, const reply& aReply);
   [[nodiscard]] bool TakeOne(key_change aChange);
   [[nodiscard]] bool TakeChanges(std::vector<key_change> aChanges,
                                  revision aUpTo);
@@ -174,6 +178,8 @@
   bool mIsCalling = false;
   bool mIsHeld = false;
   bool mIsChecking = false;
+  // The last reading that was left out.
+  revision mIgnored = 0;
   clock::time_point mProvedAt{};
   clock::time_point mFedUntil{};
   // When the last answer came of a call for these keys.
--- a/src/currantshed/store/registration.cpp
+++ b/src/currantshed/store/registration.cpp
@@ -106,53 +106,51 @@
 registration::Grant(clock::time_point aNow)
 {
   mIsCalling = true;
-  mStore.Grant(
-    mSettings.lease.ttl,
-    [this, alive = mAlive, aNow, lease = mSettings.lease](
-      std::error_code aError, lease_id aLease, clock::time_point aDone) {
+  mStore.Grant(mSettings.lease.ttl,
+               [this, alive = mAlive, aNow, lease = mSettings.lease](
+                 std::error_code aError, lease_id aLease, reply aReply) {
+                 if (!*alive) {
+                   return;
+                 }
+                 mIsCalling = false;
+                 if (aError) {
+                   Failed(aReply.at);
+                   return;
+                 }
+                 Answered(aNow);
+                 mLease = aLease;
+                 mMustGrant = lease != mSettings.lease;
+                 mValidUntil = aNow + lease.ttl;
+                 mRenewAt = aNow + lease.renewAfter;
+                 mWriteSeenBy = {};
+               });
+}
+
+void
+registration::Renew(clock::time_point aNow)
+{
+  mIsCalling = true;
+  mStore.Keep(
+    mLease, [this, alive = mAlive, aNow](std::error_code aError, reply aReply) {
       if (!*alive) {
         return;
       }
       mIsCalling = false;
+      if (aError == errc::kNoLease) {
+        Answered(aNow);
+        Lapsed();
+        return;
+      }
       if (aError) {
-        Failed(aDone);
+        Failed(aReply.at);
         return;
       }
       Answered(aNow);
-      mLease = aLease;
-      mMustGrant = lease != mSettings.lease;
-      mValidUntil = aNow + lease.ttl;
-      mRenewAt = aNow + lease.renewAfter;
-      mWriteSeenBy = {};
+      mValidUntil = aNow + mSettings.lease.ttl;
+      mRenewAt = aNow + mSettings.lease.renewAfter;
     });
 }
 
-void
-registration::Renew(clock::time_point aNow)
-{
-  mIsCalling = true;
-  mStore.Keep(mLease,
-              [this, alive = mAlive, aNow](std::error_code aError,
-                                           clock::time_point aDone) {
-                if (!*alive) {
-                  return;
-                }
-                mIsCalling = false;
-                if (aError == errc::kNoLease) {
-                  Answered(aNow);
-                  Lapsed();
-                  return;
-                }
-                if (aError) {
-                  Failed(aDone);
-                  return;
-                }
-                Answered(aNow);
-                mValidUntil = aNow + mSettings.lease.ttl;
-                mRenewAt = aNow + mSettings.lease.renewAfter;
-              });
-}
-
 void
 registration::Write(clock::time_point aNow)
 {
@@ -165,7 +163,7 @@
   made.puts.push_back({ mKey, mValue, 0, mLease });
   mStore.Commit(std::move(made),
                 [this, alive = mAlive, aNow, lease = mLease](
-                  commit_outcome aOutcome, revision, clock::time_point aDone) {
+                  commit_outcome aOutcome, revision, reply aReply) {
                   if (!*alive) {
                     return;
                   }
@@ -184,11 +182,11 @@
                       break;
                     case commit_outcome::kConflict:
                       // The view has yet to show what stands there now.
-                      mWriteSeenBy = aDone + kCheckInterval;
+                      mWriteSeenBy = aReply.at + kCheckInterval;
                       break;
                     default:
-                      mWriteSeenBy = aDone + kCheckInterval;
-                      Failed(aDone);
+                      mWriteSeenBy = aReply.at + kCheckInterval;
+                      Failed(aReply.at);
                       break;
                   }
                 });
--- a/test/currantshed/store/fake_key_value.hpp
+++ b/test/currantshed/store/fake_key_value.hpp
@@ -39,10 +39,28 @@
   bool losesAnswers = false;
   std::vector<watch> watches;
   std::chrono::milliseconds patience{ 0 };
+  /// The era that answers tell; zero for a store that tells none.
+  store::era_id era = 0;
   int ranges = 0;
   int checks = 0;
   int commits = 0;
 
+  /// Makes the copy that Return goes back to.
+  void Copy() { mCopy = { items, history, revision, leases, lastLease }; }
+
+  /// Comes back from the copy: what was written since is gone, revisions and
+  /// leases are given out again, and watches are cut.
+  void Return()
+  {
+    CutWatches(store::errc::kTimeout);
+    items = mCopy.items;
+    history = mCopy.history;
+    revision = mCopy.revision;
+    leases = mCopy.leases;
+    lastLease = mCopy.lastLease;
+    era += era == 0 ? 0 : 1;
+  }
+
   void Put(const std::string& aKey,
            const std::string& aValue,
            store::lease_id aLease = 0)
@@ -86,7 +104,7 @@
   void CutWatches(std::error_code aError)
   {
     for (auto& one : std::exchange(watches, {})) {
-      one.done(aError, {}, 0, now);
+      one.done(aError, {}, 0, Reply());
     }
   }
 
@@ -101,7 +119,7 @@
       const auto found = items.find(aKey);
       aDone(failing,
             found == items.end() ? std::nullopt : std::optional(found->second),
-            now);
+            Reply());
     });
   }
 
@@ -115,7 +133,7 @@
           found.push_back(item);
         }
       }
-      aDone(failing, found, revision, now);
+      aDone(failing, found, revision, Reply());
     });
   }
 
@@ -133,7 +151,7 @@
   {
     ++checks;
     mCalls.push_back([this, aPrefix, aAfter, aDone] {
-      aDone(failing, Changes(aPrefix, aAfter), revision, now);
+      aDone(ErrorAt(aAfter), Changes(aPrefix, aAfter), revision, Reply());
     });
   }
 
@@ -143,7 +161,7 @@
       if (watches[i].prefix == aPrefix) {
         const auto done = watches[i].done;
         watches.erase(watches.begin() + static_cast<std::ptrdiff_t>(i));
-        done(store::errc::kTimeout, {}, 0, now);
+        done(store::errc::kTimeout, {}, 0, Reply());
         return;
       }
     }
@@ -168,7 +186,7 @@
       }
       aDone(losesAnswers ? store::commit_outcome::kUnknown : outcome,
             revision,
-            now);
+            Reply());
     });
   }
 
@@ -178,7 +196,7 @@
       if (!failing) {
         leases.insert(++lastLease);
       }
-      aDone(failing, lastLease, now);
+      aDone(failing, lastLease, Reply());
     });
   }
 
@@ -189,7 +207,7 @@
       aDone(failing ? failing
             : lives ? std::error_code{}
                     : make_error_code(store::errc::kNoLease),
-            now);
+            Reply());
     });
   }
 
@@ -209,19 +227,43 @@
     return changes;
   }
 
+  // What a call ends with; the store does not have revisions above its own.
+  [[nodiscard]] std::error_code ErrorAt(store::revision aAfter) const
+  {
+    return !failing && aAfter > revision
+             ? make_error_code(store::errc::kHistoryGone)
+             : failing;
+  }
+
+  [[nodiscard]] store::reply Reply() const { return { now, era }; }
+
   void AnswerWatches()
   {
     for (auto& one : std::exchange(watches, {})) {
+      if (one.after > revision) {
+        one.done(store::errc::kHistoryGone, {}, 0, Reply());
+        continue;
+      }
       const auto changes = Changes(one.prefix, one.after);
       if (changes.empty()) {
         watches.push_back(one);
       } else {
-        one.done({}, changes, revision, now);
+        one.done({}, changes, revision, Reply());
       }
     }
   }
 
+  struct copy
+  {
+    std::map<std::string, store::item> items;
+    std::vector<store::key_change> history;
+    store::revision revision = 1;
+    std::set<store::lease_id> leases;
+    store::lease_id lastLease = 0;
+  };
+
   std::deque<std::function<void()>> mCalls;
+  copy mCopy;
 };
 
 } // namespace currantshed::test
--- a/test/currantshed/store/prefix_view.cpp
+++ b/test/currantshed/store/prefix_view.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "test/currantshed/store/fake_key_value.hpp"
 
@@ -13,16 +14,28 @@
 
 namespace {
 
+/// A reading that was left out.
+struct ignored_reading
+{
+  store::revision read;
+  store::revision seen;
+  store::era_id era;
+};
+
 /// A view of the keys below "a/", and the store that it follows.
 struct follower
 {
   follower()
-    : view(
-        store,
-        "a/",
-        {},
-        { [this](clock::time_point) { ++changes; },
-          [this](bool aIsReached, std::error_code) { reached = aIsReached; } })
+    : view(store,
+           "a/",
+           {},
+           { [this](clock::time_point) { ++changes; },
+             [this](bool aIsReached, std::error_code) { reached = aIsReached; },
+             [this](store::revision aRead,
+                    store::revision aSeen,
+                    const store::reply& aReply) {
+               ignored.push_back({ aRead, aSeen, aReply.era });
+             } })
   {
     store.Put("a/1", "one");
     store.Put("b/1", "other");
@@ -41,6 +54,7 @@
   store::prefix_view view;
   int changes = 0;
   bool reached = false;
+  std::vector<ignored_reading> ignored;
 };
 
 struct change_row
@@ -265,3 +279,22 @@
   CHECK(Print(view) == "a/1=three ");
   CHECK_EQUAL(ranges, store.ranges);
 }
+
+TEST(prefix_view, tells_once_of_a_reading_that_it_leaves_out)
+{
+  follower made;
+  made.store.era = 7;
+  made.Run(100ms);
+  const auto before = made.store.revision;
+  made.store.Put("b/2", "other");
+  // The reading is on its way as another VM passes on what came after it.
+  made.view.Renew(made.store.now);
+  made.view.Tick(made.store.now, 0.5);
+  const auto read = made.store.revision;
+  made.view.Take({ false, before, read + 5, false, {} }, made.store.now);
+  made.Run(100ms);
+  LONGS_EQUAL(1, made.ignored.size());
+  CHECK(made.ignored.front().read == read);
+  CHECK(made.ignored.front().seen == read + 5);
+  CHECK(made.ignored.front().era == 7);
+}
