The incident reproduced: a store that comes back from an older copy, two red tests

- unit.returned_store: "expected <a/1=one a/2=two > but was <a/1=un a/3=three >", and readings in a loop, in the first of its rows.

The stand-in keeps copies of its keys, and /test/lose?span_ms=&away_ms= has it lose its last span; calls that wait meanwhile are done after the return, in the new era, and what the operator and the servers wrote is written again a second later.

--- a/standin/fleet/keys.cpp
+++ b/standin/fleet/keys.cpp
@@ -8,6 +8,9 @@
 
 namespace json = boost::json;
 
+// How far back copies reach.
+constexpr std::chrono::seconds kCopiesReach{ 10 };
+
 bool
 StartsWith(const std::string& aText, const std::string& aWith)
 {
@@ -27,16 +30,16 @@
           const std::string& aValue,
           std::uint64_t aLease)
 {
-  auto& place = mEntries[aKey];
-  place = { aValue, ++mRevision, aLease };
-  mHistory.push_back({ aKey, mRevision, false, place });
+  auto& place = mState.entries[aKey];
+  place = { aValue, ++mState.revision, aLease };
+  mHistory.push_back({ aKey, mState.revision, false, place });
 }
 
 void
 keys::Remove(const std::string& aKey)
 {
-  if (mEntries.erase(aKey) != 0) {
-    mHistory.push_back({ aKey, ++mRevision, true, {} });
+  if (mState.entries.erase(aKey) != 0) {
+    mHistory.push_back({ aKey, ++mState.revision, true, {} });
   }
 }
 
@@ -53,12 +56,12 @@
 key_answer
 keys::Get(const std::string& aKey) const
 {
-  const auto found = mEntries.find(aKey);
-  if (found == mEntries.end()) {
+  const auto found = mState.entries.find(aKey);
+  if (found == mState.entries.end()) {
     return { 404, {} };
   }
   auto body = Print(aKey, found->second);
-  body["store_revision"] = mRevision;
+  body["store_revision"] = mState.revision;
   return { 200, std::move(body) };
 }
 
@@ -66,7 +69,7 @@
 keys::Range(const std::string& aPrefix) const
 {
   json::array items;
-  for (const auto& [key, one] : mEntries) {
+  for (const auto& [key, one] : mState.entries) {
     if (StartsWith(key, aPrefix)) {
       items.push_back(Print(key, one));
     }
@@ -74,12 +77,15 @@
   return { 200,
            { { "items", std::move(items) },
              { "has_more", false },
-             { "store_revision", mRevision } } };
+             { "store_revision", mState.revision } } };
 }
 
 key_answer
 keys::Changes(const std::string& aPrefix, std::uint64_t aAfter) const
 {
+  if (aAfter > mState.revision) {
+    return { 410, {} };
+  }
   json::array events;
   for (const auto& one : mHistory) {
     if (one.revision <= aAfter || !StartsWith(one.key, aPrefix)) {
@@ -91,9 +97,9 @@
                                  : Print(one.key, one.content));
   }
   const unsigned status = events.empty() ? 0 : 200;
-  return {
-    status, { { "events", std::move(events) }, { "store_revision", mRevision } }
-  };
+  return { status,
+           { { "events", std::move(events) },
+             { "store_revision", mState.revision } } };
 }
 
 key_answer
@@ -101,8 +107,9 @@
 {
   for (const auto& one : aWhat.at("expected_rev").as_array()) {
     const auto& condition = one.as_object();
-    const auto found = mEntries.find(Text(condition, "key"));
-    const auto changed = found == mEntries.end() ? 0 : found->second.changed;
+    const auto found = mState.entries.find(Text(condition, "key"));
+    const auto changed =
+      found == mState.entries.end() ? 0 : found->second.changed;
     if (changed != condition.at("revision").to_number<std::uint64_t>()) {
       return { 412, { { "items", json::array{} } } };
     }
@@ -110,7 +117,7 @@
   for (const auto& one : aWhat.at("puts").as_array()) {
     const auto lease =
       one.as_object().at("lease_id").to_number<std::uint64_t>();
-    if (lease != 0 && !mLeases.contains(lease)) {
+    if (lease != 0 && !mState.leases.contains(lease)) {
       return { 404, {} };
     }
   }
@@ -123,22 +130,22 @@
   for (const auto& one : aWhat.at("remove").as_array()) {
     Remove(json::value_to<std::string>(one));
   }
-  return { 200, { { "revision", mRevision } } };
+  return { 200, { { "revision", mState.revision } } };
 }
 
 key_answer
 keys::Grant(std::int64_t aTtlMs, time_point aNow)
 {
   const std::chrono::milliseconds ttl{ aTtlMs };
-  mLeases[++mLastLease] = { ttl, aNow + ttl };
-  return { 200, { { "lease_id", mLastLease }, { "ttl_ms", aTtlMs } } };
+  mState.leases[++mState.lastLease] = { ttl, aNow + ttl };
+  return { 200, { { "lease_id", mState.lastLease }, { "ttl_ms", aTtlMs } } };
 }
 
 key_answer
 keys::Keep(std::uint64_t aLease, time_point aNow)
 {
-  const auto found = mLeases.find(aLease);
-  if (found == mLeases.end()) {
+  const auto found = mState.leases.find(aLease);
+  if (found == mState.leases.end()) {
     return { 404, {} };
   }
   found->second.until = aNow + found->second.ttl;
@@ -148,9 +155,9 @@
 void
 keys::End(std::uint64_t aLease)
 {
-  mLeases.erase(aLease);
+  mState.leases.erase(aLease);
   std::vector<std::string> held;
-  for (const auto& [key, one] : mEntries) {
+  for (const auto& [key, one] : mState.entries) {
     if (one.lease == aLease) {
       held.push_back(key);
     }
@@ -164,7 +171,7 @@
 keys::Expire(time_point aNow)
 {
   std::vector<std::uint64_t> ended;
-  for (const auto& [id, one] : mLeases) {
+  for (const auto& [id, one] : mState.leases) {
     if (aNow >= one.until) {
       ended.push_back(id);
     }
@@ -174,4 +181,31 @@
   }
 }
 
+void
+keys::Copy(time_point aNow)
+{
+  mCopies.push_back({ aNow, mState });
+  while (mCopies.front().at < aNow - kCopiesReach) {
+    mCopies.pop_front();
+  }
+}
+
+void
+keys::Return(std::chrono::milliseconds aAge, time_point aNow)
+{
+  while (mCopies.size() > 1 && mCopies.back().at > aNow - aAge) {
+    mCopies.pop_back();
+  }
+  if (!mCopies.empty()) {
+    mState = mCopies.back().kept;
+  }
+  for (auto& [id, one] : mState.leases) {
+    one.until = aNow + one.ttl;
+  }
+  std::erase_if(mHistory, [this](const auto& aEvent) {
+    return aEvent.revision > mState.revision;
+  });
+  ++mEra;
+}
+
 } // namespace currantshed::standin::fleet
--- a/standin/fleet/keys.hpp
+++ b/standin/fleet/keys.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -43,7 +44,15 @@
   /// Ends the leases that have run out.
   void Expire(time_point aNow);
 
-  [[nodiscard]] std::uint64_t Revision() const { return mRevision; }
+  /// Keeps a copy of the store as it is, and forgets old ones.
+  void Copy(time_point aNow);
+
+  /// Comes back from the newest copy that is at least so old. What was written
+  /// since is gone, revisions and leases are given out again, and the era
+  /// rises.
+  void Return(std::chrono::milliseconds aAge, time_point aNow);
+
+  [[nodiscard]] std::uint64_t Era() const { return mEra; }
 
 private:
   struct entry
@@ -67,14 +76,27 @@
     time_point until;
   };
 
+  struct state
+  {
+    std::map<std::string, entry> entries;
+    std::map<std::uint64_t, lease> leases;
+    std::uint64_t revision = 1;
+    std::uint64_t lastLease = 0;
+  };
+
+  struct copy
+  {
+    time_point at;
+    state kept;
+  };
+
   [[nodiscard]] static boost::json::object Print(const std::string& aKey,
                                                  const entry& aEntry);
 
-  std::map<std::string, entry> mEntries;
+  state mState;
   std::vector<event> mHistory;
-  std::map<std::uint64_t, lease> mLeases;
-  std::uint64_t mRevision = 1;
-  std::uint64_t mLastLease = 0;
+  std::deque<copy> mCopies;
+  std::uint64_t mEra = 1;
 };
 
 } // namespace currantshed::standin::fleet
--- a/standin/fleet/main.cpp
+++ b/standin/fleet/main.cpp
@@ -37,6 +37,9 @@
 // How long a promotion takes.
 constexpr milliseconds kPromotion{ 200 };
 constexpr milliseconds kWatchCheck{ 5 };
+constexpr milliseconds kCopyInterval{ 100 };
+// When the operator and the servers write again what the store has lost.
+constexpr milliseconds kWrittenAgain{ 1000 };
 // When a server started for the first time, in milliseconds of the time of day;
 // each start after it counts one more.
 constexpr std::int64_t kFirstStart = 1795000000000;
@@ -58,12 +61,14 @@
   world(boost::asio::io_context& aContext, const options& aOptions)
     : mContext(aContext)
     , mTimer(aContext)
+    , mCopyTimer(aContext)
   {
     for (unsigned number = 0; number < aOptions.groups; ++number) {
       AddGroup(number, aOptions);
     }
     Configure(1);
     Follow();
+    Copy();
   }
 
   void Listen(std::uint16_t aPort, std::function<void(tcp::socket)> aTake)
@@ -83,6 +88,9 @@
     const auto path = target.substr(0, mark);
     mQuery = mark == std::string::npos ? "" : target.substr(mark + 1);
     const auto now = std::chrono::steady_clock::now();
+    if (mIsAway && path.starts_with("/kv-")) {
+      return false;
+    }
     mKeys.Expire(now);
     if (path == "/kv-key") {
       aAnswer = mKeys.Get(Parameter("key"));
@@ -109,6 +117,11 @@
     return true;
   }
 
+  [[nodiscard]] std::uint64_t Era() const { return mKeys.Era(); }
+
+  /// Whether calls of the store wait for its return.
+  [[nodiscard]] bool IsAway() const { return mIsAway; }
+
   [[nodiscard]] std::uint64_t WaitMs() const
   {
     return Number(Parameter("wait_ms"));
@@ -193,6 +206,7 @@
 
   void Configure(std::uint64_t aVersion)
   {
+    mVersion = aVersion;
     json::array routes;
     json::array services;
     for (const auto& one : mGroups) {
@@ -231,6 +245,50 @@
     });
   }
 
+  void Copy()
+  {
+    mCopyTimer.expires_after(kCopyInterval);
+    mCopyTimer.async_wait([this](boost::system::error_code aError) {
+      if (!aError) {
+        mKeys.Copy(std::chrono::steady_clock::now());
+        Copy();
+      }
+    });
+  }
+
+  // The store is away for so long, and then comes back without what was written
+  // in the span before. Calls that wait meanwhile are done after its return.
+  void Lose(milliseconds aSpan, milliseconds aAway)
+  {
+    mIsAway = true;
+    After(aAway, [this, aSpan, aAway] {
+      mKeys.Return(aSpan + aAway, std::chrono::steady_clock::now());
+      mIsAway = false;
+      After(kWrittenAgain, [this] { WriteAgain(); });
+    });
+  }
+
+  void WriteAgain()
+  {
+    Configure(mVersion);
+    for (auto& group : mGroups) {
+      for (const auto& one : group.Servers()) {
+        List(one);
+      }
+    }
+  }
+
+  void After(milliseconds aSpan, std::function<void()> aDo)
+  {
+    auto timer = std::make_shared<boost::asio::steady_timer>(mContext, aSpan);
+    timer->async_wait(
+      [timer, act = std::move(aDo)](boost::system::error_code aError) {
+        if (!aError) {
+          act();
+        }
+      });
+  }
+
   fleet::key_answer Promote(const json::object& aOrder)
   {
     const auto service = json::value_to<std::string>(aOrder.at("service"));
@@ -253,14 +311,19 @@
     return { 404, {} };
   }
 
-  // What a test orders: the configuration's version, and servers that stop,
-  // come back, leave, or start again empty. Without an order it tells what is
+  // What a test orders: the configuration's version, a store that comes back
+  // from an older copy, and servers that stop, come back, leave, or start again
+  // empty. Without an order it tells what is
   // wrong.
   fleet::key_answer Order(const std::string& aPath)
   {
     if (aPath == "/test/configure") {
       Configure(Number(Parameter("version")));
     }
+    if (aPath == "/test/lose") {
+      Lose(milliseconds{ Number(Parameter("span_ms")) },
+           milliseconds{ Number(Parameter("away_ms")) });
+    }
     if (aPath == "/test/primary") {
       const auto primary = Primary(Parameter("group"));
       return { 200, {}, primary.empty() ? " " : primary };
@@ -315,7 +378,10 @@
 
   boost::asio::io_context& mContext;
   boost::asio::steady_timer mTimer;
+  boost::asio::steady_timer mCopyTimer;
   fleet::keys mKeys;
+  std::uint64_t mVersion = 0;
+  bool mIsAway = false;
   std::list<fleet::group> mGroups;
   std::string mQuery;
 };
@@ -356,8 +422,9 @@
   {
     fleet::key_answer answer;
     const bool done = mWorld.Answer(mRequest, answer);
-    if (!done && (mUntil == std::chrono::steady_clock::time_point{} ||
-                  std::chrono::steady_clock::now() < mUntil)) {
+    if (!done &&
+        (mWorld.IsAway() || mUntil == std::chrono::steady_clock::time_point{} ||
+         std::chrono::steady_clock::now() < mUntil)) {
       mTimer.expires_after(kWatchCheck);
       mTimer.async_wait([self = shared_from_this()](boost::system::error_code) {
         self->Try();
@@ -366,6 +433,7 @@
     }
     mUntil = {};
     mResponse = {};
+    mResponse.set("Store-Era", std::to_string(mWorld.Era()));
     mResponse.result(answer.status == 0 ? 200 : answer.status);
     mResponse.keep_alive(true);
     mResponse.body() =
--- /dev/null
+++ b/test/currantshed/store/returned_store.cpp
@@ -0,0 +1,152 @@
+// The store was away for two seconds and came back from a copy some seconds
+// old. For the next twelve seconds, four acknowledged configurations long, no
+// VM put a newer one in force: revisions were given out a second time, and each
+// VM took what it read for a state older than the one that it knew, left it
+// out, and asked again at once for changes after a revision that the store did
+// not have.
+//
+//   reading_ignored what=configuration revision=17 store_era=2 seen=45
+//   configuration_ignored version=23 in_force=23    6 to 14 times a second and
+//   VM
+//
+// It ended when the store had counted past the revision that the VMs had seen.
+#include <chrono>
+#include <functional>
+#include <string>
+
+#include "currantshed/store/prefix_view.hpp"
+#include "test/currantshed/store/fake_key_value.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+using namespace std::chrono_literals;
+
+namespace {
+
+// How soon an acknowledged change must be in force.
+constexpr auto kInForce = 3000ms;
+// Calls that may be made in that time: a reading, watches and their changes.
+constexpr int kMostReadings = 3;
+
+std::string
+Print(const store::prefix_view& aView)
+{
+  std::string text;
+  for (const auto& [key, item] : aView.Items()) {
+    text += key + "=" + item.value + " ";
+  }
+  return text;
+}
+
+/// A VM that follows the store, and another that it passes changes on to.
+struct two_vms
+{
+  two_vms()
+  {
+    store.era = 1;
+    store.Put("a/1", "one");
+    store.Put("a/2", "two");
+    fed.FedUntil(store.now + 1h);
+    Run(100ms);
+    store.Copy();
+    for (const auto* value : { "uno", "ein", "un" }) {
+      store.Put("a/1", value);
+    }
+    store.Put("a/3", "three");
+    store.Remove("a/2");
+    Run(800ms);
+    store.ranges = 0;
+  }
+
+  void Run(std::chrono::milliseconds aSpan)
+  {
+    for (const auto end = store.now + aSpan; store.now < end;
+         store.now += 10ms) {
+      feeder.Tick(store.now, 0.5);
+      store.Answer();
+      if (fed.Take(feeder.After(fed.Seen()), store.now)) {
+        fed.FedUntil(store.now + 2s);
+      }
+    }
+  }
+
+  test::fake_key_value store;
+  store::prefix_view::listener listener{ [](clock::time_point) {},
+                                         [](bool, std::error_code) {} };
+  store::prefix_view feeder{ store, "a/", {}, listener };
+  store::prefix_view fed{ store, "a/", {}, listener };
+};
+
+struct return_row
+{
+  const char* name;
+  std::function<void(two_vms&)> given;
+  std::string keys;
+};
+
+const return_row kRows[] = {
+  { "nothing is written again",
+    [](two_vms& aVms) { aVms.store.Return(); },
+    "a/1=one a/2=two " },
+  { "a key is written at a revision below the one seen",
+    [](two_vms& aVms) {
+      aVms.store.Return();
+      aVms.Run(200ms);
+      aVms.store.Put("a/1", "trois");
+    },
+    "a/1=trois a/2=two " },
+  { "keys are written before the VM's next call, past the revision seen",
+    [](two_vms& aVms) {
+      aVms.store.Return();
+      for (int i = 0; i < 9; ++i) {
+        aVms.store.Put("a/4", std::to_string(i));
+      }
+    },
+    "a/1=one a/2=two a/4=8 " },
+  { "it comes back twice",
+    [](two_vms& aVms) {
+      aVms.store.Return();
+      aVms.Run(200ms);
+      aVms.store.Put("a/1", "trois");
+      aVms.Run(200ms);
+      aVms.store.Return();
+      aVms.store.Put("a/2", "deux");
+    },
+    "a/1=one a/2=deux " },
+  { "it does not answer at first",
+    [](two_vms& aVms) {
+      aVms.store.Return();
+      aVms.store.failing = store::errc::kTimeout;
+      aVms.Run(1000ms);
+      aVms.store.failing = {};
+      aVms.store.Put("a/1", "trois");
+    },
+    "a/1=trois a/2=two " },
+};
+
+} // namespace
+
+TEST_GROUP(returned_store){};
+
+TEST(returned_store, is_followed_from_its_new_revisions)
+{
+  for (const auto& row : kRows) {
+    two_vms made;
+    row.given(made);
+    made.Run(kInForce);
+    STRCMP_EQUAL_TEXT(row.keys.c_str(), Print(made.feeder).c_str(), row.name);
+    STRCMP_EQUAL_TEXT(row.keys.c_str(), Print(made.fed).c_str(), row.name);
+  }
+}
+
+TEST(returned_store, is_not_called_in_a_loop)
+{
+  for (const auto& row : kRows) {
+    two_vms made;
+    row.given(made);
+    made.store.ranges = 0;
+    made.Run(kInForce);
+    CHECK_TEXT(made.store.ranges <= kMostReadings, row.name);
+  }
+}
