--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -82,29 +82,33 @@
            absl::Uniform<std::uint64_t>(mRandom) >> 1U,
            aSettings.processorShare }
   , mPlatform(aMaker(mContext))
+  , mStore(*mPlatform.store,
+           { [this](std::function<void()> aCall) {
+              boost::asio::post(mContext, std::move(aCall));
+            },
+             [this](store::era_id aBefore, store::era_id aNow) {
+               EraBegan(aBefore, aNow);
+             } })
   , mConfigurationView(
-      *mPlatform.store,
+      mStore,
       aDocuments.ConfigurationKey(),
       { .afterChange = kConfigurationPause, .byteTime = ByteTime(aSettings) },
       Listener("configuration",
                [this](clock::time_point) { ConfigurationChanged(); }))
   , mServersView(
-      *mPlatform.store,
+      mStore,
       aDocuments.ServersPrefix(),
       { .afterChange = kServersPause,
         .afterChangeByKey = kServersPauseByServer,
         .longestByKeys = kLongestServersPause },
       Listener("servers",
                [this](clock::time_point aNow) { ServersChanged(aNow); }))
-  , mOwnView(*mPlatform.store,
+  , mOwnView(mStore,
              std::string(kOwnPrefix),
              { .longestByKeys = kLongestOwnPause },
              Listener("own_keys",
                       [this](clock::time_point aNow) { OwnKeysChanged(aNow); }))
-  , mRegistration(*mPlatform.store,
-                  mOwnView,
-                  VmKey(aSettings.vm),
-                  { LongLease() })
+  , mRegistration(mStore, mOwnView, VmKey(aSettings.vm), { LongLease() })
   , mNews(mContext,
           mZmq,
           mSelf.where,
@@ -313,6 +317,28 @@
            } };
 }
 
+void
+control::EraBegan(store::era_id aBefore, store::era_id aNow)
+{
+  mMetrics.SetStoreEra(aNow);
+  if (aBefore == 0) {
+    return;
+  }
+  log::Write(
+    log::level::kWarning,
+    "store_returned",
+    { { "era_before", static_cast<std::int64_t>(aBefore) },
+      { "store_era", static_cast<std::int64_t>(aNow) },
+      { "configuration",
+        static_cast<std::int64_t>(mConfigurationView.Seen().number) },
+      { "servers", static_cast<std::int64_t>(mServersView.Seen().number) },
+      { "own_keys", static_cast<std::int64_t>(mOwnView.Seen().number) } });
+  for (auto* view : Views()) {
+    view->EraEnded(clock::Now());
+  }
+  Schedule();
+}
+
 void
 control::NoteIgnored(const std::string& aWhat,
                      store::revision aRead,
@@ -323,9 +349,10 @@
   log::Write(log::level::kWarning,
              "reading_ignored",
              { { "what", aWhat },
-               { "revision", static_cast<std::int64_t>(aRead) },
-               { "seen", static_cast<std::int64_t>(aSeen) },
-               { "store_era", static_cast<std::int64_t>(aReply.era) } });
+               { "revision", static_cast<std::int64_t>(aRead.number) },
+               { "store_era", static_cast<std::int64_t>(aReply.era) },
+               { "seen", static_cast<std::int64_t>(aSeen.number) },
+               { "seen_era", static_cast<std::int64_t>(aSeen.era) } });
 }
 
 void
@@ -387,7 +414,7 @@
 {
   const bool hasRead = mConfigurationView.IsKnown() && mServersView.IsKnown() &&
                        mOwnView.IsKnown();
-  mPlatform.store->SetPatience(store::Patience(aNow - mStartedAt, hasRead));
+  mStore.SetPatience(store::Patience(aNow - mStartedAt, hasRead));
   HoldViews();
   mConfigurationView.Tick(aNow, absl::Uniform<double>(mRandom, 0, 1));
   mServersView.Tick(aNow, absl::Uniform<double>(mRandom, 0, 1));
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -41,6 +41,7 @@
 #include "currantshed/node/subscribers.hpp"
 #include "currantshed/node/token_desk.hpp"
 #include "currantshed/node/traffic.hpp"
+#include "currantshed/store/era_guard.hpp"
 #include "currantshed/store/prefix_view.hpp"
 #include "currantshed/store/registration.hpp"
 
@@ -137,6 +138,7 @@
   [[nodiscard]] store::prefix_view::listener Listener(
     std::string aWhat,
     std::function<void(clock::time_point)> aChanged);
+  void EraBegan(store::era_id aBefore, store::era_id aNow);
   void NoteIgnored(const std::string& aWhat,
                    store::revision aRead,
                    store::revision aSeen,
@@ -288,6 +290,7 @@
   absl::BitGen mRandom;
   vm_record mSelf;
   platform_access mPlatform;
+  store::era_guard mStore;
   store::prefix_view mConfigurationView;
   store::prefix_view mServersView;
   store::prefix_view mOwnView;
@@ -316,7 +319,7 @@
   known_vms mKnownVms;
   std::uint64_t mVersion = 0;
   // The change of the store that the configuration in force came with.
-  store::revision mInForce = 0;
+  store::revision mInForce;
   // How old it may be, who asks the store about that, and when.
   customer::freshness mFreshness;
   check_schedule mChecks;
--- a/src/currantshed/node/control_feed.cpp
+++ b/src/currantshed/node/control_feed.cpp
@@ -10,6 +10,7 @@
 
 #include "currantshed/log/log.hpp"
 #include "currantshed/node/audience.hpp"
+#include "currantshed/node/control_words.hpp"
 #include "currantshed/node/feeders.hpp"
 
 namespace currantshed::node {
@@ -31,9 +32,9 @@
 constexpr milliseconds kHintPause{ 20 };
 
 store::key_change
-ReadKey(const news::Key& aKey)
+ReadKey(const news::Key& aKey, store::era_id aEra)
 {
-  return { { aKey.key(), aKey.value(), aKey.changed(), aKey.lease() },
+  return { { aKey.key(), aKey.value(), { aEra, aKey.changed() }, aKey.lease() },
            aKey.removed() };
 }
 
@@ -42,7 +43,7 @@
 {
   aOut.set_key(aChange.now.key);
   aOut.set_value(aChange.now.value);
-  aOut.set_changed(aChange.now.changed);
+  aOut.set_changed(aChange.now.changed.number);
   aOut.set_lease(aChange.now.lease);
   aOut.set_removed(aChange.removed);
 }
@@ -62,13 +63,14 @@
 {
   store::key_update made;
   made.isWhole = aUpdate.whole();
-  made.after = aUpdate.after();
-  made.upTo = aUpdate.up_to();
+  made.after = { aUpdate.era(), aUpdate.after() };
+  made.upTo = { aUpdate.era(), aUpdate.up_to() };
   made.mayBeOld = aUpdate.may_be_old();
-  std::transform(aUpdate.keys().begin(),
-                 aUpdate.keys().end(),
-                 std::back_inserter(made.changes),
-                 ReadKey);
+  std::transform(
+    aUpdate.keys().begin(),
+    aUpdate.keys().end(),
+    std::back_inserter(made.changes),
+    [&aUpdate](const auto& aKey) { return ReadKey(aKey, aUpdate.era()); });
   return made;
 }
 
@@ -194,7 +196,9 @@
   for (const auto* view : Views()) {
     auto* wanted = told.add_wanted();
     wanted->set_prefix(number++);
-    wanted->set_known(view->IsKnown() ? view->Seen() : 0);
+    const auto known = view->IsKnown() ? view->Seen() : store::revision{};
+    wanted->set_known(known.number);
+    wanted->set_known_era(known.era);
   }
   mWantedAt = aNow;
   mNews.Send(aVm, std::move(told), aNow);
@@ -219,12 +223,13 @@
       continue;
     }
     const auto& view = *views[wanted.prefix()];
-    auto update = view.After(wanted.known());
+    auto update = view.After({ wanted.known_era(), wanted.known() });
     auto& out = *told.add_updates();
     out.set_prefix(wanted.prefix());
     out.set_whole(update.isWhole);
-    out.set_after(update.after);
-    out.set_up_to(update.upTo);
+    out.set_after(update.after.number);
+    out.set_up_to(update.upTo.number);
+    out.set_era(update.upTo.era);
     out.set_may_be_old(update.mayBeOld);
     out.set_current_at_us(
       lead::ToWire(view.CurrentAt(mRegistration.AnsweredFor())).count());
@@ -287,10 +292,12 @@
 void
 control::HeardChanges(const news::News& aNews, clock::time_point aNow)
 {
-  const bool isNews =
-    aNews.configuration_change() > mConfigurationView.Seen() ||
-    aNews.servers_change() > mServersView.Seen() ||
-    aNews.own_change() > mOwnView.Seen();
+  const auto heard = ReadChanges(aNews);
+  const auto views = Views();
+  bool isNews = false;
+  for (std::size_t i = 0; i < views.size(); ++i) {
+    isNews = isNews || heard[i] > views[i]->Seen();
+  }
   if (isNews && IsFeeder(aNews.vm()) && aNow >= mWantedAt + kHintPause) {
     SendWanted(aNews.vm(), aNow);
   }
--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -97,8 +97,8 @@
   mFleetStaleSince = aNow;
   store::transaction made;
   made.conditions.push_back({ FleetKey(), mOwnKeys.fleetChanged });
-  made.puts.push_back({ FleetKey(), PrintFleet(listed), 0, 0 });
-  mPlatform.store->Commit(
+  made.puts.push_back({ FleetKey(), PrintFleet(listed), {}, 0 });
+  mStore.Commit(
     std::move(made),
     [vms = listed.size()](
       store::commit_outcome aOutcome, store::revision, store::reply) {
--- a/src/currantshed/node/control_freshness.cpp
+++ b/src/currantshed/node/control_freshness.cpp
@@ -121,8 +121,9 @@
   FillChanges(told);
   auto& out = *told.add_updates();
   out.set_prefix(kConfigurationNumber);
-  out.set_after(mConfigurationView.Changed());
-  out.set_up_to(mConfigurationView.Seen());
+  out.set_after(mConfigurationView.Changed().number);
+  out.set_up_to(mConfigurationView.Seen().number);
+  out.set_era(mConfigurationView.Seen().era);
   out.set_proved_at_us(lead::ToWire(mConfigurationView.ProvedAt()).count());
   for (const auto& vm : mCheckers) {
     if (vm != mSelf.where.vm) {
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -84,24 +84,24 @@
 control::Do(const std::string& aService, const lead::order_promotion& aAction)
 {
   const auto asked = clock::Now();
-  mPlatform.store->Get(
-    DutyKey(aService),
-    [this, aService, asked, aAction](std::error_code aError,
-                                     std::optional<store::item> aItem,
-                                     store::reply aReply) {
-      auto duty = aItem ? ReadDuty(*aItem) : std::nullopt;
-      if (aError || !duty || !HoldsDutySince(*duty, asked)) {
-        NotOrdered(aService,
-                   aAction.server,
-                   aError ? aError.message() : "the duty is not held",
-                   aReply.at);
-      } else if (duty->replacedTerm < aAction.replaces) {
-        duty->replacedTerm = aAction.replaces;
-        RecordReplaced(aService, aAction.server, *duty, aItem->changed);
-      } else {
-        Promote(aService, aAction.server, duty->epoch);
-      }
-    });
+  mStore.Get(DutyKey(aService),
+             [this, aService, asked, aAction](std::error_code aError,
+                                              std::optional<store::item> aItem,
+                                              store::reply aReply) {
+               auto duty = aItem ? ReadDuty(*aItem) : std::nullopt;
+               if (aError || !duty || !HoldsDutySince(*duty, asked)) {
+                 NotOrdered(aService,
+                            aAction.server,
+                            aError ? aError.message() : "the duty is not held",
+                            aReply.at);
+               } else if (duty->replacedTerm < aAction.replaces) {
+                 duty->replacedTerm = aAction.replaces;
+                 RecordReplaced(
+                   aService, aAction.server, *duty, aItem->changed);
+               } else {
+                 Promote(aService, aAction.server, duty->epoch);
+               }
+             });
 }
 
 // Whether the record, asked for at the given time, lets this VM give orders.
@@ -127,8 +127,8 @@
   const auto key = DutyKey(aService);
   store::transaction made;
   made.conditions.push_back({ key, aChanged });
-  made.puts.push_back({ key, PrintDuty(aDuty), 0, 0 });
-  mPlatform.store->Commit(
+  made.puts.push_back({ key, PrintDuty(aDuty), {}, 0 });
+  mStore.Commit(
     std::move(made),
     [this, aService, aServer, duty = std::move(aDuty), asked](
       store::commit_outcome aOutcome, store::revision, store::reply aReply) {
@@ -168,7 +168,7 @@
     });
     return;
   }
-  mPlatform.store->Get(
+  mStore.Get(
     DutyKey(aService),
     [this, aService](std::error_code aError,
                      std::optional<store::item> aItem,
@@ -234,25 +234,24 @@
 control::Do(const std::string& aService, const lead::list_vms& /*aAction*/)
 {
   const auto asked = clock::Now();
-  mPlatform.store->Range(
-    VmKey(""),
-    [this, aService, asked](std::error_code aError,
-                            const std::vector<store::item>& aItems,
-                            store::revision,
-                            store::reply aReply) {
-      const auto now = aReply.at;
-      auto* found = Find(aService);
-      if (aError || found == nullptr) {
-        return;
-      }
-      for (const auto& item : aItems) {
-        if (const auto record = ReadVm(item)) {
-          mKnownVms.Seen(record->where.vm, now);
-        }
-      }
-      found->lead.VmsListed(mKnownVms.MayRest(now), asked, now);
-      Perform(now);
-    });
+  mStore.Range(VmKey(""),
+               [this, aService, asked](std::error_code aError,
+                                       const std::vector<store::item>& aItems,
+                                       store::revision,
+                                       store::reply aReply) {
+                 const auto now = aReply.at;
+                 auto* found = Find(aService);
+                 if (aError || found == nullptr) {
+                   return;
+                 }
+                 for (const auto& item : aItems) {
+                   if (const auto record = ReadVm(item)) {
+                     mKnownVms.Seen(record->where.vm, now);
+                   }
+                 }
+                 found->lead.VmsListed(mKnownVms.MayRest(now), asked, now);
+                 Perform(now);
+               });
 }
 
 void
@@ -373,7 +372,7 @@
 {
   aGroup.isClaiming = true;
   aGroup.claimFrom = aNow + kClaimPause;
-  mPlatform.store->Commit(
+  mStore.Commit(
     ClaimOf(mOwnKeys, aService, mSelf, mOwnView.Seen()),
     [this,
      aService](store::commit_outcome aOutcome, store::revision, store::reply) {
--- a/src/currantshed/node/control_news.cpp
+++ b/src/currantshed/node/control_news.cpp
@@ -121,9 +121,12 @@
 void
 control::FillChanges(news::News& aOut) const
 {
-  aOut.set_configuration_change(mConfigurationView.Changed());
-  aOut.set_servers_change(mServersView.Changed());
-  aOut.set_own_change(mOwnView.Changed());
+  aOut.set_configuration_change(mConfigurationView.Changed().number);
+  aOut.set_configuration_era(mConfigurationView.Changed().era);
+  aOut.set_servers_change(mServersView.Changed().number);
+  aOut.set_servers_era(mServersView.Changed().era);
+  aOut.set_own_change(mOwnView.Changed().number);
+  aOut.set_own_era(mOwnView.Changed().era);
 }
 
 void
@@ -151,9 +154,11 @@
                   clock::time_point aNow)
 {
   mKnownVms.Heard(aNews.vm(), aNow);
-  mConfigurationView.HeardOf(aNews.configuration_change(), aNow);
-  mServersView.HeardOf(aNews.servers_change(), aNow);
-  mOwnView.HeardOf(aNews.own_change(), aNow);
+  const auto heard = ReadChanges(aNews);
+  const auto views = Views();
+  for (std::size_t i = 0; i < views.size(); ++i) {
+    views[i]->HeardOf(heard[i], aNow);
+  }
   HeardOfTokens(aNews, aClock, aNow);
   AnswerWanted(aNews, aNow);
   HeardDoubts(aNews, aNow);
--- a/src/currantshed/node/control_quota.cpp
+++ b/src/currantshed/node/control_quota.cpp
@@ -59,7 +59,7 @@
   auto keys = mOwnKeys;
   if (!mIsSettled) {
     for (const auto& one : mOwnKeys.fleet) {
-      keys.vms.try_emplace(one.where.vm, own_keys::listed_vm{ one, 0 });
+      keys.vms.try_emplace(one.where.vm, own_keys::listed_vm{ one, {} });
     }
   }
   return keys;
--- a/src/currantshed/node/control_servers.cpp
+++ b/src/currantshed/node/control_servers.cpp
@@ -23,7 +23,8 @@
     log::level::kInfo,
     "servers_listed",
     { { "servers", static_cast<std::int64_t>(mServers.Servers().size()) },
-      { "revision", static_cast<std::int64_t>(mServersView.Seen()) } });
+      { "revision", static_cast<std::int64_t>(mServersView.Seen().number) },
+      { "store_era", static_cast<std::int64_t>(mServersView.Seen().era) } });
   mTraffic.SetServers(mServers.Servers());
   UpdateReadiness(aNow);
   Perform(aNow);
@@ -69,7 +70,7 @@
              "server_unusable",
              { { "key", aKey },
                { "reason", aWhyNot.message() },
-               { "changed", static_cast<std::int64_t>(aChanged) } });
+               { "changed", static_cast<std::int64_t>(aChanged.number) } });
 }
 
 // One line for each server whose standing has changed, so that it can be told
@@ -94,7 +95,8 @@
             one.server.startedAt.time_since_epoch().count()) },
         { "is_primary", leads },
         { "learned_by", std::string(NameOf(aSource)) },
-        { "revision", static_cast<std::int64_t>(mServersView.Seen()) } });
+        { "revision", static_cast<std::int64_t>(mServersView.Seen().number) },
+        { "store_era", static_cast<std::int64_t>(mServersView.Seen().era) } });
   }
 }
 
--- a/src/currantshed/node/control_words.cpp
+++ b/src/currantshed/node/control_words.cpp
@@ -76,4 +76,12 @@
            aClock(isPassedOn ? aReach.said_at_us() : aSentAt) };
 }
 
+std::array<store::revision, 3>
+ReadChanges(const news::News& aNews)
+{
+  return { { { aNews.configuration_era(), aNews.configuration_change() },
+             { aNews.servers_era(), aNews.servers_change() },
+             { aNews.own_era(), aNews.own_change() } } };
+}
+
 } // namespace currantshed::node
--- a/src/currantshed/node/control_words.hpp
+++ b/src/currantshed/node/control_words.hpp
@@ -1,10 +1,13 @@
 #ifndef CURRANTSHED_NODE_CONTROL_WORDS_HPP
 #define CURRANTSHED_NODE_CONTROL_WORDS_HPP
 
+#include <array>
+#include <cstdint>
 #include <string>
 
 #include "currantshed/lead/group_lead.hpp"
 #include "currantshed/news/exchange.hpp"
+#include "currantshed/store/key_value.hpp"
 
 namespace currantshed::node {
 
@@ -32,6 +35,11 @@
           std::int64_t aSentAt,
           const news::exchange::clock_reader& aClock);
 
+/// The newest changes that the sender has seen of each followed prefix, in the
+/// order of their numbers in messages.
+[[nodiscard]] std::array<store::revision, 3>
+ReadChanges(const news::News& aNews);
+
 } // namespace currantshed::node
 
 #endif
--- a/src/currantshed/node/duty.cpp
+++ b/src/currantshed/node/duty.cpp
@@ -268,21 +268,22 @@
 {
   const auto key = DutyKey(aService);
   const auto before = aKeys.duties.find(aService);
-  duty_record made{ aSelf.where.vm, aSelf.incarnation, aSeen };
+  duty_record made{ aSelf.where.vm, aSelf.incarnation, aSeen.number };
   store::transaction claim;
   if (before == aKeys.duties.end()) {
-    claim.conditions.push_back({ key, 0 });
+    claim.conditions.push_back({ key, {} });
   } else {
     const auto& old = before->second.record;
     const auto holder = aKeys.vms.find(old.holder);
-    made.epoch = std::max(aSeen, old.epoch + 1);
+    made.epoch = std::max(aSeen.number, old.epoch + 1);
     made.replacedTerm = old.replacedTerm;
     claim.conditions.push_back({ key, before->second.changed });
-    claim.conditions.push_back(
-      { VmKey(old.holder),
-        holder == aKeys.vms.end() ? 0 : holder->second.changed });
+    claim.conditions.push_back({ VmKey(old.holder),
+                                 holder == aKeys.vms.end()
+                                   ? store::revision{}
+                                   : holder->second.changed });
   }
-  claim.puts.push_back({ key, PrintDuty(made), 0, 0 });
+  claim.puts.push_back({ key, PrintDuty(made), {}, 0 });
   return claim;
 }
 
--- a/src/currantshed/node/duty.hpp
+++ b/src/currantshed/node/duty.hpp
@@ -82,13 +82,13 @@
   struct listed_vm
   {
     vm_record record;
-    store::revision changed = 0;
+    store::revision changed;
   };
 
   struct listed_duty
   {
     duty_record record;
-    store::revision changed = 0;
+    store::revision changed;
   };
 
   /// By name.
@@ -97,7 +97,7 @@
   absl::btree_map<std::string, listed_duty> duties;
   /// The recorded fleet, by name, and the record's last change.
   std::vector<vm_record> fleet;
-  store::revision fleetChanged = 0;
+  store::revision fleetChanged;
 
   /// The VMs that are listed, by name.
   [[nodiscard]] std::vector<vm_record> Listed() const;
--- a/src/currantshed/node/metrics.cpp
+++ b/src/currantshed/node/metrics.cpp
@@ -70,6 +70,10 @@
   , mConfiguration(Gauge(*mRegistry,
                          "currantshed_node_configuration_version",
                          "Version of the configuration in force"))
+  , mStoreEra(Gauge(*mRegistry,
+                    "currantshed_node_store_era",
+                    "How often the store has come back from an older copy, as "
+                    "it tells"))
 {
 }
 
@@ -136,4 +140,10 @@
   mConfiguration.Set(static_cast<double>(aVersion));
 }
 
+void
+metrics::SetStoreEra(std::uint64_t aEra)
+{
+  mStoreEra.Set(static_cast<double>(aEra));
+}
+
 } // namespace currantshed::node
--- a/src/currantshed/node/metrics.hpp
+++ b/src/currantshed/node/metrics.hpp
@@ -35,6 +35,8 @@
   void LeadChanged(std::string_view aStep);
   void SetSessions(std::size_t aCount);
   void SetConfiguration(std::uint64_t aVersion);
+  /// Shows how often the store has come back from an older copy.
+  void SetStoreEra(std::uint64_t aEra);
 
   [[nodiscard]] std::shared_ptr<prometheus::Registry> Registry() const
   {
@@ -53,6 +55,7 @@
   prometheus::Family<prometheus::Counter>& mLeadSteps;
   prometheus::Gauge& mSessions;
   prometheus::Gauge& mConfiguration;
+  prometheus::Gauge& mStoreEra;
 };
 
 } // namespace currantshed::node
--- /dev/null
+++ b/src/currantshed/store/era_guard.cpp
@@ -0,0 +1,150 @@
+#include "currantshed/store/era_guard.hpp"
+
+#include <utility>
+
+#include "currantshed/clock/now.hpp"
+#include "currantshed/store/errors.hpp"
+
+namespace currantshed::store {
+
+era_guard::era_guard(key_value& aStore, listener aListener)
+  : mStore(aStore)
+  , mListener(std::move(aListener))
+{
+}
+
+// Returns the call's error, or that its answer is of an earlier era.
+std::error_code
+era_guard::Heard(std::error_code aError, const reply& aReply)
+{
+  if (aReply.era > mEra) {
+    mListener.began(std::exchange(mEra, aReply.era), aReply.era);
+  }
+  return !aError && aReply.era < mEra ? make_error_code(errc::kEraEnded)
+                                      : aError;
+}
+
+bool
+era_guard::IsPast(const revision& aAfter) const noexcept
+{
+  return aAfter.era < mEra;
+}
+
+void
+era_guard::SetPatience(std::chrono::milliseconds aPatience)
+{
+  mStore.SetPatience(aPatience);
+}
+
+void
+era_guard::Get(std::string aKey, item_callback aDone)
+{
+  mStore.Get(std::move(aKey),
+             [this, done = std::move(aDone)](std::error_code aError,
+                                             std::optional<item> aItem,
+                                             reply aReply) {
+               done(Heard(aError, aReply), std::move(aItem), aReply);
+             });
+}
+
+void
+era_guard::Range(std::string aPrefix, range_callback aDone)
+{
+  mStore.Range(std::move(aPrefix),
+               [this, done = std::move(aDone)](std::error_code aError,
+                                               std::vector<item> aItems,
+                                               revision aRevision,
+                                               reply aReply) {
+                 done(
+                   Heard(aError, aReply), std::move(aItems), aRevision, aReply);
+               });
+}
+
+void
+era_guard::Watch(std::string aPrefix,
+                 revision aAfter,
+                 std::chrono::milliseconds aAtMost,
+                 watch_callback aDone)
+{
+  if (IsPast(aAfter)) {
+    Reject(std::move(aDone));
+    return;
+  }
+  mStore.Watch(std::move(aPrefix), aAfter, aAtMost, Guarded(std::move(aDone)));
+}
+
+void
+era_guard::ChangesSince(std::string aPrefix,
+                        revision aAfter,
+                        watch_callback aDone)
+{
+  if (IsPast(aAfter)) {
+    Reject(std::move(aDone));
+    return;
+  }
+  mStore.ChangesSince(std::move(aPrefix), aAfter, Guarded(std::move(aDone)));
+}
+
+key_value::watch_callback
+era_guard::Guarded(watch_callback aDone)
+{
+  return [this, done = std::move(aDone)](std::error_code aError,
+                                         std::vector<key_change> aChanges,
+                                         revision aRevision,
+                                         reply aReply) {
+    done(Heard(aError, aReply), std::move(aChanges), aRevision, aReply);
+  };
+}
+
+void
+era_guard::Reject(watch_callback aDone)
+{
+  mListener.later([done = std::move(aDone)] {
+    done(errc::kEraEnded, {}, {}, { clock::Now() });
+  });
+}
+
+void
+era_guard::CancelWatch(const std::string& aPrefix)
+{
+  mStore.CancelWatch(aPrefix);
+}
+
+void
+era_guard::Commit(transaction aWhat, commit_callback aDone)
+{
+  mStore.Commit(std::move(aWhat),
+                [this, done = std::move(aDone)](
+                  commit_outcome aOutcome, revision aRevision, reply aReply) {
+                  (void)Heard({}, aReply);
+                  done(aOutcome, aRevision, aReply);
+                });
+}
+
+void
+era_guard::Grant(std::chrono::milliseconds aTtl, grant_callback aDone)
+{
+  mStore.Grant(aTtl,
+               [this, done = std::move(aDone)](
+                 std::error_code aError, lease_id aLease, reply aReply) {
+                 done(Heard(aError, aReply), aLease, aReply);
+               });
+}
+
+void
+era_guard::Keep(lease_id aLease, keep_callback aDone)
+{
+  mStore.Keep(
+    aLease,
+    [this, done = std::move(aDone)](std::error_code aError, reply aReply) {
+      done(Heard(aError, aReply), aReply);
+    });
+}
+
+void
+era_guard::End(lease_id aLease)
+{
+  mStore.End(aLease);
+}
+
+} // namespace currantshed::store
--- /dev/null
+++ b/src/currantshed/store/era_guard.hpp
@@ -0,0 +1,66 @@
+#ifndef CURRANTSHED_STORE_ERA_GUARD_HPP
+#define CURRANTSHED_STORE_ERA_GUARD_HPP
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+#include "currantshed/store/key_value.hpp"
+
+namespace currantshed::store {
+
+/// A store that may come back from an older copy of itself. Notes the newest
+/// era that any answer tells, and keeps answers and positions of earlier ones
+/// from whoever calls: revisions are given out again, so in the present era
+/// they stand for something else. Belongs to one thread.
+class era_guard final : public key_value
+{
+public:
+  struct listener
+  {
+    /// Calls the function later, on the same thread.
+    std::function<void(std::function<void()>)> later;
+    /// The store has come back, or told its era for the first time: the era
+    /// before, zero where there is none, and the present one.
+    std::function<void(era_id, era_id)> began;
+  };
+
+  era_guard(key_value& aStore, listener aListener);
+
+  /// The newest era that an answer has told; zero before the first one.
+  [[nodiscard]] era_id Era() const noexcept { return mEra; }
+
+  void SetPatience(std::chrono::milliseconds aPatience) override;
+  void Get(std::string aKey, item_callback aDone) override;
+  void Range(std::string aPrefix, range_callback aDone) override;
+
+  /// Ends with errc::kEraEnded where the revision is of an earlier era.
+  void Watch(std::string aPrefix,
+             revision aAfter,
+             std::chrono::milliseconds aAtMost,
+             watch_callback aDone) override;
+  void ChangesSince(std::string aPrefix,
+                    revision aAfter,
+                    watch_callback aDone) override;
+
+  void CancelWatch(const std::string& aPrefix) override;
+  void Commit(transaction aWhat, commit_callback aDone) override;
+  void Grant(std::chrono::milliseconds aTtl, grant_callback aDone) override;
+  void Keep(lease_id aLease, keep_callback aDone) override;
+  void End(lease_id aLease) override;
+
+private:
+  [[nodiscard]] std::error_code Heard(std::error_code aError,
+                                      const reply& aReply);
+  [[nodiscard]] bool IsPast(const revision& aAfter) const noexcept;
+  [[nodiscard]] watch_callback Guarded(watch_callback aDone);
+  void Reject(watch_callback aDone);
+
+  key_value& mStore;
+  listener mListener;
+  era_id mEra = 0;
+};
+
+} // namespace currantshed::store
+
+#endif
--- a/src/currantshed/store/errors.cpp
+++ b/src/currantshed/store/errors.cpp
@@ -35,6 +35,8 @@
         return "the lease has ended";
       case errc::kHistoryGone:
         return "the store keeps these changes no longer";
+      case errc::kEraEnded:
+        return "the store has come back from an older copy since";
     }
     return "unknown platform error";
   }
--- a/src/currantshed/store/errors.hpp
+++ b/src/currantshed/store/errors.hpp
@@ -28,6 +28,9 @@
   kNoLease,
   /// The changes that a watch asks for are no longer kept.
   kHistoryGone,
+  /// The store has come back from an older copy since: the answer, or what the
+  /// call refers to, is of an earlier era.
+  kEraEnded,
 };
 
 /// The category of the platform's errors.
--- a/src/currantshed/store/fwd.hpp
+++ b/src/currantshed/store/fwd.hpp
@@ -6,6 +6,7 @@
 class applier;
 class backoff;
 class client;
+class era_guard;
 class key_value;
 class lister;
 class prefix_view;
--- a/src/currantshed/store/key_value.hpp
+++ b/src/currantshed/store/key_value.hpp
@@ -2,6 +2,7 @@
 #define CURRANTSHED_STORE_KEY_VALUE_HPP
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -13,9 +14,6 @@
 
 namespace currantshed::store {
 
-/// Counts the changes of the whole store; zero stands for none.
-using revision = std::uint64_t;
-
 /// Names a lease; zero stands for none.
 using lease_id = std::uint64_t;
 
@@ -23,6 +21,17 @@
 /// zero where it tells nothing of that.
 using era_id = std::uint64_t;
 
+/// A state of the whole store. Numbers count changes within an era and are
+/// given out again in the next one, so a state of a later era is the newer one
+/// whatever the numbers. All zero stands for none.
+struct revision
+{
+  era_id era = 0;
+  std::uint64_t number = 0;
+
+  friend auto operator<=>(const revision&, const revision&) = default;
+};
+
 /// What goes with the end of each call.
 struct reply
 {
@@ -37,8 +46,8 @@
 {
   std::string key;
   std::string value;
-  /// The key's last change.
-  revision changed = 0;
+  /// The key's last change, in the era in which it was read.
+  revision changed;
   lease_id lease = 0;
 };
 
@@ -51,11 +60,11 @@
 };
 
 /// A condition of a transaction: the key's last change is still this one;
-/// zero for a key that does not exist.
+/// none for a key that does not exist. The store compares the numbers alone.
 struct condition
 {
   std::string key;
-  revision changed = 0;
+  revision changed;
 };
 
 /// Takes effect as a whole or not at all.
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -17,6 +17,13 @@
 // Removals that are kept for others. A VM that lacks more gets all keys.
 constexpr std::size_t kMostRemovals = 1024;
 
+// Whether the store can't tell the changes after what is known.
+bool
+IsPast(std::error_code aError)
+{
+  return aError == errc::kHistoryGone || aError == errc::kEraEnded;
+}
+
 } // namespace
 
 prefix_view::prefix_view(key_value& aStore,
@@ -149,6 +156,11 @@
         return;
       }
       mIsChecking = false;
+      if (!aError && aRevision.era != mSeen.era) {
+        ReadAtOnce(aReply.at);
+        done(false, aReply.at);
+        return;
+      }
       if (!aError) {
         const bool isChanged = TakeChanges(std::move(aChanges), aRevision);
         Prove(asked);
@@ -198,10 +210,15 @@
       mIsCalling = false;
       if (aError) {
         // What was missed while there was no watch may be gone.
-        mMustRead = mMustRead || aError == errc::kHistoryGone;
+        mMustRead = mMustRead || IsPast(aError);
         Failed(aError, aReply.at);
         return;
       }
+      if (aRevision.era != mSeen.era) {
+        // What was changed up to the watch's beginning is not known.
+        ReadAtOnce(aReply.at);
+        return;
+      }
       mAnsweredAt = aReply.at;
       const bool hasSome = !aChanges.empty();
       const bool isChanged = TakeChanges(std::move(aChanges), aRevision);
@@ -236,6 +253,25 @@
   return true;
 }
 
+void
+prefix_view::EraEnded(clock::time_point aNow)
+{
+  if (mIsKnown && aNow >= mFedUntil) {
+    ReadAtOnce(aNow);
+  }
+}
+
+// The keys are of another era than the store.
+void
+prefix_view::ReadAtOnce(clock::time_point aNow)
+{
+  mMissedSome = true;
+  mFedUntil = {};
+  ReadAgain();
+  mMustRead = true;
+  mNotBefore = aNow;
+}
+
 // The same reading again tells nothing more.
 void
 prefix_view::NoteIgnored(revision aRead, const reply& aReply)
@@ -275,9 +311,10 @@
 prefix_view::Take(const key_update& aUpdate, clock::time_point aNow)
 {
   // Revisions count the changes of the whole store: another VM's keys may be
-  // those of today though its last call is older than this VM's.
+  // those of today though its last call is older than this VM's. Keys of an
+  // earlier era are not.
   if (mIsKnown && aUpdate.upTo < mSeen) {
-    return true;
+    return aUpdate.upTo.era == mSeen.era;
   }
   if (!aUpdate.isWhole && (!mIsKnown || aUpdate.after > mSeen)) {
     return false;
@@ -313,7 +350,7 @@
 {
   key_update made;
   made.isWhole = aKnown < mRemovalsAfter;
-  made.after = made.isWhole ? 0 : aKnown;
+  made.after = made.isWhole ? revision{} : aKnown;
   made.upTo = mSeen;
   made.mayBeOld = mMayBeOld;
   for (const auto& [key, one] : mItems) {
@@ -340,7 +377,7 @@
 prefix_view::Failed(std::error_code aError, clock::time_point aNow)
 {
   mMissedSome = true;
-  if (aError == errc::kHistoryGone) {
+  if (IsPast(aError)) {
     mNotBefore = aNow;
     return;
   }
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -48,8 +48,8 @@
   /// Whether these are all keys, not changes alone.
   bool isWhole = false;
   /// The changes are those after this revision, up to the other.
-  revision after = 0;
-  revision upTo = 0;
+  revision after;
+  revision upTo;
   /// Whether the changes may have been made long before the sender saw them.
   bool mayBeOld = false;
   std::vector<key_change> changes;
@@ -57,8 +57,9 @@
 
 /// The keys below one prefix as the store had them last: read once, then
 /// followed by watches, and read again when the store has dropped the changes
-/// in between. Other VMs may pass the changes on instead; while they do, the
-/// store is not called. Belongs to one thread.
+/// in between or has come back from an older copy. Other VMs may pass the
+/// changes on instead; while they do, the store is not called. Belongs to one
+/// thread.
 class prefix_view
 {
 public:
@@ -94,6 +95,10 @@
   /// answered, so the keys are read again, at once.
   void Renew(clock::time_point aNow);
 
+  /// The store has come back from an older copy. A view that is fed learns what
+  /// stands there from those that feed it.
+  void EraEnded(clock::time_point aNow);
+
   /// Until then other VMs pass the changes on, so that no watch is begun.
   void FedUntil(clock::time_point aUntil) noexcept { mFedUntil = aUntil; }
   [[nodiscard]] clock::time_point FedUntil() const noexcept
@@ -149,6 +154,7 @@
 
 private:
   void ReadAgain();
+  void ReadAtOnce(clock::time_point aNow);
   void Read(clock::time_point aNow);
   [[nodiscard]] bool TakeAll(std::vector<item> aItems, revision aRevision);
   void NoteIgnored(revision aRead, const reply& aReply);
@@ -166,8 +172,8 @@
   listener mListener;
   backoff mBackoff;
   items mItems;
-  revision mSeen = 0;
-  revision mChanged = 0;
+  revision mSeen;
+  revision mChanged;
   std::optional<clock::time_point> mBehindSince;
   bool mIsKnown = false;
   bool mMustRead = true;
@@ -179,14 +185,14 @@
   bool mIsHeld = false;
   bool mIsChecking = false;
   // The last reading that was left out.
-  revision mIgnored = 0;
+  revision mIgnored;
   clock::time_point mProvedAt{};
   clock::time_point mFedUntil{};
   // When the last answer came of a call for these keys.
   clock::time_point mAnsweredAt{};
   // The removals after a revision, oldest first, for others that lack them.
   std::deque<key_change> mRemovals;
-  revision mRemovalsAfter = 0;
+  revision mRemovalsAfter;
   clock::time_point mNotBefore{};
   double mRandom = 0;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
--- a/src/currantshed/store/registration.cpp
+++ b/src/currantshed/store/registration.cpp
@@ -158,9 +158,10 @@
   mWriteSeenBy = aNow + kViewDelay;
   transaction made;
   const auto found = mView.Items().find(mKey);
-  const auto seen = found == mView.Items().end() ? 0 : found->second.changed;
+  const auto seen =
+    found == mView.Items().end() ? revision{} : found->second.changed;
   made.conditions.push_back({ mKey, seen });
-  made.puts.push_back({ mKey, mValue, 0, mLease });
+  made.puts.push_back({ mKey, mValue, {}, mLease });
   mStore.Commit(std::move(made),
                 [this, alive = mAlive, aNow, lease = mLease](
                   commit_outcome aOutcome, revision, reply aReply) {
--- a/test/currantshed/node/duty.cpp
+++ b/test/currantshed/node/duty.cpp
@@ -28,14 +28,14 @@
       const std::optional<duty_record>& aDuty)
 {
   store::prefix_view::items items;
-  store::revision revision = 10;
+  std::uint64_t revision = 10;
   for (const auto& vm : aVms) {
     const auto key = node::VmKey(vm.where.vm);
-    items[key] = { key, node::PrintVm(vm), ++revision, 1 };
+    items[key] = { key, node::PrintVm(vm), { 0, ++revision }, 1 };
   }
   if (aDuty) {
     const auto key = node::DutyKey("group");
-    items[key] = { key, node::PrintDuty(*aDuty), ++revision, 0 };
+    items[key] = { key, node::PrintDuty(*aDuty), { 0, ++revision }, 0 };
   }
   return items;
 }
@@ -90,7 +90,7 @@
   const auto items =
     Items({ Vm("a", 1, true), Vm("b", 2) }, duty_record{ "a", 1, 50 });
   const auto keys = node::ReadOwnKeys(items);
-  const auto claim = node::ClaimOf(keys, "group", Vm("b", 2), 20);
+  const auto claim = node::ClaimOf(keys, "group", Vm("b", 2), { 0, 20 });
   CHECK_EQUAL(2, static_cast<int>(claim.conditions.size()));
   CHECK(claim.conditions[0].changed ==
         items.at(node::DutyKey("group")).changed);
@@ -99,9 +99,9 @@
   CHECK(made && made->holder == "b" && made->epoch == 51);
   // A record that was lost still leaves a higher number.
   const auto fresh =
-    node::ClaimOf(node::ReadOwnKeys({}), "group", Vm("b", 2), 90);
+    node::ClaimOf(node::ReadOwnKeys({}), "group", Vm("b", 2), { 0, 90 });
   CHECK(node::ReadDuty(fresh.puts.front())->epoch == 90);
-  CHECK(fresh.conditions.front().changed == 0);
+  CHECK(fresh.conditions.front().changed == store::revision{});
 }
 
 TEST(duty, the_replaced_term_goes_on_to_the_next_holder)
@@ -109,12 +109,12 @@
   const auto items =
     Items({ Vm("a", 1, true), Vm("b", 2) }, duty_record{ "a", 1, 50, 6 });
   const auto keys = node::ReadOwnKeys(items);
-  const auto claim = node::ClaimOf(keys, "group", Vm("b", 2), 40);
+  const auto claim = node::ClaimOf(keys, "group", Vm("b", 2), { 0, 40 });
   const auto made = node::ReadDuty(claim.puts.front());
   CHECK(made && made->holder == "b" && made->replacedTerm == 6);
   // A record of a version that did not have the term is still one.
   const auto old = node::ReadDuty(
-    { "k", R"({"holder":"a","incarnation":1,"epoch":5})", 1, 0 });
+    { "k", R"({"holder":"a","incarnation":1,"epoch":5})", {}, 0 });
   CHECK(old && old->epoch == 5 && old->replacedTerm == 0);
 }
 
@@ -122,10 +122,12 @@
 {
   const std::vector<vm_record> fleet{ Vm("a", 1), Vm("b", 2) };
   store::prefix_view::items items;
-  items[node::FleetKey()] = { node::FleetKey(), node::PrintFleet(fleet), 7, 0 };
+  items[node::FleetKey()] = {
+    node::FleetKey(), node::PrintFleet(fleet), { 0, 7 }, 0
+  };
   const auto keys = node::ReadOwnKeys(items);
   CHECK(node::IsSameFleet(keys.fleet, fleet));
-  CHECK(keys.fleetChanged == 7);
+  CHECK(keys.fleetChanged.number == 7);
   CHECK(keys.Listed().empty());
   CHECK(node::IsSameFleet(fleet, { Vm("a", 8), Vm("b", 9, true) }));
   CHECK_FALSE(node::IsSameFleet(fleet, { Vm("a", 1) }));
@@ -141,8 +143,8 @@
   store::prefix_view::items items;
   for (const char* text :
        { "", "{", "[]", "{\"vm\":1}", "{\"holder\":\"a\"}" }) {
-    items[node::VmKey("x")] = { node::VmKey("x"), text, 1, 0 };
-    items[node::DutyKey("g")] = { node::DutyKey("g"), text, 1, 0 };
+    items[node::VmKey("x")] = { node::VmKey("x"), text, {}, 0 };
+    items[node::DutyKey("g")] = { node::DutyKey("g"), text, {}, 0 };
     const auto keys = node::ReadOwnKeys(items);
     CHECK(keys.vms.empty() && keys.duties.empty());
   }
--- /dev/null
+++ b/test/currantshed/store/era_guard.cpp
@@ -0,0 +1,124 @@
+#include "currantshed/store/era_guard.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "test/currantshed/store/fake_key_value.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace currantshed;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A guarded store, and how the last call ended.
+struct guarded
+{
+  /// Has the guard hear of an era by the answer of another call.
+  void Hear(store::era_id aEra)
+  {
+    below.era = aEra;
+    guard.Keep(1, [](std::error_code, store::reply) {});
+    below.Answer();
+  }
+
+  void Answer()
+  {
+    below.Answer();
+    for (const auto& call : std::exchange(later, {})) {
+      call();
+    }
+  }
+
+  test::fake_key_value below;
+  std::vector<std::function<void()>> later;
+  std::vector<std::pair<store::era_id, store::era_id>> began;
+  store::era_guard guard{ below,
+                          { [this](std::function<void()> aCall) {
+                             later.push_back(std::move(aCall));
+                           },
+                            [this](store::era_id aBefore, store::era_id aNow) {
+                              began.emplace_back(aBefore, aNow);
+                            } } };
+  std::optional<std::error_code> ended;
+  store::key_value::watch_callback watched =
+    [this](std::error_code aError, const auto&, auto, auto) { ended = aError; };
+};
+
+struct guard_row
+{
+  const char* name;
+  /// The era that is known, that of the call, and that of its answer.
+  store::era_id known;
+  store::era_id asked;
+  store::era_id answered;
+  std::error_code expect;
+};
+
+const guard_row kRows[] = {
+  { "a store that tells no era", 0, 0, 0, {} },
+  { "the first era", 0, 0, 3, {} },
+  { "the present era", 3, 3, 3, {} },
+  { "the answer tells of a new era", 3, 3, 4, {} },
+  { "the answer is of an earlier era", 4, 4, 3, store::errc::kEraEnded },
+  { "what it refers to is of an earlier era", 4, 3, 4, store::errc::kEraEnded },
+};
+
+} // namespace
+
+TEST_GROUP(era_guard){};
+
+TEST(era_guard, keeps_positions_of_earlier_eras_from_the_store)
+{
+  for (const auto& row : kRows) {
+    for (const bool isWatch : { true, false }) {
+      guarded made;
+      made.below.Put("a/1", "one");
+      made.Hear(row.known);
+      made.below.era = row.answered;
+      const store::revision after{ row.asked, 1 };
+      if (isWatch) {
+        made.guard.Watch("a/", after, 1s, made.watched);
+      } else {
+        made.guard.ChangesSince("a/", after, made.watched);
+      }
+      CHECK_TEXT(!made.ended, row.name);
+      made.Answer();
+      CHECK_TEXT(made.ended && *made.ended == row.expect, row.name);
+    }
+  }
+}
+
+TEST(era_guard, makes_late_readings_fail)
+{
+  guarded made;
+  made.Hear(4);
+  made.below.era = 3;
+  std::error_code read;
+  std::error_code got;
+  made.guard.Range(
+    "a/", [&read](std::error_code aError, auto, auto, auto) { read = aError; });
+  made.guard.Get("a/1",
+                 [&got](std::error_code aError, auto, auto) { got = aError; });
+  made.Answer();
+  CHECK(read == store::errc::kEraEnded);
+  CHECK(got == store::errc::kEraEnded);
+}
+
+TEST(era_guard, tells_of_each_era_once)
+{
+  guarded made;
+  for (const store::era_id era : { 0, 3, 3, 5, 4, 5 }) {
+    made.Hear(era);
+  }
+  LONGS_EQUAL(2, made.began.size());
+  CHECK(made.began[0] ==
+        std::make_pair(store::era_id{ 0 }, store::era_id{ 3 }));
+  CHECK(made.began[1] ==
+        std::make_pair(store::era_id{ 3 }, store::era_id{ 5 }));
+  CHECK(made.guard.Era() == 5);
+}
--- a/test/currantshed/store/fake_key_value.hpp
+++ b/test/currantshed/store/fake_key_value.hpp
@@ -29,7 +29,7 @@
   clock::time_point now{ std::chrono::hours{ 1 } };
   std::map<std::string, store::item> items;
   std::vector<store::key_change> history;
-  store::revision revision = 1;
+  std::uint64_t revision = 1;
   std::set<store::lease_id> leases;
   store::lease_id lastLease = 0;
   /// Calls that fail from now on, with this error.
@@ -58,21 +58,36 @@
     revision = mCopy.revision;
     leases = mCopy.leases;
     lastLease = mCopy.lastLease;
-    era += era == 0 ? 0 : 1;
+    SetEra(era == 0 ? 0 : era + 1);
   }
 
+  /// Answers tell this era from now on, also of what was written before.
+  void SetEra(store::era_id aEra)
+  {
+    era = aEra;
+    for (auto& [key, item] : items) {
+      item.changed.era = era;
+    }
+    for (auto& change : history) {
+      change.now.changed.era = era;
+    }
+  }
+
+  /// The store's present state.
+  [[nodiscard]] store::revision At() const { return { era, revision }; }
+
   void Put(const std::string& aKey,
            const std::string& aValue,
            store::lease_id aLease = 0)
   {
-    items[aKey] = { aKey, aValue, ++revision, aLease };
+    items[aKey] = { aKey, aValue, { era, ++revision }, aLease };
     history.push_back({ items[aKey], false });
   }
 
   void Remove(const std::string& aKey)
   {
     items.erase(aKey);
-    history.push_back({ { aKey, "", ++revision, 0 }, true });
+    history.push_back({ { aKey, "", { era, ++revision }, 0 }, true });
   }
 
   void EndLease(store::lease_id aLease)
@@ -104,7 +119,7 @@
   void CutWatches(std::error_code aError)
   {
     for (auto& one : std::exchange(watches, {})) {
-      one.done(aError, {}, 0, Reply());
+      one.done(aError, {}, {}, Reply());
     }
   }
 
@@ -133,7 +148,7 @@
           found.push_back(item);
         }
       }
-      aDone(failing, found, revision, Reply());
+      aDone(failing, found, At(), Reply());
     });
   }
 
@@ -151,7 +166,7 @@
   {
     ++checks;
     mCalls.push_back([this, aPrefix, aAfter, aDone] {
-      aDone(ErrorAt(aAfter), Changes(aPrefix, aAfter), revision, Reply());
+      aDone(ErrorAt(aAfter), Changes(aPrefix, aAfter), At(), Reply());
     });
   }
 
@@ -161,7 +176,7 @@
       if (watches[i].prefix == aPrefix) {
         const auto done = watches[i].done;
         watches.erase(watches.begin() + static_cast<std::ptrdiff_t>(i));
-        done(store::errc::kTimeout, {}, 0, Reply());
+        done(store::errc::kTimeout, {}, {}, Reply());
         return;
       }
     }
@@ -174,8 +189,9 @@
       auto outcome = commitOutcome;
       for (const auto& one : aWhat.conditions) {
         const auto found = items.find(one.key);
-        const auto now = found == items.end() ? 0 : found->second.changed;
-        if (now != one.changed) {
+        const auto now =
+          found == items.end() ? 0 : found->second.changed.number;
+        if (now != one.changed.number) {
           outcome = store::commit_outcome::kConflict;
         }
       }
@@ -185,7 +201,7 @@
         }
       }
       aDone(losesAnswers ? store::commit_outcome::kUnknown : outcome,
-            revision,
+            At(),
             Reply());
     });
   }
@@ -220,7 +236,8 @@
   {
     std::vector<store::key_change> changes;
     for (const auto& change : history) {
-      if (change.now.changed > aAfter && change.now.key.starts_with(aPrefix)) {
+      if (change.now.changed.number > aAfter.number &&
+          change.now.key.starts_with(aPrefix)) {
         changes.push_back(change);
       }
     }
@@ -230,7 +247,7 @@
   // What a call ends with; the store does not have revisions above its own.
   [[nodiscard]] std::error_code ErrorAt(store::revision aAfter) const
   {
-    return !failing && aAfter > revision
+    return !failing && aAfter.number > revision
              ? make_error_code(store::errc::kHistoryGone)
              : failing;
   }
@@ -240,15 +257,15 @@
   void AnswerWatches()
   {
     for (auto& one : std::exchange(watches, {})) {
-      if (one.after > revision) {
-        one.done(store::errc::kHistoryGone, {}, 0, Reply());
+      if (one.after.number > revision) {
+        one.done(store::errc::kHistoryGone, {}, {}, Reply());
         continue;
       }
       const auto changes = Changes(one.prefix, one.after);
       if (changes.empty()) {
         watches.push_back(one);
       } else {
-        one.done({}, changes, revision, Reply());
+        one.done({}, changes, At(), Reply());
       }
     }
   }
@@ -257,7 +274,7 @@
   {
     std::map<std::string, store::item> items;
     std::vector<store::key_change> history;
-    store::revision revision = 1;
+    std::uint64_t revision = 1;
     std::set<store::lease_id> leases;
     store::lease_id lastLease = 0;
   };
--- a/test/currantshed/store/fed_view.cpp
+++ b/test/currantshed/store/fed_view.cpp
@@ -151,7 +151,7 @@
     made.Run(800ms);
     CHECK_TEXT(made.Feed(), row.name);
     STRCMP_EQUAL_TEXT(row.keys.c_str(), made.fed.Keys().c_str(), row.name);
-    CHECK_EQUAL_TEXT(made.feeder.view.Seen(), made.fed.view.Seen(), row.name);
+    CHECK_TEXT(made.feeder.view.Seen() == made.fed.view.Seen(), row.name);
     CHECK_EQUAL_TEXT(row.mayBeOld, made.fed.view.MayBeOld(), row.name);
   }
 }
@@ -185,7 +185,7 @@
   made.fed.view.FedUntil(made.store.now + 1h);
   made.store.Put("a/1", "uno");
   for (int i = 0; i < 120; ++i) {
-    made.fed.view.HeardOf(made.store.revision, made.store.now);
+    made.fed.view.HeardOf(made.store.At(), made.store.now);
     made.Run(10ms);
   }
   STRCMP_EQUAL("a/1=uno a/2=two ", made.fed.Keys().c_str());
@@ -195,8 +195,8 @@
 {
   pair made;
   made.Begin();
-  const auto old = made.feeder.view.After(0);
-  auto oldChanges = made.feeder.view.After(1);
+  const auto old = made.feeder.view.After({});
+  auto oldChanges = made.feeder.view.After({ 0, 1 });
   made.store.Put("a/1", "uno");
   made.store.Remove("a/2");
   made.Run(800ms);
@@ -239,7 +239,7 @@
   made.Run(800ms);
   CHECK_FALSE(
     made.fed.view.Take(made.feeder.view.After(between), made.store.now));
-  CHECK_EQUAL(known, made.fed.view.Seen());
+  CHECK(known == made.fed.view.Seen());
   STRCMP_EQUAL("a/1=one a/2=two ", made.fed.Keys().c_str());
 }
 
@@ -251,7 +251,7 @@
   // The reading is on its way when the change is passed on.
   made.fed.view.Tick(made.store.now, 0.5);
   made.store.Put("a/1", "uno");
-  store::key_update update{ false, 1, made.store.revision, false, {} };
+  store::key_update update{ false, { 0, 1 }, made.store.At(), false, {} };
   update.changes.push_back({ made.store.items["a/1"], false });
   const auto fed = made.fed.view.Take(update, made.store.now);
   made.Run(500ms);
@@ -322,3 +322,23 @@
   made.Run(50ms);
   STRCMP_EQUAL("a/1=uno a/2=two ", made.feeder.Keys().c_str());
 }
+
+TEST(fed_view, is_not_fed_by_one_that_knows_an_earlier_era)
+{
+  pair made;
+  made.store.SetEra(1);
+  made.feeder.view.Renew(made.store.now);
+  made.Run(100ms);
+  made.Begin();
+  const auto old = made.feeder.view.After(made.fed.view.Seen());
+  made.store.Copy();
+  made.store.Put("a/1", "uno");
+  made.store.Return();
+  made.feeder.view.EraEnded(made.store.now);
+  made.Run(1000ms);
+  CHECK(made.Feed());
+  STRCMP_EQUAL("a/1=one a/2=two ", made.fed.Keys().c_str());
+  CHECK(made.fed.view.Seen().era == 2);
+  CHECK_FALSE(made.fed.view.Take(old, made.store.now));
+  CHECK(made.fed.view.Seen().era == 2);
+}
--- a/test/currantshed/store/prefix_view.cpp
+++ b/test/currantshed/store/prefix_view.cpp
@@ -170,12 +170,12 @@
   // The change never comes through the watch.
   made.store.Put("a/2", "two");
   made.store.history.clear();
-  const auto change = made.store.revision;
+  const auto change = made.store.At();
   made.Run(1000ms);
   CHECK(Print(made.view) == "a/1=one ");
   made.view.HeardOf(change, made.store.now);
   // One that is behind itself takes nothing back.
-  made.view.HeardOf(1, made.store.now);
+  made.view.HeardOf({ 0, 1 }, made.store.now);
   made.Run(500ms);
   made.view.HeardOf(change, made.store.now);
   made.Run(1000ms);
@@ -263,10 +263,10 @@
   const auto pass = [&](std::chrono::milliseconds aSpan) {
     for (const auto end = store.now + aSpan; store.now < end;
          store.now += 10ms) {
-      view.HeardOf(store.revision, store.now);
+      view.HeardOf(store.At(), store.now);
       view.Tick(store.now, 0.5);
       // The answer is still on its way when the others' words come.
-      view.HeardOf(store.revision, store.now);
+      view.HeardOf(store.At(), store.now);
       store.Answer();
     }
   };
@@ -283,18 +283,19 @@
 TEST(prefix_view, tells_once_of_a_reading_that_it_leaves_out)
 {
   follower made;
-  made.store.era = 7;
+  made.store.SetEra(7);
   made.Run(100ms);
-  const auto before = made.store.revision;
+  const auto before = made.store.At();
   made.store.Put("b/2", "other");
   // The reading is on its way as another VM passes on what came after it.
   made.view.Renew(made.store.now);
   made.view.Tick(made.store.now, 0.5);
-  const auto read = made.store.revision;
-  made.view.Take({ false, before, read + 5, false, {} }, made.store.now);
+  const auto read = made.store.At();
+  made.view.Take({ false, before, { 7, read.number + 5 }, false, {} },
+                 made.store.now);
   made.Run(100ms);
   LONGS_EQUAL(1, made.ignored.size());
   CHECK(made.ignored.front().read == read);
-  CHECK(made.ignored.front().seen == read + 5);
+  CHECK(made.ignored.front().seen.number == read.number + 5);
   CHECK(made.ignored.front().era == 7);
 }
--- a/test/currantshed/store/returned_store.cpp
+++ b/test/currantshed/store/returned_store.cpp
@@ -13,7 +13,10 @@
 #include <chrono>
 #include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "currantshed/store/era_guard.hpp"
 #include "currantshed/store/prefix_view.hpp"
 #include "test/currantshed/store/fake_key_value.hpp"
 
@@ -39,6 +42,9 @@
   return text;
 }
 
+/// Time between two renewals of a VM's lease.
+constexpr auto kRenewal = 650ms;
+
 /// A VM that follows the store, and another that it passes changes on to.
 struct two_vms
 {
@@ -63,8 +69,15 @@
   {
     for (const auto end = store.now + aSpan; store.now < end;
          store.now += 10ms) {
+      if (store.now >= nextRenewal) {
+        guard.Keep(1, [](std::error_code, store::reply) {});
+        nextRenewal = store.now + kRenewal;
+      }
       feeder.Tick(store.now, 0.5);
       store.Answer();
+      for (const auto& call : std::exchange(later, {})) {
+        call();
+      }
       if (fed.Take(feeder.After(fed.Seen()), store.now)) {
         fed.FedUntil(store.now + 2s);
       }
@@ -74,8 +87,17 @@
   test::fake_key_value store;
   store::prefix_view::listener listener{ [](clock::time_point) {},
                                          [](bool, std::error_code) {} };
-  store::prefix_view feeder{ store, "a/", {}, listener };
-  store::prefix_view fed{ store, "a/", {}, listener };
+  clock::time_point nextRenewal{};
+  std::vector<std::function<void()>> later;
+  store::era_guard guard{ store,
+                          { [this](std::function<void()> aCall) {
+                             later.push_back(std::move(aCall));
+                           },
+                            [this](store::era_id, store::era_id) {
+                              feeder.EraEnded(store.now);
+                            } } };
+  store::prefix_view feeder{ guard, "a/", {}, listener };
+  store::prefix_view fed{ guard, "a/", {}, listener };
 };
 
 struct return_row
