A server that leaves stays leaving while the store's copy may be older than its word

What callers would see: work goes on to a server that has said that it leaves, longer than it may, after the store came back from a copy made before it said so.

Cause, found by looking for the same assumption elsewhere: the list of servers takes what stands in the store for what a server has said last ("the store's order keeps it away"). A copy some seconds old lists such a server as ready until it has written its word again.

Change: server_list::StoreReturned. For three seconds, as long as a missing entry is kept, a server that was known to leave leaves on, unless its entry names another life; then the list is taken anew, and one that stays after all gets work again.

--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -335,6 +335,8 @@
   absl::btree_map<std::string, clock::time_point> mSharedAt;
   clock::time_point mNextEnd{};
   server_list mServers;
+  // The era of the list that was taken last.
+  store::era_id mServersEra = 0;
   // The services of the configuration in force, once there is one.
   std::optional<absl::flat_hash_set<std::string>> mServices;
   // Entries that name no server to use, and their last changes.
--- a/src/currantshed/node/control_servers.cpp
+++ b/src/currantshed/node/control_servers.cpp
@@ -11,6 +11,10 @@
 void
 control::ServersChanged(clock::time_point aNow)
 {
+  const auto era = mServersView.Seen().era;
+  if (std::exchange(mServersEra, era) != era) {
+    mServers.StoreReturned(aNow);
+  }
   const auto before = mServers.Servers();
   const auto source =
     mServersView.MayBeOld() ? list_source::kCatchUp : list_source::kWatch;
--- a/src/currantshed/node/server_list.cpp
+++ b/src/currantshed/node/server_list.cpp
@@ -40,7 +40,13 @@
                   clock::time_point aNow)
 {
   std::vector<server_news> news;
+  if (mOlderUntil && aNow >= *mOlderUntil) {
+    mOlderUntil.reset();
+  }
   for (auto& one : aListed) {
+    if (mOlderUntil) {
+      KeepLeaving(one);
+    }
     NoteLeaving(one, aSource, aNow);
     const auto* before = Find(mServers, one.id);
     const bool isNews = before == nullptr || before->Life() != one.Life() ||
@@ -56,6 +62,20 @@
   return news;
 }
 
+void
+server_list::StoreReturned(clock::time_point aNow) noexcept
+{
+  mOlderUntil = aNow + kMissingGrace;
+}
+
+void
+server_list::KeepLeaving(proxy::server& aListed) const
+{
+  const auto* before = Find(mServers, aListed.id);
+  const bool livesOn = before != nullptr && before->Life() == aListed.Life();
+  aListed.draining = aListed.draining || (livesOn && before->draining);
+}
+
 // Since when a server may have been leaving: a VM that was out of touch with
 // the store does not know when it said so, and takes its time to be over.
 void
@@ -101,10 +121,12 @@
 bool
 server_list::IsDue(clock::time_point aNow) const
 {
-  return std::any_of(
-    mMissing.begin(), mMissing.end(), [aNow](const auto& aEntry) {
-      return aNow - aEntry.second >= kMissingGrace;
-    });
+  const bool isCopyOver = mOlderUntil && aNow >= *mOlderUntil;
+  return isCopyOver ||
+         std::any_of(
+           mMissing.begin(), mMissing.end(), [aNow](const auto& aEntry) {
+             return aNow - aEntry.second >= kMissingGrace;
+           });
 }
 
 std::string_view
--- a/src/currantshed/node/server_list.hpp
+++ b/src/currantshed/node/server_list.hpp
@@ -1,6 +1,7 @@
 #ifndef CURRANTSHED_NODE_SERVER_LIST_HPP
 #define CURRANTSHED_NODE_SERVER_LIST_HPP
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -51,8 +52,13 @@
                                 list_source aSource,
                                 clock::time_point aNow);
 
-  /// Whether the time of a missing server is up, so that the list is to be
-  /// taken anew.
+  /// The store has come back from an older copy, which may lack what servers
+  /// have said since: until they have written it again, those that leave are
+  /// taken to leave on.
+  void StoreReturned(clock::time_point aNow) noexcept;
+
+  /// Whether the time of a missing server is up, or that of an older copy, so
+  /// that the list is to be taken anew.
   [[nodiscard]] bool IsDue(clock::time_point aNow) const;
 
   [[nodiscard]] const std::vector<proxy::server>& Servers() const noexcept
@@ -64,6 +70,7 @@
   void NoteLeaving(proxy::server& aListed,
                    list_source aSource,
                    clock::time_point aNow) const;
+  void KeepLeaving(proxy::server& aListed) const;
   void KeepMissing(std::vector<proxy::server>& aListed,
                    std::vector<server_news>& aNews,
                    clock::time_point aNow);
@@ -71,6 +78,8 @@
   std::vector<proxy::server> mServers;
   // Servers that are listed no longer, and since when.
   absl::btree_map<upstream::server_id, clock::time_point> mMissing;
+  // Until when the list may be an older copy.
+  std::optional<clock::time_point> mOlderUntil;
 };
 
 /// The standing as one word for logs.
--- a/test/currantshed/node/server_list.cpp
+++ b/test/currantshed/node/server_list.cpp
@@ -244,3 +244,63 @@
     }
   }
 }
+
+namespace {
+
+struct copy_row
+{
+  const char* name;
+  std::vector<std::string> before;
+  /// What the older copy lists, and what servers write again later.
+  std::vector<std::string> copy;
+  std::vector<std::string> again;
+  /// Who is known with the copy, 100 ms before the time is up, and after it.
+  std::vector<std::string> withCopy;
+  std::vector<std::string> within;
+  std::vector<std::string> after;
+};
+
+const copy_row kCopyRows[] = {
+  { "one that leaves, which says so again",
+    { "A", "b" },
+    { "a", "b" },
+    { "A", "b" },
+    { "A", "b" },
+    { "A", "b" },
+    { "A", "b" } },
+  { "one that stays after all",
+    { "A", "b" },
+    { "a", "b" },
+    { "a", "b" },
+    { "A", "b" },
+    { "A", "b" },
+    { "a", "b" } },
+  { "one that the copy does not have",
+    { "a", "b" },
+    { "b" },
+    { "b" },
+    { "a", "b" },
+    { "a", "b" },
+    { "b" } },
+};
+
+} // namespace
+
+// A copy of the list may be older than what servers have said since. They write
+// it again within two seconds.
+TEST(server_list, an_older_copy_takes_back_no_word_of_a_server)
+{
+  for (const auto& row : kCopyRows) {
+    node::server_list list;
+    list.Take(ServersOf(row.before), list_source::kWatch, kStart);
+    list.StoreReturned(kStart + 100ms);
+    list.Take(ServersOf(row.copy), list_source::kCatchUp, kStart + 100ms);
+    CHECK_TEXT(NamesOf(list.Servers()) == row.withCopy, row.name);
+    list.Take(ServersOf(row.again), list_source::kWatch, kStart + 3000ms);
+    CHECK_TEXT(NamesOf(list.Servers()) == row.within, row.name);
+    CHECK_TEXT(list.IsDue(kStart + 3100ms), row.name);
+    list.Take(ServersOf(row.again), list_source::kWatch, kStart + 3100ms);
+    CHECK_TEXT(NamesOf(list.Servers()) == row.after, row.name);
+    CHECK_TEXT(!list.IsDue(kStart + 9000ms), row.name);
+  }
+}
