No fencing token is given twice by a store that lost a claim, and no replaced term is forgotten with it

What would be seen: two holders order promotions under one token, or one under a lower token than before; a term that was replaced passes for standing, so that writes are acknowledged at an old primary.

Cause: the epoch of a failover lock was the store's revision, "since it only goes up", and the record of the newest replaced term was taken for complete.

Change: an epoch is a state of the store in one number, the era above the revision (13 and 40 bits, exact in a double too). It needs no memory: a store that comes back has a higher era, also when all VMs were killed in between. A claim that was lost, or that was sent in one era and done in the next, keeps the era in its epoch: a lock of an earlier era orders nothing and answers no question about terms until its holder has claimed it anew (IsOfEra), which it does at once, and then records the newest replaced term that the record or its own proofs know. Without any record, after a return that this VM saw, a check of terms stays unanswered rather than "none replaced".

Ways weighed: a random part in the epoch (does not go up); asking the platform for its last token (it can't be asked); a key of our own that counts eras (lost like the rest).

Evidence: duty.no_epoch_is_given_again_by_a_store_that_lost_it failed before in its first row ("revisions are given out again"), passes now in all four; new is_of_the_era_in_which_it_was_claimed, a_claim_records_the_newest_replaced_term. Stores that tell no era: epochs as before.

Left: a record of the replaced term that is lost while every VM that knew it is gone.

--- a/src/currantshed/lead/group_lead.cpp
+++ b/src/currantshed/lead/group_lead.cpp
@@ -71,6 +71,12 @@
   Evaluate(aNow);
 }
 
+position::term_id
+group_lead::ReplacedTerm() const noexcept
+{
+  return mProof.term > mReplaced ? mProof.term - 1 : mReplaced;
+}
+
 void
 group_lead::SetReplaced(position::term_id aTerm, clock::time_point aNow)
 {
--- a/src/currantshed/lead/group_lead.hpp
+++ b/src/currantshed/lead/group_lead.hpp
@@ -90,6 +90,10 @@
   /// shows it: no proof of it or an earlier one holds.
   void SetReplaced(position::term_id aTerm, clock::time_point aNow);
 
+  /// The newest term that this VM knows to be replaced, by the store or since a
+  /// later one is proved.
+  [[nodiscard]] position::term_id ReplacedTerm() const noexcept;
+
   /// The same, read from the store since the check was asked for; none when
   /// the store could not be read.
   void TermsChecked(std::optional<position::term_id> aReplaced,
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -322,6 +322,7 @@
   if (!aBefore) {
     return;
   }
+  mHasReturned = true;
   log::Write(
     log::level::kWarning,
     "store_returned",
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -349,6 +349,8 @@
   // which follows the first reading of the list.
   std::optional<clock::time_point> mSettledAt;
   bool mIsSettled = false;
+  // The store has come back from an older copy in this life.
+  bool mHasReturned = false;
   // Since when the record of the fleet has differed from those listed.
   std::optional<clock::time_point> mFleetStaleSince;
   bool mIsLeaving = false;
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -89,7 +89,8 @@
                                               std::optional<store::item> aItem,
                                               store::reply aReply) {
                auto duty = aItem ? ReadDuty(*aItem) : std::nullopt;
-               if (aError || !duty || !HoldsDutySince(*duty, asked)) {
+               if (aError || !duty || !HoldsDutySince(*duty, asked) ||
+                   !IsOfEra(*duty, aItem->changed.era)) {
                  NotOrdered(aService,
                             aAction.server,
                             aError ? aError.message() : "the duty is not held",
@@ -168,29 +169,32 @@
     });
     return;
   }
-  mStore.Get(
-    DutyKey(aService),
-    [this, aService](std::error_code aError,
-                     std::optional<store::item> aItem,
-                     store::reply aReply) {
-      auto* found = Find(aService);
-      if (found == nullptr) {
-        return;
-      }
-      std::optional<position::term_id> replaced;
-      if (!aError) {
-        const auto duty = aItem ? ReadDuty(*aItem) : std::nullopt;
-        replaced = duty ? duty->replacedTerm : 0;
-      }
-      log::Write(
-        log::level::kInfo,
-        "terms_checked",
-        { { "service", aService },
-          { "replaced", static_cast<std::int64_t>(replaced.value_or(0)) },
-          { "reason", aError ? aError.message() : std::string() } });
-      found->lead.TermsChecked(replaced, aReply.at);
-      Perform(aReply.at);
-    });
+  mStore.Get(DutyKey(aService),
+             [this, aService](std::error_code aError,
+                              std::optional<store::item> aItem,
+                              store::reply aReply) {
+               auto* found = Find(aService);
+               if (found == nullptr) {
+                 return;
+               }
+               const auto duty = aItem ? ReadDuty(*aItem) : std::nullopt;
+               std::optional<position::term_id> replaced;
+               if (!aError && duty && IsOfEra(*duty, aItem->changed.era)) {
+                 replaced = duty->replacedTerm;
+               } else if (!aError && !duty && !mHasReturned) {
+                 replaced = 0;
+               }
+               log::Write(
+                 log::level::kInfo,
+                 "terms_checked",
+                 { { "service", aService },
+                   { "replaced",
+                     replaced ? log::value(static_cast<std::int64_t>(*replaced))
+                              : log::value(log::unknown{}) },
+                   { "reason", aError ? aError.message() : std::string() } });
+               found->lead.TermsChecked(replaced, aReply.at);
+               Perform(aReply.at);
+             });
 }
 
 void
@@ -339,14 +343,15 @@
     aGroup.lead.SetReplaced(duty->replacedTerm, aNow);
   }
   aGroup.lead.SetDuty(holds, duty == nullptr ? 0 : duty->epoch, aNow);
-  const bool isNext =
-    !isOwn && !mIsLeaving && mListedAt != clock::time_point{} &&
-    mRegistration.IsListed() && ReachesStore() && aGroup.isNext;
+  const bool mayCall = !mIsLeaving && mListedAt != clock::time_point{} &&
+                       mRegistration.IsListed() && ReachesStore();
+  const bool isNext = !isOwn && mayCall && aGroup.isNext;
+  const bool isPast = isOwn && !IsOfEra(*duty, mOwnView.Seen().era);
   // While the store is away the VM that had the duty goes on proving the
   // primary for the others, who would else all ask the servers themselves.
   const bool isLast = isOwn && !holds && !mIsLeaving;
   aGroup.lead.SetStandsIn(isNext || isLast);
-  const bool mayClaim = isNext && !aGroup.isClaiming &&
+  const bool mayClaim = (isNext || (isPast && mayCall)) && !aGroup.isClaiming &&
                         aNow >= aGroup.claimFrom &&
                         aNow >= mListedAt + kSettleTime;
   if (mayClaim) {
@@ -373,7 +378,8 @@
   aGroup.isClaiming = true;
   aGroup.claimFrom = aNow + kClaimPause;
   mStore.Commit(
-    ClaimOf(mOwnKeys, aService, mSelf, mOwnView.Seen()),
+    ClaimOf(
+      mOwnKeys, aService, mSelf, mOwnView.Seen(), aGroup.lead.ReplacedTerm()),
     [this,
      aService](store::commit_outcome aOutcome, store::revision, store::reply) {
       log::Write(log::level::kInfo,
--- a/src/currantshed/node/duty.cpp
+++ b/src/currantshed/node/duty.cpp
@@ -1,6 +1,7 @@
 #include "currantshed/node/duty.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/json.hpp>
 
@@ -16,6 +17,16 @@
 constexpr std::string_view kDuties = "currantshed/duty/";
 constexpr std::string_view kFleet = "currantshed/fleet";
 
+// An epoch is a state of the store in one number. Both parts together stay
+// below what a double holds exactly, since the platform may read it as one.
+constexpr unsigned kNumberBits = 40;
+
+std::uint64_t
+EpochOf(const store::revision& aAt)
+{
+  return (aAt.era << kNumberBits) | aAt.number;
+}
+
 std::string
 Text(const json::object& aObject, std::string_view aName)
 {
@@ -264,27 +275,36 @@
 ClaimOf(const own_keys& aKeys,
         const std::string& aService,
         const vm_record& aSelf,
-        store::revision aSeen)
+        store::revision aSeen,
+        position::term_id aReplaced)
 {
   const auto key = DutyKey(aService);
   const auto before = aKeys.duties.find(aService);
-  duty_record made{ aSelf.where.vm, aSelf.incarnation, aSeen.number };
+  const store::revision none{ aSeen.era };
+  duty_record made{
+    aSelf.where.vm, aSelf.incarnation, EpochOf(aSeen), aReplaced
+  };
   store::transaction claim;
   if (before == aKeys.duties.end()) {
-    claim.conditions.push_back({ key, {} });
+    claim.conditions.push_back({ key, none });
   } else {
     const auto& old = before->second.record;
     const auto holder = aKeys.vms.find(old.holder);
-    made.epoch = std::max(aSeen.number, old.epoch + 1);
-    made.replacedTerm = old.replacedTerm;
+    made.epoch = std::max(made.epoch, old.epoch + 1);
+    made.replacedTerm = std::max(aReplaced, old.replacedTerm);
     claim.conditions.push_back({ key, before->second.changed });
-    claim.conditions.push_back({ VmKey(old.holder),
-                                 holder == aKeys.vms.end()
-                                   ? store::revision{}
-                                   : holder->second.changed });
+    claim.conditions.push_back(
+      { VmKey(old.holder),
+        holder == aKeys.vms.end() ? none : holder->second.changed });
   }
   claim.puts.push_back({ key, PrintDuty(made), {}, {} });
   return claim;
 }
 
+bool
+IsOfEra(const duty_record& aDuty, store::era_id aEra)
+{
+  return aDuty.epoch >> kNumberBits == aEra;
+}
+
 } // namespace currantshed::node
--- a/src/currantshed/node/duty.hpp
+++ b/src/currantshed/node/duty.hpp
@@ -119,13 +119,21 @@
             const vm_record& aSelf);
 
 /// Takes the duty over, provided that neither its record nor its holder's have
-/// changed. The epoch is above every earlier one even if the record was lost,
-/// since the store's revision only goes up.
+/// changed. The epoch is above every earlier one, also of claims that the store
+/// has lost: states of the store only go up. The replaced term is the newest
+/// that the record or this VM knows.
 [[nodiscard]] store::transaction
 ClaimOf(const own_keys& aKeys,
         const std::string& aService,
         const vm_record& aSelf,
-        store::revision aSeen);
+        store::revision aSeen,
+        position::term_id aReplaced);
+
+/// Whether the duty was claimed in the given era. The store may have lost later
+/// claims and the terms that they replaced: a duty of an earlier era gives no
+/// orders and tells of no term until its holder has claimed it anew.
+[[nodiscard]] bool
+IsOfEra(const duty_record& aDuty, store::era_id aEra);
 
 } // namespace currantshed::node
 
--- a/test/currantshed/node/duty.cpp
+++ b/test/currantshed/node/duty.cpp
@@ -1,5 +1,6 @@
 #include "currantshed/node/duty.hpp"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -7,6 +8,7 @@
 
 using namespace currantshed;
 using node::duty_record;
+using node::own_keys;
 using node::vm_record;
 
 namespace {
@@ -90,7 +92,7 @@
   const auto items =
     Items({ Vm("a", 1, true), Vm("b", 2) }, duty_record{ "a", 1, 50 });
   const auto keys = node::ReadOwnKeys(items);
-  const auto claim = node::ClaimOf(keys, "group", Vm("b", 2), { 0, 20 });
+  const auto claim = node::ClaimOf(keys, "group", Vm("b", 2), { 0, 20 }, 0);
   CHECK_EQUAL(2, static_cast<int>(claim.conditions.size()));
   CHECK(claim.conditions[0].changed ==
         items.at(node::DutyKey("group")).changed);
@@ -99,9 +101,9 @@
   CHECK(made && made->holder == "b" && made->epoch == 51);
   // A record that was lost still leaves a higher number.
   const auto fresh =
-    node::ClaimOf(node::ReadOwnKeys({}), "group", Vm("b", 2), { 0, 90 });
+    node::ClaimOf(node::ReadOwnKeys({}), "group", Vm("b", 2), { 0, 90 }, 0);
   CHECK(node::ReadDuty(fresh.puts.front())->epoch == 90);
-  CHECK(fresh.conditions.front().changed == store::revision{});
+  CHECK(fresh.conditions.front().changed.number == 0);
 }
 
 TEST(duty, the_replaced_term_goes_on_to_the_next_holder)
@@ -109,7 +111,7 @@
   const auto items =
     Items({ Vm("a", 1, true), Vm("b", 2) }, duty_record{ "a", 1, 50, 6 });
   const auto keys = node::ReadOwnKeys(items);
-  const auto claim = node::ClaimOf(keys, "group", Vm("b", 2), { 0, 40 });
+  const auto claim = node::ClaimOf(keys, "group", Vm("b", 2), { 0, 40 }, 0);
   const auto made = node::ReadDuty(claim.puts.front());
   CHECK(made && made->holder == "b" && made->replacedTerm == 6);
   // A record of a version that did not have the term is still one.
@@ -176,9 +178,31 @@
     const auto keys = node::ReadOwnKeys(Items(
       { Vm("b", 2) }, isRecorded ? std::optional(row.recorded) : std::nullopt));
     const auto lost = node::ReadDuty(
-      node::ClaimOf(keys, "group", Vm("b", 2), row.before).puts.front());
+      node::ClaimOf(keys, "group", Vm("b", 2), row.before, 0).puts.front());
     const auto next = node::ReadDuty(
-      node::ClaimOf(keys, "group", Vm("c", 3), row.after).puts.front());
+      node::ClaimOf(keys, "group", Vm("c", 3), row.after, 0).puts.front());
     CHECK_TEXT(next->epoch > lost->epoch, row.name);
   }
 }
+
+TEST(duty, is_of_the_era_in_which_it_was_claimed)
+{
+  for (const store::era_id era : { 0, 1, 7 }) {
+    const auto claimed = node::ReadDuty(
+      node::ClaimOf({}, "group", Vm("b", 2), { era, 90 }, 0).puts.front());
+    CHECK(node::IsOfEra(*claimed, era));
+    CHECK_FALSE(node::IsOfEra(*claimed, era + 1));
+  }
+}
+
+// The record of the copy lacks a term that this VM knows to be replaced.
+TEST(duty, a_claim_records_the_newest_replaced_term)
+{
+  const auto keys =
+    node::ReadOwnKeys(Items({ Vm("b", 2) }, duty_record{ "b", 2, 50, 6 }));
+  for (const position::term_id known : { 0, 6, 9 }) {
+    const auto made = node::ReadDuty(
+      node::ClaimOf(keys, "group", Vm("b", 2), { 2, 40 }, known).puts.front());
+    CHECK(made->replacedTerm == std::max<position::term_id>(known, 6));
+  }
+}
