VMs that were known before the store came back count until they are listed again

What would be seen: more of a customer's quota is handed out in all than it has, and connections are shared among fewer VMs than use them.

Cause, found by reading: each VM earns 1/N of a quota and takes its share of the servers' connections by the list of VMs and the record of the fleet. After a return from an older copy both may be short, although all VMs run.

Change: KeepFormer keeps those that were listed or recorded in the era before beside the record (AddRecorded) for two seconds, as after a start, in which VMs take new leases and are listed again. A fleet that is counted too large for two seconds costs a part of the tokens, never too many.

Evidence: duty.vms_that_were_known_count_beside_the_record on the rule itself.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -279,7 +279,8 @@
 void
 control::OwnKeysChanged(clock::time_point aNow)
 {
-  mOwnKeys = ReadOwnKeys(mOwnView.Items());
+  const auto before = std::exchange(mOwnKeys, ReadOwnKeys(mOwnView.Items()));
+  KeepFormer(before, aNow);
   NoteVms(aNow);
   NoteFeeders(aNow);
   SetCheckPlace();
@@ -390,6 +391,7 @@
   }
   if (!mIsSettled && mSettledAt && now >= *mSettledAt) {
     mIsSettled = true;
+    mFormer.clear();
     TellFleet(now);
     NoteCollectors();
   }
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -222,6 +222,7 @@
   void SetPlaces(clock::time_point aNow);
   void TellFleet(clock::time_point aNow);
   void KeepFleet(clock::time_point aNow);
+  void KeepFormer(const own_keys& aBefore, clock::time_point aNow);
   [[nodiscard]] bool IsOffTheList(clock::time_point aNow) const;
   [[nodiscard]] std::chrono::milliseconds ReachInterval(
     clock::time_point aNow) const;
@@ -349,6 +350,10 @@
   // which follows the first reading of the list.
   std::optional<clock::time_point> mSettledAt;
   bool mIsSettled = false;
+  // The era of the own keys, and the VMs that were known in the one before,
+  // until they have had time to be listed again.
+  store::era_id mOwnEra = 0;
+  std::vector<vm_record> mFormer;
   // The store has come back from an older copy in this life.
   bool mHasReturned = false;
   // Since when the record of the fleet has differed from those listed.
--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -96,7 +96,8 @@
   }
   mFleetStaleSince = aNow;
   store::transaction made;
-  made.conditions.push_back({ FleetKey(), mOwnKeys.fleetChanged });
+  made.conditions.push_back(
+    { FleetKey(), { mOwnView.Seen().era, mOwnKeys.fleetChanged.number } });
   made.puts.push_back({ FleetKey(), PrintFleet(listed), {}, {} });
   mStore.Commit(
     std::move(made),
@@ -109,6 +110,21 @@
     });
 }
 
+// A store that has come back may list few VMs and an old record, though all
+// run: whoever shared by those alone would take more than its part.
+void
+control::KeepFormer(const own_keys& aBefore, clock::time_point aNow)
+{
+  const auto era = mOwnView.Seen().era;
+  if (std::exchange(mOwnEra, era) != era) {
+    mFormer = aBefore.Listed();
+    mFormer.insert(mFormer.end(), aBefore.fleet.begin(), aBefore.fleet.end());
+    mIsSettled = false;
+    mSettledAt = aNow + kFleetSettling;
+  }
+  AddRecorded(mOwnKeys, mFormer);
+}
+
 // Takes over who is listed, and whom that leaves to be sent to.
 void
 control::NoteVms(clock::time_point aNow)
--- a/src/currantshed/node/duty.cpp
+++ b/src/currantshed/node/duty.cpp
@@ -244,6 +244,21 @@
   return keys;
 }
 
+void
+AddRecorded(own_keys& aKeys, const std::vector<vm_record>& aVms)
+{
+  absl::btree_map<std::string, vm_record> byName;
+  for (const auto* vms : { &std::as_const(aKeys.fleet), &aVms }) {
+    for (const auto& one : *vms) {
+      byName.try_emplace(one.where.vm, one);
+    }
+  }
+  aKeys.fleet.clear();
+  for (auto& [name, one] : byName) {
+    aKeys.fleet.push_back(std::move(one));
+  }
+}
+
 bool
 HasHolder(const own_keys& aKeys, const std::string& aService)
 {
--- a/src/currantshed/node/duty.hpp
+++ b/src/currantshed/node/duty.hpp
@@ -107,6 +107,10 @@
 [[nodiscard]] own_keys
 ReadOwnKeys(const store::prefix_view::items& aItems);
 
+/// Counts VMs as recorded that the record lacks.
+void
+AddRecorded(own_keys& aKeys, const std::vector<vm_record>& aVms);
+
 /// Whether a VM that is listed and stays holds the duty.
 [[nodiscard]] bool
 HasHolder(const own_keys& aKeys, const std::string& aService);
--- a/test/currantshed/node/duty.cpp
+++ b/test/currantshed/node/duty.cpp
@@ -206,3 +206,12 @@
     CHECK(made->replacedTerm == std::max<position::term_id>(known, 6));
   }
 }
+
+// The list and the record of the copy lack VMs that run on.
+TEST(duty, vms_that_were_known_count_beside_the_record)
+{
+  own_keys keys;
+  keys.fleet = { Vm("b", 2) };
+  node::AddRecorded(keys, { Vm("c", 3), Vm("a", 1), Vm("b", 9) });
+  CHECK(node::IsSameFleet(keys.fleet, { Vm("a", 1), Vm("b", 2), Vm("c", 3) }));
+}
