A compare-and-swap that was read in one era is not sent in the next, nor taken as done there

What would be seen: a change takes effect over contents that its sender never read, since the revision that it expects was given out a second time.

Change: a condition carries the era in which its key was read, also for a key that did not exist. era_guard answers a transaction of an earlier era as in conflict without sending it. One that was sent in an era and done in the next is answered as unknown, and whoever sent it reads what stands there, as after a lost answer. The store itself can't be given the era, so the write may stand: for failover locks the epoch's era keeps it from counting; a VM's own key and the record of the fleet are written again.

Evidence: era_guard.takes_no_change_as_done_that_was_read_in_an_earlier_era; with its check taken out the row "read in an earlier era" fails.

--- a/src/currantshed/store/era_guard.cpp
+++ b/src/currantshed/store/era_guard.cpp
@@ -1,5 +1,6 @@
 #include "currantshed/store/era_guard.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "currantshed/clock/now.hpp"
@@ -31,6 +32,15 @@
   return mEra && aEra < *mEra;
 }
 
+bool
+era_guard::IsPast(const std::vector<condition>& aConditions) const noexcept
+{
+  return std::any_of(
+    aConditions.begin(), aConditions.end(), [this](const auto& aOne) {
+      return IsPast(aOne.changed.era);
+    });
+}
+
 void
 era_guard::SetPatience(std::chrono::milliseconds aPatience)
 {
@@ -114,12 +124,22 @@
 void
 era_guard::Commit(transaction aWhat, commit_callback aDone)
 {
-  mStore.Commit(std::move(aWhat),
-                [this, done = std::move(aDone)](
-                  commit_outcome aOutcome, revision aRevision, reply aReply) {
-                  (void)Heard({}, aReply);
-                  done(aOutcome, aRevision, aReply);
-                });
+  if (IsPast(aWhat.conditions)) {
+    mListener.later([done = std::move(aDone)] {
+      done(commit_outcome::kConflict, {}, { clock::Now() });
+    });
+    return;
+  }
+  auto conditions = aWhat.conditions;
+  mStore.Commit(
+    std::move(aWhat),
+    [this, conditions = std::move(conditions), done = std::move(aDone)](
+      commit_outcome aOutcome, revision aRevision, reply aReply) {
+      (void)Heard({}, aReply);
+      const bool isDoubtful =
+        aOutcome == commit_outcome::kApplied && IsPast(conditions);
+      done(isDoubtful ? commit_outcome::kUnknown : aOutcome, aRevision, aReply);
+    });
 }
 
 void
--- a/src/currantshed/store/era_guard.hpp
+++ b/src/currantshed/store/era_guard.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "currantshed/store/key_value.hpp"
 
@@ -45,7 +46,12 @@
                     watch_callback aDone) override;
 
   void CancelWatch(const std::string& aPrefix) override;
+
+  /// Is in conflict where a condition is of an earlier era, and not sent. What
+  /// is done only in a later one may have held by accident: its outcome is
+  /// unknown.
   void Commit(transaction aWhat, commit_callback aDone) override;
+
   void Grant(std::chrono::milliseconds aTtl, grant_callback aDone) override;
 
   /// A lease of an earlier era has ended, whatever its number names now.
@@ -56,6 +62,8 @@
   [[nodiscard]] std::error_code Heard(std::error_code aError,
                                       const reply& aReply);
   [[nodiscard]] bool IsPast(era_id aEra) const noexcept;
+  [[nodiscard]] bool IsPast(
+    const std::vector<condition>& aConditions) const noexcept;
   [[nodiscard]] watch_callback Guarded(watch_callback aDone);
   void Reject(watch_callback aDone);
 
--- a/src/currantshed/store/key_value.hpp
+++ b/src/currantshed/store/key_value.hpp
@@ -68,7 +68,8 @@
 };
 
 /// A condition of a transaction: the key's last change is still this one;
-/// none for a key that does not exist. The store compares the numbers alone.
+/// number zero for a key that does not exist. The store compares numbers alone;
+/// the era is the one in which the key was read.
 struct condition
 {
   std::string key;
--- a/src/currantshed/store/registration.cpp
+++ b/src/currantshed/store/registration.cpp
@@ -158,8 +158,8 @@
   mWriteSeenBy = aNow + kViewDelay;
   transaction made;
   const auto found = mView.Items().find(mKey);
-  const auto seen =
-    found == mView.Items().end() ? revision{} : found->second.changed;
+  const auto seen = found == mView.Items().end() ? revision{ mView.Seen().era }
+                                                 : found->second.changed;
   made.conditions.push_back({ mKey, seen });
   made.puts.push_back({ mKey, mValue, {}, mLease });
   mStore.Commit(std::move(made),
--- a/test/currantshed/store/era_guard.cpp
+++ b/test/currantshed/store/era_guard.cpp
@@ -125,3 +125,71 @@
   CHECK(made.began[2].first == 1 && made.began[2].second == 3);
   CHECK(made.guard.Era() == 3);
 }
+
+namespace {
+
+struct commit_row
+{
+  const char* name;
+  /// The era that is known, that of the condition, and that of the answer.
+  std::optional<store::era_id> known;
+  store::era_id read;
+  std::optional<store::era_id> answered;
+  store::commit_outcome expect;
+  /// Whether the store is asked at all.
+  bool isSent;
+};
+
+const commit_row kCommits[] = {
+  { "a store that tells no era",
+    {},
+    0,
+    {},
+    store::commit_outcome::kApplied,
+    true },
+  { "read and done in one era",
+    3,
+    3,
+    3,
+    store::commit_outcome::kApplied,
+    true },
+  { "read in an earlier era",
+    4,
+    3,
+    4,
+    store::commit_outcome::kConflict,
+    false },
+  { "sent in one era and done in the next",
+    3,
+    3,
+    4,
+    store::commit_outcome::kUnknown,
+    true },
+};
+
+} // namespace
+
+// Revisions are given out again, so that a condition may hold over what the
+// sender has not read.
+TEST(era_guard, takes_no_change_as_done_that_was_read_in_an_earlier_era)
+{
+  for (const auto& row : kCommits) {
+    for (const std::uint64_t number : { 0, 2 }) {
+      guarded made;
+      if (number != 0) {
+        made.below.Put("a/1", "one");
+      }
+      made.Hear(row.known);
+      made.below.SetEra(row.answered);
+      std::optional<store::commit_outcome> outcome;
+      store::transaction change;
+      change.conditions.push_back({ "a/1", { row.read, number } });
+      change.puts.push_back({ "a/1", "two", {}, {} });
+      made.guard.Commit(
+        change, [&outcome](auto aOutcome, auto, auto) { outcome = aOutcome; });
+      made.Answer();
+      CHECK_TEXT(outcome == row.expect, row.name);
+      CHECK_EQUAL_TEXT(row.isSent ? 1 : 0, made.below.commits, row.name);
+    }
+  }
+}
