A store that has just come back is no evidence that nothing newer was written

What would be seen: a key that operators took away is used again, or on, longer than its bound: the store lost the acknowledged configuration without the key, a VM that had not seen it read the older one, and took that for evidence that none was newer.

Change: prefix_view counts no proof dated within three seconds after it took over keys of a new era, its own readings and other VMs' words alike; operators write again what was lost within two. Proofs of the era before stand: what they say of their time is true. A VM that holds the newer version keeps it, and proves again once it is back in the store.

What it costs: after an outage of two seconds and a return, keys can't be trusted for some tenths of a second (bound of five seconds, 0.15 s of it reserved); such requests are refused as "not run" and find no VM that could do better.

Evidence: proved_view.A_store_that_has_just_lost_changes_proves_nothing failed before ("ProvedAt" moved with the copy's reading), passes now.

Left: a VM that starts within these seconds does not know that the store has just come back, and may take the older configuration as proved until it is written again.

--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -16,6 +16,9 @@
 constexpr int kPauseByWay = 6;
 // Removals that are kept for others. A VM that lacks more gets all keys.
 constexpr std::size_t kMostRemovals = 1024;
+// How long a store that has come back may lack what others wrote before: they
+// write it again within two seconds.
+constexpr std::chrono::milliseconds kWrittenAgain{ 3000 };
 
 // Whether the store can't tell the changes after what is known.
 bool
@@ -123,7 +126,9 @@
                    return;
                  }
                  mAnsweredAt = aReply.at;
-                 if (!TakeAll(std::move(aItems), aRevision)) {
+                 const bool isTaken =
+                   TakeAll(std::move(aItems), aRevision, aReply.at);
+                 if (!isTaken) {
                    NoteIgnored(aRevision);
                  }
                  Prove(asked);
@@ -175,7 +180,9 @@
 void
 prefix_view::Prove(clock::time_point aAt) noexcept
 {
-  mProvedAt = std::max(mProvedAt, aAt);
+  if (aAt >= mProvesFrom) {
+    mProvedAt = std::max(mProvedAt, aAt);
+  }
 }
 
 // Returns whether there was anything new.
@@ -235,12 +242,17 @@
 // All keys, as a reading of the store or another VM has them. Returns whether
 // they are as new as those known.
 bool
-prefix_view::TakeAll(std::vector<item> aItems, revision aRevision)
+prefix_view::TakeAll(std::vector<item> aItems,
+                     revision aRevision,
+                     clock::time_point aNow)
 {
   // Passed on meanwhile: this is an older state.
   if (mIsKnown && aRevision < mSeen) {
     return false;
   }
+  if (mIsKnown && aRevision.era != mSeen.era) {
+    mProvesFrom = aNow + kWrittenAgain;
+  }
   mItems.clear();
   for (auto& one : aItems) {
     auto key = one.key;
@@ -326,7 +338,7 @@
     for (const auto& one : aUpdate.changes) {
       items.push_back(one.now);
     }
-    isChanged = TakeAll(std::move(items), aUpdate.upTo);
+    isChanged = TakeAll(std::move(items), aUpdate.upTo, aNow);
   } else if (!aUpdate.isWhole) {
     for (const auto& one : aUpdate.changes) {
       isChanged = TakeOne(one) || isChanged;
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -112,7 +112,9 @@
              std::function<void(bool, clock::time_point)> aDone);
 
   /// Another VM has shown that nothing newer than these keys stood in the store
-  /// at that time.
+  /// at that time. A store that has just come back from an older copy shows
+  /// nothing: it may have lost what was acknowledged and is yet to be written
+  /// again.
   void Prove(clock::time_point aAt) noexcept;
 
   /// The latest time at which nothing newer than these keys is known to have
@@ -156,7 +158,9 @@
   void ReadAgain();
   void ReadAtOnce(clock::time_point aNow);
   void Read(clock::time_point aNow);
-  [[nodiscard]] bool TakeAll(std::vector<item> aItems, revision aRevision);
+  [[nodiscard]] bool TakeAll(std::vector<item> aItems,
+                             revision aRevision,
+                             clock::time_point aNow);
   void NoteIgnored(revision aRead);
   [[nodiscard]] bool TakeOne(key_change aChange);
   [[nodiscard]] bool TakeChanges(std::vector<key_change> aChanges,
@@ -187,6 +191,8 @@
   // The last reading that was left out.
   revision mIgnored;
   clock::time_point mProvedAt{};
+  // From when on the store of the present era counts as evidence.
+  clock::time_point mProvesFrom{};
   clock::time_point mFedUntil{};
   // When the last answer came of a call for these keys.
   clock::time_point mAnsweredAt{};
