Readings that are left out don't lead to calls in a loop

What was seen in the incident: 130 to 150 calls a second of seven VMs in place of 20, for twelve seconds; at 300 VMs that is several thousand, a large part of what the store bears.

Cause: a reading that is left out is followed at once by a watch from the revision known, which the store refuses, and that at once by the next reading. Stores that tell their era no longer lead there; one that tells none and goes back still does.

Change: half a second's pause after a reading that was left out, and no word of a change, since there was none.

Evidence: returned_store.is_not_called_in_a_loop_where_it_tells_no_era failed before (more than six readings in three seconds), passes now; its keys are taken once the store has counted on.

--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -19,6 +19,9 @@
 // How long a store that has come back may lack what others wrote before: they
 // write it again within two seconds.
 constexpr std::chrono::milliseconds kWrittenAgain{ 3000 };
+// Pause after a reading that was left out: the watch from what is known is
+// refused at once, and the next reading is likely to be left out too.
+constexpr std::chrono::milliseconds kIgnoredPause{ 500 };
 
 // Whether the store can't tell the changes after what is known.
 bool
@@ -137,7 +140,11 @@
                  mMayBeOld = true;
                  mMissedSome = false;
                  Succeeded(false, aReply.at);
-                 mListener.changed(aReply.at);
+                 if (isTaken) {
+                   mListener.changed(aReply.at);
+                 } else {
+                   mNotBefore = aReply.at + kIgnoredPause;
+                 }
                });
 }
 
