The soak loses the store's last seconds; its wait for served callers looks at every VM

After each seed a configuration must be in force within three seconds. Earlier seeds play as before.

--- a/test/process/node_soak.sh
+++ b/test/process/node_soak.sh
@@ -2,7 +2,9 @@
 # Faults in a seeded order against the real programs, while callers check every
 # answer: VMs are killed, paused and stopped, primaries are lost or leave, servers
 # start again empty under their ids, ways to the store and to servers are delayed,
-# held, cut one way, silenced or reset.
+# held, cut one way, silenced or reset. From seed 1000 on the store may also be away
+# and come back from an older copy, once or twice in a row, before, during and after
+# other faults.
 # Faults of ways last while others begin. SEEDS names the seeds to play; with
 # none, those that CI plays each time. SOAK_BASE names the first port, so that
 # several runs may go side by side.
@@ -29,10 +31,21 @@
   ) &
 }
 
+# The store loses its last seconds, at times again right after its return.
+store_returns() {
+  local span=$((RANDOM % 3000)) away=$((RANDOM % 2500 + 100)) twice=$((RANDOM % 3))
+  echo "the store loses $span ms, away for $away ms, twice: $((twice == 0))"
+  tell "/test/lose?span_ms=$span&away_ms=$away" >/dev/null
+  [ "$twice" -ne 0 ] || {
+    sleep "$((away / 1000 + 1))"
+    tell "/test/lose?span_ms=$span&away_ms=100" >/dev/null
+  }
+}
+
 one_fault() {
   local vm=$((RANDOM % 4 + 1)) group=$((RANDOM % 2)) way lasts=$((RANDOM % 3 + 1))
   way=$(any_way)
-  case $((RANDOM % 11)) in
+  case $((RANDOM % faults)) in
     0) echo "kill vm-$vm"; node_kill "$vm" KILL; node_run "$vm" ;;
     1) echo "pause vm-$vm"; node_pause "$vm" 2 ;;
     2) echo "stop vm-$vm"; node_stop "$vm"; node_run "$vm" ;;
@@ -44,11 +57,16 @@
     8) fault "$way" silence ;;
     9) fault "$way" reset ;;
     10) echo "restart in group-$group"; restarted "group-$group" ;;
+    *) store_returns ;;
   esac
 }
 
-for seed in ${SEEDS:-1}; do
+version=1
+for seed in ${SEEDS:-1 1001}; do
   RANDOM=$seed
+  # A third of all faults are such returns; earlier seeds stay what they were.
+  faults=11
+  [ "$seed" -lt 1000 ] || faults=16
   echo "seed $seed"
   callers_start 12000 "$seed"
   sleep_until_served
@@ -56,8 +74,12 @@
   callers_end
   check "seed $seed: a change took effect twice" \
     grep -q '"doubled":0' <<<"$(tell /test/report)"
-  # Whatever went wrong has ended: all is served again.
+  # Whatever went wrong has ended: all is served again, and what is configured from
+  # now on is in force in time.
   sleep 3
+  version=$((version + 1))
+  tell "/test/configure?version=$version" >/dev/null
+  check "seed $seed: version $version is not in force" await 3 in_force "$version"
   callers_start 3000 $((seed + 100000))
   callers_end
 done
--- a/test/process/support/node.sh
+++ b/test/process/support/node.sh
@@ -159,7 +159,15 @@
   callers_pid=$!
 }
 
-served() { [ -n "$(metric 1 'currantshed_node_request_seconds_count{outcome="acknowledged"}')" ]; }
+# Whether any VM has acknowledged something: callers may all be at some of them.
+served() {
+  local vm
+  for vm in "${!vm_pid[@]}"; do
+    [ -z "$(metric "$vm" 'currantshed_node_request_seconds_count{outcome="acknowledged"}')" ] ||
+      return 0
+  done
+  return 1
+}
 sleep_until_served() { check "nothing is served" await 15 served; }
 
 callers_end() {
