--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -301,7 +301,7 @@
 }
 
 store::prefix_view::listener
-control::Listener(std::string aWhat,
+control::Listener(const std::string& aWhat,
                   std::function<void(clock::time_point)> aChanged)
 {
   return { [this, changed = std::move(aChanged)](clock::time_point aNow) {
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -136,7 +136,7 @@
                  bool aIsReached,
                  std::error_code aWhy);
   [[nodiscard]] store::prefix_view::listener Listener(
-    std::string aWhat,
+    const std::string& aWhat,
     std::function<void(clock::time_point)> aChanged);
   void EraBegan(std::optional<store::era_id> aBefore, store::era_id aNow);
   void NoteIgnored(const std::string& aWhat,
--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -102,7 +102,7 @@
   mStore.Commit(
     std::move(made),
     [vms = listed.size()](
-      store::commit_outcome aOutcome, store::revision, store::reply) {
+      store::commit_outcome aOutcome, store::revision, store::call_answer) {
       log::Write(log::level::kInfo,
                  "fleet_recorded",
                  { { "vms", static_cast<std::int64_t>(vms) },
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -87,7 +87,7 @@
   mStore.Get(DutyKey(aService),
              [this, aService, asked, aAction](std::error_code aError,
                                               std::optional<store::item> aItem,
-                                              store::reply aReply) {
+                                              store::call_answer aReply) {
                auto duty = aItem ? ReadDuty(*aItem) : std::nullopt;
                if (aError || !duty || !HoldsDutySince(*duty, asked) ||
                    !IsOfEra(*duty, aItem->changed.era)) {
@@ -129,18 +129,21 @@
   store::transaction made;
   made.conditions.push_back({ key, aChanged });
   made.puts.push_back({ key, PrintDuty(aDuty), {}, {} });
-  mStore.Commit(
-    std::move(made),
-    [this, aService, aServer, duty = std::move(aDuty), asked](
-      store::commit_outcome aOutcome, store::revision, store::reply aReply) {
-      if (aOutcome == store::commit_outcome::kApplied &&
-          HoldsDutySince(duty, asked)) {
-        Promote(aService, aServer, duty.epoch);
-      } else {
-        NotOrdered(
-          aService, aServer, "the replaced term is not recorded", aReply.at);
-      }
-    });
+  mStore.Commit(std::move(made),
+                [this, aService, aServer, duty = std::move(aDuty), asked](
+                  store::commit_outcome aOutcome,
+                  store::revision,
+                  store::call_answer aReply) {
+                  if (aOutcome == store::commit_outcome::kApplied &&
+                      HoldsDutySince(duty, asked)) {
+                    Promote(aService, aServer, duty.epoch);
+                  } else {
+                    NotOrdered(aService,
+                               aServer,
+                               "the replaced term is not recorded",
+                               aReply.at);
+                  }
+                });
 }
 
 void
@@ -172,7 +175,7 @@
   mStore.Get(DutyKey(aService),
              [this, aService](std::error_code aError,
                               std::optional<store::item> aItem,
-                              store::reply aReply) {
+                              store::call_answer aReply) {
                auto* found = Find(aService);
                if (found == nullptr) {
                  return;
@@ -242,7 +245,7 @@
                [this, aService, asked](std::error_code aError,
                                        const std::vector<store::item>& aItems,
                                        store::revision,
-                                       store::reply aReply) {
+                                       store::call_answer aReply) {
                  const auto now = aReply.at;
                  auto* found = Find(aService);
                  if (aError || found == nullptr) {
@@ -380,8 +383,8 @@
   mStore.Commit(
     ClaimOf(
       mOwnKeys, aService, mSelf, mOwnView.Seen(), aGroup.lead.ReplacedTerm()),
-    [this,
-     aService](store::commit_outcome aOutcome, store::revision, store::reply) {
+    [this, aService](
+      store::commit_outcome aOutcome, store::revision, store::call_answer) {
       log::Write(log::level::kInfo,
                  "duty_claimed",
                  { { "service", aService },
--- a/src/currantshed/store/era_guard.cpp
+++ b/src/currantshed/store/era_guard.cpp
@@ -16,7 +16,7 @@
 
 // Returns the call's error, or that its answer is of an earlier era.
 std::error_code
-era_guard::Heard(std::error_code aError, const reply& aReply)
+era_guard::Heard(std::error_code aError, const call_answer& aReply)
 {
   const auto told = aReply.era;
   if (told && (!mEra || *told > *mEra)) {
@@ -67,7 +67,7 @@
   mStore.Get(std::move(aKey),
              [this, done = std::move(aDone)](std::error_code aError,
                                              std::optional<item> aItem,
-                                             reply aReply) {
+                                             call_answer aReply) {
                done(Heard(aError, aReply), std::move(aItem), aReply);
              });
 }
@@ -79,7 +79,7 @@
                [this, done = std::move(aDone)](std::error_code aError,
                                                std::vector<item> aItems,
                                                revision aRevision,
-                                               reply aReply) {
+                                               call_answer aReply) {
                  done(
                    Heard(aError, aReply), std::move(aItems), aRevision, aReply);
                });
@@ -116,7 +116,7 @@
   return [this, done = std::move(aDone)](std::error_code aError,
                                          std::vector<key_change> aChanges,
                                          revision aRevision,
-                                         reply aReply) {
+                                         call_answer aReply) {
     done(Heard(aError, aReply), std::move(aChanges), aRevision, aReply);
   };
 }
@@ -148,7 +148,7 @@
   mStore.Commit(
     std::move(aWhat),
     [this, conditions = std::move(conditions), done = std::move(aDone)](
-      commit_outcome aOutcome, revision aRevision, reply aReply) {
+      commit_outcome aOutcome, revision aRevision, call_answer aReply) {
       (void)Heard({}, aReply);
       const bool isDoubtful =
         aOutcome == commit_outcome::kApplied && IsPast(conditions);
@@ -161,7 +161,7 @@
 {
   mStore.Grant(aTtl,
                [this, done = std::move(aDone)](
-                 std::error_code aError, lease_id aLease, reply aReply) {
+                 std::error_code aError, lease_id aLease, call_answer aReply) {
                  done(Heard(aError, aReply), aLease, aReply);
                });
 }
@@ -176,7 +176,7 @@
   }
   mStore.Keep(aLease,
               [this, aLease, done = std::move(aDone)](std::error_code aError,
-                                                      reply aReply) {
+                                                      call_answer aReply) {
                 const auto error = Heard(aError, aReply);
                 const bool isOther = !error && IsPast(aLease.era);
                 done(isOther ? make_error_code(errc::kNoLease) : error, aReply);
--- a/src/currantshed/store/era_guard.hpp
+++ b/src/currantshed/store/era_guard.hpp
@@ -61,7 +61,7 @@
 
 private:
   [[nodiscard]] std::error_code Heard(std::error_code aError,
-                                      const reply& aReply);
+                                      const call_answer& aReply);
   [[nodiscard]] bool IsPast(era_id aEra) const noexcept;
   [[nodiscard]] bool IsPast(
     const std::vector<condition>& aConditions) const noexcept;
--- a/src/currantshed/store/key_value.hpp
+++ b/src/currantshed/store/key_value.hpp
@@ -40,7 +40,7 @@
 };
 
 /// What goes with the end of each call.
-struct reply
+struct call_answer
 {
   /// When the answer came, or the lack of one was noticed.
   clock::time_point at;
@@ -105,14 +105,16 @@
 {
 public:
   using item_callback =
-    std::function<void(std::error_code, std::optional<item>, reply)>;
-  using range_callback =
-    std::function<void(std::error_code, std::vector<item>, revision, reply)>;
+    std::function<void(std::error_code, std::optional<item>, call_answer)>;
+  using range_callback = std::function<
+    void(std::error_code, std::vector<item>, revision, call_answer)>;
   using watch_callback = std::function<
-    void(std::error_code, std::vector<key_change>, revision, reply)>;
-  using commit_callback = std::function<void(commit_outcome, revision, reply)>;
-  using grant_callback = std::function<void(std::error_code, lease_id, reply)>;
-  using keep_callback = std::function<void(std::error_code, reply)>;
+    void(std::error_code, std::vector<key_change>, revision, call_answer)>;
+  using commit_callback =
+    std::function<void(commit_outcome, revision, call_answer)>;
+  using grant_callback =
+    std::function<void(std::error_code, lease_id, call_answer)>;
+  using keep_callback = std::function<void(std::error_code, call_answer)>;
 
   virtual ~key_value() = default;
 
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -119,7 +119,7 @@
                [this, alive = mAlive, asked = aNow](std::error_code aError,
                                                     std::vector<item> aItems,
                                                     revision aRevision,
-                                                    reply aReply) {
+                                                    call_answer aReply) {
                  if (!*alive) {
                    return;
                  }
@@ -163,7 +163,7 @@
       std::error_code aError,
       std::vector<key_change> aChanges,
       revision aRevision,
-      reply aReply) {
+      call_answer aReply) {
       if (!*alive) {
         return;
       }
@@ -217,7 +217,7 @@
     [this, alive = mAlive, asked = aNow](std::error_code aError,
                                          std::vector<key_change> aChanges,
                                          revision aRevision,
-                                         reply aReply) {
+                                         call_answer aReply) {
       if (!*alive) {
         return;
       }
--- a/src/currantshed/store/registration.cpp
+++ b/src/currantshed/store/registration.cpp
@@ -108,7 +108,7 @@
   mIsCalling = true;
   mStore.Grant(mSettings.lease.ttl,
                [this, alive = mAlive, aNow, lease = mSettings.lease](
-                 std::error_code aError, lease_id aLease, reply aReply) {
+                 std::error_code aError, lease_id aLease, call_answer aReply) {
                  if (!*alive) {
                    return;
                  }
@@ -131,7 +131,8 @@
 {
   mIsCalling = true;
   mStore.Keep(
-    mLease, [this, alive = mAlive, aNow](std::error_code aError, reply aReply) {
+    mLease,
+    [this, alive = mAlive, aNow](std::error_code aError, call_answer aReply) {
       if (!*alive) {
         return;
       }
@@ -164,7 +165,7 @@
   made.puts.push_back({ mKey, mValue, {}, mLease });
   mStore.Commit(std::move(made),
                 [this, alive = mAlive, aNow, lease = mLease](
-                  commit_outcome aOutcome, revision, reply aReply) {
+                  commit_outcome aOutcome, revision, call_answer aReply) {
                   if (!*alive) {
                     return;
                   }
--- a/test/currantshed/store/era_guard.cpp
+++ b/test/currantshed/store/era_guard.cpp
@@ -23,7 +23,7 @@
   {
     below.era = aEra;
     guard.Keep({ guard.Era().value_or(0), 1 },
-               [](std::error_code, store::reply) {});
+               [](std::error_code, store::call_answer) {});
     below.Answer();
   }
 
--- a/test/currantshed/store/era_model.cpp
+++ b/test/currantshed/store/era_model.cpp
@@ -40,16 +40,16 @@
 } // namespace
 
 /// One VM: the real parts, as control wires them.
-struct era_model::vm
+struct era_model::modelled_vm
 {
-  vm(era_model& aModel, std::size_t aNumber, std::uint64_t aLife);
+  modelled_vm(era_model& aModel, std::size_t aNumber, std::uint64_t aLife);
 
   // Callbacks of a VM that has ended are left out.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
   std::size_t number;
   std::uint64_t life;
   bool isCut = false;
-  std::unique_ptr<client> calls;
+  std::unique_ptr<store_link> calls;
   store::era_guard guard;
   store::prefix_view configuration;
   store::prefix_view own;
@@ -64,16 +64,16 @@
 };
 
 /// A VM's way to the store.
-class era_model::client final : public store::key_value
+class era_model::store_link final : public store::key_value
 {
 public:
-  client(era_model& aModel, std::size_t aVm)
+  store_link(era_model& aModel, std::size_t aVm)
     : mModel(aModel)
     , mVm(aVm)
   {
   }
 
-  ~client() override { *mAlive = false; }
+  ~store_link() override { *mAlive = false; }
 
   void SetPatience(std::chrono::milliseconds) override {}
 
@@ -202,7 +202,10 @@
   void End(store::lease_id) override {}
 
 private:
-  [[nodiscard]] store::reply None() const { return { mModel.mTime.Now() }; }
+  [[nodiscard]] store::call_answer None() const
+  {
+    return { mModel.mTime.Now() };
+  }
 
   // What the VM knows of eras as it sends a call.
   [[nodiscard]] store::era_id Known() const
@@ -222,7 +225,7 @@
     }
   }
 
-  [[nodiscard]] store::reply Reply(store::era_id aGivenIn) const
+  [[nodiscard]] store::call_answer Reply(store::era_id aGivenIn) const
   {
     return { mModel.mTime.Now(), EraOf(aGivenIn) };
   }
@@ -237,7 +240,7 @@
 
   // Has the store do something after a while, and calls back once: with its
   // answer, which may come late, or as lost.
-  void Call(std::function<std::function<void()>(bool)> aWhat)
+  void Call(const std::function<std::function<void()>(bool)>& aWhat)
   {
     auto ended = std::make_shared<bool>(false);
     const auto end = [ended, alive = mAlive](const auto& aDeliver) {
@@ -367,12 +370,14 @@
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
-era_model::vm::vm(era_model& aModel, std::size_t aNumber, std::uint64_t aLife)
+era_model::modelled_vm::modelled_vm(era_model& aModel,
+                                    std::size_t aNumber,
+                                    std::uint64_t aLife)
   : number(aNumber)
   , life(aLife)
-  , calls(std::make_unique<client>(aModel, aNumber))
+  , calls(std::make_unique<store_link>(aModel, aNumber))
   , guard(*calls,
-          { [&aModel, alive = alive](std::function<void()> aCall) {
+          { [&aModel, alive = alive](const std::function<void()>& aCall) {
              aModel.mTime.After(1ms, [alive, aCall] {
                if (*alive) {
                  aCall();
@@ -417,7 +422,7 @@
 {
   Configure();
   for (std::size_t i = 0; i < kVms; ++i) {
-    mVms.push_back(std::make_unique<vm>(*this, i, i + 1));
+    mVms.push_back(std::make_unique<modelled_vm>(*this, i, i + 1));
   }
 }
 
@@ -622,7 +627,7 @@
 {
   const auto life = mVms[aVm]->life + kVms;
   *mVms[aVm]->alive = false;
-  mVms[aVm] = std::make_unique<vm>(*this, aVm, life);
+  mVms[aVm] = std::make_unique<modelled_vm>(*this, aVm, life);
 }
 
 void
@@ -684,7 +689,7 @@
   one.guard.Commit(std::move(claim),
                    [&one](store::commit_outcome,
                           store::revision,
-                          store::reply) { one.isClaiming = false; });
+                          store::call_answer) { one.isClaiming = false; });
 }
 
 // The record is read before each order.
@@ -696,21 +701,23 @@
     return;
   }
   const auto asked = mTime.Now();
-  one.guard.Get(
-    node::DutyKey(kGroup),
-    [this, &one, asked](
-      std::error_code aError, std::optional<store::item> aItem, store::reply) {
-      const auto duty = aItem ? node::ReadDuty(*aItem) : std::nullopt;
-      const bool isHeld = !aError && duty && duty->holder == Name(one.number) &&
-                          duty->incarnation == one.life &&
-                          mTime.Now() < asked + kOrderLife;
-      const bool isOfEra =
-        isHeld && (mMistake == era_mistake::kEpochFromRevision ||
-                   node::IsOfEra(*duty, aItem->changed.era));
-      if (isOfEra) {
-        Ordered({ one.number, duty->epoch, asked });
-      }
-    });
+  one.guard.Get(node::DutyKey(kGroup),
+                [this, &one, asked](std::error_code aError,
+                                    std::optional<store::item> aItem,
+                                    store::call_answer) {
+                  const auto duty =
+                    aItem ? node::ReadDuty(*aItem) : std::nullopt;
+                  const bool isHeld = !aError && duty &&
+                                      duty->holder == Name(one.number) &&
+                                      duty->incarnation == one.life &&
+                                      mTime.Now() < asked + kOrderLife;
+                  const bool isOfEra =
+                    isHeld && (mMistake == era_mistake::kEpochFromRevision ||
+                               node::IsOfEra(*duty, aItem->changed.era));
+                  if (isOfEra) {
+                    Ordered({ one.number, duty->epoch, asked });
+                  }
+                });
 }
 
 // A token names one holder, and whoever has read the lock later has none that
--- a/test/currantshed/store/era_model.hpp
+++ b/test/currantshed/store/era_model.hpp
@@ -55,8 +55,8 @@
   std::uint64_t orders = 0;
 
 private:
-  class client;
-  struct vm;
+  class store_link;
+  struct modelled_vm;
 
   /// What the store holds.
   struct content
@@ -127,7 +127,7 @@
   clock::time_point mNextVersion;
   clock::time_point mCalmSince;
   std::vector<order> mOrders;
-  std::vector<std::unique_ptr<vm>> mVms;
+  std::vector<std::unique_ptr<modelled_vm>> mVms;
 };
 
 } // namespace currantshed::test
--- a/test/currantshed/store/fake_key_value.hpp
+++ b/test/currantshed/store/fake_key_value.hpp
@@ -267,7 +267,7 @@
              : failing;
   }
 
-  [[nodiscard]] store::reply Reply() const { return { now, era }; }
+  [[nodiscard]] store::call_answer Reply() const { return { now, era }; }
 
   void AnswerWatches()
   {
--- a/test/currantshed/store/returned_store.cpp
+++ b/test/currantshed/store/returned_store.cpp
@@ -74,7 +74,7 @@
          store.now += 10ms) {
       if (store.now >= nextRenewal) {
         guard.Keep({ guard.Era().value_or(0), 1 },
-                   [](std::error_code, store::reply) {});
+                   [](std::error_code, store::call_answer) {});
         nextRenewal = store.now + kRenewal;
       }
       feeder.Tick(store.now, 0.5);
