Answers of the store are called so throughout; former VMs are merged only while there are some

Names alone, but for one thing: with no VMs of a former era the record of the fleet is not sorted anew at each change of the own keys, work that grew with the fleet for nothing.

--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -122,7 +122,9 @@
     mIsSettled = false;
     mSettledAt = aNow + kFleetSettling;
   }
-  AddRecorded(mOwnKeys, mFormer);
+  if (!mFormer.empty()) {
+    AddRecorded(mOwnKeys, mFormer);
+  }
 }
 
 // Takes over who is listed, and whom that leaves to be sent to.
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -87,14 +87,14 @@
   mStore.Get(DutyKey(aService),
              [this, aService, asked, aAction](std::error_code aError,
                                               std::optional<store::item> aItem,
-                                              store::call_answer aReply) {
+                                              store::call_answer aAnswer) {
                auto duty = aItem ? ReadDuty(*aItem) : std::nullopt;
                if (aError || !duty || !HoldsDutySince(*duty, asked) ||
                    !IsOfEra(*duty, aItem->changed.era)) {
                  NotOrdered(aService,
                             aAction.server,
                             aError ? aError.message() : "the duty is not held",
-                            aReply.at);
+                            aAnswer.at);
                } else if (duty->replacedTerm < aAction.replaces) {
                  duty->replacedTerm = aAction.replaces;
                  RecordReplaced(
@@ -133,7 +133,7 @@
                 [this, aService, aServer, duty = std::move(aDuty), asked](
                   store::commit_outcome aOutcome,
                   store::revision,
-                  store::call_answer aReply) {
+                  store::call_answer aAnswer) {
                   if (aOutcome == store::commit_outcome::kApplied &&
                       HoldsDutySince(duty, asked)) {
                     Promote(aService, aServer, duty.epoch);
@@ -141,7 +141,7 @@
                     NotOrdered(aService,
                                aServer,
                                "the replaced term is not recorded",
-                               aReply.at);
+                               aAnswer.at);
                   }
                 });
 }
@@ -175,7 +175,7 @@
   mStore.Get(DutyKey(aService),
              [this, aService](std::error_code aError,
                               std::optional<store::item> aItem,
-                              store::call_answer aReply) {
+                              store::call_answer aAnswer) {
                auto* found = Find(aService);
                if (found == nullptr) {
                  return;
@@ -195,8 +195,8 @@
                      replaced ? log::value(static_cast<std::int64_t>(*replaced))
                               : log::value(log::unknown{}) },
                    { "reason", aError ? aError.message() : std::string() } });
-               found->lead.TermsChecked(replaced, aReply.at);
-               Perform(aReply.at);
+               found->lead.TermsChecked(replaced, aAnswer.at);
+               Perform(aAnswer.at);
              });
 }
 
@@ -245,8 +245,8 @@
                [this, aService, asked](std::error_code aError,
                                        const std::vector<store::item>& aItems,
                                        store::revision,
-                                       store::call_answer aReply) {
-                 const auto now = aReply.at;
+                                       store::call_answer aAnswer) {
+                 const auto now = aAnswer.at;
                  auto* found = Find(aService);
                  if (aError || found == nullptr) {
                    return;
--- a/src/currantshed/store/era_guard.cpp
+++ b/src/currantshed/store/era_guard.cpp
@@ -16,9 +16,9 @@
 
 // Returns the call's error, or that its answer is of an earlier era.
 std::error_code
-era_guard::Heard(std::error_code aError, const call_answer& aReply)
+era_guard::Heard(std::error_code aError, const call_answer& aAnswer)
 {
-  const auto told = aReply.era;
+  const auto told = aAnswer.era;
   if (told && (!mEra || *told > *mEra)) {
     mListener.began(std::exchange(mEra, told), *told);
   }
@@ -67,22 +67,22 @@
   mStore.Get(std::move(aKey),
              [this, done = std::move(aDone)](std::error_code aError,
                                              std::optional<item> aItem,
-                                             call_answer aReply) {
-               done(Heard(aError, aReply), std::move(aItem), aReply);
+                                             call_answer aAnswer) {
+               done(Heard(aError, aAnswer), std::move(aItem), aAnswer);
              });
 }
 
 void
 era_guard::Range(std::string aPrefix, range_callback aDone)
 {
-  mStore.Range(std::move(aPrefix),
-               [this, done = std::move(aDone)](std::error_code aError,
-                                               std::vector<item> aItems,
-                                               revision aRevision,
-                                               call_answer aReply) {
-                 done(
-                   Heard(aError, aReply), std::move(aItems), aRevision, aReply);
-               });
+  mStore.Range(
+    std::move(aPrefix),
+    [this, done = std::move(aDone)](std::error_code aError,
+                                    std::vector<item> aItems,
+                                    revision aRevision,
+                                    call_answer aAnswer) {
+      done(Heard(aError, aAnswer), std::move(aItems), aRevision, aAnswer);
+    });
 }
 
 void
@@ -116,8 +116,8 @@
   return [this, done = std::move(aDone)](std::error_code aError,
                                          std::vector<key_change> aChanges,
                                          revision aRevision,
-                                         call_answer aReply) {
-    done(Heard(aError, aReply), std::move(aChanges), aRevision, aReply);
+                                         call_answer aAnswer) {
+    done(Heard(aError, aAnswer), std::move(aChanges), aRevision, aAnswer);
   };
 }
 
@@ -148,11 +148,12 @@
   mStore.Commit(
     std::move(aWhat),
     [this, conditions = std::move(conditions), done = std::move(aDone)](
-      commit_outcome aOutcome, revision aRevision, call_answer aReply) {
-      (void)Heard({}, aReply);
+      commit_outcome aOutcome, revision aRevision, call_answer aAnswer) {
+      (void)Heard({}, aAnswer);
       const bool isDoubtful =
         aOutcome == commit_outcome::kApplied && IsPast(conditions);
-      done(isDoubtful ? commit_outcome::kUnknown : aOutcome, aRevision, aReply);
+      done(
+        isDoubtful ? commit_outcome::kUnknown : aOutcome, aRevision, aAnswer);
     });
 }
 
@@ -161,8 +162,8 @@
 {
   mStore.Grant(aTtl,
                [this, done = std::move(aDone)](
-                 std::error_code aError, lease_id aLease, call_answer aReply) {
-                 done(Heard(aError, aReply), aLease, aReply);
+                 std::error_code aError, lease_id aLease, call_answer aAnswer) {
+                 done(Heard(aError, aAnswer), aLease, aAnswer);
                });
 }
 
@@ -176,10 +177,11 @@
   }
   mStore.Keep(aLease,
               [this, aLease, done = std::move(aDone)](std::error_code aError,
-                                                      call_answer aReply) {
-                const auto error = Heard(aError, aReply);
+                                                      call_answer aAnswer) {
+                const auto error = Heard(aError, aAnswer);
                 const bool isOther = !error && IsPast(aLease.era);
-                done(isOther ? make_error_code(errc::kNoLease) : error, aReply);
+                done(isOther ? make_error_code(errc::kNoLease) : error,
+                     aAnswer);
               });
 }
 
--- a/src/currantshed/store/era_guard.hpp
+++ b/src/currantshed/store/era_guard.hpp
@@ -61,7 +61,7 @@
 
 private:
   [[nodiscard]] std::error_code Heard(std::error_code aError,
-                                      const call_answer& aReply);
+                                      const call_answer& aAnswer);
   [[nodiscard]] bool IsPast(era_id aEra) const noexcept;
   [[nodiscard]] bool IsPast(
     const std::vector<condition>& aConditions) const noexcept;
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -119,18 +119,18 @@
                [this, alive = mAlive, asked = aNow](std::error_code aError,
                                                     std::vector<item> aItems,
                                                     revision aRevision,
-                                                    call_answer aReply) {
+                                                    call_answer aAnswer) {
                  if (!*alive) {
                    return;
                  }
                  mIsCalling = false;
                  if (aError) {
-                   Failed(aError, aReply.at);
+                   Failed(aError, aAnswer.at);
                    return;
                  }
-                 mAnsweredAt = aReply.at;
+                 mAnsweredAt = aAnswer.at;
                  const bool isTaken =
-                   TakeAll(std::move(aItems), aRevision, aReply.at);
+                   TakeAll(std::move(aItems), aRevision, aAnswer.at);
                  if (!isTaken) {
                    NoteIgnored(aRevision);
                  }
@@ -139,11 +139,11 @@
                  mIsKnown = true;
                  mMayBeOld = true;
                  mMissedSome = false;
-                 Succeeded(false, aReply.at);
+                 Succeeded(false, aAnswer.at);
                  if (isTaken) {
-                   mListener.changed(aReply.at);
+                   mListener.changed(aAnswer.at);
                  } else {
-                   mNotBefore = aReply.at + kIgnoredPause;
+                   mNotBefore = aAnswer.at + kIgnoredPause;
                  }
                });
 }
@@ -163,24 +163,24 @@
       std::error_code aError,
       std::vector<key_change> aChanges,
       revision aRevision,
-      call_answer aReply) {
+      call_answer aAnswer) {
       if (!*alive) {
         return;
       }
       mIsChecking = false;
       if (!aError && aRevision.era != mSeen.era) {
-        ReadAtOnce(aReply.at);
-        done(false, aReply.at);
+        ReadAtOnce(aAnswer.at);
+        done(false, aAnswer.at);
         return;
       }
       if (!aError) {
         const bool isChanged = TakeChanges(std::move(aChanges), aRevision);
         Prove(asked);
         if (isChanged) {
-          mListener.changed(aReply.at);
+          mListener.changed(aAnswer.at);
         }
       }
-      done(!aError, aReply.at);
+      done(!aError, aAnswer.at);
     });
 }
 
@@ -217,7 +217,7 @@
     [this, alive = mAlive, asked = aNow](std::error_code aError,
                                          std::vector<key_change> aChanges,
                                          revision aRevision,
-                                         call_answer aReply) {
+                                         call_answer aAnswer) {
       if (!*alive) {
         return;
       }
@@ -225,23 +225,23 @@
       if (aError) {
         // What was missed while there was no watch may be gone.
         mMustRead = mMustRead || IsPast(aError);
-        Failed(aError, aReply.at);
+        Failed(aError, aAnswer.at);
         return;
       }
       if (aRevision.era != mSeen.era) {
         // What was changed up to the watch's beginning is not known.
-        ReadAtOnce(aReply.at);
+        ReadAtOnce(aAnswer.at);
         return;
       }
-      mAnsweredAt = aReply.at;
+      mAnsweredAt = aAnswer.at;
       const bool hasSome = !aChanges.empty();
       const bool isChanged = TakeChanges(std::move(aChanges), aRevision);
       Prove(asked);
       mMayBeOld = mMissedSome;
       mMissedSome = false;
-      Succeeded(hasSome, aReply.at);
+      Succeeded(hasSome, aAnswer.at);
       if (isChanged) {
-        mListener.changed(aReply.at);
+        mListener.changed(aAnswer.at);
       }
     });
 }
--- a/src/currantshed/store/registration.cpp
+++ b/src/currantshed/store/registration.cpp
@@ -108,13 +108,13 @@
   mIsCalling = true;
   mStore.Grant(mSettings.lease.ttl,
                [this, alive = mAlive, aNow, lease = mSettings.lease](
-                 std::error_code aError, lease_id aLease, call_answer aReply) {
+                 std::error_code aError, lease_id aLease, call_answer aAnswer) {
                  if (!*alive) {
                    return;
                  }
                  mIsCalling = false;
                  if (aError) {
-                   Failed(aReply.at);
+                   Failed(aAnswer.at);
                    return;
                  }
                  Answered(aNow);
@@ -132,7 +132,7 @@
   mIsCalling = true;
   mStore.Keep(
     mLease,
-    [this, alive = mAlive, aNow](std::error_code aError, call_answer aReply) {
+    [this, alive = mAlive, aNow](std::error_code aError, call_answer aAnswer) {
       if (!*alive) {
         return;
       }
@@ -143,7 +143,7 @@
         return;
       }
       if (aError) {
-        Failed(aReply.at);
+        Failed(aAnswer.at);
         return;
       }
       Answered(aNow);
@@ -165,7 +165,7 @@
   made.puts.push_back({ mKey, mValue, {}, mLease });
   mStore.Commit(std::move(made),
                 [this, alive = mAlive, aNow, lease = mLease](
-                  commit_outcome aOutcome, revision, call_answer aReply) {
+                  commit_outcome aOutcome, revision, call_answer aAnswer) {
                   if (!*alive) {
                     return;
                   }
@@ -184,11 +184,11 @@
                       break;
                     case commit_outcome::kConflict:
                       // The view has yet to show what stands there now.
-                      mWriteSeenBy = aReply.at + kCheckInterval;
+                      mWriteSeenBy = aAnswer.at + kCheckInterval;
                       break;
                     default:
-                      mWriteSeenBy = aReply.at + kCheckInterval;
-                      Failed(aReply.at);
+                      mWriteSeenBy = aAnswer.at + kCheckInterval;
+                      Failed(aAnswer.at);
                       break;
                   }
                 });
