One place for how many seeds a model plays

Unit tests and tools' tests pass, the two sources are lint clean; the whole script was not run again.

--- a/test/currantshed/customer/model_test.cpp
+++ b/test/currantshed/customer/model_test.cpp
@@ -1,7 +1,8 @@
-#include <cstdlib>
+#include <cstdint>
 #include <string>
 
 #include "test/currantshed/customer/model.hpp"
+#include "test/currantshed/support/model_seeds.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -16,13 +17,10 @@
 constexpr std::uint32_t kMistakeSeeds = 600;
 constexpr auto kSpan = 60s;
 
-// More seeds by hand.
 std::uint32_t
 Seeds()
 {
-  const char* asked = std::getenv("CURRANTSHED_MODEL_SEEDS");
-  return asked == nullptr ? kSeeds
-                          : static_cast<std::uint32_t>(std::atoi(asked));
+  return currantshed::test::ModelSeeds(kSeeds);
 }
 
 struct mistake_row
