A request looks at its own group's servers, and plans are made when a server is used

Cause: the engine went through all servers for each read, each look whether a group is out and each upkeep, and worked out its ways to all of them whenever a VM came or went: servers times VMs at each change of the fleet, 3,000 times 985, on the traffic thread of each VM. Ruled out: fewer plans by a longer pause (a constant). Change: servers are indexed by service, a plan is made for a server when it is used, only VMs that may hold connections are looked at for it, and upkeep goes over the servers that have connections or that this VM is meant to hold some to. Counted (many_groups, new): at 50, 100 and 200 groups a read looks at 3 servers and makes 3 plans, a VM that comes makes those of the servers in use; before it was all 150, 300 and 600 of each, as the loops over mServers show. Unit tests pass.

--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -25,6 +25,7 @@
   : mSettings(aSettings)
   , mOpener(aOpener)
   , mHost(aHost)
+  , mPlanner(aSettings.vm)
 {
 }
 
@@ -35,8 +36,7 @@
                          clock::time_point aNow)
 {
   mConfiguration = std::move(aConfiguration);
-  MakePlans();
-  mNextUpkeep = aNow;
+  PlansChanged(aNow);
   EndResting(false);
 }
 
@@ -46,16 +46,23 @@
   for (auto& [id, state] : mServers) {
     state.unlisted = true;
   }
+  bool isAnyNew = false;
   for (const auto& listed : aServers) {
     const bool isNear = listed.failureDomain == mSettings.failureDomain;
     const auto [place, added] = mServers.try_emplace(listed.id, listed, isNear);
     auto& state = place->second;
     state.List(listed, aNow);
-    if (added) {
-      MakePlan(state);
-      mNextUpkeep = aNow;
+    isAnyNew = isAnyNew || added;
+  }
+  for (const auto& [id, state] : mServers) {
+    if (state.unlisted) {
+      mUpkept.insert(id);
     }
   }
+  IndexServers();
+  if (isAnyNew) {
+    mNextUpkeep = aNow;
+  }
   // What proved a server to lead says nothing of it once it has started again.
   for (auto& [service, lead] : mLeads) {
     const auto* primary = Find(lead.proof.primary);
@@ -71,10 +78,8 @@
 void
 engine::SetFleet(std::vector<fleet_vm> aFleet, clock::time_point aNow)
 {
-  if (aFleet != mFleet) {
-    mFleet = std::move(aFleet);
-    MakePlans();
-    mNextUpkeep = aNow;
+  if (mPlanner.SetFleet(std::move(aFleet))) {
+    PlansChanged(aNow);
   }
 }
 
@@ -268,6 +273,18 @@
   return found->second.heardAt;
 }
 
+std::vector<heard_server>
+engine::HeardSince(clock::time_point aTime) const
+{
+  std::vector<heard_server> heard;
+  for (const auto& [id, state] : mServers) {
+    if (state.heardAt >= aTime) {
+      heard.push_back({ state.listed.service, id, state.heardAt });
+    }
+  }
+  return heard;
+}
+
 void
 engine::Tick(clock::time_point aNow)
 {
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -128,6 +128,14 @@
   std::chrono::milliseconds leavingUse{ 3500 };
 };
 
+/// When a server of a service last answered anything.
+struct heard_server
+{
+  std::string service;
+  upstream::server_id server;
+  clock::time_point at;
+};
+
 /// How an order to a server ended: the server's word, none when it refused
 /// or could not be asked.
 struct order_result
@@ -235,6 +243,15 @@
   [[nodiscard]] std::optional<clock::time_point> HeardAt(
     const upstream::server_id& aServer) const;
 
+  /// The servers that have answered anything since then.
+  [[nodiscard]] std::vector<heard_server> HeardSince(
+    clock::time_point aTime) const;
+
+  /// Servers that were looked at for a request, and plans that were made; they
+  /// count work.
+  [[nodiscard]] std::uint64_t LookedAt() const noexcept { return mLookedAt; }
+  [[nodiscard]] std::uint64_t PlansMade() const noexcept { return mPlansMade; }
+
   void Tick(clock::time_point aNow);
   [[nodiscard]] clock::time_point NextTick() const;
 
@@ -264,7 +281,8 @@
   /// while others are added: one may begin while another is being served.
   using lanes = std::map<std::string, admit::deadline_queue>;
 
-  using servers = absl::btree_map<upstream::server_id, server_state>;
+  // States stay where they are while others are added.
+  using servers = std::map<upstream::server_id, server_state>;
   using timer = std::pair<clock::time_point, session_id>;
 
   // Sessions and requests.
@@ -366,8 +384,16 @@
                       const path& aVia,
                       const std::string& aCustomer,
                       clock::time_point aNow);
-  void MakePlan(server_state& aServer);
-  void MakePlans();
+  [[nodiscard]] std::size_t MostConnections(const server_state& aServer) const;
+  server_state& Planned(server_state& aServer);
+  void PlansChanged(clock::time_point aNow);
+  void IndexServers();
+  void ListHeld();
+  void TrimServer(server_state& aState,
+                  std::vector<connection*>& aEnded,
+                  clock::time_point aNow);
+  [[nodiscard]] const std::vector<server_state*>& ServersOf(
+    const std::string& aService) const;
   void AvoidSilentRelays(clock::time_point aNow);
   void AvoidRelay(const std::string& aVm, clock::time_point aNow);
   [[nodiscard]] static bool MayMove(const session& aSession);
@@ -445,8 +471,18 @@
   customer::freshness mFreshness{ std::chrono::milliseconds{ 0 } };
   // When each VM that work goes through was last heard.
   absl::btree_map<std::string, clock::time_point> mRelaysHeard;
-  std::vector<fleet_vm> mFleet;
+  access_planner mPlanner;
+  // Which state of fleet and configuration plans are to be made for. They are
+  // made when a server is used: most VMs use few of all.
+  std::uint64_t mPlansFor = 1;
   servers mServers;
+  // The servers of each service, by id.
+  absl::flat_hash_map<std::string, std::vector<server_state*>> mByService;
+  // Servers to which there are connections, or were until lately, and those
+  // that are not listed any longer.
+  absl::btree_set<upstream::server_id> mUpkept;
+  // Servers to which this VM is meant to hold connections, once it is known.
+  std::optional<std::vector<server_state*>> mHeld;
   // References to its values are kept while others are added.
   std::map<std::string, lead_state> mLeads;
   absl::flat_hash_map<session_id, std::unique_ptr<session>> mSessions;
@@ -463,6 +499,8 @@
   // Connections taken out of use that may still be on the call stack.
   std::vector<std::unique_ptr<connection>> mDiscarded;
   std::uint64_t mLastNumber = 0;
+  std::uint64_t mLookedAt = 0;
+  std::uint64_t mPlansMade = 0;
   bool mIsDraining = false;
   // Whether requests are given connections that stand, and none is opened.
   bool mOnlyIdle = false;
--- a/src/currantshed/proxy/engine_connections.cpp
+++ b/src/currantshed/proxy/engine_connections.cpp
@@ -18,7 +18,7 @@
   if (idle != nullptr || mOnlyIdle) {
     return idle;
   }
-  if (const auto* way = aServer.OpenWay(aNow, customer)) {
+  if (const auto* way = Planned(aServer).OpenWay(aNow, customer)) {
     OpenConnection(aServer, *way, customer, aNow);
   }
   return nullptr;
@@ -46,26 +46,73 @@
                                  aNow);
   auto& place = *made;
   aServer.connections.push_back(std::move(made));
+  mUpkept.insert(aServer.listed.id);
   place.Attach(mOpener.Open(aServer.listed, aVia, place.customer, place));
 }
 
-void
-engine::MakePlan(server_state& aServer)
+std::size_t
+engine::MostConnections(const server_state& aServer) const
 {
-  std::size_t most = 1;
   const auto found = mConfiguration->services.find(aServer.listed.service);
-  if (found != mConfiguration->services.end()) {
-    most = found->second.maxConnections;
+  return found == mConfiguration->services.end() ? 1
+                                                 : found->second.maxConnections;
+}
+
+// The server, with a plan for the fleet and the configuration as they are now.
+server_state&
+engine::Planned(server_state& aServer)
+{
+  if (aServer.plannedFor != mPlansFor) {
+    aServer.plannedFor = mPlansFor;
+    ++mPlansMade;
+    aServer.plan = mPlanner.Plan(aServer.listed.id, MostConnections(aServer));
   }
-  aServer.plan = PlanAccess(aServer.listed.id, most, mFleet, mSettings.vm);
+  return aServer;
 }
 
 void
-engine::MakePlans()
+engine::PlansChanged(clock::time_point aNow)
 {
+  ++mPlansFor;
+  mHeld.reset();
+  mNextUpkeep = aNow;
+}
+
+void
+engine::IndexServers()
+{
+  mByService.clear();
   for (auto& [id, state] : mServers) {
-    MakePlan(state);
+    mByService[state.listed.service].push_back(&state);
+  }
+  mHeld.reset();
+}
+
+// A VM that can't hold any has no plan made for it to find that out.
+void
+engine::ListHeld()
+{
+  mHeld.emplace();
+  for (const auto& [service, states] : mByService) {
+    for (auto* state : states) {
+      if (mPlanner.MayHold(MostConnections(*state)) &&
+          Planned(*state).plan.holds) {
+        mHeld->push_back(state);
+      }
+    }
   }
+  std::sort(
+    mHeld->begin(), mHeld->end(), [](const auto* aOne, const auto* aTwo) {
+      return aOne->listed.id < aTwo->listed.id;
+    });
+}
+
+const std::vector<server_state*>&
+engine::ServersOf(const std::string& aService) const
+{
+  static const std::vector<server_state*> sNone;
+  const auto found = mByService.find(aService);
+  return found == mByService.end() ? sNone : found->second;
 }
 
 // The session has done with the connection. A transaction left open on it is
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -282,10 +282,10 @@
   server_state* best = nullptr;
   clock::duration bestTime = clock::duration::max();
   bool needsProof = false;
-  for (auto& [id, state] : mServers) {
-    if (state.listed.service != request.under->service) {
-      continue;
-    }
+  for (auto* one : ServersOf(request.under->service)) {
+    auto& state = Planned(*one);
+    ++mLookedAt;
+    const auto& id = state.listed.id;
     if (!CanServe(state, request, lead, aNow)) {
       needsProof = needsProof || id == lead.proof.primary;
       continue;
@@ -379,7 +379,8 @@
   }
   const auto& customer = aSession.current->customer;
   auto* idle = state->Idle(aSession.values, true, &customer);
-  if (idle == nullptr && !mOnlyIdle && state->MayOpenFor(customer, aNow)) {
+  if (idle == nullptr && !mOnlyIdle &&
+      Planned(*state).MayOpenFor(customer, aNow)) {
     OpenConnection(*state, path{}, customer, aNow);
   }
   return idle;
--- a/src/currantshed/proxy/engine_orders.cpp
+++ b/src/currantshed/proxy/engine_orders.cpp
@@ -41,6 +41,7 @@
                      bool aDirect,
                      clock::time_point aNow)
 {
+  Planned(aServer);
   if (aDirect) {
     if (aServer.Opening(true) == 0 &&
         aServer.Count(true) <= aServer.plan.connections) {
@@ -144,51 +145,67 @@
 }
 
 // Closes what is no longer needed, gives up what does not answer, and keeps
-// one connection to each server.
+// one connection to each server that this VM is meant to hold some to.
 void
 engine::TrimConnections(clock::time_point aNow)
 {
   std::vector<connection*> ended;
-  std::vector<upstream::server_id> gone;
-  for (auto& [id, state] : mServers) {
-    auto count = state.connections.size();
-    auto direct = state.Count(true);
-    const std::size_t kept = state.plan.holds ? 1 : 0;
-    for (const auto& one : state.connections) {
-      const bool slow =
-        !one->IsOpen() && aNow - one->MadeAt() > kLongestOpening;
-      const bool silent = one->user == nullptr && !one->IsQuiet() &&
-                          aNow - one->OldestSent() > kLongestSilence;
-      const auto idleFor = aNow - one->idleSince;
-      const bool spare = one->IsDirect()
-                           ? direct > kept && idleFor > LongestIdle(state, *one)
-                           : idleFor > kRelayIdle;
-      const bool unused = one->IsIdle() && (state.unlisted || one->retiring);
-      if (slow || silent) {
-        GiveUp(state, *one, aNow, slow ? "opening_timeout" : "silent");
-      }
-      if (slow || silent || (one->IsIdle() && spare) || unused) {
-        ended.push_back(one.get());
-        --count;
-        direct -= one->IsDirect() ? 1 : 0;
-      }
-    }
-    if (state.unlisted && count == 0) {
-      gone.push_back(id);
-    }
+  for (const auto& id : mUpkept) {
+    TrimServer(Planned(mServers.at(id)), ended, aNow);
   }
   for (auto* one : ended) {
     FailOrdersOn(*one);
     Discard(*one);
   }
-  for (const auto& id : gone) {
-    mServers.erase(id);
+  const bool isAnyGone = absl::erase_if(mUpkept, [this](const auto& aId) {
+                           const auto& state = mServers.at(aId);
+                           const bool isGone =
+                             state.unlisted && state.connections.empty();
+                           if (isGone) {
+                             mServers.erase(aId);
+                           }
+                           return isGone;
+                         }) > 0;
+  if (isAnyGone) {
+    IndexServers();
+  }
+  absl::erase_if(mUpkept, [this](const auto& aId) {
+    return mServers.at(aId).connections.empty();
+  });
+  if (!mHeld) {
+    ListHeld();
+  }
+  for (auto* state : *mHeld) {
+    const bool wanted = !state->unlisted && !state->listed.draining;
+    if (wanted && state->connections.empty() &&
+        state->MayOpenDirect(state->plan.connections, aNow)) {
+      OpenConnection(*state, path{}, {}, aNow);
+    }
   }
-  for (auto& [id, state] : mServers) {
-    const bool wanted = !state.unlisted && !state.listed.draining;
-    if (wanted && state.connections.empty() && state.plan.holds &&
-        state.MayOpenDirect(state.plan.connections, aNow)) {
-      OpenConnection(state, path{}, {}, aNow);
+}
+
+void
+engine::TrimServer(server_state& aState,
+                   std::vector<connection*>& aEnded,
+                   clock::time_point aNow)
+{
+  auto direct = aState.Count(true);
+  const std::size_t kept = aState.plan.holds ? 1 : 0;
+  for (const auto& one : aState.connections) {
+    const bool slow = !one->IsOpen() && aNow - one->MadeAt() > kLongestOpening;
+    const bool silent = one->user == nullptr && !one->IsQuiet() &&
+                        aNow - one->OldestSent() > kLongestSilence;
+    const auto idleFor = aNow - one->idleSince;
+    const bool spare = one->IsDirect()
+                         ? direct > kept && idleFor > LongestIdle(aState, *one)
+                         : idleFor > kRelayIdle;
+    const bool unused = one->IsIdle() && (aState.unlisted || one->retiring);
+    if (slow || silent) {
+      GiveUp(aState, *one, aNow, slow ? "opening_timeout" : "silent");
+    }
+    if (slow || silent || (one->IsIdle() && spare) || unused) {
+      aEnded.push_back(one.get());
+      direct -= one->IsDirect() ? 1 : 0;
     }
   }
 }
--- a/src/currantshed/proxy/engine_relays.cpp
+++ b/src/currantshed/proxy/engine_relays.cpp
@@ -22,8 +22,8 @@
 engine::AvoidSilentRelays(clock::time_point aNow)
 {
   absl::btree_map<std::string, clock::time_point> owedSince;
-  for (const auto& [id, state] : mServers) {
-    for (const auto& one : state.connections) {
+  for (const auto& id : mUpkept) {
+    for (const auto& one : mServers.at(id).connections) {
       if (one->IsDirect()) {
         continue;
       }
@@ -52,6 +52,10 @@
   std::vector<connection*> unused;
   std::vector<session_id> movable;
   for (auto& [id, state] : mServers) {
+    // Nothing has gone to this server yet, by whatever way.
+    if (state.plannedFor == 0) {
+      continue;
+    }
     state.WayFailed(aVm, aNow);
     for (const auto& one : state.connections) {
       if (one->via != aVm) {
--- a/src/currantshed/proxy/engine_wait.cpp
+++ b/src/currantshed/proxy/engine_wait.cpp
@@ -93,12 +93,10 @@
     return !Leads(lead, lead.proof.primary, aNow) ||
            !TakesWork(lead.proof.primary, request, aNow);
   }
-  return std::none_of(
-    mServers.begin(), mServers.end(), [&](const auto& aEntry) {
-      const auto& state = aEntry.second;
-      return state.listed.service == request.under->service &&
-             CanServe(state, request, lead, aNow);
-    });
+  const auto& servers = ServersOf(request.under->service);
+  return std::none_of(servers.begin(), servers.end(), [&](auto* aState) {
+    return CanServe(Planned(*aState), request, lead, aNow);
+  });
 }
 
 // The request is not sent any more. That nothing of it has run is said only
--- a/src/currantshed/proxy/holders.cpp
+++ b/src/currantshed/proxy/holders.cpp
@@ -1,6 +1,7 @@
 #include "currantshed/proxy/holders.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -39,22 +40,20 @@
                                      : aLeft.vm->name < aRight.vm->name;
 }
 
-// The VMs that may hold connections for others, with the hash of their name and
-// the server's.
+// The VMs, with the hash of their name and the server's.
 std::vector<scored_vm>
-Scored(const upstream::server_id& aServer, const std::vector<fleet_vm>& aFleet)
+Scored(const upstream::server_id& aServer,
+       const std::vector<const fleet_vm*>& aVms)
 {
   std::string text = aServer;
   text.push_back('\0');
   const auto stem = text.size();
   std::vector<scored_vm> scored;
-  scored.reserve(aFleet.size());
-  for (const auto& vm : aFleet) {
-    if (!vm.leaving && vm.worksForOthers) {
-      text.resize(stem);
-      text += vm.name;
-      scored.push_back({ XXH3_64bits(text.data(), text.size()), &vm });
-    }
+  scored.reserve(aVms.size());
+  for (const auto* vm : aVms) {
+    text.resize(stem);
+    text += vm->name;
+    scored.push_back({ XXH3_64bits(text.data(), text.size()), vm });
   }
   return scored;
 }
@@ -73,14 +72,62 @@
   return best;
 }
 
-// The best VM of each failure domain, the best one first. Each VM is looked at
-// once: sorting 295 of them for each of sixty servers, with hashes made anew
-// for each comparison, took 15 ms of a whole core whenever a VM came or went,
-// and this takes 0.5 ms (benchmark PlanAllServers).
+path
+PathOf(const fleet_vm& aVm)
+{
+  return { aVm.name, aVm.address, aVm.relayPort };
+}
+
+} // namespace
+
+access_planner::access_planner(std::string aSelf)
+  : mSelf(std::move(aSelf))
+{
+}
+
+bool
+access_planner::SetFleet(std::vector<fleet_vm> aFleet)
+{
+  if (aFleet == mFleet) {
+    return false;
+  }
+  mFleet = std::move(aFleet);
+  mWorkers.clear();
+  mDomain.clear();
+  mWorks = false;
+  for (const auto& vm : mFleet) {
+    const bool works = !vm.leaving && vm.worksForOthers;
+    if (works) {
+      mWorkers.push_back(&vm);
+    }
+    if (vm.name == mSelf) {
+      mDomain = vm.failureDomain;
+      mWorks = works;
+    }
+  }
+  return true;
+}
+
+bool
+access_planner::IsForEveryone(std::size_t aMostConnections) const
+{
+  return UsablePart(aMostConnections, false) / mFleet.size() >= kFewestOfOwn;
+}
+
+bool
+access_planner::MayHold(std::size_t aMostConnections) const
+{
+  return !mFleet.empty() &&
+         (mWorks || mFleet.size() == 1 || IsForEveryone(aMostConnections));
+}
+
+// The best VM of each failure domain, the best one first. Only those that may
+// hold any are looked at, each once: this is done for every server that is used
+// whenever a VM comes or goes.
 std::vector<const fleet_vm*>
-Holders(const upstream::server_id& aServer, const std::vector<fleet_vm>& aFleet)
+access_planner::Holders(const upstream::server_id& aServer) const
 {
-  const auto scored = Scored(aServer, aFleet);
+  const auto scored = Scored(aServer, mWorkers);
   std::vector<scored_vm> best;
   for (const auto& one : scored) {
     const auto found =
@@ -106,21 +153,11 @@
   return holders;
 }
 
-path
-PathOf(const fleet_vm& aVm)
-{
-  return { aVm.name, aVm.address, aVm.relayPort };
-}
-
-} // namespace
-
 access_plan
-PlanAccess(const upstream::server_id& aServer,
-           std::size_t aMostConnections,
-           const std::vector<fleet_vm>& aFleet,
-           const std::string& aSelf)
+access_planner::Plan(const upstream::server_id& aServer,
+                     std::size_t aMostConnections) const
 {
-  const auto vms = aFleet.size();
+  const auto vms = mFleet.size();
   access_plan plan;
   if (vms == 0) {
     plan.connections = 0;
@@ -132,19 +169,12 @@
     plan.connections = UsablePart(aMostConnections, false);
     return plan;
   }
-  const bool everyone =
-    UsablePart(aMostConnections, false) / vms >= kFewestOfOwn;
-  const auto holders = Holders(aServer, aFleet);
-  const auto self =
-    std::find_if(aFleet.begin(), aFleet.end(), [&](const auto& aVm) {
-      return aVm.name == aSelf;
-    });
-  const std::string domain =
-    self == aFleet.end() ? std::string() : self->failureDomain;
+  const bool everyone = IsForEveryone(aMostConnections);
+  const auto holders = Holders(aServer);
   plan.holds = everyone ||
                std::any_of(holders.begin(),
                            holders.end(),
-                           [&](const auto* aVm) { return aVm->name == aSelf; });
+                           [&](const auto* aVm) { return aVm->name == mSelf; });
   const auto sharers = everyone ? vms : holders.size();
   const auto usable = UsablePart(aMostConnections, !everyone);
   plan.connections =
@@ -154,7 +184,7 @@
   }
   for (const bool near : { true, false }) {
     for (const auto* vm : holders) {
-      if (vm->name != aSelf && (vm->failureDomain == domain) == near) {
+      if (vm->name != mSelf && (vm->failureDomain == mDomain) == near) {
         plan.paths.push_back(PathOf(*vm));
       }
     }
@@ -165,4 +195,15 @@
   return plan;
 }
 
+access_plan
+PlanAccess(const upstream::server_id& aServer,
+           std::size_t aMostConnections,
+           const std::vector<fleet_vm>& aFleet,
+           const std::string& aSelf)
+{
+  access_planner planner(aSelf);
+  planner.SetFleet(aFleet);
+  return planner.Plan(aServer, aMostConnections);
+}
+
 } // namespace currantshed::proxy
--- a/src/currantshed/proxy/holders.hpp
+++ b/src/currantshed/proxy/holders.hpp
@@ -49,13 +49,46 @@
 };
 
 /// Works out who holds the connections to a server that accepts so many in
-/// all. While there are several for each VM, every VM has its own, and goes
-/// through another one only when it is cut off from the server. Otherwise
-/// one VM in each failure domain holds its domain's share, and the others of
-/// the domain send their work through it: the way within a domain is short,
-/// and a shared pool needs far fewer connections than one a VM, which leaves
-/// some for VMs that are restarted while the server still keeps their former
-/// ones. All VMs come to the same answer from the same list.
+/// all, as seen from one VM of a fleet. While there are several for each VM,
+/// every VM has its own, and goes through another one only when it is cut off
+/// from the server. Otherwise one VM in each failure domain holds its domain's
+/// share, and the others of the domain send their work through it: the way
+/// within a domain is short, and a shared pool needs far fewer connections than
+/// one a VM, which leaves some for VMs that are restarted while the server
+/// still keeps their former ones. All VMs come to the same answer from the same
+/// list.
+class access_planner
+{
+public:
+  explicit access_planner(std::string aSelf);
+  access_planner(const access_planner&) = delete;
+  access_planner& operator=(const access_planner&) = delete;
+
+  /// The VMs that share the connections, this one included. Returns whether
+  /// they are others than before.
+  bool SetFleet(std::vector<fleet_vm> aFleet);
+
+  [[nodiscard]] access_plan Plan(const upstream::server_id& aServer,
+                                 std::size_t aMostConnections) const;
+
+  /// Whether this VM may be meant to hold connections to any server that
+  /// accepts so many.
+  [[nodiscard]] bool MayHold(std::size_t aMostConnections) const;
+
+private:
+  [[nodiscard]] bool IsForEveryone(std::size_t aMostConnections) const;
+  [[nodiscard]] std::vector<const fleet_vm*> Holders(
+    const upstream::server_id& aServer) const;
+
+  std::string mSelf;
+  std::vector<fleet_vm> mFleet;
+  // Those that may hold connections for others.
+  std::vector<const fleet_vm*> mWorkers;
+  std::string mDomain;
+  bool mWorks = false;
+};
+
+/// The same for a single server.
 [[nodiscard]] access_plan
 PlanAccess(const upstream::server_id& aServer,
            std::size_t aMostConnections,
--- a/src/currantshed/proxy/server_state.hpp
+++ b/src/currantshed/proxy/server_state.hpp
@@ -1,6 +1,7 @@
 #ifndef CURRANTSHED_PROXY_SERVER_STATE_HPP
 #define CURRANTSHED_PROXY_SERVER_STATE_HPP
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -106,6 +107,9 @@
 
   server listed;
   access_plan plan;
+  /// Which state of the fleet and the configuration the plan was made for; zero
+  /// for none.
+  std::uint64_t plannedFor = 0;
   /// Since when the server may have said that it leaves, if it does.
   std::optional<clock::time_point> leavingSince;
   /// The platform does not list it any longer; it goes once it is idle.
