--- a/src/currantshed/member/owners.cpp
+++ b/src/currantshed/member/owners.cpp
@@ -1,4 +1,4 @@
-#include "currantshed/member/roster.hpp"
+#include "currantshed/member/owners.hpp"
 
 #include <algorithm>
 #include <cstddef>
@@ -7,12 +7,18 @@
 #include <utility>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/inlined_vector.h>
 #include <xxhash.h>
 
+#include "currantshed/member/roster.hpp"
+
 namespace currantshed::member {
 
 namespace {
 
+// Both names usually fit without memory of their own.
+constexpr std::size_t kUsualNames = 128;
+
 struct scored_vm
 {
   std::uint64_t score = 0;
@@ -28,21 +34,14 @@
   return aLeft.vm->id < aRight.vm->id;
 }
 
-// Scores by the hash of both names. The zero byte keeps "ab" + "c" apart from
-// "a" + "bc".
 std::vector<scored_vm>
 Scored(const group::group_name& aGroup, const std::vector<store::vm>& aVms)
 {
-  std::string text = aGroup;
-  text.push_back('\0');
-  const auto stem = text.size();
   std::vector<scored_vm> scored;
   scored.reserve(aVms.size());
   for (const auto& vm : aVms) {
     if (!vm.leaving) {
-      text.resize(stem);
-      text += vm.id;
-      scored.push_back({ XXH3_64bits(text.data(), text.size()), &vm });
+      scored.push_back({ OwnerScore(aGroup, vm.id), &vm });
     }
   }
   return scored;
@@ -77,6 +76,17 @@
 
 } // namespace
 
+// Scores by the hash of both names. The zero byte keeps "ab" + "c" apart from
+// "a" + "bc".
+std::uint64_t
+OwnerScore(std::string_view aGroup, std::string_view aVm)
+{
+  absl::InlinedVector<char, kUsualNames> text(aGroup.begin(), aGroup.end());
+  text.push_back('\0');
+  text.insert(text.end(), aVm.begin(), aVm.end());
+  return XXH3_64bits(text.data(), text.size());
+}
+
 std::vector<store::vm>
 ChooseOwners(const group::group_name& aGroup,
              const std::vector<store::vm>& aVms,
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -120,6 +120,7 @@
   , mKnownVms(aSettings.vm)
   , mFreshness(aSettings.keyBound)
   , mBank(aSettings.quotaWindow)
+  , mDuties(aSettings.vm)
   , mStartedAt(clock::Now())
   , mTicker(mContext, [this] { Tick(); })
 {
@@ -165,7 +166,7 @@
      },
       [this](const std::string& aService, position::term_id aTerm) {
         boost::asio::post(mContext, [this, aService, aTerm] {
-          if (auto* found = Find(aService)) {
+          if (auto* found = Touch(aService)) {
             found->lead.Denied(aTerm, clock::Now());
             Perform(clock::Now());
           }
@@ -251,16 +252,31 @@
     log::Write(
       log::level::kError, "customer_unreadable", { { "reason", reason } });
   }
-  mServices.emplace();
-  for (const auto& [name, service] : read->services) {
-    mServices->insert(name);
-  }
+  const bool toldApart = mCustomers != nullptr;
   mCustomers = read->customers;
+  ServicesChanged(*read);
   mTraffic.SetConfiguration(std::move(read));
+  if (!toldApart && mCustomers != nullptr) {
+    NoteCollectors();
+  }
+  UpdateReadiness(clock::Now());
+}
+
+// Entries of servers are read anew only where other services may be meant.
+void
+control::ServicesChanged(const proxy::configuration& aConfiguration)
+{
+  absl::flat_hash_set<std::string> services;
+  for (const auto& [name, service] : aConfiguration.services) {
+    services.insert(name);
+  }
+  if (mServices == services) {
+    return;
+  }
+  mServices = std::move(services);
   if (mServersView.IsKnown()) {
     ServersChanged(clock::Now());
   }
-  UpdateReadiness(clock::Now());
 }
 
 // A VM that is gone must be known soon where others wait for what it did.
@@ -279,27 +295,33 @@
 void
 control::OwnKeysChanged(clock::time_point aNow)
 {
-  const auto before = std::exchange(mOwnKeys, ReadOwnKeys(mOwnView.Items()));
-  KeepFormer(before, aNow);
-  NoteVms(aNow);
-  NoteFeeders(aNow);
-  SetCheckPlace();
-  NoteCollectors();
-  NoteNext();
-  TellFleet(aNow);
-  SetPlaces(aNow);
-  if (mListedAt == clock::time_point{} && mRegistration.IsListed()) {
-    mListedAt = aNow;
-    auto asked = mFeeders.empty() ? DutyHolders() : mFeeders;
-    AddNew(asked, NextFew(aNow));
-    for (const auto& vm : asked) {
-      SendReachTo(vm, true, aNow);
-    }
+  NoteEra(aNow);
+  const auto changes =
+    UpdateOwnKeys(mOwnKeys, mOwnView.Items(), mOwnView.TakeChangedKeys());
+  NoteDuties(changes);
+  if (changes.isAll || changes.isFleetRecorded || !changes.vms.empty()) {
+    FleetChanged(aNow);
   }
+  NoteListed(aNow);
   UpdateReadiness(aNow);
   Tick();
 }
 
+// This VM stands on the list for the first time: it asks others what they know.
+void
+control::NoteListed(clock::time_point aNow)
+{
+  if (mListedAt != clock::time_point{} || !mRegistration.IsListed()) {
+    return;
+  }
+  mListedAt = aNow;
+  auto asked = mFeeders.empty() ? SomeDutyHolders() : mFeeders;
+  AddNew(asked, NextFew(aNow));
+  for (const auto& vm : asked) {
+    SendReachTo(vm, true, aNow);
+  }
+}
+
 store::prefix_view::listener
 control::Listener(const std::string& aWhat,
                   std::function<void(clock::time_point)> aChanged)
@@ -377,10 +399,12 @@
   if (mServers.IsDue(now)) {
     ServersChanged(now);
   }
-  for (auto& [service, one] : mGroups) {
-    KeepDuty(service, *one, now);
-    one->lead.SetMayAsk(mRegistration.IsWritten());
-    one->lead.Tick(now);
+  KeepDuties(now);
+  SetMayAsk();
+  for (const auto& service : mAgenda.Due(now)) {
+    if (auto* due = Touch(service)) {
+      due->lead.Tick(now);
+    }
   }
   if (now >= mNextReach) {
     mNextReach = now + ReachInterval(now);
@@ -389,12 +413,7 @@
     SendReach(now);
     mNews.CloseIdle(now);
   }
-  if (!mIsSettled && mSettledAt && now >= *mSettledAt) {
-    mIsSettled = true;
-    mFormer.clear();
-    TellFleet(now);
-    NoteCollectors();
-  }
+  EndSettling(now);
   KeepFleet(now);
   UpdateReadiness(now);
   Perform(now);
@@ -441,15 +460,10 @@
 void
 control::UpdateReadiness(clock::time_point aNow)
 {
-  bool proven = !mGroups.empty();
-  for (const auto& [service, one] : mGroups) {
-    proven =
-      proven && aNow < one->lead.Proof().askedAt + mLeadSettings.validity;
-  }
   const bool known = mVersion != 0 && !mServers.Servers().empty() &&
                      mListedAt != clock::time_point{};
   const bool enough =
-    proven || aNow >= mListedAt + kReadyWithoutProof || mIsReady;
+    mIsReady || aNow >= mListedAt + kReadyWithoutProof || AreAllProved(aNow);
   const bool hasKeys = mFreshness.Holds(aNow) || mIsReady;
   const bool ready =
     known && enough && hasKeys && !mIsLeaving && !IsCutOff(aNow);
@@ -460,10 +474,20 @@
       ready ? "ready" : "not_ready",
       { { "version", static_cast<std::int64_t>(mVersion) },
         { "servers", static_cast<std::int64_t>(mServers.Servers().size()) },
-        { "proven", proven } });
+        { "proven", AreAllProved(aNow) } });
   }
 }
 
+bool
+control::AreAllProved(clock::time_point aNow) const
+{
+  return !mGroups.empty() &&
+         std::all_of(mGroups.begin(), mGroups.end(), [&](const auto& aEntry) {
+           const auto& proof = aEntry.second->lead.Proof();
+           return aNow < proof.askedAt + mLeadSettings.validity;
+         });
+}
+
 void
 control::Schedule()
 {
@@ -473,6 +497,8 @@
                          mRegistration.NextTick(),
                          NextFreshness(),
                          mTokens.NextTick(),
+                         mAgenda.Next(),
+                         mWatches.NextTick(),
                          mNextReach });
   if (!mFeeders.empty()) {
     next = std::min(next, mNextPoll);
@@ -483,12 +509,19 @@
   if (!mSubscribers.Empty()) {
     next = std::min(next, mRelays.NextTick());
   }
-  for (const auto& [service, one] : mGroups) {
-    next = std::min(next, one->lead.NextTick());
-  }
   mTicker.At(next);
 }
 
+control::group*
+control::Touch(const std::string& aService)
+{
+  auto* found = Find(aService);
+  if (found != nullptr) {
+    mAgenda.Touch(aService);
+  }
+  return found;
+}
+
 control::group*
 control::Find(const std::string& aService)
 {
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -33,6 +33,8 @@
 #include "currantshed/node/check_schedule.hpp"
 #include "currantshed/node/document_codec.hpp"
 #include "currantshed/node/duty.hpp"
+#include "currantshed/node/duty_board.hpp"
+#include "currantshed/node/group_agenda.hpp"
 #include "currantshed/node/known_vms.hpp"
 #include "currantshed/node/metrics.hpp"
 #include "currantshed/node/relay_box.hpp"
@@ -95,13 +97,11 @@
     }
 
     lead::group_lead lead;
-    // Whether this VM is to take the duty, which nobody holds. It takes a look
-    // at all VMs, so it is worked out only when they change.
-    bool isNext = false;
+    /// This VM's place among those that ask for proofs of a group that nobody
+    /// watches.
+    double place = 0;
     bool isClaiming = false;
     clock::time_point claimFrom{};
-    /// News about it go out at the end of this event.
-    bool hasNews = false;
     /// This VM has proved the primary itself, and tells the others, although
     /// the group is not its to watch.
     bool passesOn = false;
@@ -130,8 +130,13 @@
                     std::error_code aWhyNot) const;
   void NoteServers(const std::vector<server_news>& aNews,
                    list_source aSource) const;
-  void ConfigureGroups(clock::time_point aNow);
+  void ConfigureGroups(const absl::flat_hash_set<std::string>& aServices,
+                       clock::time_point aNow);
+  void ServicesChanged(const proxy::configuration& aConfiguration);
   void OwnKeysChanged(clock::time_point aNow);
+  void FleetChanged(clock::time_point aNow);
+  void NoteDuties(const own_changes& aChanges);
+  void NoteListed(clock::time_point aNow);
   void NoteStore(const std::string& aWhat,
                  bool aIsReached,
                  std::error_code aWhy);
@@ -176,14 +181,16 @@
   void Claim(const std::string& aService,
              group& aGroup,
              clock::time_point aNow);
+  void KeepDuties(clock::time_point aNow);
+  void SetMayAsk();
   void SendWatch(clock::time_point aNow);
   void FillChanges(news::News& aOut) const;
-  void PassOn(clock::time_point aNow);
+  void PassOn(const std::vector<std::string>& aTouched, clock::time_point aNow);
   void AnswerTo(const std::string& aVm, clock::time_point aNow);
   void SendReach(clock::time_point aNow);
   void SendReachTo(const std::string& aVm, bool aAsks, clock::time_point aNow);
-  void HeardServers(std::vector<std::string> aServices,
-                    std::vector<std::optional<clock::time_point>> aHeard);
+  void HeardServers(const std::vector<proxy::heard_server>& aHeard);
+  [[nodiscard]] std::vector<std::string> ToldGroups() const;
   void Received(const news::News& aNews,
                 const news::exchange::clock_reader& aClock,
                 clock::time_point aNow);
@@ -216,19 +223,24 @@
   [[nodiscard]] bool LacksProof(clock::time_point aNow) const;
   [[nodiscard]] clock::time_point NextFreshness() const;
   void Schedule();
+  [[nodiscard]] bool AreAllProved(clock::time_point aNow) const;
+  /// The group, to tell its lead something: what that leads to is performed.
+  [[nodiscard]] group* Touch(const std::string& aService);
   [[nodiscard]] group* Find(const std::string& aService);
   [[nodiscard]] const group* Find(const std::string& aService) const;
   void NoteVms(clock::time_point aNow);
+  void AddRecordedPeers(std::vector<news::peer>& aTo) const;
   void SetPlaces(clock::time_point aNow);
   void TellFleet(clock::time_point aNow);
   void KeepFleet(clock::time_point aNow);
-  void KeepFormer(const own_keys& aBefore, clock::time_point aNow);
+  void NoteEra(clock::time_point aNow);
+  void EndSettling(clock::time_point aNow);
   [[nodiscard]] bool IsOffTheList(clock::time_point aNow) const;
+  [[nodiscard]] bool IsLongOffTheList(clock::time_point aNow) const;
   [[nodiscard]] std::chrono::milliseconds ReachInterval(
     clock::time_point aNow) const;
   [[nodiscard]] store::lease_times ShortLease() const;
   [[nodiscard]] store::lease_times LongLease() const;
-  void NoteNext();
   void NoteDomains();
   [[nodiscard]] std::vector<std::string> Audience(clock::time_point aNow) const;
   [[nodiscard]] bool IsAsking(const std::string& aVm,
@@ -247,7 +259,8 @@
                  const std::string& aService,
                  const lead::reach_news& aReach,
                  clock::time_point aNow);
-  void SendDoubts(clock::time_point aNow);
+  void SendDoubts(const std::vector<std::string>& aTouched,
+                  clock::time_point aNow);
   void HeardDoubts(const news::News& aNews, clock::time_point aNow);
   void PassReaches(clock::time_point aNow);
   [[nodiscard]] bool IsFeeder(const std::string& aVm) const;
@@ -274,6 +287,7 @@
   [[nodiscard]] bool ReachesStore() const;
   [[nodiscard]] std::vector<std::string> NextFew(clock::time_point aNow);
   [[nodiscard]] std::vector<std::string> DutyHolders() const;
+  [[nodiscard]] std::vector<std::string> SomeDutyHolders();
   [[nodiscard]] std::string HolderOf(const std::string& aService) const;
   /// The duty's record, or null.
   [[nodiscard]] const duty_record* DutyOf(const std::string& aService) const;
@@ -307,6 +321,8 @@
   absl::flat_hash_set<std::string> mFedDomains;
   absl::flat_hash_set<std::string> mFeedersOfAll;
   relay_box mRelays;
+  // The groups that this VM watches and has newer word on.
+  relay_box mWatches;
   // When a feeder last passed words of those that watch groups on to this VM.
   clock::time_point mRelayedAt{};
   clock::time_point mWantedAt{};
@@ -342,7 +358,11 @@
   // Entries that name no server to use, and their last changes.
   absl::btree_map<std::string, store::revision> mUnusable;
   groups mGroups;
-  absl::flat_hash_map<std::string, std::optional<clock::time_point>> mHeard;
+  group_agenda mAgenda;
+  duty_board mDuties;
+  bool mMayAsk = false;
+  // By group, when its primary was last heard by traffic.
+  absl::btree_map<std::string, clock::time_point> mHeard;
   clock::time_point mStartedAt;
   clock::time_point mListedAt{};
   clock::time_point mNextReach{};
@@ -356,7 +376,9 @@
   std::vector<vm_record> mFormer;
   // The store has come back from an older copy in this life.
   bool mHasReturned = false;
-  // Since when the record of the fleet has differed from those listed.
+  // Whether the record of the fleet differs from those listed; not known since
+  // either has changed. And since when it has.
+  std::optional<bool> mIsFleetStale;
   std::optional<clock::time_point> mFleetStaleSince;
   bool mIsLeaving = false;
   std::atomic<bool> mIsReady{ false };
--- a/src/currantshed/node/control_feed.cpp
+++ b/src/currantshed/node/control_feed.cpp
@@ -51,16 +51,6 @@
   aOut.set_removed(aChange.removed);
 }
 
-std::size_t
-LengthOf(const store::key_update& aUpdate)
-{
-  std::size_t bytes = 0;
-  for (const auto& one : aUpdate.changes) {
-    bytes += one.now.key.size() + one.now.value.size();
-  }
-  return bytes;
-}
-
 store::key_update
 ReadUpdate(const news::KeysUpdate& aUpdate)
 {
@@ -174,7 +164,7 @@
 void
 control::Wanted(const std::string& aService, clock::time_point aNow)
 {
-  auto* found = Find(aService);
+  auto* found = Touch(aService);
   if (found == nullptr) {
     return;
   }
@@ -226,7 +216,8 @@
       continue;
     }
     const auto& view = *views[wanted.prefix()];
-    auto update = view.After({ wanted.known_era(), wanted.known() });
+    const auto update =
+      view.After({ wanted.known_era(), wanted.known() }, longest);
     auto& out = *told.add_updates();
     out.set_prefix(wanted.prefix());
     out.set_whole(update.isWhole);
@@ -239,11 +230,9 @@
     if (wanted.prefix() == 0) {
       out.set_proved_at_us(lead::ToWire(view.ProvedAt()).count());
     }
-    out.set_too_long(LengthOf(update) > longest);
-    if (!out.too_long()) {
-      for (const auto& one : update.changes) {
-        Fill(*out.add_keys(), one);
-      }
+    out.set_too_long(update.isTooLong);
+    for (const auto& one : update.changes) {
+      Fill(*out.add_keys(), one);
     }
   }
   mNews.Send(aNews.vm(), std::move(told), aNow);
--- a/src/currantshed/node/control_fleet.cpp
+++ b/src/currantshed/node/control_fleet.cpp
@@ -1,11 +1,9 @@
 #include "currantshed/node/control.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
-#include <absl/strings/str_cat.h>
-#include <xxhash.h>
+#include <absl/container/flat_hash_set.h>
 
 #include "currantshed/log/log.hpp"
 #include "currantshed/proxy/strength.hpp"
@@ -21,17 +19,24 @@
 // how long the fleet must stay the same before it is recorded.
 constexpr milliseconds kFleetSettling{ 2000 };
 
-// A number from 0 to below 1 that differs by group and VM, the same everywhere.
-double
-PlaceOf(const std::string& aService, const std::string& aVm)
+} // namespace
+
+// Takes over which VMs there are, listed or recorded.
+void
+control::FleetChanged(clock::time_point aNow)
 {
-  const auto text = absl::StrCat(aService, "\n", aVm);
-  const auto hash = XXH3_64bits(text.data(), text.size());
-  return std::ldexp(static_cast<double>(hash >> 11U), -53);
+  mIsFleetStale.reset();
+  if (!mFormer.empty()) {
+    AddRecorded(mOwnKeys, mFormer);
+  }
+  NoteVms(aNow);
+  NoteFeeders(aNow);
+  SetCheckPlace();
+  NoteCollectors();
+  TellFleet(aNow);
+  SetPlaces(aNow);
 }
 
-} // namespace
-
 // Traffic shares connections with the VMs that are listed, and for a while
 // after the start also with those that were.
 void
@@ -83,8 +88,10 @@
     mFleetStaleSince.reset();
     return;
   }
-  const auto listed = mOwnKeys.Listed();
-  if (IsSameFleet(listed, mOwnKeys.fleet)) {
+  if (!mIsFleetStale) {
+    mIsFleetStale = !IsSameFleet(mOwnKeys.Listed(), mOwnKeys.fleet);
+  }
+  if (!*mIsFleetStale) {
     mFleetStaleSince.reset();
     return;
   }
@@ -95,6 +102,7 @@
     return;
   }
   mFleetStaleSince = aNow;
+  const auto listed = mOwnKeys.Listed();
   store::transaction made;
   made.conditions.push_back(
     { FleetKey(), { mOwnView.Seen().era, mOwnKeys.fleetChanged.number } });
@@ -113,18 +121,32 @@
 // A store that has come back may list few VMs and an old record, though all
 // run: whoever shared by those alone would take more than its part.
 void
-control::KeepFormer(const own_keys& aBefore, clock::time_point aNow)
+control::NoteEra(clock::time_point aNow)
 {
   const auto era = mOwnView.Seen().era;
-  if (std::exchange(mOwnEra, era) != era) {
-    mFormer = aBefore.Listed();
-    mFormer.insert(mFormer.end(), aBefore.fleet.begin(), aBefore.fleet.end());
-    mIsSettled = false;
-    mSettledAt = aNow + kFleetSettling;
+  if (std::exchange(mOwnEra, era) == era) {
+    return;
   }
+  mFormer = mOwnKeys.Listed();
+  mFormer.insert(mFormer.end(), mOwnKeys.fleet.begin(), mOwnKeys.fleet.end());
+  mIsSettled = false;
+  mSettledAt = aNow + kFleetSettling;
+}
+
+void
+control::EndSettling(clock::time_point aNow)
+{
+  if (mIsSettled || !mSettledAt || aNow < *mSettledAt) {
+    return;
+  }
+  mIsSettled = true;
   if (!mFormer.empty()) {
-    AddRecorded(mOwnKeys, mFormer);
+    mFormer.clear();
+    UpdateFleet(mOwnKeys, mOwnView.Items());
+    mIsFleetStale.reset();
   }
+  TellFleet(aNow);
+  NoteCollectors();
 }
 
 // Takes over who is listed, and whom that leaves to be sent to.
@@ -132,33 +154,43 @@
 control::NoteVms(clock::time_point aNow)
 {
   std::vector<news::peer> listed;
+  listed.reserve(mOwnKeys.vms.size());
   for (const auto& [name, one] : mOwnKeys.vms) {
     listed.push_back(one.record.where);
   }
   mKnownVms.Listed(listed, aNow);
   auto peers = mKnownVms.Reachable(aNow);
-  const auto recorded = WithRecorded();
-  for (const auto& entry : recorded.vms) {
-    const auto& where = entry.second.record.where;
-    const bool isKnown =
-      std::any_of(peers.begin(), peers.end(), [&where](const auto& aPeer) {
-        return aPeer.vm == where.vm;
-      });
-    if (!isKnown) {
-      peers.push_back(where);
+  AddRecordedPeers(peers);
+  mNews.SetPeers(peers);
+}
+
+// For a while after the start, VMs that are recorded but not listed can be sent
+// to as well.
+void
+control::AddRecordedPeers(std::vector<news::peer>& aTo) const
+{
+  if (mIsSettled) {
+    return;
+  }
+  absl::flat_hash_set<std::string> known;
+  for (const auto& one : aTo) {
+    known.insert(one.vm);
+  }
+  for (const auto& one : mOwnKeys.fleet) {
+    if (!known.contains(one.where.vm)) {
+      aTo.push_back(one.where);
     }
   }
-  mNews.SetPeers(peers);
 }
 
 // In which order the VMs ask for proofs of a group that nobody watches.
 void
 control::SetPlaces(clock::time_point aNow)
 {
-  const auto vms = mKnownVms.Reachable(aNow).size() + 1;
+  const auto vms = mKnownVms.CountReachable(aNow) + 1;
   const bool isRelayed = IsRelayed(aNow);
   for (auto& [service, one] : mGroups) {
-    one->lead.SetPlace(vms, PlaceOf(service, mSelf.where.vm));
+    one->lead.SetPlace(vms, one->place);
     one->lead.SetIsRelayed(isRelayed);
   }
 }
@@ -171,4 +203,12 @@
   return mListedAt != clock::time_point{} && aNow >= mRegistration.ValidUntil();
 }
 
+// Whether it is so long that whoever holds a duty may soon forget this VM.
+bool
+control::IsLongOffTheList(clock::time_point aNow) const
+{
+  return IsOffTheList(aNow) &&
+         aNow >= mRegistration.ValidUntil() + known_vms::kMemory / 2;
+}
+
 } // namespace currantshed::node
--- a/src/currantshed/node/control_lead.cpp
+++ b/src/currantshed/node/control_lead.cpp
@@ -32,14 +32,18 @@
 void
 control::Perform(clock::time_point aNow)
 {
-  for (auto& [service, one] : mGroups) {
-    PerformOne(service, *one);
+  const auto touched = mAgenda.TakeTouched();
+  for (const auto& service : touched) {
+    PerformOne(service, *Find(service));
   }
   SendWatch(aNow);
-  PassOn(aNow);
+  PassOn(touched, aNow);
   PassWords(aNow);
-  SendDoubts(aNow);
+  SendDoubts(touched, aNow);
   PassReaches(aNow);
+  for (const auto& service : touched) {
+    mAgenda.SetDue(service, Find(service)->lead.NextTick());
+  }
   Schedule();
 }
 
@@ -62,7 +66,7 @@
     [this, aService, server = aAction.server](
       proxy::order_result aResult, std::optional<clock::time_point> aHeardAt) {
       boost::asio::post(mContext, [this, aService, server, aResult, aHeardAt] {
-        auto* found = Find(aService);
+        auto* found = Touch(aService);
         if (found == nullptr) {
           return;
         }
@@ -165,7 +169,7 @@
 {
   if (!ReachesStore()) {
     boost::asio::post(mContext, [this, aService] {
-      if (auto* found = Find(aService)) {
+      if (auto* found = Touch(aService)) {
         found->lead.TermsChecked(std::nullopt, clock::Now());
         Perform(clock::Now());
       }
@@ -176,7 +180,7 @@
              [this, aService](std::error_code aError,
                               std::optional<store::item> aItem,
                               store::call_answer aAnswer) {
-               auto* found = Find(aService);
+               auto* found = Touch(aService);
                if (found == nullptr) {
                  return;
                }
@@ -228,7 +232,7 @@
              "promotion_answered",
              { { "service", aService },
                { "outcome", static_cast<std::int64_t>(aOutcome) } });
-  if (auto* found = Find(aService)) {
+  if (auto* found = Touch(aService)) {
     found->lead.PromotionAnswered(aOutcome == promotion_outcome::kTaken,
                                   aOutcome == promotion_outcome::kRejected,
                                   aNow);
@@ -247,7 +251,7 @@
                                        store::revision,
                                        store::call_answer aAnswer) {
                  const auto now = aAnswer.at;
-                 auto* found = Find(aService);
+                 auto* found = Touch(aService);
                  if (aError || found == nullptr) {
                    return;
                  }
@@ -265,14 +269,17 @@
 control::Do(const std::string& aService, const lead::publish_proof& aAction)
 {
   mTraffic.Confirm(aService, aAction.proof);
+  const auto now = clock::Now();
   if (auto* found = Find(aService)) {
-    found->hasNews = true;
     found->passesOn = found->passesOn || aAction.isOwn;
     const bool isNewTerm = found->toldTerm != aAction.proof.term;
     found->isForAll = found->isForAll || isNewTerm;
     found->toldTerm = aAction.proof.term;
+    if (found->lead.Speaks()) {
+      mWatches.HasWord(aService, isNewTerm, now);
+    }
   }
-  mRelays.HasWord(aService, false, clock::Now());
+  mRelays.HasWord(aService, false, now);
 }
 
 void
@@ -306,11 +313,14 @@
       }
     });
   });
+  const auto now = clock::Now();
   if (auto* found = Find(aService)) {
-    found->hasNews = true;
     found->isForAll = true;
+    if (found->lead.Speaks()) {
+      mWatches.HasWord(aService, true, now);
+    }
   }
-  mRelays.HasWord(aService, true, clock::Now());
+  mRelays.HasWord(aService, true, now);
 }
 
 void
@@ -324,6 +334,50 @@
                { "detail", aAction.detail } });
 }
 
+// Only the groups whose duty this VM has or is to take depend on more than the
+// store's records, and so are looked at all the while.
+void
+control::KeepDuties(clock::time_point aNow)
+{
+  auto services = mDuties.TakeChanged();
+  services.insert(mDuties.Own().begin(), mDuties.Own().end());
+  for (const auto& service : services) {
+    if (auto* one = Touch(service)) {
+      KeepDuty(service, *one, aNow);
+    }
+  }
+}
+
+void
+control::SetMayAsk()
+{
+  const bool mayAsk = mRegistration.IsWritten();
+  if (std::exchange(mMayAsk, mayAsk) == mayAsk) {
+    return;
+  }
+  for (auto& [service, one] : mGroups) {
+    one->lead.SetMayAsk(mayAsk);
+  }
+}
+
+void
+control::NoteDuties(const own_changes& aChanges)
+{
+  if (aChanges.isAll || !aChanges.vms.empty()) {
+    mDuties.SetCandidates(mOwnKeys, Candidates(mOwnKeys));
+  }
+  if (aChanges.isAll) {
+    mDuties.AllChanged(mOwnKeys);
+    return;
+  }
+  for (const auto& vm : aChanges.vms) {
+    mDuties.VmChanged(mOwnKeys, vm);
+  }
+  for (const auto& service : aChanges.duties) {
+    mDuties.DutyChanged(mOwnKeys, service);
+  }
+}
+
 void
 control::KeepDuty(const std::string& aService,
                   group& aGroup,
@@ -348,7 +402,7 @@
   aGroup.lead.SetDuty(holds, duty == nullptr ? 0 : duty->epoch, aNow);
   const bool mayCall = !mIsLeaving && mListedAt != clock::time_point{} &&
                        mRegistration.IsListed() && ReachesStore();
-  const bool isNext = !isOwn && mayCall && aGroup.isNext;
+  const bool isNext = !isOwn && mayCall && mDuties.IsNext(aService);
   const bool isPast = isOwn && !IsOfEra(*duty, mOwnView.Seen().era);
   // While the store is away the VM that had the duty goes on proving the
   // primary for the others, who would else all ask the servers themselves.
@@ -365,14 +419,6 @@
   }
 }
 
-void
-control::NoteNext()
-{
-  for (auto& [service, one] : mGroups) {
-    one->isNext = ShouldClaim(mOwnKeys, service, mSelf);
-  }
-}
-
 void
 control::Claim(const std::string& aService,
                group& aGroup,
--- a/src/currantshed/node/control_news.cpp
+++ b/src/currantshed/node/control_news.cpp
@@ -1,6 +1,8 @@
 #include "currantshed/node/control.hpp"
 
 #include <algorithm>
+#include <cstddef>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -18,18 +20,29 @@
 // How lately a primary must have been heard for that to be told: longer than it
 // counts, 600 ms, by what two VMs take to pass it on.
 constexpr std::chrono::milliseconds kToldReach{ 1000 };
+// Pause between two words on the groups that this VM watches: a proof is asked
+// for every 350 ms and holds for a second, and feeders add a pause of theirs.
+constexpr std::chrono::milliseconds kWatchPause{ 50 };
 // How many VMs are passed on what this one has proved by itself.
 constexpr std::size_t kMostPassedOn = 24;
+// Proofs of others that a VM which has just started is told at once, some 100
+// bytes each. It asks for the rest as its callers come to need them.
+constexpr std::size_t kMostRelayedProofs = 128;
+// Holders of duties that are spoken to at a time though they hold none of the
+// groups that this VM uses.
+constexpr std::size_t kFewHolders = 16;
 
 } // namespace
 
-// The word of the VM that watches a group, to all others, by way of feeders.
+// The word of the VM that watches a group, to all others, by way of feeders. A
+// VM that watches many gathers their words for a moment.
 void
 control::SendWatch(clock::time_point aNow)
 {
   news::News told;
-  for (auto& [service, one] : mGroups) {
-    if (std::exchange(one->hasNews, false) && one->lead.Speaks()) {
+  for (const auto& service : mWatches.TakeWords(kWatchPause, aNow)) {
+    const auto* one = Find(service);
+    if (one != nullptr && one->lead.Speaks()) {
       Fill(*told.add_watches(), service, one->lead.Watch());
     }
   }
@@ -46,12 +59,14 @@
 // spoke lately: the list may be old, and a new link costs a VM that has just
 // started more time than a question of its own.
 void
-control::PassOn(clock::time_point aNow)
+control::PassOn(const std::vector<std::string>& aTouched,
+                clock::time_point aNow)
 {
   news::News told;
-  for (auto& [service, one] : mGroups) {
-    if (std::exchange(one->passesOn, false) && !one->lead.Speaks()) {
-      Fill(*told.add_watches(), service, one->lead.Watch());
+  for (const auto& service : aTouched) {
+    auto& one = *Find(service);
+    if (std::exchange(one.passesOn, false) && !one.lead.Speaks()) {
+      Fill(*told.add_watches(), service, one.lead.Watch());
     }
   }
   if (told.watches_size() == 0) {
@@ -69,12 +84,15 @@
 control::AnswerTo(const std::string& aVm, clock::time_point aNow)
 {
   news::News told;
+  std::size_t relayed = 0;
+  const bool isSubscriber = mSubscribers.Contains(aVm);
   for (const auto& [service, one] : mGroups) {
     const auto& proof = one->lead.Proof();
     const bool holds = aNow < proof.askedAt + mLeadSettings.validity;
-    if (one->lead.Speaks() || (holds && !HasHolder(mOwnKeys, service))) {
+    if (one->lead.Speaks() || (holds && !mDuties.IsHeld(service))) {
       Fill(*told.add_watches(), service, one->lead.Watch());
-    } else if (holds && mSubscribers.Contains(aVm)) {
+    } else if (holds && isSubscriber && relayed < kMostRelayedProofs) {
+      ++relayed;
       Fill(*told.add_watches(), service, one->lead.Relayed());
     }
   }
@@ -84,40 +102,45 @@
 
 // What this VM's traffic hears of the primaries, to those that watch them.
 void
-control::SendReach(clock::time_point /*aNow*/)
+control::SendReach(clock::time_point aNow)
 {
-  std::vector<std::string> services;
-  std::vector<upstream::server_id> primaries;
-  for (const auto& [service, one] : mGroups) {
-    services.push_back(service);
-    primaries.push_back(one->lead.Proof().primary);
-  }
   mTraffic.AskHeard(
-    std::move(primaries),
-    [this, services = std::move(services)](
-      std::vector<std::optional<clock::time_point>> aHeard) mutable {
-      boost::asio::post(mContext,
-                        [this,
-                         services = std::move(services),
-                         heard = std::move(aHeard)]() mutable {
-                          HeardServers(std::move(services), std::move(heard));
-                        });
+    aNow - kToldReach, [this](std::vector<proxy::heard_server> aHeard) {
+      boost::asio::post(
+        mContext, [this, heard = std::move(aHeard)] { HeardServers(heard); });
     });
 }
 
 void
-control::HeardServers(std::vector<std::string> aServices,
-                      std::vector<std::optional<clock::time_point>> aHeard)
+control::HeardServers(const std::vector<proxy::heard_server>& aHeard)
 {
   const auto now = clock::Now();
-  for (std::size_t i = 0; i < aServices.size(); ++i) {
-    mHeard[aServices[i]] = aHeard[i];
+  mHeard.clear();
+  for (const auto& one : aHeard) {
+    const auto* found = Find(one.service);
+    if (found != nullptr && found->lead.Proof().primary == one.server) {
+      mHeard[one.service] = one.at;
+    }
   }
   for (const auto& vm : ReachAudience(now)) {
     SendReachTo(vm, false, now);
   }
 }
 
+// The groups that this VM may have something to say on: those whose primary it
+// hears, and those that it asks about, watches, or was told to give up.
+std::vector<std::string>
+control::ToldGroups() const
+{
+  auto told = mAgenda.Awake();
+  for (const auto& [service, at] : mHeard) {
+    told.push_back(service);
+  }
+  std::sort(told.begin(), told.end());
+  told.erase(std::unique(told.begin(), told.end()), told.end());
+  return told;
+}
+
 void
 control::FillChanges(news::News& aOut) const
 {
@@ -135,13 +158,17 @@
   news::News told;
   told.set_answer(aAsks);
   FillChanges(told);
-  for (const auto& [service, one] : mGroups) {
-    const bool isForAll = IsOffTheList(aNow) || IsFeeder(aVm);
-    const auto reach = one->lead.Reach(mHeard[service]);
+  const bool isForAll = IsOffTheList(aNow) || IsFeeder(aVm);
+  for (const auto& service : ToldGroups()) {
+    const auto* one = Find(service);
+    if (one == nullptr || (!isForAll && HolderOf(service) != aVm)) {
+      continue;
+    }
+    const auto heard = mHeard.find(service);
+    const auto reach = one->lead.Reach(
+      heard == mHeard.end() ? std::nullopt : std::optional(heard->second));
     // A primary that was not heard lately is kept by no such word.
-    const bool tells =
-      reach.obeyedTerm != 0 || aNow - reach.heardAt < kToldReach;
-    if (tells && (isForAll || HolderOf(service) == aVm)) {
+    if (reach.obeyedTerm != 0 || aNow - reach.heardAt < kToldReach) {
       Fill(*told.add_reaches(), service, reach);
     }
   }
@@ -190,12 +217,23 @@
 std::vector<std::string>
 control::DutyHolders() const
 {
-  std::vector<std::string> holders;
-  for (const auto& [service, one] : mGroups) {
-    auto holder = HolderOf(service);
-    if (!holder.empty() && holder != mSelf.where.vm) {
-      AddNew(holders, { std::move(holder) });
-    }
+  auto holders = mDuties.Holders();
+  std::erase(holders, mSelf.where.vm);
+  return holders;
+}
+
+// A few of them, others each time.
+std::vector<std::string>
+control::SomeDutyHolders()
+{
+  auto holders = DutyHolders();
+  const auto count = std::min(kFewHolders, holders.size());
+  if (count < holders.size()) {
+    const auto first = (mTurn++ * count) % holders.size();
+    std::rotate(holders.begin(),
+                holders.begin() + static_cast<std::ptrdiff_t>(first),
+                holders.end());
+    holders.resize(count);
   }
   return holders;
 }
@@ -209,7 +247,7 @@
     mRelayedAt = aNow;
   }
   for (const auto& watch : aNews.watches()) {
-    if (auto* found = Find(watch.group())) {
+    if (auto* found = Touch(watch.group())) {
       found->lead.HeardWatch(ReadWatch(watch, aClock), aNow);
     }
   }
--- a/src/currantshed/node/control_quota.cpp
+++ b/src/currantshed/node/control_quota.cpp
@@ -29,10 +29,14 @@
 
 } // namespace
 
-// The own failure domain's collectors, and those of each other one.
+// The own failure domain's collectors, and those of each other one; nobody asks
+// them where no customer is told apart.
 void
 control::NoteCollectors()
 {
+  if (mCustomers == nullptr) {
+    return;
+  }
   const auto keys = WithRecorded();
   std::set<std::string> domains;
   for (const auto& one : mOwnKeys.fleet) {
--- a/src/currantshed/node/control_relay.cpp
+++ b/src/currantshed/node/control_relay.cpp
@@ -7,6 +7,9 @@
 #include <algorithm>
 #include <utility>
 
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
 #include "currantshed/node/audience.hpp"
 #include "currantshed/node/control_words.hpp"
 #include "currantshed/node/feeders.hpp"
@@ -52,15 +55,16 @@
 control::Audience(clock::time_point aNow) const
 {
   std::vector<std::string> audience;
-  for (const auto& one : mKnownVms.Reachable(aNow)) {
-    const auto found = mOwnKeys.vms.find(one.vm);
+  mKnownVms.ForEachReachable(aNow, [&](const news::peer& aPeer) {
+    const auto found = mOwnKeys.vms.find(aPeer.vm);
     const bool isListed = found != mOwnKeys.vms.end();
     const bool isFed =
       isListed && mFedDomains.contains(found->second.record.failureDomain);
-    if (!isFed || mFeedersOfAll.contains(one.vm) || IsAsking(one.vm, aNow)) {
-      audience.push_back(one.vm);
+    if (!isFed || mFeedersOfAll.contains(aPeer.vm) ||
+        IsAsking(aPeer.vm, aNow)) {
+      audience.push_back(aPeer.vm);
     }
-  }
+  });
   return audience;
 }
 
@@ -107,13 +111,26 @@
 // duties by now may not know of a VM that the store lists no longer, nor that
 // VM of a new holder: it speaks to others as well. To all at once would cost a
 // link to each: a third of 295 VMs cut off from the store opened some 30,000.
+// Those whose groups it does not use remember a VM for a while after it has
+// left the list, and need no word before that time is nearly over.
 std::vector<std::string>
 control::ReachAudience(clock::time_point aNow)
 {
   if (IsRelayed(aNow)) {
     return mFeeders;
   }
-  auto told = DutyHolders();
+  if (IsLongOffTheList(aNow)) {
+    auto told = DutyHolders();
+    AddNew(told, NextFew(aNow));
+    return told;
+  }
+  auto told = SomeDutyHolders();
+  for (const auto& service : ToldGroups()) {
+    auto holder = HolderOf(service);
+    if (!holder.empty() && holder != mSelf.where.vm) {
+      AddNew(told, { std::move(holder) });
+    }
+  }
   if (IsOffTheList(aNow)) {
     AddNew(told, NextFew(aNow));
   }
@@ -184,7 +201,7 @@
   }
   const bool isFirst =
     !mOwnFeeders.empty() && mOwnFeeders.front() == mSelf.where.vm;
-  std::vector<std::pair<std::string, lead::lead_news>> words;
+  absl::flat_hash_map<std::string, lead::lead_news> words;
   absl::flat_hash_set<std::string> forAll;
   for (auto& service :
        mRelays.TakeWords(isFirst ? kFirstPause : kSecondPause, aNow)) {
@@ -196,16 +213,19 @@
     if (std::exchange(found->isForAll, false) || word.revokedTerm != 0) {
       forAll.insert(service);
     }
-    words.emplace_back(std::move(service), std::move(word));
+    words.emplace(std::move(service), std::move(word));
   }
   if (words.empty()) {
     return;
   }
   for (const auto& vm : mSubscribers.All()) {
     news::News told;
-    for (const auto& [service, word] : words) {
-      if (forAll.contains(service) || mSubscribers.Wants(vm, service)) {
-        Fill(*told.add_watches(), service, word);
+    auto wanted = mSubscribers.GroupsOf(vm);
+    wanted.insert(forAll.begin(), forAll.end());
+    for (const auto& service : wanted) {
+      const auto found = words.find(service);
+      if (found != words.end()) {
+        Fill(*told.add_watches(), service, found->second);
       }
     }
     told.set_passes_on(true);
@@ -229,7 +249,7 @@
     return;
   }
   mKnownVms.Seen(aFrom, aNow);
-  if (auto* found = Find(aService)) {
+  if (auto* found = Touch(aService)) {
     found->lead.HeardReach(aFrom, aReach, aNow);
   }
 }
@@ -238,12 +258,14 @@
 // are asked what others hear of it. All the while, words that nobody needs
 // would cost them a message for each group and quarter of a second.
 void
-control::SendDoubts(clock::time_point aNow)
+control::SendDoubts(const std::vector<std::string>& aTouched,
+                    clock::time_point aNow)
 {
   news::News told;
-  for (auto& [service, one] : mGroups) {
-    if (one->lead.DoubtsPrimary(aNow) && aNow >= one->doubtedAt + kDoubtPause) {
-      one->doubtedAt = aNow;
+  for (const auto& service : aTouched) {
+    auto& one = *Find(service);
+    if (one.lead.DoubtsPrimary(aNow) && aNow >= one.doubtedAt + kDoubtPause) {
+      one.doubtedAt = aNow;
       told.add_doubted(service);
     }
   }
--- a/src/currantshed/node/control_servers.cpp
+++ b/src/currantshed/node/control_servers.cpp
@@ -1,13 +1,55 @@
 // Which servers there are, as the store lists them.
 #include "currantshed/node/control.hpp"
 
+#include <cmath>
 #include <utility>
 
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
+#include <xxhash.h>
+
 #include "currantshed/log/log.hpp"
 #include "currantshed/node/entry_error.hpp"
 
 namespace currantshed::node {
 
+namespace {
+
+// A number from 0 to below 1 that differs by group and VM, the same everywhere.
+double
+PlaceOf(const std::string& aService, const std::string& aVm)
+{
+  const auto text = absl::StrCat(aService, "\n", aVm);
+  const auto hash = XXH3_64bits(text.data(), text.size());
+  return std::ldexp(static_cast<double>(hash >> 11U), -53);
+}
+
+// The services some of whose servers are listed otherwise than before.
+absl::flat_hash_set<std::string>
+ChangedServices(const std::vector<proxy::server>& aBefore,
+                const std::vector<proxy::server>& aNow)
+{
+  absl::flat_hash_map<std::string_view, const proxy::server*> before;
+  for (const auto& one : aBefore) {
+    before[one.id] = &one;
+  }
+  absl::flat_hash_set<std::string> changed;
+  for (const auto& one : aNow) {
+    const auto found = before.find(one.id);
+    if (found != before.end() && *found->second == one) {
+      before.erase(found);
+    } else {
+      changed.insert(one.service);
+    }
+  }
+  for (const auto& [id, gone] : before) {
+    changed.insert(gone->service);
+  }
+  return changed;
+}
+
+} // namespace
+
 void
 control::ServersChanged(clock::time_point aNow)
 {
@@ -19,10 +61,11 @@
   const auto source =
     mServersView.MayBeOld() ? list_source::kCatchUp : list_source::kWatch;
   NoteServers(mServers.Take(ReadServers(), source, aNow), source);
-  if (mServers.Servers() == before) {
+  const auto changed = ChangedServices(before, mServers.Servers());
+  if (changed.empty()) {
     return;
   }
-  ConfigureGroups(aNow);
+  ConfigureGroups(changed, aNow);
   log::Write(
     log::level::kInfo,
     "servers_listed",
@@ -105,25 +148,30 @@
 }
 
 void
-control::ConfigureGroups(clock::time_point aNow)
+control::ConfigureGroups(const absl::flat_hash_set<std::string>& aServices,
+                         clock::time_point aNow)
 {
   absl::btree_map<std::string, std::vector<lead::member>> members;
   for (const auto& one : mServers.Servers()) {
-    members[one.service].push_back(
-      { one.id,
-        one.failureDomain == mSettings.failureDomain,
-        one.draining,
-        one.startedAt });
+    if (aServices.contains(one.service)) {
+      members[one.service].push_back(
+        { one.id,
+          one.failureDomain == mSettings.failureDomain,
+          one.draining,
+          one.startedAt });
+    }
   }
   for (auto& [service, listed] : members) {
     auto& place = mGroups[service];
     if (place == nullptr) {
       place = std::make_unique<group>(mLeadSettings);
-      place->lead.SetMayAsk(mRegistration.IsWritten());
+      place->place = PlaceOf(service, mSelf.where.vm);
+      place->lead.SetMayAsk(mMayAsk);
+      mDuties.AddService(mOwnKeys, service);
     }
     place->lead.Configure(listed, aNow);
+    mAgenda.Touch(service);
   }
-  NoteNext();
 }
 
 } // namespace currantshed::node
--- a/src/currantshed/node/duty.cpp
+++ b/src/currantshed/node/duty.cpp
@@ -5,8 +5,6 @@
 
 #include <boost/json.hpp>
 
-#include "currantshed/member/roster.hpp"
-
 namespace currantshed::node {
 
 namespace {
@@ -99,6 +97,70 @@
          !holder->second.record.leaving;
 }
 
+// Each of these takes over what a key says now; null stands for one that is
+// gone, and one that can't be read is as good as gone.
+void
+ReadVmKey(own_keys& aKeys,
+          const std::string& aName,
+          const store::item* aItem,
+          own_changes& aChanges)
+{
+  auto record = aItem == nullptr ? std::nullopt : ReadVm(*aItem);
+  const auto before = aKeys.vms.find(aName);
+  const bool wasThere = before != aKeys.vms.end();
+  if (!record || record->where.vm != aName) {
+    if (wasThere) {
+      aKeys.vms.erase(before);
+      aChanges.vms.push_back(aName);
+    }
+    return;
+  }
+  // A key that was moved to another lease says the same.
+  if (!wasThere || before->second.record != *record) {
+    aChanges.vms.push_back(aName);
+  }
+  aKeys.vms[aName] = { std::move(*record), aItem->changed };
+}
+
+void
+ReadDutyKey(own_keys& aKeys,
+            const std::string& aService,
+            const store::item* aItem,
+            own_changes& aChanges)
+{
+  auto record = aItem == nullptr ? std::nullopt : ReadDuty(*aItem);
+  aChanges.duties.push_back(aService);
+  if (record) {
+    aKeys.duties[aService] = { std::move(*record), aItem->changed };
+  } else {
+    aKeys.duties.erase(aService);
+  }
+}
+
+void
+ReadFleetKey(own_keys& aKeys, const store::item* aItem, own_changes& aChanges)
+{
+  auto fleet = aItem == nullptr ? std::nullopt : ReadFleet(*aItem);
+  aKeys.fleet = fleet ? std::move(*fleet) : std::vector<vm_record>{};
+  aKeys.fleetChanged = aItem == nullptr ? store::revision{} : aItem->changed;
+  aChanges.isFleetRecorded = true;
+}
+
+void
+ReadKey(own_keys& aKeys,
+        const std::string& aKey,
+        const store::item* aItem,
+        own_changes& aChanges)
+{
+  if (StartsWith(aKey, kVms)) {
+    ReadVmKey(aKeys, aKey.substr(kVms.size()), aItem, aChanges);
+  } else if (StartsWith(aKey, kDuties)) {
+    ReadDutyKey(aKeys, aKey.substr(kDuties.size()), aItem, aChanges);
+  } else if (aKey == kFleet) {
+    ReadFleetKey(aKeys, aItem, aChanges);
+  }
+}
+
 } // namespace
 
 std::string
@@ -224,26 +286,42 @@
 {
   own_keys keys;
   for (const auto& [key, item] : aItems) {
-    if (StartsWith(key, kVms)) {
-      if (auto record = ReadVm(item)) {
-        auto name = record->where.vm;
-        keys.vms[std::move(name)] = { std::move(*record), item.changed };
-      }
-    } else if (StartsWith(key, kDuties)) {
-      if (auto record = ReadDuty(item)) {
-        keys.duties[key.substr(kDuties.size())] = { std::move(*record),
-                                                    item.changed };
-      }
-    } else if (key == kFleet) {
-      if (auto fleet = ReadFleet(item)) {
-        keys.fleet = std::move(*fleet);
-      }
-      keys.fleetChanged = item.changed;
-    }
+    own_changes ignored;
+    ReadKey(keys, key, &item, ignored);
   }
   return keys;
 }
 
+own_changes
+UpdateOwnKeys(own_keys& aKeys,
+              const store::prefix_view::items& aItems,
+              const store::changed_keys& aChanged)
+{
+  own_changes changes;
+  if (aChanged.isAll) {
+    aKeys = ReadOwnKeys(aItems);
+    changes.isAll = true;
+    return changes;
+  }
+  for (const auto& key : aChanged.keys) {
+    const auto found = aItems.find(key);
+    ReadKey(
+      aKeys, key, found == aItems.end() ? nullptr : &found->second, changes);
+  }
+  return changes;
+}
+
+void
+UpdateFleet(own_keys& aKeys, const store::prefix_view::items& aItems)
+{
+  const auto found = aItems.find(FleetKey());
+  own_changes ignored;
+  ReadKey(aKeys,
+          FleetKey(),
+          found == aItems.end() ? nullptr : &found->second,
+          ignored);
+}
+
 void
 AddRecorded(own_keys& aKeys, const std::vector<vm_record>& aVms)
 {
@@ -266,26 +344,6 @@
   return duty != aKeys.duties.end() && IsHeld(aKeys, duty->second.record);
 }
 
-bool
-ShouldClaim(const own_keys& aKeys,
-            const std::string& aService,
-            const vm_record& aSelf)
-{
-  if (HasHolder(aKeys, aService)) {
-    return false;
-  }
-  std::vector<store::vm> candidates;
-  for (const auto& [name, one] : aKeys.vms) {
-    store::vm candidate;
-    candidate.id = name;
-    candidate.failureDomain = one.record.failureDomain;
-    candidate.leaving = one.record.leaving;
-    candidates.push_back(std::move(candidate));
-  }
-  const auto owners = member::ChooseOwners(aService, candidates, 1);
-  return !owners.empty() && owners.front().id == aSelf.where.vm;
-}
-
 store::transaction
 ClaimOf(const own_keys& aKeys,
         const std::string& aService,
--- a/src/currantshed/node/duty.hpp
+++ b/src/currantshed/node/duty.hpp
@@ -30,6 +30,9 @@
   unsigned processorShare = 0;
   /// Stops soon: takes no duty.
   bool leaving = false;
+
+  [[nodiscard]] friend bool operator==(const vm_record&,
+                                       const vm_record&) = default;
 };
 
 /// Who may change the primary of a group.
@@ -107,6 +110,30 @@
 [[nodiscard]] own_keys
 ReadOwnKeys(const store::prefix_view::items& aItems);
 
+/// What reading some keys anew has changed.
+struct own_changes
+{
+  /// Everything may have.
+  bool isAll = false;
+  /// VMs that came, went or tell something else of themselves.
+  std::vector<std::string> vms;
+  /// Services whose duty has another record.
+  std::vector<std::string> duties;
+  /// The recorded fleet was written.
+  bool isFleetRecorded = false;
+};
+
+/// Reads the keys that have changed, so that a change costs its own size; the
+/// outcome is that of reading all.
+[[nodiscard]] own_changes
+UpdateOwnKeys(own_keys& aKeys,
+              const store::prefix_view::items& aItems,
+              const store::changed_keys& aChanged);
+
+/// Reads the recorded fleet alone.
+void
+UpdateFleet(own_keys& aKeys, const store::prefix_view::items& aItems);
+
 /// Counts VMs as recorded that the record lacks.
 void
 AddRecorded(own_keys& aKeys, const std::vector<vm_record>& aVms);
@@ -115,13 +142,6 @@
 [[nodiscard]] bool
 HasHolder(const own_keys& aKeys, const std::string& aService);
 
-/// Whether the VM is to take the duty over: nobody who is listed and stays
-/// holds it, and this VM is the one that all agree on by hashing.
-[[nodiscard]] bool
-ShouldClaim(const own_keys& aKeys,
-            const std::string& aService,
-            const vm_record& aSelf);
-
 /// Takes the duty over, provided that neither its record nor its holder's have
 /// changed. The epoch is above every earlier one, also of claims that the store
 /// has lost: states of the store only go up. The replaced term is the newest
--- /dev/null
+++ b/src/currantshed/node/duty_board.cpp
@@ -0,0 +1,242 @@
+#include "currantshed/node/duty_board.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <iterator>
+#include <utility>
+
+#include "currantshed/member/owners.hpp"
+#include "currantshed/proxy/strength.hpp"
+
+namespace currantshed::node {
+
+absl::btree_set<std::string>
+Candidates(const own_keys& aKeys)
+{
+  std::vector<proxy::vm_strength> strengths;
+  strengths.reserve(aKeys.vms.size());
+  for (const auto& [name, one] : aKeys.vms) {
+    const auto& record = one.record;
+    strengths.push_back(
+      { record.failureDomain, record.processorShare, record.leaving });
+  }
+  const auto works = proxy::WorkForOthers(strengths);
+  absl::btree_set<std::string> candidates;
+  std::size_t place = 0;
+  for (const auto& [name, one] : aKeys.vms) {
+    if (works[place++]) {
+      candidates.insert(candidates.end(), name);
+    }
+  }
+  return candidates;
+}
+
+duty_board::duty_board(std::string aSelf)
+  : mSelf(std::move(aSelf))
+{
+}
+
+void
+duty_board::AddService(const own_keys& aKeys, const std::string& aService)
+{
+  const auto [place, isNew] = mGroups.try_emplace(aService);
+  if (!isNew) {
+    return;
+  }
+  mVacant.insert(aService);
+  Choose(aService, place->second);
+  DutyChanged(aKeys, aService);
+}
+
+void
+duty_board::SetCandidates(const own_keys& aKeys,
+                          absl::btree_set<std::string> aCandidates)
+{
+  const auto before = std::exchange(mCandidates, std::move(aCandidates));
+  std::vector<std::string> changed;
+  std::set_symmetric_difference(before.begin(),
+                                before.end(),
+                                mCandidates.begin(),
+                                mCandidates.end(),
+                                std::back_inserter(changed));
+  for (const auto& vm : changed) {
+    if (mCandidates.contains(vm)) {
+      CandidateComes(vm);
+    } else {
+      CandidateGoes(vm);
+    }
+    VmChanged(aKeys, vm);
+  }
+}
+
+void
+duty_board::VmChanged(const own_keys& aKeys, const std::string& aVm)
+{
+  const auto held = mByHolder.find(aVm);
+  if (held == mByHolder.end()) {
+    return;
+  }
+  for (const auto& service : held->second) {
+    Recheck(aKeys, service, mGroups.at(service));
+  }
+}
+
+void
+duty_board::DutyChanged(const own_keys& aKeys, const std::string& aService)
+{
+  const auto found = mGroups.find(aService);
+  if (found == mGroups.end()) {
+    return;
+  }
+  const auto duty = aKeys.duties.find(aService);
+  SetHolder(aService,
+            found->second,
+            duty == aKeys.duties.end() ? std::string()
+                                       : duty->second.record.holder);
+  Recheck(aKeys, aService, found->second);
+  Note(aService, found->second);
+}
+
+void
+duty_board::AllChanged(const own_keys& aKeys)
+{
+  for (const auto& [service, one] : mGroups) {
+    DutyChanged(aKeys, service);
+  }
+}
+
+bool
+duty_board::IsNext(const std::string& aService) const
+{
+  const auto found = mGroups.find(aService);
+  return found != mGroups.end() && found->second.best &&
+         found->second.best->vm == mSelf;
+}
+
+bool
+duty_board::IsHeld(const std::string& aService) const
+{
+  const auto found = mGroups.find(aService);
+  return found != mGroups.end() && found->second.isHeld;
+}
+
+std::vector<std::string>
+duty_board::Holders() const
+{
+  std::vector<std::string> holders;
+  holders.reserve(mByHolder.size());
+  for (const auto& [vm, services] : mByHolder) {
+    holders.push_back(vm);
+  }
+  return holders;
+}
+
+absl::btree_set<std::string>
+duty_board::TakeChanged()
+{
+  return std::exchange(mChanged, {});
+}
+
+void
+duty_board::CandidateComes(const std::string& aVm)
+{
+  for (const auto& service : mVacant) {
+    Compare(service, mGroups.at(service), aVm);
+  }
+}
+
+void
+duty_board::CandidateGoes(const std::string& aVm)
+{
+  for (const auto& service : mVacant) {
+    auto& group = mGroups.at(service);
+    if (group.best && group.best->vm == aVm) {
+      Choose(service, group);
+      Note(service, group);
+    }
+  }
+}
+
+// The better one of the two is to take the duty: the higher score, or the first
+// name among equals.
+void
+duty_board::Compare(const std::string& aService,
+                    group& aGroup,
+                    const std::string& aVm)
+{
+  ++mScored;
+  const auto score = member::OwnerScore(aService, aVm);
+  const auto& best = aGroup.best;
+  if (!best || score > best->score ||
+      (score == best->score && aVm < best->vm)) {
+    const bool concerns = aVm == mSelf || (best && best->vm == mSelf);
+    aGroup.best = { score, aVm };
+    if (concerns) {
+      Note(aService, aGroup);
+    }
+  }
+}
+
+void
+duty_board::Choose(const std::string& aService, group& aGroup)
+{
+  aGroup.best.reset();
+  for (const auto& vm : mCandidates) {
+    Compare(aService, aGroup, vm);
+  }
+}
+
+void
+duty_board::Recheck(const own_keys& aKeys,
+                    const std::string& aService,
+                    group& aGroup)
+{
+  const bool isHeld =
+    mCandidates.contains(aGroup.holder) && HasHolder(aKeys, aService);
+  if (std::exchange(aGroup.isHeld, isHeld) == isHeld) {
+    return;
+  }
+  if (isHeld) {
+    mVacant.erase(aService);
+    aGroup.best.reset();
+  } else {
+    mVacant.insert(aService);
+    Choose(aService, aGroup);
+  }
+  Note(aService, aGroup);
+}
+
+void
+duty_board::SetHolder(const std::string& aService,
+                      group& aGroup,
+                      const std::string& aHolder)
+{
+  if (aGroup.holder == aHolder) {
+    return;
+  }
+  const auto before = mByHolder.find(aGroup.holder);
+  if (before != mByHolder.end()) {
+    before->second.erase(aService);
+    if (before->second.empty()) {
+      mByHolder.erase(before);
+    }
+  }
+  aGroup.holder = aHolder;
+  if (!aHolder.empty()) {
+    mByHolder[aHolder].insert(aService);
+  }
+}
+
+void
+duty_board::Note(const std::string& aService, const group& aGroup)
+{
+  mChanged.insert(aService);
+  const bool isNext = aGroup.best && aGroup.best->vm == mSelf;
+  if (isNext || aGroup.holder == mSelf) {
+    mOwn.insert(aService);
+  } else {
+    mOwn.erase(aService);
+  }
+}
+
+} // namespace currantshed::node
--- a/src/currantshed/node/known_vms.cpp
+++ b/src/currantshed/node/known_vms.cpp
@@ -10,9 +10,6 @@
 
 using std::chrono::milliseconds;
 
-// A VM that was listed or heard this lately may still rest on a proof, whatever
-// the store says of it: its key may have been taken away unseen.
-constexpr milliseconds kMemory{ 15000 };
 // A VM off the list that spoke this lately is told the news: each VM speaks
 // every two seconds at the least, off the list every second, and a word may be
 // lost.
@@ -67,13 +64,31 @@
 known_vms::Reachable(clock::time_point aNow) const
 {
   std::vector<news::peer> reachable;
+  ForEachReachable(aNow, [&reachable](const news::peer& aPeer) {
+    reachable.push_back(aPeer);
+  });
+  return reachable;
+}
+
+void
+known_vms::ForEachReachable(
+  clock::time_point aNow,
+  absl::FunctionRef<void(const news::peer&)> aVisit) const
+{
   for (const auto& [name, one] : mVms) {
     const bool isThere = one.isListed || one.IsSpeaking(aNow);
     if (name != mSelf && one.where && isThere) {
-      reachable.push_back(*one.where);
+      aVisit(*one.where);
     }
   }
-  return reachable;
+}
+
+std::size_t
+known_vms::CountReachable(clock::time_point aNow) const
+{
+  std::size_t count = 0;
+  ForEachReachable(aNow, [&count](const news::peer& /*aPeer*/) { ++count; });
+  return count;
 }
 
 std::vector<news::peer>
--- a/src/currantshed/node/known_vms.hpp
+++ b/src/currantshed/node/known_vms.hpp
@@ -1,11 +1,14 @@
 #ifndef CURRANTSHED_NODE_KNOWN_VMS_HPP
 #define CURRANTSHED_NODE_KNOWN_VMS_HPP
 
+#include <chrono>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include <absl/container/btree_map.h>
+#include <absl/functional/function_ref.h>
 
 #include "currantshed/clock/time.hpp"
 #include "currantshed/news/exchange.hpp"
@@ -18,6 +21,10 @@
 class known_vms
 {
 public:
+  /// A VM that was listed or heard this lately may still rest on a proof,
+  /// whatever the store says of it: its key may have been taken away unseen.
+  static constexpr std::chrono::milliseconds kMemory{ 15000 };
+
   explicit known_vms(std::string aSelf);
 
   /// The VMs that the store lists now.
@@ -33,6 +40,14 @@
   /// spoke a moment ago and whose address is known.
   [[nodiscard]] std::vector<news::peer> Reachable(clock::time_point aNow) const;
 
+  /// The same one by one, without a copy of all.
+  void ForEachReachable(
+    clock::time_point aNow,
+    absl::FunctionRef<void(const news::peer&)> aVisit) const;
+
+  /// How many they are.
+  [[nodiscard]] std::size_t CountReachable(clock::time_point aNow) const;
+
   /// Those of them that spoke a moment ago.
   [[nodiscard]] std::vector<news::peer> Speaking(clock::time_point aNow) const;
 
--- a/src/currantshed/node/subscribers.cpp
+++ b/src/currantshed/node/subscribers.cpp
@@ -61,11 +61,12 @@
   return all;
 }
 
-bool
-subscribers::Wants(const std::string& aVm, const std::string& aGroup) const
+absl::btree_set<std::string>
+subscribers::GroupsOf(const std::string& aVm) const
 {
   const auto found = mVms.find(aVm);
-  return found != mVms.end() && found->second.groups.contains(aGroup);
+  return found == mVms.end() ? absl::btree_set<std::string>{}
+                             : found->second.groups;
 }
 
 void
--- a/src/currantshed/node/subscribers.hpp
+++ b/src/currantshed/node/subscribers.hpp
@@ -33,9 +33,9 @@
   /// All that ask, by name.
   [[nodiscard]] std::vector<std::string> All() const;
 
-  /// Whether the VM wants words on the group.
-  [[nodiscard]] bool Wants(const std::string& aVm,
-                           const std::string& aGroup) const;
+  /// The groups that the VM wants words on.
+  [[nodiscard]] absl::btree_set<std::string> GroupsOf(
+    const std::string& aVm) const;
 
 private:
   struct subscriber
--- a/src/currantshed/node/traffic.cpp
+++ b/src/currantshed/node/traffic.cpp
@@ -217,18 +217,11 @@
 }
 
 void
-traffic::AskHeard(std::vector<upstream::server_id> aServers,
-                  heard_callback aDone)
+traffic::AskHeard(clock::time_point aSince, heard_callback aDone)
 {
-  boost::asio::post(
-    mContext, [this, servers = std::move(aServers), done = std::move(aDone)] {
-      std::vector<std::optional<clock::time_point>> heard;
-      heard.reserve(servers.size());
-      for (const auto& server : servers) {
-        heard.push_back(mEngine.HeardAt(server));
-      }
-      done(std::move(heard));
-    });
+  boost::asio::post(mContext, [this, aSince, done = std::move(aDone)] {
+    done(mEngine.HeardSince(aSince));
+  });
 }
 
 void
--- a/src/currantshed/node/traffic.hpp
+++ b/src/currantshed/node/traffic.hpp
@@ -39,8 +39,7 @@
   using order_callback =
     std::function<void(proxy::order_result, std::optional<clock::time_point>)>;
 
-  using heard_callback =
-    std::function<void(std::vector<std::optional<clock::time_point>>)>;
+  using heard_callback = std::function<void(std::vector<proxy::heard_server>)>;
 
   traffic(const node_settings& aSettings,
           const proxy::engine_settings& aEngine,
@@ -82,10 +81,9 @@
              bool aDirect,
              std::chrono::milliseconds aTimeout,
              order_callback aDone);
-  /// When servers were last heard, in the order asked; the callback runs on
-  /// the traffic thread.
-  void AskHeard(std::vector<upstream::server_id> aServers,
-                heard_callback aDone);
+  /// The servers that were heard since then; the callback runs on the traffic
+  /// thread.
+  void AskHeard(clock::time_point aSince, heard_callback aDone);
 
   /// The services that callers have used since then; the callback runs on the
   /// traffic thread.
--- a/test/currantshed/node/duty.cpp
+++ b/test/currantshed/node/duty.cpp
@@ -1,9 +1,14 @@
 #include "currantshed/node/duty.hpp"
 
 #include <algorithm>
+#include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "currantshed/node/duty_board.hpp"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace currantshed;
@@ -79,7 +84,10 @@
     const auto keys = node::ReadOwnKeys(Items(row.vms, row.duty));
     int claimers = 0;
     for (const auto& vm : row.vms) {
-      const bool claims = node::ShouldClaim(keys, "group", vm);
+      node::duty_board board(vm.where.vm);
+      board.AddService(keys, "group");
+      board.SetCandidates(keys, node::Candidates(keys));
+      const bool claims = board.IsNext("group");
       CHECK_TEXT(!(claims && vm.leaving), row.name);
       claimers += claims ? 1 : 0;
     }
@@ -215,3 +223,120 @@
   node::AddRecorded(keys, { Vm("c", 3), Vm("a", 1), Vm("b", 9) });
   CHECK(node::IsSameFleet(keys.fleet, { Vm("a", 1), Vm("b", 2), Vm("c", 3) }));
 }
+
+namespace {
+
+bool
+AreSame(const own_keys& aLeft, const own_keys& aRight)
+{
+  const auto isSame = [](const auto& aOne, const auto& aOther) {
+    return aOne.first == aOther.first &&
+           aOne.second.changed == aOther.second.changed;
+  };
+  const auto areSameVms = [&](const auto& aOne, const auto& aOther) {
+    return isSame(aOne, aOther) && aOne.second.record == aOther.second.record;
+  };
+  const auto areSameDuties = [&](const auto& aOne, const auto& aOther) {
+    return isSame(aOne, aOther) && node::PrintDuty(aOne.second.record) ==
+                                     node::PrintDuty(aOther.second.record);
+  };
+  return std::equal(aLeft.vms.begin(),
+                    aLeft.vms.end(),
+                    aRight.vms.begin(),
+                    aRight.vms.end(),
+                    areSameVms) &&
+         std::equal(aLeft.duties.begin(),
+                    aLeft.duties.end(),
+                    aRight.duties.begin(),
+                    aRight.duties.end(),
+                    areSameDuties) &&
+         aLeft.fleet == aRight.fleet &&
+         aLeft.fleetChanged == aRight.fleetChanged;
+}
+
+/// Random writes and removals of keys of all kinds, readable or not.
+class key_changer
+{
+public:
+  explicit key_changer(unsigned aSeed)
+    : mRandom(aSeed)
+  {
+  }
+
+  /// Changes one key, and returns it.
+  std::string Change(store::prefix_view::items& aItems)
+  {
+    const auto [key, value] = Draw();
+    if (Pick(4) == 0) {
+      aItems.erase(key);
+    } else {
+      aItems[key] = { key, value, { 0, ++mRevision }, {} };
+    }
+    return key;
+  }
+
+private:
+  unsigned Pick(unsigned aOf)
+  {
+    return std::uniform_int_distribution<unsigned>(0, aOf - 1)(mRandom);
+  }
+
+  std::pair<std::string, std::string> Draw()
+  {
+    const auto name = std::string(1, static_cast<char>('a' + Pick(6)));
+    const bool isBroken = Pick(10) == 0;
+    switch (Pick(5)) {
+      case 0:
+        return { node::FleetKey(),
+                 isBroken ? "{" : node::PrintFleet({ Vm(name, 1) }) };
+      case 1:
+      case 2:
+        return { node::DutyKey(name),
+                 isBroken ? "[]"
+                          : node::PrintDuty({ name, Pick(3), Pick(9) }) };
+      default:
+        return { node::VmKey(name),
+                 isBroken ? ""
+                          : node::PrintVm(Vm(name, Pick(3), Pick(2) == 0)) };
+    }
+  }
+
+  std::mt19937 mRandom;
+  std::uint64_t mRevision = 0;
+};
+
+} // namespace
+
+// Whatever changes, and however many changes are taken over at a time, the
+// outcome is that of reading all keys anew.
+TEST(duty, changes_lead_to_what_reading_all_does)
+{
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    key_changer changer(seed);
+    store::prefix_view::items items;
+    own_keys keys;
+    for (unsigned step = 0; step < 200; ++step) {
+      std::set<std::string> changed;
+      for (unsigned i = 0; i < 1 + step % 3; ++i) {
+        changed.insert(changer.Change(items));
+      }
+      (void)node::UpdateOwnKeys(
+        keys, items, { false, { changed.begin(), changed.end() } });
+      CHECK(AreSame(keys, node::ReadOwnKeys(items)));
+    }
+  }
+}
+
+// A key that is moved to another lease is written anew, and says the same.
+TEST(duty, a_record_that_says_the_same_is_no_change_of_the_vm)
+{
+  auto items = Items({ Vm("a", 1), Vm("b", 2) }, std::nullopt);
+  auto keys = node::ReadOwnKeys(items);
+  const auto key = node::VmKey("a");
+  items[key].changed = { 0, 90 };
+  CHECK(node::UpdateOwnKeys(keys, items, { false, { key } }).vms.empty());
+  CHECK(keys.vms.at("a").changed.number == 90);
+  items[key].value = node::PrintVm(Vm("a", 1, true));
+  CHECK(node::UpdateOwnKeys(keys, items, { false, { key } }).vms ==
+        std::vector<std::string>{ "a" });
+}
--- a/test/currantshed/node/subscribers.cpp
+++ b/test/currantshed/node/subscribers.cpp
@@ -87,9 +87,9 @@
     CHECK_EQUAL_TEXT(row.isLeft, !box.Empty(), row.name);
     STRCMP_EQUAL_TEXT(
       row.isLeft ? "v " : "", Joined(box.All()).c_str(), row.name);
-    CHECK_EQUAL_TEXT(row.wantsA, box.Wants("v", "a"), row.name);
-    CHECK_EQUAL_TEXT(row.wantsB, box.Wants("v", "b"), row.name);
-    CHECK_FALSE_TEXT(box.Wants("w", "a"), row.name);
+    CHECK_EQUAL_TEXT(row.wantsA, box.GroupsOf("v").contains("a"), row.name);
+    CHECK_EQUAL_TEXT(row.wantsB, box.GroupsOf("v").contains("b"), row.name);
+    CHECK_FALSE_TEXT(box.GroupsOf("w").contains("a"), row.name);
   }
 }
 
