What is too long for one message comes from feeders in parts; one question at a time

Causes: a VM that lacked more than 64 KB read it whole from the store: VMs times size, by arithmetic 344 MB at each change of a configuration of 262 KB and over 1 GB when 985 VMs start, on a link of 125 MB a second that leases share. And while keys change, each word of news led to a question every 20 ms although the one before was not answered, each answered in full: feeders stood at 150 MB (16 waiting messages for each of a hundred slow links). Change: a feeder cuts one copy of a prefix into parts for all that ask; whoever gets no part for 400 ms, or not all in 1.2 s, reads the store as before. First readings of configuration and servers wait up to 500 ms for the own keys, which tell who may hand them over; while all start, feeders are chosen among recorded VMs too. question_pace: the next question follows an answer, or 250 ms of silence. Counted (key_parts, new): one copy is made for 50, 100 and 200 VMs that ask at once; rows on lost, strayed and late parts. question_pace: 5 questions a second where answers take 200 ms, 50 before.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -8,6 +8,7 @@
 #include "currantshed/clock/now.hpp"
 #include "currantshed/log/log.hpp"
 #include "currantshed/node/audience.hpp"
+#include "currantshed/node/internal/feed_times.hpp"
 #include "currantshed/store/patience.hpp"
 
 namespace currantshed::node {
@@ -38,10 +39,11 @@
 // and what they learn must be soon enough for all.
 constexpr milliseconds kLongestServersPause{ 800 };
 constexpr milliseconds kLongestOwnPause{ 300 };
-// How long after its start a VM looks for others that follow the store for it,
-// before it begins to follow what it has read by itself.
-constexpr milliseconds kFeederSearch{ 2500 };
+// The same as for the other keys, for the system's own.
 constexpr milliseconds kOwnFeederSearch{ 1000 };
+// How long the first reading of the other keys waits for that of the own ones,
+// which tells who may hand them over.
+constexpr milliseconds kOwnKeysFirst{ 500 };
 // Life of a VM's lease, and the time between renewals. VMs that hold a duty or
 // feed others have a short one. For all others the price counts: with the long
 // one a VM's renewals cost half as much.
@@ -125,8 +127,10 @@
   , mTicker(mContext, [this] { Tick(); })
 {
   mUseKnownAt = mStartedAt;
-  mConfigurationView.FedUntil(mStartedAt + kFeederSearch);
-  mServersView.FedUntil(mStartedAt + kFeederSearch);
+  for (auto* view : { &mConfigurationView, &mServersView }) {
+    view->FedUntil(mStartedAt + internal::kFeederSearch);
+    view->FirstReadFrom(mStartedAt + kOwnKeysFirst);
+  }
   mOwnView.FedUntil(mStartedAt + kOwnFeederSearch);
   mRegistration.SetValue(PrintVm(mSelf));
   mRegistration.OnWritten([this] { Tick(); });
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -35,8 +35,10 @@
 #include "currantshed/node/duty.hpp"
 #include "currantshed/node/duty_board.hpp"
 #include "currantshed/node/group_agenda.hpp"
+#include "currantshed/node/key_parts.hpp"
 #include "currantshed/node/known_vms.hpp"
 #include "currantshed/node/metrics.hpp"
+#include "currantshed/node/question_pace.hpp"
 #include "currantshed/node/relay_box.hpp"
 #include "currantshed/node/server_list.hpp"
 #include "currantshed/node/settings.hpp"
@@ -277,6 +279,22 @@
   void TakeUpdates(const news::News& aNews,
                    const news::exchange::clock_reader& aClock,
                    clock::time_point aNow);
+  void TakeUpdate(const std::string& aVm,
+                  const news::KeysUpdate& aUpdate,
+                  const news::exchange::clock_reader& aClock,
+                  clock::time_point aNow);
+  void FillUpdate(news::KeysUpdate& aOut,
+                  std::size_t aPrefix,
+                  const store::key_update& aUpdate);
+  void AskParts(const std::string& aVm,
+                std::size_t aPrefix,
+                clock::time_point aNow);
+  void SendWantedPart(std::size_t aPrefix,
+                      const std::string& aVm,
+                      clock::time_point aNow);
+  void AnswerParts(const news::News& aNews, clock::time_point aNow);
+  void TakeParts(const news::News& aNews, clock::time_point aNow);
+  void HoldFirstReadings(bool aHasFeeders, clock::time_point aNow);
   void AnswerSender(const std::string& aVm, clock::time_point aNow);
   void HeardChanges(const news::News& aNews, clock::time_point aNow);
   void TellSubscribers(clock::time_point aNow);
@@ -325,8 +343,12 @@
   relay_box mWatches;
   // When a feeder last passed words of those that watch groups on to this VM.
   clock::time_point mRelayedAt{};
-  clock::time_point mWantedAt{};
+  question_pace mPace;
   clock::time_point mNextPoll{};
+  // Copies of the followed prefixes for VMs that lack much, and what this VM
+  // lacks; in the order of the prefixes' numbers.
+  std::array<part_cutter, 3> mCutters;
+  std::array<part_collector, 3> mCollectors;
   // The VMs that ask this one.
   subscribers mSubscribers;
   // The groups that callers of this VM use, and up to when that is known.
--- a/src/currantshed/node/control_feed.cpp
+++ b/src/currantshed/node/control_feed.cpp
@@ -12,6 +12,7 @@
 #include "currantshed/node/audience.hpp"
 #include "currantshed/node/control_words.hpp"
 #include "currantshed/node/feeders.hpp"
+#include "currantshed/node/internal/feed_times.hpp"
 
 namespace currantshed::node {
 
@@ -28,8 +29,6 @@
 // its acknowledgement wherever the VM itself reaches the store.
 constexpr milliseconds kConfigurationLife{ 1800 };
 constexpr milliseconds kOtherLife{ 2500 };
-// Pause between two questions that such words lead to.
-constexpr milliseconds kHintPause{ 20 };
 
 store::key_change
 ReadKey(const news::Key& aKey, store::era_id aEra)
@@ -102,6 +101,7 @@
   if (feeders.empty()) {
     EndFeederSearch(isFeeder, aNow);
   }
+  HoldFirstReadings(!feeders.empty(), aNow);
   if (feeders == mFeeders) {
     return;
   }
@@ -193,7 +193,7 @@
     wanted->set_known(known.number);
     wanted->set_known_era(known.era);
   }
-  mWantedAt = aNow;
+  mPace.Asked(aNow);
   mNews.Send(aVm, std::move(told), aNow);
 }
 
@@ -218,58 +218,76 @@
     const auto& view = *views[wanted.prefix()];
     const auto update =
       view.After({ wanted.known_era(), wanted.known() }, longest);
-    auto& out = *told.add_updates();
-    out.set_prefix(wanted.prefix());
-    out.set_whole(update.isWhole);
-    out.set_after(update.after.number);
-    out.set_up_to(update.upTo.number);
-    out.set_era(update.upTo.era);
-    out.set_may_be_old(update.mayBeOld);
-    out.set_current_at_us(
-      lead::ToWire(view.CurrentAt(mRegistration.AnsweredFor())).count());
-    if (wanted.prefix() == 0) {
-      out.set_proved_at_us(lead::ToWire(view.ProvedAt()).count());
-    }
-    out.set_too_long(update.isTooLong);
-    for (const auto& one : update.changes) {
-      Fill(*out.add_keys(), one);
-    }
+    FillUpdate(*told.add_updates(), wanted.prefix(), update);
   }
   mNews.Send(aNews.vm(), std::move(told), aNow);
 }
 
+void
+control::FillUpdate(news::KeysUpdate& aOut,
+                    std::size_t aPrefix,
+                    const store::key_update& aUpdate)
+{
+  const auto& view = *Views().at(aPrefix);
+  aOut.set_prefix(static_cast<std::uint32_t>(aPrefix));
+  aOut.set_whole(aUpdate.isWhole);
+  aOut.set_after(aUpdate.after.number);
+  aOut.set_up_to(aUpdate.upTo.number);
+  aOut.set_era(aUpdate.upTo.era);
+  aOut.set_may_be_old(aUpdate.mayBeOld);
+  aOut.set_current_at_us(
+    lead::ToWire(view.CurrentAt(mRegistration.AnsweredFor())).count());
+  if (aPrefix == internal::kConfigurationNumber) {
+    aOut.set_proved_at_us(lead::ToWire(view.ProvedAt()).count());
+  }
+  aOut.set_too_long(aUpdate.isTooLong);
+  for (const auto& one : aUpdate.changes) {
+    Fill(*aOut.add_keys(), one);
+  }
+}
+
 void
 control::TakeUpdates(const news::News& aNews,
                      const news::exchange::clock_reader& aClock,
                      clock::time_point aNow)
 {
-  const auto views = Views();
+  if (aNews.updates_size() > 0) {
+    mPace.Answered();
+  }
   for (const auto& update : aNews.updates()) {
-    if (update.prefix() >= views.size()) {
-      continue;
-    }
-    auto& view = *views[update.prefix()];
-    if (update.proved_at_us() != 0 && !aClock) {
-      AnswerSender(aNews.vm(), aNow);
-    }
-    if (update.too_long()) {
-      view.FedUntil(aNow);
-      continue;
+    if (update.prefix() < Views().size()) {
+      TakeUpdate(aNews.vm(), update, aClock, aNow);
     }
-    if (!view.Take(ReadUpdate(update), aNow) || !aClock) {
-      continue;
-    }
-    if (update.proved_at_us() != 0) {
-      view.Prove(aClock(update.proved_at_us()));
-      NoteProof(aNow);
-    }
-    const auto life =
-      &view == &mConfigurationView ? kConfigurationLife : kOtherLife;
-    view.FedUntil(
-      std::max(view.FedUntil(), aClock(update.current_at_us()) + life));
   }
 }
 
+void
+control::TakeUpdate(const std::string& aVm,
+                    const news::KeysUpdate& aUpdate,
+                    const news::exchange::clock_reader& aClock,
+                    clock::time_point aNow)
+{
+  auto& view = *Views().at(aUpdate.prefix());
+  if (aUpdate.proved_at_us() != 0 && !aClock) {
+    AnswerSender(aVm, aNow);
+  }
+  if (aUpdate.too_long()) {
+    AskParts(aVm, aUpdate.prefix(), aNow);
+    return;
+  }
+  if (!view.Take(ReadUpdate(aUpdate), aNow) || !aClock) {
+    return;
+  }
+  if (aUpdate.proved_at_us() != 0) {
+    view.Prove(aClock(aUpdate.proved_at_us()));
+    NoteProof(aNow);
+  }
+  const auto life =
+    &view == &mConfigurationView ? kConfigurationLife : kOtherLife;
+  view.FedUntil(
+    std::max(view.FedUntil(), aClock(aUpdate.current_at_us()) + life));
+}
+
 // Says anything, so that the other VM can put its next times in terms of this
 // one's clock.
 void
@@ -290,7 +308,7 @@
   for (std::size_t i = 0; i < views.size(); ++i) {
     isNews = isNews || heard[i] > views[i]->Seen();
   }
-  if (isNews && IsFeeder(aNews.vm()) && aNow >= mWantedAt + kHintPause) {
+  if (isNews && IsFeeder(aNews.vm()) && mPace.MayAsk(aNow)) {
     SendWanted(aNews.vm(), aNow);
   }
 }
--- a/src/currantshed/node/control_freshness.cpp
+++ b/src/currantshed/node/control_freshness.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "currantshed/log/log.hpp"
+#include "currantshed/node/internal/feed_times.hpp"
 
 namespace currantshed::node {
 
@@ -15,8 +16,6 @@
 
 using std::chrono::milliseconds;
 
-// The number of the configuration's keys in messages.
-constexpr std::uint32_t kConfigurationNumber = 0;
 // A VM without a proof that is this young asks other VMs for one, whether the
 // store answers it or not.
 constexpr milliseconds kAskOthers{ 2000 };
@@ -120,7 +119,7 @@
   news::News told;
   FillChanges(told);
   auto& out = *told.add_updates();
-  out.set_prefix(kConfigurationNumber);
+  out.set_prefix(internal::kConfigurationNumber);
   out.set_after(mConfigurationView.Changed().number);
   out.set_up_to(mConfigurationView.Seen().number);
   out.set_era(mConfigurationView.Seen().era);
--- a/src/currantshed/node/control_news.cpp
+++ b/src/currantshed/node/control_news.cpp
@@ -188,8 +188,10 @@
   }
   HeardOfTokens(aNews, aClock, aNow);
   AnswerWanted(aNews, aNow);
+  AnswerParts(aNews, aNow);
   HeardDoubts(aNews, aNow);
   TakeUpdates(aNews, aClock, aNow);
+  TakeParts(aNews, aNow);
   HeardChanges(aNews, aNow);
   if (aNews.answer()) {
     AnswerTo(aNews.vm(), aNow);
--- a/src/currantshed/node/control_relay.cpp
+++ b/src/currantshed/node/control_relay.cpp
@@ -83,12 +83,18 @@
   mFedDomains.clear();
   mFeedersOfAll.clear();
   mOwnFeeders.clear();
+  // While all start, those that are recorded will be back in a moment.
+  std::optional<own_keys> withRecorded;
+  if (!mIsSettled) {
+    withRecorded = WithRecorded();
+  }
+  const auto& keys = withRecorded ? *withRecorded : mOwnKeys;
   absl::flat_hash_set<std::string> domains;
-  for (const auto& [name, one] : mOwnKeys.vms) {
+  for (const auto& [name, one] : keys.vms) {
     domains.insert(one.record.failureDomain);
   }
   for (const auto& domain : domains) {
-    const auto feeders = Feeders(mOwnKeys, domain);
+    const auto feeders = Feeders(keys, domain);
     if (!feeders.empty()) {
       mFedDomains.insert(domain);
       mFeedersOfAll.insert(feeders.begin(), feeders.end());
--- /dev/null
+++ b/src/currantshed/node/key_parts.hpp
@@ -0,0 +1,102 @@
+#ifndef CURRANTSHED_NODE_KEY_PARTS_HPP
+#define CURRANTSHED_NODE_KEY_PARTS_HPP
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "currantshed/clock/time.hpp"
+#include "currantshed/store/key_value.hpp"
+
+namespace currantshed::node {
+
+/// A piece of a copy of all keys below one prefix, or the question for it.
+struct key_part
+{
+  /// The state of the store that the copy is of; none in a first question.
+  store::revision of;
+  std::size_t from = 0;
+  /// Of the whole copy.
+  std::size_t length = 0;
+  std::string content;
+};
+
+/// Cuts copies of keys that are too long for one message into parts, for many
+/// VMs that ask at the same time. Asks for no time and does no I/O.
+class part_cutter
+{
+public:
+  using copy_maker = std::function<std::string()>;
+
+  /// The part that was asked for, of at most so many bytes. One of a copy that
+  /// is not kept any longer is answered by the beginning of the newest. A copy
+  /// serves all that begin within a moment: what has changed since it was made
+  /// is asked for afterwards.
+  [[nodiscard]] key_part Cut(const key_part& aAsked,
+                             std::size_t aLongest,
+                             store::revision aNewest,
+                             clock::time_point aNow,
+                             const copy_maker& aMake);
+
+  /// Copies that were made; counts work.
+  [[nodiscard]] std::size_t Made() const noexcept { return mMade; }
+
+private:
+  struct copy
+  {
+    store::revision of;
+    std::string bytes;
+    clock::time_point madeAt;
+  };
+
+  [[nodiscard]] const copy* Find(store::revision aOf) const;
+  const copy& Newest(store::revision aNewest,
+                     clock::time_point aNow,
+                     const copy_maker& aMake);
+
+  std::deque<copy> mCopies;
+  std::size_t mMade = 0;
+};
+
+/// Puts the parts of a copy together, which come from one VM, one after the
+/// other. Asks for no time and does no I/O.
+class part_collector
+{
+public:
+  /// Begins to collect from the VM, unless a copy is on its way already.
+  /// Returns whether it has begun.
+  bool Begin(const std::string& aVm, clock::time_point aNow);
+
+  /// What to ask for next.
+  [[nodiscard]] key_part Wanted() const;
+
+  /// Takes a part over. Returns the copy once it is whole.
+  std::optional<std::string> Take(const std::string& aVm,
+                                  const key_part& aPart,
+                                  clock::time_point aNow);
+
+  /// Whether parts are on their way from the VM; not any longer when they stay
+  /// away, or when all of them take too long.
+  [[nodiscard]] bool IsUnderWay(clock::time_point aNow) const;
+  [[nodiscard]] bool IsFrom(const std::string& aVm) const
+  {
+    return mFrom == aVm;
+  }
+
+  /// Until when the next part is waited for.
+  [[nodiscard]] clock::time_point Until() const noexcept { return mUntil; }
+
+private:
+  std::string mFrom;
+  store::revision mOf;
+  std::string mBytes;
+  clock::time_point mBegunAt{};
+  clock::time_point mUntil{};
+};
+
+} // namespace currantshed::node
+
+#endif
