Few changes lead to new plans; entries of servers are read when they change

Causes, seen in a profile of a start of 985 VMs (holders' hashes first): each VM that came or went had all plans made anew at the VMs that work for others, though it takes no part in any; each turn in which servers registered (3,000 over ten seconds) had all entries parsed again, and a line logged for each server; VMs that begin to count as candidates by the hundred were compared one by one. Change: plans are made anew when those that may hold connections change, or the number of VMs where each has its own; entries are parsed when they change; servers that have come are told by servers_listed alone; duty_board takes all that come and go at once. Counted (many_groups): a weak VM that comes leads to no new plan.

--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -129,7 +129,8 @@
   [[nodiscard]] std::vector<proxy::server> ReadServers();
   void NoteUnusable(const std::string& aKey,
                     store::revision aChanged,
-                    std::error_code aWhyNot) const;
+                    std::error_code aWhyNot);
+  void ReadEntry(const std::string& aKey, const store::item& aItem);
   void NoteServers(const std::vector<server_news>& aNews,
                    list_source aSource) const;
   void ConfigureGroups(const absl::flat_hash_set<std::string>& aServices,
@@ -377,6 +378,8 @@
   store::era_id mServersEra = 0;
   // The services of the configuration in force, once there is one.
   std::optional<absl::flat_hash_set<std::string>> mServices;
+  // The entries that can be read, by key.
+  absl::btree_map<std::string, proxy::server> mEntries;
   // Entries that name no server to use, and their last changes.
   absl::btree_map<std::string, store::revision> mUnusable;
   groups mGroups;
--- a/src/currantshed/node/control_servers.cpp
+++ b/src/currantshed/node/control_servers.cpp
@@ -79,37 +79,66 @@
 
 // Entries of other writers name no server to use. One that was good before and
 // can't be read any longer is missing: what it said last holds for as long as a
-// missing server is kept, so that one that leaves is still leaving.
+// missing server is kept, so that one that leaves is still leaving. Only
+// entries that have changed are read: those of a thousand groups come in many
+// turns.
 std::vector<proxy::server>
 control::ReadServers()
 {
-  std::vector<proxy::server> servers;
-  absl::btree_map<std::string, store::revision> unusable;
-  for (const auto& [key, item] : mServersView.Items()) {
-    std::error_code whyNot;
-    auto read = mDocuments.ReadServer(key, item.value, whyNot);
-    if (read && mServices && !mServices->contains(read->service)) {
-      whyNot = entry_errc::kUnknownService;
+  const auto& items = mServersView.Items();
+  const auto changed = mServersView.TakeChangedKeys();
+  if (changed.isAll) {
+    mEntries.clear();
+    absl::erase_if(mUnusable, [&items](const auto& aEntry) {
+      return !items.contains(aEntry.first);
+    });
+    for (const auto& [key, item] : items) {
+      ReadEntry(key, item);
     }
-    if (!whyNot) {
-      servers.push_back(std::move(*read));
-      continue;
+  }
+  for (const auto& key : changed.keys) {
+    const auto found = items.find(key);
+    if (found == items.end()) {
+      mEntries.erase(key);
+      mUnusable.erase(key);
+    } else {
+      ReadEntry(key, found->second);
+    }
+  }
+  std::vector<proxy::server> servers;
+  servers.reserve(mEntries.size());
+  for (const auto& [key, entry] : mEntries) {
+    if (mServices && !mServices->contains(entry.service)) {
+      NoteUnusable(key, items.at(key).changed, entry_errc::kUnknownService);
+    } else {
+      servers.push_back(entry);
     }
-    unusable.emplace(key, item.changed);
-    NoteUnusable(key, item.changed, whyNot);
   }
-  mUnusable = std::move(unusable);
   return servers;
 }
 
+void
+control::ReadEntry(const std::string& aKey, const store::item& aItem)
+{
+  std::error_code whyNot;
+  auto read = mDocuments.ReadServer(aKey, aItem.value, whyNot);
+  if (read && !whyNot) {
+    mEntries.insert_or_assign(aKey, std::move(*read));
+    mUnusable.erase(aKey);
+    return;
+  }
+  mEntries.erase(aKey);
+  NoteUnusable(aKey, aItem.changed, whyNot);
+}
+
 // One line for each entry and change of it.
 void
 control::NoteUnusable(const std::string& aKey,
                       store::revision aChanged,
-                      std::error_code aWhyNot) const
+                      std::error_code aWhyNot)
 {
-  const auto found = mUnusable.find(aKey);
-  if (found != mUnusable.end() && found->second == aChanged) {
+  auto& noted = mUnusable[aKey];
+  if (std::exchange(noted, aChanged) == aChanged) {
     return;
   }
   mMetrics.EntryUnusable(aWhyNot.message());
@@ -121,12 +150,16 @@
 }
 
 // One line for each server whose standing has changed, so that it can be told
-// when this VM knew that a server leaves, and how it came to know.
+// when this VM knew that a server leaves, and how it came to know. Those that
+// have come are many when all start, and told by their number alone.
 void
 control::NoteServers(const std::vector<server_news>& aNews,
                      list_source aSource) const
 {
   for (const auto& one : aNews) {
+    if (one.isNew && one.standing == server_standing::kReady) {
+      continue;
+    }
     const auto* lead = Find(one.server.service);
     const bool leads =
       lead != nullptr && lead->lead.Proof().primary == one.server.id;
--- a/src/currantshed/node/duty_board.cpp
+++ b/src/currantshed/node/duty_board.cpp
@@ -53,19 +53,28 @@
                           absl::btree_set<std::string> aCandidates)
 {
   const auto before = std::exchange(mCandidates, std::move(aCandidates));
-  std::vector<std::string> changed;
-  std::set_symmetric_difference(before.begin(),
-                                before.end(),
-                                mCandidates.begin(),
-                                mCandidates.end(),
-                                std::back_inserter(changed));
-  for (const auto& vm : changed) {
-    if (mCandidates.contains(vm)) {
-      CandidateComes(vm);
-    } else {
-      CandidateGoes(vm);
+  std::vector<std::string> come;
+  std::vector<std::string> gone;
+  std::set_difference(mCandidates.begin(),
+                      mCandidates.end(),
+                      before.begin(),
+                      before.end(),
+                      std::back_inserter(come));
+  std::set_difference(before.begin(),
+                      before.end(),
+                      mCandidates.begin(),
+                      mCandidates.end(),
+                      std::back_inserter(gone));
+  if (come.empty() && gone.empty()) {
+    return;
+  }
+  for (const auto& service : mVacant) {
+    Reconsider(service, come);
+  }
+  for (const auto* vms : { &come, &gone }) {
+    for (const auto& vm : *vms) {
+      VmChanged(aKeys, vm);
     }
-    VmChanged(aKeys, vm);
   }
 }
 
@@ -137,23 +146,21 @@
   return std::exchange(mChanged, {});
 }
 
+// Who is to take a vacant group now that some VMs have come and others gone:
+// all are looked at only where the one that was to take it has gone.
 void
-duty_board::CandidateComes(const std::string& aVm)
-{
-  for (const auto& service : mVacant) {
-    Compare(service, mGroups.at(service), aVm);
+duty_board::Reconsider(const std::string& aService,
+                       const std::vector<std::string>& aCome)
+{
+  auto& group = mGroups.at(aService);
+  const bool isGone = group.best && !mCandidates.contains(group.best->vm);
+  if (isGone) {
+    Choose(aService, group);
+    Note(aService, group);
+    return;
   }
-}
-
-void
-duty_board::CandidateGoes(const std::string& aVm)
-{
-  for (const auto& service : mVacant) {
-    auto& group = mGroups.at(service);
-    if (group.best && group.best->vm == aVm) {
-      Choose(service, group);
-      Note(service, group);
-    }
+  for (const auto& vm : aCome) {
+    Compare(aService, group, vm);
   }
 }
 
--- a/src/currantshed/node/duty_board.hpp
+++ b/src/currantshed/node/duty_board.hpp
@@ -83,8 +83,8 @@
 
   using groups = absl::btree_map<std::string, group>;
 
-  void CandidateComes(const std::string& aVm);
-  void CandidateGoes(const std::string& aVm);
+  void Reconsider(const std::string& aService,
+                  const std::vector<std::string>& aCome);
   void Compare(const std::string& aService,
                group& aGroup,
                const std::string& aVm);
--- a/src/currantshed/node/server_list.cpp
+++ b/src/currantshed/node/server_list.cpp
@@ -45,7 +45,7 @@
                         before->draining != one.draining ||
                         mMissing.contains(one.id);
     if (isNews) {
-      news.push_back({ one, StandingOf(one) });
+      news.push_back({ one, StandingOf(one), before == nullptr });
     }
     mMissing.erase(one.id);
   }
--- a/src/currantshed/node/server_list.hpp
+++ b/src/currantshed/node/server_list.hpp
@@ -42,6 +42,8 @@
 {
   proxy::server server;
   server_standing standing = server_standing::kReady;
+  /// It was not known before.
+  bool isNew = false;
 };
 
 /// The servers that the store lists, and those that it listed until lately.
--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -78,7 +78,9 @@
 void
 engine::SetFleet(std::vector<fleet_vm> aFleet, clock::time_point aNow)
 {
-  if (mPlanner.SetFleet(std::move(aFleet))) {
+  const auto before = mPlanner.Size();
+  const bool isOther = mPlanner.SetFleet(std::move(aFleet));
+  if (isOther || CountsForPlans(before, mPlanner.Size())) {
     PlansChanged(aNow);
   }
 }
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -386,6 +386,8 @@
                       clock::time_point aNow);
   [[nodiscard]] std::size_t MostConnections(const server_state& aServer) const;
   server_state& Planned(server_state& aServer);
+  [[nodiscard]] bool CountsForPlans(std::size_t aBefore,
+                                    std::size_t aNow) const;
   void PlansChanged(clock::time_point aNow);
   void IndexServers();
   void ListHeld();
--- a/src/currantshed/proxy/engine_connections.cpp
+++ b/src/currantshed/proxy/engine_connections.cpp
@@ -70,6 +70,24 @@
   return aServer;
 }
 
+// Whether plans depend on which of the two numbers of VMs there are.
+bool
+engine::CountsForPlans(std::size_t aBefore, std::size_t aNow) const
+{
+  if (aBefore == aNow) {
+    return false;
+  }
+  if (aBefore <= 1 || aNow <= 1) {
+    return true;
+  }
+  const auto fewer = std::min(aBefore, aNow);
+  const auto& services = mConfiguration->services;
+  return std::any_of(
+    services.begin(), services.end(), [fewer](const auto& aEntry) {
+      return access_planner::IsForEveryone(aEntry.second.maxConnections, fewer);
+    });
+}
+
 void
 engine::PlansChanged(clock::time_point aNow)
 {
--- a/src/currantshed/proxy/holders.cpp
+++ b/src/currantshed/proxy/holders.cpp
@@ -42,18 +42,17 @@
 
 // The VMs, with the hash of their name and the server's.
 std::vector<scored_vm>
-Scored(const upstream::server_id& aServer,
-       const std::vector<const fleet_vm*>& aVms)
+Scored(const upstream::server_id& aServer, const std::vector<fleet_vm>& aVms)
 {
   std::string text = aServer;
   text.push_back('\0');
   const auto stem = text.size();
   std::vector<scored_vm> scored;
   scored.reserve(aVms.size());
-  for (const auto* vm : aVms) {
+  for (const auto& vm : aVms) {
     text.resize(stem);
-    text += vm->name;
-    scored.push_back({ XXH3_64bits(text.data(), text.size()), vm });
+    text += vm.name;
+    scored.push_back({ XXH3_64bits(text.data(), text.size()), &vm });
   }
   return scored;
 }
@@ -88,37 +87,40 @@
 bool
 access_planner::SetFleet(std::vector<fleet_vm> aFleet)
 {
-  if (aFleet == mFleet) {
-    return false;
-  }
-  mFleet = std::move(aFleet);
-  mWorkers.clear();
-  mDomain.clear();
-  mWorks = false;
-  for (const auto& vm : mFleet) {
+  const bool wasEmpty = mVms == 0;
+  mVms = aFleet.size();
+  const auto domain = std::exchange(mDomain, {});
+  const bool worked = std::exchange(mWorks, false);
+  std::vector<fleet_vm> workers;
+  for (auto& vm : aFleet) {
     const bool works = !vm.leaving && vm.worksForOthers;
-    if (works) {
-      mWorkers.push_back(&vm);
-    }
     if (vm.name == mSelf) {
       mDomain = vm.failureDomain;
       mWorks = works;
     }
+    if (works) {
+      workers.push_back(std::move(vm));
+    }
+  }
+  if (workers == mWorkers && domain == mDomain && worked == mWorks &&
+      wasEmpty == (mVms == 0)) {
+    return false;
   }
+  mWorkers = std::move(workers);
   return true;
 }
 
 bool
-access_planner::IsForEveryone(std::size_t aMostConnections) const
+access_planner::IsForEveryone(std::size_t aMostConnections, std::size_t aVms)
 {
-  return UsablePart(aMostConnections, false) / mFleet.size() >= kFewestOfOwn;
+  return aVms > 0 && UsablePart(aMostConnections, false) / aVms >= kFewestOfOwn;
 }
 
 bool
 access_planner::MayHold(std::size_t aMostConnections) const
 {
-  return !mFleet.empty() &&
-         (mWorks || mFleet.size() == 1 || IsForEveryone(aMostConnections));
+  return mVms > 0 &&
+         (mWorks || mVms == 1 || IsForEveryone(aMostConnections, mVms));
 }
 
 // The best VM of each failure domain, the best one first. Only those that may
@@ -157,7 +159,7 @@
 access_planner::Plan(const upstream::server_id& aServer,
                      std::size_t aMostConnections) const
 {
-  const auto vms = mFleet.size();
+  const auto vms = mVms;
   access_plan plan;
   if (vms == 0) {
     plan.connections = 0;
@@ -169,7 +171,7 @@
     plan.connections = UsablePart(aMostConnections, false);
     return plan;
   }
-  const bool everyone = IsForEveryone(aMostConnections);
+  const bool everyone = IsForEveryone(aMostConnections, vms);
   const auto holders = Holders(aServer);
   plan.holds = everyone ||
                std::any_of(holders.begin(),
--- a/src/currantshed/proxy/holders.hpp
+++ b/src/currantshed/proxy/holders.hpp
@@ -65,9 +65,12 @@
   access_planner& operator=(const access_planner&) = delete;
 
   /// The VMs that share the connections, this one included. Returns whether
-  /// they are others than before.
+  /// those that may hold some for others, or this VM, are others than before.
   bool SetFleet(std::vector<fleet_vm> aFleet);
 
+  /// How many VMs there are.
+  [[nodiscard]] std::size_t Size() const noexcept { return mVms; }
+
   [[nodiscard]] access_plan Plan(const upstream::server_id& aServer,
                                  std::size_t aMostConnections) const;
 
@@ -75,15 +78,19 @@
   /// accepts so many.
   [[nodiscard]] bool MayHold(std::size_t aMostConnections) const;
 
+  /// Whether each of so many VMs has connections of its own to a server that
+  /// accepts so many. Only then does the number of VMs count for a plan.
+  [[nodiscard]] static bool IsForEveryone(std::size_t aMostConnections,
+                                          std::size_t aVms);
+
 private:
-  [[nodiscard]] bool IsForEveryone(std::size_t aMostConnections) const;
   [[nodiscard]] std::vector<const fleet_vm*> Holders(
     const upstream::server_id& aServer) const;
 
   std::string mSelf;
-  std::vector<fleet_vm> mFleet;
+  std::size_t mVms = 0;
   // Those that may hold connections for others.
-  std::vector<const fleet_vm*> mWorkers;
+  std::vector<fleet_vm> mWorkers;
   std::string mDomain;
   bool mWorks = false;
 };
--- a/test/currantshed/proxy/many_groups.cpp
+++ b/test/currantshed/proxy/many_groups.cpp
@@ -79,9 +79,11 @@
     mEngine.Submit(*session, asked, mNow);
   }
 
-  void Comes()
+  void Comes(bool aIsStrong)
   {
-    mEngine.SetFleet(Fleet(mSize + 1), mNow);
+    auto fleet = Fleet(mSize + 1);
+    fleet.back().worksForOthers = aIsStrong;
+    mEngine.SetFleet(std::move(fleet), mNow);
     mNow += 300ms;
     mEngine.Tick(mNow);
   }
@@ -136,7 +138,12 @@
     weak_vm one(size);
     one.Ask();
     const auto before = one.PlansMade();
-    one.Comes();
+    // One that works for others changes the plans that are used, another none.
+    one.Comes(false);
+    CHECK_EQUAL(before, one.PlansMade());
+    one.Comes(true);
+    one.Ask();
+    CHECK(one.PlansMade() > before);
     CHECK(one.PlansMade() - before <= kServersOfGroup);
   }
 }
