A first reading beside a return of the store is no evidence on keys

Cause: the VM's first reading was asked for before the store came back from an older copy and done after it; a view without keys had no era to compare with, so that EraEnded, of which the VM knew by its lease, did nothing. Mend: evidence is held back for three seconds in every view that is told of a return.

--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -312,6 +312,9 @@
 void
 prefix_view::EraEnded(clock::time_point aNow)
 {
+  // Also a reading that is under way, the first one perhaps, may be of a store
+  // that lacks what is yet to be written again.
+  mProvesFrom = std::max(mProvesFrom, aNow + kWrittenAgain);
   if (mIsKnown && aNow >= mFedUntil) {
     ReadAtOnce(aNow);
   }
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -111,7 +111,8 @@
   void Renew(clock::time_point aNow);
 
   /// The store has come back from an older copy. A view that is fed learns what
-  /// stands there from those that feed it.
+  /// stands there from those that feed it. Nothing is evidence until all has
+  /// been written again.
   void EraEnded(clock::time_point aNow);
 
   /// Until then other VMs pass the changes on, so that no watch is begun.
--- a/test/currantshed/store/proved_view.cpp
+++ b/test/currantshed/store/proved_view.cpp
@@ -136,3 +136,33 @@
   CHECK(one.view.ProvedAt() == one.asked);
   STRCMP_EQUAL("y", one.view.Items().at("a/1").value.c_str());
 }
+
+// A VM started and asked for its first reading; the store returned from an
+// older copy meanwhile, of which the VM heard by its lease, and the reading
+// came without a configuration that had been acknowledged two seconds before:
+// "24800 ms: evidence that a newer configuration contradicts".
+TEST(proved_view, A_first_reading_beside_a_return_proves_nothing)
+{
+  test::fake_key_value store;
+  store.SetEra(1);
+  store.Put("a/1", "x");
+  store.Copy();
+  store.Put("a/1", "y");
+  store::prefix_view view(
+    store,
+    "a/",
+    {},
+    { [](clock::time_point) {}, [](bool, std::error_code) {} });
+  view.Tick(store.now, 0);
+  store.Return();
+  store.now += 100ms;
+  view.EraEnded(store.now);
+  store.Answer();
+  CHECK(view.IsKnown());
+  CHECK(view.ProvedAt() == clock::time_point{});
+  store.now += 3s;
+  const auto asked = store.now;
+  view.Check(store.now, [](bool, clock::time_point) {});
+  store.Answer();
+  CHECK(view.ProvedAt() == asked);
+}
