A feeder that answers but is behind is waited for, by the bound of configurations

Seen in a full start of 985 VMs (trials, ended by hand): the store's link is busy for twelve seconds, feeders run behind, so that after 1.8 and 2.5 s each of the VMs they feed asks the store itself for all changes, 1.5 MB each, which keeps the link busy: a state that holds itself. Change: keys of a feeder that answers count on for 1.2 s from each answer, at most up to three fifths (configuration) or five sixths (others) of the time within which a configuration must be in force, which the settings tell; where no feeder answers all is as before, and at a bound of three seconds it is altogether. The search for feeders after a start goes by the bound as well. Ruled out: longer constants, which would not hold at twice the size and break the bound elsewhere.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -8,7 +8,6 @@
 #include "currantshed/clock/now.hpp"
 #include "currantshed/log/log.hpp"
 #include "currantshed/node/audience.hpp"
-#include "currantshed/node/internal/feed_times.hpp"
 #include "currantshed/store/patience.hpp"
 
 namespace currantshed::node {
@@ -39,8 +38,6 @@
 // and what they learn must be soon enough for all.
 constexpr milliseconds kLongestServersPause{ 800 };
 constexpr milliseconds kLongestOwnPause{ 300 };
-// The same as for the other keys, for the system's own.
-constexpr milliseconds kOwnFeederSearch{ 1000 };
 // How long the first reading of the other keys waits for that of the own ones,
 // which tells who may hand them over.
 constexpr milliseconds kOwnKeysFirst{ 500 };
@@ -119,6 +116,7 @@
                  const news::exchange::clock_reader& aClock,
                  clock::time_point aNow) { Received(aNews, aClock, aNow); })
   , mTurn(absl::Uniform<std::size_t>(mRandom, 0, 4096))
+  , mFeedTimes(aSettings.configurationBound)
   , mKnownVms(aSettings.vm)
   , mFreshness(aSettings.keyBound)
   , mBank(aSettings.quotaWindow)
@@ -128,10 +126,10 @@
 {
   mUseKnownAt = mStartedAt;
   for (auto* view : { &mConfigurationView, &mServersView }) {
-    view->FedUntil(mStartedAt + internal::kFeederSearch);
+    view->FedUntil(mStartedAt + mFeedTimes.Search());
     view->FirstReadFrom(mStartedAt + kOwnKeysFirst);
   }
-  mOwnView.FedUntil(mStartedAt + kOwnFeederSearch);
+  mOwnView.FedUntil(mStartedAt + mFeedTimes.OwnSearch());
   mRegistration.SetValue(PrintVm(mSelf));
   mRegistration.OnWritten([this] { Tick(); });
   mRegistration.OnRegained([this] {
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -35,6 +35,7 @@
 #include "currantshed/node/duty.hpp"
 #include "currantshed/node/duty_board.hpp"
 #include "currantshed/node/group_agenda.hpp"
+#include "currantshed/node/internal/feed_times.hpp"
 #include "currantshed/node/key_parts.hpp"
 #include "currantshed/node/known_vms.hpp"
 #include "currantshed/node/metrics.hpp"
@@ -346,6 +347,7 @@
   clock::time_point mRelayedAt{};
   question_pace mPace;
   clock::time_point mNextPoll{};
+  internal::feed_times mFeedTimes;
   // Copies of the followed prefixes for VMs that lack much, and what this VM
   // lacks; in the order of the prefixes' numbers.
   std::array<part_cutter, 3> mCutters;
--- a/src/currantshed/node/control_feed.cpp
+++ b/src/currantshed/node/control_feed.cpp
@@ -12,7 +12,6 @@
 #include "currantshed/node/audience.hpp"
 #include "currantshed/node/control_words.hpp"
 #include "currantshed/node/feeders.hpp"
-#include "currantshed/node/internal/feed_times.hpp"
 
 namespace currantshed::node {
 
@@ -24,11 +23,6 @@
 constexpr milliseconds kPollInterval{ 400 };
 // Until when a VM that has found feeders waits for their first answer.
 constexpr milliseconds kFirstAnswer{ 600 };
-// How long keys count as current after they were surely those of the store.
-// Shorter for the configuration, which must be in force within three seconds of
-// its acknowledgement wherever the VM itself reaches the store.
-constexpr milliseconds kConfigurationLife{ 1800 };
-constexpr milliseconds kOtherLife{ 2500 };
 
 store::key_change
 ReadKey(const news::Key& aKey, store::era_id aEra)
@@ -282,10 +276,9 @@
     view.Prove(aClock(aUpdate.proved_at_us()));
     NoteProof(aNow);
   }
-  const auto life =
-    &view == &mConfigurationView ? kConfigurationLife : kOtherLife;
-  view.FedUntil(
-    std::max(view.FedUntil(), aClock(aUpdate.current_at_us()) + life));
+  const auto until = mFeedTimes.FedUntil(
+    &view == &mConfigurationView, aClock(aUpdate.current_at_us()), aNow);
+  view.FedUntil(std::max(view.FedUntil(), until));
 }
 
 // Says anything, so that the other VM can put its next times in terms of this
--- a/src/currantshed/node/control_freshness.cpp
+++ b/src/currantshed/node/control_freshness.cpp
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "currantshed/log/log.hpp"
-#include "currantshed/node/internal/feed_times.hpp"
 
 namespace currantshed::node {
 
--- a/src/currantshed/node/control_parts.cpp
+++ b/src/currantshed/node/control_parts.cpp
@@ -10,7 +10,6 @@
 
 #include "currantshed/log/log.hpp"
 #include "currantshed/node/feeders.hpp"
-#include "currantshed/node/internal/feed_times.hpp"
 
 namespace currantshed::node {
 
@@ -134,7 +133,7 @@
 void
 control::HoldFirstReadings(bool aHasFeeders, clock::time_point aNow)
 {
-  const auto until = aHasFeeders ? mStartedAt + internal::kFeederSearch : aNow;
+  const auto until = aHasFeeders ? mStartedAt + mFeedTimes.Search() : aNow;
   for (auto* view : { &mConfigurationView, &mServersView }) {
     view->FirstReadFrom(until);
   }
--- a/src/currantshed/node/settings.hpp
+++ b/src/currantshed/node/settings.hpp
@@ -44,6 +44,8 @@
   std::chrono::milliseconds stopTime{ 6000 };
   /// How long after its word a server that leaves may get work.
   std::chrono::milliseconds leavingTime{ 7000 };
+  /// How long after its acknowledgement a configuration must be in force.
+  std::chrono::milliseconds configurationBound{ 3000 };
   /// How long after a key was taken away, at most, requests with it may run;
   /// zero where there is no such bound.
   std::chrono::milliseconds keyBound{ 0 };
--- a/test/currantshed/node/group_agenda.cpp
+++ b/test/currantshed/node/group_agenda.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 const clock::time_point kStart{ 1h };
-constexpr auto kNever = clock::time_point::max() - kStart;
+const auto kNever = clock::time_point::max() - kStart;
 
 struct time_given
 {
--- a/test/platform/documents.cpp
+++ b/test/platform/documents.cpp
@@ -216,6 +216,17 @@
   }
 }
 
+TEST(documents, how_soon_a_configuration_must_be_in_force)
+{
+  std::string whyNot;
+  const auto usual = platform::ReadSettings(kSettings, whyNot);
+  CHECK(usual && usual->configurationBound == std::chrono::seconds{ 3 });
+  const auto told = platform::ReadSettings(
+    With(kSettings, "\"config_apply_ms\":3000", "\"config_apply_ms\":8000"),
+    whyNot);
+  CHECK(told && told->configurationBound == std::chrono::seconds{ 8 });
+}
+
 TEST(documents, settings)
 {
   std::string whyNot;
