--- a/bench/currantshed/proxy/holders.cpp
+++ b/bench/currantshed/proxy/holders.cpp
@@ -34,11 +34,11 @@
 {
   const auto fleet = MakeFleet(static_cast<std::size_t>(aState.range(0)));
   for (auto _ : aState) {
+    proxy::access_planner planner(fleet.front().name);
+    planner.SetFleet(fleet);
     for (unsigned server = 0; server < kServers; ++server) {
-      benchmark::DoNotOptimize(proxy::PlanAccess("i-" + std::to_string(server),
-                                                 kMostConnections,
-                                                 fleet,
-                                                 fleet.front().name));
+      benchmark::DoNotOptimize(
+        planner.Plan("i-" + std::to_string(server), kMostConnections));
     }
   }
 }
