--- a/src/currantshed/node/control_relay.cpp
+++ b/src/currantshed/node/control_relay.cpp
@@ -70,8 +70,8 @@
 
 // Whether the VM has told this one of a primary by itself, though others could
 // pass its words on. Those that this VM feeds speak to it as a feeder. Any
-// other word asks for nothing: after a start, holders of duties heard some from
-// most of 985 VMs, and sent each all of theirs twenty times a second.
+// other word asks for nothing: in a large fleet a holder of duties hears one
+// from most VMs.
 bool
 control::IsAsking(const std::string& aVm, clock::time_point aNow) const
 {
