A relayed request carries its class and deadline, and its answer the server's load

Cause: a connection holder queued what other VMs relayed to it with a fixed wait of 75 ms and one priority.

Entries of servers give their slots.

--- a/src/currantshed/admit/deadline_queue.cpp
+++ b/src/currantshed/admit/deadline_queue.cpp
@@ -114,6 +114,12 @@
   return AddJitter(mLastRetryAt - aNow, aRequest);
 }
 
+clock::duration
+deadline_queue::ExpectedWait() const
+{
+  return mDrain.TimeToDrain(mEntries.size()).value_or(clock::duration::zero());
+}
+
 const deadline_queue::entries&
 deadline_queue::Entries() const noexcept
 {
--- a/src/currantshed/admit/deadline_queue.hpp
+++ b/src/currantshed/admit/deadline_queue.hpp
@@ -85,6 +85,10 @@
   [[nodiscard]] std::chrono::milliseconds RetryAfter(std::uint64_t aRequest,
                                                      clock::time_point aNow);
 
+  /// Expected time until a request that arrives now is dispatched, if it is
+  /// queued behind all others; zero before a rate has been measured.
+  [[nodiscard]] clock::duration ExpectedWait() const;
+
   /// Waiting requests in queue order.
   [[nodiscard]] const entries& Entries() const noexcept;
 
--- a/src/currantshed/node/caller_server.cpp
+++ b/src/currantshed/node/caller_server.cpp
@@ -57,7 +57,11 @@
   void Deliver(const proxy::answer& aAnswer) override
   {
     std::string out;
-    mServer.mCodec.WriteAnswer(aAnswer, out);
+    if (mReadsLoad) {
+      mServer.mCodec.WriteRelayedAnswer(aAnswer, out);
+    } else {
+      mServer.mCodec.WriteAnswer(aAnswer, out);
+    }
     mStream->Send(out);
     if (mStream->Unsent() > kMaxUnsentBytes) {
       Close();
@@ -96,6 +100,7 @@
       Reject(proxy::failure_code::kMalformed, "no such statement");
       return;
     }
+    mReadsLoad = mReadsLoad || message->asked.attributes.has_value();
     mServer.mEngine.Submit(*mSession, std::move(message->asked), clock::Now());
     mServer.mOnEngineEvent();
   }
@@ -118,7 +123,7 @@
       return;
     }
     std::string out;
-    mServer.mCodec.WriteStarted(out);
+    mServer.mCodec.WriteRelayStarted(out);
     mStream->Send(out);
   }
 
@@ -237,6 +242,9 @@
   session_start mStart;
   clock::time_point mAskedAt;
   bool mIsDetached = false;
+  // Whether the other end is a VM that sends request attributes, and so reads
+  // the server's load in answers.
+  bool mReadsLoad = false;
 };
 
 caller_server::caller_server(boost::asio::io_context& aContext,
--- a/src/currantshed/node/line_codec.hpp
+++ b/src/currantshed/node/line_codec.hpp
@@ -58,6 +58,11 @@
 {
   proxy::transaction_state state = proxy::transaction_state::kIdle;
   std::optional<position::log_position> at;
+  /// At the opening of a connection through a relay: whether the relay reads
+  /// request attributes and reports the server's load.
+  bool readsAttributes = false;
+  /// In an answer through such a relay.
+  std::optional<proxy::server_load> load;
 };
 
 using server_message =
@@ -81,6 +86,15 @@
   virtual void WriteAnswer(const proxy::answer& aAnswer,
                            std::string& aOut) const = 0;
 
+  /// Opens a relay connection. Tells the requesting VM that this one reads
+  /// request attributes; older builds ignore that part.
+  virtual void WriteRelayStarted(std::string& aOut) const = 0;
+  /// An answer to a relayed statement that carried attributes, with the load of
+  /// the server. Older builds do not understand it: they send no attributes and
+  /// get WriteAnswer.
+  virtual void WriteRelayedAnswer(const proxy::answer& aAnswer,
+                                  std::string& aOut) const = 0;
+
   /// Parse what another VM's WriteServerStart and WriteRelayed have written, on
   /// the VM that relays it.
   [[nodiscard]] virtual std::optional<relay_start> ReadRelayStart(
@@ -95,7 +109,8 @@
   virtual void WriteCommand(const proxy::command& aCommand,
                             std::string& aOut) const = 0;
   /// The same for a command sent through another VM, which also learns the
-  /// customer.
+  /// customer and, if the command has them, its attributes. Only a relay that
+  /// reads attributes may be sent any.
   virtual void WriteRelayed(const proxy::command& aCommand,
                             std::string& aOut) const = 0;
   [[nodiscard]] virtual std::optional<server_message> ReadServer(
--- a/src/currantshed/node/server_connector.cpp
+++ b/src/currantshed/node/server_connector.cpp
@@ -59,7 +59,7 @@
       if (mIsDirect) {
         mCodec.WriteCommand(one, out);
       } else {
-        mCodec.WriteRelayed(one, out);
+        WriteRelayed(one, out);
       }
       mKinds.push_back(one.kind);
     }
@@ -73,6 +73,18 @@
   }
 
 private:
+  // An older build closes the connection when it reads attributes.
+  void WriteRelayed(const proxy::command& aCommand, std::string& aOut) const
+  {
+    if (mReadsAttributes || !aCommand.attributes) {
+      mCodec.WriteRelayed(aCommand, aOut);
+      return;
+    }
+    auto plain = aCommand;
+    plain.attributes.reset();
+    mCodec.WriteRelayed(plain, aOut);
+  }
+
   void Connected(bool aConnected)
   {
     if (mListener == nullptr) {
@@ -129,11 +141,13 @@
   {
     if (!mIsOpen) {
       mIsOpen = true;
+      mReadsAttributes = !mIsDirect && aReady.readsAttributes;
       mListener->Opened(aReady.at, clock::Now());
       return;
     }
     mAnswer.state = aReady.state;
     mAnswer.position = aReady.at;
+    mAnswer.load = mIsDirect ? std::nullopt : aReady.load;
     ReadReport();
     auto answered = std::exchange(mAnswer, {});
     mListener->Answered(std::move(answered), clock::Now());
@@ -199,6 +213,8 @@
   std::deque<proxy::command_kind> mKinds;
   proxy::answer mAnswer;
   bool mIsOpen = false;
+  // Whether the relay at the other end reads request attributes.
+  bool mReadsAttributes = false;
 };
 
 /// The engine's handle of a connection; closes it when destroyed.
--- a/src/currantshed/proxy/configuration.hpp
+++ b/src/currantshed/proxy/configuration.hpp
@@ -98,6 +98,9 @@
   std::string address;
   std::uint16_t port = 0;
   std::string failureDomain;
+  /// Statements that it runs at the same time, as reported by itself; zero when
+  /// it reports none.
+  unsigned slots = 0;
   /// The server will stop soon: it gets no new work that another server can
   /// take.
   bool draining = false;
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -339,6 +339,7 @@
   [[nodiscard]] std::string_view MissingResource(const session& aSession,
                                                  clock::time_point aNow);
   [[nodiscard]] admit::deadline_queue& QueueOf(const session& aSession);
+  [[nodiscard]] std::optional<server_load> LoadFor(const session& aSession);
   [[nodiscard]] admit::retry_budget& RetriesOf(const request& aRequest);
   void Requeue(session& aSession, clock::time_point aNow);
   void Dequeue(session& aSession);
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -102,6 +102,10 @@
     state->lastContactAt = aNow;
     RecordReachability(*state, true, "answered");
   }
+  if (aAnswer.load) {
+    state->reportedLoad = aAnswer.load;
+    state->reportedLoadAt = aNow;
+  }
   if (!aAnswer.position) {
     return;
   }
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -20,11 +20,30 @@
 constexpr int kPrimaryPenalty = 2;
 // Latency added by opening a connection.
 constexpr milliseconds kConnectLatency{ 20 };
+
+// What a relay is told about the request.
+request_attributes
+AttributesOf(const request& aRequest, clock::time_point aNow)
+{
+  const auto left = [aNow](clock::time_point aUntil) {
+    return std::chrono::floor<milliseconds>(aUntil - aNow);
+  };
+  const auto target = aRequest.arrivedAt + aRequest.assignedRoute->target;
+  return { aRequest.priority,
+           left(target),
+           left(aRequest.deadline),
+           aRequest.tries - 1,
+           aRequest.needsPrimary };
+}
+
 command
-StatementCommand(const session& aSession, const request& aRequest)
+StatementCommand(const session& aSession,
+                 const request& aRequest,
+                 clock::time_point aNow)
 {
   command made;
   made.customer = aRequest.customer;
+  made.attributes = AttributesOf(aRequest, aNow);
   made.id = aRequest.statement.id;
   made.text = aRequest.statement.text;
   if (aRequest.statement.kind == statement_kind::kExecute) {
@@ -173,6 +192,7 @@
   auto& request = *aSession.current;
   command begin;
   begin.customer = request.customer;
+  begin.attributes = AttributesOf(request, aNow);
   begin.kind = aSession.transaction->readOnly ? command_kind::kBeginReadOnly
                                               : command_kind::kBegin;
   if (aSession.transaction->readOnly || !request.needsPrimary) {
@@ -210,7 +230,7 @@
       serverConnection.Send(prepare, { purpose::kPrepare, aNow });
     }
   }
-  auto sent = StatementCommand(aSession, request);
+  auto sent = StatementCommand(aSession, request, aNow);
   if (!aSession.transaction && !request.commits) {
     sent.floor = RequiredPosition(request);
   }
--- a/src/currantshed/proxy/engine_queues.cpp
+++ b/src/currantshed/proxy/engine_queues.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 // Maximum length of a dispatch queue. It bounds memory until a service rate has
 // been measured; after that the rate limits the queue earlier.
 constexpr std::size_t kMaxQueued = 512;
@@ -49,11 +51,11 @@
 
 // Queues the request, by route priority and then by time, if it is expected to
 // be answered in time. Half of the target is reserved for a caller that is
-// rejected and retries; the time limit of a relayed request is already part of
-// the other VM's limit. During an outage, while the primary is being replaced
-// or unknown, a rejected caller would use up its retries too early: the request
-// waits as long as its statement may take, behind all requests that can still
-// meet their target.
+// rejected and retries; without attributes, the time limit of a relayed request
+// is already part of the other VM's limit. During an outage, while the primary
+// is being replaced or unknown, a rejected caller would use up its retries too
+// early: the request waits as long as its statement may take, behind all
+// requests that can still meet their target.
 admit::admission
 engine::Admit(session& aSession, clock::time_point aNow)
 {
@@ -67,12 +69,12 @@
   if (IsOutage(aSession, aNow)) {
     request.waitUntil = request.deadline;
     answeredBy = request.deadline;
-  } else if (!aSession.IsRelay()) {
+  } else if (!aSession.IsRelay() || request.attributes) {
     answeredBy -= (request.waitUntil - request.arrivedAt) / 2;
   }
-  request.queueEntry = admit::queued_request{
-    answeredBy, request.number, 1.0 / (1.0 + request.assignedRoute->priority)
-  };
+  request.queueEntry = admit::queued_request{ answeredBy,
+                                              request.number,
+                                              1.0 / (1.0 + request.priority) };
   auto made = queue.TryAdmit(*request.queueEntry, aNow);
   if (!made.admitted) {
     request.queueEntry.reset();
@@ -153,6 +155,22 @@
   return queues.try_emplace(name, kMaxQueued).first->second;
 }
 
+// The load of a relay session's server, for a VM that sends attributes.
+std::optional<server_load>
+engine::LoadFor(const session& aSession)
+{
+  const auto* state = aSession.IsRelay() ? Find(aSession.relayTarget) : nullptr;
+  if (state == nullptr || !aSession.current || !aSession.current->attributes) {
+    return std::nullopt;
+  }
+  const auto& queue = QueueOf(aSession);
+  server_load load;
+  load.expectedWait = std::chrono::ceil<milliseconds>(queue.ExpectedWait());
+  load.queued = static_cast<unsigned>(queue.Entries().size());
+  load.running = state->Running();
+  return load;
+}
+
 admit::retry_budget&
 engine::RetriesOf(const request& aRequest)
 {
--- a/src/currantshed/proxy/engine_requests.cpp
+++ b/src/currantshed/proxy/engine_requests.cpp
@@ -42,6 +42,25 @@
   }
 }
 
+// Queues a relayed request by the class and the remaining time that the
+// requesting VM gave. A request that has missed its target already may wait
+// until its deadline, behind those that can still meet theirs.
+void
+ApplyAttributes(const request_attributes& aAttributes, request& aRequest)
+{
+  aRequest.attributes = aAttributes;
+  aRequest.priority = aAttributes.priority;
+  const auto most = aRequest.deadline - aRequest.arrivedAt;
+  aRequest.deadline =
+    aRequest.arrivedAt + std::clamp<clock::duration>(
+                           aAttributes.untilDeadline, milliseconds{ 0 }, most);
+  aRequest.waitUntil =
+    aAttributes.untilTarget > milliseconds{ 0 }
+      ? std::min(aRequest.arrivedAt + aAttributes.untilTarget,
+                 aRequest.deadline)
+      : aRequest.deadline;
+}
+
 } // namespace
 
 void
@@ -128,6 +147,10 @@
     made.needsPrimary = writes || route->policy == read_policy::kPrimary;
     made.commits = writes;
   }
+  made.priority = route->priority;
+  if (aSession.IsRelay() && aStatement.attributes) {
+    ApplyAttributes(*aStatement.attributes, made);
+  }
   made.statement = std::move(aStatement);
   made.assignedRoute = std::move(route);
   made.customer =
@@ -172,6 +195,7 @@
 engine::Finish(session& aSession, answer aAnswer, clock::time_point aNow)
 {
   const auto id = aSession.number;
+  aAnswer.load = LoadFor(aSession);
   aSession.current.reset();
   aAnswer.state = aSession.State();
   if (aSession.callerLeft) {
--- a/src/currantshed/proxy/fwd.hpp
+++ b/src/currantshed/proxy/fwd.hpp
@@ -21,8 +21,10 @@
 struct command;
 struct configuration;
 struct failure;
+struct request_attributes;
 struct route;
 struct server;
+struct server_load;
 struct service;
 struct session_statement;
 
--- a/src/currantshed/proxy/request.hpp
+++ b/src/currantshed/proxy/request.hpp
@@ -51,6 +51,10 @@
   /// The customer; empty when clients need no key.
   std::string customer;
   bool needsPrimary = false;
+  /// Zero is the highest. For a relayed request the requesting VM's.
+  unsigned priority = 0;
+  /// For a relayed request, if the requesting VM has sent them.
+  std::optional<request_attributes> attributes;
   /// Whether success makes a change durable: a single write, or a commit.
   bool commits = false;
   stage progress = stage::kQueued;
--- a/src/currantshed/proxy/server_state.hpp
+++ b/src/currantshed/proxy/server_state.hpp
@@ -121,6 +121,9 @@
   std::vector<std::unique_ptr<connection>> connections;
   std::optional<position::log_position> applied;
   clock::time_point lastContactAt;
+  /// Load that a connection holder has reported with an answer, and when.
+  std::optional<server_load> reportedLoad;
+  clock::time_point reportedLoadAt;
   /// Last reachability reported to the host.
   bool reachable = false;
 
--- a/src/currantshed/proxy/statement.hpp
+++ b/src/currantshed/proxy/statement.hpp
@@ -31,6 +31,47 @@
   kReport,
 };
 
+/// What a VM tells a relay about a request, so that the relay can queue it by
+/// its class, deadline and customer. Times are remaining times, since the
+/// clocks of two VMs are not comparable.
+struct request_attributes
+{
+  /// Priority of the route; zero is the highest.
+  unsigned priority = 0;
+  /// Time left until the latency target, counted from the arrival of the
+  /// operation; zero or negative once it has been missed.
+  std::chrono::milliseconds untilTarget{ 0 };
+  /// Time left until the caller gets an answer at the latest.
+  std::chrono::milliseconds untilDeadline{ 0 };
+  /// Earlier attempts of the request at servers.
+  unsigned tries = 0;
+  /// Whether only the primary can run it.
+  bool needsPrimary = false;
+
+  [[nodiscard]] friend bool operator==(const request_attributes&,
+                                       const request_attributes&) = default;
+};
+
+/// Load of one server as observed by a VM that holds connections to it. Sent
+/// back with the answer to a relayed request that carried attributes.
+struct server_load
+{
+  /// Expected time in the queue of a request that arrives now.
+  std::chrono::milliseconds expectedWait{ 0 };
+  /// Requests that wait at this connection holder.
+  unsigned queued = 0;
+  /// Statements that this connection holder has running on the server.
+  unsigned running = 0;
+  /// Thousandths of this holder's recent statements that the server rejected,
+  /// failed or lost.
+  unsigned failurePermille = 0;
+  /// Estimated replication lag.
+  std::chrono::milliseconds lag{ 0 };
+
+  [[nodiscard]] friend bool operator==(const server_load&,
+                                       const server_load&) = default;
+};
+
 /// One request in a caller's session.
 struct session_statement
 {
@@ -49,6 +90,8 @@
   std::optional<position::log_position> floor;
   /// The customer; sent between VMs only.
   std::string customer;
+  /// Sent between VMs only; empty if the requesting VM sends none.
+  std::optional<request_attributes> attributes;
 };
 
 /// Why a request failed. The codes of the first group guarantee that the
@@ -127,6 +170,8 @@
   std::optional<position::log_position> position;
   /// For kReport, kFence, kUnfence and kDemote.
   std::optional<server_report> report;
+  /// Load of the server, if the answer came through a relay that reports it.
+  std::optional<server_load> load;
 };
 
 /// Kind of a request to a server.
@@ -174,6 +219,8 @@
   /// The customer; told to a relay, which runs the command on its own
   /// connection.
   std::string customer;
+  /// Told to a relay that reads attributes; ignored on a direct connection.
+  std::optional<request_attributes> attributes;
 };
 
 } // namespace currantshed::proxy
--- a/test/platform/server_entry.cpp
+++ b/test/platform/server_entry.cpp
@@ -163,6 +163,7 @@
     CHECK_TEXT(read->id == "i-7f" && read->service == "s", row.name);
     CHECK_TEXT(read->address == "10.1.0.9" && read->port == 8080, row.name);
     CHECK_TEXT(read->failureDomain == "marka" && !read->draining, row.name);
+    CHECK_EQUAL_TEXT(2U, read->slots, row.name);
   }
   std::error_code reason;
   const auto read = documents.ReadServer(
--- a/test/platform/statement_line.cpp
+++ b/test/platform/statement_line.cpp
@@ -1,12 +1,15 @@
 #include "platform/statement_line.hpp"
 
+#include <chrono>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace currantshed;
+using namespace std::chrono_literals;
 using proxy::command_kind;
 using proxy::failure_code;
 using proxy::statement_kind;
@@ -203,6 +206,90 @@
   STRCMP_EQUAL("FOR baker QUERY 7 READ x\r\n", out.c_str());
 }
 
+struct attributes_row
+{
+  const char* name;
+  proxy::request_attributes attributes;
+  const char* line;
+};
+
+constexpr attributes_row kAttributesRows[] = {
+  { "a write in time",
+    { 0, 180ms, 990ms, 0, true },
+    "ATTR 0 180 990 0 P FOR baker QUERY 7 READ x\r\n" },
+  { "a late read, tried before",
+    { 2, -40ms, 700ms, 1, false },
+    "ATTR 2 -40 700 1 A FOR baker QUERY 7 READ x\r\n" },
+};
+
+TEST(statement_line, relayed_commands_carry_attributes)
+{
+  for (const auto& row : kAttributesRows) {
+    proxy::command command;
+    command.id = "7";
+    command.text = "READ x";
+    command.customer = "baker";
+    command.attributes = row.attributes;
+    std::string out;
+    kCodec.WriteRelayed(command, out);
+    STRCMP_EQUAL_TEXT(row.line, out.c_str(), row.name);
+    const auto read =
+      kCodec.ReadRelayed(std::string_view(out).substr(0, out.size() - 2));
+    CHECK_TEXT(read && read->asked.attributes == row.attributes, row.name);
+    STRCMP_EQUAL_TEXT("baker", read->asked.customer.c_str(), row.name);
+    STRCMP_EQUAL_TEXT("READ x", read->asked.text.c_str(), row.name);
+  }
+  for (const char* wrong : { "ATTR",
+                             "ATTR 0 180 990 0 QUERY 7 READ x",
+                             "ATTR 0 180 990 0 X QUERY 7 READ x",
+                             "ATTR -1 180 990 0 P QUERY 7 READ x",
+                             "ATTR 0 soon 990 0 P QUERY 7 READ x" }) {
+    CHECK_TEXT(!kCodec.ReadRelayed(wrong), wrong);
+  }
+}
+
+struct ready_row
+{
+  const char* line;
+  bool readsAttributes;
+  std::optional<position::log_position> at;
+  std::optional<proxy::server_load> load;
+};
+
+const ready_row kReadyRows[] = {
+  { "READY I -", false, std::nullopt, std::nullopt },
+  { "READY I - ATTR", true, std::nullopt, std::nullopt },
+  { "READY I 3.7", false, position::log_position{ 3, 7 }, std::nullopt },
+  { "READY I 3.7 LOAD 45 3 12 250 30",
+    false,
+    position::log_position{ 3, 7 },
+    proxy::server_load{ 45ms, 3, 12, 250, 30ms } },
+  { "READY I 3.7 LOAD 45", false, position::log_position{ 3, 7 }, {} },
+};
+
+TEST(statement_line, reads_what_a_relay_adds)
+{
+  for (const auto& row : kReadyRows) {
+    const auto read = kCodec.ReadServer(row.line);
+    CHECK_TEXT(read.has_value(), row.line);
+    const auto& ready = std::get<node::server_ready>(*read);
+    CHECK_TEXT(ready.readsAttributes == row.readsAttributes, row.line);
+    CHECK_TEXT(ready.at == row.at, row.line);
+    CHECK_TEXT(ready.load == row.load, row.line);
+  }
+  proxy::answer made;
+  made.signature = "7.1f";
+  made.position = position::log_position{ 3, 7 };
+  made.load = proxy::server_load{ 45ms, 3, 12, 250, 30ms };
+  std::string out;
+  kCodec.WriteRelayedAnswer(made, out);
+  STRCMP_EQUAL("COMPLETE 7.1f\r\nREADY I 3.7 LOAD 45 3 12 250 30\r\n",
+               out.c_str());
+  out.clear();
+  kCodec.WriteAnswer(made, out);
+  STRCMP_EQUAL("COMPLETE 7.1f\r\nREADY I 3.7\r\n", out.c_str());
+}
+
 TEST(statement_line, a_key_that_is_not_known_is_no_promise)
 {
   std::string out;
