lead: a primary that goes down and up by turns is replaced

Each outage ended just before the primary counted as lost.

Ruled out: a shorter silence before a loss: it would depose healthy primaries behind a broken path.

Change: outage_history counts outages of at least 300 ms that no VM saw the primary answer in, while other members of the group answer; after the second within 10 s the primary is replaced like one that leaves, while it is up. A VM that runs late records none.

--- a/src/currantshed/lead/fwd.hpp
+++ b/src/currantshed/lead/fwd.hpp
@@ -5,6 +5,7 @@
 
 class clock_offset;
 class group_monitor;
+class outage_history;
 class server_table;
 class takeover;
 enum class takeover_step;
--- a/src/currantshed/lead/group_monitor.cpp
+++ b/src/currantshed/lead/group_monitor.cpp
@@ -126,6 +126,9 @@
     }
     mTable.Contacted(aServer, aNow);
   }
+  if (aServer == mConfirmation.primary) {
+    mOutages.RecordUp(aServer, aNow);
+  }
   Evaluate(aNow);
 }
 
@@ -139,6 +142,9 @@
     mTable.Contacted(aServer, *aHeardAt);
   }
   mTable.Failed(aServer);
+  if (aServer == mConfirmation.primary) {
+    RecordOutage(aNow);
+  }
   Evaluate(aNow);
 }
 
@@ -187,6 +193,9 @@
                                    clock::time_point aNow)
 {
   mReachUpdates[aVm] = { aUpdate, aNow };
+  if (aUpdate.primary == mConfirmation.primary) {
+    mOutages.RecordHeard(aUpdate.heardAt);
+  }
   CheckAcknowledgements();
   Evaluate(aNow);
 }
--- a/src/currantshed/lead/group_monitor.hpp
+++ b/src/currantshed/lead/group_monitor.hpp
@@ -12,6 +12,7 @@
 
 #include "currantshed/clock/time.hpp"
 #include "currantshed/lead/actions.hpp"
+#include "currantshed/lead/outage_history.hpp"
 #include "currantshed/lead/scheduling_delay.hpp"
 #include "currantshed/lead/server_table.hpp"
 #include "currantshed/lead/takeover.hpp"
@@ -217,6 +218,7 @@
     const member_view& aView) const;
   [[nodiscard]] bool NeedsConfirmation(clock::time_point aNow) const;
   [[nodiscard]] bool IsPrimaryLost(clock::time_point aNow) const;
+  void RecordOutage(clock::time_point aNow);
   [[nodiscard]] clock::duration DelayAllowance(clock::time_point aNow) const;
   [[nodiscard]] bool IsReachableElsewhere(clock::time_point aNow) const;
   [[nodiscard]] std::string ReachableFrom(clock::time_point aNow) const;
@@ -265,6 +267,7 @@
   // The VM whose updates keep a primary in place that this VM cannot reach.
   std::string mKeptBy;
   scheduling_delay mSchedulingDelay;
+  outage_history mOutages;
   // When the lock holder has scheduled its next tick.
   std::optional<clock::time_point> mScheduledTick;
   std::optional<clock::time_point> mNoPrimarySince;
--- a/src/currantshed/lead/group_monitor_failover.cpp
+++ b/src/currantshed/lead/group_monitor_failover.cpp
@@ -22,6 +22,9 @@
 // How recently another VM must have heard from the primary for it not to count
 // as lost.
 constexpr milliseconds kReachValidity{ 600 };
+// Apparent silence due to this VM's own delay, above which it records no
+// outages: a third of the shortest one that counts.
+constexpr milliseconds kMaxDelayAllowance{ 100 };
 // How long no server must be primary before a takeover starts.
 constexpr milliseconds kNoPrimaryAfter{ 1200 };
 // The same, if the previous lock holder left the group without a primary and no
@@ -79,16 +82,19 @@
   // updates from other VMs, which keep using the primary.
   const bool isInUse = aNow < mConfirmation.askedAt + mSettings.validity ||
                        IsReachableElsewhere(aNow);
-  const bool isLeaving = mConfirmation.term != 0 && primary != nullptr &&
-                         primary->listed.draining && isInUse;
+  const bool isKnown = mConfirmation.term != 0 && primary != nullptr;
+  const bool isLeaving = isKnown && primary->listed.draining && isInUse;
+  const bool isUnstable =
+    isKnown && isInUse && mOutages.IsUnstable(mConfirmation.primary, aNow);
   const auto& all = mTable.All();
   const bool canMove =
     std::any_of(all.begin(), all.end(), [](const auto& aOne) {
       return aOne.second.report && !aOne.second.report->isPrimary &&
              !aOne.second.listed.draining;
     });
-  if (isLeaving && canMove) {
-    mTakeover.Start(takeover_reason::kDraining,
+  if ((isLeaving || isUnstable) && canMove) {
+    mTakeover.Start(isLeaving ? takeover_reason::kDraining
+                              : takeover_reason::kUnstable,
                     mConfirmation.primary,
                     mConfirmation.term,
                     aNow,
@@ -127,6 +133,35 @@
   return reachesOthers && !IsReachableElsewhere(aNow);
 }
 
+// Records that the primary does not answer, if another member has answered
+// since: otherwise this VM may be cut off itself. A VM that runs late cannot
+// tell an outage from its own delay.
+void
+group_monitor::RecordOutage(clock::time_point aNow)
+{
+  const auto* primary = mTable.Find(mConfirmation.primary);
+  if (!mHoldsLock || primary == nullptr ||
+      DelayAllowance(aNow) > kMaxDelayAllowance) {
+    return;
+  }
+  const auto since = primary->heardAt;
+  const auto& all = mTable.All();
+  const bool othersAnswer =
+    std::any_of(all.begin(), all.end(), [&](const auto& aOne) {
+      return &aOne.second != primary && aOne.second.heardAt > since;
+    });
+  if (!othersAnswer) {
+    return;
+  }
+  auto heardAt = primary->heardAt;
+  for (const auto& [vm, reach] : mReachUpdates) {
+    if (reach.update.primary == mConfirmation.primary) {
+      heardAt = std::max(heardAt, reach.update.heardAt);
+    }
+  }
+  mOutages.RecordDown(mConfirmation.primary, heardAt);
+}
+
 // The time by which this VM's own scheduling delay extends another one's
 // apparent silence. Both the query and the answer may have been delayed that
 // long.
--- a/src/currantshed/lead/takeover.cpp
+++ b/src/currantshed/lead/takeover.cpp
@@ -54,7 +54,9 @@
   mNextLog = aNow + kLogInterval;
   mNextRequest = clock::time_point::max();
   mAllAcknowledged = false;
-  mFencesReplicas = mReason != takeover_reason::kDraining;
+  // A primary that still answers is told to step down instead.
+  mFencesReplicas = mReason != takeover_reason::kDraining &&
+                    mReason != takeover_reason::kUnstable;
   mChosen.clear();
   mRequests = 0;
   mRejected.clear();
@@ -485,6 +487,8 @@
       return "draining";
     case takeover_reason::kNoPrimary:
       return "vacant";
+    case takeover_reason::kUnstable:
+      return "unstable";
   }
   return "unknown";
 }
--- a/src/currantshed/lead/takeover.hpp
+++ b/src/currantshed/lead/takeover.hpp
@@ -37,6 +37,8 @@
   kDraining,
   /// No server is primary.
   kNoPrimary,
+  /// The primary answers, but has had repeated outages.
+  kUnstable,
 };
 
 /// Replaces the primary of one group: prevents further confirmations of the old
