news: a message to a peer whose connection is being opened is not lost

A ZeroMQ socket that requires a connection takes no message while it connects, so the first poll of each VM was dropped and repeated after 400 ms, and so was the answer to it; a connection attempt towards a VM that had no power yet waited a second for the kernel's next try.

Change: up to four messages are kept for 300 ms while the first connection to a peer is opened; a peer's first message of a new incarnation makes its connection anew. Callers' connections to a VM that starts wait 1.5 s for the configuration instead of 300 ms: they would be refused by every VM in turn.

Before, after: exchange.the_first_message_on_a_connection_arrives and exchange.a_peer_that_has_started_is_connected_to_again fail without the change.

--- a/src/currantshed/news/exchange.cpp
+++ b/src/currantshed/news/exchange.cpp
@@ -23,6 +23,13 @@
 // data. The kernel enforces it: heartbeats of ZeroMQ need a timer per
 // connection, and it finds a timer by a linear search through all of them.
 constexpr std::chrono::milliseconds kUnresponsiveTimeout{ 2500 };
+// Messages to a peer whose connection is being opened, which takes a round trip
+// if the peer is up. Without them the first poll of a VM that starts and its
+// answer were lost, and each was repeated 400 ms later.
+constexpr std::size_t kMaxUnsent = 4;
+constexpr std::chrono::milliseconds kUnsentLifetime{ 300 };
+constexpr std::chrono::milliseconds kInitialResendDelay{ 2 };
+constexpr std::chrono::milliseconds kMaxResendDelay{ 32 };
 // A connection on which nothing was sent for this long is closed. Far longer
 // than the interval between two updates of a VM, which is 2 s at most.
 constexpr std::chrono::milliseconds kIdleTimeout{ 6000 };
@@ -53,6 +60,7 @@
   , mIncarnation(aIncarnation)
   , mReceiver(std::move(aReceiver))
   , mRouter(aContext, aZmq, SocketSettings())
+  , mResendTimer(aContext)
 {
 }
 
@@ -78,7 +86,7 @@
       kept[one.vm] = std::move(found->second);
       continue;
     }
-    kept[one.vm] = { one, nullptr };
+    kept[one.vm] = connection{ one, nullptr };
   }
   mConnections = std::move(kept);
 }
@@ -102,9 +110,85 @@
   }
   auto* dealer = DealerTo(found->second);
   found->second.usedAt = aNow;
-  if (dealer != nullptr) {
-    // If the peer cannot take the message now, the next one replaces it.
-    (void)dealer->Send(aMessage.SerializeAsString());
+  if (dealer == nullptr) {
+    return;
+  }
+  auto& to = found->second;
+  auto bytes = aMessage.SerializeAsString();
+  if (!to.unsent.empty() || dealer->Send(bytes)) {
+    KeepUnsent(to, std::move(bytes), aNow);
+  } else {
+    to.wasOpen = true;
+  }
+}
+
+// Keeps a message until the connection is open. On one that was open before, a
+// peer that cannot take a message gets the next one instead.
+void
+exchange::KeepUnsent(connection& aConnection,
+                     std::string aBytes,
+                     clock::time_point aNow)
+{
+  if (aConnection.wasOpen) {
+    return;
+  }
+  if (aConnection.unsent.empty()) {
+    aConnection.unsentSince = aNow;
+  }
+  aConnection.unsent.push_back(std::move(aBytes));
+  if (aConnection.unsent.size() > kMaxUnsent) {
+    aConnection.unsent.pop_front();
+  }
+  mResendDelay = kInitialResendDelay;
+  ScheduleResend();
+}
+
+void
+exchange::ScheduleResend()
+{
+  if (std::exchange(mIsResendScheduled, true)) {
+    return;
+  }
+  mResendTimer.expires_after(mResendDelay);
+  mResendTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      mIsResendScheduled = false;
+      Resend(std::chrono::steady_clock::now());
+    }
+  });
+}
+
+void
+exchange::Resend(clock::time_point aNow)
+{
+  bool areLeft = false;
+  for (auto& [vm, one] : mConnections) {
+    if (aNow - one.unsentSince > kUnsentLifetime) {
+      one.unsent.clear();
+    }
+    while (!one.unsent.empty() && one.dealer != nullptr &&
+           !one.dealer->Send(one.unsent.front())) {
+      one.unsent.pop_front();
+      one.wasOpen = true;
+    }
+    areLeft = areLeft || !one.unsent.empty();
+  }
+  if (areLeft) {
+    mResendDelay = std::min(2 * mResendDelay, kMaxResendDelay);
+    ScheduleResend();
+  }
+}
+
+// Opens the connection to a peer that has started anew. An attempt that began
+// before the peer was up waits for the kernel's next try, a second later, and a
+// connection to its former incarnation is dead.
+void
+exchange::Reconnect(const std::string& aVm)
+{
+  const auto found = mConnections.find(aVm);
+  if (found != mConnections.end()) {
+    found->second.dealer.reset();
+    found->second.wasOpen = false;
   }
 }
 
@@ -138,6 +222,8 @@
   for (auto& [name, one] : mConnections) {
     if (one.dealer != nullptr && aNow - one.usedAt >= kIdleTimeout) {
       one.dealer.reset();
+      one.wasOpen = false;
+      one.unsent.clear();
     }
   }
 }
@@ -155,6 +241,7 @@
 exchange::Close()
 {
   mRouter.Close();
+  mResendTimer.cancel();
   mConnections.clear();
 }
 
@@ -171,6 +258,7 @@
   if (from.incarnation != message.incarnation()) {
     from = {};
     from.incarnation = message.incarnation();
+    Reconnect(message.vm());
   }
   // Connections are closed and reopened. Messages that arrive late over an
   // earlier connection must not override newer ones.
--- a/src/currantshed/news/exchange.hpp
+++ b/src/currantshed/news/exchange.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <limits>
 #include <memory>
@@ -13,6 +14,7 @@
 
 #include <absl/container/btree_map.h>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <zmq.hpp>
 
 #include "currantshed/clock/time.hpp"
@@ -38,7 +40,8 @@
 /// Exchanges announcements with the other VMs, and estimates the offsets of
 /// their clocks. Belongs to the thread of the io_context. Sending never blocks:
 /// a message that a peer cannot take at once is dropped, since a newer one
-/// follows soon. A connection to a peer is open only while it is in use, so
+/// follows soon; while the connection is being opened, a few are kept for a
+/// short time. A connection to a peer is open only while it is in use, so
 /// that their number depends on the peers that a VM sends to and not on the
 /// number of VMs.
 class exchange
@@ -86,6 +89,11 @@
     /// Null while the connection is not in use.
     std::unique_ptr<net::dealer> dealer;
     clock::time_point usedAt{};
+    /// Whether a message has been sent on it, so that it was open once.
+    bool wasOpen = false;
+    /// Messages that wait until it is open, and since when.
+    std::deque<std::string> unsent{};
+    clock::time_point unsentSince{};
   };
 
   struct sender
@@ -97,6 +105,12 @@
   };
 
   [[nodiscard]] net::dealer* DealerTo(connection& aConnection);
+  void KeepUnsent(connection& aConnection,
+                  std::string aBytes,
+                  clock::time_point aNow);
+  void ScheduleResend();
+  void Resend(clock::time_point aNow);
+  void Reconnect(const std::string& aVm);
   void OnMessage(std::string_view aBytes);
 
   boost::asio::io_context& mContext;
@@ -106,6 +120,9 @@
   receiver mReceiver;
   net::router mRouter;
   absl::btree_map<std::string, connection> mConnections;
+  boost::asio::steady_timer mResendTimer;
+  bool mIsResendScheduled = false;
+  std::chrono::milliseconds mResendDelay{ 0 };
   absl::btree_map<std::string, sender> mSenders;
 };
 
--- a/src/currantshed/node/caller_server.cpp
+++ b/src/currantshed/node/caller_server.cpp
@@ -20,10 +20,10 @@
 // Pause after a connection could not be accepted for lack of file descriptors.
 constexpr std::chrono::milliseconds kAcceptPause{ 100 };
 // How long connections to a VM that has just started wait until the
-// configuration is known, which usually takes 20 ms. An immediate refusal would
-// cost each caller one of its few retries. After this time sessions are refused
-// with an error.
-constexpr std::chrono::milliseconds kMaxStartWait{ 300 };
+// configuration is known, which usually takes 20 ms. A refusal would cost each
+// caller one of its few retries, and after a loss of power all VMs are equally
+// unready. Callers give up after two seconds.
+constexpr std::chrono::milliseconds kMaxStartWait{ 1500 };
 // How long a session with an unknown key waits for a newer configuration, and
 // how many sessions may wait. Callers time out after two seconds.
 constexpr std::chrono::milliseconds kMaxKeyWait{ 1500 };
--- a/test/currantshed/news/exchange.cpp
+++ b/test/currantshed/news/exchange.cpp
@@ -2,7 +2,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -147,3 +149,55 @@
     CHECK(number != 3);
   }
 }
+
+// The first poll of a VM that starts, and its answer, were lost: a connection
+// that is being opened takes no messages yet.
+TEST(exchange, the_first_message_on_a_connection_arrives)
+{
+  vm one(mContext, mZmq, "one");
+  vm other(mContext, mZmq, "other");
+  one.own.SetPeers({ other.self });
+  other.own.SetPeers({ one.self });
+  one.own.Send("other", Numbered(1), std::chrono::steady_clock::now());
+  CHECK(RunUntil([&] { return !other.received.empty(); }));
+  other.own.Send("one", Numbered(2), std::chrono::steady_clock::now());
+  CHECK(RunUntil([&] { return !one.received.empty(); }));
+  CHECK_EQUAL(1U, other.received.size());
+  CHECK_EQUAL(2U, one.received.front());
+}
+
+// A connection attempt that begins before the peer is up is made anew when the
+// peer's first message arrives. The listener accepts nothing, as a machine
+// without power.
+TEST(exchange, a_peer_that_has_started_is_connected_to_again)
+{
+  vm one(mContext, mZmq, "one");
+  asio::ip::tcp::acceptor listener(mContext,
+                                   { asio::ip::make_address(kAddress), 0 });
+  unsigned accepted = 0;
+  std::vector<asio::ip::tcp::socket> sockets;
+  std::function<void()> accept = [&] {
+    listener.async_accept(
+      [&](boost::system::error_code aError, asio::ip::tcp::socket aSocket) {
+        if (!aError) {
+          ++accepted;
+          sockets.push_back(std::move(aSocket));
+          accept();
+        }
+      });
+  };
+  accept();
+  const auto port = listener.local_endpoint().port();
+  one.own.SetPeers({ { "other", kAddress, port } });
+  one.own.Send("other", Numbered(1), std::chrono::steady_clock::now());
+  CHECK(RunUntil([&] { return accepted == 1; }));
+  vm other(mContext, mZmq, "other");
+  other.own.SetPeers({ one.self });
+  other.own.Send("one", Numbered(2), std::chrono::steady_clock::now());
+  CHECK(RunUntil([&] { return !one.received.empty(); }));
+  one.own.Send("other", Numbered(3), std::chrono::steady_clock::now());
+  CHECK(RunUntil([&] { return accepted >= 2; }));
+  listener.cancel();
+  mContext.restart();
+  mContext.poll();
+}
