--- a/src/currantshed/node/caller_server.cpp
+++ b/src/currantshed/node/caller_server.cpp
@@ -20,10 +20,10 @@
 // Pause after a connection could not be accepted for lack of file descriptors.
 constexpr std::chrono::milliseconds kAcceptPause{ 100 };
 // How long connections to a VM that has just started wait until the
-// configuration is known, which usually takes 20 ms. An immediate refusal would
-// cost each caller one of its few retries. After this time sessions are refused
-// with an error.
-constexpr std::chrono::milliseconds kMaxStartWait{ 300 };
+// configuration is known, which usually takes 20 ms. A refusal would cost each
+// caller one of its few retries, and after a loss of power all VMs are equally
+// unready. Callers give up after two seconds.
+constexpr std::chrono::milliseconds kMaxStartWait{ 1500 };
 // How long a session with an unknown key waits for a newer configuration, and
 // how many sessions may wait. Callers time out after two seconds.
 constexpr std::chrono::milliseconds kMaxKeyWait{ 1500 };
@@ -57,7 +57,11 @@
   void Deliver(const proxy::answer& aAnswer) override
   {
     std::string out;
-    mServer.mCodec.WriteAnswer(aAnswer, out);
+    if (mReadsLoad) {
+      mServer.mCodec.WriteRelayedAnswer(aAnswer, out);
+    } else {
+      mServer.mCodec.WriteAnswer(aAnswer, out);
+    }
     mStream->Send(out);
     if (mStream->Unsent() > kMaxUnsentBytes) {
       Close();
@@ -96,6 +100,7 @@
       Reject(proxy::failure_code::kMalformed, "no such statement");
       return;
     }
+    mReadsLoad = mReadsLoad || message->asked.attributes.has_value();
     mServer.mEngine.Submit(*mSession, std::move(message->asked), clock::Now());
     mServer.mOnEngineEvent();
   }
@@ -118,7 +123,7 @@
       return;
     }
     std::string out;
-    mServer.mCodec.WriteStarted(out);
+    mServer.mCodec.WriteRelayStarted(out);
     mStream->Send(out);
   }
 
@@ -237,6 +242,9 @@
   session_start mStart;
   clock::time_point mAskedAt;
   bool mIsDetached = false;
+  // Whether the other end is a VM that sends request attributes, and so reads
+  // the server's load in answers.
+  bool mReadsLoad = false;
 };
 
 caller_server::caller_server(boost::asio::io_context& aContext,
