A limit on the statements in flight on a server, learned from its answers

Cause: a server with six slots gets up to 36 statements of three connection holders. Thirty of them wait inside the server, in order of arrival, where no queue that knows classes sees them: 175 ms at 35 ms a statement.

Ruled out: a fixed part of the slots (one holder alone uses two of six); additive increase until the server rejects (it does so 24 statements too late); the ratio of short-term to long-term time (long work looks like a queue); shares told by a coordinator or with answers (a message that may be late or lost); a minimum over a moving window as the fastest time (it rises with a lasting queue, which grew from 4 to 10 statements within a minute).

Change: admit::concurrency_limit computes by Little's law how many of this process's statements wait in the server, from the least excess over the fastest time of the same kind of work, and keeps that number near its part of half the slots. The engine asks it before a new request takes a direct connection. Statements of a begun transaction, control commands and relayed state queries are not held back. Where a server is sent what only it can run, reads that replicas could run leave a quarter of the limit free. One opening may exceed the limit. It acts where the server reports its slots, a few connection holders share it and the routes of its service differ in priority or target. A request rejected because of it has the reason concurrency_limit or queue_full_at_limit, in the log and in the requests' counter.

The test links may send attributes now, by a setting that existing tests leave off.

--- a/src/currantshed/admit/fwd.hpp
+++ b/src/currantshed/admit/fwd.hpp
@@ -3,9 +3,11 @@
 
 namespace currantshed::admit {
 
+class concurrency_limit;
 class deadline_queue;
 class drain_meter;
 class retry_budget;
+struct concurrency_bounds;
 
 } // namespace currantshed::admit
 
--- a/src/currantshed/proxy/blocked_queues.cpp
+++ b/src/currantshed/proxy/blocked_queues.cpp
@@ -22,6 +22,13 @@
   return aRequest.needsPrimary || !aRequest.floor.position;
 }
 
+bool
+IsReplicable(const session& aWaiting)
+{
+  const auto& attributes = aWaiting.current->attributes;
+  return aWaiting.IsRelay() && attributes && !attributes->needsPrimary;
+}
+
 unsigned
 MaxAttempts(const session& aWaiting)
 {
@@ -46,7 +53,8 @@
   const auto found =
     std::find_if(mBlocked.begin(), mBlocked.end(), [&](const auto& aOne) {
       return aOne.queue == QueueOf(aWaiting) &&
-             aOne.customer == aWaiting.current->customer;
+             aOne.customer == aWaiting.current->customer &&
+             aOne.isReplicable == IsReplicable(aWaiting);
     });
   return found == mBlocked.end() ? nullptr : &*found;
 }
@@ -71,8 +79,10 @@
     ++mBlocked[static_cast<std::size_t>(found - mBlocked.data())].found;
     return;
   }
-  mBlocked.push_back(
-    { std::string(QueueOf(aWaiting)), aWaiting.current->customer, 1 });
+  mBlocked.push_back({ std::string(QueueOf(aWaiting)),
+                       aWaiting.current->customer,
+                       IsReplicable(aWaiting),
+                       1 });
 }
 
 } // namespace currantshed::proxy
--- a/src/currantshed/proxy/blocked_queues.hpp
+++ b/src/currantshed/proxy/blocked_queues.hpp
@@ -35,6 +35,9 @@
   {
     std::string queue;
     std::string customer;
+    /// Relayed reads that replicas could serve: a part of a server's
+    /// concurrency limit is not for them.
+    bool isReplicable = false;
     unsigned found = 0;
   };
 
--- a/src/currantshed/proxy/connection.cpp
+++ b/src/currantshed/proxy/connection.cpp
@@ -92,6 +92,12 @@
   return mValues == aValues;
 }
 
+bool
+connection::HasWork() const noexcept
+{
+  return !mPending.empty() && mPending.front().sentFor != purpose::kControl;
+}
+
 clock::time_point
 connection::OldestPendingAt() const noexcept
 {
--- a/src/currantshed/proxy/connection.hpp
+++ b/src/currantshed/proxy/connection.hpp
@@ -106,6 +106,8 @@
     return mIsOpen && user == nullptr && mPending.empty();
   }
   [[nodiscard]] bool HasNoPending() const noexcept { return mPending.empty(); }
+  /// Whether the server works for it, on anything but a control command.
+  [[nodiscard]] bool HasWork() const noexcept;
   /// Send time of the oldest pending command, or time_point::max().
   [[nodiscard]] clock::time_point OldestPendingAt() const noexcept;
   /// Whether it is unavailable for other work for an unusual time: its answer
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -393,6 +393,18 @@
                       clock::time_point aNow);
   [[nodiscard]] std::size_t MaxConnections(const server_state& aServer) const;
   server_state& WithPlan(server_state& aServer);
+  void UpdateLimit(server_state& aServer) const;
+  [[nodiscard]] bool HasClasses(const std::string& aService) const;
+  [[nodiscard]] bool IsWithinLimit(server_state& aServer,
+                                   const session& aSession,
+                                   bool aOpens,
+                                   clock::time_point aNow);
+  [[nodiscard]] bool IsAtLimit(const session& aSession, clock::time_point aNow);
+  static void ObserveWork(server_state& aState,
+                          const connection& aConnection,
+                          const pending_command& aPending,
+                          const answer& aAnswer,
+                          clock::time_point aNow);
   [[nodiscard]] bool AffectsPlans(std::size_t aBefore, std::size_t aNow) const;
   void InvalidatePlans(clock::time_point aNow);
   void IndexServers();
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -1,6 +1,9 @@
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
+#include <absl/hash/hash.h>
+
 #include "currantshed/proxy/engine.hpp"
 
 namespace currantshed::proxy {
@@ -15,6 +18,20 @@
   return aConnection.IsDirect() || aAnswer.position.has_value();
 }
 
+// Number of the kind of work that a command is: requests of one class and one
+// prepared statement, or first word of the text, take about the same time.
+std::size_t
+KindOfWork(const request& aRequest, purpose aSentFor)
+{
+  const auto& statement = aRequest.statement;
+  const std::string_view text = statement.text;
+  const auto what = aSentFor == purpose::kBegin ? std::string_view()
+                    : statement.kind == statement_kind::kExecute
+                      ? std::string_view(statement.name)
+                      : text.substr(0, text.find(' '));
+  return absl::HashOf(aRequest.priority, aSentFor, statement.kind, what);
+}
+
 } // namespace
 
 void
@@ -70,6 +87,12 @@
     return;
   }
   const auto id = user->number;
+  // A statement in a transaction occupies a slot of the server without
+  // returning its connection.
+  const bool isInTransaction = user->transaction.has_value();
+  const auto* state = Find(aConnection.server);
+  const bool isLimited = state != nullptr && state->limit.has_value();
+  const auto service = aConnection.service;
   switch (aPending.sentFor) {
     case purpose::kSessionSetup:
       SetupAnswered(*user, aAnswer, aNow);
@@ -86,6 +109,9 @@
       break;
   }
   RemoveIfCallerLeft(id);
+  if (isInTransaction && isLimited) {
+    DispatchQueued(service, aNow);
+  }
 }
 
 void
@@ -102,6 +128,7 @@
     state->lastContactAt = aNow;
     RecordReachability(*state, true, "answered");
   }
+  ObserveWork(*state, aConnection, aPending, aAnswer, aNow);
   if (aAnswer.load) {
     state->reportedLoad = aAnswer.load;
     state->reportedLoadAt = aNow;
@@ -119,6 +146,32 @@
   state->ObservePosition(*aAnswer.position, leadership.samples, aNow);
 }
 
+// Adjusts the server's concurrency limit.
+void
+engine::ObserveWork(server_state& aState,
+                    const connection& aConnection,
+                    const pending_command& aPending,
+                    const answer& aAnswer,
+                    clock::time_point aNow)
+{
+  const auto* user = aConnection.user;
+  const bool isWork = aPending.sentFor == purpose::kBegin ||
+                      aPending.sentFor == purpose::kStatement;
+  if (!aState.limit || !aConnection.IsDirect() || !isWork || user == nullptr ||
+      !user->current ||
+      user->current->statement.kind == statement_kind::kReport) {
+    return;
+  }
+  if (!aAnswer.failed) {
+    aState.limit->Answered(KindOfWork(*user->current, aPending.sentFor),
+                           aNow - aPending.sentAt,
+                           aState.InFlight(aNow),
+                           aNow);
+  } else if (aAnswer.failed->code == failure_code::kBusy) {
+    aState.limit->Rejected(aNow);
+  }
+}
+
 void
 engine::RecordReachability(server_state& aState,
                            bool aIsReachable,
--- a/src/currantshed/proxy/engine_connections.cpp
+++ b/src/currantshed/proxy/engine_connections.cpp
@@ -6,6 +6,29 @@
 
 namespace currantshed::proxy {
 
+namespace {
+
+// Whether only the server that it was sent to can run the request; without
+// attributes, a relayed one is taken for such.
+bool
+IsOnlyHere(const session& aSession)
+{
+  const auto& request = *aSession.current;
+  if (aSession.IsRelay()) {
+    return !request.attributes || request.attributes->needsPrimary;
+  }
+  return request.needsPrimary || !request.floor.position;
+}
+
+bool
+IsKnownToNeedPrimary(const request& aRequest)
+{
+  return aRequest.attributes ? aRequest.attributes->needsPrimary
+                             : aRequest.needsPrimary;
+}
+
+} // namespace
+
 // Returns an idle connection; without one, opens one for the queued requests
 // and returns null.
 connection*
@@ -15,6 +38,9 @@
 {
   const auto& customer = aSession.current->customer;
   auto* idle = aServer.FindIdle(aSession.values, false, &customer);
+  if (!IsWithinLimit(aServer, aSession, idle == nullptr, aNow)) {
+    return nullptr;
+  }
   if (idle != nullptr || mOnlyIdle) {
     return idle;
   }
@@ -67,10 +93,94 @@
     aServer.planEpoch = mPlanEpoch;
     ++mPlansMade;
     aServer.plan = mPlanner.Plan(aServer.listed.id, MaxConnections(aServer));
+    UpdateLimit(aServer);
   }
   return aServer;
 }
 
+// Limits the statements in flight where a few connection holders share the
+// slots of a server that reports them, and where the order of requests matters:
+// what waits inside the server is no longer in that order.
+void
+engine::UpdateLimit(server_state& aServer) const
+{
+  const auto& plan = aServer.plan;
+  const auto& listed = aServer.listed;
+  const bool isShared =
+    plan.isHolder && mPlanner.Size() > 1 &&
+    !access_planner::EveryVmConnects(MaxConnections(aServer), mPlanner.Size());
+  if (listed.slots == 0 || !isShared || !HasClasses(listed.service)) {
+    aServer.limit.reset();
+    return;
+  }
+  // The paths of a connection holder are its own and one to each other holder.
+  const admit::concurrency_bounds bounds{
+    listed.slots,
+    static_cast<unsigned>(plan.paths.size()),
+    static_cast<unsigned>(plan.connections)
+  };
+  if (aServer.limit) {
+    aServer.limit->SetBounds(bounds);
+  } else {
+    aServer.limit.emplace(bounds);
+  }
+}
+
+// Whether the service's routes differ in priority or target.
+bool
+engine::HasClasses(const std::string& aService) const
+{
+  const route* first = nullptr;
+  for (const auto& [database, one] : mConfiguration->routes) {
+    if (one->service != aService) {
+      continue;
+    }
+    if (first == nullptr) {
+      first = one.get();
+    } else if (one->priority != first->priority ||
+               one->target != first->target) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Whether the server's concurrency limit lets the request take an idle
+// connection, or open one. One opening may exceed the limit: a customer without
+// a connection would otherwise wait for as long as others with one have
+// requests.
+bool
+engine::IsWithinLimit(server_state& aServer,
+                      const session& aSession,
+                      bool aOpens,
+                      clock::time_point aNow)
+{
+  auto& limit = WithPlan(aServer).limit;
+  const auto& request = *aSession.current;
+  if (!limit || request.statement.kind == statement_kind::kReport) {
+    return true;
+  }
+  if (IsKnownToNeedPrimary(request)) {
+    limit->ArrivedOnlyHere(aNow);
+  }
+  const auto inFlight = aServer.InFlight(aNow);
+  const auto counted = aOpens && inFlight > 0 ? inFlight - 1 : inFlight;
+  return limit->Permits(counted, IsOnlyHere(aSession), aNow);
+}
+
+// Whether a request that waits for one certain server is held back by its
+// limit.
+bool
+engine::IsAtLimit(const session& aSession, clock::time_point aNow)
+{
+  const auto& request = *aSession.current;
+  const auto& leadership = LeadershipOf(request.assignedRoute->service);
+  auto* state = aSession.IsRelay()     ? Find(aSession.relayTarget)
+                : request.needsPrimary ? Find(leadership.confirmed.primary)
+                                       : nullptr;
+  return state != nullptr && !IsWithinLimit(*state, aSession, false, aNow);
+}
+
 // Whether a change between these numbers of VMs affects any plan.
 bool
 engine::AffectsPlans(std::size_t aBefore, std::size_t aNow) const
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -335,6 +335,9 @@
     if (!isIdle && (mOnlyIdle || state.PathToOpen(aNow, customer) == nullptr)) {
       continue;
     }
+    if (!IsWithinLimit(state, aSession, !isIdle, aNow)) {
+      continue;
+    }
     auto time = state.ExpectedLatency(aNow);
     time += isIdle ? milliseconds{ 0 } : kConnectLatency;
     time *= id == leadership.confirmed.primary ? kPrimaryPenalty : 1;
@@ -420,6 +423,9 @@
   }
   const auto& customer = aSession.current->customer;
   auto* idle = state->FindIdle(aSession.values, true, &customer);
+  if (!IsWithinLimit(*state, aSession, idle == nullptr, aNow)) {
+    return nullptr;
+  }
   if (idle == nullptr && !mOnlyIdle &&
       WithPlan(*state).MayOpenFor(customer, aNow)) {
     OpenConnection(*state, path{}, customer, aNow);
--- a/src/currantshed/proxy/engine_queues.cpp
+++ b/src/currantshed/proxy/engine_queues.cpp
@@ -33,7 +33,9 @@
   request.rejectedBy.clear();
   const auto made = Admit(aSession, aNow);
   if (!made.admitted) {
-    Reject(aSession, "queue_full", aNow);
+    Reject(aSession,
+           IsAtLimit(aSession, aNow) ? "queue_full_at_limit" : "queue_full",
+           aNow);
     return;
   }
   mWaiting[request.number] = aSession.number;
@@ -127,7 +129,7 @@
 engine::MissingResource(const session& aSession, clock::time_point aNow)
 {
   if (aSession.IsRelay()) {
-    return "server_busy";
+    return IsAtLimit(aSession, aNow) ? "concurrency_limit" : "server_busy";
   }
   const auto& request = *aSession.current;
   const auto& leadership = LeadershipOf(request.assignedRoute->service);
@@ -136,9 +138,10 @@
     return "primary_leaves";
   }
   if (request.needsPrimary || !request.floor.position) {
-    return IsConfirmedPrimary(leadership, leadership.confirmed.primary, aNow)
-             ? "primary_busy"
-             : "primary_not_proved";
+    if (!IsConfirmedPrimary(leadership, leadership.confirmed.primary, aNow)) {
+      return "primary_not_proved";
+    }
+    return IsAtLimit(aSession, aNow) ? "concurrency_limit" : "primary_busy";
   }
   return IsOutage(aSession, aNow) ? "replicas_behind" : "servers_busy";
 }
--- a/src/currantshed/proxy/server_state.cpp
+++ b/src/currantshed/proxy/server_state.cpp
@@ -47,6 +47,9 @@
 // A connection usually opens within 20 ms; after this time another path is
 // tried in parallel.
 constexpr milliseconds kSlowConnect{ 100 };
+// An answer that takes longer is lost, or its server is frozen or cut off: the
+// statement does not count as in flight.
+constexpr milliseconds kAnswerLost{ 500 };
 
 } // namespace
 
@@ -64,6 +67,9 @@
   if (listed.Incarnation() != aListed.Incarnation()) {
     ResetForNewIncarnation(aNow);
   }
+  if (listed.slots != aListed.slots) {
+    planEpoch = 0;
+  }
   listed = aListed;
   unlisted = false;
   if (!aListed.draining) {
@@ -89,6 +95,9 @@
   mAvoidUntil = {};
   mNoOpenUntil = {};
   mRelayFailures.clear();
+  if (limit) {
+    limit->Reset();
+  }
   for (const auto& one : connections) {
     one->retiring = true;
   }
@@ -111,6 +120,20 @@
     }));
 }
 
+unsigned
+server_state::InFlight(clock::time_point aNow) const
+{
+  return static_cast<unsigned>(std::count_if(
+    connections.begin(), connections.end(), [aNow](const auto& aOne) {
+      if (!aOne->IsDirect()) {
+        return false;
+      }
+      return aOne->IsOpen() ? aOne->HasWork() &&
+                                aNow - aOne->OldestPendingAt() <= kAnswerLost
+                            : aNow - aOne->CreatedAt() <= kSlowConnect;
+    }));
+}
+
 unsigned
 server_state::Opening(bool aDirect) const
 {
--- a/src/currantshed/proxy/server_state.hpp
+++ b/src/currantshed/proxy/server_state.hpp
@@ -8,6 +8,7 @@
 
 #include <absl/container/btree_map.h>
 
+#include "currantshed/admit/concurrency_limit.hpp"
 #include "currantshed/clock/time.hpp"
 #include "currantshed/confirm/position_samples.hpp"
 #include "currantshed/proxy/connection.hpp"
@@ -35,6 +36,10 @@
 
   /// Number of connections with pending commands.
   [[nodiscard]] unsigned Running() const;
+  /// What this VM occupies of the server's slots: statements in flight on
+  /// direct connections, and direct connections being opened. A transaction
+  /// occupies one only while one of its statements is in flight.
+  [[nodiscard]] unsigned InFlight(clock::time_point aNow) const;
   /// Number of connections being opened, direct or relayed.
   [[nodiscard]] unsigned Opening(bool aDirect) const;
   /// Number of connections, direct or relayed.
@@ -113,6 +118,8 @@
   /// Version of the fleet and configuration that the plan was made for; zero
   /// without a plan.
   std::uint64_t planEpoch = 0;
+  /// Limit of InFlight for new requests; empty where none applies.
+  std::optional<admit::concurrency_limit> limit;
   /// Earliest time at which the server may have announced that it drains, if it
   /// does.
   std::optional<clock::time_point> drainingSince;
--- a/test/currantshed/proxy/load_simulation.cpp
+++ b/test/currantshed/proxy/load_simulation.cpp
@@ -153,17 +153,27 @@
     const auto work = writes ? shape.writeWork : shape.readWork;
     // The server finishes the work even if the connection closes.
     const bool isAccepted =
-      mServer.Submit(work, [this, alive = mAlive, aCommand, writes] {
-        if (writes) {
-          mSimulation.mLog.push_back(mSimulation.mTime.Now());
-        }
-        if (*alive) {
-          proxy::answer made;
-          made.rows = { "row" };
-          made.signature = "signed-" + aCommand.id;
-          Answer(std::move(made));
-        }
-      });
+      mServer.Submit(work,
+                     [server = &mServer,
+                      simulation = &mSimulation,
+                      arrivedAt = mSimulation.mTime.Now(),
+                      this,
+                      alive = mAlive,
+                      aCommand,
+                      writes] {
+                       const auto now = simulation->mTime.Now();
+                       if (writes) {
+                         simulation->mLog.push_back(now);
+                         ++server->writes;
+                         server->writeTime += now - arrivedAt;
+                       }
+                       if (*alive) {
+                         proxy::answer made;
+                         made.rows = { "row" };
+                         made.signature = "signed-" + aCommand.id;
+                         Answer(std::move(made));
+                       }
+                     });
     if (!isAccepted) {
       Refuse(failure_code::kBusy);
     }
@@ -220,7 +230,8 @@
       mSimulation.mVms[through]->engine,
       aServer.id,
       aListener,
-      [this] { return mSimulation.mIsEnding; });
+      [this] { return mSimulation.mIsEnding; },
+      mSimulation.mShape.sendsAttributes);
   }
 
   void NeedsConfirmation(const std::string&) override {}
@@ -358,6 +369,7 @@
     made.listed.id = "server-" + std::to_string(i);
     made.listed.service = kService;
     made.listed.failureDomain = DomainName(i);
+    made.listed.slots = aShape.reportsSlots ? aShape.slots : 0;
     servers.push_back(made.listed);
   }
   auto configuration = std::make_shared<proxy::configuration>();
--- a/test/currantshed/proxy/load_simulation.hpp
+++ b/test/currantshed/proxy/load_simulation.hpp
@@ -41,6 +41,9 @@
   unsigned maxWaiting = 24;
   std::uint64_t rejected = 0;
   std::uint64_t accepted = 0;
+  /// Number of writes done, and their time from arrival to end.
+  std::uint64_t writes = 0;
+  clock::duration writeTime{ 0 };
 
 private:
   struct work
@@ -63,6 +66,10 @@
 {
   std::size_t vms = 6;
   unsigned slots = 3;
+  /// Whether the servers are listed with their slots.
+  bool reportsSlots = false;
+  /// Whether relayed statements carry their class and deadline.
+  bool sendsAttributes = false;
   unsigned maxConnections = 22;
   /// Statements per second.
   double writes = 40;
--- a/test/currantshed/proxy/relay_link.hpp
+++ b/test/currantshed/proxy/relay_link.hpp
@@ -27,11 +27,13 @@
              proxy::engine& aThrough,
              const std::string& aServer,
              proxy::link_listener& aListener,
-             std::function<bool()> aIsEnding)
+             std::function<bool()> aIsEnding,
+             bool aSendsAttributes = false)
     : mTime(aTime)
     , mThrough(aThrough)
     , mListener(&aListener)
     , mIsEnding(std::move(aIsEnding))
+    , mSendsAttributes(aSendsAttributes)
   {
     mSession = mThrough.OpenRelay(aServer, *this);
     mTime.After(kRelayHop, Guarded([this] {
@@ -57,7 +59,11 @@
     for (const auto& one : aCommands) {
       mTime.After(kRelayHop, Guarded([this, one] {
                     if (mSession) {
-                      mThrough.Submit(*mSession, Translate(one), mTime.Now());
+                      auto made = Translate(one);
+                      if (mSendsAttributes) {
+                        made.attributes = one.attributes;
+                      }
+                      mThrough.Submit(*mSession, made, mTime.Now());
                     }
                   }));
     }
@@ -140,6 +146,7 @@
   proxy::link_listener* mListener;
   // Whether the engines are being destroyed.
   std::function<bool()> mIsEnding;
+  bool mSendsAttributes;
   std::optional<proxy::engine::session_id> mSession;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
