Connections that belong to customers are kept by shares, not by last use

Cause: a request whose customer had no connection closed the least recently used idle one of another. A customer at seven times its usual so closed everybody's in turn, each other request needed an opening, and openings took slots while statements waited for them. Requests did not wait for a busy connection of their customer, and a second one was opened while others had none.

No connection beyond the share at all: a hot customer's requests wait for each other while slots are idle (trial).

Change: connection_shares, one a server at a holder, decides which idle connection is closed, whether to open or to wait, and how many openings run at once. Weights are quota rates. Requests of one customer that take its connections at each return give way after eight. Counter currantshed_node_customer_connections_total by event and reason.

--- a/src/currantshed/node/metrics.cpp
+++ b/src/currantshed/node/metrics.cpp
@@ -52,6 +52,10 @@
   , mServers(Counter(*mRegistry,
                      "currantshed_node_servers_total",
                      "Number of times a server was reached or lost"))
+  , mConnections(Counter(*mRegistry,
+                         "currantshed_node_customer_connections_total",
+                         "Number of customers' connections opened or closed, "
+                         "by reason"))
   , mListingStates(
       Counter(*mRegistry,
               "currantshed_node_server_standings_total",
@@ -112,6 +116,15 @@
   mServers.Add({ { "now", aIsReached ? "reached" : "lost" } }).Increment();
 }
 
+void
+metrics::CountConnection(std::string_view aEvent, std::string_view aReason)
+{
+  mConnections
+    .Add(
+      { { "event", std::string(aEvent) }, { "reason", std::string(aReason) } })
+    .Increment();
+}
+
 void
 metrics::CountListingState(std::string_view aState)
 {
--- a/src/currantshed/node/traffic.cpp
+++ b/src/currantshed/node/traffic.cpp
@@ -362,6 +362,12 @@
                { "server_leaving_ms", drainingFor } });
 }
 
+void
+traffic::ConnectionChanged(std::string_view aEvent, std::string_view aReason)
+{
+  mMetrics.CountConnection(aEvent, aReason);
+}
+
 void
 traffic::ReachabilityChanged(const proxy::server& aServer,
                              bool aIsReachable,
--- a/src/currantshed/node/traffic.hpp
+++ b/src/currantshed/node/traffic.hpp
@@ -109,6 +109,8 @@
   void ReachabilityChanged(const proxy::server& aServer,
                            bool aIsReachable,
                            std::string_view aReason) override;
+  void ConnectionChanged(std::string_view aEvent,
+                         std::string_view aReason) override;
   void AfterEvent();
   void CloseIdle();
   void EndTransactions();
--- a/src/currantshed/proxy/connection.hpp
+++ b/src/currantshed/proxy/connection.hpp
@@ -134,6 +134,8 @@
   bool transactionOpen = false;
   /// When it was last returned to the pool.
   clock::time_point idleSince;
+  /// When its current user began to use it.
+  clock::time_point takenAt;
   /// To be closed once it is idle: its server has restarted, or the state of
   /// the connection is unknown.
   bool retiring = false;
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -114,6 +114,12 @@
   virtual void ReachabilityChanged(const server& aServer,
                                    bool aIsReachable,
                                    std::string_view aReason) = 0;
+
+  /// A direct connection of a customer is opened or closed.
+  virtual void ConnectionChanged(std::string_view /*aEvent*/,
+                                 std::string_view /*aReason*/)
+  {
+  }
 };
 
 struct engine_settings
@@ -352,7 +358,9 @@
   [[nodiscard]] pending_command MakePending(purpose aWhy,
                                             const request& aRequest,
                                             clock::time_point aNow);
-  void DispatchQueued(const std::string& aService, clock::time_point aNow);
+  void DispatchQueued(const std::string& aService,
+                      clock::time_point aNow,
+                      bool aIdleFirst = true);
   void DispatchQueues(dispatch_queues& aQueues, clock::time_point aNow);
   void DispatchQueue(admit::deadline_queue& aQueue,
                      bool aInTime,
@@ -405,6 +413,8 @@
   void AvoidSilentRelays(clock::time_point aNow);
   void AvoidRelay(const std::string& aVm, clock::time_point aNow);
   [[nodiscard]] static bool CanReroute(const session& aSession);
+  [[nodiscard]] static bool IsOfCustomer(const connection& aConnection);
+  void NoteUse(connection& aConnection, clock::time_point aNow);
   void ReturnConnection(connection& aConnection, clock::time_point aNow);
   void Discard(connection& aConnection);
   void MarkUnresponsive(server_state& aState,
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -30,6 +30,10 @@
   if (aConnection.IsDirect()) {
     state->lastContactAt = aNow;
     RecordReachability(*state, true, "answered");
+    if (IsOfCustomer(aConnection)) {
+      state->shares.Opened(
+        aConnection.customer, aNow - aConnection.CreatedAt(), aNow);
+    }
   } else {
     mRelayContacts[aConnection.via] = aNow;
   }
--- a/src/currantshed/proxy/engine_connections.cpp
+++ b/src/currantshed/proxy/engine_connections.cpp
@@ -32,10 +32,12 @@
 {
   // A connection can't change its customer: one of another customer is closed
   // to make room.
-  if (aVia.IsDirect() && !aCustomer.empty() &&
-      !aServer.HasRoom(aServer.plan.connections, aNow)) {
-    if (auto* least = aServer.LeastRecentlyUsed(aCustomer)) {
-      Discard(*least);
+  if (aVia.IsDirect() && !aCustomer.empty()) {
+    mHost.ConnectionChanged(
+      "opened", aServer.HasDirectFor(aCustomer) ? "additional" : "first");
+    if (auto* other = aServer.ConnectionToClose(aCustomer, aNow)) {
+      mHost.ConnectionChanged("closed", "other_customer");
+      Discard(*other);
     }
   }
   auto made =
@@ -136,12 +138,45 @@
   return found == mByService.end() ? sNone : found->second;
 }
 
+bool
+engine::IsOfCustomer(const connection& aConnection)
+{
+  return aConnection.IsDirect() && !aConnection.customer.empty();
+}
+
+// Tells the shares that a request starts on the connection.
+void
+engine::NoteUse(connection& aConnection, clock::time_point aNow)
+{
+  aConnection.takenAt = aNow;
+  auto* state = Find(aConnection.server);
+  if (state == nullptr || !IsOfCustomer(aConnection)) {
+    return;
+  }
+  const auto& customers = mConfiguration->customers;
+  const auto owner = customers == nullptr
+                       ? nullptr
+                       : customers->FindByName(aConnection.customer);
+  std::optional<double> quotaRate;
+  if (owner != nullptr && owner->limit) {
+    quotaRate = owner->limit->perSecond;
+  }
+  state->shares.Started(
+    aConnection.customer, quotaRate, aNow - aConnection.idleSince, aNow);
+}
+
 // Returns a connection that its session no longer needs to the pool. A
 // transaction left open on it is rolled back first.
 void
 engine::ReturnConnection(connection& aConnection, clock::time_point aNow)
 {
   auto* user = aConnection.user;
+  bool isTurnOver = false;
+  auto* state = Find(aConnection.server);
+  if (user != nullptr && state != nullptr && IsOfCustomer(aConnection)) {
+    state->shares.Returned(aNow - aConnection.takenAt);
+    isTurnOver = state->shares.IsTurnOver(aConnection.customer);
+  }
   aConnection.user = nullptr;
   aConnection.idleSince = aNow;
   const bool needsRollback = user != nullptr && aConnection.transactionOpen;
@@ -158,7 +193,7 @@
   }
   DispatchControls(aConnection.server, aNow);
   const auto service = aConnection.service;
-  DispatchQueued(service, aNow);
+  DispatchQueued(service, aNow, !isTurnOver);
 }
 
 // Closes the connection; the object is kept until no function on the call stack
--- a/src/currantshed/proxy/engine_controls.cpp
+++ b/src/currantshed/proxy/engine_controls.cpp
@@ -155,6 +155,9 @@
     CloseUnneededOf(WithPlan(mServers.at(id)), closing, aNow);
   }
   for (auto* one : closing) {
+    if (IsOfCustomer(*one)) {
+      mHost.ConnectionChanged("closed", "unneeded");
+    }
     FailControlsOn(*one);
     Discard(*one);
   }
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -137,6 +137,7 @@
     RetriesOf(request).Deposit();
   }
   aServerConnection.user = &aSession;
+  NoteUse(aServerConnection, aNow);
   if (aSession.transaction) {
     aSession.transaction->serverConnection = &aServerConnection;
     aSession.transaction->begun = false;
--- a/src/currantshed/proxy/engine_queues.cpp
+++ b/src/currantshed/proxy/engine_queues.cpp
@@ -192,7 +192,9 @@
 // Assigns connections to queued requests: first, in order, to those that can
 // still meet their deadline, then to the others.
 void
-engine::DispatchQueued(const std::string& aService, clock::time_point aNow)
+engine::DispatchQueued(const std::string& aService,
+                       clock::time_point aNow,
+                       bool aIdleFirst)
 {
   const auto found = mQueues.find(aService);
   if (found == mQueues.end()) {
@@ -200,7 +202,7 @@
   }
   // Idle connections are first given to requests that can use them as they are;
   // only then is one closed to open another.
-  if (mConfiguration->customers != nullptr) {
+  if (mConfiguration->customers != nullptr && aIdleFirst) {
     mOnlyIdle = true;
     DispatchQueues(found->second, aNow);
     mOnlyIdle = false;
--- a/src/currantshed/proxy/fwd.hpp
+++ b/src/currantshed/proxy/fwd.hpp
@@ -6,6 +6,7 @@
 class caller;
 class blocked_queues;
 class connection;
+class connection_shares;
 class engine;
 class link_listener;
 class link_opener;
--- a/src/currantshed/proxy/server_state.cpp
+++ b/src/currantshed/proxy/server_state.cpp
@@ -41,9 +41,6 @@
 // bytes on the relay.
 constexpr std::size_t kMaxRelayed = 32;
 constexpr unsigned kMaxOpeningRelayed = 4;
-// Direct connections opened at the same time when each belongs to a customer:
-// each opening takes one of the server's few execution slots.
-constexpr unsigned kMaxOpeningDirect = 2;
 // A connection usually opens within 20 ms; after this time another path is
 // tried in parallel.
 constexpr milliseconds kSlowConnect{ 100 };
@@ -232,31 +229,65 @@
 server_state::MayOpenFor(const std::string& aCustomer,
                          clock::time_point aNow) const
 {
-  const auto opening = Opening(true);
-  const bool isAwaited = std::any_of(
-    connections.begin(), connections.end(), [&aCustomer](const auto& aOne) {
-      return !aOne->IsOpen() && aOne->IsDirect() && aOne->customer == aCustomer;
+  if (!aCustomer.empty()) {
+    return MayConnect(aNow) && DecideOpening(aCustomer, aNow).opens;
+  }
+  const bool isAnyOfCustomer =
+    std::any_of(connections.begin(), connections.end(), [](const auto& aOne) {
+      return aOne->IsIdle() && aOne->IsDirect() && !aOne->customer.empty();
     });
-  const auto most = aCustomer.empty() ? 1 : kMaxOpeningDirect;
-  if (isAwaited || opening >= most) {
-    return false;
+  return Opening(true) == 0 && (MayOpenDirect(plan.connections, aNow) ||
+                                (MayConnect(aNow) && isAnyOfCustomer));
+}
+
+opening_decision
+server_state::DecideOpening(const std::string& aCustomer,
+                            clock::time_point aNow) const
+{
+  std::vector<customer_connection> direct;
+  direct.reserve(connections.size());
+  for (const auto& one : connections) {
+    if (one->IsDirect()) {
+      direct.push_back({ one->customer,
+                         one->IsOpen(),
+                         one->IsIdle(),
+                         one->retiring,
+                         one->idleSince });
+    }
   }
-  return MayOpenDirect(plan.connections, aNow) ||
-         (MayConnect(aNow) && LeastRecentlyUsed(aCustomer) != nullptr);
+  return shares.Decide(aCustomer,
+                       direct,
+                       { plan.connections,
+                         HasRoom(plan.connections, aNow),
+                         listed.slots,
+                         Running() },
+                       aNow);
+}
+
+bool
+server_state::HasDirectFor(const std::string& aCustomer) const
+{
+  return std::any_of(
+    connections.begin(), connections.end(), [&aCustomer](const auto& aOne) {
+      return aOne->IsDirect() && !aOne->retiring && aOne->customer == aCustomer;
+    });
 }
 
 connection*
-server_state::LeastRecentlyUsed(const std::string& aCustomer) const
+server_state::ConnectionToClose(const std::string& aCustomer,
+                                clock::time_point aNow) const
 {
-  connection* found = nullptr;
+  const auto closes = DecideOpening(aCustomer, aNow).closes;
+  if (!closes) {
+    return nullptr;
+  }
+  std::size_t index = 0;
   for (const auto& one : connections) {
-    const bool isOther =
-      one->IsIdle() && one->IsDirect() && one->customer != aCustomer;
-    if (isOther && (found == nullptr || one->idleSince < found->idleSince)) {
-      found = one.get();
+    if (one->IsDirect() && index++ == *closes) {
+      return one.get();
     }
   }
-  return found;
+  return nullptr;
 }
 
 bool
--- a/src/currantshed/proxy/server_state.hpp
+++ b/src/currantshed/proxy/server_state.hpp
@@ -11,6 +11,7 @@
 #include "currantshed/clock/time.hpp"
 #include "currantshed/confirm/position_samples.hpp"
 #include "currantshed/proxy/connection.hpp"
+#include "currantshed/proxy/connection_shares.hpp"
 
 namespace currantshed::proxy {
 
@@ -53,17 +54,20 @@
 
   /// Whether a direct connection for the customer may be opened: the limit
   /// allows one, or an idle connection of another customer can be closed for
-  /// it.
+  /// it; and that helps more than to wait for a busy one of the customer.
   [[nodiscard]] bool MayOpenFor(const std::string& aCustomer,
                                 clock::time_point aNow) const;
 
   /// Whether this VM has fewer direct connections than the limit.
   [[nodiscard]] bool HasRoom(std::size_t aLimit, clock::time_point aNow) const;
 
-  /// The idle direct connection of another customer that has been idle for
-  /// longest, or null.
-  [[nodiscard]] connection* LeastRecentlyUsed(
-    const std::string& aCustomer) const;
+  /// Whether there is a direct connection for the customer that gets work.
+  [[nodiscard]] bool HasDirectFor(const std::string& aCustomer) const;
+
+  /// The idle direct connection that is closed to open one for the customer;
+  /// null when there is room, or none may be closed.
+  [[nodiscard]] connection* ConnectionToClose(const std::string& aCustomer,
+                                              clock::time_point aNow) const;
 
   /// Whether another direct connection may be opened.
   [[nodiscard]] bool MayOpenDirect(std::size_t aLimit,
@@ -126,6 +130,8 @@
   clock::time_point reportedLoadAt;
   /// Last reachability reported to the host.
   bool reachable = false;
+  /// What is known about the customers that use direct connections.
+  connection_shares shares;
 
 private:
   /// Connections being opened, in total and those that are slow.
@@ -135,6 +141,9 @@
     unsigned slow = 0;
   };
 
+  /// What the shares decide for a customer without an idle connection.
+  [[nodiscard]] opening_decision DecideOpening(const std::string& aCustomer,
+                                               clock::time_point aNow) const;
   [[nodiscard]] opening_counts CountOpening(const std::string& aVm,
                                             clock::time_point aNow) const;
   void ResetForNewIncarnation(clock::time_point aNow);
--- a/test/currantshed/proxy/customers.cpp
+++ b/test/currantshed/proxy/customers.cpp
@@ -1,4 +1,5 @@
 #include <chrono>
+#include <deque>
 #include <memory>
 #include <string>
 #include <vector>
@@ -312,3 +313,99 @@
   vm.AdvanceTime(100ms);
   CHECK_EQUAL(opened + 1, vm.servers.opened);
 }
+
+// Of nine connections this VM uses six. A customer with two does not cost the
+// others theirs, although its own were used last: each request of the others
+// would need an opening.
+TEST(customers, A_connection_above_its_customers_share_is_closed_first)
+{
+  std::vector<declared> many{ { "big", { "big" } } };
+  for (const char* name : { "c0", "c1", "c2", "c3", "c4", "c5" }) {
+    many.push_back({ name, { name } });
+  }
+  std::deque<recording_caller> callers;
+  customers_vm vm;
+  vm.engine.SetConfiguration(test::CustomersConfiguration(3, many), vm.now);
+  std::vector<proxy::link_listener*> ofBig;
+  for (int i = 0; i < 2; ++i) {
+    vm.Ask(
+      vm.Open(callers.emplace_back(), "big"), statement_kind::kRead, "READ x");
+    vm.AdvanceTime(100ms);
+    ofBig.push_back(vm.servers.listeners["a"]);
+  }
+  CHECK(ofBig[0] != ofBig[1]);
+  for (const char* name : { "c0", "c1", "c2", "c3" }) {
+    auto& caller = callers.emplace_back();
+    const auto session = vm.Open(caller, name);
+    vm.Ask(session, statement_kind::kRead, "READ x");
+    vm.AdvanceTime(100ms);
+    vm.AnswerLast("a");
+    CHECK_TEXT(caller.lastAnswer && !caller.lastAnswer->failed, name);
+    vm.engine.Close(session, vm.now);
+  }
+  for (auto* one : ofBig) {
+    proxy::answer made;
+    made.signature = "signed";
+    made.position = position::log_position{ 1, 6 };
+    one->Answered(made, vm.now);
+  }
+  const auto opened = vm.servers.opened;
+  for (const char* name : { "c4", "c5" }) {
+    vm.Ask(
+      vm.Open(callers.emplace_back(), name), statement_kind::kRead, "READ x");
+    vm.AdvanceTime(100ms);
+  }
+  CHECK_EQUAL(opened + 2, vm.servers.opened);
+  for (const char* name : { "c0", "c1", "c2", "c3" }) {
+    vm.Ask(
+      vm.Open(callers.emplace_back(), name), statement_kind::kRead, "READ x");
+    vm.AdvanceTime(100ms);
+  }
+  CHECK_EQUAL(opened + 2, vm.servers.opened);
+}
+
+struct lost_row
+{
+  const char* name;
+  /// Whether the connection is open when it is lost.
+  bool isOpen;
+  proxy::link_close_reason why;
+};
+
+constexpr lost_row kLostRows[] = {
+  { "an opening fails", false, proxy::link_close_reason::kUnreachable },
+  { "the server is full", false, proxy::link_close_reason::kServerFull },
+  { "the link breaks under a statement",
+    true,
+    proxy::link_close_reason::kBroken },
+};
+
+// What a lost connection was counted as must not keep its customer from the
+// next one, nor take a place from the others.
+TEST(customers, A_lost_connection_is_replaced)
+{
+  for (const auto& row : kLostRows) {
+    std::deque<recording_caller> callers;
+    customers_vm vm;
+    vm.Ask(
+      vm.Open(callers.emplace_back(), "key-b"), statement_kind::kRead, "READ");
+    if (row.isOpen) {
+      vm.AdvanceTime(50ms);
+    }
+    auto* lost = vm.servers.listeners["a"];
+    vm.servers.opening.clear();
+    lost->Ended(row.why, vm.now);
+    vm.now += 500ms;
+    vm.engine.Tick(vm.now);
+    vm.engine.Confirm("claims", { 1, "a", vm.now }, vm.now);
+    const auto opened = vm.servers.opened;
+    for (const char* key : { "key-b", "key-s" }) {
+      auto& caller = callers.emplace_back();
+      vm.Ask(vm.Open(caller, key), statement_kind::kRead, "READ x");
+      vm.AdvanceTime(100ms);
+      vm.AnswerLast("a");
+      CHECK_TEXT(caller.lastAnswer && !caller.lastAnswer->failed, row.name);
+    }
+    CHECK_EQUAL_TEXT(opened + 2, vm.servers.opened, row.name);
+  }
+}
