Reads leave failing servers and a primary that others wait for

Cause: a server was chosen by this VM's own mean latency of successes alone. One that rejects or resets statements looked fast, one success made a flapping server healthy, and a crashed one behind relays looked like a broken path, so each VM tried it again over the next path. A replica's lag was learned by each VM from its own rejections, and meanwhile all reads took the primary's slots.

Ruled out: sharing ejections between VMs (spreads one VM's bad path); counting lost relay connections against the server (may be the path); the smallest expected time of all (all VMs choose alike); keeping a read's first position while it waits (staler than its route promises).

Change: new module balance. outlier_detector ejects a server from the choice for reads by counted answers or a holder's report, for a bounded time that grows with repetition, and gives it work slowly afterwards, at most a third of a group. ChooseServer takes the better of two random candidates, and keeps reads off a primary with waiting requests. Holders report failures and lag with each answer, and answer what they could not send with BUSY server_unreachable; the sender then leaves that path and, for reads, the server. The simulated relay link passes attributes on, as the real one does.

--- a/src/currantshed/balance/fwd.hpp
+++ b/src/currantshed/balance/fwd.hpp
@@ -3,6 +3,9 @@
 
 namespace currantshed::balance {
 
+struct candidate;
+struct choice;
+struct group_health;
 class outlier_detector;
 
 } // namespace currantshed::balance
--- a/src/currantshed/node/metrics.cpp
+++ b/src/currantshed/node/metrics.cpp
@@ -52,6 +52,10 @@
   , mServers(Counter(*mRegistry,
                      "currantshed_node_servers_total",
                      "Number of times a server was reached or lost"))
+  , mEjections(Counter(*mRegistry,
+                       "currantshed_node_ejections_total",
+                       "Number of times that reads began to avoid a server "
+                       "that fails, by reason"))
   , mListingStates(
       Counter(*mRegistry,
               "currantshed_node_server_standings_total",
@@ -112,6 +116,12 @@
   mServers.Add({ { "now", aIsReached ? "reached" : "lost" } }).Increment();
 }
 
+void
+metrics::CountEjection(std::string_view aReason)
+{
+  mEjections.Add({ { "reason", std::string(aReason) } }).Increment();
+}
+
 void
 metrics::CountListingState(std::string_view aState)
 {
--- a/src/currantshed/node/metrics.hpp
+++ b/src/currantshed/node/metrics.hpp
@@ -28,6 +28,8 @@
   void CountStoreCall(std::string_view aResult);
 
   void CountServerReached(bool aIsReached);
+  /// Counts an ejection of a server from the choice for reads, by the reason.
+  void CountEjection(std::string_view aReason);
   /// Counts a change of a listed server's state.
   void CountListingState(std::string_view aState);
   /// Counts an entry that cannot be used, by the reason.
@@ -49,6 +51,7 @@
   prometheus::Family<prometheus::Histogram>& mTimes;
   prometheus::Family<prometheus::Counter>& mStoreCalls;
   prometheus::Family<prometheus::Counter>& mServers;
+  prometheus::Family<prometheus::Counter>& mEjections;
   prometheus::Family<prometheus::Counter>& mListingStates;
   prometheus::Family<prometheus::Counter>& mAtLeaving;
   prometheus::Family<prometheus::Counter>& mUnusableEntries;
--- a/src/currantshed/node/traffic.cpp
+++ b/src/currantshed/node/traffic.cpp
@@ -376,6 +376,31 @@
                { "reason", std::string(aReason) } });
 }
 
+void
+traffic::ServerEjected(const proxy::server& aServer,
+                       const balance::ejection& aWhy)
+{
+  mMetrics.CountEjection(aWhy.reason);
+  log::Write(
+    log::level::kWarning,
+    "server_ejected",
+    { { "server", aServer.id },
+      { "service", aServer.service },
+      { "reason", std::string(aWhy.reason) },
+      { "failure_permille", static_cast<std::int64_t>(aWhy.failurePermille) },
+      { "reported_permille", static_cast<std::int64_t>(aWhy.reportedPermille) },
+      { "duration_ms", Milliseconds(aWhy.duration) },
+      { "repetitions", static_cast<std::int64_t>(aWhy.repetitions) } });
+}
+
+void
+traffic::ServerReturned(const proxy::server& aServer)
+{
+  log::Write(log::level::kInfo,
+             "server_returned",
+             { { "server", aServer.id }, { "service", aServer.service } });
+}
+
 void
 traffic::AfterEvent()
 {
--- a/src/currantshed/node/traffic.hpp
+++ b/src/currantshed/node/traffic.hpp
@@ -109,6 +109,9 @@
   void ReachabilityChanged(const proxy::server& aServer,
                            bool aIsReachable,
                            std::string_view aReason) override;
+  void ServerEjected(const proxy::server& aServer,
+                     const balance::ejection& aWhy) override;
+  void ServerReturned(const proxy::server& aServer) override;
   void AfterEvent();
   void CloseIdle();
   void EndTransactions();
--- a/src/currantshed/proxy/engine.cpp
+++ b/src/currantshed/proxy/engine.cpp
@@ -1,6 +1,7 @@
 #include "currantshed/proxy/engine.hpp"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace currantshed::proxy {
@@ -27,6 +28,13 @@
   , mOpener(aOpener)
   , mHost(aHost)
   , mPlanner(aSettings.vm)
+  , mRandom(std::accumulate(aSettings.vm.begin(),
+                            aSettings.vm.end(),
+                            std::uint64_t{ 0 },
+                            [](std::uint64_t aSum, char aOne) {
+                              return aSum * 31 +
+                                     static_cast<unsigned char>(aOne);
+                            }))
 {
 }
 
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -19,6 +20,8 @@
 
 #include "currantshed/admit/deadline_queue.hpp"
 #include "currantshed/admit/retry_budget.hpp"
+#include "currantshed/balance/outlier_detector.hpp"
+#include "currantshed/balance/server_choice.hpp"
 #include "currantshed/clock/time.hpp"
 #include "currantshed/confirm/position_samples.hpp"
 #include "currantshed/customer/directory.hpp"
@@ -114,6 +117,15 @@
   virtual void ReachabilityChanged(const server& aServer,
                                    bool aIsReachable,
                                    std::string_view aReason) = 0;
+
+  /// Reads begin to avoid a server, for the reason given.
+  virtual void ServerEjected(const server& /*aServer*/,
+                             const balance::ejection& /*aWhy*/)
+  {
+  }
+
+  /// A server that was ejected gets a share of its reads again.
+  virtual void ServerReturned(const server& /*aServer*/) {}
 };
 
 struct engine_settings
@@ -339,7 +351,8 @@
   [[nodiscard]] std::string_view MissingResource(const session& aSession,
                                                  clock::time_point aNow);
   [[nodiscard]] admit::deadline_queue& QueueOf(const session& aSession);
-  [[nodiscard]] std::optional<server_load> LoadFor(const session& aSession);
+  [[nodiscard]] std::optional<server_load> LoadFor(const session& aSession,
+                                                   clock::time_point aNow);
   [[nodiscard]] admit::retry_budget& RetriesOf(const request& aRequest);
   void Requeue(session& aSession, clock::time_point aNow);
   void Dequeue(session& aSession);
@@ -372,6 +385,14 @@
                                               clock::time_point aNow);
   [[nodiscard]] connection* ConnectionForRelay(session& aSession,
                                                clock::time_point aNow);
+  /// The server as a candidate for the read.
+  [[nodiscard]] balance::candidate CandidateFor(
+    server_state& aServer,
+    const session& aSession,
+    const leadership_state& aLeadership,
+    clock::time_point aNow) const;
+  [[nodiscard]] bool FailIfUnreachable(session& aSession,
+                                       clock::time_point aNow);
   [[nodiscard]] bool CanServe(const server_state& aServer,
                               const request& aRequest,
                               const leadership_state& aLeadership,
@@ -443,9 +464,22 @@
   void HandleRejection(session& aSession,
                        answer aAnswer,
                        clock::time_point aNow);
+  void ObserveRelayedLag(const request& aRequest,
+                         const failure& aWhy,
+                         clock::time_point aNow);
   [[nodiscard]] bool RetryElsewhere(session& aSession,
                                     const failure& aWhy,
                                     clock::time_point aNow);
+  void ObserveServer(server_state& aState,
+                     balance::observation aWhat,
+                     clock::time_point aNow);
+  void EjectIfBad(server_state& aState, clock::time_point aNow);
+  void ObserveFailedAnswer(const connection& aConnection,
+                           const answer& aAnswer,
+                           clock::time_point aNow);
+  void ObserveLoad(server_state& aState,
+                   const answer& aAnswer,
+                   clock::time_point aNow);
   void RecordReachability(server_state& aState,
                           bool aIsReachable,
                           std::string_view aReason);
@@ -512,6 +546,9 @@
   std::uint64_t mLastNumber = 0;
   std::uint64_t mServersExamined = 0;
   std::uint64_t mPlansMade = 0;
+  // Random numbers for the choice of servers, seeded by the VM's name, so that
+  // a run can be replayed and VMs don't choose alike.
+  std::mt19937_64 mRandom;
   bool mIsDraining = false;
   // Whether only idle connections are assigned, and none is opened.
   bool mOnlyIdle = false;
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -15,6 +15,15 @@
   return aConnection.IsDirect() || aAnswer.position.has_value();
 }
 
+// Whether a connection holder could not reach the server.
+bool
+IsUnreachable(const connection& aConnection, const answer& aAnswer)
+{
+  return !aConnection.IsDirect() && aAnswer.failed &&
+         aAnswer.failed->code == failure_code::kBusy &&
+         aAnswer.failed->text == kServerUnreachable;
+}
+
 } // namespace
 
 void
@@ -103,8 +112,7 @@
     RecordReachability(*state, true, "answered");
   }
   if (aAnswer.load) {
-    state->reportedLoad = aAnswer.load;
-    state->reportedLoadAt = aNow;
+    ObserveLoad(*state, aAnswer, aNow);
   }
   if (!aAnswer.position) {
     return;
@@ -119,6 +127,74 @@
   state->ObservePosition(*aAnswer.position, leadership.samples, aNow);
 }
 
+void
+engine::ObserveLoad(server_state& aState,
+                    const answer& aAnswer,
+                    clock::time_point aNow)
+{
+  aState.reportedLoad = aAnswer.load;
+  aState.reportedLoadAt = aNow;
+  // A holder that was not reached by the server's own answer may know less.
+  if (aAnswer.position || aAnswer.load->lag > aState.Lag(aNow)) {
+    aState.ObserveReportedLag(aAnswer.load->lag, aNow);
+  }
+  aState.health.ObserveReport(aAnswer.load->failurePermille, aNow);
+  EjectIfBad(aState, aNow);
+}
+
+// Records what became of a statement or connection. In a group of one server
+// there is nothing to choose.
+void
+engine::ObserveServer(server_state& aState,
+                      balance::observation aWhat,
+                      clock::time_point aNow)
+{
+  aState.health.Observe(aWhat, aNow);
+  if (aWhat != balance::observation::kSucceeded) {
+    EjectIfBad(aState, aNow);
+  }
+}
+
+void
+engine::EjectIfBad(server_state& aState, clock::time_point aNow)
+{
+  balance::group_health group;
+  for (const auto* one : ServersOf(aState.listed.service)) {
+    ++group.servers;
+    group.ejected += one->health.IsEjected(aNow) ? 1 : 0;
+    group.bad += one->health.LooksBad(aNow) ? 1 : 0;
+  }
+  if (const auto why = aState.health.TryEject(group, aNow)) {
+    mHost.ServerEjected(aState.listed, *why);
+  }
+}
+
+// Counts a failed answer against the server if it is the server's own, or if a
+// connection holder says that it can't reach the server.
+void
+engine::ObserveFailedAnswer(const connection& aConnection,
+                            const answer& aAnswer,
+                            clock::time_point aNow)
+{
+  auto* state = Find(aConnection.server);
+  if (state == nullptr) {
+    return;
+  }
+  if (IsUnreachable(aConnection, aAnswer)) {
+    state->ObserveUnreachableThrough(aConnection.via, aNow);
+    ObserveServer(*state, balance::observation::kUnreachable, aNow);
+    return;
+  }
+  if (!IsFromServer(aConnection, aAnswer)) {
+    return;
+  }
+  if (aAnswer.failed->code == failure_code::kBusy) {
+    ObserveServer(*state, balance::observation::kRejected, aNow);
+  } else if (aAnswer.failed->code == failure_code::kFailed) {
+    ObserveServer(*state, balance::observation::kFailed, aNow);
+  }
+}
+
 void
 engine::RecordReachability(server_state& aState,
                            bool aIsReachable,
@@ -194,6 +270,7 @@
   auto& request = *aSession.current;
   if (auto* state = Find(request.lastServer)) {
     state->ObserveLatency(request.sentAt, aNow);
+    ObserveServer(*state, balance::observation::kSucceeded, aNow);
   }
   QueueOf(aSession).Served(aNow - request.sentAt);
   const bool isCommit = request.statement.kind == statement_kind::kCommit;
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -15,9 +15,6 @@
 // Margin subtracted from the staleness bound, for the way from the caller.
 constexpr milliseconds kFloorReserve{ 50 };
 constexpr milliseconds kConfirmationRequestInterval{ 50 };
-// Latency factor of the primary for reads: it is kept free for requests that
-// only it can serve, unless it is much faster.
-constexpr int kPrimaryPenalty = 2;
 // Latency added by opening a connection.
 constexpr milliseconds kConnectLatency{ 20 };
 
@@ -73,6 +70,9 @@
       Reject(aSession, "server_leaves", aNow);
       return;
     }
+    if (FailIfUnreachable(aSession, aNow)) {
+      return;
+    }
     if (!TryStart(aSession, aNow)) {
       Enqueue(aSession, aNow);
     }
@@ -120,6 +120,9 @@
     Finish(aSession, {}, aNow);
     return;
   }
+  if (FailIfUnreachable(aSession, aNow)) {
+    return;
+  }
   if (!TryStart(aSession, aNow)) {
     Enqueue(aSession, aNow);
   }
@@ -317,36 +320,69 @@
   auto& request = *aSession.current;
   auto& leadership = LeadershipOf(request.assignedRoute->service);
   request.floor = FloorOf(aSession, aNow);
-  server_state* best = nullptr;
-  clock::duration bestTime = clock::duration::max();
+  request.unservable = false;
+  const auto& servers = ServersOf(request.assignedRoute->service);
+  std::vector<balance::candidate> candidates;
+  candidates.reserve(servers.size());
   bool needsConfirmation = false;
-  for (auto* one : ServersOf(request.assignedRoute->service)) {
-    auto& state = WithPlan(*one);
+  for (auto* one : servers) {
     ++mServersExamined;
-    const auto& id = state.listed.id;
-    if (!CanServe(state, request, leadership, aNow)) {
-      needsConfirmation =
-        needsConfirmation || id == leadership.confirmed.primary;
-      continue;
-    }
-    const auto& customer = request.customer;
-    const bool isIdle =
-      state.FindIdle(aSession.values, false, &customer) != nullptr;
-    if (!isIdle && (mOnlyIdle || state.PathToOpen(aNow, customer) == nullptr)) {
-      continue;
-    }
-    auto time = state.ExpectedLatency(aNow);
-    time += isIdle ? milliseconds{ 0 } : kConnectLatency;
-    time *= id == leadership.confirmed.primary ? kPrimaryPenalty : 1;
-    if (time < bestTime) {
-      best = &state;
-      bestTime = time;
+    auto& state = WithPlan(*one);
+    candidates.push_back(CandidateFor(state, aSession, leadership, aNow));
+    if (state.health.TakeReturned(aNow)) {
+      mHost.ServerReturned(state.listed);
     }
-  }
-  if (!request.floor.position || (best == nullptr && needsConfirmation)) {
+    needsConfirmation = needsConfirmation || (candidates.back().isPrimary &&
+                                              !candidates.back().canServe);
+  }
+  // A read that is late anyway is served as long as its caller waits.
+  const auto target = request.arrivedAt + request.assignedRoute->target;
+  const auto until = aNow < target ? target : request.deadline;
+  const auto made = balance::ChooseServer(candidates, until - aNow, mRandom());
+  const bool isSent = made.what == balance::choice::action::kSend;
+  request.unservable = made.what == balance::choice::action::kRefuse;
+  if (made.retryIn) {
+    mNextMaintenance = std::min(mNextMaintenance, aNow + *made.retryIn);
+  }
+  if (!request.floor.position || (!isSent && needsConfirmation)) {
     RequestConfirmation(request.assignedRoute->service, aNow);
   }
-  return best == nullptr ? nullptr : Acquire(*best, aSession, aNow);
+  return isSent ? Acquire(*servers[made.index], aSession, aNow) : nullptr;
+}
+
+balance::candidate
+engine::CandidateFor(server_state& aServer,
+                     const session& aSession,
+                     const leadership_state& aLeadership,
+                     clock::time_point aNow) const
+{
+  const auto& request = *aSession.current;
+  balance::candidate made;
+  made.isPrimary = aServer.listed.id == aLeadership.confirmed.primary;
+  made.canServe = CanServe(aServer, request, aLeadership, aNow);
+  const bool isIdle =
+    aServer.FindIdle(aSession.values, false, &request.customer) != nullptr;
+  made.hasConnection =
+    isIdle ||
+    (!mOnlyIdle && aServer.PathToOpen(aNow, request.customer) != nullptr);
+  made.expected = aServer.ExpectedLatency(aNow) +
+                  (isIdle ? milliseconds{ 0 } : kConnectLatency);
+  if (aServer.reportedLoad) {
+    made.load = { aServer.reportedLoad->expectedWait,
+                  aServer.reportedLoad->queued,
+                  aNow - aServer.reportedLoadAt };
+  }
+  made.share = aServer.health.Share(aNow);
+  // Only a session's own commit is a fixed position that a replica comes to
+  // have; the position that bounds the staleness moves on with time.
+  const auto& own = aSession.lastCommit;
+  const bool isFixed = own && request.floor.position == own->position;
+  if (isFixed && !made.isPrimary && !aServer.listed.draining &&
+      aServer.IsReachable(aNow)) {
+    made.catchesUpIn = std::max<clock::duration>(
+      aServer.Lag(aNow) - (aNow - request.floor.writtenBy), milliseconds{ 0 });
+  }
+  return made;
 }
 
 bool
@@ -405,6 +441,26 @@
   }
 }
 
+// Answers a relayed request that has not been sent to its unreachable server.
+// The other VM then tries another server or path at once. One that sends no
+// attributes doesn't know this answer: its session is closed instead.
+bool
+engine::FailIfUnreachable(session& aSession, clock::time_point aNow)
+{
+  if (!aSession.IsRelay() || !aSession.current->attributes) {
+    return false;
+  }
+  const auto* state = Find(aSession.relayTarget);
+  if (state != nullptr && !state->IsAvoided(aNow)) {
+    return false;
+  }
+  Fail(aSession,
+       RefusalCode(*aSession.current),
+       std::string(kServerUnreachable),
+       aNow);
+  return true;
+}
+
 // Connection for a relayed request: the other VM has chosen the server, and
 // only direct connections are used.
 connection*
--- a/src/currantshed/proxy/engine_failures.cpp
+++ b/src/currantshed/proxy/engine_failures.cpp
@@ -54,8 +54,10 @@
     }
     mHost.LeadershipDenied(request.assignedRoute->service, request.term);
   }
+  ObserveFailedAnswer(*request.serverConnection, aAnswer, aNow);
   const bool begun = aSession.transaction && aSession.transaction->begun;
   if (!begun && aSession.IsRelay()) {
+    ObserveRelayedLag(request, why, aNow);
     ReleaseConnection(aSession, aNow);
     aSession.transaction.reset();
     Finish(aSession, std::move(aAnswer), aNow);
@@ -89,6 +91,24 @@
   Finish(aSession, std::move(aAnswer), aNow);
 }
 
+// Learns from a relayed read that a replica lacks a position, so that the VMs
+// that use this holder are told with their next answers.
+void
+engine::ObserveRelayedLag(const request& aRequest,
+                          const failure& aWhy,
+                          clock::time_point aNow)
+{
+  auto* state = Find(aRequest.lastServer);
+  if (state == nullptr || aWhy.code != failure_code::kLagging ||
+      !aRequest.floor.position) {
+    return;
+  }
+  const auto& samples = LeadershipOf(aRequest.assignedRoute->service).samples;
+  if (const auto writtenBy = samples.WrittenBy(*aRequest.floor.position)) {
+    state->ObserveLag(*writtenBy, aNow);
+  }
+}
+
 // Retries the request on another server, or later on the same one, when the
 // answer shows that it has not run or when it is idempotent.
 bool
@@ -113,6 +133,10 @@
       }
       break;
     case failure_code::kBusy:
+      // Nothing else is loaded by another try.
+      if (aWhy.text == kServerUnreachable) {
+        break;
+      }
       if (request.needsPrimary || !RetriesOf(request).TryWithdraw()) {
         return false;
       }
@@ -146,6 +170,11 @@
     request.serverConnection = nullptr;
   }
   if (aSession.IsRelay()) {
+    const bool isUnsent = lastStage == stage::kSessionSetup &&
+                          !aSession.transaction && aNow < request.deadline;
+    if (isUnsent && FailIfUnreachable(aSession, aNow)) {
+      return;
+    }
     aSession.current.reset();
     EndRelay(aSession);
     return;
@@ -211,9 +240,19 @@
       state->ObserveServerFull(aNow);
     } else if (!aConnection.IsDirect()) {
       state->ObserveRelayFailure(aConnection.via, aNow);
+      ObserveServer(*state, balance::observation::kPathLost, aNow);
     } else {
       state->ObserveFailure(aNow);
       RecordReachability(*state, false, NameOf(aWhy));
+      // An idle connection may close without harm.
+      if (!aConnection.IsOpen() || !aConnection.HasNoPending()) {
+        ObserveServer(*state,
+                      aConnection.IsOpen() ? balance::observation::kReset
+                                           : balance::observation::kUnreachable,
+                      aNow);
+      }
+      // Requests that wait for the server are answered at once.
+      mNextMaintenance = aNow;
     }
   }
   FailControlsOn(aConnection);
--- a/src/currantshed/proxy/engine_queues.cpp
+++ b/src/currantshed/proxy/engine_queues.cpp
@@ -31,6 +31,10 @@
   auto& request = *aSession.current;
   request.progress = stage::kQueued;
   request.rejectedBy.clear();
+  if (std::exchange(request.unservable, false)) {
+    Reject(aSession, "primary_reserved", aNow);
+    return;
+  }
   const auto made = Admit(aSession, aNow);
   if (!made.admitted) {
     Reject(aSession, "queue_full", aNow);
@@ -157,7 +161,7 @@
 
 // The load of a relay session's server, for a VM that sends attributes.
 std::optional<server_load>
-engine::LoadFor(const session& aSession)
+engine::LoadFor(const session& aSession, clock::time_point aNow)
 {
   const auto* state = aSession.IsRelay() ? Find(aSession.relayTarget) : nullptr;
   if (state == nullptr || !aSession.current || !aSession.current->attributes) {
@@ -168,6 +172,8 @@
   load.expectedWait = std::chrono::ceil<milliseconds>(queue.ExpectedWait());
   load.queued = static_cast<unsigned>(queue.Entries().size());
   load.running = state->Running();
+  load.failurePermille = state->health.FailurePermille(aNow);
+  load.lag = std::chrono::ceil<milliseconds>(state->Lag(aNow));
   return load;
 }
 
@@ -243,10 +249,14 @@
     // function.
     mWaiting.erase(queueEntry.request);
     aQueue.Remove(queueEntry);
+    if (FailIfUnreachable(from, aNow)) {
+      continue;
+    }
     if (TryStart(from, aNow)) {
       aQueue.Departed(aNow);
       continue;
     }
+    from.current->unservable = false;
     mWaiting[queueEntry.request] = from.number;
     aQueue.Requeue(queueEntry);
     aBlocked.Add(from);
--- a/src/currantshed/proxy/engine_requests.cpp
+++ b/src/currantshed/proxy/engine_requests.cpp
@@ -195,7 +195,7 @@
 engine::Finish(session& aSession, answer aAnswer, clock::time_point aNow)
 {
   const auto id = aSession.number;
-  aAnswer.load = LoadFor(aSession);
+  aAnswer.load = LoadFor(aSession, aNow);
   aSession.current.reset();
   aAnswer.state = aSession.State();
   if (aSession.callerLeft) {
--- a/src/currantshed/proxy/request.hpp
+++ b/src/currantshed/proxy/request.hpp
@@ -67,6 +67,8 @@
   std::optional<admit::queued_request> queueEntry;
   /// Session setup answers still missing before the next step.
   unsigned awaitedAnswers = 0;
+  /// Whether no server is expected to serve the read in time.
+  bool unservable = false;
   /// Servers that rejected the request.
   absl::InlinedVector<upstream::server_id, 2> rejectedBy;
   unsigned tries = 0;
--- a/src/currantshed/proxy/server_state.cpp
+++ b/src/currantshed/proxy/server_state.cpp
@@ -89,6 +89,8 @@
   mAvoidUntil = {};
   mNoOpenUntil = {};
   mRelayFailures.clear();
+  health = {};
+  reportedLoad.reset();
   for (const auto& one : connections) {
     one->retiring = true;
   }
@@ -349,6 +351,15 @@
   return std::max<clock::duration>(faded, kMinLag);
 }
 
+void
+server_state::ObserveReportedLag(clock::duration aLag, clock::time_point aNow)
+{
+  const auto own = Lag(aNow);
+  mLag =
+    std::min<clock::duration>(aLag < own ? (own + aLag) / 2 : aLag, kMaxLag);
+  mLagAt = aNow;
+}
+
 void
 server_state::ObserveFailure(clock::time_point aNow)
 {
@@ -367,6 +378,16 @@
   ++candidate.count;
 }
 
+void
+server_state::ObserveUnreachableThrough(const std::string& aVm,
+                                        clock::time_point aNow)
+{
+  ObserveRelayFailure(aVm, aNow);
+  for (const auto& one : connections) {
+    one->retiring = one->retiring || one->via == aVm;
+  }
+}
+
 void
 server_state::ObserveServerFull(clock::time_point aNow)
 {
--- a/src/currantshed/proxy/server_state.hpp
+++ b/src/currantshed/proxy/server_state.hpp
@@ -8,6 +8,7 @@
 
 #include <absl/container/btree_map.h>
 
+#include "currantshed/balance/outlier_detector.hpp"
 #include "currantshed/clock/time.hpp"
 #include "currantshed/confirm/position_samples.hpp"
 #include "currantshed/proxy/connection.hpp"
@@ -99,12 +100,21 @@
   /// Records that the server lacked a position written by then.
   void ObserveLag(clock::time_point aWrittenBy, clock::time_point aNow);
 
+  /// Records the lag that a connection holder has reported. A smaller one than
+  /// known here counts half: the holder may have seen no recent position.
+  void ObserveReportedLag(clock::duration aLag, clock::time_point aNow);
+
   /// Records that a direct connection failed or could not be opened.
   void ObserveFailure(clock::time_point aNow);
 
   /// Records the same for a connection through a relay.
   void ObserveRelayFailure(const std::string& aVm, clock::time_point aNow);
 
+  /// Records that the relay can't reach the server: the path is avoided, and
+  /// its connections get no more work.
+  void ObserveUnreachableThrough(const std::string& aVm,
+                                 clock::time_point aNow);
+
   /// Records that the server is at its connection limit.
   void ObserveServerFull(clock::time_point aNow);
 
@@ -124,6 +134,7 @@
   /// Load that a connection holder has reported with an answer, and when.
   std::optional<server_load> reportedLoad;
   clock::time_point reportedLoadAt;
+  balance::outlier_detector health;
   /// Last reachability reported to the host.
   bool reachable = false;
 
--- a/src/currantshed/proxy/statement.hpp
+++ b/src/currantshed/proxy/statement.hpp
@@ -121,6 +121,10 @@
 [[nodiscard]] std::string_view
 NameOf(failure_code aCode);
 
+/// Text of the BUSY failure with which a connection holder answers a relayed
+/// request that it could not send, since it can't reach the server.
+inline constexpr std::string_view kServerUnreachable = "server_unreachable";
+
 struct failure
 {
   failure_code code = failure_code::kOther;
--- a/test/currantshed/proxy/load_simulation.cpp
+++ b/test/currantshed/proxy/load_simulation.cpp
@@ -69,6 +69,41 @@
   return true;
 }
 
+void
+model_server::Crash()
+{
+  isUp = false;
+  BreakConnections();
+}
+
+void
+model_server::CutOff(std::function<bool(std::size_t)> aIsCutOff)
+{
+  mIsCutOff = std::move(aIsCutOff);
+  BreakConnections();
+}
+
+void
+model_server::BreakConnections()
+{
+  for (const auto& [number, connection] : open) {
+    if (!CanReach(connection.vm)) {
+      connection.breakOff();
+    }
+  }
+}
+
+bool
+model_server::Sheds()
+{
+  constexpr unsigned kParts = 1000;
+  const bool sheds =
+    shedFraction > 0 &&
+    static_cast<double>(mRandom() % kParts) < shedFraction * kParts;
+  rejected += sheds ? 1 : 0;
+  return sheds;
+}
+
 void
 model_server::Run(work aWork)
 {
@@ -93,6 +128,8 @@
   lost += aOther.lost;
   refusals += aOther.refusals;
   promptRefusals += aOther.promptRefusals;
+  writes += aOther.writes;
+  writesInTime += aOther.writesInTime;
   return *this;
 }
 
@@ -102,20 +139,33 @@
 public:
   link(load_simulation& aSimulation,
        model_server& aServer,
+       std::size_t aVm,
        proxy::link_listener& aListener)
     : mSimulation(aSimulation)
     , mServer(aServer)
     , mListener(aListener)
+    , mNumber(++aServer.connections)
   {
+    mServer.open[mNumber] = { aVm, [this] {
+                               End(proxy::link_close_reason::kBroken);
+                             } };
+    if (!mServer.CanReach(aVm)) {
+      End(proxy::link_close_reason::kUnreachable);
+      return;
+    }
     After(2 * kHop + kHandshake, [this] {
-      if (mServer.reachable) {
+      if (mServer.reachable && !mHasEnded) {
         mListener.Opened(mSimulation.At(mServer), mSimulation.mTime.Now());
       }
     });
   }
   link(const link&) = delete;
   link& operator=(const link&) = delete;
-  ~link() override { *mAlive = false; }
+  ~link() override
+  {
+    *mAlive = false;
+    mServer.open.erase(mNumber);
+  }
 
   void Send(const std::vector<proxy::command>& aCommands) override
   {
@@ -137,7 +187,7 @@
 
   void Arrived(const proxy::command& aCommand)
   {
-    if (!mServer.reachable) {
+    if (!mServer.reachable || mHasEnded) {
       return;
     }
     if (aCommand.kind != command_kind::kVerbatim) {
@@ -149,6 +199,10 @@
       Refuse(failure_code::kLagging);
       return;
     }
+    if (mServer.Sheds()) {
+      Refuse(failure_code::kBusy);
+      return;
+    }
     const auto& shape = mSimulation.mShape;
     const auto work = writes ? shape.writeWork : shape.readWork;
     // The server finishes the work even if the connection closes.
@@ -169,6 +223,15 @@
     }
   }
 
+  void End(proxy::link_close_reason aWhy)
+  {
+    if (std::exchange(mHasEnded, true)) {
+      return;
+    }
+    After(2 * kHop,
+          [this, aWhy] { mListener.Ended(aWhy, mSimulation.mTime.Now()); });
+  }
+
   void Refuse(failure_code aCode)
   {
     proxy::answer made;
@@ -180,7 +243,7 @@
   {
     aAnswer.position = mSimulation.At(mServer);
     After(kHop, [this, made = std::move(aAnswer)] {
-      if (mServer.reachable) {
+      if (mServer.reachable && !mHasEnded) {
         mListener.Answered(made, mSimulation.mTime.Now());
       }
     });
@@ -189,6 +252,8 @@
   load_simulation& mSimulation;
   model_server& mServer;
   proxy::link_listener& mListener;
+  std::uint64_t mNumber;
+  bool mHasEnded = false;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
@@ -200,6 +265,7 @@
 public:
   vm(load_simulation& aSimulation, std::size_t aNumber)
     : mSimulation(aSimulation)
+    , mNumber(aNumber)
     , engine({ VmName(aNumber), DomainName(aNumber), kValidity }, *this, *this)
   {
   }
@@ -212,7 +278,7 @@
   {
     if (aVia.IsDirect()) {
       return std::make_unique<link>(
-        mSimulation, *mSimulation.Find(aServer.id), aListener);
+        mSimulation, *mSimulation.Find(aServer.id), mNumber, aListener);
     }
     const auto through = std::stoul(aVia.vm.substr(3));
     return std::make_unique<relay_link>(
@@ -241,6 +307,7 @@
 
 private:
   load_simulation& mSimulation;
+  std::size_t mNumber;
 
 public:
   proxy::engine engine;
@@ -267,8 +334,9 @@
   {
     const auto now = mSimulation.mTime.Now();
     if (!aAnswer.failed) {
-      Complete(now - mStartedAt <= Target() ? &load_result::inTime
-                                            : &load_result::late);
+      const bool isInTime = now - mStartedAt <= Target();
+      Result().writesInTime += mWrites && isInTime ? 1 : 0;
+      Complete(isInTime ? &load_result::inTime : &load_result::late);
       return;
     }
     auto& result = Result();
@@ -492,6 +560,7 @@
     const auto second = Second();
     mResults.resize(std::max(mResults.size(), second + 1));
     ++mResults[second].requests;
+    mResults[second].writes += aWrites ? 1 : 0;
     const auto number = ++mLastCaller;
     mCallers[number] =
       std::make_unique<caller>(*this, number, aWrites, mTime.Now());
--- a/test/currantshed/proxy/load_simulation.hpp
+++ b/test/currantshed/proxy/load_simulation.hpp
@@ -28,6 +28,21 @@
   [[nodiscard]] bool Submit(std::chrono::microseconds aMean,
                             std::function<void()> aDone);
 
+  /// Its process dies: its connections break, and new ones are refused.
+  void Crash();
+  void Restart() { isUp = true; }
+
+  /// The VMs for which this holds can't reach it directly any more.
+  void CutOff(std::function<bool(std::size_t)> aIsCutOff);
+
+  [[nodiscard]] bool CanReach(std::size_t aVm) const
+  {
+    return isUp && !(mIsCutOff && mIsCutOff(aVm));
+  }
+
+  /// Whether it rejects the next statement because it sheds load.
+  [[nodiscard]] bool Sheds();
+
   /// Whether a query would find a free slot.
   [[nodiscard]] bool HasSlot() const { return mRunning < mSlots; }
 
@@ -39,8 +54,19 @@
   /// Replication lag behind the primary.
   std::chrono::milliseconds lag{ 0 };
   unsigned maxWaiting = 24;
+  /// Fraction of the statements that it rejects at once.
+  double shedFraction = 0;
   std::uint64_t rejected = 0;
   std::uint64_t accepted = 0;
+  bool isUp = true;
+  /// Connections that break when it crashes or is cut off, in their order.
+  struct open_connection
+  {
+    std::size_t vm;
+    std::function<void()> breakOff;
+  };
+  std::map<std::uint64_t, open_connection> open;
+  std::uint64_t connections = 0;
 
 private:
   struct work
@@ -50,11 +76,13 @@
   };
 
   void Run(work aWork);
+  void BreakConnections();
 
   timeline& mTime;
   std::mt19937& mRandom;
   unsigned mSlots;
   unsigned mRunning = 0;
+  std::function<bool(std::size_t)> mIsCutOff;
   std::deque<work> mWaiting;
 };
 
@@ -89,6 +117,9 @@
   /// Rejections that callers got, and those within a quarter of the target.
   unsigned refusals = 0;
   unsigned promptRefusals = 0;
+  /// The writes among the requests, and those answered in time.
+  unsigned writes = 0;
+  unsigned writesInTime = 0;
 
   load_result& operator+=(const load_result& aOther);
 };
--- a/test/currantshed/proxy/relay_link.hpp
+++ b/test/currantshed/proxy/relay_link.hpp
@@ -103,6 +103,7 @@
     made.argument = aCommand.argument;
     made.writes = aCommand.writes;
     made.floor = aCommand.floor;
+    made.attributes = aCommand.attributes;
     switch (aCommand.kind) {
       case proxy::command_kind::kBegin:
         made.kind = proxy::statement_kind::kBegin;
--- a/test/currantshed/proxy/server_state.cpp
+++ b/test/currantshed/proxy/server_state.cpp
@@ -119,6 +119,51 @@
   CHECK(state.Lag(kStart + 30s) < 100ms);
 }
 
+// Each VM had to be rejected by a replica that lags before it knew; a holder
+// knows after the first rejection of all.
+TEST(server_state, learns_the_lag_from_a_holder)
+{
+  struct row
+  {
+    const char* name;
+    std::chrono::milliseconds known;
+    std::chrono::milliseconds reported;
+    std::chrono::milliseconds lag;
+  };
+  constexpr row kRows[] = {
+    { "a longer one at once", 100ms, 1500ms, 1500ms },
+    { "of a shorter one half", 1500ms, 100ms, 800ms },
+    { "an upper bound", 100ms, 60000ms, 5000ms },
+  };
+  for (const auto& row : kRows) {
+    auto state = Holder();
+    state.ObserveReportedLag(row.known, kStart);
+    CHECK_TEXT(state.Lag(kStart) == row.known, row.name);
+    state.ObserveReportedLag(row.reported, kStart);
+    CHECK_TEXT(state.Lag(kStart) == row.lag, row.name);
+  }
+}
+
+// The relay sessions to it stay open; what comes next must not take one.
+TEST(server_state, leaves_a_relay_that_can_not_reach_the_server)
+{
+  no_events events;
+  auto state = Holder();
+  state.plan.isHolder = false;
+  state.plan.paths = { path{ "vm-2", "10.0.0.2", 7442 },
+                       path{ "vm-3", "10.0.0.3", 7442 } };
+  for (const char* via : { "vm-2", "vm-3" }) {
+    state.connections.push_back(std::make_unique<proxy::connection>(
+      "i-1", "claims", via, "", events, kStart));
+    state.connections.back()->Attach(std::make_unique<test::idle_link>());
+    state.connections.back()->Opened(std::nullopt, kStart);
+  }
+  state.ObserveUnreachableThrough("vm-2", kStart);
+  STRCMP_EQUAL("vm-3", state.FindIdle({}, false)->via.c_str());
+  STRCMP_EQUAL("vm-3", state.PathToOpen(kStart + 50ms)->vm.c_str());
+  CHECK(state.IsReachable(kStart + 50ms));
+}
+
 TEST(server_state, skips_a_path_that_is_slow_to_open)
 {
   no_events events;
