--- a/src/currantshed/node/metrics.cpp
+++ b/src/currantshed/node/metrics.cpp
@@ -56,6 +56,10 @@
                          "currantshed_node_customer_connections_total",
                          "Number of customers' connections opened or closed, "
                          "by reason"))
+  , mEjections(Counter(*mRegistry,
+                       "currantshed_node_ejections_total",
+                       "Number of times that reads began to avoid a server "
+                       "that fails, by reason"))
   , mListingStates(
       Counter(*mRegistry,
               "currantshed_node_server_standings_total",
@@ -125,6 +129,12 @@
     .Increment();
 }
 
+void
+metrics::CountEjection(std::string_view aReason)
+{
+  mEjections.Add({ { "reason", std::string(aReason) } }).Increment();
+}
+
 void
 metrics::CountListingState(std::string_view aState)
 {
--- a/src/currantshed/node/metrics.hpp
+++ b/src/currantshed/node/metrics.hpp
@@ -30,6 +30,8 @@
   void CountServerReached(bool aIsReached);
   /// Counts a connection of a customer that was opened or closed, by reason.
   void CountConnection(std::string_view aEvent, std::string_view aReason);
+  /// Counts an ejection of a server from the choice for reads, by the reason.
+  void CountEjection(std::string_view aReason);
   /// Counts a change of a listed server's state.
   void CountListingState(std::string_view aState);
   /// Counts an entry that cannot be used, by the reason.
@@ -52,6 +54,7 @@
   prometheus::Family<prometheus::Counter>& mStoreCalls;
   prometheus::Family<prometheus::Counter>& mServers;
   prometheus::Family<prometheus::Counter>& mConnections;
+  prometheus::Family<prometheus::Counter>& mEjections;
   prometheus::Family<prometheus::Counter>& mListingStates;
   prometheus::Family<prometheus::Counter>& mAtLeaving;
   prometheus::Family<prometheus::Counter>& mUnusableEntries;
--- a/src/currantshed/node/traffic.hpp
+++ b/src/currantshed/node/traffic.hpp
@@ -111,6 +111,9 @@
                            std::string_view aReason) override;
   void ConnectionChanged(std::string_view aEvent,
                          std::string_view aReason) override;
+  void ServerEjected(const proxy::server& aServer,
+                     const balance::ejection& aWhy) override;
+  void ServerReturned(const proxy::server& aServer) override;
   void AfterEvent();
   void CloseIdle();
   void EndTransactions();
--- a/src/currantshed/proxy/engine_connections.cpp
+++ b/src/currantshed/proxy/engine_connections.cpp
@@ -170,6 +170,17 @@
   return limit->Permits(counted, IsOnlyHere(aSession), aNow);
 }
 
+bool
+engine::IsWithinLimitForRead(server_state& aServer,
+                             const session& aSession,
+                             clock::time_point aNow)
+{
+  const auto& customer = aSession.current->customer;
+  const bool opens =
+    aServer.FindIdle(aSession.values, false, &customer) == nullptr;
+  return IsWithinLimit(aServer, aSession, opens, aNow);
+}
+
 // Whether a request that waits for one certain server is held back by its
 // limit.
 bool
