Tokens are saved in proportion to the shares that a coordinator gets

Every VM that is a coordinator for a while keeps a bucket with the whole capacity of one; the saved tokens of all of them are spent when the customer sends five times its usual.

Change: a bucket's capacity is multiplied by the shares that arrive at its coordinator, in relation to those of a coordinator of a whole failure domain, over 2 s. All buckets together then save no more than one set of coordinators.

The rows of tokens.A_coordinator_saves_in_proportion are above their bound without the factor.

--- a/src/currantshed/customer/token_buckets.cpp
+++ b/src/currantshed/customer/token_buckets.cpp
@@ -20,6 +20,11 @@
 // Incarnations of a VM whose shares are told apart. A restart takes some
 // hundreds of milliseconds, and no older message than that is accepted.
 constexpr std::size_t kKnownIncarnations = 4;
+// Span over which a coordinator measures the shares that it gets: five of the
+// intervals at which VMs send them.
+constexpr milliseconds kArrivalWindow{ 2000 };
+// Shares arrive unevenly: up to one interval of five may be missing.
+constexpr double kArrivalTolerance = 0.2;
 constexpr milliseconds kMinRetryDelay{ 100 };
 constexpr milliseconds kMaxRetryDelay{ 2000 };
 
@@ -35,7 +40,8 @@
                         std::uint64_t aIncarnation,
                         std::chrono::microseconds aSentAt,
                         std::size_t aPartition,
-                        share aShare)
+                        share aShare,
+                        clock::time_point aNow)
 {
   if (aPartition >= kPartitions) {
     return;
@@ -57,6 +63,35 @@
     from.push_back({ aIncarnation, aSentAt });
   }
   mAccrued[aPartition] += aShare;
+  auto& arrived = mArrivals[aPartition];
+  arrived.recent.push_back({ aNow, aShare });
+  arrived.sum += aShare;
+  if (!arrived.firstAt) {
+    arrived.firstAt = aNow;
+  }
+}
+
+// The part of its capacity that this coordinator may use: the shares that it
+// gets, in relation to those that it would get if each VM sent its shares to
+// the coordinator of its own failure domain. While coordinators change, several
+// VMs hold buckets of one customer, and one that gets no shares any longer
+// would keep what it has saved.
+double
+token_buckets::CapacityFactor(std::size_t aPartition, clock::time_point aNow)
+{
+  auto& arrived = mArrivals.at(aPartition);
+  while (!arrived.recent.empty() &&
+         aNow - arrived.recent.front().at > kArrivalWindow) {
+    arrived.sum -= arrived.recent.front().amount;
+    arrived.recent.pop_front();
+  }
+  if (!arrived.firstAt || aNow - *arrived.firstAt < kArrivalWindow) {
+    return 1.0;
+  }
+  const std::chrono::duration<double> window = kArrivalWindow;
+  const auto part =
+    arrived.sum / window * static_cast<double>(mCoordinatorCount);
+  return std::clamp(part + kArrivalTolerance, 0.0, 1.0);
 }
 
 // Capacity of a customer's bucket.
@@ -78,16 +113,18 @@
 token_grant
 token_buckets::GrantTokens(const std::string& aCustomer,
                            const quota& aLimit,
-                           unsigned aWanted)
+                           unsigned aWanted,
+                           clock::time_point aNow)
 {
   // A new bucket gets the shares collected so far, up to its capacity, as if
   // the customer had been idle.
   auto& bucket = mBuckets[aCustomer];
-  const auto accrued = mAccrued[PartitionOf(aCustomer)];
+  const auto partition = PartitionOf(aCustomer);
+  const auto accrued = mAccrued[partition];
   const auto added = (accrued - bucket.counted).count();
   bucket.counted = accrued;
-  bucket.tokens =
-    std::min(bucket.tokens + Rate(aLimit) * added, Capacity(aLimit));
+  bucket.tokens = std::min(bucket.tokens + Rate(aLimit) * added,
+                           Capacity(aLimit) * CapacityFactor(partition, aNow));
   const auto available = std::floor(std::max(bucket.tokens, 0.0));
   const auto count =
     static_cast<unsigned>(std::min(available, static_cast<double>(aWanted)));
--- a/src/currantshed/customer/token_buckets.hpp
+++ b/src/currantshed/customer/token_buckets.hpp
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <optional>
 #include <string>
 
 #include <absl/container/flat_hash_map.h>
@@ -54,11 +56,13 @@
                 std::uint64_t aIncarnation,
                 std::chrono::microseconds aSentAt,
                 std::size_t aPartition,
-                share aShare);
+                share aShare,
+                clock::time_point aNow);
 
   [[nodiscard]] token_grant GrantTokens(const std::string& aCustomer,
                                         const quota& aLimit,
-                                        unsigned aWanted);
+                                        unsigned aWanted,
+                                        clock::time_point aNow);
 
 private:
   struct sender
@@ -76,12 +80,29 @@
     unsigned refused = 0;
   };
 
+  struct received_share
+  {
+    clock::time_point at;
+    share amount{ 0 };
+  };
+
+  /// The shares of a partition that arrived lately.
+  struct arrivals
+  {
+    std::deque<received_share> recent;
+    share sum{ 0 };
+    std::optional<clock::time_point> firstAt;
+  };
+
+  [[nodiscard]] double CapacityFactor(std::size_t aPartition,
+                                      clock::time_point aNow);
   [[nodiscard]] double Capacity(const quota& aLimit) const noexcept;
   [[nodiscard]] double Rate(const quota& aLimit) const noexcept;
 
   std::chrono::duration<double> mWindow;
   std::size_t mCoordinatorCount = 1;
   std::array<share, kPartitions> mAccrued{};
+  std::array<arrivals, kPartitions> mArrivals{};
   /// By VM and partition, the incarnations in the order in which they were
   /// first heard of.
   absl::flat_hash_map<std::string,
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -220,13 +220,14 @@
                   news::News& aOut,
                   clock::time_point aNow);
   void SendShares(clock::time_point aNow);
-  void ApplyShares(const news::News& aMessage);
+  void ApplyShares(const news::News& aMessage, clock::time_point aNow);
   void TickQuotas(clock::time_point aNow);
   void RequestTokens(const std::string& aCustomer,
                      unsigned aCount,
                      clock::time_point aNow);
   [[nodiscard]] customer::token_grant GrantTokens(const std::string& aCustomer,
-                                                  unsigned aCount);
+                                                  unsigned aCount,
+                                                  clock::time_point aNow);
   void ExchangeTokens(clock::time_point aNow);
   void HandleTokenMessages(const news::News& aMessage,
                            const news::exchange::clock_converter& aClock,
--- a/src/currantshed/node/control_quota.cpp
+++ b/src/currantshed/node/control_quota.cpp
@@ -156,7 +156,7 @@
       message.set_incarnation(mSelf.incarnation);
       message.set_vm(vm);
       message.set_sent_at_us(lead::ToWire(aNow).count());
-      ApplyShares(message);
+      ApplyShares(message, aNow);
     } else {
       mExchange.Send(vm, std::move(message), aNow);
     }
@@ -164,14 +164,15 @@
 }
 
 void
-control::ApplyShares(const news::News& aMessage)
+control::ApplyShares(const news::News& aMessage, clock::time_point aNow)
 {
   for (const auto& one : aMessage.shares()) {
     mTokenBuckets.AddShare(aMessage.vm(),
                            aMessage.incarnation(),
                            std::chrono::microseconds{ aMessage.sent_at_us() },
                            one.part(),
-                           customer::share{ one.seconds() });
+                           customer::share{ one.seconds() },
+                           aNow);
   }
 }
 
@@ -186,14 +187,16 @@
 }
 
 customer::token_grant
-control::GrantTokens(const std::string& aCustomer, unsigned aCount)
+control::GrantTokens(const std::string& aCustomer,
+                     unsigned aCount,
+                     clock::time_point aNow)
 {
   const auto owner =
     mCustomers == nullptr ? nullptr : mCustomers->FindByName(aCustomer);
   if (owner == nullptr || !owner->limit) {
     return {};
   }
-  return mTokenBuckets.GrantTokens(aCustomer, *owner->limit, aCount);
+  return mTokenBuckets.GrantTokens(aCustomer, *owner->limit, aCount, aNow);
 }
 
 // Sends the token client's requests, one message per VM, and passes its results
@@ -207,7 +210,7 @@
        requests = mTokenClient.TakeRequests()) {
     for (auto& ask : requests) {
       if (ask.vm == mSelf.where.vm) {
-        const auto got = GrantTokens(ask.customer, ask.count);
+        const auto got = GrantTokens(ask.customer, ask.count, aNow);
         mTokenClient.OnResponse(ask.number, got.count, got.retryAfter, aNow);
         continue;
       }
@@ -233,11 +236,11 @@
                              clock::time_point aNow)
 {
   if (aClock && aNow - aClock(aMessage.sent_at_us()) < kMaxTransitTime) {
-    ApplyShares(aMessage);
+    ApplyShares(aMessage, aNow);
   }
   news::News message;
   for (const auto& wanted : aMessage.tokens_wanted()) {
-    const auto got = GrantTokens(wanted.customer(), wanted.count());
+    const auto got = GrantTokens(wanted.customer(), wanted.count(), aNow);
     auto& out = *message.add_tokens_granted();
     out.set_number(wanted.number());
     out.set_count(got.count);
--- a/test/currantshed/customer/model.cpp
+++ b/test/currantshed/customer/model.cpp
@@ -170,12 +170,13 @@
     // A third of the whole burst.
     one.buckets = customer::token_buckets{ 0ms };
     one.buckets.SetCoordinatorCount(kDomains);
-    (void)one.buckets.GrantTokens(kCustomer, mLimit, 0);
+    (void)one.buckets.GrantTokens(kCustomer, mLimit, 0, mTime.Now());
     one.buckets.AddShare("full",
                          incarnation,
                          1us,
                          customer::PartitionOf(kCustomer),
-                         customer::share{ 60 });
+                         customer::share{ 60 },
+                         mTime.Now());
   }
 }
 
@@ -437,8 +438,12 @@
     if (mBug == customers_model_bug::kSharesCountTwice) {
       sentAt = std::chrono::microseconds{ static_cast<std::int64_t>(++steps) };
     }
-    mVms[to].buckets.AddShare(
-      Name(aVm), incarnation, sentAt, customer::PartitionOf(kCustomer), share);
+    mVms[to].buckets.AddShare(Name(aVm),
+                              incarnation,
+                              sentAt,
+                              customer::PartitionOf(kCustomer),
+                              share,
+                              mTime.Now());
   };
   if (to == aVm) {
     arrive();
@@ -488,14 +493,15 @@
   for (auto& ask : one.tokenClient.TakeRequests()) {
     const auto to = std::stoul(ask.vm);
     if (to == aVm) {
-      const auto got = one.buckets.GrantTokens(kCustomer, Limit(), ask.count);
+      const auto got =
+        one.buckets.GrantTokens(kCustomer, Limit(), ask.count, mTime.Now());
       one.tokenClient.OnResponse(ask.number, got.count, got.retryAfter, now);
       continue;
     }
     const auto incarnation = one.incarnation;
     Send(aVm, to, [this, aVm, to, ask, incarnation] {
-      const auto got =
-        mVms[to].buckets.GrantTokens(kCustomer, Limit(), ask.count);
+      const auto got = mVms[to].buckets.GrantTokens(
+        kCustomer, Limit(), ask.count, mTime.Now());
       Send(to, aVm, [this, aVm, ask, got, incarnation] {
         if (mVms[aVm].incarnation == incarnation) {
           mVms[aVm].tokenClient.OnResponse(
--- a/test/currantshed/customer/tokens.cpp
+++ b/test/currantshed/customer/tokens.cpp
@@ -174,9 +174,11 @@
   for (const auto& row : kGrantRows) {
     customer::token_buckets buckets(row.window);
     buckets.SetCoordinatorCount(row.coordinators);
-    (void)buckets.GrantTokens("baker", row.limit, 0);
-    buckets.AddShare("vm", 1, 1us, kBakerPartition, share{ row.accrued });
-    const auto result = buckets.GrantTokens("baker", row.limit, row.wanted);
+    (void)buckets.GrantTokens("baker", row.limit, 0, kStart);
+    buckets.AddShare(
+      "vm", 1, 1us, kBakerPartition, share{ row.accrued }, kStart);
+    const auto result =
+      buckets.GrantTokens("baker", row.limit, row.wanted, kStart);
     LONGS_EQUAL_TEXT(row.expect, result.count, row.name);
     CHECK_TEXT((result.count == 0) == (result.retryAfter > 0ms), row.name);
   }
@@ -186,26 +188,26 @@
 {
   customer::token_buckets buckets(0ms);
   const customer::quota limit{ 100, 100 };
-  buckets.AddShare("vm", 1, 5us, kBakerPartition, share{ 0.1 });
-  buckets.AddShare("vm", 1, 5us, kBakerPartition, share{ 0.1 });
-  buckets.AddShare("vm", 1, 4us, kBakerPartition, share{ 0.1 });
-  LONGS_EQUAL(10, buckets.GrantTokens("baker", limit, 99).count);
+  buckets.AddShare("vm", 1, 5us, kBakerPartition, share{ 0.1 }, kStart);
+  buckets.AddShare("vm", 1, 5us, kBakerPartition, share{ 0.1 }, kStart);
+  buckets.AddShare("vm", 1, 4us, kBakerPartition, share{ 0.1 }, kStart);
+  LONGS_EQUAL(10, buckets.GrantTokens("baker", limit, 99, kStart).count);
   // The VM has restarted, with another clock.
-  buckets.AddShare("vm", 2, 1us, kBakerPartition, share{ 0.1 });
-  LONGS_EQUAL(10, buckets.GrantTokens("baker", limit, 99).count);
+  buckets.AddShare("vm", 2, 1us, kBakerPartition, share{ 0.1 }, kStart);
+  LONGS_EQUAL(10, buckets.GrantTokens("baker", limit, 99, kStart).count);
 }
 
 TEST(tokens, Customers_have_separate_buckets)
 {
   customer::token_buckets buckets(0ms);
   const customer::quota limit{ 100, 100 };
-  buckets.AddShare("vm", 1, 1us, kBakerPartition, share{ 0.1 });
-  LONGS_EQUAL(10, buckets.GrantTokens("baker", limit, 99).count);
-  LONGS_EQUAL(0, buckets.GrantTokens("baker", limit, 1).count);
+  buckets.AddShare("vm", 1, 1us, kBakerPartition, share{ 0.1 }, kStart);
+  LONGS_EQUAL(10, buckets.GrantTokens("baker", limit, 99, kStart).count);
+  LONGS_EQUAL(0, buckets.GrantTokens("baker", limit, 1, kStart).count);
   CHECK(kBakerPartition != kSmithPartition);
-  LONGS_EQUAL(0, buckets.GrantTokens("smith", limit, 99).count);
-  buckets.AddShare("vm", 1, 1us, kSmithPartition, share{ 0.1 });
-  LONGS_EQUAL(10, buckets.GrantTokens("smith", limit, 99).count);
+  LONGS_EQUAL(0, buckets.GrantTokens("smith", limit, 99, kStart).count);
+  buckets.AddShare("vm", 1, 1us, kSmithPartition, share{ 0.1 }, kStart);
+  LONGS_EQUAL(10, buckets.GrantTokens("smith", limit, 99, kStart).count);
 }
 
 // A message that is late or repeated counts nothing, also if the VM has
@@ -216,9 +218,10 @@
     customer::token_buckets buckets(0ms);
     for (const auto& [incarnation, sentAt] : row.messages) {
       buckets.AddShare(
-        "vm", incarnation, sentAt, kBakerPartition, share{ 0.1 });
+        "vm", incarnation, sentAt, kBakerPartition, share{ 0.1 }, kStart);
     }
-    const auto granted = buckets.GrantTokens("baker", { 100, 100 }, 99).count;
+    const auto granted =
+      buckets.GrantTokens("baker", { 100, 100 }, 99, kStart).count;
     LONGS_EQUAL_TEXT(row.expect, granted, row.name);
   }
 }
@@ -228,11 +231,11 @@
 {
   customer::token_buckets buckets(0ms);
   const customer::quota limit{ 10, 0 };
-  const auto first = buckets.GrantTokens("baker", limit, 5).retryAfter;
-  const auto second = buckets.GrantTokens("baker", limit, 5).retryAfter;
+  const auto first = buckets.GrantTokens("baker", limit, 5, kStart).retryAfter;
+  const auto second = buckets.GrantTokens("baker", limit, 5, kStart).retryAfter;
   CHECK(first == 500ms);
   CHECK(second == 1000ms);
-  CHECK(buckets.GrantTokens("baker", limit, 500).retryAfter == 2000ms);
+  CHECK(buckets.GrantTokens("baker", limit, 500, kStart).retryAfter == 2000ms);
 }
 
 TEST(tokens, Cached_tokens_expire)
@@ -288,3 +291,53 @@
     CHECK_TEXT(!token.TakeUnused(), row.name);
   }
 }
+
+namespace {
+
+struct moved_row
+{
+  const char* name;
+  /// Share that arrives each 400 ms, of the rate over that time, and for how
+  /// long.
+  double part;
+  std::chrono::milliseconds received;
+  /// How long after the last share tokens are requested.
+  std::chrono::milliseconds after;
+  /// Of a capacity of 42.
+  unsigned most;
+};
+
+const moved_row kMovedRows[] = {
+  { "the only coordinator", 1.0, 8000ms, 0ms, 42 },
+  { "its shares pause for one interval", 1.0, 8000ms, 800ms, 42 },
+  { "another one has taken over", 1.0, 8000ms, 2100ms, 8 },
+  { "half of the VMs have another one", 0.5, 8000ms, 0ms, 29 },
+  { "one VM in ten still sends its share", 0.1, 8000ms, 0ms, 12 },
+};
+
+} // namespace
+
+// While coordinators change, several VMs hold buckets of a customer: each with
+// its whole capacity, they let 138 operations of 132 allowed pass within 5 s.
+TEST(tokens, A_coordinator_saves_in_proportion_to_the_shares_it_gets)
+{
+  constexpr auto kInterval = 400ms;
+  const customer::quota limit{ 100, 100 };
+  for (const auto& row : kMovedRows) {
+    customer::token_buckets buckets(5s);
+    (void)buckets.GrantTokens("baker", limit, 0, kStart);
+    auto now = kStart;
+    for (auto sent = 1us; now < kStart + row.received; now += kInterval) {
+      buckets.AddShare("vm",
+                       1,
+                       sent++,
+                       kBakerPartition,
+                       customer::share{ kInterval } * row.part,
+                       now);
+    }
+    const auto granted =
+      buckets.GrantTokens("baker", limit, 999, now - kInterval + row.after)
+        .count;
+    CHECK_TEXT(granted <= row.most && granted + 8 >= row.most, row.name);
+  }
+}
