--- a/src/currantshed/customer/token_buckets.cpp
+++ b/src/currantshed/customer/token_buckets.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds kArrivalWindow{ 2000 };
 // Shares arrive unevenly: up to one interval of five may be missing.
 constexpr double kArrivalTolerance = 0.2;
+// A bucket that could not save one token would never grant any.
+constexpr double kMinCapacity = 1.0;
 constexpr milliseconds kMinRetryDelay{ 100 };
 constexpr milliseconds kMaxRetryDelay{ 2000 };
 
@@ -81,7 +83,7 @@
 {
   auto& arrived = mArrivals.at(aPartition);
   while (!arrived.recent.empty() &&
-         aNow - arrived.recent.front().at > kArrivalWindow) {
+         aNow - arrived.recent.front().at >= kArrivalWindow) {
     arrived.sum -= arrived.recent.front().amount;
     arrived.recent.pop_front();
   }
@@ -123,8 +125,9 @@
   const auto accrued = mAccrued[partition];
   const auto added = (accrued - bucket.counted).count();
   bucket.counted = accrued;
-  bucket.tokens = std::min(bucket.tokens + Rate(aLimit) * added,
-                           Capacity(aLimit) * CapacityFactor(partition, aNow));
+  bucket.tokens = std::min(
+    bucket.tokens + Rate(aLimit) * added,
+    std::max(Capacity(aLimit) * CapacityFactor(partition, aNow), kMinCapacity));
   const auto available = std::floor(std::max(bucket.tokens, 0.0));
   const auto count =
     static_cast<unsigned>(std::min(available, static_cast<double>(aWanted)));
