Soak: servers that shed or flap, and bursts of callers, from seed 2000 on

Cause: the soak injected no overload: no server answered BUSY, none went down and up by turns, and the number of callers never changed.

Change: /test/shed of the fleet's stand-in answers BUSY to a percentage of the statements of a server for a while, and the report counts them. From seed 2000 on half of all faults are such a server (changes are acknowledged meanwhile), a server down and up by turns of 0.9 to 1.4 s, or 24 to 71 further callers for 2 s, which check their answers.

Before: none of these faults.

A customer of its own with quota is missing: the stand-in's configuration has no customers or keys, and all callers send the same name.

--- a/standin/fleet/group.cpp
+++ b/standin/fleet/group.cpp
@@ -6,6 +6,16 @@
 
 namespace currantshed::standin::fleet {
 
+bool
+server::Sheds()
+{
+  mShedSum += shedPercent;
+  const bool sheds = mShedSum >= 100;
+  mShedSum -= sheds ? 100 : 0;
+  shed += sheds ? 1 : 0;
+  return sheds;
+}
+
 std::string
 server::AppliedPosition() const
 {
--- a/standin/fleet/group.hpp
+++ b/standin/fleet/group.hpp
@@ -32,6 +32,13 @@
   /// Number of log records that are applied and visible to reads.
   std::size_t applied = 0;
   unsigned connections = 0;
+  /// Percentage of statements that are answered BUSY without being run.
+  unsigned shedPercent = 0;
+  /// Number of statements answered so.
+  unsigned shed = 0;
+
+  /// Whether the next statement is answered BUSY.
+  [[nodiscard]] bool Sheds();
 
   [[nodiscard]] std::uint64_t Term() const
   {
@@ -47,6 +54,9 @@
 
   /// The newest applied value of an item, or a dash.
   [[nodiscard]] std::string Read(const std::string& aItem) const;
+
+private:
+  unsigned mShedSum = 0;
 };
 
 /// A primary and its replicas.
--- a/standin/fleet/main.cpp
+++ b/standin/fleet/main.cpp
@@ -315,9 +315,9 @@
   }
 
   // Executes a test command: sets the version of the configuration, restores
-  // the store from an older snapshot, or stops, starts, drains or restarts
-  // (with an empty log) servers. Commands other than /test/primary return the
-  // number of duplicate changes.
+  // the store from an older snapshot, or stops, starts, drains, restarts (with
+  // an empty log) or overloads servers. Commands other than /test/primary
+  // return the numbers of duplicate changes and of statements answered BUSY.
   fleet::key_answer HandleTestCommand(const std::string& aPath)
   {
     if (aPath == "/test/configure") {
@@ -331,7 +331,13 @@
       const auto primary = FindPrimary(Parameter("group"));
       return { 200, {}, primary.empty() ? " " : primary };
     }
+    if (aPath == "/test/shed") {
+      Shed(Parameter("server"),
+           static_cast<unsigned>(Number(Parameter("percent"))),
+           milliseconds{ Number(Parameter("for_ms")) });
+    }
     unsigned doubled = 0;
+    unsigned shed = 0;
     for (auto& one : mGroups) {
       doubled += one.CountDuplicates();
       if (aPath == "/test/restart") {
@@ -344,8 +350,22 @@
                            (server->draining && aPath != "/test/start");
         PublishServer(*server);
       }
+      for (const auto& server : one.Servers()) {
+        shed += server.shed;
+      }
+    }
+    return { 200, { { "doubled", doubled }, { "shed", shed } } };
+  }
+
+  // The server answers BUSY to this percentage of statements for a while.
+  void Shed(const std::string& aServer, unsigned aPercent, milliseconds aSpan)
+  {
+    for (auto& one : mGroups) {
+      if (auto* server = one.Find(aServer)) {
+        server->shedPercent = aPercent;
+        RunAfter(aSpan, [server] { server->shedPercent = 0; });
+      }
     }
-    return { 200, { { "doubled", doubled } } };
   }
 
   // The id of the group's current primary, if it is up.
--- a/standin/fleet/session.cpp
+++ b/standin/fleet/session.cpp
@@ -22,6 +22,15 @@
   return std::strtoull(std::string(aText).c_str(), nullptr, 10);
 }
 
+// Whether an overloaded server may refuse the statement. Session settings and
+// control commands take no execution slot, and a rollback is always accepted.
+bool
+IsWork(std::string_view aKeyword)
+{
+  return aKeyword == "AFTERLSN" || aKeyword == "READ" || aKeyword == "WRITE" ||
+         aKeyword == "EXECUTE" || aKeyword == "BEGIN" || aKeyword == "COMMIT";
+}
+
 } // namespace
 
 session::session(group& aGroup, std::string aServer, unsigned aMaxConnections)
@@ -103,6 +112,9 @@
 session::HandleQuery(const std::string& aId, std::string_view aText)
 {
   auto keyword = NextWord(aText);
+  if (!mFailed && IsWork(keyword) && Self().Sheds()) {
+    return ErrorReply("BUSY");
+  }
   if (keyword == "AFTERLSN") {
     const auto position = NextWord(aText);
     const auto dot = position.find('.');
--- a/test/process/node_soak.sh
+++ b/test/process/node_soak.sh
@@ -5,7 +5,9 @@
 # servers are delayed, held, cut in one direction, silenced or reset. From seed
 # 1000 on the store may also be unavailable and be restored from an older
 # snapshot, once or twice in a row, before, during and after other faults.
-# Path faults overlap with later faults. SEEDS names the seeds to run; if empty,
+# From seed 2000 on half of all faults are a server that sheds statements, a
+# server that goes down and up by turns, or a burst of further callers. Path
+# faults overlap with later faults. SEEDS names the seeds to run; if empty,
 # those that CI runs each time. SOAK_BASE names the first port, so that several
 # runs can share a machine.
 source "$(dirname "$0")/support/node.sh"
@@ -42,7 +44,50 @@
   }
 }
 
+# A server answers BUSY to a part of its statements for a while; changes are
+# still acknowledged meanwhile. In group-1, whose replicas serve reads.
+shedding() {
+  local server=group-1-$((RANDOM % 3)) percent=$((RANDOM % 60 + 20))
+  local lasts=$((RANDOM % 2000 + 1000)) before
+  before=$(acknowledged)
+  echo "$server sheds $percent percent for $lasts ms"
+  tell "/test/shed?server=$server&percent=$percent&for_ms=$lasts" >/dev/null
+  goes_on() { [ "$(acknowledged)" -gt "$before" ] || ! callers_run; }
+  check "nothing is acknowledged while $server sheds" await 5 goes_on
+  sleep "$(seconds "$lasts")"
+}
+
+# A server goes down and up by turns, each 0.9 to 1.4 s.
+flapping() {
+  local server=group-$((RANDOM % 2))-$((RANDOM % 3)) turns=$((RANDOM % 2 + 2)) turn
+  local down up
+  for ((turn = 0; turn < turns; turn++)); do
+    down=$((RANDOM % 500 + 900)) up=$((RANDOM % 500 + 900))
+    echo "$server is down for $down ms, then up for $up ms"
+    tell "/test/stop?server=$server" >/dev/null
+    sleep "$(seconds "$down")"
+    tell "/test/start?server=$server" >/dev/null
+    sleep "$(seconds "$up")"
+  done
+}
+
+# Several times the usual callers for 2 s.
+burst() {
+  local callers=$((RANDOM % 48 + 24)) run=$((RANDOM + 200000))
+  echo "burst of $callers further callers"
+  callers_burst "$callers" 2000 "$run"
+}
+
 one_fault() {
+  if [ "$seed" -ge 2000 ] && ((RANDOM % 2)); then
+    case $((RANDOM % 3)) in
+      0) shedding ;;
+      1) flapping ;;
+      *) burst ;;
+    esac
+    return
+  fi
+
   local vm=$((RANDOM % 4 + 1)) group=$((RANDOM % 2)) way lasts=$((RANDOM % 3 + 1))
   way=$(random_path)
   case $((RANDOM % faults)) in
@@ -75,6 +120,7 @@
   callers_end
   check "seed $seed: a change took effect twice" \
     grep -q '"doubled":0' <<<"$(tell /test/report)"
+  echo "report: $(tell /test/report)"
   # All faults have ended: all requests are served again, and new configurations
   # take effect in time.
   sleep 3
--- a/test/process/support/node.sh
+++ b/test/process/support/node.sh
@@ -160,6 +160,31 @@
   callers_pid=$!
 }
 
+callers_run() { kill -0 "$callers_pid" 2>/dev/null; }
+
+# Runs further callers to their end; they check every answer as well.
+callers_burst() {
+  local ports= vm
+  for ((vm = 1; vm <= vms; vm++)); do ports+=${ports:+,}$((base + 10 * vm)); done
+  check "the burst's callers saw a wrong answer" \
+    "$build/currantshed-standin-callers" --ports "$ports" --callers "$1" \
+    --length-ms "$2" --seed "$3" --groups "$GROUPS_OF_SERVERS" \
+    2>>"$scratch/burst.log"
+}
+
+# Milliseconds as seconds with a fraction.
+seconds() { printf '%d.%03d' $(($1 / 1000)) $(($1 % 1000)); }
+
+# Number of changes that the VMs have acknowledged since their starts.
+acknowledged() {
+  local vm count sum=0
+  for vm in "${!vm_pid[@]}"; do
+    count=$(metric "$vm" 'currantshed_node_request_seconds_count{outcome="acknowledged"}')
+    sum=$((sum + ${count:-0}))
+  done
+  echo "$sum"
+}
+
 # Whether any VM has acknowledged a request; all callers may be connected to
 # only some of the VMs.
 served() {
