Reads leave the primary only on a report of waiting requests

Cause: the primary counted as reserved also when its expected time exceeded half of the time left, without reports or classes: a read was refused at once where it had been sent before. Two candidates of three drew the primary for a third of the reads beside an idle replica. Repetitions of an ejection grew without bound, so that forgetting them took ten seconds each.

Ruled out: an exemption by the group's size, which doesn't say how many servers can serve the read now.

Change: only a fresh report of waiting requests reserves the primary; a read that nothing else serves in time goes to it, and is refused only if the reported wait exceeds its remaining time. The draw is between replicas; the primary joins if its penalised cost is below theirs. At most five repetitions are remembered.

End-to-end rows not run on this commit.

--- a/src/currantshed/balance/outlier_detector.cpp
+++ b/src/currantshed/balance/outlier_detector.cpp
@@ -41,6 +41,8 @@
 // Time without an ejection after which one repetition is forgotten: several
 // periods of a server that flaps each one to two seconds.
 constexpr milliseconds kHealthySpan{ 10000 };
+// Repetitions that are remembered: enough for the longest ejection.
+constexpr unsigned kMaxRepetitions = 5;
 // Part of a group that may be ejected: of three servers one.
 constexpr std::size_t kGroupPart = 3;
 
@@ -116,7 +118,7 @@
     return std::nullopt;
   }
   const auto seen = mSinceEjection.At(aNow);
-  mRepetitions = RepetitionsAt(aNow) + 1;
+  mRepetitions = std::min(RepetitionsAt(aNow) + 1, kMaxRepetitions);
   milliseconds duration = kFirstEjection;
   for (unsigned i = 1; i < mRepetitions && duration < kMaxEjection; ++i) {
     duration *= 2;
--- a/src/currantshed/balance/server_choice.cpp
+++ b/src/currantshed/balance/server_choice.cpp
@@ -16,9 +16,6 @@
 // Reads stay away for at least so long after a report of waiting requests: a
 // queue that has formed seldom ends within a few statements of 35 ms.
 constexpr milliseconds kMinReservation{ 100 };
-// Part of a read's remaining time that a primary in use by writes may take: the
-// other half is left for another attempt.
-constexpr int kPrimaryTimePart = 2;
 // Lower bound of the delay before a waiting read is looked at again.
 constexpr milliseconds kMinRetryDelay{ 10 };
 // Factor on the primary's expected time for reads: replicas are preferred
@@ -55,11 +52,12 @@
     milliseconds{ 0 });
 }
 
+// Only a report shows that requests wait: a long expected time alone may be
+// that of slow statements, which keep nobody waiting.
 bool
-IsReserved(const candidate& aServer, clock::duration aTimeLeft)
+IsReserved(const candidate& aServer)
 {
-  return aServer.isPrimary && (ReservedFor(aServer) > clock::duration::zero() ||
-                               TimeOf(aServer) > aTimeLeft / kPrimaryTimePart);
+  return aServer.isPrimary && ReservedFor(aServer) > clock::duration::zero();
 }
 
 clock::duration
@@ -84,6 +82,30 @@
   return aFrom[isFirst ? first : second];
 }
 
+// The better of two replicas; the primary, if it costs less than that one.
+std::size_t
+Draw(const std::vector<candidate>& aCandidates,
+     const std::vector<std::size_t>& aFrom,
+     std::uint64_t aRandom)
+{
+  std::vector<std::size_t> replicas;
+  std::optional<std::size_t> primary;
+  for (const auto index : aFrom) {
+    if (aCandidates[index].isPrimary) {
+      primary = index;
+    } else {
+      replicas.push_back(index);
+    }
+  }
+  if (replicas.empty()) {
+    return *primary;
+  }
+  const auto drawn = BetterOfTwo(aCandidates, replicas, aRandom);
+  const bool isPrimary =
+    primary && CostOf(aCandidates[*primary]) < CostOf(aCandidates[drawn]);
+  return isPrimary ? *primary : drawn;
+}
+
 // Whether a returning server takes part, by bits that the pair doesn't depend
 // on for small groups.
 bool
@@ -126,15 +148,15 @@
   std::vector<std::size_t> returning;
   std::vector<std::size_t> ejected;
   bool willBeFree = false;
-  bool hasReservedPrimary = false;
+  std::optional<std::size_t> reserved;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const auto& one = aCandidates[i];
     if (!one.canServe) {
       continue;
     }
     // With nothing but the primary there is nothing to decide.
-    if (aCandidates.size() > 1 && IsReserved(one, aTimeLeft)) {
-      hasReservedPrimary = true;
+    if (aCandidates.size() > 1 && IsReserved(one)) {
+      reserved = i;
     } else if (!one.hasConnection) {
       willBeFree = willBeFree || one.share > 0;
     } else if (one.share <= 0) {
@@ -148,7 +170,7 @@
   using action = choice::action;
   for (const auto* from : { &chosen, &returning }) {
     if (!from->empty()) {
-      return { action::kSend, BetterOfTwo(aCandidates, *from, aRandom) };
+      return { action::kSend, Draw(aCandidates, *from, aRandom) };
     }
   }
   if (willBeFree) {
@@ -156,9 +178,9 @@
   }
   // An ejected server may still answer; nothing else would.
   if (!ejected.empty()) {
-    return { action::kSend, BetterOfTwo(aCandidates, ejected, aRandom) };
+    return { action::kSend, Draw(aCandidates, ejected, aRandom) };
   }
-  if (!hasReservedPrimary) {
+  if (!reserved) {
     return {};
   }
   std::optional<clock::duration> earliest;
@@ -168,7 +190,17 @@
       earliest = from;
     }
   }
-  return { earliest ? action::kWait : action::kRefuse, 0, earliest };
+  if (earliest) {
+    return { action::kWait, 0, earliest };
+  }
+  // Nothing else can serve it: it is refused only if it would certainly be
+  // late.
+  const auto& primary = aCandidates[*reserved];
+  if (WaitOf(primary) > aTimeLeft) {
+    return { action::kRefuse, 0, {} };
+  }
+  return primary.hasConnection ? choice{ action::kSend, *reserved, {} }
+                               : choice{};
 }
 
 } // namespace currantshed::balance
--- a/src/currantshed/balance/server_choice.hpp
+++ b/src/currantshed/balance/server_choice.hpp
@@ -61,14 +61,15 @@
   [[nodiscard]] friend bool operator==(const choice&, const choice&) = default;
 };
 
-/// Chooses a server for a read: of two candidates picked at random the one with
-/// the smaller expected time. The best of all would be the same one for all
+/// Chooses a server for a read: of two replicas picked at random the one with
+/// the smaller expected time, or the primary if it takes less than half of that. The best of all would be the same one for all
 /// VMs, since each of them sees little of the others' load.
 ///
 /// What only the primary can run has no other server. Reads therefore leave the
-/// primary alone while requests wait for it, or while it takes more than half
-/// of the time that they have left. Then they wait, if a replica is expected to
-/// catch up in time or the primary to be free again, and are refused otherwise.
+/// primary alone while a holder reports that requests wait for it. Then they
+/// wait, if a replica is expected to catch up in time or the primary to be free
+/// again. Otherwise they go to the primary, and are refused only if the reported
+/// wait exceeds the time that they have left.
 ///
 /// aRandom is a uniformly distributed number: the function itself is
 /// deterministic. aTimeLeft is the time until the read's target.
--- a/test/currantshed/balance/outlier_detector.cpp
+++ b/test/currantshed/balance/outlier_detector.cpp
@@ -277,6 +277,27 @@
   }
 }
 
+// A server that failed for an hour isn't held back for the next hour.
+TEST(outlier_detector, remembers_at_most_five_repetitions)
+{
+  outlier_detector detector;
+  auto now = kStart;
+  const auto eject = [&] {
+    for (int i = 0; i < 40; ++i) {
+      detector.Observe(observation::kFailed, now);
+    }
+    return detector.TryEject(kThree, now);
+  };
+  for (int i = 0; i < 20; ++i) {
+    const auto made = eject();
+    CHECK(made.has_value());
+    CHECK(made->repetitions <= 5);
+    now += made->duration;
+  }
+  now += 50100ms;
+  CHECK(eject()->duration == 1000ms);
+}
+
 TEST(outlier_detector, gives_a_returning_server_work_slowly)
 {
   outlier_detector detector;
