A read that leaves the primary alone does not block writes

Cause: a read without a required position that waits shared the primary's blocked queue, so that writes behind it were not tried in that pass. Ruled out: counting it among the reads, whose attempts it would use up. Change: such reads have a blocked queue of their own; a write without a connection still blocks them.

--- a/src/currantshed/proxy/blocked_queues.cpp
+++ b/src/currantshed/proxy/blocked_queues.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t kMaxBlockedCustomers = 16;
 constexpr std::string_view kPrimaryQueue = "primary";
 constexpr std::string_view kReadsQueue = "reads";
+// Reads that only the primary can serve now. They may wait because they leave
+// it to writes: that says nothing about the writes.
+constexpr std::string_view kPrimaryReadsQueue = "primary_reads";
 
 bool
 NeedsPrimary(const request& aRequest)
@@ -44,7 +47,11 @@
   if (aWaiting.IsRelay()) {
     return aWaiting.relayTarget;
   }
-  return NeedsPrimary(*aWaiting.current) ? kPrimaryQueue : kReadsQueue;
+  const auto& request = *aWaiting.current;
+  if (request.needsPrimary) {
+    return kPrimaryQueue;
+  }
+  return request.floor.position ? kReadsQueue : kPrimaryReadsQueue;
 }
 
 const blocked_queues::blocked_queue*
@@ -62,6 +69,15 @@
 bool
 blocked_queues::IsBlocked(const session& aWaiting) const
 {
+  // A read that only the primary can serve finds no connection where a write
+  // found none.
+  if (QueueOf(aWaiting) == kPrimaryReadsQueue &&
+      std::any_of(mBlocked.begin(), mBlocked.end(), [&](const auto& aOne) {
+        return aOne.queue == kPrimaryQueue &&
+               aOne.customer == aWaiting.current->customer;
+      })) {
+    return true;
+  }
   if (const auto* found = Find(aWaiting)) {
     return found->found >= MaxAttempts(aWaiting);
   }
