--- a/src/currantshed/admit/deadline_queue.cpp
+++ b/src/currantshed/admit/deadline_queue.cpp
@@ -25,6 +25,17 @@
   return aLeft.objective > aRight.objective;
 }
 
+// Whether the first may displace the second: it is of a stricter class, or of a
+// customer of the same class that has used less. One round's difference has to
+// do: the requests at the head of a queue that one customer fills are all close
+// to their deadlines, and would otherwise hold up everyone else.
+bool
+MayDisplace(const queued_request& aLeft, const queued_request& aRight)
+{
+  return IsStricter(aLeft, aRight) ||
+         (aLeft.objective == aRight.objective && aRight.round > aLeft.round);
+}
+
 } // namespace
 
 deadline_queue::deadline_queue(std::size_t aLimit)
@@ -37,7 +48,7 @@
 {
   const entries::const_iterator next = mEntries.lower_bound(aRequest);
   const auto isFull = mEntries.size() >= mLimit;
-  if (isFull && !IsStricter(aRequest, *mEntries.rbegin())) {
+  if (isFull && !MayDisplace(aRequest, *mEntries.rbegin())) {
     return {};
   }
   const auto index =
@@ -81,37 +92,51 @@
 }
 
 void
-deadline_queue::Served(clock::duration aTime)
+deadline_queue::Served(clock::duration aTime, std::optional<double> aObjective)
 {
+  auto& measured = aObjective ? mServiceTimes[*aObjective] : mServiceTime;
   const seconds time = aTime;
-  if (mMeanServiceTime == seconds::zero()) {
-    mMeanServiceTime = time;
+  if (measured.mean == seconds::zero()) {
+    measured.mean = time;
     return;
   }
-  const auto error = time - mMeanServiceTime;
-  mMeanServiceTime += kNewestWeight * error;
-  mServiceTimeDeviation +=
-    kNewestWeight * (std::chrono::abs(error) - mServiceTimeDeviation);
+  const auto error = time - measured.mean;
+  measured.mean += kNewestWeight * error;
+  measured.deviation +=
+    kNewestWeight * (std::chrono::abs(error) - measured.deviation);
 }
 
 bool
 deadline_queue::CanMeetDeadline(const queued_request& aRequest,
                                 clock::time_point aNow) const
 {
-  return aNow + ExpectedServiceTime() <= aRequest.deadline;
+  return aNow + ExpectedServiceTime(aRequest.objective) <= aRequest.deadline;
 }
 
 std::chrono::milliseconds
-deadline_queue::RetryAfter(std::uint64_t aRequest, clock::time_point aNow)
+deadline_queue::RetryAfter(std::uint64_t aRequest,
+                           clock::time_point aNow,
+                           double aObjective)
 {
   const auto gap = mDrain.TimeToDrain(1);
   if (!gap) {
     return AddJitter(kDefaultRetryAfter, aRequest);
   }
-  const auto drained = aNow + *mDrain.TimeToDrain(mEntries.size());
-  mLastRetryAt = std::min(std::max(mLastRetryAt, drained) + *gap,
-                          std::max(aNow + kMaxRetryAfter, drained));
-  return AddJitter(mLastRetryAt - aNow, aRequest);
+  const auto waiting = static_cast<std::size_t>(
+    std::count_if(mEntries.begin(), mEntries.end(), [&](const auto& aEntry) {
+      return aEntry.objective >= aObjective;
+    }));
+  const auto drained = aNow + *mDrain.TimeToDrain(waiting);
+  auto earliest = drained;
+  for (auto told = mLastRetryAt.lower_bound(aObjective);
+       told != mLastRetryAt.end();
+       ++told) {
+    earliest = std::max(earliest, told->second);
+  }
+  const auto retryAt =
+    std::min(earliest + *gap, std::max(aNow + kMaxRetryAfter, drained));
+  mLastRetryAt[aObjective] = retryAt;
+  return AddJitter(retryAt - aNow, aRequest);
 }
 
 clock::duration
@@ -127,10 +152,13 @@
 }
 
 clock::duration
-deadline_queue::ExpectedServiceTime() const
+deadline_queue::ExpectedServiceTime(double aObjective) const
 {
-  return std::chrono::duration_cast<clock::duration>(mMeanServiceTime +
-                                                     mServiceTimeDeviation);
+  const auto found = mServiceTimes.find(aObjective);
+  const auto& measured =
+    found != mServiceTimes.end() ? found->second : mServiceTime;
+  return std::chrono::duration_cast<clock::duration>(measured.mean +
+                                                     measured.deviation);
 }
 
 bool
@@ -142,7 +170,8 @@
   if (aIndex == 0 || !wait) {
     return true;
   }
-  return aNow + *wait + *wait / kWaitMarginDivisor + ExpectedServiceTime() <=
+  return aNow + *wait + *wait / kWaitMarginDivisor +
+           ExpectedServiceTime(aRequest.objective) <=
          aRequest.deadline;
 }
 
@@ -156,7 +185,7 @@
   for (auto entry = mEntries.lower_bound(aRequest); entry != mEntries.end();
        ++entry) {
     const auto isLate = !WouldMeetDeadline(*entry, index, aNow);
-    if (isLate && IsStricter(aRequest, *entry)) {
+    if (isLate && MayDisplace(aRequest, *entry)) {
       delayed.push_back(*entry);
       continue;
     }
--- a/src/currantshed/admit/deadline_queue.hpp
+++ b/src/currantshed/admit/deadline_queue.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <vector>
 
+#include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
 
 #include "currantshed/admit/drain_meter.hpp"
@@ -23,14 +24,21 @@
   /// Objective of the request's class: the fraction of its requests that must
   /// meet their deadline.
   double objective = 0;
+  /// Round of its customer's fair share (fair_share::Round); zero without
+  /// customers.
+  std::uint64_t round = 0;
 
-  /// Stricter classes first, then earlier deadlines.
+  /// Stricter classes first, then customers that have used less, then earlier
+  /// deadlines.
   [[nodiscard]] friend bool operator<(const queued_request& aLeft,
                                       const queued_request& aRight) noexcept
   {
     if (aLeft.objective != aRight.objective) {
       return aLeft.objective > aRight.objective;
     }
+    if (aLeft.round != aRight.round) {
+      return aLeft.round < aRight.round;
+    }
     return aLeft.deadline != aRight.deadline ? aLeft.deadline < aRight.deadline
                                              : aLeft.request < aRight.request;
   }
@@ -40,18 +48,20 @@
 struct admission
 {
   bool admitted = false;
-  /// Requests of less strict classes that were removed to make room.
+  /// Requests of less strict classes, or of customers of the same class that
+  /// are above their share, that were removed to make room.
   std::vector<std::uint64_t> displaced;
 };
 
 /// Requests waiting for a server, ordered by their class's objective, then by
-/// deadline. A request is admitted if, at the measured drain rate, it is
-/// expected to meet its deadline and does not make an already admitted request
-/// of an equally strict class miss its own. Waiting requests of less strict
-/// classes that would miss their deadlines are removed, so that they are
-/// refused at once instead of running late. The order has little effect while
-/// the capacity suffices; under overload the strictest classes keep their
-/// targets.
+/// their customer's fair share, then by deadline. A request is admitted if, at
+/// the measured drain rate, it is expected to meet its deadline and does not
+/// make an already admitted request of an equally strict class miss its own.
+/// Waiting requests of less strict classes that would miss their deadlines are
+/// removed, so that they are refused at once instead of running late; so are
+/// those of the same class whose customers are above their share. The order has
+/// little effect while the capacity suffices; under overload the strictest
+/// classes keep their targets.
 class deadline_queue
 {
 public:
@@ -72,29 +82,41 @@
   /// Records that a request was dispatched.
   void Departed(clock::time_point aNow);
 
-  /// Records the service time of a request, from dispatch to response.
-  void Served(clock::duration aTime);
+  /// Records the service time of a request, from dispatch to response. Classes
+  /// that are named are measured separately: the work of one may be a multiple
+  /// of another's target.
+  void Served(clock::duration aTime,
+              std::optional<double> aObjective = std::nullopt);
 
   /// Whether a request dispatched now is expected to meet its deadline.
   [[nodiscard]] bool CanMeetDeadline(const queued_request& aRequest,
                                      clock::time_point aNow) const;
 
-  /// When to retry a refused request: after the waiting requests, and those
-  /// told earlier to retry, have been dispatched at the measured rate. Jitter
-  /// is derived from the request's number.
+  /// When to retry a refused request of a class: after the waiting requests of
+  /// classes that are as strict, and those told earlier to retry, have been
+  /// dispatched at the measured rate. Jitter is derived from the request's
+  /// number.
   [[nodiscard]] std::chrono::milliseconds RetryAfter(std::uint64_t aRequest,
-                                                     clock::time_point aNow);
+                                                     clock::time_point aNow,
+                                                     double aObjective = 0);
 
   /// Expected time until a request that arrives now is dispatched, if it is
   /// queued behind all others; zero before a rate has been measured.
   [[nodiscard]] clock::duration ExpectedWait() const;
 
+  /// Expected service time of a class: mean plus mean deviation.
+  [[nodiscard]] clock::duration ExpectedServiceTime(double aObjective) const;
+
   /// Waiting requests in queue order.
   [[nodiscard]] const entries& Entries() const noexcept;
 
 private:
-  /// Expected service time: mean plus mean deviation.
-  [[nodiscard]] clock::duration ExpectedServiceTime() const;
+  struct service_time
+  {
+    std::chrono::duration<double> mean{ 0 };
+    std::chrono::duration<double> deviation{ 0 };
+  };
+
   /// Whether a request at this index of the queue is expected to meet its
   /// deadline.
   [[nodiscard]] bool WouldMeetDeadline(const queued_request& aRequest,
@@ -110,11 +132,11 @@
   std::size_t mLimit;
   entries mEntries;
   drain_meter mDrain;
-  // Mean and mean deviation of the service time.
-  std::chrono::duration<double> mMeanServiceTime{ 0 };
-  std::chrono::duration<double> mServiceTimeDeviation{ 0 };
-  // When the request refused last was told to retry.
-  clock::time_point mLastRetryAt{};
+  // Of all requests whose class was not named, and by objective.
+  service_time mServiceTime;
+  absl::btree_map<double, service_time> mServiceTimes;
+  // When the request refused last was told to retry, by objective.
+  absl::btree_map<double, clock::time_point> mLastRetryAt;
 };
 
 } // namespace currantshed::admit
--- a/src/currantshed/admit/fwd.hpp
+++ b/src/currantshed/admit/fwd.hpp
@@ -5,6 +5,8 @@
 
 class deadline_queue;
 class drain_meter;
+class fair_share;
+class fair_ticket;
 class retry_budget;
 
 } // namespace currantshed::admit
--- a/src/currantshed/node/metrics.cpp
+++ b/src/currantshed/node/metrics.cpp
@@ -42,6 +42,10 @@
   , mRequests(Counter(*mRegistry,
                       "currantshed_node_requests_total",
                       "Number of decisions on requests, by outcome and reason"))
+  , mRejections(
+      Counter(*mRegistry,
+              "currantshed_node_rejections_total",
+              "Number of requests rejected as busy, by priority and reason"))
   , mTimes(prometheus::BuildHistogram()
              .Name("currantshed_node_request_seconds")
              .Help("Time from a request to its final answer, by outcome")
@@ -91,6 +95,12 @@
     .Add({ { "outcome", outcome },
            { "reason", isWord ? std::string(reason) : "" } })
     .Increment();
+  if (aDecision.outcome == proxy::NameOf(proxy::failure_code::kBusy)) {
+    mRejections
+      .Add({ { "priority", std::to_string(aDecision.priority) },
+             { "reason", isWord ? std::string(reason) : "" } })
+      .Increment();
+  }
   if (aDecision.drainingFor) {
     mAtLeaving.Add({ { "outcome", outcome } }).Increment();
   }
--- a/src/currantshed/node/metrics.hpp
+++ b/src/currantshed/node/metrics.hpp
@@ -46,6 +46,7 @@
 private:
   std::shared_ptr<prometheus::Registry> mRegistry;
   prometheus::Family<prometheus::Counter>& mRequests;
+  prometheus::Family<prometheus::Counter>& mRejections;
   prometheus::Family<prometheus::Histogram>& mTimes;
   prometheus::Family<prometheus::Counter>& mStoreCalls;
   prometheus::Family<prometheus::Counter>& mServers;
--- a/src/currantshed/node/traffic.cpp
+++ b/src/currantshed/node/traffic.cpp
@@ -354,6 +354,7 @@
                { "service", std::string(aDecision.service) },
                { "server", std::string(aDecision.server) },
                { "needs_primary", aDecision.needsPrimary },
+               { "priority", static_cast<std::int64_t>(aDecision.priority) },
                { "tries", static_cast<std::int64_t>(aDecision.tries) },
                { "waited_ms", Milliseconds(aDecision.waited) },
                { "proof_age_ms", confirmationAge },
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -65,6 +65,8 @@
   /// Time since the request arrived.
   clock::duration waited{ 0 };
   unsigned tries = 0;
+  /// The class: zero is the highest priority.
+  unsigned priority = 0;
   bool needsPrimary = false;
   /// Age of the confirmation that it relies on; negative when there is none.
   clock::duration confirmationAge{ -1 };
@@ -341,6 +343,7 @@
   [[nodiscard]] admit::deadline_queue& QueueOf(const session& aSession);
   [[nodiscard]] std::optional<server_load> LoadFor(const session& aSession);
   [[nodiscard]] admit::retry_budget& RetriesOf(const request& aRequest);
+  void ChargeCustomer(session& aSession);
   void Requeue(session& aSession, clock::time_point aNow);
   void Dequeue(session& aSession);
   void Start(session& aSession,
@@ -354,8 +357,8 @@
                                             clock::time_point aNow);
   void DispatchQueued(const std::string& aService, clock::time_point aNow);
   void DispatchQueues(dispatch_queues& aQueues, clock::time_point aNow);
-  void DispatchQueue(admit::deadline_queue& aQueue,
-                     bool aInTime,
+  bool DispatchEntry(admit::deadline_queue& aQueue,
+                     const admit::queued_request& aEntry,
                      blocked_queues& aBlocked,
                      clock::time_point aNow);
 
@@ -456,6 +459,7 @@
   void ReleaseHeldAnswers(const std::string& aService, clock::time_point aNow);
   void ConnectionLost(session& aSession, clock::time_point aNow);
   void EndRelay(session& aSession);
+  static void AnswerNotRun(session& aSession);
   void RecordDecision(const session& aSession,
                       std::string_view aOutcome,
                       std::string_view aReason,
@@ -503,6 +507,10 @@
   // Retry budgets, by service, for requests rejected as busy.
   std::map<std::string, admit::retry_budget> mRetries;
   std::map<std::string, dispatch_queues> mQueues;
+  // Shares of customers, by queue and priority.
+  std::map<std::pair<const admit::deadline_queue*, unsigned>,
+           std::shared_ptr<admit::fair_share>>
+    mShares;
   // Sessions whose requests are queued, by request number.
   absl::flat_hash_map<std::uint64_t, session_id> mWaiting;
   absl::btree_set<timer> mTimers;
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -195,7 +195,10 @@
   if (auto* state = Find(request.lastServer)) {
     state->ObserveLatency(request.sentAt, aNow);
   }
-  QueueOf(aSession).Served(aNow - request.sentAt);
+  QueueOf(aSession).Served(aNow - request.sentAt, ObjectiveOf(request));
+  if (request.fairTicket != nullptr) {
+    request.fairTicket->Use(aNow - request.sentAt);
+  }
   const bool isCommit = request.statement.kind == statement_kind::kCommit;
   if (aSession.transaction && !isCommit) {
     RecordDecision(aSession, "served", "in_transaction", true, aNow);
--- a/src/currantshed/proxy/engine_dispatch.cpp
+++ b/src/currantshed/proxy/engine_dispatch.cpp
@@ -32,7 +32,7 @@
   return { aRequest.priority,
            left(target),
            left(aRequest.deadline),
-           aRequest.tries - 1,
+           std::max(aRequest.tries, 1U) - 1,
            aRequest.needsPrimary };
 }
 
@@ -133,6 +133,10 @@
   auto& request = *aSession.current;
   request.serverConnection = &aServerConnection;
   ++request.tries;
+  ChargeCustomer(aSession);
+  if (request.fairTicket != nullptr) {
+    request.fairTicket->Dispatched();
+  }
   if (request.tries == 1) {
     RetriesOf(request).Deposit();
   }
--- a/src/currantshed/proxy/engine_failures.cpp
+++ b/src/currantshed/proxy/engine_failures.cpp
@@ -140,6 +140,9 @@
 {
   auto& request = *aSession.current;
   const auto lastStage = request.progress;
+  if (request.fairTicket != nullptr && lastStage == stage::kRunning) {
+    request.fairTicket->Use(aNow - request.sentAt);
+  }
   if (request.serverConnection != nullptr) {
     request.serverConnection->user = nullptr;
     Discard(*request.serverConnection);
@@ -190,6 +193,7 @@
 {
   if (aSession.current && aSession.current->progress == stage::kQueued) {
     Dequeue(aSession);
+    AnswerNotRun(aSession);
   }
   if (aSession.transaction) {
     aSession.transaction->serverConnection = nullptr;
@@ -200,6 +204,22 @@
   }
 }
 
+// Tells the other VM that a statement that may write has not been sent to the
+// server. Without this it could not tell, and its caller would be told that the
+// outcome is unknown. Other requests it repeats at once through another VM.
+void
+engine::AnswerNotRun(session& aSession)
+{
+  const auto kind = aSession.current->statement.kind;
+  if (aSession.transaction || aSession.callerLeft ||
+      (kind != statement_kind::kWrite && kind != statement_kind::kExecute)) {
+    return;
+  }
+  answer made;
+  made.failed = failure{ RefusalCode(*aSession.current), "server_unreachable" };
+  aSession.client.Deliver(made);
+}
+
 void
 engine::Ended(connection& aConnection,
               link_close_reason aWhy,
@@ -255,6 +275,7 @@
   made.reason = aReason;
   made.waited = aNow - request.arrivedAt;
   made.tries = request.tries;
+  made.priority = request.priority;
   made.needsPrimary = request.needsPrimary;
   if (leadership.confirmed.term != 0) {
     made.confirmationAge = aNow - leadership.confirmed.askedAt;
--- a/src/currantshed/proxy/engine_queues.cpp
+++ b/src/currantshed/proxy/engine_queues.cpp
@@ -1,7 +1,10 @@
 // Dispatch queues: how requests wait for a connection, are rejected, or get
 // one.
 #include <algorithm>
+#include <map>
+#include <memory>
 #include <utility>
+#include <vector>
 
 #include <absl/strings/str_cat.h>
 
@@ -23,6 +26,47 @@
 constexpr std::string_view kPrimaryQueue = "primary";
 constexpr std::string_view kReadsQueue = "reads";
 
+// Whether the first request must leave an idle connection of its customer to
+// the second one's, which has none. Without this a customer that always has a
+// request waiting keeps its connections for ever.
+bool
+IsFarBehind(const admit::queued_request& aOne,
+            const admit::queued_request& aWaiting)
+{
+  return aOne.objective < aWaiting.objective ||
+         (aOne.objective == aWaiting.objective &&
+          aOne.round > aWaiting.round + 1);
+}
+
+struct waiting_entry
+{
+  admit::queued_request entry;
+  admit::deadline_queue* queue = nullptr;
+  bool isInTime = false;
+  // Rounds after the first one of its class in its queue. Rounds of two queues
+  // can't be compared.
+  std::uint64_t lead = 0;
+
+  /// Those that can still meet their deadline first: a late answer helps less
+  /// than one in time, whatever the classes.
+  [[nodiscard]] friend bool operator<(const waiting_entry& aLeft,
+                                      const waiting_entry& aRight) noexcept
+  {
+    if (aLeft.isInTime != aRight.isInTime) {
+      return aLeft.isInTime;
+    }
+    if (aLeft.entry.objective != aRight.entry.objective) {
+      return aLeft.entry.objective > aRight.entry.objective;
+    }
+    if (aLeft.lead != aRight.lead) {
+      return aLeft.lead < aRight.lead;
+    }
+    return aLeft.entry.deadline != aRight.entry.deadline
+             ? aLeft.entry.deadline < aRight.entry.deadline
+             : aLeft.entry.request < aRight.entry.request;
+  }
+};
+
 } // namespace
 
 void
@@ -49,13 +93,13 @@
   }
 }
 
-// Queues the request, by route priority and then by time, if it is expected to
-// be answered in time. Half of the target is reserved for a caller that is
-// rejected and retries; without attributes, the time limit of a relayed request
-// is already part of the other VM's limit. During an outage, while the primary
-// is being replaced or unknown, a rejected caller would use up its retries too
-// early: the request waits as long as its statement may take, behind all
-// requests that can still meet their target.
+// Queues the request, by route priority, its customer's share and then by time,
+// if it is expected to be answered in time. Half of the target is reserved for
+// a caller that is rejected and retries; without attributes, the time limit of
+// a relayed request is already part of the other VM's limit. During an outage,
+// while the primary is being replaced or unknown, a rejected caller would use
+// up its retries too early: the request waits as long as its statement may
+// take, behind all requests that can still meet their target.
 admit::admission
 engine::Admit(session& aSession, clock::time_point aNow)
 {
@@ -69,12 +113,23 @@
   if (IsOutage(aSession, aNow)) {
     request.waitUntil = request.deadline;
     answeredBy = request.deadline;
-  } else if (!aSession.IsRelay() || request.attributes) {
+  } else if (!aSession.IsRelay()) {
     answeredBy -= (request.waitUntil - request.arrivedAt) / 2;
+  } else if (request.attributes) {
+    answeredBy += queue.ExpectedServiceTime(ObjectiveOf(request));
+    const auto& untilTarget = request.attributes->untilTarget;
+    if (untilTarget > milliseconds{ 0 }) {
+      answeredBy =
+        std::min(answeredBy, request.arrivedAt + TimeAtHolder(untilTarget));
+    }
   }
+  ChargeCustomer(aSession);
   request.queueEntry = admit::queued_request{ answeredBy,
                                               request.number,
-                                              1.0 / (1.0 + request.priority) };
+                                              ObjectiveOf(request),
+                                              request.fairTicket != nullptr
+                                                ? request.fairTicket->Round()
+                                                : 0 };
   auto made = queue.TryAdmit(*request.queueEntry, aNow);
   if (!made.admitted) {
     request.queueEntry.reset();
@@ -108,10 +163,11 @@
 void
 engine::Reject(session& aSession, std::string_view aWhy, clock::time_point aNow)
 {
+  const auto& request = *aSession.current;
   const auto after =
-    QueueOf(aSession).RetryAfter(aSession.current->number, aNow);
+    QueueOf(aSession).RetryAfter(request.number, aNow, ObjectiveOf(request));
   Fail(aSession,
-       RefusalCode(*aSession.current),
+       RefusalCode(request),
        absl::StrCat(std::string(aWhy), "; retry after ", after.count(), " ms"),
        aNow);
 }
@@ -179,6 +235,23 @@
     .first->second;
 }
 
+// Charges the request to its customer's share of its class, if it has a
+// customer and was not charged before.
+void
+engine::ChargeCustomer(session& aSession)
+{
+  auto& request = *aSession.current;
+  if (request.customer.empty() || request.fairTicket != nullptr) {
+    return;
+  }
+  auto& share = mShares[{ &QueueOf(aSession), request.priority }];
+  if (share == nullptr) {
+    share = std::make_shared<admit::fair_share>();
+  }
+  request.fairTicket =
+    std::make_shared<admit::fair_ticket>(share, request.customer);
+}
+
 void
 engine::Dequeue(session& aSession)
 {
@@ -208,49 +281,68 @@
   DispatchQueues(found->second, aNow);
 }
 
+// The queues are served in one order, since requests of this VM's callers and
+// those relayed to it wait for the same servers: queue after queue, a lenient
+// class of one would go before a strict one of the next.
 void
 engine::DispatchQueues(dispatch_queues& aQueues, clock::time_point aNow)
 {
+  std::vector<waiting_entry> waiting;
+  for (auto& [name, queue] : aQueues) {
+    auto first = queue.Entries().begin();
+    for (const auto& entry : queue.Entries()) {
+      if (entry.objective != first->objective) {
+        first = queue.Entries().find(entry);
+      }
+      waiting.push_back({ entry,
+                          &queue,
+                          queue.CanMeetDeadline(entry, aNow),
+                          entry.round - first->round });
+    }
+  }
+  std::sort(waiting.begin(), waiting.end());
   blocked_queues blocked;
-  for (const bool inTime : { true, false }) {
-    for (auto& [name, queue] : aQueues) {
-      DispatchQueue(queue, inTime, blocked, aNow);
+  // The first of each queue that got nothing.
+  std::map<const admit::deadline_queue*, admit::queued_request> first;
+  for (const auto& one : waiting) {
+    const auto found = first.find(one.queue);
+    if (mOnlyIdle && found != first.end() &&
+        IsFarBehind(one.entry, found->second)) {
+      continue;
+    }
+    if (!DispatchEntry(*one.queue, one.entry, blocked, aNow)) {
+      first.try_emplace(one.queue, one.entry);
     }
   }
 }
 
-void
-engine::DispatchQueue(admit::deadline_queue& aQueue,
-                      bool aInTime,
+// Returns false if the request still waits.
+bool
+engine::DispatchEntry(admit::deadline_queue& aQueue,
+                      const admit::queued_request& aEntry,
                       blocked_queues& aBlocked,
                       clock::time_point aNow)
 {
-  const std::vector<admit::queued_request> waiting(aQueue.Entries().begin(),
-                                                   aQueue.Entries().end());
-  for (const auto& queueEntry : waiting) {
-    if (aQueue.CanMeetDeadline(queueEntry, aNow) != aInTime) {
-      continue;
-    }
-    const auto owner = mWaiting.find(queueEntry.request);
-    if (owner == mWaiting.end()) {
-      continue;
-    }
-    auto& from = *mSessions.at(owner->second);
-    if (aBlocked.IsBlocked(from)) {
-      continue;
-    }
-    // A started request may return its connection at once, and so reenter this
-    // function.
-    mWaiting.erase(queueEntry.request);
-    aQueue.Remove(queueEntry);
-    if (TryStart(from, aNow)) {
-      aQueue.Departed(aNow);
-      continue;
-    }
-    mWaiting[queueEntry.request] = from.number;
-    aQueue.Requeue(queueEntry);
-    aBlocked.Add(from);
+  const auto owner = mWaiting.find(aEntry.request);
+  if (owner == mWaiting.end()) {
+    return true;
+  }
+  auto& from = *mSessions.at(owner->second);
+  if (aBlocked.IsBlocked(from)) {
+    return false;
+  }
+  // A started request may return its connection at once, and so reenter this
+  // function.
+  mWaiting.erase(aEntry.request);
+  aQueue.Remove(aEntry);
+  if (TryStart(from, aNow)) {
+    aQueue.Departed(aNow);
+    return true;
   }
+  mWaiting[aEntry.request] = from.number;
+  aQueue.Requeue(aEntry);
+  aBlocked.Add(from);
+  return false;
 }
 
 } // namespace currantshed::proxy
--- a/src/currantshed/proxy/engine_requests.cpp
+++ b/src/currantshed/proxy/engine_requests.cpp
@@ -16,6 +16,10 @@
 // Retry delay for a caller whose quota can't be checked: the VMs that keep the
 // quota may be unreachable for a while.
 constexpr milliseconds kTokenRetryDelay{ 500 };
+// Longest wait of a relayed request, whatever its target: the requesting VM
+// takes a holder that has not answered for 300 ms for lost, and the statement
+// has yet to run.
+constexpr milliseconds kMaxRelayedWait{ 150 };
 
 bool
 IsWrite(const session& aSession, const session_statement& aStatement)
@@ -43,22 +47,24 @@
 }
 
 // Queues a relayed request by the class and the remaining time that the
-// requesting VM gave. A request that has missed its target already may wait
-// until its deadline, behind those that can still meet theirs.
+// requesting VM gave. One that has missed its target already may still wait.
 void
 ApplyAttributes(const request_attributes& aAttributes, request& aRequest)
 {
   aRequest.attributes = aAttributes;
   aRequest.priority = aAttributes.priority;
-  const auto most = aRequest.deadline - aRequest.arrivedAt;
-  aRequest.deadline =
-    aRequest.arrivedAt + std::clamp<clock::duration>(
-                           aAttributes.untilDeadline, milliseconds{ 0 }, most);
-  aRequest.waitUntil =
-    aAttributes.untilTarget > milliseconds{ 0 }
-      ? std::min(aRequest.arrivedAt + aAttributes.untilTarget,
-                 aRequest.deadline)
-      : aRequest.deadline;
+  // Bounded before they are added to a time, which could overflow.
+  const auto most =
+    std::chrono::floor<milliseconds>(aRequest.deadline - aRequest.arrivedAt);
+  auto& told = *aRequest.attributes;
+  told.untilDeadline = std::clamp(told.untilDeadline, milliseconds{ 0 }, most);
+  told.untilTarget = std::clamp(told.untilTarget, milliseconds{ 0 }, most);
+  aRequest.deadline = aRequest.arrivedAt + told.untilDeadline;
+  const auto wait =
+    told.untilTarget > milliseconds{ 0 }
+      ? std::min(TimeAtHolder(told.untilTarget), kMaxRelayedWait)
+      : kMaxRelayedWait;
+  aRequest.waitUntil = std::min(aRequest.arrivedAt + wait, aRequest.deadline);
 }
 
 } // namespace
--- a/src/currantshed/proxy/request.hpp
+++ b/src/currantshed/proxy/request.hpp
@@ -1,6 +1,7 @@
 #ifndef CURRANTSHED_PROXY_REQUEST_HPP
 #define CURRANTSHED_PROXY_REQUEST_HPP
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -8,12 +9,22 @@
 #include <absl/container/inlined_vector.h>
 
 #include "currantshed/admit/deadline_queue.hpp"
+#include "currantshed/admit/fair_share.hpp"
 #include "currantshed/clock/time.hpp"
 #include "currantshed/proxy/configuration.hpp"
 #include "currantshed/proxy/statement.hpp"
 
 namespace currantshed::proxy {
 
+/// How long a relayed request with this time left until its target may take at
+/// a connection holder. The rest is left to a caller that is rejected and
+/// retries: 75 ms of a target of 250 ms.
+[[nodiscard]] constexpr std::chrono::milliseconds
+TimeAtHolder(std::chrono::milliseconds aUntilTarget)
+{
+  return aUntilTarget * 3 / 10;
+}
+
 /// Progress of a request.
 enum class stage
 {
@@ -65,6 +76,8 @@
   clock::time_point waitUntil;
   /// Its entry in the dispatch queue, once admitted.
   std::optional<admit::queued_request> queueEntry;
+  /// Its charge to its customer's share; null without a customer.
+  std::shared_ptr<admit::fair_ticket> fairTicket;
   /// Session setup answers still missing before the next step.
   unsigned awaitedAnswers = 0;
   /// Servers that rejected the request.
@@ -85,6 +98,14 @@
   clock::time_point committedBy;
 };
 
+/// The objective of the request's class in dispatch queues, which falls with
+/// the priority.
+[[nodiscard]] inline double
+ObjectiveOf(const request& aRequest)
+{
+  return 1.0 / (1.0 + aRequest.priority);
+}
+
 } // namespace currantshed::proxy
 
 #endif
--- a/test/currantshed/admit/deadline_queue.cpp
+++ b/test/currantshed/admit/deadline_queue.cpp
@@ -85,6 +85,32 @@
     { kStart + 1s, 3, 0.999 },
     true,
     { 2 } },
+  { "full, the last one of a customer far above its share is displaced",
+    2,
+    { { kStart + 1s, 1, 0.9, 1 }, { kStart + 1s, 2, 0.9, 3 } },
+    { kStart + 1s, 3, 0.9, 1 },
+    true,
+    { 2 } },
+  { "full, a customer of the same round keeps its place",
+    2,
+    { { kStart + 1s, 1, 0.9, 1 }, { kStart + 1s, 2, 0.9, 1 } },
+    { kStart + 1s, 3, 0.9, 1 },
+    false,
+    {} },
+  { "ahead of one of a customer far above its share, that would then miss its "
+    "deadline",
+    8,
+    { { kStart + 9ms, 1, 0.9, 4 } },
+    { kStart + 50ms, 2, 0.9, 0 },
+    true,
+    { 1 } },
+  { "a customer far above its share, of a stricter class, is not displaced by "
+    "a lower one",
+    2,
+    { { kStart + 1s, 1, 0.999, 40 }, { kStart + 1s, 2, 0.999, 50 } },
+    { kStart + 1s, 3, 0.9, 0 },
+    false,
+    {} },
 };
 
 } // namespace
@@ -133,6 +159,24 @@
   }
 }
 
+// Ten lenient requests wait, or were told when to retry: a strict one goes
+// before them, and is told so.
+TEST(deadline_queue, retry_times_of_strict_classes_do_not_count_lenient_ones)
+{
+  for (const bool areWaiting : { true, false }) {
+    auto queue = MakeMeasuredQueue(100);
+    for (std::uint64_t i = 1; i <= 10; ++i) {
+      if (areWaiting) {
+        CHECK(queue.TryAdmit({ kStart + 1s, i, 0.5 }, kStart).admitted);
+      } else {
+        CHECK(queue.RetryAfter(i, kStart, 0.5) > 0ms);
+      }
+    }
+    CHECK(queue.RetryAfter(11, kStart, 0.9) <= 17ms);
+    CHECK(queue.RetryAfter(12, kStart, 0.5) >= 110ms);
+  }
+}
+
 TEST(deadline_queue, a_single_stall_has_little_effect)
 {
   auto queue = MakeMeasuredQueue(100);
--- a/test/currantshed/proxy/load_simulation.cpp
+++ b/test/currantshed/proxy/load_simulation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "test/currantshed/proxy/relay_link.hpp"
@@ -31,6 +32,12 @@
   return "vm-" + std::to_string(aVm);
 }
 
+std::string
+StreamName(std::size_t aStream)
+{
+  return "db-stream-" + std::to_string(aStream);
+}
+
 std::string
 DomainName(std::size_t aNumber)
 {
@@ -102,13 +109,15 @@
 public:
   link(load_simulation& aSimulation,
        model_server& aServer,
+       const bool& aIsUp,
        proxy::link_listener& aListener)
     : mSimulation(aSimulation)
     , mServer(aServer)
+    , mIsUp(aIsUp)
     , mListener(aListener)
   {
     After(2 * kHop + kHandshake, [this] {
-      if (mServer.reachable) {
+      if (mServer.reachable && mIsUp) {
         mListener.Opened(mSimulation.At(mServer), mSimulation.mTime.Now());
       }
     });
@@ -150,7 +159,11 @@
       return;
     }
     const auto& shape = mSimulation.mShape;
-    const auto work = writes ? shape.writeWork : shape.readWork;
+    auto work = writes ? shape.writeWork : shape.readWork;
+    for (std::size_t i = 0; i < shape.streams.size(); ++i) {
+      work =
+        aCommand.text == "READ " + StreamName(i) ? shape.streams[i].work : work;
+    }
     // The server finishes the work even if the connection closes.
     const bool isAccepted =
       mServer.Submit(work, [this, alive = mAlive, aCommand, writes] {
@@ -180,7 +193,7 @@
   {
     aAnswer.position = mSimulation.At(mServer);
     After(kHop, [this, made = std::move(aAnswer)] {
-      if (mServer.reachable) {
+      if (mServer.reachable && mIsUp) {
         mListener.Answered(made, mSimulation.mTime.Now());
       }
     });
@@ -188,6 +201,8 @@
 
   load_simulation& mSimulation;
   model_server& mServer;
+  // Whether the VM is alive.
+  const bool& mIsUp;
   proxy::link_listener& mListener;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
@@ -200,6 +215,7 @@
 public:
   vm(load_simulation& aSimulation, std::size_t aNumber)
     : mSimulation(aSimulation)
+    , mNumber(aNumber)
     , engine({ VmName(aNumber), DomainName(aNumber), kValidity }, *this, *this)
   {
   }
@@ -212,15 +228,22 @@
   {
     if (aVia.IsDirect()) {
       return std::make_unique<link>(
-        mSimulation, *mSimulation.Find(aServer.id), aListener);
+        mSimulation, *mSimulation.Find(aServer.id), isUp, aListener);
     }
     const auto through = std::stoul(aVia.vm.substr(3));
-    return std::make_unique<relay_link>(
+    auto made = std::make_unique<relay_link>(
       mSimulation.mTime,
       mSimulation.mVms[through]->engine,
       aServer.id,
       aListener,
-      [this] { return mSimulation.mIsEnding; });
+      [this] { return mSimulation.mIsEnding; },
+      mNumber < mSimulation.mShape.vmsWithAttributes);
+    mSimulation.mVms[through]->mRelayed.push_back(
+      { made->IsAlive(), made.get() });
+    if (!mSimulation.mVms[through]->isUp) {
+      made->Break();
+    }
+    return made;
   }
 
   void NeedsConfirmation(const std::string&) override {}
@@ -239,8 +262,31 @@
   {
   }
 
+  [[nodiscard]] std::size_t RelayedLinks() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(mRelayed.begin(), mRelayed.end(), [](const auto& aOne) {
+        return *aOne.first;
+      }));
+  }
+
+  void Kill()
+  {
+    isUp = false;
+    for (const auto& [isAlive, one] : mRelayed) {
+      if (*isAlive) {
+        one->Break();
+      }
+    }
+  }
+
+  bool isUp = true;
+
 private:
   load_simulation& mSimulation;
+  std::size_t mNumber;
+  // Links of other VMs through this one.
+  std::vector<std::pair<std::shared_ptr<const bool>, relay_link*>> mRelayed;
 
 public:
   proxy::engine engine;
@@ -253,10 +299,12 @@
   caller(load_simulation& aSimulation,
          std::uint64_t aNumber,
          bool aWrites,
-         clock::time_point aStartedAt)
+         clock::time_point aStartedAt,
+         std::optional<std::size_t> aStream = std::nullopt)
     : mSimulation(aSimulation)
     , mNumber(aNumber)
     , mWrites(aWrites)
+    , mStream(aStream)
     , mStartedAt(aStartedAt)
     , mRetries(aSimulation.mShape.retries)
   {
@@ -292,13 +340,22 @@
   {
     CloseSession();
     mAttemptedAt = mSimulation.mTime.Now();
-    mVm = mSimulation.mRandom() % mSimulation.mVms.size();
+    do {
+      mVm = mSimulation.mRandom() % mSimulation.mVms.size();
+    } while (!mSimulation.mVms[mVm]->isUp);
     auto& engine = mSimulation.mVms[mVm]->engine;
-    mSession = engine.Open(mWrites ? kWrites : kReads, *this);
+    const std::string database = mStream   ? StreamName(*mStream)
+                                 : mWrites ? kWrites
+                                           : kReads;
+    const auto key =
+      mStream ? mSimulation.mShape.streams[*mStream].customer : std::string();
+    mSession = engine.Open(database, *this, key);
     proxy::session_statement statement;
     statement.kind = mWrites ? statement_kind::kWrite : statement_kind::kRead;
     statement.id = std::to_string(mNumber) + "-" + std::to_string(mRetries);
-    statement.text = mWrites ? "WRITE a b" : "READ a";
+    statement.text = mStream   ? "READ " + database
+                     : mWrites ? "WRITE a b"
+                               : "READ a";
     engine.Submit(*mSession, statement, mSimulation.mTime.Now());
   }
 
@@ -325,11 +382,16 @@
     const auto second =
       std::chrono::floor<std::chrono::seconds>(mStartedAt - mSimulation.mStart)
         .count();
-    return mSimulation.mResults[static_cast<std::size_t>(second)];
+    auto& results =
+      mStream ? mSimulation.mStreamResults[*mStream] : mSimulation.mResults;
+    return results[static_cast<std::size_t>(second)];
   }
 
   [[nodiscard]] std::chrono::milliseconds Target() const
   {
+    if (mStream) {
+      return mSimulation.mShape.streams[*mStream].target;
+    }
     return mWrites ? mSimulation.mShape.writeTarget
                    : mSimulation.mShape.readTarget;
   }
@@ -337,6 +399,8 @@
   load_simulation& mSimulation;
   std::uint64_t mNumber;
   bool mWrites;
+  // Empty for the reads and writes that are no stream's.
+  std::optional<std::size_t> mStream;
   clock::time_point mStartedAt;
   clock::time_point mAttemptedAt;
   unsigned mRetries;
@@ -374,9 +438,33 @@
     route.statementTimeout = aShape.timeout;
     route.target = writes ? aShape.writeTarget : aShape.readTarget;
     route.priority = writes ? 1 : 2;
+    route.isPublic = true;
     configuration->routes[route.name] = std::make_shared<proxy::route>(route);
   }
-  std::vector<proxy::fleet_vm> fleet;
+  if (!aShape.streams.empty()) {
+    auto customers = std::make_shared<customer::directory>();
+    std::set<std::string> added;
+    for (std::size_t i = 0; i < aShape.streams.size(); ++i) {
+      const auto& stream = aShape.streams[i];
+      if (added.insert(stream.customer).second) {
+        customers->Add({ stream.customer, std::nullopt }, { stream.customer });
+      }
+      proxy::route route;
+      route.name = StreamName(i);
+      route.database = route.name;
+      route.service = kService;
+      route.policy = proxy::read_policy::kBoundedStaleness;
+      route.maxStaleness = aShape.staleness;
+      route.statementTimeout = stream.target + aShape.timeout;
+      route.target = stream.target;
+      route.priority = stream.priority;
+      configuration->routes[route.name] = std::make_shared<proxy::route>(route);
+    }
+    configuration->customers = std::move(customers);
+  }
+  streamFactors.resize(aShape.streams.size(), 1.0);
+  mStreamResults.resize(aShape.streams.size());
+  auto& fleet = mFleet;
   for (std::size_t i = 0; i < aShape.vms; ++i) {
     fleet.push_back({ VmName(i), DomainName(i), "127.0.0.1", 1, false });
     mVms.push_back(std::make_unique<vm>(*this, i));
@@ -391,6 +479,9 @@
   ConfirmPrimary();
   ScheduleRequest(true);
   ScheduleRequest(false);
+  for (std::size_t i = 0; i < aShape.streams.size(); ++i) {
+    ScheduleOfStream(i);
+  }
 }
 
 load_simulation::~load_simulation()
@@ -398,6 +489,31 @@
   mIsEnding = true;
 }
 
+std::size_t
+load_simulation::BusiestHolder() const
+{
+  const auto found = std::max_element(
+    mVms.begin(), mVms.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft->RelayedLinks() < aRight->RelayedLinks();
+    });
+  return static_cast<std::size_t>(found - mVms.begin());
+}
+
+void
+load_simulation::Kill(std::size_t aVm)
+{
+  mVms[aVm]->Kill();
+  mTime.After(1s, [this, aVm] {
+    std::erase_if(mFleet,
+                  [&](const auto& aOne) { return aOne.name == VmName(aVm); });
+    for (auto& one : mVms) {
+      if (one->isUp) {
+        one->engine.SetFleet(mFleet, mTime.Now());
+      }
+    }
+  });
+}
+
 void
 load_simulation::Run(std::chrono::milliseconds aDuration)
 {
@@ -414,6 +530,19 @@
   return sum;
 }
 
+load_result
+load_simulation::BetweenOf(std::size_t aStream,
+                           std::size_t aFrom,
+                           std::size_t aTo) const
+{
+  load_result sum;
+  const auto& results = mStreamResults[aStream];
+  for (auto i = aFrom; i < std::min(aTo, results.size()); ++i) {
+    sum += results[i];
+  }
+  return sum;
+}
+
 std::uint64_t
 load_simulation::Accepted() const
 {
@@ -457,6 +586,9 @@
 void
 load_simulation::ScheduleTick(std::size_t aVm)
 {
+  if (!mVms[aVm]->isUp) {
+    return;
+  }
   auto& engine = mVms[aVm]->engine;
   engine.Tick(mTime.Now());
   mTime.At(std::max(engine.NextTick(), mTime.Now() + 1ms),
@@ -472,6 +604,9 @@
     const proxy::position_sample sample{ 1, At(primary), mTime.Now() };
     mTime.After(2 * kHop, [this, confirmed, sample] {
       for (auto& one : mVms) {
+        if (!one->isUp) {
+          continue;
+        }
         one->engine.Confirm(kService, confirmed, mTime.Now());
         one->engine.AddSample(kService, sample);
       }
@@ -499,6 +634,26 @@
   });
 }
 
+void
+load_simulation::ScheduleOfStream(std::size_t aStream)
+{
+  const auto rate = mShape.streams[aStream].reads * streamFactors[aStream];
+  std::exponential_distribution<double> gap(rate);
+  const auto next = std::chrono::duration_cast<clock::duration>(
+    std::chrono::duration<double>(gap(mRandom)));
+  mTime.After(next, [this, aStream] {
+    RemoveFinished();
+    const auto second = Second();
+    auto& results = mStreamResults[aStream];
+    results.resize(std::max(results.size(), second + 1));
+    ++results[second].requests;
+    const auto number = ++mLastCaller;
+    mCallers[number] =
+      std::make_unique<caller>(*this, number, false, mTime.Now(), aStream);
+    ScheduleOfStream(aStream);
+  });
+}
+
 void
 load_simulation::RemoveFinished()
 {
--- a/test/currantshed/proxy/load_simulation.hpp
+++ b/test/currantshed/proxy/load_simulation.hpp
@@ -58,6 +58,17 @@
   std::deque<work> mWaiting;
 };
 
+/// Reads of one customer, on a route of their own.
+struct load_stream
+{
+  std::string customer;
+  /// Statements per second.
+  double reads = 0;
+  std::chrono::milliseconds target{ 250 };
+  std::chrono::microseconds work{ 18000 };
+  unsigned priority = 0;
+};
+
 /// The offered load, for all VMs together.
 struct load_shape
 {
@@ -77,6 +88,10 @@
   /// before each.
   unsigned retries = 2;
   std::chrono::milliseconds backoff{ 50 };
+  /// Beside the reads and writes above, which are then public.
+  std::vector<load_stream> streams;
+  /// Number of VMs, the first ones, that send request attributes.
+  std::size_t vmsWithAttributes = 0;
 };
 
 /// Outcomes of the requests that began in one second.
@@ -110,13 +125,25 @@
   }
   /// Factor on the offered load.
   double factor = 1.0;
+  /// Factors on the load of the streams.
+  std::vector<double> streamFactors;
   /// Whether the primary is confirmed periodically.
   bool confirmations = true;
 
+  /// The VM that most links of others go through.
+  [[nodiscard]] std::size_t BusiestHolder() const;
+  /// Kills a VM: its links break. The others learn from the list of VMs a
+  /// second later.
+  void Kill(std::size_t aVm);
+
   /// Advances the virtual time.
   void Run(std::chrono::milliseconds aDuration);
   /// Sum over the seconds from aFrom up to, but not including, aTo.
   [[nodiscard]] load_result Between(std::size_t aFrom, std::size_t aTo) const;
+  /// The same of one stream.
+  [[nodiscard]] load_result BetweenOf(std::size_t aStream,
+                                      std::size_t aFrom,
+                                      std::size_t aTo) const;
   /// Statements that servers accepted, and those that they rejected.
   [[nodiscard]] std::uint64_t Accepted() const;
   [[nodiscard]] std::uint64_t Rejected() const;
@@ -136,10 +163,12 @@
   void ScheduleTick(std::size_t aVm);
   void ConfirmPrimary();
   void ScheduleRequest(bool aWrites);
+  void ScheduleOfStream(std::size_t aStream);
   void RemoveFinished();
   [[nodiscard]] std::size_t Second() const;
 
   load_shape mShape;
+  std::vector<proxy::fleet_vm> mFleet;
   timeline mTime;
   std::mt19937 mRandom;
   clock::time_point mStart;
@@ -152,6 +181,7 @@
   std::uint64_t mLastCaller = 0;
   std::uint64_t mRetriedElsewhere = 0;
   std::vector<load_result> mResults;
+  std::vector<std::vector<load_result>> mStreamResults;
   bool mIsEnding = false;
 };
 
--- a/test/currantshed/proxy/relay_link.hpp
+++ b/test/currantshed/proxy/relay_link.hpp
@@ -27,11 +27,13 @@
              proxy::engine& aThrough,
              const std::string& aServer,
              proxy::link_listener& aListener,
-             std::function<bool()> aIsEnding)
+             std::function<bool()> aIsEnding,
+             bool aSendsAttributes = true)
     : mTime(aTime)
     , mThrough(aThrough)
     , mListener(&aListener)
     , mIsEnding(std::move(aIsEnding))
+    , mSendsAttributes(aSendsAttributes)
   {
     mSession = mThrough.OpenRelay(aServer, *this);
     mTime.After(kRelayHop, Guarded([this] {
@@ -57,7 +59,11 @@
     for (const auto& one : aCommands) {
       mTime.After(kRelayHop, Guarded([this, one] {
                     if (mSession) {
-                      mThrough.Submit(*mSession, Translate(one), mTime.Now());
+                      auto made = Translate(one);
+                      if (!mSendsAttributes) {
+                        made.attributes.reset();
+                      }
+                      mThrough.Submit(*mSession, made, mTime.Now());
                     }
                   }));
     }
@@ -66,12 +72,25 @@
   void Deliver(const proxy::answer& aAnswer) override
   {
     mTime.After(kRelayHop, Guarded([this, aAnswer] {
-                  if (mListener != nullptr) {
+                  if (mListener != nullptr && mSession) {
                     mListener->Answered(aAnswer, mTime.Now());
                   }
                 }));
   }
 
+  /// Ends the link as if the relay had been killed: nothing in between arrives.
+  void Break()
+  {
+    if (mSession) {
+      mThrough.Close(*mSession, mTime.Now());
+      mSession.reset();
+    }
+    mTime.After(kRelayHop, Guarded([this] { End(); }));
+  }
+
+  /// Becomes false when the link is destroyed.
+  [[nodiscard]] std::shared_ptr<const bool> IsAlive() const { return mAlive; }
+
   void Close() override
   {
     mTime.After(kRelayHop, Guarded([this] { End(); }));
@@ -103,6 +122,8 @@
     made.argument = aCommand.argument;
     made.writes = aCommand.writes;
     made.floor = aCommand.floor;
+    made.customer = aCommand.customer;
+    made.attributes = aCommand.attributes;
     switch (aCommand.kind) {
       case proxy::command_kind::kBegin:
         made.kind = proxy::statement_kind::kBegin;
@@ -140,6 +161,8 @@
   proxy::link_listener* mListener;
   // Whether the engines are being destroyed.
   std::function<bool()> mIsEnding;
+  // A VM of an older build sends none.
+  bool mSendsAttributes;
   std::optional<proxy::engine::session_id> mSession;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
