--- a/src/currantshed/admit/deadline_queue.cpp
+++ b/src/currantshed/admit/deadline_queue.cpp
@@ -1,7 +1,7 @@
 #include "currantshed/admit/deadline_queue.hpp"
 
 #include <algorithm>
-#include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace currantshed::admit {
@@ -25,6 +25,17 @@
   return aLeft.objective > aRight.objective;
 }
 
+// Whether the first may displace the second: it is of a stricter class, or of a
+// customer of the same class that has used less. One round's difference has to
+// do: the requests at the head of a queue that one customer fills are all close
+// to their deadlines, and would otherwise hold up everyone else.
+bool
+MayDisplace(const queued_request& aLeft, const queued_request& aRight)
+{
+  return IsStricter(aLeft, aRight) ||
+         (aLeft.objective == aRight.objective && aRight.round > aLeft.round);
+}
+
 } // namespace
 
 deadline_queue::deadline_queue(std::size_t aLimit)
@@ -37,15 +48,17 @@
 {
   const entries::const_iterator next = mEntries.lower_bound(aRequest);
   const auto isFull = mEntries.size() >= mLimit;
-  if (isFull && !IsStricter(aRequest, *mEntries.rbegin())) {
+  if (isFull && !MayDisplace(aRequest, *mEntries.rbegin())) {
     return {};
   }
-  const auto index =
-    static_cast<std::size_t>(std::distance(mEntries.cbegin(), next));
-  if (!WouldMeetDeadline(aRequest, index, aNow)) {
+  const auto ahead = std::accumulate(
+    mEntries.cbegin(), next, 0.0, [&](double aSum, const auto& aEntry) {
+      return aSum + WorkOf(aEntry);
+    });
+  if (!WouldMeetDeadline(aRequest, ahead, aNow)) {
     return {};
   }
-  auto delayed = FindDelayed(aRequest, index, aNow);
+  auto delayed = FindDelayed(aRequest, ahead, aNow);
   if (!delayed) {
     return {};
   }
@@ -75,43 +88,67 @@
 }
 
 void
-deadline_queue::Departed(clock::time_point aNow)
+deadline_queue::Departed(clock::time_point aNow,
+                         std::optional<double> aObjective)
 {
   mDrain.Departed(mEntries.size(), aNow);
+  const auto found =
+    aObjective ? mServiceTimes.find(*aObjective) : mServiceTimes.end();
+  if (found != mServiceTimes.end()) {
+    const auto mean = found->second.mean;
+    mMeanDispatched =
+      mMeanDispatched == seconds::zero()
+        ? mean
+        : mMeanDispatched + kNewestWeight * (mean - mMeanDispatched);
+  }
 }
 
 void
-deadline_queue::Served(clock::duration aTime)
+deadline_queue::Served(clock::duration aTime, std::optional<double> aObjective)
 {
+  auto& measured = aObjective ? mServiceTimes[*aObjective] : mServiceTime;
   const seconds time = aTime;
-  if (mMeanServiceTime == seconds::zero()) {
-    mMeanServiceTime = time;
+  if (measured.mean == seconds::zero()) {
+    measured.mean = time;
     return;
   }
-  const auto error = time - mMeanServiceTime;
-  mMeanServiceTime += kNewestWeight * error;
-  mServiceTimeDeviation +=
-    kNewestWeight * (std::chrono::abs(error) - mServiceTimeDeviation);
+  const auto error = time - measured.mean;
+  measured.mean += kNewestWeight * error;
+  measured.deviation +=
+    kNewestWeight * (std::chrono::abs(error) - measured.deviation);
 }
 
 bool
 deadline_queue::CanMeetDeadline(const queued_request& aRequest,
                                 clock::time_point aNow) const
 {
-  return aNow + ExpectedServiceTime() <= aRequest.deadline;
+  return aNow + ExpectedServiceTime(aRequest.objective) <= aRequest.deadline;
 }
 
 std::chrono::milliseconds
-deadline_queue::RetryAfter(std::uint64_t aRequest, clock::time_point aNow)
+deadline_queue::RetryAfter(std::uint64_t aRequest,
+                           clock::time_point aNow,
+                           double aObjective)
 {
   const auto gap = mDrain.TimeToDrain(1);
   if (!gap) {
     return AddJitter(kDefaultRetryAfter, aRequest);
   }
-  const auto drained = aNow + *mDrain.TimeToDrain(mEntries.size());
-  mLastRetryAt = std::min(std::max(mLastRetryAt, drained) + *gap,
-                          std::max(aNow + kMaxRetryAfter, drained));
-  return AddJitter(mLastRetryAt - aNow, aRequest);
+  const auto waiting = static_cast<std::size_t>(
+    std::count_if(mEntries.begin(), mEntries.end(), [&](const auto& aEntry) {
+      return aEntry.objective >= aObjective;
+    }));
+  const auto drained = aNow + *mDrain.TimeToDrain(waiting);
+  auto earliest = drained;
+  for (auto told = mLastRetryAt.lower_bound(aObjective);
+       told != mLastRetryAt.end();
+       ++told) {
+    earliest = std::max(earliest, told->second);
+  }
+  const auto retryAt =
+    std::min(earliest + *gap, std::max(aNow + kMaxRetryAfter, drained));
+  mLastRetryAt[aObjective] = retryAt;
+  return AddJitter(retryAt - aNow, aRequest);
 }
 
 clock::duration
@@ -127,45 +164,63 @@
 }
 
 clock::duration
-deadline_queue::ExpectedServiceTime() const
+deadline_queue::ExpectedServiceTime(double aObjective) const
 {
-  return std::chrono::duration_cast<clock::duration>(mMeanServiceTime +
-                                                     mServiceTimeDeviation);
+  const auto found = mServiceTimes.find(aObjective);
+  const auto& measured =
+    found != mServiceTimes.end() ? found->second : mServiceTime;
+  return std::chrono::duration_cast<clock::duration>(measured.mean +
+                                                     measured.deviation);
+}
+
+// With the mean pace alone, a class with little work was refused because of the
+// long gaps that another class's work had left, which then kept the server.
+double
+deadline_queue::WorkOf(const queued_request& aRequest) const
+{
+  const auto found = mServiceTimes.find(aRequest.objective);
+  return found == mServiceTimes.end() || mMeanDispatched == seconds::zero()
+           ? 1.0
+           : found->second.mean / mMeanDispatched;
 }
 
 bool
 deadline_queue::WouldMeetDeadline(const queued_request& aRequest,
-                                  std::size_t aIndex,
+                                  double aAhead,
                                   clock::time_point aNow) const
 {
-  const auto wait = mDrain.TimeToDrain(aIndex);
-  if (aIndex == 0 || !wait) {
+  const auto gap = mDrain.TimeToDrain(1);
+  if (aAhead <= 0 || !gap) {
     return true;
   }
-  return aNow + *wait + *wait / kWaitMarginDivisor + ExpectedServiceTime() <=
+  const auto wait =
+    std::chrono::duration_cast<clock::duration>(seconds(*gap) * aAhead);
+  return aNow + wait + wait / kWaitMarginDivisor +
+           ExpectedServiceTime(aRequest.objective) <=
          aRequest.deadline;
 }
 
 std::optional<std::vector<queued_request>>
 deadline_queue::FindDelayed(const queued_request& aRequest,
-                            std::size_t aIndex,
+                            double aAhead,
                             clock::time_point aNow) const
 {
   std::vector<queued_request> delayed;
-  auto index = aIndex + 1;
+  const auto added = WorkOf(aRequest);
+  auto ahead = aAhead + added;
   for (auto entry = mEntries.lower_bound(aRequest); entry != mEntries.end();
        ++entry) {
-    const auto isLate = !WouldMeetDeadline(*entry, index, aNow);
-    if (isLate && IsStricter(aRequest, *entry)) {
+    const auto isLate = !WouldMeetDeadline(*entry, ahead, aNow);
+    if (isLate && MayDisplace(aRequest, *entry)) {
       delayed.push_back(*entry);
       continue;
     }
     // A request that would miss its deadline anyway does not prevent the
     // admission.
-    if (isLate && WouldMeetDeadline(*entry, index - 1, aNow)) {
+    if (isLate && WouldMeetDeadline(*entry, ahead - added, aNow)) {
       return std::nullopt;
     }
-    ++index;
+    ahead += WorkOf(*entry);
   }
   return delayed;
 }
--- a/src/currantshed/proxy/engine.hpp
+++ b/src/currantshed/proxy/engine.hpp
@@ -68,6 +68,8 @@
   /// Time since the request arrived.
   clock::duration waited{ 0 };
   unsigned tries = 0;
+  /// The class: zero is the highest priority.
+  unsigned priority = 0;
   bool needsPrimary = false;
   /// Age of the confirmation that it relies on; negative when there is none.
   clock::duration confirmationAge{ -1 };
@@ -367,6 +369,7 @@
   [[nodiscard]] std::optional<server_load> LoadFor(const session& aSession,
                                                    clock::time_point aNow);
   [[nodiscard]] admit::retry_budget& RetriesOf(const request& aRequest);
+  void ChargeCustomer(session& aSession);
   void Requeue(session& aSession, clock::time_point aNow);
   void Dequeue(session& aSession);
   void Start(session& aSession,
@@ -382,8 +385,8 @@
                       clock::time_point aNow,
                       bool aIdleFirst = true);
   void DispatchQueues(dispatch_queues& aQueues, clock::time_point aNow);
-  void DispatchQueue(admit::deadline_queue& aQueue,
-                     bool aInTime,
+  bool DispatchEntry(admit::deadline_queue& aQueue,
+                     const admit::queued_request& aEntry,
                      blocked_queues& aBlocked,
                      clock::time_point aNow);
 
@@ -569,6 +572,10 @@
   // Retry budgets, by service, for requests rejected as busy.
   std::map<std::string, admit::retry_budget> mRetries;
   std::map<std::string, dispatch_queues> mQueues;
+  // Shares of customers, by queue and priority.
+  std::map<std::pair<const admit::deadline_queue*, unsigned>,
+           std::shared_ptr<admit::fair_share>>
+    mShares;
   // Sessions whose requests are queued, by request number.
   absl::flat_hash_map<std::uint64_t, session_id> mWaiting;
   absl::btree_set<timer> mTimers;
--- a/src/currantshed/proxy/engine_answers.cpp
+++ b/src/currantshed/proxy/engine_answers.cpp
@@ -329,7 +329,10 @@
     state->ObserveLatency(request.sentAt, aNow);
     ObserveServer(*state, balance::observation::kSucceeded, aNow);
   }
-  QueueOf(aSession).Served(aNow - request.sentAt);
+  QueueOf(aSession).Served(aNow - request.sentAt, ObjectiveOf(request));
+  if (request.fairTicket != nullptr) {
+    request.fairTicket->Use(aNow - request.sentAt);
+  }
   const bool isCommit = request.statement.kind == statement_kind::kCommit;
   if (aSession.transaction && !isCommit) {
     RecordDecision(aSession, "served", "in_transaction", true, aNow);
--- a/src/currantshed/proxy/engine_failures.cpp
+++ b/src/currantshed/proxy/engine_failures.cpp
@@ -184,6 +184,9 @@
 {
   auto& request = *aSession.current;
   const auto lastStage = request.progress;
+  if (request.fairTicket != nullptr && lastStage == stage::kRunning) {
+    request.fairTicket->Use(aNow - request.sentAt);
+  }
   if (request.serverConnection != nullptr) {
     request.serverConnection->user = nullptr;
     Discard(*request.serverConnection);
@@ -314,6 +317,7 @@
   made.reason = aReason;
   made.waited = aNow - request.arrivedAt;
   made.tries = request.tries;
+  made.priority = request.priority;
   made.needsPrimary = request.needsPrimary;
   if (leadership.confirmed.term != 0) {
     made.confirmationAge = aNow - leadership.confirmed.askedAt;
--- a/test/currantshed/proxy/placement.cpp
+++ b/test/currantshed/proxy/placement.cpp
@@ -76,7 +76,8 @@
 const load_shape kFleet{ .vms = 48,
                          .maxConnections = 24,
                          .writes = 30,
-                         .reads = 230 };
+                         .reads = 230,
+                         .vmsWithAttributes = 48 };
 const failure_row kRows[] = {
   { "a replica sheds 45 % and is fast", kFleet, Shed, 10, 200, 0.99 },
   { "a replica has crashed", kFleet, Crash, 8, 160, 0.99 },
@@ -151,7 +152,8 @@
                                    .maxConnections = 24,
                                    .writes = row.writes,
                                    .reads = row.reads,
-                                   .staleness = 1000ms },
+                                   .staleness = 1000ms,
+                                   .vmsWithAttributes = 48 },
                                  seed);
       simulation.Run(5000ms);
       simulation.Server(1).lag = 1500ms;
