--- a/test/currantshed/proxy/holder_admission.cpp
+++ b/test/currantshed/proxy/holder_admission.cpp
@@ -50,6 +50,16 @@
   return made;
 }
 
+// The same with servers that report their slots, so that the concurrency limit
+// acts: what waits inside a server is in order of arrival.
+load_shape
+ShapeWithSlots(std::vector<test::load_stream> aStreams)
+{
+  auto made = Shape(std::move(aStreams));
+  made.reportsSlots = true;
+  return made;
+}
+
 const holder_row kCustomerRows[] = {
   { "a customer at eight times its usual",
     Shape({ { "hot", 60 }, { "a", 60 }, { "b", 60 } }),
@@ -62,12 +72,13 @@
 
 const holder_row kClassRows[] = {
   { "two classes at 1.7 times the room: the strictest is served",
-    Shape({ { "a", 300, 200ms, 11000us, 0 }, { "b", 72, 1500ms, 55000us, 2 } }),
+    ShapeWithSlots(
+      { { "a", 300, 200ms, 11000us, 0 }, { "b", 72, 1500ms, 55000us, 2 } }),
     { { 1.7, 0.95 }, { 2.5, 0.2, 0.9 } } },
   { "the same, and a customer of the strictest class at eight times its usual",
-    Shape({ { "a", 200, 200ms, 11000us, 0 },
-            { "hot", 60, 200ms, 11000us, 0 },
-            { "b", 72, 1500ms, 55000us, 2 } }),
+    ShapeWithSlots({ { "a", 200, 200ms, 11000us, 0 },
+                     { "hot", 60, 200ms, 11000us, 0 },
+                     { "b", 72, 1500ms, 55000us, 2 } }),
     { { 1.7, 0.95 }, { 8, 0.4 }, { 2.5, 0 } } },
 };
 
@@ -128,9 +139,10 @@
   constexpr double kRecovered = 0.9;
   constexpr double kOverload = 3;
   for (const auto seed : kSeeds) {
-    load_simulation simulation(Shape({ { "a", 200, 200ms, 11000us, 0 },
-                                       { "b", 40, 1500ms, 55000us, 2 } }),
-                               seed);
+    load_simulation simulation(
+      ShapeWithSlots(
+        { { "a", 200, 200ms, 11000us, 0 }, { "b", 40, 1500ms, 55000us, 2 } }),
+      seed);
     simulation.Run(kBefore);
     simulation.streamFactors[1] = kOverload;
     simulation.Run(1s);
