A strict request at a holder is not late while its target can be met

Cause: a holder has three tenths of the time until a relayed request's target. This part decides admission, but DispatchQueues also took it for the deadline that tells late requests from others, and late ones go after all that can be in time, whatever the classes. A strict class whose measured service time is above the part (60 ms of 200 ms) was always late, and was sent after every lenient request. These filled the server and made its service time longer still, so that the state kept itself up.

Ruled out: the senders' own early rejection.

Change: the order of dispatch uses the target that the sender told. Admission is as before, and so are requests without attributes.

holder_waits has a test of one connection, a lenient and a strict request: the lenient one was sent first before, the strict one after.

--- a/src/currantshed/proxy/engine_queues.cpp
+++ b/src/currantshed/proxy/engine_queues.cpp
@@ -298,6 +298,22 @@
 void
 engine::DispatchQueues(dispatch_queues& aQueues, clock::time_point aNow)
 {
+  // Whether a request can still be answered in time: a relayed one by the
+  // target that its sender told. Its deadline here is a part of that, and only
+  // decides whether it is admitted: strict requests whose service time exceeded
+  // this part were sent after all lenient ones, which made it longer still.
+  const auto isInTime = [&](const admit::deadline_queue& aQueue,
+                            admit::queued_request aEntry) {
+    const auto owner = mWaiting.find(aEntry.request);
+    const auto* from =
+      owner != mWaiting.end() ? mSessions.at(owner->second).get() : nullptr;
+    if (from != nullptr && from->IsRelay() && from->current->attributes &&
+        from->current->attributes->untilTarget > milliseconds{ 0 }) {
+      aEntry.deadline =
+        from->current->arrivedAt + from->current->attributes->untilTarget;
+    }
+    return aQueue.CanMeetDeadline(aEntry, aNow);
+  };
   std::vector<waiting_entry> waiting;
   for (auto& [name, queue] : aQueues) {
     auto first = queue.Entries().begin();
@@ -305,10 +321,8 @@
       if (entry.objective != first->objective) {
         first = queue.Entries().find(entry);
       }
-      waiting.push_back({ entry,
-                          &queue,
-                          queue.CanMeetDeadline(entry, aNow),
-                          entry.round - first->round });
+      waiting.push_back(
+        { entry, &queue, isInTime(queue, entry), entry.round - first->round });
     }
   }
   std::sort(waiting.begin(), waiting.end());
--- a/test/currantshed/proxy/holder_waits.cpp
+++ b/test/currantshed/proxy/holder_waits.cpp
@@ -3,6 +3,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "currantshed/proxy/engine.hpp"
 
@@ -192,3 +193,38 @@
     vm.servers.last = {};
   }
 }
+
+// A strict class whose statements take longer than the part of its target that
+// a holder has was taken for late, and sent after all lenient requests. These
+// made its statements take longer still, so that it stayed so.
+TEST(holder_waits, a_strict_request_is_not_late_while_its_target_can_be_met)
+{
+  constexpr auto kServiceTime = 80ms;
+  test::one_vm vm;
+  other_vm others[3];
+  std::vector<proxy::engine::session_id> sessions;
+  for (auto& other : others) {
+    sessions.push_back(*vm.engine.OpenRelay("b", other));
+  }
+  const auto ask = [&](std::size_t aSession,
+                       const std::string& aText,
+                       const request_attributes& aAttributes) {
+    proxy::session_statement asked;
+    asked.kind = statement_kind::kRead;
+    asked.text = aText;
+    asked.attributes = aAttributes;
+    vm.engine.Submit(sessions[aSession], asked, vm.now);
+  };
+  const request_attributes strict{ 0, 200ms, 900ms };
+  const request_attributes lenient{ 2, 1500ms, 3s };
+  auto* open = vm.servers.listeners["b"];
+  ask(0, "READ first", strict);
+  vm.AdvanceTime(kServiceTime);
+  open->Answered({}, vm.now);
+  ask(0, "READ second", strict);
+  ask(1, "READ lenient", lenient);
+  ask(2, "READ strict", strict);
+  STRCMP_EQUAL("READ second", vm.servers.last.text.c_str());
+  open->Answered({}, vm.now);
+  STRCMP_EQUAL("READ strict", vm.servers.last.text.c_str());
+}
