--- a/src/currantshed/admit/fwd.hpp
+++ b/src/currantshed/admit/fwd.hpp
@@ -6,6 +6,8 @@
 class concurrency_limit;
 class deadline_queue;
 class drain_meter;
+class fair_share;
+class fair_ticket;
 class retry_budget;
 struct concurrency_bounds;
 
--- a/test/currantshed/proxy/relay_link.hpp
+++ b/test/currantshed/proxy/relay_link.hpp
@@ -60,8 +60,8 @@
       mTime.After(kRelayHop, Guarded([this, one] {
                     if (mSession) {
                       auto made = Translate(one);
-                      if (mSendsAttributes) {
-                        made.attributes = one.attributes;
+                      if (!mSendsAttributes) {
+                        made.attributes.reset();
                       }
                       mThrough.Submit(*mSession, made, mTime.Now());
                     }
@@ -72,12 +72,25 @@
   void Deliver(const proxy::answer& aAnswer) override
   {
     mTime.After(kRelayHop, Guarded([this, aAnswer] {
-                  if (mListener != nullptr) {
+                  if (mListener != nullptr && mSession) {
                     mListener->Answered(aAnswer, mTime.Now());
                   }
                 }));
   }
 
+  /// Ends the link as if the relay had been killed: nothing in between arrives.
+  void Break()
+  {
+    if (mSession) {
+      mThrough.Close(*mSession, mTime.Now());
+      mSession.reset();
+    }
+    mTime.After(kRelayHop, Guarded([this] { End(); }));
+  }
+
+  /// Becomes false when the link is destroyed.
+  [[nodiscard]] std::shared_ptr<const bool> IsAlive() const { return mAlive; }
+
   void Close() override
   {
     mTime.After(kRelayHop, Guarded([this] { End(); }));
@@ -109,6 +122,7 @@
     made.argument = aCommand.argument;
     made.writes = aCommand.writes;
     made.floor = aCommand.floor;
+    made.customer = aCommand.customer;
     made.attributes = aCommand.attributes;
     switch (aCommand.kind) {
       case proxy::command_kind::kBegin:
@@ -147,6 +161,7 @@
   proxy::link_listener* mListener;
   // Whether the engines are being destroyed.
   std::function<bool()> mIsEnding;
+  // A VM of an older build sends none.
   bool mSendsAttributes;
   std::optional<proxy::engine::session_id> mSession;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
--- a/test/currantshed/proxy/server_concurrency.cpp
+++ b/test/currantshed/proxy/server_concurrency.cpp
@@ -392,9 +392,16 @@
     holder.Submit(i, statement_kind::kRead);
   }
   LONGS_EQUAL(kLimit, holder.InFlight());
+  // Those that wait are rejected after 150 ms, and their callers try again.
   holder.Wait(300ms);
+  for (std::size_t i = kLimit; i < kSessions; ++i) {
+    holder.Submit(i, statement_kind::kRead);
+  }
   LONGS_EQUAL(kLimit, holder.InFlight());
   holder.Wait(300ms);
+  for (std::size_t i = kLimit; i < kSessions; ++i) {
+    holder.Submit(i, statement_kind::kRead);
+  }
   LONGS_EQUAL(kSessions, holder.InFlight());
 }
 
@@ -425,10 +432,10 @@
     test::load_simulation simulation({ .vms = 40,
                                        .slots = kSlots,
                                        .reportsSlots = true,
-                                       .sendsAttributes = true,
                                        .maxConnections = 72,
                                        .writes = kWrites,
-                                       .reads = row.reads },
+                                       .reads = row.reads,
+                                       .vmsWithAttributes = 40 },
                                      kSeed);
     simulation.Run(3000ms);
     auto& primary = simulation.Server(0);
