--- a/src/currantshed/balance/server_choice.hpp
+++ b/src/currantshed/balance/server_choice.hpp
@@ -62,14 +62,15 @@
 };
 
 /// Chooses a server for a read: of two replicas picked at random the one with
-/// the smaller expected time, or the primary if it takes less than half of that. The best of all would be the same one for all
-/// VMs, since each of them sees little of the others' load.
+/// the smaller expected time, or the primary if it takes less than half of
+/// that. The best of all would be the same one for all VMs, since each of them
+/// sees little of the others' load.
 ///
 /// What only the primary can run has no other server. Reads therefore leave the
 /// primary alone while a holder reports that requests wait for it. Then they
 /// wait, if a replica is expected to catch up in time or the primary to be free
-/// again. Otherwise they go to the primary, and are refused only if the reported
-/// wait exceeds the time that they have left.
+/// again. Otherwise they go to the primary, and are refused only if the
+/// reported wait exceeds the time that they have left.
 ///
 /// aRandom is a uniformly distributed number: the function itself is
 /// deterministic. aTimeLeft is the time until the read's target.
