Shares of VMs that are no longer members count nothing

At 5.5 s the fleet was recorded with 59 VMs of 90, as 31 were cut off from the store. From then on 59 VMs handed on a 59th of each rate, and the others, still up, went on handing on theirs: up to 1.5 times the rate.

Ruled out: the time from accrual to use.

Change: a coordinator takes shares only from VMs that are registered or recorded.

--- a/src/currantshed/node/cluster_state.cpp
+++ b/src/currantshed/node/cluster_state.cpp
@@ -259,6 +259,15 @@
   return listed;
 }
 
+bool
+cluster_state::IsMember(const std::string& aVm) const
+{
+  return vms.contains(aVm) ||
+         std::any_of(fleet.begin(), fleet.end(), [&aVm](const auto& aOne) {
+           return aOne.where.vm == aVm;
+         });
+}
+
 std::string
 SerializeFailoverLock(const failover_lock& aRecord)
 {
--- a/src/currantshed/node/cluster_state.hpp
+++ b/src/currantshed/node/cluster_state.hpp
@@ -104,6 +104,9 @@
 
   /// Returns the registered VMs, ordered by name.
   [[nodiscard]] std::vector<vm_record> Listed() const;
+
+  /// Whether the VM is registered or belongs to the recorded fleet.
+  [[nodiscard]] bool IsMember(const std::string& aVm) const;
 };
 
 /// Parses all keys. Keys that cannot be parsed are left out.
--- a/src/currantshed/node/control_quota.cpp
+++ b/src/currantshed/node/control_quota.cpp
@@ -166,6 +166,11 @@
 void
 control::ApplyShares(const news::News& aMessage, clock::time_point aNow)
 {
+  // The fleet may have been recorded without VMs that are cut off from the
+  // store. The others then share the whole rate, and those still take a share.
+  if (!mClusterState.IsMember(aMessage.vm())) {
+    return;
+  }
   for (const auto& one : aMessage.shares()) {
     mTokenBuckets.AddShare(aMessage.vm(),
                            aMessage.incarnation(),
--- a/test/currantshed/node/cluster_state.cpp
+++ b/test/currantshed/node/cluster_state.cpp
@@ -357,3 +357,20 @@
   CHECK(node::UpdateClusterState(state, items, { false, { key } }).vms ==
         std::vector<std::string>{ "a" });
 }
+
+// A VM that is cut off from the store is neither registered nor recorded after
+// a while. Its share of the customers' rates then counts no longer: the others
+// share the whole rate.
+TEST(cluster_state, members_are_registered_or_recorded)
+{
+  node::cluster_state state;
+  node::vm_record registered;
+  registered.where.vm = "registered";
+  node::vm_record recorded;
+  recorded.where.vm = "recorded";
+  state.vms["registered"] = { registered, {} };
+  state.fleet = { recorded };
+  CHECK(state.IsMember("registered"));
+  CHECK(state.IsMember("recorded"));
+  CHECK(!state.IsMember("cut off"));
+}
