Logs: where a configuration came from, and which VMs call the store themselves

Three explanations fit the report, and no line told them apart: VMs that hold a watch of the store although a forwarder serves them; subscribers that turn to the store together when a forwarder is late; transfers in chunks that begin again with each version.

configuration_in_force now tells source and whether a call to the store was under way; store_called tells why a view calls the store in place of a forwarder; copy_made, copy_taken (now info) and copy_abandoned tell how transfers fare; renewal_failed and renewal_answered tell when the store stops answering the renewal of a VM's lease, on which all views pause. Each is one line for a change of state, none for a success that only continues. No decision depends on any of it.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -254,6 +254,8 @@
     { { "version", static_cast<std::int64_t>(mVersion) },
       { "routes", static_cast<std::int64_t>(read->routes.size()) },
       { "services", static_cast<std::int64_t>(read->services.size()) },
+      { "source", std::string(NameOf(mConfigurationView.LastSource())) },
+      { "store_call", mConfigurationView.IsCalling() },
       { "customers",
         read->customers == nullptr
           ? log::value(log::unknown{})
@@ -345,6 +347,9 @@
            },
            [this, aWhat](store::revision aRead, store::revision aSeen) {
              LogStaleRead(aWhat, aRead, aSeen);
+           },
+           [this, aWhat](store::call_reason aReason) {
+             LogViewCall(aWhat, aReason);
            } };
 }
 
@@ -386,6 +391,19 @@
                { "seen_era", static_cast<std::int64_t>(aSeen.era) } });
 }
 
+// Calls in place of a forwarder are logged always: many VMs that turn to the
+// store at the same time are a load of their own.
+void
+control::LogViewCall(const std::string& aWhat, store::call_reason aReason)
+{
+  const bool isUsual = aReason == store::call_reason::kContinued;
+  log::Write(isUsual ? log::level::kDebug : log::level::kInfo,
+             "store_called",
+             { { "what", aWhat },
+               { "reason", std::string(NameOf(aReason)) },
+               { "forwarders", static_cast<std::int64_t>(mForwarders.size()) } });
+}
+
 void
 control::LogStoreReachability(const std::string& aWhat,
                               bool aIsReached,
@@ -456,8 +474,14 @@
 void
 control::PauseViews()
 {
+  const bool isFailing = mRegistration.IsFailing();
   for (auto* view : Views()) {
-    view->SetPaused(view->IsKnown() && mRegistration.IsFailing());
+    view->SetPaused(view->IsKnown() && isFailing);
+  }
+  if (std::exchange(mIsStoreFailing, isFailing) != isFailing) {
+    log::Write(isFailing ? log::level::kWarning : log::level::kInfo,
+               isFailing ? "renewal_failed" : "renewal_answered",
+               { { "listed", mRegistration.IsListed() } });
   }
 }
 
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -153,6 +153,7 @@
     const std::string& aWhat,
     std::function<void(clock::time_point)> aChanged);
   void OnEraBegan(std::optional<store::era_id> aBefore, store::era_id aNow);
+  void LogViewCall(const std::string& aWhat, store::call_reason aReason);
   void LogStaleRead(const std::string& aWhat,
                     store::revision aRead,
                     store::revision aSeen);
@@ -429,6 +430,8 @@
   std::optional<bool> mIsFleetStale;
   std::optional<clock::time_point> mFleetStaleSince;
   bool mIsDraining = false;
+  // Whether the last renewal of this VM's lease failed.
+  bool mIsStoreFailing = false;
   std::atomic<bool> mIsReady{ false };
   net::tick_timer mTicker;
   std::thread mThread;
--- a/src/currantshed/node/control_snapshots.cpp
+++ b/src/currantshed/node/control_snapshots.cpp
@@ -47,7 +47,14 @@
                                clock::time_point aNow)
 {
   auto& assembler = mAssemblers.at(aPrefix);
+  const auto lost = assembler.PartialBytes();
   if (assembler.Begin(aVm, aNow)) {
+    if (lost > 0) {
+      log::Write(log::level::kInfo,
+                 "copy_abandoned",
+                 { { "prefix", static_cast<std::int64_t>(aPrefix) },
+                   { "bytes", static_cast<std::int64_t>(lost) } });
+    }
     RequestNextChunk(aPrefix, aVm, aNow);
   }
 }
@@ -84,7 +91,15 @@
       [this, prefix, &view] {
         news::KeysUpdate whole;
         FillUpdate(whole, prefix, view.UpdateSince({}));
-        return whole.SerializeAsString();
+        auto bytes = whole.SerializeAsString();
+        log::Write(
+          log::level::kInfo,
+          "copy_made",
+          { { "prefix", static_cast<std::int64_t>(prefix) },
+            { "bytes", static_cast<std::int64_t>(bytes.size()) },
+            { "subscribers",
+              static_cast<std::int64_t>(mSubscribers.All().size()) } });
+        return bytes;
       });
     news::News message;
     FillRevisions(message);
@@ -112,7 +127,7 @@
     news::KeysUpdate update;
     const bool isReadable =
       update.ParseFromString(*copy) && update.prefix() == prefix;
-    log::Write(isReadable ? log::level::kDebug : log::level::kWarning,
+    log::Write(isReadable ? log::level::kInfo : log::level::kWarning,
                "copy_taken",
                { { "prefix", static_cast<std::int64_t>(prefix) },
                  { "from", aMessage.vm() },
--- a/src/currantshed/node/snapshot_chunks.hpp
+++ b/src/currantshed/node/snapshot_chunks.hpp
@@ -91,6 +91,12 @@
     return mSource == aVm;
   }
 
+  /// Bytes of a transfer that has begun and is not complete.
+  [[nodiscard]] std::size_t PartialBytes() const noexcept
+  {
+    return mBytes.size();
+  }
+
   /// Deadline of the next chunk.
   [[nodiscard]] clock::time_point Deadline() const noexcept
   {
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -62,6 +62,40 @@
 
 } // namespace
 
+std::string_view
+NameOf(change_source aSource) noexcept
+{
+  switch (aSource) {
+    case change_source::kNone:
+      break;
+    case change_source::kRead:
+      return "read";
+    case change_source::kWatch:
+      return "watch";
+    case change_source::kCheck:
+      return "check";
+    case change_source::kOtherVm:
+      return "other_vm";
+  }
+  return "none";
+}
+
+std::string_view
+NameOf(call_reason aReason) noexcept
+{
+  switch (aReason) {
+    case call_reason::kFirstRead:
+      return "first_read";
+    case call_reason::kContinued:
+      return "continued";
+    case call_reason::kForwardingEnded:
+      return "forwarding_ended";
+    case call_reason::kLagging:
+      return "lagging";
+  }
+  return "unknown";
+}
+
 prefix_view::prefix_view(key_value& aStore,
                          std::string aPrefix,
                          prefix_view_settings aSettings,
@@ -90,6 +124,7 @@
     return;
   }
   mIsCalling = true;
+  ReportCall();
   if (mMustRead) {
     Read(aNow);
   } else {
@@ -97,6 +132,15 @@
   }
 }
 
+void
+prefix_view::ReportCall()
+{
+  const auto reason = std::exchange(mNextCall, call_reason::kContinued);
+  if (mListener.callBegun) {
+    mListener.callBegun(reason);
+  }
+}
+
 clock::time_point
 prefix_view::NextTick() const noexcept
 {
@@ -125,6 +169,7 @@
   if (aNow - *mLaggingSince > maxWatchLag) {
     ReadAgain();
     mForwardedUntil = {};
+    mNextCall = call_reason::kLagging;
   }
 }
 
@@ -173,6 +218,7 @@
                  mIsKnown = true;
                  mMayBeStale = true;
                  mMayHaveMissedChanges = false;
+                 mSource = change_source::kRead;
                  OnSuccess(false, aInfo.at);
                  if (isApplied) {
                    mListener.changed(aInfo.at);
@@ -211,6 +257,7 @@
         const bool isChanged = ApplyChanges(std::move(aChanges), aRevision);
         MarkVerified(sentAt);
         if (isChanged) {
+          mSource = change_source::kCheck;
           mListener.changed(aInfo.at);
         }
       }
@@ -277,6 +324,7 @@
       mMayHaveMissedChanges = false;
       OnSuccess(hasChanges, aInfo.at);
       if (isChanged) {
+        mSource = change_source::kWatch;
         mListener.changed(aInfo.at);
       }
     });
@@ -408,7 +456,9 @@
                 mMayHaveMissedChanges || aNow >= mForwardedUntil;
   mMayHaveMissedChanges = false;
   mLaggingSince.reset();
+  mNextCall = call_reason::kForwardingEnded;
   if (isChanged) {
+    mSource = change_source::kOtherVm;
     mListener.changed(aNow);
   }
   return true;
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -73,6 +74,35 @@
   std::vector<std::string> keys;
 };
 
+/// Where the last change of a view's keys came from.
+enum class change_source
+{
+  kNone,
+  kRead,
+  kWatch,
+  kCheck,
+  kOtherVm,
+};
+
+[[nodiscard]] std::string_view
+NameOf(change_source aSource) noexcept;
+
+/// Why a view calls the store itself.
+enum class call_reason
+{
+  /// The keys are not known yet.
+  kFirstRead,
+  /// Another call has preceded this one, without a forwarder in between.
+  kContinued,
+  /// The time up to which a forwarder sends the changes has passed.
+  kForwardingEnded,
+  /// A change that another VM has announced did not arrive in time.
+  kLagging,
+};
+
+[[nodiscard]] std::string_view
+NameOf(call_reason aReason) noexcept;
+
 /// A local copy of the keys below one prefix. The keys are read once and then
 /// followed by watches. They are read again if the store has dropped the
 /// changes in between or has been restored from an older snapshot. Another VM,
@@ -92,6 +122,8 @@
     /// A read was discarded because its revision (the first argument) is older
     /// than one seen before (the second).
     std::function<void(revision, revision)> staleReadIgnored = {};
+    /// The view begins a read or a watch.
+    std::function<void(call_reason)> callBegun = {};
   };
 
   prefix_view(key_value& aStore,
@@ -208,6 +240,9 @@
   /// The revision up to which all changes are known.
   [[nodiscard]] revision Seen() const noexcept { return mSeen; }
   [[nodiscard]] const items& Items() const noexcept { return mItems; }
+  [[nodiscard]] change_source LastSource() const noexcept { return mSource; }
+  /// Whether a call to the store is in progress, besides a check.
+  [[nodiscard]] bool IsCalling() const noexcept { return mIsCalling; }
 
 private:
   void ReadAgain();
@@ -217,6 +252,7 @@
                                 revision aRevision,
                                 clock::time_point aNow);
   void ReportDiscardedRead(revision aRead);
+  void ReportCall();
   [[nodiscard]] bool ApplyChange(key_change aChange);
   void RecordChange(const std::string& aKey, revision aAt);
   void AddRecentChanges(key_update& aTo, std::size_t aMaxBytes) const;
@@ -242,6 +278,9 @@
   bool mMustRead = true;
   bool mIsReachable = false;
   bool mMayBeStale = true;
+  change_source mSource = change_source::kNone;
+  // Why the next call is made.
+  call_reason mNextCall = call_reason::kFirstRead;
   // Whether a watch has failed since the last response.
   bool mMayHaveMissedChanges = true;
   bool mIsCalling = false;
