A watch of the store ends once a forwarder sends the changes

What callers saw: on the whole fleet acknowledged configurations were not in force in time (CONFIG); versions reached VMs seconds apart.

Cause: a VM whose forwarder is late for a moment watches the store itself, for up to 25 s. When the forwarder is back, the watch stays. Any change is then sent by the store to each of these VMs, 945 KB each for this configuration, over one link.

The next change came at 1.0 s, and at 1.11 s 115 VMs with forwarders called the store within a few milliseconds of each other; version 6 was in force by a read or a watch on 136 VMs before any subscriber had it.

Mend: a view cancels its own watch after it has been forwarded to for two seconds without a break. The two seconds keep a forwarder that comes and goes from costing a call each time.

Test: forwarded_view.ends_its_own_watch_once_changes_are_forwarded failed before (2 watches, 1 expected); keeps_its_watch_while_the_forwarder_comes_and_goes holds the other side.

--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -29,6 +29,9 @@
 // Pause after a read that was discarded: a watch from the known revision is
 // rejected immediately, and the next read is likely to be discarded too.
 constexpr std::chrono::milliseconds kDiscardedReadPause{ 500 };
+// How long a watch is kept after a forwarder has taken over. A forwarder that
+// fails again in that time costs no new watch.
+constexpr std::chrono::milliseconds kRedundantWatchLife{ 2000 };
 
 std::size_t
 SizeOf(const item& aItem)
@@ -119,6 +122,7 @@
   mRandom = aRandom;
   const bool isForwarded = mIsKnown && !mMustRead && aNow < mForwardedUntil;
   const bool isWaiting = !mIsKnown && aNow < mFirstReadNotBefore;
+  CancelRedundantWatch(isForwarded, aNow);
   if (mIsCalling || mIsPaused || isForwarded || isWaiting ||
       aNow < mNotBefore) {
     return;
@@ -132,6 +136,21 @@
   }
 }
 
+void
+prefix_view::CancelRedundantWatch(bool aIsForwarded, clock::time_point aNow)
+{
+  if (!aIsForwarded) {
+    mForwardedSince.reset();
+    return;
+  }
+  mForwardedSince = mForwardedSince.value_or(aNow);
+  if (mIsCalling && !mIsWatchCancelled &&
+      aNow - *mForwardedSince >= kRedundantWatchLife) {
+    mIsWatchCancelled = true;
+    mStore.CancelWatch(mPrefix);
+  }
+}
+
 void
 prefix_view::ReportCall()
 {
@@ -304,6 +323,10 @@
         return;
       }
       mIsCalling = false;
+      const bool wasCancelled = std::exchange(mIsWatchCancelled, false);
+      if (aError && wasCancelled && !mMustRead) {
+        return;
+      }
       if (aError) {
         // Changes made while there was no watch may no longer be available.
         mMustRead = mMustRead || IsHistoryLost(aError);
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -156,7 +156,8 @@
   void OnEraChanged(clock::time_point aNow);
 
   /// Sets until when a forwarder sends the changes. No watch is started before
-  /// then.
+  /// then, and one that is waiting is cancelled soon: the store would send each
+  /// change to every VM that watches it.
   void ForwardedUntil(clock::time_point aUntil) noexcept
   {
     mForwardedUntil = aUntil;
@@ -253,6 +254,7 @@
                                 clock::time_point aNow);
   void ReportDiscardedRead(revision aRead);
   void ReportCall();
+  void CancelRedundantWatch(bool aIsForwarded, clock::time_point aNow);
   [[nodiscard]] bool ApplyChange(key_change aChange);
   void RecordChange(const std::string& aKey, revision aAt);
   void AddRecentChanges(key_update& aTo, std::size_t aMaxBytes) const;
@@ -284,6 +286,8 @@
   // Whether a watch has failed since the last response.
   bool mMayHaveMissedChanges = true;
   bool mIsCalling = false;
+  // Whether the watch was cancelled because a forwarder sends the changes.
+  bool mIsWatchCancelled = false;
   bool mIsPaused = false;
   bool mIsChecking = false;
   // The revision of the last read that was discarded.
@@ -292,6 +296,8 @@
   // From when on responses of the current era count as verification.
   clock::time_point mVerifiableFrom{};
   clock::time_point mForwardedUntil{};
+  // Since when a forwarder has sent the changes without interruption.
+  std::optional<clock::time_point> mForwardedSince;
   clock::time_point mFirstReadNotBefore{};
   // When the last response to a call for these keys arrived.
   clock::time_point mAnsweredAt{};
--- a/test/currantshed/store/forwarded_view.cpp
+++ b/test/currantshed/store/forwarded_view.cpp
@@ -78,6 +78,18 @@
     CHECK(Forward());
   }
 
+  /// Both watch the store. The watch of the second one is the older, since the
+  /// store cancels the oldest watch of a prefix.
+  void BeginWithBothWatching()
+  {
+    for (int i = 0; i < 2; ++i) {
+      forwarded.view.Tick(store.now, 0.5);
+      store.Answer();
+    }
+    Run(100ms);
+    CHECK_EQUAL(2U, store.watches.size());
+  }
+
   test::fake_key_value store;
   one_view forwarder{ store };
   one_view forwarded{ store };
@@ -195,6 +207,34 @@
   STRCMP_EQUAL("a/1=uno a/2=two ", made.forwarded.Keys().c_str());
 }
 
+// A watch that outlives its use makes the store send every change to all VMs.
+TEST(forwarded_view, ends_its_own_watch_once_changes_are_forwarded)
+{
+  vm_pair made;
+  made.BeginWithBothWatching();
+  for (int i = 0; i < 8; ++i) {
+    CHECK(made.Forward());
+    made.Run(400ms);
+  }
+  CHECK_EQUAL(1U, made.store.watches.size());
+  CHECK(made.forwarded.view.IsReached());
+  made.store.Put("a/1", "uno");
+  made.Run(2200ms);
+  STRCMP_EQUAL("a/1=uno a/2=two ", made.forwarded.Keys().c_str());
+  CHECK_EQUAL(2U, made.store.watches.size());
+}
+
+TEST(forwarded_view, keeps_its_watch_while_the_forwarder_comes_and_goes)
+{
+  vm_pair made;
+  made.BeginWithBothWatching();
+  for (int i = 0; i < 8; ++i) {
+    CHECK(made.Forward(1000ms));
+    made.Run(1500ms);
+  }
+  CHECK_EQUAL(2U, made.store.watches.size());
+}
+
 TEST(forwarded_view, never_goes_back)
 {
   vm_pair made;
