A VM with a forwarder does not read the store for a lost history

Cause, two parts of one fault. A watch that ends does so after 25 s, the store keeps its changes for 20 s, and a waiting watch does not move the revision from which the next one starts. So after 20 s without a change no VM can continue: the store answers 410 and the VM reads all keys. And a view that must read its keys did so although a forwarder was about to send them.

Mend: the store's settings say how long it keeps changes; a watch waits for half of that at most, so that forwarders and their subscribers stay within it. A view that is forwarded to does not read, whatever it has missed: the forwarder's answer is complete.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -92,13 +92,15 @@
   , mConfigurationView(
       mStore,
       aDocuments.ConfigurationKey(),
-      { .pauseAfterChange = kConfigurationPause,
+      { .wait = store::WatchWait(aSettings.storeHistory),
+        .pauseAfterChange = kConfigurationPause,
         .timePerByte = TimePerByte(aSettings) },
       MakeViewListener("configuration",
                        [this](clock::time_point) { ConfigurationChanged(); }))
   , mServersView(mStore,
                  aDocuments.ServersPrefix(),
-                 { .pauseAfterChange = kServersPause,
+                 { .wait = store::WatchWait(aSettings.storeHistory),
+                   .pauseAfterChange = kServersPause,
                    .pausePerKey = kPausePerServer,
                    .maxPauseByKeys = kMaxServersPause },
                  MakeViewListener(
@@ -106,7 +108,8 @@
                    [this](clock::time_point aNow) { ServersChanged(aNow); }))
   , mClusterView(mStore,
                  std::string(kClusterPrefix),
-                 { .maxPauseByKeys = kMaxClusterPause },
+                 { .wait = store::WatchWait(aSettings.storeHistory),
+                   .maxPauseByKeys = kMaxClusterPause },
                  MakeViewListener("own_keys",
                                   [this](clock::time_point aNow) {
                                     ClusterStateChanged(aNow);
@@ -397,11 +400,12 @@
 control::LogViewCall(const std::string& aWhat, store::call_reason aReason)
 {
   const bool isUsual = aReason == store::call_reason::kContinued;
-  log::Write(isUsual ? log::level::kDebug : log::level::kInfo,
-             "store_called",
-             { { "what", aWhat },
-               { "reason", std::string(NameOf(aReason)) },
-               { "forwarders", static_cast<std::int64_t>(mForwarders.size()) } });
+  log::Write(
+    isUsual ? log::level::kDebug : log::level::kInfo,
+    "store_called",
+    { { "what", aWhat },
+      { "reason", std::string(NameOf(aReason)) },
+      { "forwarders", static_cast<std::int64_t>(mForwarders.size()) } });
 }
 
 void
--- a/src/currantshed/node/settings.hpp
+++ b/src/currantshed/node/settings.hpp
@@ -58,6 +58,8 @@
   double linkMegabits = 1000;
   /// CPU time available to the VM, in thousandths of a core.
   unsigned cpuMillicores = 1000;
+  /// How long the store keeps changes for watches; zero if not configured.
+  std::chrono::milliseconds storeHistory{ 0 };
   /// Shortest lease that the store grants.
   std::chrono::milliseconds shortestLease{ 1000 };
 
--- a/src/currantshed/store/call_timeout.cpp
+++ b/src/currantshed/store/call_timeout.cpp
@@ -13,6 +13,10 @@
 // 250 ms for a slow store, plus the transfer time of a large configuration.
 constexpr milliseconds kInitialTimeout{ 400 };
 constexpr milliseconds kMaxTimeout{ 4000 };
+// Long, since every call has a cost.
+constexpr milliseconds kMaxWatchWait{ 25000 };
+// A lost watch and its repetition must fit into the history as well.
+constexpr int kWatchesPerHistory = 2;
 
 } // namespace
 
@@ -26,4 +30,12 @@
   return std::clamp(half, kInitialTimeout, kMaxTimeout);
 }
 
+milliseconds
+WatchWait(milliseconds aHistory) noexcept
+{
+  return aHistory == milliseconds{ 0 }
+           ? kMaxWatchWait
+           : std::min(kMaxWatchWait, aHistory / kWatchesPerHistory);
+}
+
 } // namespace currantshed::store
--- a/src/currantshed/store/call_timeout.hpp
+++ b/src/currantshed/store/call_timeout.hpp
@@ -15,6 +15,14 @@
 [[nodiscard]] std::chrono::milliseconds
 CallTimeout(clock::duration aSinceStart, bool aHasRead) noexcept;
 
+/// Returns how long a watch waits for changes, in a store that keeps its
+/// changes for the given time; zero if that is not known. The next watch starts
+/// from what the last one returned, and so do those of the VMs that changes are
+/// forwarded to. It must not find these changes dropped, or each of them reads
+/// all keys.
+[[nodiscard]] std::chrono::milliseconds
+WatchWait(std::chrono::milliseconds aHistory) noexcept;
+
 } // namespace currantshed::store
 
 #endif
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -120,7 +120,7 @@
 prefix_view::Tick(clock::time_point aNow, double aRandom)
 {
   mRandom = aRandom;
-  const bool isForwarded = mIsKnown && !mMustRead && aNow < mForwardedUntil;
+  const bool isForwarded = mIsKnown && aNow < mForwardedUntil;
   const bool isWaiting = !mIsKnown && aNow < mFirstReadNotBefore;
   CancelRedundantWatch(isForwarded, aNow);
   if (mIsCalling || mIsPaused || isForwarded || isWaiting ||
@@ -169,7 +169,7 @@
   if (!mIsKnown) {
     return std::max(mNotBefore, mFirstReadNotBefore);
   }
-  return mMustRead ? mNotBefore : std::max(mNotBefore, mForwardedUntil);
+  return std::max(mNotBefore, mForwardedUntil);
 }
 
 void
--- a/test/currantshed/store/forwarded_view.cpp
+++ b/test/currantshed/store/forwarded_view.cpp
@@ -235,6 +235,24 @@
   CHECK_EQUAL(2U, made.store.watches.size());
 }
 
+// After an outage or a quiet time no VM can continue its watch. Where a
+// forwarder sends the keys, all VMs together must not read them from the store.
+TEST(forwarded_view, does_not_read_the_store_for_a_history_that_is_lost)
+{
+  vm_pair made;
+  made.BeginWithBothWatching();
+  CHECK(made.Forward());
+  made.store.FailWatches(store::errc::kHistoryCompacted);
+  made.store.Put("a/1", "uno");
+  const auto ranges = made.store.ranges;
+  made.Run(100ms);
+  CHECK_EQUAL(ranges + 1, made.store.ranges);
+  CHECK(made.Forward());
+  STRCMP_EQUAL("a/1=uno a/2=two ", made.forwarded.Keys().c_str());
+  made.Run(1900ms);
+  CHECK_EQUAL(ranges + 1, made.store.ranges);
+}
+
 TEST(forwarded_view, never_goes_back)
 {
   vm_pair made;
--- a/test/platform/documents.cpp
+++ b/test/platform/documents.cpp
@@ -23,7 +23,7 @@
 "ip":"10.1.0.8","internal_ports":[7440,7455],
 "listen":{"front":"10.1.0.8:8784","ready":"10.1.0.8:8785"},
 "limits":{"max_fds":4200},"bounds":{"grace_s":6,"drain_ms":9000,"config_apply_ms":3000},
-"platform":{"address":"10.200.1.7:8783","ttl_min_ms":1000},
+"platform":{"address":"10.200.1.7:8783","ttl_min_ms":1000,"history_s":20},
 "cloud_api":{"address":"10.200.0.160:8783"}})";
 
 /// Replaces a part of a text.
@@ -239,6 +239,7 @@
   CHECK_EQUAL(7455, read->metrics.port);
   CHECK(read->stopTime == std::chrono::seconds{ 6 });
   CHECK(read->leavingTime == std::chrono::seconds{ 9 });
+  CHECK(read->storeHistory == std::chrono::seconds{ 20 });
   for (const auto& row : kBrokenSettings) {
     reason.clear();
     CHECK_TEXT(
