After an outage of the store, VMs wait for their forwarders first

Found by looking for the same cause elsewhere. When the renewal of its lease is answered again, a VM whose keys no forwarder sends followed the store at once. During an outage no forwarder has anything current, so that afterwards every VM of the fleet calls the store for all three prefixes, and is sent what the operator wrote meanwhile, 945 KB each.

Mend: a VM with forwarders asks them at once and gives them a fifth of the bound before it calls the store itself. Forwarders follow the store at once, as before.

Test: forwarded_view.waits_for_its_forwarder_after_an_outage failed before on the view, which read; that control asks the forwarders has no test of its own.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -149,16 +149,7 @@
   mAssemblers.fill(
     snapshot_assembler({ mForwardingTimeouts.ChunkTimeout(),
                          mForwardingTimeouts.TransferTimeout() }));
-  mRegistration.OnRecovered([this] {
-    const auto now = clock::Now();
-    PauseViews();
-    for (auto* view : Views()) {
-      if (now >= view->ForwardedUntil()) {
-        view->Refresh(now);
-      }
-    }
-    Schedule();
-  });
+  mRegistration.OnRecovered([this] { OnStoreRecovered(clock::Now()); });
 }
 
 control::~control()
@@ -230,6 +221,27 @@
   mThread.join();
 }
 
+// Keys that no forwarder sends are read again, because a watch started during
+// the outage may never be answered.
+void
+control::OnStoreRecovered(clock::time_point aNow)
+{
+  PauseViews();
+  for (auto* view : Views()) {
+    if (aNow < view->ForwardedUntil()) {
+      continue;
+    }
+    if (!mForwarders.empty()) {
+      view->ForwardedUntil(aNow + mForwardingTimeouts.RecoveryTimeout());
+    }
+    view->Refresh(aNow);
+  }
+  for (const auto& vm : mForwarders) {
+    SendPoll(vm, aNow);
+  }
+  Schedule();
+}
+
 void
 control::ConfigurationChanged()
 {
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -130,6 +130,7 @@
 
   using groups = absl::btree_map<std::string, std::unique_ptr<group>>;
 
+  void OnStoreRecovered(clock::time_point aNow);
   void ConfigurationChanged();
   void ServersChanged(clock::time_point aNow);
   [[nodiscard]] std::vector<proxy::server> ReadServers();
--- a/src/currantshed/node/internal/forwarding_timeouts.hpp
+++ b/src/currantshed/node/internal/forwarding_timeouts.hpp
@@ -37,6 +37,14 @@
     return mBound / 3;
   }
 
+  /// How long a VM that follows the store again after an outage waits for its
+  /// forwarders before it calls the store itself. All VMs regain it together.
+  [[nodiscard]] constexpr std::chrono::milliseconds RecoveryTimeout()
+    const noexcept
+  {
+    return mBound / 5;
+  }
+
   /// Timeouts for a snapshot in chunks. As long as a forwarder answers, its
   /// subscribers wait: each would get the same keys from the store, over one
   /// link for all.
--- a/test/currantshed/node/forwarding_timeouts.cpp
+++ b/test/currantshed/node/forwarding_timeouts.cpp
@@ -65,6 +65,7 @@
     CHECK_TEXT(timeouts.MaxLag(0.0) < timeouts.MaxLag(0.99), row.name);
     // What a VM then reads from the store must be in force in time as well.
     CHECK_TEXT(timeouts.MaxLag(0.99) <= row.bound * 3 / 5, row.name);
+    CHECK_TEXT(timeouts.RecoveryTimeout() < timeouts.MaxLag(0.0), row.name);
   }
 }
 
--- a/test/currantshed/store/forwarded_view.cpp
+++ b/test/currantshed/store/forwarded_view.cpp
@@ -253,6 +253,37 @@
   CHECK_EQUAL(ranges + 1, made.store.ranges);
 }
 
+// All VMs regain the store at the same moment, the forwarders among them.
+TEST(forwarded_view, waits_for_its_forwarder_after_an_outage)
+{
+  vm_pair made;
+  made.BeginWithBothWatching();
+  made.store.Put("a/1", "uno");
+  made.store.history.clear();
+  const auto ranges = made.store.ranges;
+  made.forwarded.view.ForwardedUntil(made.store.now + 1000ms);
+  made.forwarded.view.Refresh(made.store.now);
+  made.store.FailWatches(store::errc::kHistoryCompacted);
+  made.Run(900ms);
+  CHECK_EQUAL(ranges + 1, made.store.ranges);
+  CHECK(made.Forward());
+  STRCMP_EQUAL("a/1=uno a/2=two ", made.forwarded.Keys().c_str());
+  made.Run(1900ms);
+  CHECK_EQUAL(ranges + 1, made.store.ranges);
+}
+
+TEST(forwarded_view, reads_the_store_after_an_outage_without_a_forwarder)
+{
+  vm_pair made;
+  made.BeginWithBothWatching();
+  made.store.Put("a/1", "uno");
+  made.store.history.clear();
+  made.forwarded.view.ForwardedUntil(made.store.now + 1000ms);
+  made.forwarded.view.Refresh(made.store.now);
+  made.Run(1100ms);
+  STRCMP_EQUAL("a/1=uno a/2=two ", made.forwarded.Keys().c_str());
+}
+
 namespace {
 
 struct lag_row
