A forwarder that the store turns away asks other VMs

Found by looking for other paths by which a VM learns of a change. A VM polls its forwarders, and a few other VMs if these are cut off too. A forwarder has no forwarders, so it polled nobody: one that the store turned away stayed behind its own subscribers until the store answered it again, since it could not learn either that others had taken its place.

Mend: whom to poll is decided by PlanPoll, from what a VM knows of its paths; a forwarder that the store does not answer polls others. VMs of failure domains without forwarders poll nobody, as before.

Test: peer_selection.others_are_polled_where_forwarders_cannot_help; its rows on forwarders cut off are what the code before did not do.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -558,7 +558,8 @@
                          mScheduler.Next(),
                          mWatchBatch.NextTick(),
                          mNextReachUpdate });
-  if (!mForwarders.empty()) {
+  const auto poll = PlanPoll(clock::Now());
+  if (poll.forwarder || poll.others) {
     next = std::min(next, mNextPoll);
   }
   if (EnforcesQuotas()) {
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -38,6 +38,7 @@
 #include "currantshed/node/internal/forwarding_timeouts.hpp"
 #include "currantshed/node/lock_assignments.hpp"
 #include "currantshed/node/metrics.hpp"
+#include "currantshed/node/peer_selection.hpp"
 #include "currantshed/node/request_throttle.hpp"
 #include "currantshed/node/server_list.hpp"
 #include "currantshed/node/settings.hpp"
@@ -289,6 +290,7 @@
   [[nodiscard]] bool IsForwarder(const std::string& aVm) const;
   void EndForwarderDiscovery(bool aIsForwarder, clock::time_point aNow);
   void UpdateForwarders(clock::time_point aNow);
+  [[nodiscard]] poll_plan PlanPoll(clock::time_point aNow) const;
   void PollForwarders(clock::time_point aNow);
   void UpdateGroupsInUse(clock::time_point aNow);
   void ConfirmationNeeded(const std::string& aService, clock::time_point aNow);
--- a/src/currantshed/node/control_forwarding.cpp
+++ b/src/currantshed/node/control_forwarding.cpp
@@ -124,22 +124,30 @@
   }
 }
 
+poll_plan
+control::PlanPoll(clock::time_point aNow) const
+{
+  return node::PlanPoll({ !mForwarders.empty(),
+                          mForwarders.empty() && !mDomainForwarders.empty(),
+                          mRegistration.IsFailing(),
+                          aNow < mClusterView.ForwardedUntil(),
+                          LacksVerification(aNow) });
+}
+
 // Polls the next forwarder, and other VMs if the forwarders cannot help.
 void
 control::PollForwarders(clock::time_point aNow)
 {
-  if (aNow < mNextPoll || (mForwarders.empty() && !LacksVerification(aNow))) {
+  const auto plan = PlanPoll(aNow);
+  if (aNow < mNextPoll || !(plan.forwarder || plan.others)) {
     return;
   }
   mNextPoll = aNow + kPollInterval;
-  if (!mForwarders.empty()) {
+  if (plan.forwarder) {
     UpdateGroupsInUse(aNow);
     SendPoll(mForwarders[++mRound % mForwarders.size()], aNow);
   }
-  // The forwarders are cut off from the store as well, but others may not be.
-  const bool areCutOff =
-    mRegistration.IsFailing() && aNow >= mClusterView.ForwardedUntil();
-  if (areCutOff || LacksVerification(aNow)) {
+  if (plan.others) {
     for (const auto& vm : SelectFewVms(aNow)) {
       SendPoll(vm, aNow);
     }
--- a/src/currantshed/node/peer_selection.cpp
+++ b/src/currantshed/node/peer_selection.cpp
@@ -30,4 +30,15 @@
   }
 }
 
+poll_plan
+PlanPoll(const path_state& aState) noexcept
+{
+  const bool areForwardersCutOff =
+    aState.hasForwarders && !aState.isForwarded && aState.isStoreFailing;
+  const bool isCutOffForwarder = aState.isForwarder && aState.isStoreFailing;
+  return { aState.hasForwarders,
+           areForwardersCutOff || isCutOffForwarder ||
+             aState.lacksVerification };
+}
+
 } // namespace currantshed::node
--- a/test/currantshed/node/peer_selection.cpp
+++ b/test/currantshed/node/peer_selection.cpp
@@ -49,10 +49,56 @@
   { "wraps around", 7, 3, 2, "gab" },
 };
 
+struct poll_row
+{
+  const char* name;
+  node::path_state given;
+  bool forwarder;
+  bool others;
+};
+
+constexpr poll_row kPolls[] = {
+  { "nothing forwarded here", {}, false, false },
+  { "nothing forwarded here, and the store fails",
+    { .isStoreFailing = true },
+    false,
+    false },
+  { "a subscriber", { .hasForwarders = true }, true, false },
+  { "a subscriber that the store does not answer",
+    { .hasForwarders = true, .isStoreFailing = true, .isForwarded = true },
+    true,
+    false },
+  { "a subscriber whose forwarders have nothing new either",
+    { .hasForwarders = true, .isStoreFailing = true },
+    true,
+    true },
+  { "a forwarder", { .isForwarder = true }, false, false },
+  { "a forwarder that the store does not answer",
+    { .isForwarder = true, .isStoreFailing = true },
+    false,
+    true },
+  { "the same, with keys of another VM",
+    { .isForwarder = true, .isStoreFailing = true, .isForwarded = true },
+    false,
+    true },
+  { "a VM without verification", { .lacksVerification = true }, false, true },
+};
+
 } // namespace
 
 TEST_GROUP(peer_selection){};
 
+// A forwarder that the store turned away stayed behind all others until the
+// store answered it again.
+TEST(peer_selection, others_are_polled_where_forwarders_cannot_help)
+{
+  for (const auto& row : kPolls) {
+    const auto plan = node::PlanPoll(row.given);
+    CHECK_EQUAL_TEXT(row.forwarder, plan.forwarder, row.name);
+    CHECK_EQUAL_TEXT(row.others, plan.others, row.name);
+  }
+}
+
 TEST(peer_selection, selects_the_next_ones_each_turn)
 {
   for (const auto& row : kRows) {
