A forwarder that answers without the change is left

Cause: each answer of a forwarder, also one that brought nothing, began the time anew after which a view counts as lagging, and an answer that announced a transfer renewed the time for which keys count as forwarded.

Mend: only progress counts. A view that has waited for its time follows the store until it has got further, by the store's answer or by a forwarder's. An announcement of what the VM knows already begins no transfer.

Test: forwarded_view.leaves_a_forwarder_that_answers_without_the_change failed before.

--- a/src/currantshed/node/control_forwarding.cpp
+++ b/src/currantshed/node/control_forwarding.cpp
@@ -285,7 +285,8 @@
   if (aUpdate.proved_at_us() != 0 && !aClock) {
     SendEmptyAnnouncement(aVm, aNow);
   }
-  if (aUpdate.too_long()) {
+  const store::revision upTo{ aUpdate.era(), aUpdate.up_to() };
+  if (aUpdate.too_long() && upTo > view.Seen()) {
     BeginSnapshotTransfer(aVm, aUpdate.prefix(), aNow);
     return;
   }
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -123,7 +123,8 @@
 prefix_view::Tick(clock::time_point aNow, double aRandom)
 {
   mRandom = aRandom;
-  const bool isForwarded = mIsKnown && aNow < mForwardedUntil;
+  const bool isForwarded =
+    mIsKnown && !mIsForwarderLate && aNow < mForwardedUntil;
   const bool isWaiting = !mIsKnown && aNow < mFirstReadNotBefore;
   CancelRedundantWatch(isForwarded, aNow);
   if (mIsCalling || mIsPaused || isForwarded || isWaiting ||
@@ -172,7 +173,7 @@
   if (!mIsKnown) {
     return std::max(mNotBefore, mFirstReadNotBefore);
   }
-  return std::max(mNotBefore, mForwardedUntil);
+  return mIsForwarderLate ? mNotBefore : std::max(mNotBefore, mForwardedUntil);
 }
 
 void
@@ -189,6 +190,7 @@
     ReadAgain();
     mMustRead = mMustRead || mSettings.skipsVersions;
     mForwardedUntil = {};
+    mIsForwarderLate = true;
     mNextCall = call_reason::kLagging;
   }
 }
@@ -511,6 +513,7 @@
     return false;
   }
   const bool wasKnown = mIsKnown;
+  const bool isProgress = !mIsKnown || aUpdate.upTo > mSeen;
   bool isChanged = false;
   if (aUpdate.isSnapshot && (!mIsKnown || aUpdate.upTo > mSeen)) {
     std::vector<item> items;
@@ -529,8 +532,13 @@
   mMayBeStale = !wasKnown || aUpdate.isSnapshot || aUpdate.mayBeStale ||
                 mMayHaveMissedChanges || aNow >= mForwardedUntil;
   mMayHaveMissedChanges = false;
-  mLaggingSince.reset();
-  mNextCall = call_reason::kForwardingEnded;
+  if (isProgress) {
+    mLaggingSince.reset();
+    mIsForwarderLate = false;
+  }
+  if (!mIsForwarderLate) {
+    mNextCall = call_reason::kForwardingEnded;
+  }
   if (isChanged) {
     mSource = change_source::kOtherVm;
     mListener.changed(aNow);
@@ -706,6 +714,7 @@
 {
   mBackoff.Reset();
   mLaggingSince.reset();
+  mIsForwarderLate = false;
   mNotBefore = aChanged ? aNow + Pause() : clock::time_point{};
   if (!mIsReachable) {
     mIsReachable = true;
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -311,6 +311,9 @@
   // From when on responses of the current era count as verification.
   clock::time_point mVerifiableFrom{};
   clock::time_point mForwardedUntil{};
+  // The forwarders have not delivered an announced change in time. The view
+  // follows the store itself until it has made progress.
+  bool mIsForwarderLate = false;
   // Since when a forwarder has sent the changes without interruption.
   std::optional<clock::time_point> mForwardedSince;
   clock::time_point mFirstReadNotBefore{};
--- a/test/currantshed/store/forwarded_view.cpp
+++ b/test/currantshed/store/forwarded_view.cpp
@@ -357,6 +357,51 @@
   }
 }
 
+namespace {
+
+struct stalled_row
+{
+  const char* name;
+  /// Whether the forwarder answers polls with what the view knows already.
+  bool answers;
+  /// Whether it tells of changes without sending them.
+  bool announces;
+};
+
+constexpr stalled_row kStalled[] = {
+  { "a forwarder whose own watch hangs", true, false },
+  { "a forwarder whose transfers do not arrive", false, true },
+  { "both", true, true },
+};
+
+} // namespace
+
+// Each answer of such a forwarder counted as a sign that changes are forwarded.
+TEST(forwarded_view, leaves_a_forwarder_that_answers_without_the_change)
+{
+  for (const auto& row : kStalled) {
+    vm_pair made;
+    made.Begin();
+    made.store.Put("a/1", "uno");
+    const auto begin = made.store.now;
+    while (made.forwarded.Keys() != "a/1=uno a/2=two " &&
+           made.store.now < begin + 10s) {
+      made.forwarded.view.NotifyRevision(made.store.At(), made.store.now);
+      if (row.answers) {
+        const auto seen = made.forwarded.view.Seen();
+        CHECK_TEXT(made.forwarded.view.ApplyUpdate(
+                     { false, seen, seen, false, {} }, made.store.now),
+                   row.name);
+      }
+      if (row.announces) {
+        made.forwarded.view.ForwardedUntil(made.store.now + 1200ms);
+      }
+      made.Run(100ms);
+    }
+    CHECK_TEXT(made.store.now - begin <= 1000ms, row.name);
+  }
+}
+
 // A large value that is overwritten in quick succession would be sent to a VM
 // that is behind as often as it was written.
 TEST(forwarded_view, a_view_that_lags_reads_the_newest_version_only)
