--- a/test/currantshed/node/snapshot_chunks.cpp
+++ b/test/currantshed/node/snapshot_chunks.cpp
@@ -210,7 +210,7 @@
     snapshot = request(assembler, now);
     // Another VM begins with each version.
     ++revision;
-    other = {};
+    other = snapshot_assembler();
     CHECK(other.Begin("feeder", now));
     (void)request(other, now + 290ms);
   }
