A slow read is not taken for a watch that is to be cancelled

A view that reads its keys while a forwarder takes over for two seconds marked its watch as cancelled though it had none; the next watch that failed then counted as that one: no log line, no pause, and changes that were missed did not count as such. Only a watch is marked now.

Test: forwarded_view.a_read_is_not_cancelled_in_place_of_a_watch failed before.

--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -148,7 +148,7 @@
     return;
   }
   mForwardedSince = mForwardedSince.value_or(aNow);
-  if (mIsCalling && !mIsWatchCancelled &&
+  if (mIsCalling && !mMustRead && !mIsWatchCancelled &&
       aNow - *mForwardedSince >= kRedundantWatchLife) {
     mIsWatchCancelled = true;
     mStore.CancelWatch(mPrefix);
--- a/test/currantshed/store/forwarded_view.cpp
+++ b/test/currantshed/store/forwarded_view.cpp
@@ -224,6 +224,35 @@
   CHECK_EQUAL(2U, made.store.watches.size());
 }
 
+// A slow read that was taken for the watch would hide the next failure of one.
+TEST(forwarded_view, a_read_is_not_cancelled_in_place_of_a_watch)
+{
+  test::fake_key_value store;
+  bool isReachable = false;
+  store::prefix_view view(
+    store,
+    "a/",
+    {},
+    { [](clock::time_point) {},
+      [&](bool aIsReached, std::error_code) { isReachable = aIsReached; } });
+  store.Put("a/1", "one");
+  view.Tick(store.now, 0.5);
+  CHECK(view.ApplyUpdate(
+    { true, {}, store.At(), false, { { store.items["a/1"], false } } },
+    store.now));
+  view.ForwardedUntil(store.now + 3000ms);
+  for (int i = 0; i < 30; ++i) {
+    view.Tick(store.now, 0.5);
+    store.now += 100ms;
+  }
+  store.Answer();
+  CHECK(isReachable);
+  view.Tick(store.now, 0.5);
+  CHECK_EQUAL(1U, store.watches.size());
+  store.FailWatches(store::errc::kTimeout);
+  CHECK_FALSE(isReachable);
+}
+
 TEST(forwarded_view, keeps_its_watch_while_the_forwarder_comes_and_goes)
 {
   vm_pair made;
