--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -222,7 +222,8 @@
 }
 
 // Keys that no forwarder sends are read again, because a watch started during
-// the outage may never be answered.
+// the outage may never be answered. All VMs regain the store together, so those
+// with forwarders wait for these first.
 void
 control::OnStoreRecovered(clock::time_point aNow)
 {
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -214,7 +214,7 @@
     std::size_t aMaxBytes = std::numeric_limits<std::size_t>::max()) const;
 
   /// Pause between two transfers of all keys over the VM's link, which leaves
-  /// most of the link to the callers. Zero for keys of no account.
+  /// most of the link to the callers. Zero if no transfer time is set.
   [[nodiscard]] std::chrono::milliseconds TransferPause() const;
 
   /// Returns the keys that have changed since the last call, so that readers
