--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -14,7 +14,9 @@
 constexpr unsigned kClients = 6;
 // Length of the cut: a machine is partitioned for 5.5 s on the users' sheets.
 constexpr milliseconds kDrainsAfter{ 200 };
-constexpr milliseconds kNextDrainsAfter{ 1000 };
+// A server is replaced each second; the new one starts a second before the old
+// one drains.
+constexpr milliseconds kGap{ 1000 };
 constexpr milliseconds kStopsAfter{ 1800 };
 constexpr milliseconds kHealsAfter{ 2000 };
 constexpr milliseconds kEndsAfter{ 5000 };
@@ -87,13 +89,16 @@
       mRecord.Step("the writes are not served");
       return kCouldNotRun;
     }
+    mService.AddServer();
+    Wait(kGap - kDrainsAfter);
     if (HasTrouble()) {
       mRecord.Step("vm-1 is cut off from the promotion interface");
       mInterfaces.front()->CutOff();
     }
     Wait(kDrainsAfter);
+    mService.AddServer();
     mService.Drain(mService.Server(0));
-    Wait(kNextDrainsAfter);
+    Wait(kGap);
     mService.Drain(mService.Server(1));
     Wait(kStopsAfter);
     mRecord.Step("vm-1 gets SIGTERM");
--- a/review/build.sh
+++ b/review/build.sh
@@ -7,7 +7,7 @@
 c++ -std=c++20 -O1 -Wall -Wextra -c standins/json.cpp -o build/json.o &
 json=$!
 cases=()
-for source in [0-9]*/case.cpp; do
+for source in [0-9]/case.cpp; do
   number=${source%%/*}
   c++ -std=c++20 -O1 -Wall -Wextra -c "$source" -o "build/case-$number.o" &
   cases+=("$number:$!")
