Orders to promote are checked when they are written, not when they are made

Hypotheses: (1) orders wait in the queue of the promotion interface's client and are written after the lock is lost; (2) the VM goes on ordering without the lock; (3) an order that was written in time is carried out late. The old log could not tell an order made from an order written; promotion_sent and promotion_withdrawn now do.

Cause: takeovers repeated an unanswered order every 400 ms into a connection that carries one call at a time, up to 1 s each. The lock was checked before the call was queued.

Change, each part closes a way by which an order could be late: - the right to an order is evaluated when its connection is ready, directly before the bytes are written: lock, epoch, takeover, age of the check, lease (node::OrderTimeLeft, http::call::timeLeft). Nothing waits unchecked; - an order ends before the VM's lease does, and one that is given up is reset, so that the operating system doesn't deliver it after a cut; - each order has a connection of its own: none waits for another group's; - a takeover makes one order at a time, and repeats it after the answer; - a VM that stops makes no more orders and is recorded as draining only when none of its own is unanswered (node::promotion_orders). One that is out takes a second at most, so that the successor waits that long.

Why it works: an order is written only with a right checked less than 300 ms ago, and is dead on the wire before the lease under which it was written ends; its successor can acquire the lock only after that.

--- a/src/currantshed/http/channel.cpp
+++ b/src/currantshed/http/channel.cpp
@@ -128,6 +128,14 @@
   void Write()
   {
     const auto& what = mCalls.front().what;
+    auto timeout = what.timeout;
+    if (what.timeLeft) {
+      timeout = std::min(timeout, what.timeLeft());
+    }
+    if (timeout <= std::chrono::milliseconds::zero()) {
+      Withdraw();
+      return;
+    }
     mRequest = {};
     mRequest.version(11);
     mRequest.method(VerbOf(what.verb));
@@ -141,7 +149,10 @@
       mRequest.body() = what.body;
     }
     mRequest.prepare_payload();
-    mStream.expires_after(what.timeout);
+    if (what.timeLeft) {
+      SetDropsUnsentBytes(true);
+    }
+    mStream.expires_after(timeout);
     beast::http::async_write(mStream,
                              mRequest,
                              [self = shared_from_this()](
@@ -190,6 +201,9 @@
       CloseStream();
     } else {
       mStream.expires_never();
+      if (mCalls.front().what.timeLeft) {
+        SetDropsUnsentBytes(false);
+      }
     }
     // Releases the memory of a large response.
     mBuffer = {};
@@ -197,6 +211,22 @@
     Finish(std::move(result));
   }
 
+  // The connection stays usable for other requests.
+  void Withdraw()
+  {
+    mStream.expires_never();
+    boost::asio::post(mContext, [self = shared_from_this()] {
+      if (self->mIsStopped) {
+        return;
+      }
+      call_result result;
+      result.error =
+        boost::system::error_code(boost::asio::error::operation_aborted);
+      result.notSent = true;
+      self->Finish(std::move(result));
+    });
+  }
+
   void Fail(const boost::system::error_code& aError, bool aNotSent)
   {
     CloseStream();
@@ -222,6 +252,15 @@
     done(std::move(aReply));
   }
 
+  // Without this the operating system goes on delivering a request that was
+  // given up, for as long as the path is cut.
+  void SetDropsUnsentBytes(bool aDrops)
+  {
+    boost::system::error_code ignored;
+    mStream.socket().set_option(boost::asio::socket_base::linger(aDrops, 0),
+                                ignored);
+  }
+
   void CloseStream()
   {
     mIsOpen = false;
--- a/src/currantshed/http/channel.hpp
+++ b/src/currantshed/http/channel.hpp
@@ -37,6 +37,12 @@
   std::chrono::milliseconds timeout{ 1000 };
   /// Name of the response header that the caller needs, if any.
   std::string responseHeader = {};
+  /// How long the request may be in progress if it is written now; zero if it
+  /// must not be written any more. Evaluated when the connection is ready, so
+  /// that a request is not sent on a right that ended while it waited. Bytes
+  /// of such a request that are still on their way when it fails are dropped.
+  /// Unset: only the timeout applies.
+  std::function<std::chrono::milliseconds()> timeLeft = {};
 };
 
 /// The result of one request.
--- a/src/currantshed/lead/actions.hpp
+++ b/src/currantshed/lead/actions.hpp
@@ -31,6 +31,19 @@
   position::term_id replacedTerm = 0;
 };
 
+/// What became of a promotion order.
+enum class promotion_outcome
+{
+  /// The server becomes the primary.
+  kAccepted,
+  /// The platform cannot promote this server.
+  kRejected,
+  /// Nothing was done, and the order may be retried.
+  kRetryLater,
+  /// No answer arrived. The order may have been accepted.
+  kUnknown,
+};
+
 /// Reads the most recently replaced term from the store; the result comes back
 /// through ReplacedTermRead.
 struct read_replaced_term
--- a/src/currantshed/lead/group_monitor.cpp
+++ b/src/currantshed/lead/group_monitor.cpp
@@ -149,11 +149,11 @@
 }
 
 void
-group_monitor::PromotionAnswered(bool aAccepted,
-                                 bool aRejected,
+group_monitor::PromotionAnswered(const upstream::server_id& aServer,
+                                 promotion_outcome aOutcome,
                                  clock::time_point aNow)
 {
-  mTakeover.PromotionAnswered(aAccepted, aRejected, aNow);
+  mTakeover.PromotionAnswered(aServer, aOutcome, aNow);
   Evaluate(aNow);
 }
 
--- a/src/currantshed/lead/group_monitor.hpp
+++ b/src/currantshed/lead/group_monitor.hpp
@@ -140,11 +140,16 @@
   void ServerFailed(const upstream::server_id& aServer,
                     std::optional<clock::time_point> aHeardAt,
                     clock::time_point aNow);
-  /// The result of request_promotion: whether the platform accepted the
-  /// request, or rejected the server as one that cannot be promoted.
-  void PromotionAnswered(bool aAccepted,
-                         bool aRejected,
+  /// The result of request_promotion.
+  void PromotionAnswered(const upstream::server_id& aServer,
+                         promotion_outcome aOutcome,
                          clock::time_point aNow);
+  /// Whether this VM holds the failover lock and still wants the server
+  /// promoted.
+  [[nodiscard]] bool IsPromoting(const upstream::server_id& aServer) const
+  {
+    return mHoldsLock && mTakeover.IsPromoting(aServer);
+  }
 
   /// Updates from other VMs, with all times converted to this VM's clock.
   void WatchUpdateReceived(const watch_update& aUpdate, clock::time_point aNow);
--- a/src/currantshed/lead/takeover.cpp
+++ b/src/currantshed/lead/takeover.cpp
@@ -13,9 +13,13 @@
 
 using std::chrono::milliseconds;
 
-// Interval between rounds of fences or queries, and between promotion requests.
+// Interval between rounds of fences or queries, and minimum interval between
+// promotion requests.
 constexpr milliseconds kRoundInterval{ 100 };
 constexpr milliseconds kPromoteInterval{ 400 };
+// A request that has not been answered after this time counts as unanswered for
+// good: three calls of the platform that each time out, and a connection.
+constexpr milliseconds kMaxAnswerTime{ 4000 };
 // How long after a promotion request its effect may come: nearly twice the
 // measured maximum of 1.1 s. A request that was accepted is not repeated
 // earlier, because repeated requests take effect one after the other.
@@ -59,6 +63,7 @@
                     mReason != takeover_reason::kUnstable;
   mChosen.clear();
   mRequests = 0;
+  mAwaitsAnswer = false;
   mRejected.clear();
   aOut.emplace_back(publish_revocation{ mOldTerm });
   aOut.emplace_back(log_step{ "begun",
@@ -87,26 +92,34 @@
   return mStep == takeover_step::kNone ? 0 : mOldTerm;
 }
 
+// Another request is made only once the previous one has been answered or has
+// timed out.
 void
-takeover::PromotionAnswered(bool aAccepted,
-                            bool aRejected,
+takeover::PromotionAnswered(const upstream::server_id& aServer,
+                            promotion_outcome aOutcome,
                             clock::time_point aNow)
 {
-  if (mStep != takeover_step::kPromote) {
+  if (!IsPromoting(aServer)) {
     return;
   }
-  if (aRejected) {
-    mRejected.insert(mChosen);
-    if (mRejected.size() + 1 >= mTable.All().size()) {
-      mRejected.clear();
-    }
-    mStep = takeover_step::kFence;
-    mNextSend = aNow + kRoundInterval;
-    mNextRequest = clock::time_point::max();
-  } else if (aAccepted) {
-    mNextRequest = mLastRequestAt + kMaxPromotionDelay;
-  } else {
-    mNextRequest = std::min(mNextRequest, aNow + kRoundInterval);
+  mAwaitsAnswer = false;
+  switch (aOutcome) {
+    case promotion_outcome::kRejected:
+      mRejected.insert(mChosen);
+      if (mRejected.size() + 1 >= mTable.All().size()) {
+        mRejected.clear();
+      }
+      mStep = takeover_step::kFence;
+      mNextSend = aNow + kRoundInterval;
+      mNextRequest = clock::time_point::max();
+      break;
+    case promotion_outcome::kAccepted:
+      mNextRequest = mLastRequestAt + kMaxPromotionDelay;
+      break;
+    case promotion_outcome::kRetryLater:
+    case promotion_outcome::kUnknown:
+      mNextRequest = aNow + kRoundInterval;
+      break;
   }
 }
 
@@ -240,7 +253,7 @@
   const auto* chosen = mTable.Find(mChosen);
   const bool isSilent =
     chosen != nullptr && chosen->failures >= internal::kFailuresUntilLost;
-  if ((isSilent || IsChoiceInvalid()) && mRequests > 0) {
+  if ((isSilent || IsChoiceInvalid()) && mRequests > 0 && !mAwaitsAnswer) {
     mNextRequest =
       std::min(mNextRequest, std::max(aNow, mLastRequestAt + kPromoteInterval));
   }
@@ -441,7 +454,8 @@
   }
   ++mRequests;
   mLastRequestAt = aNow;
-  mNextRequest = aNow + kPromoteInterval;
+  mAwaitsAnswer = true;
+  mNextRequest = aNow + kMaxAnswerTime;
   aOut.emplace_back(log_step{ "promote", mChosen });
   aOut.emplace_back(request_promotion{ mChosen, mOldTerm });
 }
--- a/src/currantshed/lead/takeover.hpp
+++ b/src/currantshed/lead/takeover.hpp
@@ -64,10 +64,9 @@
   /// it.
   void AllAcknowledged() { mAllAcknowledged = true; }
 
-  /// The platform's response: whether it accepted the request, or rejected the
-  /// server as one that cannot be promoted.
-  void PromotionAnswered(bool aAccepted,
-                         bool aRejected,
+  /// What became of the request to promote the server.
+  void PromotionAnswered(const upstream::server_id& aServer,
+                         promotion_outcome aOutcome,
                          clock::time_point aNow);
 
   /// Proceeds as far as possible.
@@ -75,6 +74,11 @@
   [[nodiscard]] clock::time_point NextTick() const noexcept;
 
   [[nodiscard]] takeover_step Step() const noexcept { return mStep; }
+  /// Whether the takeover still requests the promotion of this server.
+  [[nodiscard]] bool IsPromoting(const upstream::server_id& aServer) const
+  {
+    return mStep == takeover_step::kPromote && mChosen == aServer;
+  }
   [[nodiscard]] clock::time_point StartedAt() const noexcept
   {
     return mStartedAt;
@@ -148,6 +152,8 @@
   proxy::start_time mChosenStartedAt{};
   clock::time_point mLastRequestAt;
   unsigned mRequests = 0;
+  // Whether the last request has not been answered.
+  bool mAwaitsAnswer = false;
   clock::time_point mHoldOffUntil;
   absl::btree_set<upstream::server_id> mRejected;
 };
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -200,9 +200,9 @@
   boost::asio::post(mContext, [this] {
     mIsDraining = true;
     mIsReady = false;
-    mSelf.draining = true;
-    mRegistration.SetValue(SerializeVm(mSelf));
+    mOrders.Stop();
     Tick();
+    ReleaseLocks();
   });
 }
 
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -39,6 +39,7 @@
 #include "currantshed/node/lock_assignments.hpp"
 #include "currantshed/node/metrics.hpp"
 #include "currantshed/node/peer_selection.hpp"
+#include "currantshed/node/promotion_orders.hpp"
 #include "currantshed/node/request_throttle.hpp"
 #include "currantshed/node/server_list.hpp"
 #include "currantshed/node/settings.hpp"
@@ -182,16 +183,24 @@
                       store::revision aChanged);
   void Promote(const std::string& aService,
                const upstream::server_id& aServer,
-               std::uint64_t aEpoch);
+               std::uint64_t aEpoch,
+               clock::time_point aCheckedAt);
   void PromotionNotOrdered(const std::string& aService,
                            const upstream::server_id& aServer,
-                           std::string aReason,
-                           clock::time_point aNow);
-  [[nodiscard]] bool StillHoldsLock(const failover_lock& aLock,
-                                    clock::time_point aAskedAt) const;
+                           std::string aReason);
+  [[nodiscard]] bool IsOwnLock(const failover_lock& aLock) const;
+  [[nodiscard]] std::chrono::milliseconds PromotionTimeLeft(
+    const std::string& aService,
+    const upstream::server_id& aServer,
+    std::uint64_t aEpoch,
+    clock::time_point aCheckedAt) const;
   void OnPromotionResult(const std::string& aService,
-                         promotion_outcome aOutcome,
-                         clock::time_point aNow);
+                         const upstream::server_id& aServer,
+                         promotion_outcome aOutcome);
+  void PromotionAnswered(const std::string& aService,
+                         const upstream::server_id& aServer,
+                         promotion_outcome aOutcome);
+  void ReleaseLocks();
   void UpdateLock(const std::string& aService,
                   group& aGroup,
                   clock::time_point aNow);
@@ -412,6 +421,7 @@
   groups mGroups;
   group_scheduler mScheduler;
   lock_assignments mLocks;
+  promotion_orders mOrders;
   bool mMayConfirm = false;
   // By service, when the traffic thread last heard the primary.
   absl::btree_map<std::string, clock::time_point> mPrimaryHeardAt;
--- a/src/currantshed/node/control_failover.cpp
+++ b/src/currantshed/node/control_failover.cpp
@@ -17,15 +17,16 @@
 // all VMs start together, this spreads the locks over them.
 constexpr milliseconds kClaimDelay{ 400 };
 constexpr milliseconds kClaimPause{ 500 };
-// Maximum time between reading from the store that the lock is still held and
-// sending the promotion order.
-constexpr milliseconds kMaxLockCheckAge{ 300 };
 // Number of a primary's positions kept for VMs that begin to use its group. One
 // is announced every 350 ms, so that they span the maximum staleness of reads,
 // 2.5 s.
 constexpr std::size_t kRecentSamples = 7;
-// Remaining lease time that is required for the failover lock to count as held.
-constexpr milliseconds kMinLeaseRemaining{ 500 };
+
+std::int64_t
+Milliseconds(clock::duration aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime).count();
+}
 
 } // namespace
 
@@ -94,37 +95,37 @@
                  const lead::request_promotion& aAction)
 {
   const auto askedAt = clock::Now();
+  if (!mOrders.MayOrder(aService)) {
+    PromotionNotOrdered(
+      aService, aAction.server, "stopping, or an order is in progress");
+    return;
+  }
   mStore.Get(
     FailoverLockKey(aService),
     [this, aService, askedAt, aAction](std::error_code aError,
                                        std::optional<store::item> aItem,
-                                       store::response_info aAnswer) {
+                                       store::response_info) {
       auto lock = aItem ? ParseFailoverLock(*aItem) : std::nullopt;
-      if (aError || !lock || !StillHoldsLock(*lock, askedAt) ||
+      if (aError || !lock || !IsOwnLock(*lock) ||
           !IsFromEra(*lock, aItem->changed.era)) {
         PromotionNotOrdered(aService,
                             aAction.server,
-                            aError ? aError.message() : "the duty is not held",
-                            aAnswer.at);
+                            aError ? aError.message() : "the duty is not held");
       } else if (lock->replacedTerm < aAction.replacedTerm) {
         lock->replacedTerm = aAction.replacedTerm;
         RecordReplaced(aService, aAction.server, *lock, aItem->changed);
       } else {
-        Promote(aService, aAction.server, lock->epoch);
+        Promote(aService, aAction.server, lock->epoch, askedAt);
       }
     });
 }
 
-// Whether the lock's record, requested at the given time, allows this VM to
-// order a promotion.
+// Whether this process acquired the lock.
 bool
-control::StillHoldsLock(const failover_lock& aLock,
-                        clock::time_point aAskedAt) const
+control::IsOwnLock(const failover_lock& aLock) const
 {
   return aLock.holder == mSelf.where.vm &&
-         aLock.incarnation == mSelf.incarnation &&
-         clock::Now() < aAskedAt + kMaxLockCheckAge &&
-         clock::Now() + kMinLeaseRemaining < mRegistration.ValidUntil();
+         aLock.incarnation == mSelf.incarnation;
 }
 
 // The write is conditional on the record that was read, so that its success
@@ -140,35 +141,131 @@
   store::transaction transaction;
   transaction.conditions.push_back({ key, aChanged });
   transaction.puts.push_back({ key, SerializeFailoverLock(aLock), {}, {} });
-  mStore.Commit(std::move(transaction),
-                [this, aService, aServer, lock = std::move(aLock), askedAt](
-                  store::commit_outcome aOutcome,
-                  store::revision,
-                  store::response_info aAnswer) {
-                  if (aOutcome == store::commit_outcome::kApplied &&
-                      StillHoldsLock(lock, askedAt)) {
-                    Promote(aService, aServer, lock.epoch);
-                  } else {
-                    PromotionNotOrdered(aService,
-                                        aServer,
-                                        "the replaced term is not recorded",
-                                        aAnswer.at);
-                  }
-                });
+  mStore.Commit(
+    std::move(transaction),
+    [this, aService, aServer, lock = std::move(aLock), askedAt](
+      store::commit_outcome aOutcome, store::revision, store::response_info) {
+      if (aOutcome == store::commit_outcome::kApplied) {
+        Promote(aService, aServer, lock.epoch, askedAt);
+      } else {
+        PromotionNotOrdered(
+          aService, aServer, "the replaced term is not recorded");
+      }
+    });
 }
 
 void
 control::PromotionNotOrdered(const std::string& aService,
                              const upstream::server_id& aServer,
-                             std::string aReason,
-                             clock::time_point aNow)
+                             std::string aReason)
 {
   log::Write(log::level::kWarning,
              "promotion_not_ordered",
              { { "service", aService },
                { "server", aServer },
                { "reason", std::move(aReason) } });
-  OnPromotionResult(aService, promotion_outcome::kRetryLater, aNow);
+  boost::asio::post(mContext, [this, aService, aServer] {
+    PromotionAnswered(aService, aServer, promotion_outcome::kRetryLater);
+  });
+}
+
+void
+control::Promote(const std::string& aService,
+                 const upstream::server_id& aServer,
+                 std::uint64_t aEpoch,
+                 clock::time_point aCheckedAt)
+{
+  if (!mOrders.MayOrder(aService)) {
+    PromotionNotOrdered(
+      aService, aServer, "stopping, or an order is in progress");
+    return;
+  }
+  mOrders.Begin(aService);
+  log::Write(log::level::kInfo,
+             "promotion_ordered",
+             { { "service", aService },
+               { "server", aServer },
+               { "epoch", static_cast<std::int64_t>(aEpoch) } });
+  mPlatform.promotion->Promote(
+    aService,
+    aServer,
+    { mSelf.where.vm, aEpoch },
+    [this, aService, aServer, aEpoch, aCheckedAt] {
+      return PromotionTimeLeft(aService, aServer, aEpoch, aCheckedAt);
+    },
+    [this, aService, aServer](promotion_outcome aOutcome, clock::time_point) {
+      OnPromotionResult(aService, aServer, aOutcome);
+    });
+}
+
+// Runs when the order's connection is ready: until then the lock, the lease or
+// the takeover may have ended.
+milliseconds
+control::PromotionTimeLeft(const std::string& aService,
+                           const upstream::server_id& aServer,
+                           std::uint64_t aEpoch,
+                           clock::time_point aCheckedAt) const
+{
+  const auto now = clock::Now();
+  const auto* lock = LockOf(aService);
+  const auto* found = Find(aService);
+  const bool isHeld =
+    lock != nullptr && IsOwnLock(*lock) && lock->epoch == aEpoch;
+  const bool isWanted =
+    isHeld && found != nullptr && found->monitor.IsPromoting(aServer);
+  const auto left =
+    OrderTimeLeft({ aCheckedAt, mRegistration.ValidUntil(), isWanted }, now);
+  const bool isWritten = left > milliseconds::zero();
+  log::Write(
+    isWritten ? log::level::kInfo : log::level::kWarning,
+    isWritten ? "promotion_sent" : "promotion_withdrawn",
+    { { "service", aService },
+      { "server", aServer },
+      { "epoch", static_cast<std::int64_t>(aEpoch) },
+      { "lock_held", isHeld },
+      { "wanted", isWanted },
+      { "checked_ms", Milliseconds(now - aCheckedAt) },
+      { "lease_ms", Milliseconds(mRegistration.ValidUntil() - now) } });
+  return left;
+}
+
+void
+control::OnPromotionResult(const std::string& aService,
+                           const upstream::server_id& aServer,
+                           promotion_outcome aOutcome)
+{
+  log::Write(log::level::kInfo,
+             "promotion_answered",
+             { { "service", aService },
+               { "server", aServer },
+               { "outcome", static_cast<std::int64_t>(aOutcome) } });
+  mOrders.End(aService);
+  PromotionAnswered(aService, aServer, aOutcome);
+  ReleaseLocks();
+}
+
+void
+control::PromotionAnswered(const std::string& aService,
+                           const upstream::server_id& aServer,
+                           promotion_outcome aOutcome)
+{
+  if (auto* found = MarkPending(aService)) {
+    const auto now = clock::Now();
+    found->monitor.PromotionAnswered(aServer, aOutcome, now);
+    PerformActions(now);
+  }
+}
+
+// A VM that stops is recorded as draining, which lets others acquire its locks.
+void
+control::ReleaseLocks()
+{
+  if (!mOrders.MayReleaseLocks() || mSelf.draining) {
+    return;
+  }
+  mSelf.draining = true;
+  mRegistration.SetValue(SerializeVm(mSelf));
+  Tick();
 }
 
 void
@@ -212,42 +309,6 @@
     });
 }
 
-void
-control::Promote(const std::string& aService,
-                 const upstream::server_id& aServer,
-                 std::uint64_t aEpoch)
-{
-  log::Write(log::level::kInfo,
-             "promotion_ordered",
-             { { "service", aService },
-               { "server", aServer },
-               { "epoch", static_cast<std::int64_t>(aEpoch) } });
-  mPlatform.promotion->Promote(
-    aService,
-    aServer,
-    { mSelf.where.vm, aEpoch },
-    [this, aService](promotion_outcome aOutcome, clock::time_point aNow) {
-      OnPromotionResult(aService, aOutcome, aNow);
-    });
-}
-
-void
-control::OnPromotionResult(const std::string& aService,
-                           promotion_outcome aOutcome,
-                           clock::time_point aNow)
-{
-  log::Write(log::level::kInfo,
-             "promotion_answered",
-             { { "service", aService },
-               { "outcome", static_cast<std::int64_t>(aOutcome) } });
-  if (auto* found = MarkPending(aService)) {
-    found->monitor.PromotionAnswered(aOutcome == promotion_outcome::kAccepted,
-                                     aOutcome == promotion_outcome::kRejected,
-                                     aNow);
-    PerformActions(aNow);
-  }
-}
-
 // A VM that changes a primary must know all VMs that may use confirmations of
 // it.
 void
@@ -399,9 +460,9 @@
                     clock::time_point aNow)
 {
   const auto* lock = LockOf(aService);
-  const bool isOwn = lock != nullptr && lock->holder == mSelf.where.vm &&
-                     lock->incarnation == mSelf.incarnation;
-  const bool holds = isOwn && !mIsDraining && mRegistration.IsListed() &&
+  const bool isOwn = lock != nullptr && IsOwnLock(*lock);
+  const bool holds = isOwn && !mOrders.MayReleaseLocks() &&
+                     mRegistration.IsListed() &&
                      aNow < mRegistration.ValidUntil();
   if (holds != aGroup.monitor.HoldsFailoverLock()) {
     log::Write(
--- a/src/currantshed/node/document_codec.hpp
+++ b/src/currantshed/node/document_codec.hpp
@@ -1,6 +1,7 @@
 #ifndef CURRANTSHED_NODE_DOCUMENT_CODEC_HPP
 #define CURRANTSHED_NODE_DOCUMENT_CODEC_HPP
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -9,6 +10,7 @@
 #include <system_error>
 
 #include "currantshed/clock/time.hpp"
+#include "currantshed/lead/actions.hpp"
 #include "currantshed/proxy/configuration.hpp"
 
 namespace currantshed::node {
@@ -35,18 +37,7 @@
     std::error_code& aError) const = 0;
 };
 
-/// The platform's answer to a promotion order.
-enum class promotion_outcome
-{
-  /// The server becomes the primary.
-  kAccepted,
-  /// The platform cannot promote this server.
-  kRejected,
-  /// Rate limited: nothing was done, and the order may be retried.
-  kRetryLater,
-  /// No answer arrived. The order may have been accepted.
-  kUnknown,
-};
+using lead::promotion_outcome;
 
 /// A VM's right to change the primary of a group.
 struct promotion_right
@@ -57,17 +48,22 @@
   std::uint64_t epoch = 0;
 };
 
-/// Orders the platform to promote servers.
+/// Orders the platform to promote servers. An order never waits behind another
+/// one.
 class promoter
 {
 public:
   using callback = std::function<void(promotion_outcome, clock::time_point)>;
+  /// How long the order may be in progress if it is written now; zero if the
+  /// VM has lost the right to it.
+  using guard = std::function<std::chrono::milliseconds()>;
 
   virtual ~promoter() = default;
 
   virtual void Promote(const std::string& aService,
                        const upstream::server_id& aServer,
                        const promotion_right& aRight,
+                       guard aTimeLeft,
                        callback aDone) = 0;
 };
 
--- a/src/currantshed/node/fwd.hpp
+++ b/src/currantshed/node/fwd.hpp
@@ -11,10 +11,12 @@
 class line_stream;
 class metrics;
 class promoter;
+class promotion_orders;
 class server_connector;
 class server_list;
 class traffic;
 struct node_settings;
+struct order_right;
 struct server_change;
 
 } // namespace currantshed::node
--- a/test/currantshed/lead/monitor_fixture.hpp
+++ b/test/currantshed/lead/monitor_fixture.hpp
@@ -96,6 +96,8 @@
   std::chrono::milliseconds promotionDelay{ 300 };
   /// Whether the platform responds to requests that it accepts.
   bool answersRequests = true;
+  /// Whether requests are neither answered nor time out.
+  bool withholdsAnswers = false;
   /// Promotions that took effect while a confirmation of another primary was
   /// valid.
   int unsafePromotions = 0;
@@ -169,7 +171,12 @@
   {
     requestedReplacedTerm = aAction.replacedTerm;
     if (!acceptsRequests) {
-      monitor.PromotionAnswered(false, false, now);
+      monitor.PromotionAnswered(
+        aAction.server, lead::promotion_outcome::kRetryLater, now);
+      return;
+    }
+    if (withholdsAnswers) {
+      promoted.push_back(aAction.server);
       return;
     }
     const bool rejects = rejectsFirst && promoted.empty();
@@ -177,7 +184,12 @@
     if (!rejects) {
       pendingPromotions.push_back({ aAction.server, now + promotionDelay });
     }
-    monitor.PromotionAnswered(!rejects && answersRequests, rejects, now);
+    const auto accepted = answersRequests ? lead::promotion_outcome::kAccepted
+                                          : lead::promotion_outcome::kUnknown;
+    monitor.PromotionAnswered(aAction.server,
+                              rejects ? lead::promotion_outcome::kRejected
+                                      : accepted,
+                              now);
   }
 
   void Do(const lead::read_replaced_term&)
--- a/test/currantshed/lead/pending_promotions.cpp
+++ b/test/currantshed/lead/pending_promotions.cpp
@@ -70,6 +70,21 @@
     [](monitor_fixture&) {} },
 };
 
+struct repeat_row
+{
+  const char* name;
+  bool withholdsAnswers;
+  bool answersRequests;
+  /// Requests within 1.5 s of the first one.
+  std::size_t requests;
+};
+
+const repeat_row kRepeatRows[] = {
+  { "the request is in progress", true, true, 1 },
+  { "the request was accepted", false, true, 1 },
+  { "each request times out at once", false, false, 16 },
+};
+
 } // namespace
 
 TEST_GROUP(pending_promotions){};
@@ -105,3 +120,24 @@
     CHECK_TEXT(confirmation.primary != "a", row.name);
   }
 }
+
+// Guards against requests that pile up behind one that is not answered.
+TEST(pending_promotions, are_not_repeated_before_they_are_answered)
+{
+  for (const auto& row : kRepeatRows) {
+    monitor_fixture fixture;
+    fixture.promotionDelay = 10s;
+    fixture.withholdsAnswers = row.withholdsAnswers;
+    fixture.answersRequests = row.answersRequests;
+    fixture.monitor.SetFailoverLock(true, 7, fixture.now);
+    fixture.Run(2000ms);
+    StartDraining(fixture, false);
+    while (fixture.promoted.empty() && fixture.now < test::kStart + 10s) {
+      fixture.Run(kStep);
+    }
+    fixture.Run(1500ms);
+    CHECK_TEXT(!fixture.promoted.empty() &&
+                 fixture.promoted.size() <= row.requests,
+               row.name);
+  }
+}
