A log is judged by where replaced terms ended, not by its length

Hypotheses: (1) a server that has not followed the last term is promoted for its longer log; (2) the reads ran at a replica by a wrong required position; (3) the platform rolled back more than it reported. So (1), and not only for a server that returns: a new server with a transferred log has no former term of its own.

Cause: candidates were compared by (term, index) of their last record alone. What a term leaves behind looks longer than what its primary began with.

A position (term, index) identifies a log up to there. So what decides is the point at which a term ended, that is, the index with which its successor was promoted: a log with records of that term or an earlier one beyond it has diverged; one that never went past it can be promoted, whatever term its server reports (lead::term_history, LineageOf). - Who knows it: the lock holder, from the report of the server that it orders. It writes the end into the lock's record together with the replaced term, which is written before each order anyway: no further call. Of several orders that may have been carried out the lower end applies; a server that the platform rejected sets none. - A primary whose last record is still of an earlier term tells the exact point; the record is then corrected if it differs (one write, seldom). - Every VM follows the record, so that a restored store gets it back with the next claim, and a restart of all VMs does not lose it. - Nobody knows it (a record of an earlier version): servers that follow a later term go first; else the shortest log of a majority, which the server that began the later term was ahead of. - No service without a primary that it may have: a replica that was behind is promoted at once; a returned second primary that was told to step down is promoted again if all others hold records that were left behind. - Where only diverged logs are left, none is promoted. A takeover in that state ticked without a pause (its wait had passed): it now asks every 100 ms.

--- a/src/currantshed/lead/actions.hpp
+++ b/src/currantshed/lead/actions.hpp
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "currantshed/lead/fwd.hpp"
+#include "currantshed/lead/term_history.hpp"
 #include "currantshed/proxy/engine.hpp"
 
 namespace currantshed::lead {
@@ -26,9 +27,18 @@
 struct request_promotion
 {
   upstream::server_id server;
-  /// The term that the promotion ends. It is recorded in the store before the
-  /// platform is called, because a promotion by the platform lifts fences.
-  position::term_id replacedTerm = 0;
+  /// The replaced terms, including the one that the promotion ends. They are
+  /// recorded in the store before the platform is called, because a promotion
+  /// by the platform lifts fences.
+  term_history terms;
+};
+
+/// Records the replaced terms in the store, if this VM still holds the group's
+/// failover lock. The result comes back with the lock's record, through
+/// SetTerms.
+struct record_terms
+{
+  term_history terms;
 };
 
 /// What became of a promotion order.
@@ -85,6 +95,7 @@
 
 using action = std::variant<send_command,
                             request_promotion,
+                            record_terms,
                             read_replaced_term,
                             list_vms,
                             publish_confirmation,
--- a/src/currantshed/lead/fwd.hpp
+++ b/src/currantshed/lead/fwd.hpp
@@ -13,6 +13,9 @@
 struct monitor_settings;
 struct member;
 struct reach_update;
+enum class lineage;
+struct term_end;
+struct term_history;
 
 } // namespace currantshed::lead
 
--- a/src/currantshed/lead/group_monitor.cpp
+++ b/src/currantshed/lead/group_monitor.cpp
@@ -23,7 +23,7 @@
 
 group_monitor::group_monitor(const monitor_settings& aSettings)
   : mSettings(aSettings)
-  , mTakeover(mTable, aSettings.validity)
+  , mTakeover(mTable, mTerms, aSettings.validity)
 {
 }
 
@@ -50,6 +50,7 @@
   if (aHolds && !mHoldsLock) {
     mLockHeldSince = aNow;
     mNoPrimarySince.reset();
+    mUnrecorded.reset();
   }
   mHoldsLock = aHolds;
   mEpoch = aEpoch;
@@ -73,21 +74,38 @@
   Evaluate(aNow);
 }
 
-position::term_id
-group_monitor::ReplacedTerm() const noexcept
+void
+group_monitor::SetTerms(const term_history& aTerms, clock::time_point aNow)
 {
-  return mConfirmation.term > mReplaced ? mConfirmation.term - 1 : mReplaced;
+  if (aTerms != mTerms) {
+    mTerms = Merge(mTerms, aTerms);
+  }
+  if (mUnrecorded && *mUnrecorded == aTerms) {
+    mUnrecorded.reset();
+  }
+  SetReplacedTerm(aTerms.replaced, aNow);
 }
 
 void
 group_monitor::SetReplacedTerm(position::term_id aTerm, clock::time_point aNow)
 {
+  NoteReplaced(aTerm);
   if (aTerm > mReplaced) {
     mReplaced = aTerm;
     Evaluate(aNow);
   }
 }
 
+// A term was replaced of which no more is known.
+void
+group_monitor::NoteReplaced(position::term_id aTerm)
+{
+  if (aTerm > mTerms.replaced) {
+    mTerms.replaced = aTerm;
+    mTerms.ordered.clear();
+  }
+}
+
 void
 group_monitor::ConfirmationNeeded(clock::time_point aNow)
 {
@@ -276,6 +294,7 @@
   }
   AdoptOwnConfirmation(mNow);
   if (mHoldsLock) {
+    RecordTerms(mNow);
     MonitorPrimary(mNow);
     mTakeover.Tick(mNow, mActions);
     RepairMembers(mNow);
--- a/src/currantshed/lead/group_monitor.hpp
+++ b/src/currantshed/lead/group_monitor.hpp
@@ -99,9 +99,13 @@
   /// Confirmations of this or an earlier term are not valid.
   void SetReplacedTerm(position::term_id aTerm, clock::time_point aNow);
 
-  /// The latest term that this VM knows to be replaced, either from the store
-  /// or because a later term is confirmed.
-  [[nodiscard]] position::term_id ReplacedTerm() const noexcept;
+  /// The replaced terms, according to the record of the failover lock. Terms
+  /// that only this VM remembers, from before the store was restored, are kept.
+  void SetTerms(const term_history& aTerms, clock::time_point aNow);
+
+  /// The replaced terms that this VM knows, either from the store or because a
+  /// later term is confirmed.
+  [[nodiscard]] const term_history& Terms() const noexcept { return mTerms; }
 
   /// The result of read_replaced_term; empty if the store could not be read.
   void ReplacedTermRead(std::optional<position::term_id> aReplaced,
@@ -210,6 +214,9 @@
   void CheckReplacedTerm(const proxy::confirmation& aConfirmation,
                          clock::time_point aNow);
   void LiftRevocation(position::term_id aTerm);
+  void NoteReplaced(position::term_id aTerm);
+  void NoteTermStart();
+  void RecordTerms(clock::time_point aNow);
   void MonitorPrimary(clock::time_point aNow);
   void SendQueries(clock::time_point aNow);
   void SendQuery(member_view& aView, clock::time_point aNow);
@@ -237,6 +244,7 @@
 
   monitor_settings mSettings;
   server_table mTable;
+  term_history mTerms;
   takeover mTakeover;
   proxy::confirmation mConfirmation;
   std::optional<proxy::position_sample> mSample;
@@ -259,6 +267,9 @@
   std::uint64_t mRevokedSequence = 0;
   clock::time_point mRevokedAt;
   position::term_id mReplaced = 0;
+  // Replaced terms that differ from the lock's record, and when to record them.
+  std::optional<term_history> mUnrecorded;
+  clock::time_point mNextRecord;
   // A confirmation obtained by this VM that is valid only if the store shows
   // that its term has not been replaced.
   std::optional<proxy::confirmation> mUncheckedConfirmation;
--- a/src/currantshed/lead/group_monitor_confirmation.cpp
+++ b/src/currantshed/lead/group_monitor_confirmation.cpp
@@ -67,6 +67,7 @@
     return;
   }
   mReplaced = std::max(mReplaced, *aReplaced);
+  NoteReplaced(*aReplaced);
   if (checked->term > LastInvalidTerm()) {
     AdoptConfirmation(*checked, true, aNow);
     AdoptPositionSample(aNow);
@@ -84,6 +85,7 @@
     return;
   }
   if (aConfirmation.term > mConfirmation.term) {
+    NoteReplaced(aConfirmation.term - 1);
     mSample.reset();
     mActions.emplace_back(log_step{
       "primary",
@@ -139,6 +141,7 @@
   }
   AdoptConfirmation(*confirmation, true, aNow);
   AdoptPositionSample(aNow);
+  NoteTermStart();
   if (IsTakeoverActive() && mConfirmation.term > mTakeover.RevokedTerm()) {
     mTakeover.Succeeded(mConfirmation.primary, aNow, mActions);
   }
--- a/src/currantshed/lead/group_monitor_failover.cpp
+++ b/src/currantshed/lead/group_monitor_failover.cpp
@@ -37,6 +37,9 @@
 // predecessor has time to take effect.
 constexpr milliseconds kInitialObservation{ 400 };
 
+// Pause before the replaced terms are written to the store again.
+constexpr milliseconds kRecordPause{ 1000 };
+
 // Interval between log lines on a group without a confirmed primary.
 constexpr milliseconds kUnconfirmedLogInterval{ 1000 };
 
@@ -111,6 +114,47 @@
   }
 }
 
+// The lock holder has just confirmed the primary. A primary whose last record
+// is of an earlier term has written nothing yet, so that its term begins there.
+// Otherwise its start is known only if this VM ordered the promotion.
+void
+group_monitor::NoteTermStart()
+{
+  const auto term = mConfirmation.term;
+  const auto* primary = mTable.Find(mConfirmation.primary);
+  if (!mHoldsLock || term < 2 || primary == nullptr || !primary->report ||
+      !primary->report->isPrimary || primary->report->term != term) {
+    return;
+  }
+  const auto recorded = IsTakeoverActive() ? mTakeover.RecordedTerms() : mTerms;
+  auto terms = IsTakeoverActive()
+                 ? mTakeover.TermsBefore(mConfirmation.primary, term)
+                 : mTerms;
+  if (primary->report->received.term < term) {
+    RecordEnd(terms, { term - 1, primary->report->received.index });
+  }
+  mTerms = Merge(mTerms, terms);
+  if (terms.ends != recorded.ends) {
+    mUnrecorded = std::move(terms);
+  }
+}
+
+// What follows from a confirmation is seldom different from what was recorded
+// before the order: only if the promoted server received more until then, or if
+// another order took effect.
+void
+group_monitor::RecordTerms(clock::time_point aNow)
+{
+  if (mUnrecorded && mUnrecorded->replaced < mTerms.replaced) {
+    mUnrecorded.reset();
+  }
+  if (!mUnrecorded || aNow < mNextRecord || IsTakeoverActive()) {
+    return;
+  }
+  mNextRecord = aNow + kRecordPause;
+  mActions.emplace_back(record_terms{ *mUnrecorded });
+}
+
 // Whether the primary is unreachable for this VM and for all VMs that sent
 // recent updates. A VM that cannot reach any other member either may itself be
 // cut off, and could not replace the primary.
--- a/src/currantshed/lead/takeover.cpp
+++ b/src/currantshed/lead/takeover.cpp
@@ -32,11 +32,23 @@
 // How long a planned takeover waits for a replica to receive the whole log of
 // the old primary.
 constexpr milliseconds kCatchUpTimeout{ 500 };
+// How long a takeover that does not know where the replaced term ended waits
+// for a server that follows a later term.
+constexpr milliseconds kLaterTermTimeout{ 2000 };
+
+lineage
+LineageIn(const term_history& aHistory, const member_view& aView)
+{
+  return LineageOf(aHistory, aView.report->received, aView.report->term);
+}
 
 } // namespace
 
-takeover::takeover(server_table& aTable, milliseconds aValidity)
+takeover::takeover(server_table& aTable,
+                   const term_history& aHistory,
+                   milliseconds aValidity)
   : mTable(aTable)
+  , mKnown(aHistory)
   , mValidity(aValidity)
 {
 }
@@ -65,6 +77,9 @@
   mRequests = 0;
   mAwaitsAnswer = false;
   mRejected.clear();
+  mHistory = mKnown;
+  mHistoryBeforeChoice = mHistory;
+  mMayBeCarriedOut = false;
   aOut.emplace_back(publish_revocation{ mOldTerm });
   aOut.emplace_back(log_step{ "begun",
                               absl::StrCat(std::string(NameOf(aReason)),
@@ -103,8 +118,14 @@
     return;
   }
   mAwaitsAnswer = false;
+  mMayBeCarriedOut = mMayBeCarriedOut ||
+                     aOutcome == promotion_outcome::kAccepted ||
+                     aOutcome == promotion_outcome::kUnknown;
   switch (aOutcome) {
     case promotion_outcome::kRejected:
+      if (!mMayBeCarriedOut) {
+        mHistory = mHistoryBeforeChoice;
+      }
       mRejected.insert(mChosen);
       if (mRejected.size() + 1 >= mTable.All().size()) {
         mRejected.clear();
@@ -126,6 +147,7 @@
 void
 takeover::Tick(clock::time_point aNow, std::vector<action>& aOut)
 {
+  mTickedAt = aNow;
   if (mStep == takeover_step::kNone) {
     return;
   }
@@ -162,9 +184,12 @@
   if (mStep == takeover_step::kNone) {
     return clock::time_point::max();
   }
-  return std::min(mNextSend,
-                  mStep == takeover_step::kAwaitExpiry ? mWaitUntil
-                                                       : mNextRequest);
+  if (mStep != takeover_step::kAwaitExpiry) {
+    return std::min(mNextSend, mNextRequest);
+  }
+  // Once the confirmations have expired, only a server that may be promoted is
+  // missing, and each round of queries may find one.
+  return mTickedAt < mWaitUntil ? std::min(mNextSend, mWaitUntil) : mNextSend;
 }
 
 void
@@ -193,8 +218,12 @@
   }
   mNextLog = aNow + kLogInterval;
   std::size_t fenced = 0;
+  std::size_t diverged = 0;
   for (const auto& [id, view] : mTable.All()) {
     fenced += IsFenced(view) ? 1 : 0;
+    diverged +=
+      IsCandidate(view) && LineageIn(mHistory, view) == lineage::kDiverged ? 1
+                                                                           : 0;
   }
   const auto took = std::chrono::duration_cast<milliseconds>(aNow - mStartedAt);
   aOut.emplace_back(log_step{ "waits",
@@ -209,7 +238,11 @@
                                            " fenced=",
                                            fenced,
                                            " silent=",
-                                           mTable.UnresponsiveCount()) });
+                                           mTable.UnresponsiveCount(),
+                                           " diverged=",
+                                           diverged,
+                                           " ",
+                                           ToText(mHistory)) });
 }
 
 bool
@@ -345,6 +378,16 @@
   return HasReportedNotPrimary(&aView) && !mRejected.contains(aView.listed.id);
 }
 
+// Whether the server may be promoted, but for its lineage: the old primary may
+// not, unless no server was primary.
+bool
+takeover::IsEligible(const member_view& aView) const
+{
+  return IsCandidate(aView) && !aView.listed.draining &&
+         (aView.listed.id != mOldPrimary ||
+          mReason == takeover_reason::kNoPrimary);
+}
+
 // Whether the server has restarted and holds less than the old primary, which
 // may remain primary.
 bool
@@ -352,16 +395,51 @@
 {
   const auto* old = mTable.Find(mOldPrimary);
   return old != nullptr && IsCandidate(*old) &&
+         LineageIn(mKnown, *old) != lineage::kDiverged &&
          aView.restartSeenAt != clock::time_point{} &&
          aView.report->received < old->report->received;
 }
 
+// Whether the server has yet to report, or to be found silent.
+bool
+takeover::IsReportExpected(const member_view& aView) const
+{
+  return !HasReportedNotPrimary(&aView) &&
+         aView.failures < internal::kFailuresUntilLost;
+}
+
+// The choice if the end of the replaced term is not known and no server follows
+// a later term. Of a majority, the shortest log is the least likely to reach
+// beyond that end: the server that began the later term was ahead of a majority
+// of the group.
+upstream::server_id
+takeover::ShortestOfUnknown(clock::time_point aNow) const
+{
+  const member_view* best = nullptr;
+  std::size_t reported = 0;
+  bool isComplete = true;
+  for (const auto& [id, view] : mTable.All()) {
+    reported += HasReportedNotPrimary(&view) ? 1 : 0;
+    isComplete = isComplete && !IsReportExpected(view);
+    const bool isUnknown = IsEligible(view) && !HasLostData(view) &&
+                           LineageIn(mHistory, view) == lineage::kUnknown;
+    if (isUnknown &&
+        (best == nullptr || view.report->received < best->report->received)) {
+      best = &view;
+    }
+  }
+  const bool isSettled = reported >= mTable.Majority() &&
+                         (isComplete || aNow >= mStartedAt + kLaterTermTimeout);
+  return best != nullptr && isSettled ? best->listed.id : upstream::server_id{};
+}
+
 // Chooses the server with the longest log among those that reported since the
-// takeover started. Draining servers are left out, and so is the old primary
-// unless no server was primary. None is chosen while a planned takeover may
-// still bring the whole log of the old primary to one of them. If all others
-// have restarted and hold less, the old primary is promoted again until they
-// have caught up, since no other server holds all acknowledged commits.
+// takeover started and whose log is part of the group's history. Draining
+// servers are left out, and so is the old primary unless no server was primary.
+// None is chosen while a planned takeover may still bring the whole log of the
+// old primary to one of them. If all others have restarted and hold less, the
+// old primary is promoted again until they have caught up, since no other
+// server holds all acknowledged commits.
 upstream::server_id
 takeover::ChooseCandidate(clock::time_point aNow) const
 {
@@ -372,10 +450,7 @@
     if (id == mOldPrimary && view.report) {
       target = view.report->received;
     }
-    const bool isExcluded =
-      view.listed.draining ||
-      (id == mOldPrimary && mReason != takeover_reason::kNoPrimary);
-    if (!IsCandidate(view) || isExcluded) {
+    if (!IsEligible(view) || LineageIn(mHistory, view) != lineage::kIncluded) {
       continue;
     }
     if (HasLostData(view)) {
@@ -387,7 +462,8 @@
     }
   }
   if (best == nullptr) {
-    return anyLostData ? mOldPrimary : upstream::server_id{};
+    return anyLostData || IsOldPrimaryLeft() ? mOldPrimary
+                                             : ShortestOfUnknown(aNow);
   }
   const bool mayCatchUp =
     !mFencesReplicas && aNow < mStartedAt + kCatchUpTimeout;
@@ -397,6 +473,66 @@
   return best->listed.id;
 }
 
+// Whether the old primary has stepped down and holds the history of the group,
+// and no other server can be expected to.
+bool
+takeover::IsOldPrimaryLeft() const
+{
+  const auto* old = mTable.Find(mOldPrimary);
+  if (old == nullptr || old->listed.draining || !IsCandidate(*old) ||
+      LineageIn(mHistory, *old) != lineage::kIncluded) {
+    return false;
+  }
+  const auto& all = mTable.All();
+  return std::all_of(all.begin(), all.end(), [&](const auto& aOne) {
+    const auto& view = aOne.second;
+    const bool mayLead =
+      IsCandidate(view) && LineageIn(mHistory, view) != lineage::kDiverged;
+    return &view == old || view.listed.draining ||
+           (!mayLead && !IsReportExpected(view));
+  });
+}
+
+// Records with which log the chosen server would begin the next term. An
+// earlier order for the same term may take effect instead, so that the lower
+// end applies.
+void
+takeover::Choose(const upstream::server_id& aServer)
+{
+  mChosen = aServer;
+  mMayBeCarriedOut = false;
+  mHistoryBeforeChoice = mHistory;
+  const auto* view = mTable.Find(mChosen);
+  mChosenStartedAt =
+    view == nullptr ? proxy::start_time{} : view->listed.startedAt;
+  mHistory.replaced = std::max(mHistory.replaced, mOldTerm);
+  mHistory.ordered = mChosen;
+  const bool isOfOldTerm =
+    view != nullptr && view->report && view->report->received.term <= mOldTerm;
+  if (!isOfOldTerm || mOldTerm == 0) {
+    return;
+  }
+  term_end end{ mOldTerm, view->report->received.index };
+  for (const auto& one : mHistory.ends) {
+    end.last = one.term == mOldTerm ? std::min(end.last, one.last) : end.last;
+  }
+  RecordEnd(mHistory, end);
+}
+
+term_history
+takeover::TermsBefore(const upstream::server_id& aPrimary,
+                      position::term_id aTerm) const
+{
+  auto terms = mHistory;
+  const auto& ends = mHistory.ends;
+  const bool isByOwnOrder = mMayBeCarriedOut && aPrimary == mChosen;
+  if (isByOwnOrder && !ends.empty() && ends.back().term == mOldTerm &&
+      mOldTerm + 1 < aTerm) {
+    RecordEnd(terms, { aTerm - 1, ends.back().last });
+  }
+  return terms;
+}
+
 // The old primary may come back while the platform promotes, without knowing of
 // the takeover.
 void
@@ -447,17 +583,14 @@
   // Further requests name the same server until it is known that it cannot be
   // promoted.
   if (mChosen.empty() || mRejected.contains(mChosen) || IsChoiceInvalid()) {
-    mChosen = chosen;
-    const auto* view = mTable.Find(mChosen);
-    mChosenStartedAt =
-      view == nullptr ? proxy::start_time{} : view->listed.startedAt;
+    Choose(chosen);
   }
   ++mRequests;
   mLastRequestAt = aNow;
   mAwaitsAnswer = true;
   mNextRequest = aNow + kMaxAnswerTime;
   aOut.emplace_back(log_step{ "promote", mChosen });
-  aOut.emplace_back(request_promotion{ mChosen, mOldTerm });
+  aOut.emplace_back(request_promotion{ mChosen, mHistory });
 }
 
 void
--- a/src/currantshed/lead/takeover.hpp
+++ b/src/currantshed/lead/takeover.hpp
@@ -47,7 +47,10 @@
 class takeover
 {
 public:
-  takeover(server_table& aTable, std::chrono::milliseconds aValidity);
+  /// The history is that of the group's monitor.
+  takeover(server_table& aTable,
+           const term_history& aHistory,
+           std::chrono::milliseconds aValidity);
 
   /// Starts a takeover. aOldPrimary may be empty.
   void Start(takeover_reason aReason,
@@ -93,6 +96,15 @@
   /// request to promote another server is still in flight.
   [[nodiscard]] bool IsSupersededBy(const upstream::server_id& aPrimary,
                                     clock::time_point aNow) const;
+  /// The replaced terms that are recorded in the store, as far as this takeover
+  /// knows.
+  [[nodiscard]] const term_history& RecordedTerms() const noexcept
+  {
+    return mMayBeCarriedOut ? mHistory : mKnown;
+  }
+  /// The replaced terms, given that the server leads aTerm.
+  [[nodiscard]] term_history TermsBefore(const upstream::server_id& aPrimary,
+                                         position::term_id aTerm) const;
   /// When further confirmations of the old term became impossible.
   [[nodiscard]] clock::time_point BlockedAt() const noexcept
   {
@@ -118,7 +130,13 @@
   void ScheduleRetry(clock::time_point aNow);
   [[nodiscard]] bool IsChoiceInvalid() const;
   [[nodiscard]] bool IsCandidate(const member_view& aView) const;
+  [[nodiscard]] bool IsEligible(const member_view& aView) const;
   [[nodiscard]] bool HasLostData(const member_view& aView) const;
+  [[nodiscard]] bool IsOldPrimaryLeft() const;
+  [[nodiscard]] bool IsReportExpected(const member_view& aView) const;
+  [[nodiscard]] upstream::server_id ShortestOfUnknown(
+    clock::time_point aNow) const;
+  void Choose(const upstream::server_id& aServer);
   void DemoteOldPrimary(clock::time_point aNow, std::vector<action>& aOut);
   void LiftFences(clock::time_point aNow, std::vector<action>& aOut);
   void Promote(clock::time_point aNow, std::vector<action>& aOut);
@@ -133,6 +151,7 @@
     clock::time_point aNow) const;
 
   server_table& mTable;
+  const term_history& mKnown;
   std::chrono::milliseconds mValidity;
   takeover_step mStep = takeover_step::kNone;
   takeover_reason mReason = takeover_reason::kLost;
@@ -155,6 +174,14 @@
   // Whether the last request has not been answered.
   bool mAwaitsAnswer = false;
   clock::time_point mHoldOffUntil;
+  clock::time_point mTickedAt;
+  // The replaced terms, with the ends that follow from the orders of this
+  // takeover; the same before the choice of the present server, whose orders
+  // may all turn out not to have been carried out; and whether one of them may
+  // have been.
+  term_history mHistory;
+  term_history mHistoryBeforeChoice;
+  bool mMayBeCarriedOut = false;
   absl::btree_set<upstream::server_id> mRejected;
 };
 
--- a/src/currantshed/node/cluster_state.cpp
+++ b/src/currantshed/node/cluster_state.cpp
@@ -271,13 +271,24 @@
 std::string
 SerializeFailoverLock(const failover_lock& aRecord)
 {
-  return json::serialize(
-    json::object{ { "holder", aRecord.holder },
-                  { "incarnation", aRecord.incarnation },
-                  { "epoch", aRecord.epoch },
-                  { "replaced_term", aRecord.replacedTerm } });
+  json::object object{ { "holder", aRecord.holder },
+                       { "incarnation", aRecord.incarnation },
+                       { "epoch", aRecord.epoch },
+                       { "replaced_term", aRecord.terms.replaced } };
+  if (!aRecord.terms.ordered.empty()) {
+    object["ordered"] = aRecord.terms.ordered;
+  }
+  if (!aRecord.terms.ends.empty()) {
+    json::array ends;
+    for (const auto& one : aRecord.terms.ends) {
+      ends.push_back(json::array{ one.term, one.last });
+    }
+    object["term_ends"] = std::move(ends);
+  }
+  return json::serialize(object);
 }
 
+// Fields that versions before theirs did not write may be absent.
 std::optional<failover_lock>
 ParseFailoverLock(const store::item& aItem)
 {
@@ -286,9 +297,19 @@
     failover_lock record{ Text(object, "holder"),
                           Number(object, "incarnation"),
                           Number(object, "epoch") };
-    // Absent in records of versions that did not have the field.
     if (object.contains("replaced_term")) {
-      record.replacedTerm = Number(object, "replaced_term");
+      record.terms.replaced = Number(object, "replaced_term");
+    }
+    if (object.contains("ordered")) {
+      record.terms.ordered = Text(object, "ordered");
+    }
+    if (const auto* ends = object.if_contains("term_ends")) {
+      for (const auto& one : ends->as_array()) {
+        const auto& pair = one.as_array();
+        lead::RecordEnd(record.terms,
+                        { pair.at(0).to_number<position::term_id>(),
+                          pair.at(1).to_number<position::log_index>() });
+      }
     }
     return record;
   } catch (const std::exception&) {
@@ -364,13 +385,13 @@
               const std::string& aService,
               const vm_record& aSelf,
               store::revision aSeen,
-              position::term_id aReplaced)
+              const lead::term_history& aKnown)
 {
   const auto key = FailoverLockKey(aService);
   const auto before = aState.locks.find(aService);
   const store::revision none{ aSeen.era };
   failover_lock claimed{
-    aSelf.where.vm, aSelf.incarnation, EpochOf(aSeen), aReplaced
+    aSelf.where.vm, aSelf.incarnation, EpochOf(aSeen), aKnown
   };
   store::transaction claim;
   if (before == aState.locks.end()) {
@@ -379,7 +400,7 @@
     const auto& old = before->second.record;
     const auto holder = aState.vms.find(old.holder);
     claimed.epoch = std::max(claimed.epoch, old.epoch + 1);
-    claimed.replacedTerm = std::max(aReplaced, old.replacedTerm);
+    claimed.terms = lead::Merge(aKnown, old.terms);
     claim.conditions.push_back({ key, before->second.changed });
     claim.conditions.push_back(
       { VmKey(old.holder),
--- a/src/currantshed/node/cluster_state.hpp
+++ b/src/currantshed/node/cluster_state.hpp
@@ -9,6 +9,7 @@
 
 #include <absl/container/btree_map.h>
 
+#include "currantshed/lead/term_history.hpp"
 #include "currantshed/news/exchange.hpp"
 #include "currantshed/position/log_position.hpp"
 #include "currantshed/store/prefix_view.hpp"
@@ -42,9 +43,7 @@
   std::uint64_t incarnation = 0;
   /// Fencing token: increases with each change of the holder.
   std::uint64_t epoch = 0;
-  /// The newest term that a holder has had replaced or is about to.
-  /// Confirmations of it must be rejected.
-  position::term_id replacedTerm = 0;
+  lead::term_history terms = {};
 };
 
 [[nodiscard]] std::string
@@ -149,14 +148,14 @@
 /// Builds the transaction that acquires the lock. It fails if the lock's record
 /// or its holder's record has changed since. The epoch exceeds all earlier
 /// ones, including those of claims that the store has lost, because it is
-/// derived from the store's revision and era, which never decrease. The
-/// replaced term is the newest that the record or this VM knows.
+/// derived from the store's revision and era, which never decrease. What this
+/// VM knows of replaced terms is added to the record.
 [[nodiscard]] store::transaction
 MakeLockClaim(const cluster_state& aState,
               const std::string& aService,
               const vm_record& aSelf,
               store::revision aSeen,
-              position::term_id aReplaced);
+              const lead::term_history& aKnown);
 
 /// Whether the lock was acquired in the given era. After a restore the store
 /// may lack later claims and the terms that they replaced. The holder of a lock
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -167,6 +167,7 @@
   void Execute(const std::string& aService, const lead::send_command& aAction);
   void Execute(const std::string& aService,
                const lead::request_promotion& aAction);
+  void Execute(const std::string& aService, const lead::record_terms& aAction);
   void Execute(const std::string& aService,
                const lead::read_replaced_term& aAction);
   void Execute(const std::string& aService, const lead::list_vms& aAction);
--- a/src/currantshed/node/control_failover.cpp
+++ b/src/currantshed/node/control_failover.cpp
@@ -111,8 +111,8 @@
         PromotionNotOrdered(aService,
                             aAction.server,
                             aError ? aError.message() : "the duty is not held");
-      } else if (lock->replacedTerm < aAction.replacedTerm) {
-        lock->replacedTerm = aAction.replacedTerm;
+      } else if (lock->terms != aAction.terms) {
+        lock->terms = aAction.terms;
         RecordReplaced(aService, aAction.server, *lock, aItem->changed);
       } else {
         Promote(aService, aAction.server, lock->epoch, askedAt);
@@ -120,6 +120,34 @@
     });
 }
 
+// Conditional on the record that this VM knows, which shows that it holds the
+// lock.
+void
+control::Execute(const std::string& aService, const lead::record_terms& aAction)
+{
+  const auto found = mClusterState.locks.find(aService);
+  if (found == mClusterState.locks.end() || !IsOwnLock(found->second.record) ||
+      !ReachesStore()) {
+    return;
+  }
+  const auto key = FailoverLockKey(aService);
+  auto lock = found->second.record;
+  lock.terms = aAction.terms;
+  store::transaction transaction;
+  transaction.conditions.push_back({ key, found->second.changed });
+  transaction.puts.push_back({ key, SerializeFailoverLock(lock), {}, {} });
+  mStore.Commit(
+    std::move(transaction),
+    [aService, text = lead::ToText(lock.terms)](
+      store::commit_outcome aOutcome, store::revision, store::response_info) {
+      log::Write(log::level::kInfo,
+                 "terms_recorded",
+                 { { "service", aService },
+                   { "terms", text },
+                   { "outcome", static_cast<std::int64_t>(aOutcome) } });
+    });
+}
+
 // Whether this process acquired the lock.
 bool
 control::IsOwnLock(const failover_lock& aLock) const
@@ -293,7 +321,7 @@
       const auto lock = aItem ? ParseFailoverLock(*aItem) : std::nullopt;
       std::optional<position::term_id> replaced;
       if (!aError && lock && IsFromEra(*lock, aItem->changed.era)) {
-        replaced = lock->replacedTerm;
+        replaced = lock->terms.replaced;
       } else if (!aError && !lock && !mWasRestored) {
         replaced = 0;
       }
@@ -473,7 +501,7 @@
           static_cast<std::int64_t>(lock == nullptr ? 0 : lock->epoch) } });
   }
   if (lock != nullptr) {
-    aGroup.monitor.SetReplacedTerm(lock->replacedTerm, aNow);
+    aGroup.monitor.SetTerms(lock->terms, aNow);
   }
   aGroup.monitor.SetFailoverLock(
     holds, lock == nullptr ? 0 : lock->epoch, aNow);
@@ -510,7 +538,7 @@
                   aService,
                   mSelf,
                   mClusterView.Seen(),
-                  aGroup.monitor.ReplacedTerm()),
+                  aGroup.monitor.Terms()),
     [this, aService](
       store::commit_outcome aOutcome, store::revision, store::response_info) {
       log::Write(log::level::kInfo,
--- a/test/currantshed/lead/monitor_fixture.hpp
+++ b/test/currantshed/lead/monitor_fixture.hpp
@@ -114,6 +114,10 @@
   int storeReads = 0;
   /// The replaced term in the last promotion request.
   position::term_id requestedReplacedTerm = 0;
+  /// The replaced terms in the lock's record, and the number of writes of them
+  /// besides those before orders.
+  lead::term_history recorded;
+  int recordWrites = 0;
   /// Log lines.
   std::vector<std::string> logLines;
   /// Queries that will fail, and when.
@@ -169,7 +173,8 @@
 
   void Do(const lead::request_promotion& aAction)
   {
-    requestedReplacedTerm = aAction.replacedTerm;
+    requestedReplacedTerm = aAction.terms.replaced;
+    recorded = aAction.terms;
     if (!acceptsRequests) {
       monitor.PromotionAnswered(
         aAction.server, lead::promotion_outcome::kRetryLater, now);
@@ -192,6 +197,13 @@
                               now);
   }
 
+  void Do(const lead::record_terms& aAction)
+  {
+    recorded = aAction.terms;
+    ++recordWrites;
+    monitor.SetTerms(recorded, now);
+  }
+
   void Do(const lead::read_replaced_term&)
   {
     ++storeReads;
--- a/test/currantshed/node/cluster_state.cpp
+++ b/test/currantshed/node/cluster_state.cpp
@@ -106,7 +106,7 @@
     Items({ Vm("a", 1, true), Vm("b", 2) }, failover_lock{ "a", 1, 50 });
   const auto state = node::ReadClusterState(items);
   const auto claim =
-    node::MakeLockClaim(state, "group", Vm("b", 2), { 0, 20 }, 0);
+    node::MakeLockClaim(state, "group", Vm("b", 2), { 0, 20 }, {});
   CHECK_EQUAL(2, static_cast<int>(claim.conditions.size()));
   CHECK(claim.conditions[0].changed ==
         items.at(node::FailoverLockKey("group")).changed);
@@ -115,7 +115,7 @@
   CHECK(made && made->holder == "b" && made->epoch == 51);
   // The epoch is higher even if the record of the earlier lock was lost.
   const auto fresh = node::MakeLockClaim(
-    node::ReadClusterState({}), "group", Vm("b", 2), { 0, 90 }, 0);
+    node::ReadClusterState({}), "group", Vm("b", 2), { 0, 90 }, {});
   CHECK(node::ParseFailoverLock(fresh.puts.front())->epoch == 90);
   CHECK(fresh.conditions.front().changed.number == 0);
 }
@@ -126,13 +126,13 @@
     Items({ Vm("a", 1, true), Vm("b", 2) }, failover_lock{ "a", 1, 50, 6 });
   const auto state = node::ReadClusterState(items);
   const auto claim =
-    node::MakeLockClaim(state, "group", Vm("b", 2), { 0, 40 }, 0);
+    node::MakeLockClaim(state, "group", Vm("b", 2), { 0, 40 }, {});
   const auto made = node::ParseFailoverLock(claim.puts.front());
-  CHECK(made && made->holder == "b" && made->replacedTerm == 6);
+  CHECK(made && made->holder == "b" && made->terms.replaced == 6);
   // A record written by a version without the field is still valid.
   const auto old = node::ParseFailoverLock(
     { "k", R"({"holder":"a","incarnation":1,"epoch":5})", {}, {} });
-  CHECK(old && old->epoch == 5 && old->replacedTerm == 0);
+  CHECK(old && old->epoch == 5 && old->terms.replaced == 0);
 }
 
 TEST(cluster_state, the_fleet_is_recorded_without_incarnations)
@@ -196,10 +196,10 @@
     const auto state = node::ReadClusterState(Items(
       { Vm("b", 2) }, isRecorded ? std::optional(row.recorded) : std::nullopt));
     const auto lost = node::ParseFailoverLock(
-      node::MakeLockClaim(state, "group", Vm("b", 2), row.before, 0)
+      node::MakeLockClaim(state, "group", Vm("b", 2), row.before, {})
         .puts.front());
     const auto next = node::ParseFailoverLock(
-      node::MakeLockClaim(state, "group", Vm("c", 3), row.after, 0)
+      node::MakeLockClaim(state, "group", Vm("c", 3), row.after, {})
         .puts.front());
     CHECK_TEXT(next->epoch > lost->epoch, row.name);
   }
@@ -209,13 +209,30 @@
 {
   for (const store::era_id era : { 0, 1, 7 }) {
     const auto claimed = node::ParseFailoverLock(
-      node::MakeLockClaim({}, "group", Vm("b", 2), { era, 90 }, 0)
+      node::MakeLockClaim({}, "group", Vm("b", 2), { era, 90 }, {})
         .puts.front());
     CHECK(node::IsFromEra(*claimed, era));
     CHECK_FALSE(node::IsFromEra(*claimed, era + 1));
   }
 }
 
+TEST(cluster_state, a_lock_record_keeps_where_terms_ended)
+{
+  const lead::term_history terms{ 2, "b", { { 1, 184 }, { 2, 190 } } };
+  for (const auto& expect : { terms, lead::term_history{} }) {
+    const auto read = node::ParseFailoverLock(
+      { "key", node::SerializeFailoverLock({ "a", 1, 5, expect }), {}, {} });
+    CHECK(read && read->terms == expect);
+  }
+  // The next holder adds what it knows.
+  const auto state = node::ReadClusterState(
+    Items({ Vm("b", 2) }, failover_lock{ "a", 1, 50, { 1, "c", {} } }));
+  const auto claimed = node::ParseFailoverLock(
+    node::MakeLockClaim(state, "group", Vm("b", 2), { 2, 40 }, terms)
+      .puts.front());
+  CHECK(claimed && claimed->terms == terms);
+}
+
 // The restored record lacks a term that this VM knows to be replaced.
 TEST(cluster_state, a_claim_records_the_newest_replaced_term)
 {
@@ -223,9 +240,9 @@
     Items({ Vm("b", 2) }, failover_lock{ "b", 2, 50, 6 }));
   for (const position::term_id known : { 0, 6, 9 }) {
     const auto made = node::ParseFailoverLock(
-      node::MakeLockClaim(state, "group", Vm("b", 2), { 2, 40 }, known)
+      node::MakeLockClaim(state, "group", Vm("b", 2), { 2, 40 }, { known })
         .puts.front());
-    CHECK(made->replacedTerm == std::max<position::term_id>(known, 6));
+    CHECK(made->terms.replaced == std::max<position::term_id>(known, 6));
   }
 }
 
--- a/test/currantshed/store/era_model.cpp
+++ b/test/currantshed/store/era_model.cpp
@@ -689,7 +689,7 @@
   }
   one.isClaiming = true;
   one.nextClaim = now + 300ms;
-  auto claim = node::MakeLockClaim(keys, kGroup, self, one.own.Seen(), 0);
+  auto claim = node::MakeLockClaim(keys, kGroup, self, one.own.Seen(), {});
   if (mBug == seeded_bug::kEpochFromRevision) {
     auto made = *node::ParseFailoverLock(claim.puts.front());
     made.epoch = std::max<std::uint64_t>(
