Every replaced term is recorded, also one that an earlier order began

By reading the change: a takeover that was overtaken by an earlier order's primary recorded the term that it had started from, not that primary's, with its next order; and a term that was confirmed by such an order, without a write of the present lock holder, was not recorded at all. A restart of all VMs would then take a log of that term for an included one.

Change: all terms below a confirmed one count as replaced, and the lock holder records them, with the end where the primary tells it (one write, a second later, and only where the store does not show it by then). An overtaken takeover names the overtaking term as replaced. A server that an earlier holder ordered waits for the last commits of a primary that steps down, as any other choice does. Writes of the lock's record share one function.

Test: pending_promotions now also checks that each term before the confirmed one is recorded; the fixture shows a written record to the monitor one step later, as the store does. Not checked to fail before.

--- a/src/currantshed/lead/group_monitor.cpp
+++ b/src/currantshed/lead/group_monitor.cpp
@@ -85,7 +85,8 @@
   if (aTerms != mTerms) {
     mTerms = Merge(mTerms, aTerms);
   }
-  if (mUnrecorded && *mUnrecorded == aTerms) {
+  mRecorded = aTerms;
+  if (mUnrecorded && HaveSameEnds(*mUnrecorded, mRecorded)) {
     mUnrecorded.reset();
   }
   SetReplacedTerm(aTerms.replaced, aNow);
--- a/src/currantshed/lead/group_monitor.hpp
+++ b/src/currantshed/lead/group_monitor.hpp
@@ -215,7 +215,7 @@
                          clock::time_point aNow);
   void LiftRevocation(position::term_id aTerm);
   void NoteReplaced(position::term_id aTerm);
-  void NoteTermStart();
+  void NoteTermStart(clock::time_point aNow);
   void RecordTerms(clock::time_point aNow);
   void MonitorPrimary(clock::time_point aNow);
   void SendQueries(clock::time_point aNow);
@@ -267,7 +267,9 @@
   std::uint64_t mRevokedSequence = 0;
   clock::time_point mRevokedAt;
   position::term_id mReplaced = 0;
-  // Replaced terms that differ from the lock's record, and when to record them.
+  // The lock's record of replaced terms; those that are known to differ from
+  // it, and when to record them.
+  term_history mRecorded;
   std::optional<term_history> mUnrecorded;
   clock::time_point mNextRecord;
   // A confirmation obtained by this VM that is valid only if the store shows
--- a/src/currantshed/lead/group_monitor_confirmation.cpp
+++ b/src/currantshed/lead/group_monitor_confirmation.cpp
@@ -141,7 +141,7 @@
   }
   AdoptConfirmation(*confirmation, true, aNow);
   AdoptPositionSample(aNow);
-  NoteTermStart();
+  NoteTermStart(aNow);
   if (IsTakeoverActive() && mConfirmation.term > mTakeover.RevokedTerm()) {
     mTakeover.Succeeded(mConfirmation.primary, aNow, mActions);
   }
--- a/src/currantshed/lead/group_monitor_failover.cpp
+++ b/src/currantshed/lead/group_monitor_failover.cpp
@@ -37,7 +37,8 @@
 // predecessor has time to take effect.
 constexpr milliseconds kInitialObservation{ 400 };
 
-// Pause before the replaced terms are written to the store again.
+// Pause before the replaced terms are written to the store, and before they are
+// written again.
 constexpr milliseconds kRecordPause{ 1000 };
 
 // Interval between log lines on a group without a confirmed primary.
@@ -114,11 +115,12 @@
   }
 }
 
-// The lock holder has just confirmed the primary. A primary whose last record
-// is of an earlier term has written nothing yet, so that its term begins there.
-// Otherwise its start is known only if this VM ordered the promotion.
+// The lock holder has just confirmed the primary, so that all earlier terms are
+// replaced. A primary whose last record is of an earlier term has written
+// nothing yet, and its term begins there. Otherwise its start is known only if
+// this VM ordered the promotion.
 void
-group_monitor::NoteTermStart()
+group_monitor::NoteTermStart(clock::time_point aNow)
 {
   const auto term = mConfirmation.term;
   const auto* primary = mTable.Find(mConfirmation.primary);
@@ -126,22 +128,28 @@
       !primary->report->isPrimary || primary->report->term != term) {
     return;
   }
-  const auto recorded = IsTakeoverActive() ? mTakeover.RecordedTerms() : mTerms;
-  auto terms = IsTakeoverActive()
-                 ? mTakeover.TermsBefore(mConfirmation.primary, term)
-                 : mTerms;
+  const bool isOwnTakeover = IsTakeoverActive();
+  const auto recorded = isOwnTakeover ? mTakeover.RecordedTerms() : mRecorded;
+  auto terms =
+    isOwnTakeover ? mTakeover.TermsBefore(mConfirmation.primary, term) : mTerms;
+  terms.replaced = std::max(terms.replaced, term - 1);
   if (primary->report->received.term < term) {
     RecordEnd(terms, { term - 1, primary->report->received.index });
   }
   mTerms = Merge(mTerms, terms);
-  if (terms.ends != recorded.ends) {
-    mUnrecorded = std::move(terms);
+  if (HaveSameEnds(terms, recorded)) {
+    return;
+  }
+  if (!mUnrecorded) {
+    mNextRecord = aNow + kRecordPause;
   }
+  mUnrecorded = std::move(terms);
 }
 
 // What follows from a confirmation is seldom different from what was recorded
 // before the order: only if the promoted server received more until then, or if
-// another order took effect.
+// another order took effect. The pause gives the store time to show a record
+// that was written before an order.
 void
 group_monitor::RecordTerms(clock::time_point aNow)
 {
--- a/src/currantshed/lead/takeover.cpp
+++ b/src/currantshed/lead/takeover.cpp
@@ -264,6 +264,7 @@
 {
   mOldPrimary = aConfirmation.primary;
   mOldTerm = aConfirmation.term;
+  mHistory.replaced = std::max(mHistory.replaced, mOldTerm);
   aOut.emplace_back(publish_revocation{ mOldTerm });
   aOut.emplace_back(log_step{
     "overtaken", absl::StrCat("by=", mOldPrimary, " term=", mOldTerm) });
@@ -455,26 +456,33 @@
   return best != nullptr && isSettled ? best->listed.id : upstream::server_id{};
 }
 
-// Chooses the server with the longest log among those that reported since the
-// takeover started and whose log is part of the group's history. Draining
-// servers are left out, and so is the old primary unless no server was primary.
 // None is chosen while a planned takeover may still bring the whole log of the
-// old primary to one of them. If all others have restarted and hold less, the
-// old primary is promoted again until they have caught up, since no other
-// server holds all acknowledged commits.
+// old primary to the choice.
 upstream::server_id
 takeover::ChooseCandidate(clock::time_point aNow) const
 {
-  if (IsInheritedOrderPending(aNow)) {
-    return InheritedChoice();
-  }
+  const auto chosen =
+    IsInheritedOrderPending(aNow) ? InheritedChoice() : BestCandidate(aNow);
+  const auto* view = mTable.Find(chosen);
+  const auto* old = mTable.Find(mOldPrimary);
+  const bool isBehind = view != nullptr && old != nullptr && old->report &&
+                        view->report->received < old->report->received;
+  const bool mayCatchUp =
+    !mFencesReplicas && aNow < mStartedAt + kCatchUpTimeout;
+  return isBehind && mayCatchUp ? upstream::server_id{} : chosen;
+}
+
+// The server with the longest log among those that reported since the takeover
+// started and whose log is part of the group's history. Draining servers are
+// left out, and so is the old primary unless no server was primary. If all
+// others have restarted and hold less, the old primary is promoted again until
+// they have caught up, since no other server holds all acknowledged commits.
+upstream::server_id
+takeover::BestCandidate(clock::time_point aNow) const
+{
   const member_view* best = nullptr;
-  position::log_position target;
   bool anyLostData = false;
   for (const auto& [id, view] : mTable.All()) {
-    if (id == mOldPrimary && view.report) {
-      target = view.report->received;
-    }
     if (!IsEligible(view) || LineageIn(mHistory, view) != lineage::kIncluded) {
       continue;
     }
@@ -486,16 +494,11 @@
       best = &view;
     }
   }
-  if (best == nullptr) {
-    return anyLostData || IsOldPrimaryLeft() ? mOldPrimary
-                                             : ShortestOfUnknown(aNow);
-  }
-  const bool mayCatchUp =
-    !mFencesReplicas && aNow < mStartedAt + kCatchUpTimeout;
-  if (mayCatchUp && best->report->received < target) {
-    return {};
+  if (best != nullptr) {
+    return best->listed.id;
   }
-  return best->listed.id;
+  return anyLostData || IsOldPrimaryLeft() ? mOldPrimary
+                                           : ShortestOfUnknown(aNow);
 }
 
 // Whether the old primary has stepped down and holds the history of the group,
--- a/src/currantshed/lead/takeover.hpp
+++ b/src/currantshed/lead/takeover.hpp
@@ -158,6 +158,7 @@
   [[nodiscard]] bool NeedsReplicaFences(clock::time_point aNow) const;
   [[nodiscard]] upstream::server_id ChooseCandidate(
     clock::time_point aNow) const;
+  [[nodiscard]] upstream::server_id BestCandidate(clock::time_point aNow) const;
 
   server_table& mTable;
   const term_history& mKnown;
--- a/src/currantshed/lead/term_history.cpp
+++ b/src/currantshed/lead/term_history.cpp
@@ -81,6 +81,12 @@
   Compact(aHistory.ends);
 }
 
+bool
+HaveSameEnds(const term_history& aLeft, const term_history& aRight)
+{
+  return aLeft.replaced == aRight.replaced && aLeft.ends == aRight.ends;
+}
+
 term_history
 Merge(const term_history& aOlder, const term_history& aNewer)
 {
--- a/src/currantshed/lead/term_history.hpp
+++ b/src/currantshed/lead/term_history.hpp
@@ -63,6 +63,10 @@
 void
 RecordEnd(term_history& aHistory, const term_end& aEnd);
 
+/// Whether both say the same of replaced terms, apart from orders.
+[[nodiscard]] bool
+HaveSameEnds(const term_history& aLeft, const term_history& aRight);
+
 /// Joins the records of one group: of two ends of one term, that of aNewer
 /// applies.
 [[nodiscard]] term_history
--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -180,8 +180,12 @@
   void Execute(const std::string& aService, const lead::log_step& aAction);
   void RecordReplaced(const std::string& aService,
                       const upstream::server_id& aServer,
-                      failover_lock aLock,
+                      const failover_lock& aLock,
                       store::revision aChanged);
+  void CommitLock(const std::string& aService,
+                  const failover_lock& aLock,
+                  store::revision aChanged,
+                  std::function<void(store::commit_outcome)> aDone);
   void Promote(const std::string& aService,
                const upstream::server_id& aServer,
                std::uint64_t aEpoch,
--- a/src/currantshed/node/control_failover.cpp
+++ b/src/currantshed/node/control_failover.cpp
@@ -130,22 +130,38 @@
       !ReachesStore()) {
     return;
   }
-  const auto key = FailoverLockKey(aService);
   auto lock = found->second.record;
   lock.terms = aAction.terms;
-  store::transaction transaction;
-  transaction.conditions.push_back({ key, found->second.changed });
-  transaction.puts.push_back({ key, SerializeFailoverLock(lock), {}, {} });
-  mStore.Commit(
-    std::move(transaction),
-    [aService, text = lead::ToText(lock.terms)](
-      store::commit_outcome aOutcome, store::revision, store::response_info) {
-      log::Write(log::level::kInfo,
+  CommitLock(aService,
+             lock,
+             found->second.changed,
+             [aService,
+              text = lead::ToText(lock.terms)](store::commit_outcome aOutcome) {
+               log::Write(
+                 log::level::kInfo,
                  "terms_recorded",
                  { { "service", aService },
                    { "terms", text },
                    { "outcome", static_cast<std::int64_t>(aOutcome) } });
-    });
+             });
+}
+
+// Writes the lock's record if it has not changed since the given revision.
+void
+control::CommitLock(const std::string& aService,
+                    const failover_lock& aLock,
+                    store::revision aChanged,
+                    std::function<void(store::commit_outcome)> aDone)
+{
+  const auto key = FailoverLockKey(aService);
+  store::transaction transaction;
+  transaction.conditions.push_back({ key, aChanged });
+  transaction.puts.push_back({ key, SerializeFailoverLock(aLock), {}, {} });
+  mStore.Commit(
+    std::move(transaction),
+    [done = std::move(aDone)](store::commit_outcome aOutcome,
+                              store::revision,
+                              store::response_info) { done(aOutcome); });
 }
 
 // Whether this process acquired the lock.
@@ -161,20 +177,17 @@
 void
 control::RecordReplaced(const std::string& aService,
                         const upstream::server_id& aServer,
-                        failover_lock aLock,
+                        const failover_lock& aLock,
                         store::revision aChanged)
 {
-  const auto askedAt = clock::Now();
-  const auto key = FailoverLockKey(aService);
-  store::transaction transaction;
-  transaction.conditions.push_back({ key, aChanged });
-  transaction.puts.push_back({ key, SerializeFailoverLock(aLock), {}, {} });
-  mStore.Commit(
-    std::move(transaction),
-    [this, aService, aServer, lock = std::move(aLock), askedAt](
-      store::commit_outcome aOutcome, store::revision, store::response_info) {
+  CommitLock(
+    aService,
+    aLock,
+    aChanged,
+    [this, aService, aServer, epoch = aLock.epoch, askedAt = clock::Now()](
+      store::commit_outcome aOutcome) {
       if (aOutcome == store::commit_outcome::kApplied) {
-        Promote(aService, aServer, lock.epoch, askedAt);
+        Promote(aService, aServer, epoch, askedAt);
       } else {
         PromotionNotOrdered(
           aService, aServer, "the replaced term is not recorded");
--- a/test/currantshed/lead/monitor_fixture.hpp
+++ b/test/currantshed/lead/monitor_fixture.hpp
@@ -53,6 +53,10 @@
   void Run(std::chrono::milliseconds aSpan)
   {
     for (const auto end = now + aSpan; now < end; now += kStep) {
+      if (recorded != shown) {
+        shown = recorded;
+        monitor.SetTerms(shown, now);
+      }
       monitor.Tick(now);
       Perform();
       ApplyPromotions();
@@ -114,9 +118,11 @@
   int storeReads = 0;
   /// The replaced term in the last promotion request.
   position::term_id requestedReplacedTerm = 0;
-  /// The replaced terms in the lock's record, and the number of writes of them
+  /// The replaced terms in the lock's record, as written and as the store shows
+  /// it to the monitor with the next step, and the number of writes of them
   /// besides those before orders.
   lead::term_history recorded;
+  lead::term_history shown;
   int recordWrites = 0;
   /// Log lines.
   std::vector<std::string> logLines;
@@ -201,7 +207,6 @@
   {
     recorded = aAction.terms;
     ++recordWrites;
-    monitor.SetTerms(recorded, now);
   }
 
   void Do(const lead::read_replaced_term&)
--- a/test/currantshed/lead/pending_promotions.cpp
+++ b/test/currantshed/lead/pending_promotions.cpp
@@ -118,6 +118,8 @@
     CHECK_TEXT(fixture.now < confirmation.askedAt + 1000ms, row.name);
     CHECK_TEXT(fixture.servers[confirmation.primary].primary, row.name);
     CHECK_TEXT(confirmation.primary != "a", row.name);
+    // Each term before it is recorded as replaced.
+    CHECK_TEXT(fixture.recorded.replaced + 1 == confirmation.term, row.name);
   }
 }
 
