A takeover that repeated an inherited order waits for both to take effect

Change: such a takeover counts as one with repeated requests, after which the next begins only when all may have taken effect.

Test: inherited_orders.that_were_repeated_depose_no_later_primary failed before (a promotion took effect while another primary's confirmation was valid). It orders the effects by time, where a platform that keeps their order would not show it.

--- a/src/currantshed/lead/takeover.cpp
+++ b/src/currantshed/lead/takeover.cpp
@@ -75,6 +75,7 @@
                     mReason != takeover_reason::kUnstable;
   mChosen.clear();
   mRequests = 0;
+  mRepeatsInherited = false;
   mAwaitsAnswer = false;
   mRejected.clear();
   mHistory = mKnown;
@@ -199,7 +200,8 @@
 {
   const auto took = std::chrono::duration_cast<milliseconds>(aNow - mStartedAt);
   mStep = takeover_step::kNone;
-  const bool isAsRequested = mRequests == 1 && aPrimary == mChosen;
+  const bool isAsRequested =
+    mRequests == 1 && !mRepeatsInherited && aPrimary == mChosen;
   if (mRequests > 0 && !isAsRequested) {
     mHoldOffUntil = mLastRequestAt + kMaxPromotionDelay;
   }
@@ -613,6 +615,7 @@
   if (mChosen.empty() || mRejected.contains(mChosen) || IsChoiceInvalid()) {
     Choose(chosen);
   }
+  mRepeatsInherited = mRepeatsInherited || IsInheritedOrderPending(aNow);
   ++mRequests;
   mLastRequestAt = aNow;
   mAwaitsAnswer = true;
--- a/src/currantshed/lead/takeover.hpp
+++ b/src/currantshed/lead/takeover.hpp
@@ -181,6 +181,9 @@
   proxy::start_time mChosenStartedAt{};
   clock::time_point mLastRequestAt;
   unsigned mRequests = 0;
+  // Whether the first request repeated the order of an earlier lock holder, so
+  // that both may take effect.
+  bool mRepeatsInherited = false;
   // Whether the last request has not been answered.
   bool mAwaitsAnswer = false;
   clock::time_point mHoldOffUntil;
--- a/test/currantshed/lead/inherited_orders.cpp
+++ b/test/currantshed/lead/inherited_orders.cpp
@@ -1,5 +1,6 @@
 // The order of a lock holder that stopped or was lost may still be carried out.
 // Its successor must not order another server meanwhile.
+#include <algorithm>
 #include <chrono>
 #include <string>
 
@@ -76,3 +77,41 @@
     }
   }
 }
+
+// The same order twice begins two terms. No other server may be ordered before
+// the second one has begun.
+TEST(inherited_orders, that_were_repeated_depose_no_later_primary)
+{
+  monitor_fixture fixture;
+  fixture.promotionDelay = 1500ms;
+  fixture.servers["a"].primary = false;
+  fixture.servers["a"].answers = false;
+  fixture.monitor.SetTerms({ 1, "b", { { 1, 10 } } }, fixture.now);
+  fixture.Run(500ms);
+  fixture.monitor.SetFailoverLock(true, 8, fixture.now);
+  while (fixture.promoted.empty() && fixture.now < test::kStart + 10s) {
+    fixture.Run(kStep);
+  }
+  CHECK(!fixture.promoted.empty() && fixture.promoted.front() == "b");
+  fixture.pendingPromotions.insert(fixture.pendingPromotions.begin(),
+                                   { "b", fixture.now + 100ms });
+  while (fixture.monitor.Confirmation().primary != "b" &&
+         fixture.now < test::kStart + 20s) {
+    fixture.Run(kStep);
+  }
+  fixture.promotionDelay = 100ms;
+  fixture.onStep = [&fixture] {
+    auto& pending = fixture.pendingPromotions;
+    std::stable_sort(pending.begin(),
+                     pending.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft.at < aRight.at;
+                     });
+  };
+  fixture.monitor.Configure({ { "a" }, { "b", false, true }, { "c" } },
+                            fixture.now);
+  fixture.Run(8s);
+  CHECK_EQUAL(0, fixture.unsafePromotions);
+  CHECK(fixture.monitor.Confirmation().primary == "c");
+  CHECK(fixture.servers["c"].primary);
+}
