Soak: orders to promote are held up while a primary leaves and their VM stops

From seed 3000 on half of all faults hold up the path of one VM to the promotion interface, which had no path of its own before. The stand-in counts orders with a lower fencing token than was seen before, and the soak checks that there are none, for all seeds.

--- a/src/currantshed/lead/term_history.hpp
+++ b/src/currantshed/lead/term_history.hpp
@@ -31,8 +31,8 @@
   /// The server that was to be promoted in its place. An order to promote it
   /// may still take effect. Empty if unknown.
   upstream::server_id ordered;
-  /// By ascending term. Terms that are missing have no known end, except that
-  /// they ended no later than the ones after them.
+  /// By ascending term. The end of a later term holds for the logs of earlier
+  /// ones too; a term that is missing has no known end of its own.
   std::vector<term_end> ends;
 
   [[nodiscard]] friend bool operator==(const term_history&,
--- a/standin/fleet/main.cpp
+++ b/standin/fleet/main.cpp
@@ -1,9 +1,11 @@
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <exception>
 #include <functional>
 #include <iostream>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -112,7 +114,8 @@
       mKeys.RevokeLease(Number(path.substr(14)));
       aAnswer = {};
     } else if (path == "/promotion") {
-      aAnswer = Promote(json::parse(aCall.body()).as_object());
+      aAnswer = Promote(json::parse(aCall.body()).as_object(),
+                        Number(std::string(aCall["Fencing-Token"])));
     } else {
       aAnswer = HandleTestCommand(path);
     }
@@ -292,9 +295,12 @@
     });
   }
 
-  fleet::key_answer Promote(const json::object& aRequest)
+  fleet::key_answer Promote(const json::object& aRequest, std::uint64_t aToken)
   {
     const auto service = json::value_to<std::string>(aRequest.at("service"));
+    auto& highest = mHighestTokens[service];
+    mLowerTokens += aToken < highest ? 1 : 0;
+    highest = std::max(highest, aToken);
     const auto id = json::value_to<std::string>(aRequest.at("id"));
     for (auto& one : mGroups) {
       if (one.Name() != service) {
@@ -317,7 +323,8 @@
   // Executes a test command: sets the version of the configuration, restores
   // the store from an older snapshot, or stops, starts, drains, restarts (with
   // an empty log) or overloads servers. Commands other than /test/primary
-  // return the numbers of duplicate changes and of statements answered BUSY.
+  // return the numbers of duplicate changes, of statements answered BUSY and of
+  // orders to promote with a lower fencing token than was seen before.
   fleet::key_answer HandleTestCommand(const std::string& aPath)
   {
     if (aPath == "/test/configure") {
@@ -354,7 +361,10 @@
         shed += server.shed;
       }
     }
-    return { 200, { { "doubled", doubled }, { "shed", shed } } };
+    return { 200,
+             { { "doubled", doubled },
+               { "shed", shed },
+               { "lower_tokens", mLowerTokens } } };
   }
 
   // The server answers BUSY to this percentage of statements for a while.
@@ -406,6 +416,10 @@
   std::uint64_t mVersion = 0;
   bool mIsUnavailable = false;
   std::list<fleet::group> mGroups;
+  // By service, the highest fencing token of an order to promote, and the
+  // number of orders with a lower one than was seen before.
+  std::map<std::string, std::uint64_t> mHighestTokens;
+  unsigned mLowerTokens = 0;
   std::string mQuery;
 };
 
--- a/standin/proxy/tunnel.cpp
+++ b/standin/proxy/tunnel.cpp
@@ -118,6 +118,7 @@
     return;
   }
   if (IsHeld(aDirection)) {
+    aDirection.wasHeld = true;
     aDirection.timer.expires_after(kHoldPollInterval);
     aDirection.timer.async_wait(
       [self = shared_from_this(), &aFrom, &aTo, &aDirection, aSize](
@@ -126,6 +127,10 @@
       });
     return;
   }
+  if (std::exchange(aDirection.wasHeld, false) && IsReset(aFrom)) {
+    Close();
+    return;
+  }
   boost::asio::async_write(
     aTo,
     boost::asio::buffer(aDirection.bytes.data(), aSize),
@@ -139,6 +144,19 @@
     });
 }
 
+// Bytes that a cut path holds up are lost if their sender resets the
+// connection.
+bool
+connection_pair::IsReset(tcp::socket& aFrom)
+{
+  boost::system::error_code error;
+  char byte = 0;
+  aFrom.non_blocking(true, error);
+  aFrom.receive(
+    boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error == boost::asio::error::connection_reset;
+}
+
 bool
 connection_pair::IsHeld(const direction& aDirection) const noexcept
 {
--- a/standin/proxy/tunnel.hpp
+++ b/standin/proxy/tunnel.hpp
@@ -73,6 +73,7 @@
     std::array<char, kChunkSize> bytes{};
     boost::asio::steady_timer timer;
     bool answers;
+    bool wasHeld = false;
   };
 
   void Read(tcp::socket& aFrom, tcp::socket& aTo, direction& aDirection);
@@ -81,6 +82,7 @@
                direction& aDirection,
                std::size_t aSize);
   [[nodiscard]] bool IsHeld(const direction& aDirection) const noexcept;
+  [[nodiscard]] static bool IsReset(tcp::socket& aFrom);
   void Close();
 
   const condition& mCondition;
--- a/test/process/node_soak.sh
+++ b/test/process/node_soak.sh
@@ -7,9 +7,10 @@
 # snapshot, once or twice in a row, before, during and after other faults.
 # From seed 2000 on half of all faults are a server that sheds statements, a
 # server that goes down and up by turns, or a burst of further callers. Path
-# faults overlap with later faults. SEEDS names the seeds to run; if empty,
-# those that CI runs each time. SOAK_BASE names the first port, so that several
-# runs can share a machine.
+# faults overlap with later faults. From seed 3000 on half of all faults hold up
+# the orders of a VM to promote a server while a primary leaves and the VM stops.
+# SEEDS names the seeds to run; if empty, those that CI runs each time. SOAK_BASE
+# names the first port, so that several runs can share a machine.
 source "$(dirname "$0")/support/node.sh"
 proxied=yes
 node_start "${SOAK_BASE:-28400}" 4
@@ -78,7 +79,28 @@
   callers_burst "$callers" 2000 "$run"
 }
 
+# The orders of a VM, which may hold the group's failover lock, are held up
+# while the group's primary leaves, and the VM is stopped.
+orders_held() {
+  local vm=$((RANDOM % 4 + 1)) group=group-$((RANDOM % 2)) old
+  local lasts=$((RANDOM % 3 + 2)) after=$((RANDOM % 1500 + 300))
+  old=$(primary_of "$group")
+  echo "orders of vm-$vm are held for $lasts s, $old leaves, the VM stops after $after ms"
+  temporary_fault "$(path_to_promotion "$vm")" "$lasts" hold
+  tell "/test/drain?server=$old" >/dev/null
+  sleep "$(seconds "$after")"
+  node_stop "$vm"
+  node_run "$vm"
+  other_leads() { [ "$(primary_of "$group")" != "$old" ]; }
+  check "$group keeps a primary that leaves" await 20 other_leads
+  tell "/test/start?server=$old" >/dev/null
+}
+
 one_fault() {
+  if [ "$seed" -ge 3000 ] && ((RANDOM % 2)); then
+    orders_held
+    return
+  fi
   if [ "$seed" -ge 2000 ] && ((RANDOM % 2)); then
     case $((RANDOM % 3)) in
       0) shedding ;;
@@ -120,6 +142,8 @@
   callers_end
   check "seed $seed: a change took effect twice" \
     grep -q '"doubled":0' <<<"$(tell /test/report)"
+  check "seed $seed: an order to promote came after one with a higher token" \
+    grep -q '"lower_tokens":0' <<<"$(tell /test/report)"
   echo "report: $(tell /test/report)"
   # All faults have ended: all requests are served again, and new configurations
   # take effect in time.
--- a/test/process/support/node.sh
+++ b/test/process/support/node.sh
@@ -78,6 +78,14 @@
     echo "$store_port"
   fi
 }
+# The port on which a VM reaches the promotion interface.
+path_to_promotion() {
+  if [ -n "$proxied" ]; then
+    echo $((base + 63 + $1))
+  else
+    echo "$store_port"
+  fi
+}
 path_to_server() { echo $((base + 70 + $1)); }
 
 # Sets the fault of a path's proxy: "pass", "delay MS", "hold", "hold_answers",
@@ -92,7 +100,7 @@
 
 proxies_start() {
   "$build/currantshed-standin-proxy" --control "$((base + 80))" \
-    --first "$(path_to_store 1)" --target "$store_port" --fan "$1" \
+    --first "$(path_to_store 1)" --target "$store_port" --fan 8 \
     >>"$scratch/proxy.log" 2>&1 &
   proxy_pids+=" $!"
   "$build/currantshed-standin-proxy" --control "$((base + 81))" \
@@ -111,7 +119,7 @@
  "limits": {"max_fds": 1024},
  "bounds": {"grace_s": 4, "config_apply_ms": 3000},
  "platform": {"address": "127.0.0.1:$(path_to_store "$vm")", "ttl_min_ms": 1000},
- "cloud_api": {"address": "127.0.0.1:$store_port"}}
+ "cloud_api": {"address": "127.0.0.1:$(path_to_promotion "$vm")"}}
 END
   "$build/currantshed-node" --config "$scratch/vm-$vm.json" \
     >>"$scratch/vm-$vm.log" 2>&1 &
