--- a/test/currantshed/lead/diverged_logs.cpp
+++ b/test/currantshed/lead/diverged_logs.cpp
@@ -83,6 +83,7 @@
 Members(const std::vector<std::string>& aIds)
 {
   std::vector<lead::member> members;
+  members.reserve(aIds.size());
   for (const auto& id : aIds) {
     members.push_back({ id });
   }
