--- a/src/currantshed/node/control.hpp
+++ b/src/currantshed/node/control.hpp
@@ -32,6 +32,7 @@
 #include "currantshed/news/exchange.hpp"
 #include "currantshed/node/cluster_state.hpp"
 #include "currantshed/node/document_codec.hpp"
+#include "currantshed/node/failover_orders.hpp"
 #include "currantshed/node/forwarding_batch.hpp"
 #include "currantshed/node/freshness_check_schedule.hpp"
 #include "currantshed/node/group_scheduler.hpp"
@@ -39,7 +40,6 @@
 #include "currantshed/node/lock_assignments.hpp"
 #include "currantshed/node/metrics.hpp"
 #include "currantshed/node/peer_selection.hpp"
-#include "currantshed/node/promotion_orders.hpp"
 #include "currantshed/node/request_throttle.hpp"
 #include "currantshed/node/server_list.hpp"
 #include "currantshed/node/settings.hpp"
@@ -426,7 +426,7 @@
   groups mGroups;
   group_scheduler mScheduler;
   lock_assignments mLocks;
-  promotion_orders mOrders;
+  failover_orders mOrders;
   bool mMayConfirm = false;
   // By service, when the traffic thread last heard the primary.
   absl::btree_map<std::string, clock::time_point> mPrimaryHeardAt;
--- a/src/currantshed/node/promotion_orders.cpp
+++ b/src/currantshed/node/failover_orders.cpp
@@ -1,4 +1,4 @@
-#include "currantshed/node/promotion_orders.hpp"
+#include "currantshed/node/failover_orders.hpp"
 
 #include <algorithm>
 
@@ -29,19 +29,19 @@
 }
 
 bool
-promotion_orders::MayOrder(const std::string& aService) const
+failover_orders::MayOrder(const std::string& aService) const
 {
   return !mIsStopping && !mInProgress.contains(aService);
 }
 
 void
-promotion_orders::Begin(const std::string& aService)
+failover_orders::Begin(const std::string& aService)
 {
   mInProgress.insert(aService);
 }
 
 void
-promotion_orders::End(const std::string& aService)
+failover_orders::End(const std::string& aService)
 {
   mInProgress.erase(aService);
 }
--- a/src/currantshed/node/promotion_orders.hpp
+++ b/src/currantshed/node/failover_orders.hpp
@@ -1,5 +1,5 @@
-#ifndef CURRANTSHED_NODE_PROMOTION_ORDERS_HPP
-#define CURRANTSHED_NODE_PROMOTION_ORDERS_HPP
+#ifndef CURRANTSHED_NODE_FAILOVER_ORDERS_HPP
+#define CURRANTSHED_NODE_FAILOVER_ORDERS_HPP
 
 #include <chrono>
 #include <string>
@@ -35,7 +35,7 @@
 /// that stops makes no more orders and keeps its failover locks until there is
 /// none in progress, because another VM may order a different server as soon as
 /// it acquires the lock.
-class promotion_orders
+class failover_orders
 {
 public:
   /// Whether an order for this group may be made.
--- a/src/currantshed/node/fwd.hpp
+++ b/src/currantshed/node/fwd.hpp
@@ -11,7 +11,7 @@
 class line_stream;
 class metrics;
 class promoter;
-class promotion_orders;
+class failover_orders;
 class server_connector;
 class server_list;
 class traffic;
--- a/test/currantshed/node/promotion_orders.cpp
+++ b/test/currantshed/node/failover_orders.cpp
@@ -1,5 +1,5 @@
 // An order to promote must not be sent after its VM has lost the failover lock.
-#include "currantshed/node/promotion_orders.hpp"
+#include "currantshed/node/failover_orders.hpp"
 
 #include <chrono>
 
@@ -42,44 +42,44 @@
 struct release_row
 {
   const char* name;
-  void (*given)(node::promotion_orders&);
+  void (*given)(node::failover_orders&);
   bool releases;
   bool mayOrder;
 };
 
 const release_row kReleaseRows[] = {
   { "a running VM keeps its locks",
-    [](node::promotion_orders&) {},
+    [](node::failover_orders&) {},
     false,
     true },
   { "one order of a group at a time",
-    [](node::promotion_orders& aOrders) { aOrders.Begin("claims"); },
+    [](node::failover_orders& aOrders) { aOrders.Begin("claims"); },
     false,
     false },
   { "another group's order does not matter",
-    [](node::promotion_orders& aOrders) { aOrders.Begin("orders"); },
+    [](node::failover_orders& aOrders) { aOrders.Begin("orders"); },
     false,
     true },
   { "an answered order may be followed by another one",
-    [](node::promotion_orders& aOrders) {
+    [](node::failover_orders& aOrders) {
       aOrders.Begin("claims");
       aOrders.End("claims");
     },
     false,
     true },
   { "a stopping VM without orders releases its locks",
-    [](node::promotion_orders& aOrders) { aOrders.Stop(); },
+    [](node::failover_orders& aOrders) { aOrders.Stop(); },
     true,
     false },
   { "a stopping VM waits for the answer",
-    [](node::promotion_orders& aOrders) {
+    [](node::failover_orders& aOrders) {
       aOrders.Begin("orders");
       aOrders.Stop();
     },
     false,
     false },
   { "and releases its locks after it",
-    [](node::promotion_orders& aOrders) {
+    [](node::failover_orders& aOrders) {
       aOrders.Begin("orders");
       aOrders.Stop();
       aOrders.End("orders");
@@ -90,19 +90,19 @@
 
 } // namespace
 
-TEST_GROUP(promotion_orders){};
+TEST_GROUP(failover_orders){};
 
-TEST(promotion_orders, are_not_sent_without_the_failover_lock)
+TEST(failover_orders, are_not_sent_without_the_failover_lock)
 {
   for (const auto& row : kRightRows) {
     CHECK_TEXT(node::OrderTimeLeft(row.right, kNow) == row.timeLeft, row.name);
   }
 }
 
-TEST(promotion_orders, in_progress_keep_the_locks_of_a_stopping_vm)
+TEST(failover_orders, in_progress_keep_the_locks_of_a_stopping_vm)
 {
   for (const auto& row : kReleaseRows) {
-    node::promotion_orders orders;
+    node::failover_orders orders;
     row.given(orders);
     CHECK_EQUAL_TEXT(row.releases, orders.MayReleaseLocks(), row.name);
     CHECK_EQUAL_TEXT(row.mayOrder, orders.MayOrder("claims"), row.name);
