--- a/review/standins-2/town.cpp
+++ b/review/standins-2/town.cpp
@@ -797,9 +797,8 @@
              { "sync_replicas", mOptions.syncReplicas } };
   }
 
-  // Writes a configuration. From version 3 on there is one more route. Idle
-  // routes fill it up to so many bytes; the database "db-moved" is served by
-  // the second service if aIsMoved.
+  // Writes a configuration. Idle routes fill it up to so many bytes; the
+  // database "db-moved" is served by the second service if aIsMoved.
   void Configure(std::uint64_t aVersion, std::size_t aBytes, bool aIsMoved)
   {
     json::array routes;
@@ -809,9 +808,6 @@
     }
     routes.push_back(
       Route("moved", "primary", aIsMoved ? "claims2" : "claims1"));
-    if (aVersion >= 3) {
-      routes.push_back(Route("new", "primary", "claims1"));
-    }
     const auto size = json::serialize(Route("idle10000", "primary", "claims1"))
                         .size() + 1;
     for (std::size_t i = 0; (i + 10) * size < aBytes; ++i) {
--- a/review/standins-2/visitors.cpp
+++ b/review/standins-2/visitors.cpp
@@ -378,77 +378,18 @@
   return runs == 0 && !aOptions.trouble ? kNotRun : kHeld;
 }
 
-// -------------------------------------------------------------------- silence
+// ------------------------------------------------- a database that is moved
 
-// Open connections to the store go silent for good while new ones work; more
-// than stable_window_ms later, the operator adds a route. Clients then open
-// sessions on that route at every VM.
+// The operator writes configurations, the last of which moves a database to
+// another service. Clients read and write there at every VM, and are judged by
+// which service ran what they sent later than aApply after the acknowledgement.
 int
-Silence(const options& aOptions, record& aRecord, const std::string& aIdleMs)
-{
-  constexpr milliseconds kStableWindow{ 4000 };
-  constexpr milliseconds kConfigApply{ 3000 };
-  const auto sleep = [](milliseconds aTime) {
-    std::this_thread::sleep_for(aTime);
-  };
-  sleep(milliseconds{ 4000 });
-  Tell(aOptions, "/test/configure?version=2");
-  sleep(milliseconds{ 2000 });
-  if (aOptions.trouble) {
-    aRecord.Note("disruption: connections to the store go silent");
-    Tell(aOptions, "/test/silence?idle_ms=" + aIdleMs);
-  }
-  sleep(kStableWindow + milliseconds{ 200 });
-  Tell(aOptions, "/test/configure?version=3");
-  const auto acknowledged = steady::now();
-  aRecord.Note("acknowledged: version 3, with the route db-new");
-  std::map<std::uint16_t, std::int64_t> lastRefused;
-  unsigned refused = 0;
-  unsigned served = 0;
-  while (steady::now() < acknowledged + milliseconds{ 10000 }) {
-    for (const auto port : aOptions.vms) {
-      const auto sentAt = steady::now();
-      connection on(port, milliseconds{ 3000 });
-      on.Send("START db-new u1\r\n");
-      const auto line = on.Line().value_or("lost");
-      const auto after = std::chrono::duration_cast<milliseconds>(
-                           sentAt - acknowledged)
-                           .count();
-      aRecord.Note("sent at " + std::to_string(after) +
-                   " ms after the acknowledgement to " + std::to_string(port) +
-                   ": START db-new, answered " + line);
-      if (line.starts_with("ERROR NODB")) {
-        lastRefused[port] = after;
-        refused += after > kConfigApply.count() ? 1 : 0;
-      } else if (line.starts_with("READY")) {
-        served += after > kConfigApply.count() ? 1 : 0;
-      }
-    }
-    sleep(milliseconds{ 100 });
-  }
-  for (const auto& [port, at] : lastRefused) {
-    aRecord.Note("last refusal at " + std::to_string(port) + ": " +
-                 std::to_string(at) + " ms after the acknowledgement");
-  }
-  aRecord.Note("sent later than config_apply_ms: refused with NODB " +
-               std::to_string(refused) + ", opened " + std::to_string(served));
-  if (refused > 0) {
-    return kBroken;
-  }
-  return served > 0 ? kHeld : kNotRun;
-}
-
-// ---------------------------------------------------------------------- storm
-
-// The operator writes configurations in quick succession; the last one moves a
-// database to another service. Clients read and write there at every VM.
-int
-Storm(const options& aOptions, record& aRecord)
+Move(const options& aOptions,
+     record& aRecord,
+     const std::string& aChange,
+     milliseconds aApply,
+     milliseconds aFor)
 {
-  constexpr milliseconds kConfigApply{ 5000 };
-  const auto sleep = [](milliseconds aTime) {
-    std::this_thread::sleep_for(aTime);
-  };
   struct attempt
   {
     std::int64_t sentAt = 0;
@@ -456,13 +397,9 @@
     bool isDone = false;
   };
   std::map<std::string, attempt> attempts;
-  sleep(milliseconds{ 4000 });
-  const unsigned count = aOptions.trouble ? 25 : 1;
-  aRecord.Note("the operator writes " + std::to_string(count) +
-               " configurations, one each 60 ms");
-  Tell(aOptions,
-       "/test/storm?gap_ms=60&bytes=420000&count=" + std::to_string(count));
-  const auto end = steady::now() + milliseconds{ 28000 };
+  aRecord.Note("the operator moves db-moved: " + aChange);
+  Tell(aOptions, aChange);
+  const auto end = steady::now() + aFor;
   for (unsigned step = 0; steady::now() < end; ++step) {
     for (const auto port : aOptions.vms) {
       connection on(port, milliseconds{ 3000 });
@@ -478,7 +415,7 @@
       aRecord.Note("sent to " + std::to_string(port) + " id=" + id +
                    " text=" + text + " answered " + made.what);
     }
-    sleep(milliseconds{ 100 });
+    std::this_thread::sleep_for(milliseconds{ 100 });
   }
   const auto acknowledged =
     Tell(aOptions, "/test/accepted").at("at_ms").to_number<std::int64_t>();
@@ -493,7 +430,7 @@
       continue;
     }
     const auto after = found->second.sentAt - acknowledged;
-    if (after <= kConfigApply.count()) {
+    if (after <= aApply.count()) {
       continue;
     }
     if (json::value_to<std::string>(one.at("service")) == "claims2") {
@@ -520,6 +457,44 @@
   return atNew > 0 ? kHeld : kNotRun;
 }
 
+// A storm of configurations of some 420,000 bytes each.
+int
+Storm(const options& aOptions, record& aRecord)
+{
+  std::this_thread::sleep_for(milliseconds{ 4000 });
+  return Move(aOptions,
+              aRecord,
+              std::string("/test/storm?gap_ms=60&bytes=420000&count=") +
+                (aOptions.trouble ? "25" : "1"),
+              milliseconds{ 5000 },
+              milliseconds{ 28000 });
+}
+
+// Open connections to the store go silent for good while new ones work: those
+// on which nothing has moved for so long. The configuration changes a little
+// later than stable_window_ms.
+int
+Silence(const options& aOptions, record& aRecord, const std::string& aIdleMs)
+{
+  constexpr milliseconds kStableWindow{ 4000 };
+  const auto sleep = [](milliseconds aTime) {
+    std::this_thread::sleep_for(aTime);
+  };
+  sleep(milliseconds{ 4000 });
+  Tell(aOptions, "/test/configure?version=2");
+  sleep(milliseconds{ 2000 });
+  if (aOptions.trouble) {
+    aRecord.Note("disruption: connections to the store go silent");
+    Tell(aOptions, "/test/silence?idle_ms=" + aIdleMs);
+  }
+  sleep(kStableWindow + milliseconds{ 200 });
+  return Move(aOptions,
+              aRecord,
+              "/test/storm?gap_ms=60&bytes=0&count=1",
+              milliseconds{ 3000 },
+              milliseconds{ 10000 });
+}
+
 // ---------------------------------------------------------------------- main
 
 // The first of that many free ports in a row.
