A line ends with CR LF alone, wherever the stream is cut

What callers saw: a text with a line feed in it was cut there.

Cause: line_stream::ProcessLines ended a line at any LF and dropped a CR before it. A line ends with CR LF, and the last field extends to that end, so an LF alone is part of the text. The same class reads callers, servers and other VMs.

Ruled out: the sender (the record holds the bytes sent) and the stand-in server, which ends lines at CR LF.

Change: line_splitter, without I/O, splits at CR LF. It keeps whether the bytes before ended with a CR, so that a line end in two reads is found, and searches and copies each byte once. The limit is that of the message without its end; between VMs a line may have 1 KiB more, since a relaying VM adds attributes, the customer and a position: a message of the limit passes through another VM. A listener finds as unread what follows the line that it handles, and nothing is passed on any more once the stream closes as soon as all is sent.

--- a/src/currantshed/node/caller_server.cpp
+++ b/src/currantshed/node/caller_server.cpp
@@ -42,7 +42,9 @@
   connection(caller_server& aServer, std::uint64_t aNumber, tcp::socket aSocket)
     : mServer(aServer)
     , mNumber(aNumber)
-    , mStream(std::make_shared<line_stream>(std::move(aSocket)))
+    , mStream(std::make_shared<line_stream>(std::move(aSocket),
+                                            IsRelay() ? kMaxRelayedBytes
+                                                      : kMaxMessageBytes))
   {
   }
 
--- a/src/currantshed/node/fwd.hpp
+++ b/src/currantshed/node/fwd.hpp
@@ -8,6 +8,7 @@
 class document_codec;
 class vm_membership;
 class line_codec;
+class line_splitter;
 class line_stream;
 class metrics;
 class promoter;
@@ -18,6 +19,7 @@
 struct node_settings;
 struct order_right;
 struct server_change;
+struct split_line;
 
 } // namespace currantshed::node
 
--- a/src/currantshed/node/line_stream.cpp
+++ b/src/currantshed/node/line_stream.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "currantshed/net/tcp_options.hpp"
+#include "currantshed/node/internal/idle_buffer.hpp"
 
 namespace currantshed::node {
 
@@ -13,9 +14,6 @@
 
 constexpr std::size_t kReadBytes = std::size_t{ 64 } * 1024;
 
-// Buffers with a larger capacity are freed once they are empty.
-constexpr std::size_t kMaxIdleCapacity = 4096;
-
 std::array<char, kReadBytes>&
 ReadBuffer()
 {
@@ -23,20 +21,11 @@
   return sBuffer;
 }
 
-void
-Clear(std::string& aText)
-{
-  if (aText.capacity() > kMaxIdleCapacity) {
-    std::string().swap(aText);
-  } else {
-    aText.clear();
-  }
-}
-
 } // namespace
 
-line_stream::line_stream(tcp::socket aSocket)
+line_stream::line_stream(tcp::socket aSocket, std::size_t aMaxBytes)
   : mSocket(std::move(aSocket))
+  , mSplitter(aMaxBytes)
 {
 }
 
@@ -88,7 +77,7 @@
 line_stream::HasUnread() const
 {
   boost::system::error_code ignored;
-  return !mPartialLine.empty() || mSocket.available(ignored) > 0;
+  return mSplitter.HasRest() || mSocket.available(ignored) > 0;
 }
 
 void
@@ -149,30 +138,19 @@
 {
   // The listener may close the stream, which destroys the listener.
   const auto line = mListener.line;
-  std::string owned;
-  if (!mPartialLine.empty()) {
-    owned = std::move(mPartialLine);
-    owned.append(aBytes);
-    aBytes = owned;
-    mPartialLine.clear();
-  }
-  while (mSocket.is_open()) {
-    const auto end = aBytes.find('\n');
-    if (end == std::string_view::npos) {
-      break;
+  mSplitter.Add(aBytes);
+  while (mSocket.is_open() && !mClosesWhenSent) {
+    const auto next = mSplitter.Next();
+    if (!next) {
+      return;
     }
-    auto text = aBytes.substr(0, end);
-    if (!text.empty() && text.back() == '\r') {
-      text.remove_suffix(1);
+    if (next->isTooLong) {
+      End();
+    } else {
+      line(next->text);
     }
-    line(text);
-    aBytes.remove_prefix(end + 1);
-  }
-  if (aBytes.size() >= kMaxLineBytes) {
-    End();
-    return;
   }
-  mPartialLine.assign(aBytes);
+  mSplitter.Clear();
 }
 
 void
@@ -206,7 +184,7 @@
     WaitToWrite();
     return;
   }
-  Clear(mOut);
+  internal::EmptyBuffer(mOut);
   if (mClosesWhenSent) {
     Close();
   }
--- a/src/currantshed/node/line_stream.hpp
+++ b/src/currantshed/node/line_stream.hpp
@@ -9,11 +9,9 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-namespace currantshed::node {
+#include "currantshed/node/line_splitter.hpp"
 
-/// Maximum length of a line, including its end: the protocol's limit for a
-/// message, in bytes.
-constexpr std::size_t kMaxLineBytes = std::size_t{ 1 } << 20U;
+namespace currantshed::node {
 
 /// A TCP connection that carries lines. Waits for readability and then reads
 /// into a buffer shared by all streams of a thread, so that idle streams need
@@ -29,7 +27,9 @@
     std::function<void()> ended;
   };
 
-  explicit line_stream(boost::asio::ip::tcp::socket aSocket);
+  /// A peer that sends a line with more than aMaxBytes bytes is disconnected.
+  explicit line_stream(boost::asio::ip::tcp::socket aSocket,
+                       std::size_t aMaxBytes = kMaxMessageBytes);
 
   /// Begins to read and to pass lines to the listener.
   void Start(listener aListener);
@@ -45,7 +45,7 @@
   /// Number of buffered bytes.
   [[nodiscard]] std::size_t Unsent() const noexcept { return mOut.size(); }
 
-  /// Whether there is unread input, or part of a line.
+  /// Whether there is input that no line passed on so far includes.
   [[nodiscard]] bool HasUnread() const;
 
   /// Closes immediately.
@@ -66,8 +66,7 @@
 
   boost::asio::ip::tcp::socket mSocket;
   listener mListener;
-  // The beginning of an incomplete line.
-  std::string mPartialLine;
+  line_splitter mSplitter;
   std::string mOut;
   bool mIsWriting = false;
   bool mClosesWhenSent = false;
--- a/src/currantshed/node/server_connector.cpp
+++ b/src/currantshed/node/server_connector.cpp
@@ -34,7 +34,9 @@
     , mHost(aVia.IsDirect() ? mServer.address : aVia.address)
     , mPort(aVia.IsDirect() ? mServer.port : aVia.port)
     , mListener(&aListener)
-    , mStream(std::make_shared<line_stream>(tcp::socket(aContext)))
+    , mStream(std::make_shared<line_stream>(tcp::socket(aContext),
+                                            mIsDirect ? kMaxMessageBytes
+                                                      : kMaxRelayedBytes))
   {
   }
 
--- a/test/platform/statement_line.cpp
+++ b/test/platform/statement_line.cpp
@@ -1,10 +1,15 @@
 #include "platform/statement_line.hpp"
 
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
+#include <vector>
+
+#include "currantshed/node/line_splitter.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -338,3 +343,153 @@
     CHECK_TEXT(read->asked.writes == command.writes, line.c_str());
   }
 }
+
+namespace {
+
+// The lines in the bytes, which must end with the last one.
+std::vector<std::string>
+LinesOf(const std::string& aBytes)
+{
+  node::line_splitter splitter;
+  std::vector<std::string> lines;
+  splitter.Add(aBytes);
+  while (const auto line = splitter.Next()) {
+    lines.emplace_back(line->text);
+  }
+  CHECK_FALSE(splitter.HasRest());
+  return lines;
+}
+
+/// Writes a text into a message of the protocol, and reads it from its lines.
+struct direction_row
+{
+  const char* name;
+  std::function<void(const std::string&, std::string&)> write;
+  std::function<std::string(const std::vector<std::string>&)> read;
+};
+
+proxy::command
+Statement(const std::string& aText)
+{
+  proxy::command made;
+  made.id = "7";
+  made.text = "WRITE x " + aText;
+  return made;
+}
+
+proxy::answer
+Row(const std::string& aText)
+{
+  proxy::answer made;
+  made.rows = { aText };
+  made.signature = "7.1f";
+  return made;
+}
+
+proxy::answer
+Failure(failure_code aCode, const std::string& aText)
+{
+  proxy::answer made;
+  made.failed = proxy::failure{ aCode, aText };
+  return made;
+}
+
+std::string
+RowIn(const std::vector<std::string>& aLines)
+{
+  LONGS_EQUAL(3, aLines.size());
+  return std::get<node::server_row>(*kCodec.ReadServer(aLines.front())).content;
+}
+
+std::string
+ErrorIn(const std::vector<std::string>& aLines)
+{
+  LONGS_EQUAL(2, aLines.size());
+  return std::get<node::server_error>(*kCodec.ReadServer(aLines.front()))
+    .why.text;
+}
+
+std::string
+StatementIn(const std::string& aText)
+{
+  return aText.substr(std::string("WRITE x ").size());
+}
+
+const direction_row kDirections[] = {
+  { "a statement to a server",
+    [](const std::string& aText, std::string& aOut) {
+      kCodec.WriteCommand(Statement(aText), aOut);
+    },
+    [](const std::vector<std::string>& aLines) {
+      LONGS_EQUAL(1, aLines.size());
+      return StatementIn(kCodec.ReadCaller(aLines.front())->asked.text);
+    } },
+  { "a relayed statement",
+    [](const std::string& aText, std::string& aOut) {
+      auto command = Statement(aText);
+      command.customer = "baker";
+      command.floor = position::log_position{ 1, 2 };
+      command.attributes = proxy::request_attributes{};
+      kCodec.WriteRelayed(command, aOut);
+    },
+    [](const std::vector<std::string>& aLines) {
+      LONGS_EQUAL(1, aLines.size());
+      return StatementIn(kCodec.ReadRelayed(aLines.front())->asked.text);
+    } },
+  { "a row",
+    [](const std::string& aText, std::string& aOut) {
+      kCodec.WriteAnswer(Row(aText), aOut);
+    },
+    RowIn },
+  { "a relayed row",
+    [](const std::string& aText, std::string& aOut) {
+      kCodec.WriteRelayedAnswer(Row(aText), aOut);
+    },
+    RowIn },
+  { "an error text",
+    [](const std::string& aText, std::string& aOut) {
+      kCodec.WriteAnswer(Failure(failure_code::kFailed, aText), aOut);
+    },
+    ErrorIn },
+  { "an error text under an unknown code",
+    [](const std::string& aText, std::string& aOut) {
+      kCodec.WriteAnswer(Failure(failure_code::kOther, "ODD " + aText), aOut);
+    },
+    [](const std::vector<std::string>& aLines) {
+      return ErrorIn(aLines).substr(std::string("ODD ").size());
+    } },
+  { "a relayed error text",
+    [](const std::string& aText, std::string& aOut) {
+      kCodec.WriteRelayedAnswer(Failure(failure_code::kFailed, aText), aOut);
+    },
+    ErrorIn },
+};
+
+constexpr const char* kTexts[] = {
+  "a",
+  "a\nb",
+  "\n",
+  "\n\na",
+  "a\n",
+  "a\r",
+  "\ra\r\r",
+  "a\n\rb",
+  " a  b ",
+  "a\nQUERY 8 WRITE y z",
+  "a\nREADY I 9.9",
+};
+
+} // namespace
+
+// A text with a line feed was cut, and its rest taken for another message.
+TEST(statement_line, texts_of_several_lines_are_one_message_in_all_directions)
+{
+  for (const auto& direction : kDirections) {
+    for (const auto* text : kTexts) {
+      std::string bytes;
+      direction.write(text, bytes);
+      STRCMP_EQUAL_TEXT(
+        text, direction.read(LinesOf(bytes)).c_str(), direction.name);
+    }
+  }
+}
--- a/test/process/support/node.sh
+++ b/test/process/support/node.sh
@@ -11,6 +11,9 @@
 # If set before node_start, a proxy is put before each server and on each VM's
 # path to the store.
 proxied=
+# If set before node_start, the first port of the servers that the store lists
+# in place of the stand-in's.
+listed_servers=
 readonly GROUPS_OF_SERVERS=2
 
 finish() {
@@ -147,6 +150,7 @@
   "$build/currantshed-standin-fleet" --port "$store_port" \
     --servers-port "$((base + 90))" --groups "$GROUPS_OF_SERVERS" \
     ${proxied:+--listed-port "$(path_to_server 0)"} \
+    ${listed_servers:+--listed-port "$listed_servers"} \
     >"$scratch/fleet.log" 2>&1 &
   fleet_pid=$!
   [ -z "$proxied" ] || proxies_start "$2"
