A message over the limit, and one that is no statement, are answered in turn

What callers saw: a session that sent a message over 1 MiB was closed without an answer, together with whatever it had open. A line that is no statement was rejected at once, also while the answer to an earlier statement was awaited, so that a caller that sends ahead took MALFORMED for the answer to that statement.

Cause: line_stream ended the connection at its limit; caller_server delivered rejections by itself, past the engine's queue of the session's statements.

Change: the stream reports a line over the limit once and drops the rest of it. Both cases reach the engine as a statement of the kind kInvalid, which is answered with MALFORMED in its turn and leaves the session as it is. The answer is true: nothing of the message has been run. Between VMs too, answers now come in the order of the commands.

Ruled out: closing after an error answer, since unread input makes the system reset the connection, which can take the answer with it.

--- a/src/currantshed/node/caller_server.cpp
+++ b/src/currantshed/node/caller_server.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <optional>
+#include <string>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -31,6 +32,15 @@
 // A connection with more unsent bytes than this is closed.
 constexpr std::size_t kMaxUnsentBytes = std::size_t{ 4 } << 20U;
 
+proxy::session_statement
+InvalidStatement(std::string aWhy)
+{
+  proxy::session_statement made;
+  made.kind = proxy::statement_kind::kInvalid;
+  made.text = std::move(aWhy);
+  return made;
+}
+
 } // namespace
 
 /// The connection of one caller, or of another VM that relays statements.
@@ -53,7 +63,8 @@
     mStream->Start({ [self = shared_from_this()](std::string_view aLine) {
                       self->OnLine(aLine);
                     },
-                     [self = shared_from_this()] { self->End(); } });
+                     [self = shared_from_this()] { self->End(); },
+                     [self = shared_from_this()] { self->OnTooLongLine(); } });
   }
 
   void Deliver(const proxy::answer& aAnswer) override
@@ -99,12 +110,22 @@
       return;
     }
     if (!message->isKnown) {
-      Reject(proxy::failure_code::kMalformed, "no such statement");
+      Submit(InvalidStatement("no such statement"));
       return;
     }
     mReadsLoad = mReadsLoad || message->asked.attributes.has_value();
-    mServer.mEngine.Submit(*mSession, std::move(message->asked), clock::Now());
-    mServer.mOnEngineEvent();
+    Submit(std::move(message->asked));
+  }
+
+  void OnTooLongLine()
+  {
+    const auto why =
+      "a message has at most " + std::to_string(kMaxMessageBytes) + " bytes";
+    if (!mSession) {
+      Refuse(proxy::failure_code::kMalformed, why);
+      return;
+    }
+    Submit(InvalidStatement(why));
   }
 
   [[nodiscard]] bool IsRelay() const
@@ -197,14 +218,10 @@
     mStream->Send(out);
   }
 
-  // Answers a line that is not a valid statement with an error. The session
-  // stays open.
-  void Reject(proxy::failure_code aCode, std::string aText)
+  void Submit(proxy::session_statement aStatement)
   {
-    proxy::answer refused;
-    refused.failed = proxy::failure{ aCode, std::move(aText) };
-    refused.state = mServer.mEngine.StateOf(*mSession);
-    Deliver(refused);
+    mServer.mEngine.Submit(*mSession, std::move(aStatement), clock::Now());
+    mServer.mOnEngineEvent();
   }
 
   void Refuse(proxy::failure_code aCode, std::string aText)
--- a/src/currantshed/node/line_stream.cpp
+++ b/src/currantshed/node/line_stream.cpp
@@ -138,16 +138,19 @@
 {
   // The listener may close the stream, which destroys the listener.
   const auto line = mListener.line;
+  const auto tooLong = mListener.tooLong;
   mSplitter.Add(aBytes);
   while (mSocket.is_open() && !mClosesWhenSent) {
     const auto next = mSplitter.Next();
     if (!next) {
       return;
     }
-    if (next->isTooLong) {
-      End();
-    } else {
+    if (!next->isTooLong) {
       line(next->text);
+    } else if (tooLong) {
+      tooLong();
+    } else {
+      End();
     }
   }
   mSplitter.Clear();
--- a/src/currantshed/node/line_stream.hpp
+++ b/src/currantshed/node/line_stream.hpp
@@ -25,9 +25,12 @@
     /// Called when the peer closes the connection or an error occurs, but not
     /// after Close.
     std::function<void()> ended;
+    /// Called once for a line over the limit, in place of `line`. Without it
+    /// the connection ends at such a line.
+    std::function<void()> tooLong = {};
   };
 
-  /// A peer that sends a line with more than aMaxBytes bytes is disconnected.
+  /// Lines have at most aMaxBytes bytes without their end.
   explicit line_stream(boost::asio::ip::tcp::socket aSocket,
                        std::size_t aMaxBytes = kMaxMessageBytes);
 
--- a/src/currantshed/proxy/session.cpp
+++ b/src/currantshed/proxy/session.cpp
@@ -19,6 +19,8 @@
 {
   const bool failed = transaction && transaction->failed;
   switch (aStatement.kind) {
+    case statement_kind::kInvalid:
+      return Refuse(failure_code::kMalformed, aStatement.text);
     case statement_kind::kCommit:
       if (failed) {
         transaction.reset();
--- a/src/currantshed/proxy/statement.hpp
+++ b/src/currantshed/proxy/statement.hpp
@@ -29,6 +29,9 @@
   kReset,
   /// Queries the server's state in its group; sent between VMs only.
   kReport,
+  /// Not a valid statement. It is answered in its turn, so that the answer is
+  /// not taken for that of a statement before it.
+  kInvalid,
 };
 
 /// What a VM tells a relay about a request, so that the relay can queue it by
@@ -78,7 +81,8 @@
   /// Request id chosen by the caller; passed on unchanged.
   std::string id;
   statement_kind kind = statement_kind::kRead;
-  /// The full text; passed on unchanged when a server runs it.
+  /// The full text; passed on unchanged when a server runs it. For kInvalid:
+  /// why it is rejected.
   std::string text;
   /// Name of the session value or prepared statement.
   std::string name;
--- a/test/currantshed/node/line_stream.cpp
+++ b/test/currantshed/node/line_stream.cpp
@@ -46,7 +46,8 @@
     mStream = std::make_shared<node::line_stream>(acceptor.accept());
     mStream->Start(
       { [this](std::string_view aLine) { lines.emplace_back(aLine); },
-        [this] { hasEnded = true; } });
+        [this] { hasEnded = true; },
+        [this] { ++tooLong; } });
   }
   wire(const wire&) = delete;
   wire& operator=(const wire&) = delete;
@@ -77,6 +78,7 @@
 
   std::vector<std::string> lines;
   bool hasEnded = false;
+  int tooLong = 0;
 
 private:
   boost::asio::io_context mContext;
@@ -189,3 +191,20 @@
   made.AwaitLines(2);
   CHECK(made.lines == std::vector<std::string>({ text, "next" }));
 }
+
+// A message over the limit ended the session without a word.
+TEST(line_stream, a_line_over_the_limit_is_reported_and_the_next_one_read)
+{
+  const auto bytes =
+    std::string(node::kMaxMessageBytes + 1, 'x') + "\r\nnext\r\n";
+  wire made;
+  for (std::string_view rest = bytes; !rest.empty();) {
+    const auto size = std::min<std::size_t>(16384, rest.size());
+    made.Send(rest.substr(0, size));
+    rest.remove_prefix(size);
+  }
+  made.AwaitLines(1);
+  CHECK(made.lines == std::vector<std::string>{ "next" });
+  LONGS_EQUAL(1, made.tooLong);
+  CHECK_FALSE(made.hasEnded);
+}
--- a/test/wire/plain_caller.cpp
+++ b/test/wire/plain_caller.cpp
@@ -108,11 +108,18 @@
 
 plain_caller::outcome
 plain_caller::Ask(const std::string& aId, const std::string& aText)
+{
+  // Whether the session has ended shows in the answer.
+  (void)mConnection->SendLine("QUERY " + aId + " " + aText);
+  return ReadAnswer();
+}
+
+plain_caller::outcome
+plain_caller::ReadAnswer()
 {
   outcome made;
   std::string line;
-  bool isOpen = mConnection->SendLine("QUERY " + aId + " " + aText);
-  while (isOpen && (isOpen = mConnection->ReadLine(line))) {
+  while (mConnection->ReadLine(line)) {
     std::string_view rest = line;
     const auto word = TakeWord(rest);
     if (word == "READY") {
@@ -241,6 +248,37 @@
   }
 }
 
+// A message over the limit is rejected, and the session goes on.
+void
+plain_caller::CheckTooLong()
+{
+  const auto id = NextId();
+  mLog.sent[id] = "none";
+  const auto answer = Ask(id, "WRITE item " + std::string(kMaxMessage, 'x'));
+  if (!answer.error.starts_with("MALFORMED ")) {
+    Wrong("a message over the limit: " + answer.error, "");
+  }
+  CheckRead("x after it");
+}
+
+// Answers come in the order of the messages, also to those that are invalid.
+void
+plain_caller::CheckOrder()
+{
+  const auto first = NextId();
+  const auto second = NextId();
+  mLog.sent[first] = "READ x";
+  mLog.sent[second] = "none";
+  (void)mConnection->SendLine("QUERY " + first + " READ x");
+  (void)mConnection->SendLine("QUERY " + second + " NONSENSE");
+  const auto read = ReadAnswer();
+  const auto rejected = ReadAnswer();
+  if (!(read.mayRetry || read.signature == "signed-" + first) ||
+      !rejected.error.starts_with("MALFORMED ")) {
+    Wrong("answers out of order: " + read.error + ", " + rejected.error, "");
+  }
+}
+
 void
 plain_caller::Run(unsigned aRandomTexts)
 {
@@ -256,6 +294,8 @@
   }
   CheckText(ManyLines());
   CheckLongest();
+  CheckTooLong();
+  CheckOrder();
   CheckFailingRead(" a\nb\r");
 }
 
--- a/test/wire/plain_caller.hpp
+++ b/test/wire/plain_caller.hpp
@@ -57,6 +57,8 @@
   [[nodiscard]] bool Open();
   /// Sends a statement that is recorded as aRecorded, and reads the answer.
   [[nodiscard]] outcome Ask(const std::string& aId, const std::string& aText);
+  /// Reads an answer. Opens a new session if this one has ended.
+  [[nodiscard]] outcome ReadAnswer();
   /// The same with a new id after each answer that allows it. Checks the answer
   /// and returns whether the statement is done.
   bool Do(const std::string& aText, const std::string& aRecorded);
@@ -65,6 +67,8 @@
   void CheckTransaction(const std::string& aText);
   void CheckText(const std::string& aText);
   void CheckLongest();
+  void CheckTooLong();
+  void CheckOrder();
   void Wrong(const std::string& aWhat, const std::string& aText);
 
   std::uint16_t mPort;
