A statement without arguments is sent on without a blank at its end

What callers saw: EXECUTE with a name and nothing after it reached the server with a blank behind the name, under the caller's id: a text that nobody had sent. SET and PREPARE without a value or a shape were replayed so as well, as the empty value. An error without a text got a blank, too, and one of an unknown code without a text.

Cause: the codec kept what follows a name as a string, in which a missing argument and an empty one are the same, and wrote the separator always. Found while the cause of the cut texts was sought on related paths: other places where a text is taken apart and put together again.

Change: an argument, a session value and a shape are optional; the separator belongs to the argument. Statements of other kinds are sent verbatim already.

The rows of reads_callers say none where they said "": the two were not told apart, which is the fault; the check is stricter.

--- a/src/currantshed/proxy/session.cpp
+++ b/src/currantshed/proxy/session.cpp
@@ -112,8 +112,10 @@
 prepared_statement
 MakePrepared(const session_statement& aPrepare)
 {
-  const auto content =
-    absl::StrCat(aPrepare.writes ? "w " : "r ", aPrepare.argument);
+  auto content = std::string(aPrepare.writes ? "w" : "r");
+  if (aPrepare.argument) {
+    absl::StrAppend(&content, " ", *aPrepare.argument);
+  }
   const auto hash = XXH3_64bits(content.data(), content.size());
   prepared_statement made;
   made.sharedName = absl::StrCat("c", absl::Hex(hash, absl::kZeroPad16));
--- a/src/currantshed/proxy/session.hpp
+++ b/src/currantshed/proxy/session.hpp
@@ -31,8 +31,8 @@
   [[nodiscard]] virtual bool HasUnread() const { return false; }
 };
 
-/// Session values, by name.
-using session_values = absl::btree_map<std::string, std::string>;
+/// Session values, by name; none where the session gave no value.
+using session_values = absl::btree_map<std::string, std::optional<std::string>>;
 
 /// A statement that a session has prepared.
 struct prepared_statement
@@ -40,7 +40,8 @@
   /// Name on server connections, derived from the statement, so that sessions
   /// with the same statement share it.
   std::string sharedName;
-  std::string shape;
+  /// The text to prepare; none if the session gave none.
+  std::optional<std::string> shape;
   bool writes = false;
 };
 
--- a/src/currantshed/proxy/statement.hpp
+++ b/src/currantshed/proxy/statement.hpp
@@ -86,8 +86,10 @@
   std::string text;
   /// Name of the session value or prepared statement.
   std::string name;
-  /// The session value, the text to prepare, or the arguments to execute with.
-  std::string argument;
+  /// The session value, the text to prepare, or the arguments to execute with;
+  /// none if nothing follows the name, which is not the same text as an empty
+  /// argument.
+  std::optional<std::string> argument;
   /// For kPrepare: whether the prepared statement writes.
   bool writes = false;
   /// Minimum log position of the server; sent between VMs only.
@@ -218,8 +220,9 @@
   std::string text;
   /// For kSet, kPrepare and kExecute.
   std::string name;
-  /// The value, the text to prepare, or the arguments.
-  std::string argument;
+  /// The value, the text to prepare, or the arguments; none if the caller gave
+  /// none.
+  std::optional<std::string> argument;
   /// For kPrepare.
   bool writes = false;
   /// For kFence and kDemote.
--- a/test/currantshed/proxy/random_sessions.cpp
+++ b/test/currantshed/proxy/random_sessions.cpp
@@ -293,7 +293,7 @@
         mValues[mStatement.name] = mStatement.argument;
         return;
       case statement_kind::kPrepare:
-        mShapes[mStatement.name] = mStatement.argument;
+        mShapes[mStatement.name] = mStatement.argument.value_or("");
         return;
       default:
         break;
--- a/test/currantshed/proxy/simulated_cluster.cpp
+++ b/test/currantshed/proxy/simulated_cluster.cpp
@@ -152,7 +152,8 @@
         mValues[aCommand.name] = aCommand.argument;
         return;
       case command_kind::kPrepare:
-        mPrepared[aCommand.name] = { aCommand.argument, aCommand.writes };
+        mPrepared[aCommand.name] = { aCommand.argument.value_or(""),
+                                     aCommand.writes };
         return;
       case command_kind::kBegin:
       case command_kind::kBeginReadOnly:
--- a/test/platform/statement_line.cpp
+++ b/test/platform/statement_line.cpp
@@ -29,7 +29,8 @@
   statement_kind kind = statement_kind::kRead;
   const char* id = "";
   const char* name = "";
-  const char* argument = "";
+  /// None if nothing follows the name.
+  std::optional<std::string> argument = std::nullopt;
 };
 
 const caller_row kCallerRows[] = {
@@ -481,6 +482,72 @@
 
 } // namespace
 
+namespace {
+
+struct argument_row
+{
+  const char* name;
+  const char* text;
+};
+
+constexpr argument_row kArgumentRows[] = {
+  { "a value", "SET n v" },
+  { "an empty value", "SET n " },
+  { "no value", "SET n" },
+  { "a shape", "PREPARE n READ q" },
+  { "an empty shape", "PREPARE n READ " },
+  { "no shape", "PREPARE n WRITE" },
+  { "arguments", "EXECUTE n 1 2" },
+  { "empty arguments", "EXECUTE n " },
+  { "no arguments", "EXECUTE n" },
+};
+
+constexpr argument_row kErrorRows[] = {
+  { "a text", "ERROR FAILED why" },
+  { "no text", "ERROR FAILED" },
+  { "an unknown code", "ERROR ODD why" },
+  { "an unknown code without a text", "ERROR ODD" },
+};
+
+} // namespace
+
+// A statement without arguments was sent to the server with a blank at its end.
+TEST(statement_line, a_missing_argument_is_not_an_empty_one)
+{
+  for (const auto& row : kArgumentRows) {
+    const auto read = kCodec.ReadCaller(std::string("QUERY 7 ") + row.text);
+    CHECK_TEXT(read && read->isKnown, row.name);
+    proxy::command command;
+    command.id = "7";
+    command.kind = read->asked.kind == statement_kind::kSet ? command_kind::kSet
+                   : read->asked.kind == statement_kind::kPrepare
+                     ? command_kind::kPrepare
+                     : command_kind::kExecute;
+    command.name = read->asked.name;
+    command.argument = read->asked.argument;
+    command.writes = read->asked.writes;
+    std::string out;
+    kCodec.WriteCommand(command, out);
+    STRCMP_EQUAL_TEXT((std::string("QUERY 7 ") + row.text + "\r\n").c_str(),
+                      out.c_str(),
+                      row.name);
+  }
+}
+
+TEST(statement_line, errors_of_servers_are_passed_on_as_they_came)
+{
+  for (const auto& row : kErrorRows) {
+    const auto read = kCodec.ReadServer(row.text);
+    proxy::answer made;
+    made.failed = std::get<node::server_error>(*read).why;
+    std::string out;
+    kCodec.WriteAnswer(made, out);
+    STRCMP_EQUAL_TEXT((std::string(row.text) + "\r\nREADY I -\r\n").c_str(),
+                      out.c_str(),
+                      row.name);
+  }
+}
+
 // A text with a line feed was cut, and its rest taken for another message.
 TEST(statement_line, texts_of_several_lines_are_one_message_in_all_directions)
 {
--- a/test/wire/plain_caller.cpp
+++ b/test/wire/plain_caller.cpp
@@ -279,6 +279,20 @@
   }
 }
 
+// A missing argument is not the same text as an empty one.
+void
+plain_caller::CheckWithoutArguments()
+{
+  for (const std::string empty : { "", " " }) {
+    mLog.settings.insert("SET bare" + empty);
+    Do("SET bare" + empty, "");
+    mLog.settings.insert("PREPARE READ" + empty);
+    Do("PREPARE bare READ" + empty, "");
+    Do("EXECUTE bare", "EXECUTE");
+    Do("EXECUTE bare ", "EXECUTE ");
+  }
+}
+
 void
 plain_caller::Run(unsigned aRandomTexts)
 {
@@ -296,6 +310,7 @@
   CheckLongest();
   CheckTooLong();
   CheckOrder();
+  CheckWithoutArguments();
   CheckFailingRead(" a\nb\r");
 }
 
--- a/test/wire/plain_caller.hpp
+++ b/test/wire/plain_caller.hpp
@@ -69,6 +69,7 @@
   void CheckLongest();
   void CheckTooLong();
   void CheckOrder();
+  void CheckWithoutArguments();
   void Wrong(const std::string& aWhat, const std::string& aText);
 
   std::uint16_t mPort;
