A long text in a log line does not run into the next line

What operators saw: a session refused for an unknown database with a long name left a line without its end, and the next event's line was appended to it: two events lost for whatever reads one JSON object a line.

Cause: the writer cut a line at PIPE_BUF, and with it the line end. Found while the cause of the cut texts was sought on related paths. Line feeds within a text are escaped and forge no line (test "line breaks are escaped", as before).

Change: a text of a field is cut at 512 bytes before it is encoded. A line that would still not be written at once has the number of its fields in their place, so that each line is whole and valid JSON.

The unit test ("a long text does not run into the next line") is on a changed signature, so that it was not run on the old code.

--- a/src/currantshed/log/log.cpp
+++ b/src/currantshed/log/log.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <climits>
 #include <cmath>
 #include <cstdio>
 #include <memory>
@@ -30,8 +29,8 @@
 // CPU time from requests on a small VM.
 constexpr double kLinesPerSecond = 100;
 constexpr double kLineBurst = 400;
-// A pipe reported as writable accepts this many bytes without blocking.
-constexpr std::size_t kMaxLineBytes = PIPE_BUF;
+// A longer text of a field is cut. Texts of callers may have up to 1 MiB.
+constexpr std::size_t kMaxTextBytes = 512;
 
 bool
 CanWrite(int aDescriptor)
@@ -74,9 +73,8 @@
 private:
   static void Put(const std::string& aLine)
   {
-    const auto size = std::min(aLine.size(), kMaxLineBytes);
     // A write to a closed pipe cannot be reported anywhere.
-    (void)!write(STDOUT_FILENO, aLine.data(), size);
+    (void)!write(STDOUT_FILENO, aLine.data(), aLine.size());
   }
 
   void ReportDropped()
@@ -144,7 +142,8 @@
 {
   boost::json::value operator()(const std::string& aText) const
   {
-    return boost::json::string(ToValidUtf8(aText));
+    return boost::json::string(
+      ToValidUtf8(std::string_view(aText).substr(0, kMaxTextBytes)));
   }
   boost::json::value operator()(std::int64_t aNumber) const { return aNumber; }
   boost::json::value operator()(double aNumber) const
@@ -158,6 +157,22 @@
   boost::json::value operator()(unknown /*aUnknown*/) const { return nullptr; }
 };
 
+boost::json::object
+FixedFields(clock::wall_time aNow,
+            const identity& aIdentity,
+            level aLevel,
+            std::string_view aEvent)
+{
+  boost::json::object line;
+  line["time"] = clock::PrintTimeMs(aNow);
+  line["level"] = ToString(aLevel);
+  line["event"] = ToValidUtf8(aEvent);
+  line["program"] = ToValidUtf8(aIdentity.program);
+  line["vm"] = ToValidUtf8(aIdentity.vm);
+  line["failure_domain"] = ToValidUtf8(aIdentity.failureDomain);
+  return line;
+}
+
 } // namespace
 
 void
@@ -180,20 +195,20 @@
            const identity& aIdentity,
            level aLevel,
            std::string_view aEvent,
-           std::initializer_list<field> aFields)
+           absl::Span<const field> aFields)
 {
-  boost::json::object line;
-  line["time"] = clock::PrintTimeMs(aNow);
-  line["level"] = ToString(aLevel);
-  line["event"] = ToValidUtf8(aEvent);
-  line["program"] = ToValidUtf8(aIdentity.program);
-  line["vm"] = ToValidUtf8(aIdentity.vm);
-  line["failure_domain"] = ToValidUtf8(aIdentity.failureDomain);
+  auto line = FixedFields(aNow, aIdentity, aLevel, aEvent);
   for (const auto& one : aFields) {
     if (!std::holds_alternative<unknown>(one.content)) {
       line.emplace(ToValidUtf8(one.name), std::visit(to_json{}, one.content));
     }
   }
+  auto text = boost::json::serialize(line);
+  if (text.size() < kMaxLineBytes) {
+    return text;
+  }
+  line = FixedFields(aNow, aIdentity, aLevel, aEvent);
+  line["fields_left_out"] = aFields.size();
   return boost::json::serialize(line);
 }
 
@@ -205,8 +220,11 @@
   if (!IsLevelEnabled(aLevel)) {
     return;
   }
-  const std::string line = FormatLine(
-    std::chrono::system_clock::now(), GetState().self, aLevel, aEvent, aFields);
+  const std::string line = FormatLine(std::chrono::system_clock::now(),
+                                      GetState().self,
+                                      aLevel,
+                                      aEvent,
+                                      { aFields.begin(), aFields.size() });
   switch (aLevel) {
     case level::kDebug:
     case level::kInfo:
--- a/src/currantshed/log/log.hpp
+++ b/src/currantshed/log/log.hpp
@@ -1,12 +1,16 @@
 #ifndef CURRANTSHED_LOG_LOG_HPP
 #define CURRANTSHED_LOG_LOG_HPP
 
+#include <climits>
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
 #include <variant>
 
+#include <absl/types/span.h>
+
 #include "currantshed/clock/time.hpp"
 #include "currantshed/log/fwd.hpp"
 
@@ -64,15 +68,20 @@
       std::string_view aEvent,
       std::initializer_list<field> aFields = {});
 
+/// A line has fewer bytes than this, so that it is written at once and whole: a
+/// pipe that is reported as writable accepts this many without blocking.
+constexpr std::size_t kMaxLineBytes = PIPE_BUF;
+
 /// Formats one line without a line terminator. The result is always valid JSON:
 /// bytes that are not UTF-8 become the replacement character, and a non-finite
-/// number becomes null.
+/// number becomes null. Long texts are cut; if the line is still too long, the
+/// given fields are replaced by their number.
 [[nodiscard]] std::string
 FormatLine(clock::wall_time aNow,
            const identity& aIdentity,
            level aLevel,
            std::string_view aEvent,
-           std::initializer_list<field> aFields);
+           absl::Span<const field> aFields);
 
 } // namespace currantshed::log
 
--- a/test/currantshed/log/log.cpp
+++ b/test/currantshed/log/log.cpp
@@ -1,5 +1,8 @@
 #include "currantshed/log/log.hpp"
 
+#include <string>
+#include <vector>
+
 #include <boost/json.hpp>
 
 #include <CppUTest/TestHarness.h>
@@ -67,6 +70,46 @@
   }
 }
 
+namespace {
+
+struct long_text_row
+{
+  const char* name;
+  std::vector<std::string> texts;
+};
+
+const long_text_row kLongTextRows[] = {
+  { "one long text", { std::string(1U << 20U, 'x') } },
+  { "many texts", std::vector<std::string>(20, std::string(1000, 'x')) },
+  { "a text that is escaped", { std::string(5000, '\x01') } },
+  { "many that are escaped",
+    std::vector<std::string>(10, std::string(5000, '\x01')) },
+};
+
+} // namespace
+
+// A line that was longer than a pipe takes at once lost its end, and the next
+// one was appended to it.
+TEST(log, a_long_text_does_not_run_into_the_next_line)
+{
+  for (const auto& row : kLongTextRows) {
+    std::vector<log::field> fields;
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < row.texts.size(); ++i) {
+      names.push_back("text" + std::to_string(i));
+    }
+    for (std::size_t i = 0; i < row.texts.size(); ++i) {
+      fields.push_back({ names[i], row.texts[i] });
+    }
+    const clock::wall_time now{ std::chrono::milliseconds(1700000000123) };
+    const auto line =
+      log::FormatLine(now, kSelf, log::level::kWarning, "e", fields);
+    CHECK_TEXT(line.size() < log::kMaxLineBytes, row.name);
+    const auto parsed = boost::json::parse(line).as_object();
+    CHECK_TEXT(parsed.at("event").as_string() == "e", row.name);
+  }
+}
+
 TEST(log, a_field_does_not_replace_a_fixed_one)
 {
   const auto parsed =
