Changes that the store cannot return are not asked for again: the keys are read

Cause: a watch returns every version since the last one seen. After its first change a view pauses for up to 1.5 s, so that the next answer held 24 versions, 14 MB, more than the client reads. The client reported the limit as a call that was not answered in time, and the view asked for the same changes again, until the store dropped its history (410) and the view read the key.

Evidence: in the log of a VM, `store_lost` for the configuration 1.7 s after the first version, with "didn't answer in time" although the store answered within milliseconds, and `store_regained` 18.8 s later with source=read. Ruled out: an outage (own keys and servers were answered throughout) and a hung watch (all VMs stopped alike, at their first watch after a pause).

Why not a larger limit: the answer grows with the versions that come within a pause; at 10 Mbit/s it does not arrive within the bound of 5 s either.

Change: - A response that is too large, or breaks off, is told apart from one that does not come (http::call_failure, errc::kIncomplete). - A failure that the same call would meet again (too large, incomplete, malformed, rejected, no history) makes the view read its keys, after a watch and after a check. The read is due at once; it used to wait for the next tick of the VM, up to 2 s in a large fleet, also where the history was gone. - Where only the newest version matters, a watch asks for at most a quarter more than one version, or 256 KiB. A larger answer is rejected by its length before it is transferred. What comes over the link is in proportion to one version, however many were written. A read in place of such changes is followed by the same pause as a change. - A check, which shares its connection with the renewals of leases, asks for at most what the link transfers in 200 ms.

--- a/src/currantshed/http/channel.cpp
+++ b/src/currantshed/http/channel.cpp
@@ -17,8 +17,6 @@
 namespace beast = boost::beast;
 using tcp = boost::asio::ip::tcp;
 
-// Covers a value of 1 MiB in base64 and the surrounding JSON.
-constexpr std::uint64_t kBodyLimitBytes = 8ULL * 1024 * 1024;
 // A connection attempt that takes longer fails; the next request tries again.
 constexpr std::chrono::milliseconds kConnectTimeout{ 600 };
 
@@ -104,7 +102,7 @@
     boost::system::error_code error;
     const auto address = boost::asio::ip::make_address(mAddress, error);
     if (error) {
-      Fail(error, true);
+      Fail(error, call_failure::kNotSent);
       return;
     }
     mStream.expires_after(
@@ -116,7 +114,7 @@
           return;
         }
         if (aError) {
-          self->Fail(aError, true);
+          self->Fail(aError, call_failure::kNotSent);
           return;
         }
         self->mIsOpen = true;
@@ -161,7 +159,7 @@
                                  return;
                                }
                                if (aError) {
-                                 self->Fail(aError, false);
+                                 self->Fail(aError, call_failure::kNoResponse);
                                  return;
                                }
                                self->Read();
@@ -171,21 +169,39 @@
   void Read()
   {
     mParser.emplace();
-    mParser->body_limit(kBodyLimitBytes);
-    beast::http::async_read(mStream,
-                            mBuffer,
-                            *mParser,
-                            [self = shared_from_this()](
-                              boost::system::error_code aError, std::size_t) {
-                              if (self->mIsStopped) {
-                                return;
-                              }
-                              if (aError) {
-                                self->Fail(aError, false);
-                                return;
-                              }
-                              self->OnResponse();
-                            });
+    mParser->eager(true);
+    mParser->body_limit(mCalls.front().what.maxBodyBytes);
+    ReadMore();
+  }
+
+  void ReadMore()
+  {
+    beast::http::async_read_some(
+      mStream,
+      mBuffer,
+      *mParser,
+      [self = shared_from_this()](boost::system::error_code aError,
+                                  std::size_t) {
+        if (!self->mIsStopped) {
+          self->OnRead(aError);
+        }
+      });
+  }
+
+  void OnRead(boost::system::error_code aError)
+  {
+    if (aError) {
+      Fail(aError,
+           aError == beast::http::error::body_limit ? call_failure::kTooLarge
+           : mParser->got_some()                    ? call_failure::kIncomplete
+                                 : call_failure::kNoResponse);
+      return;
+    }
+    if (mParser->is_done()) {
+      OnResponse();
+      return;
+    }
+    ReadMore();
   }
 
   void OnResponse()
@@ -222,17 +238,18 @@
       call_result result;
       result.error =
         boost::system::error_code(boost::asio::error::operation_aborted);
-      result.notSent = true;
+      result.failure = call_failure::kNotSent;
       self->Finish(std::move(result));
     });
   }
 
-  void Fail(const boost::system::error_code& aError, bool aNotSent)
+  void Fail(const boost::system::error_code& aError, call_failure aFailure)
   {
     CloseStream();
+    mParser.reset();
     call_result result;
     result.error = aError;
-    result.notSent = aNotSent;
+    result.failure = aFailure;
     Finish(std::move(result));
   }
 
--- a/src/currantshed/http/channel.hpp
+++ b/src/currantshed/http/channel.hpp
@@ -23,6 +23,10 @@
   kDelete,
 };
 
+/// Upper limit of any response body, in bytes. Covers a value of 1 MiB in
+/// base64 and the surrounding JSON.
+constexpr std::uint64_t kMaxBodyBytes = 8ULL * 1024 * 1024;
+
 /// One HTTP request.
 struct call
 {
@@ -35,6 +39,8 @@
   std::string body;
   /// Timeout for the complete response.
   std::chrono::milliseconds timeout{ 1000 };
+  /// A response with a larger body fails, if possible before it is transferred.
+  std::uint64_t maxBodyBytes = kMaxBodyBytes;
   /// Name of the response header that the caller needs, if any.
   std::string responseHeader = {};
   /// How long the request may be in progress if it is written now; zero if it
@@ -45,14 +51,27 @@
   std::function<std::chrono::milliseconds()> timeLeft = {};
 };
 
+/// Why no complete response was received.
+enum class call_failure
+{
+  kNone,
+  /// The request was never sent.
+  kNotSent,
+  /// The request may have been executed; nothing of a response arrived.
+  kNoResponse,
+  /// The response broke off, or paused for too long.
+  kIncomplete,
+  kTooLarge,
+};
+
 /// The result of one request.
 struct call_result
 {
-  /// Set if no complete response was received. Whether the request was executed
-  /// is then unknown, unless notSent is set as well.
+  /// Unless it is kNone or kNotSent, whether the request was executed is
+  /// unknown.
+  call_failure failure = call_failure::kNone;
+  /// The error behind the failure.
   std::error_code error;
-  /// No connection could be established, so the request was never sent.
-  bool notSent = false;
   unsigned status = 0;
   std::string body;
   /// Value of the requested response header; empty if absent.
--- a/src/currantshed/http/fwd.hpp
+++ b/src/currantshed/http/fwd.hpp
@@ -3,6 +3,7 @@
 
 namespace currantshed::http {
 
+enum class call_failure;
 enum class method;
 struct call;
 struct fetch_result;
--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -373,7 +373,8 @@
            },
            [this, aWhat](store::call_reason aReason) {
              LogViewCall(aWhat, aReason);
-           } };
+           },
+           [this] { Schedule(); } };
 }
 
 void
--- a/src/currantshed/store/era_guard.cpp
+++ b/src/currantshed/store/era_guard.cpp
@@ -91,30 +91,25 @@
 }
 
 void
-era_guard::Watch(std::string aPrefix,
-                 revision aAfter,
+era_guard::Watch(changes_request aWhat,
                  std::chrono::milliseconds aMaxWait,
                  watch_callback aDone)
 {
-  if (IsStale(aAfter.era)) {
+  if (IsStale(aWhat.after.era)) {
     Reject(std::move(aDone));
     return;
   }
-  mStore.Watch(
-    std::move(aPrefix), aAfter, aMaxWait, WithEraCheck(std::move(aDone)));
+  mStore.Watch(std::move(aWhat), aMaxWait, WithEraCheck(std::move(aDone)));
 }
 
 void
-era_guard::ChangesSince(std::string aPrefix,
-                        revision aAfter,
-                        watch_callback aDone)
+era_guard::ChangesSince(changes_request aWhat, watch_callback aDone)
 {
-  if (IsStale(aAfter.era)) {
+  if (IsStale(aWhat.after.era)) {
     Reject(std::move(aDone));
     return;
   }
-  mStore.ChangesSince(
-    std::move(aPrefix), aAfter, WithEraCheck(std::move(aDone)));
+  mStore.ChangesSince(std::move(aWhat), WithEraCheck(std::move(aDone)));
 }
 
 key_value::watch_callback
--- a/src/currantshed/store/era_guard.hpp
+++ b/src/currantshed/store/era_guard.hpp
@@ -37,13 +37,10 @@
   void Range(std::string aPrefix, range_callback aDone) override;
 
   /// Fails with errc::kStaleEra if the revision is of an earlier era.
-  void Watch(std::string aPrefix,
-             revision aAfter,
+  void Watch(changes_request aWhat,
              std::chrono::milliseconds aMaxWait,
              watch_callback aDone) override;
-  void ChangesSince(std::string aPrefix,
-                    revision aAfter,
-                    watch_callback aDone) override;
+  void ChangesSince(changes_request aWhat, watch_callback aDone) override;
 
   void CancelWatch(const std::string& aPrefix) override;
 
--- a/src/currantshed/store/errors.cpp
+++ b/src/currantshed/store/errors.cpp
@@ -29,6 +29,8 @@
         return "the platform refused the call";
       case errc::kTooLarge:
         return "the platform's answer is too large";
+      case errc::kIncomplete:
+        return "the platform's answer broke off";
       case errc::kMalformed:
         return "the platform's answer is malformed";
       case errc::kLeaseNotFound:
--- a/src/currantshed/store/errors.hpp
+++ b/src/currantshed/store/errors.hpp
@@ -12,7 +12,7 @@
 {
   /// No connection could be made, or it broke.
   kUnreachable = 1,
-  /// No complete response arrived in time.
+  /// No response arrived in time.
   kTimeout,
   /// The platform responded that it cannot serve at the moment.
   kUnavailable,
@@ -22,6 +22,8 @@
   kRejected,
   /// The response exceeds the size limit.
   kTooLarge,
+  /// The response began, but its rest did not arrive.
+  kIncomplete,
   /// The response does not conform to the interface.
   kMalformed,
   /// The lease does not exist any more.
--- a/src/currantshed/store/key_value.hpp
+++ b/src/currantshed/store/key_value.hpp
@@ -3,8 +3,10 @@
 
 #include <chrono>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <string>
 #include <system_error>
@@ -76,6 +78,18 @@
   revision changed;
 };
 
+/// The changes that a call asks for.
+struct changes_request
+{
+  std::string prefix;
+  /// Those after this revision.
+  revision after;
+  /// Size limit of all their keys and values together, in bytes. If they exceed
+  /// it, the call fails with errc::kTooLarge before they are transferred. For a
+  /// caller to which a read of the keys is cheaper than many versions of them.
+  std::size_t maxBytes = std::numeric_limits<std::size_t>::max();
+};
+
 /// Applied as a whole or not at all.
 struct transaction
 {
@@ -132,19 +146,15 @@
   /// store's as of the start of the read.
   virtual void Range(std::string aPrefix, range_callback aDone) = 0;
 
-  /// Waits until the prefix has changes after the revision, for at most the
-  /// given time, and returns them. Each watched prefix uses a connection of its
-  /// own.
-  virtual void Watch(std::string aPrefix,
-                     revision aAfter,
+  /// Waits until there are such changes, for at most the given time, and
+  /// returns them. Each watched prefix uses a connection of its own.
+  virtual void Watch(changes_request aWhat,
                      std::chrono::milliseconds aMaxWait,
                      watch_callback aDone) = 0;
 
-  /// Returns the changes after the revision without waiting. May run alongside
-  /// a watch of the same prefix.
-  virtual void ChangesSince(std::string aPrefix,
-                            revision aAfter,
-                            watch_callback aDone) = 0;
+  /// Returns the changes without waiting. May run alongside a watch of the same
+  /// prefix.
+  virtual void ChangesSince(changes_request aWhat, watch_callback aDone) = 0;
 
   /// Cancels the watch of the prefix; its callback runs with an error.
   virtual void CancelWatch(const std::string& aPrefix) = 0;
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <iterator>
+#include <limits>
 #include <string_view>
 #include <utility>
 
@@ -59,6 +60,15 @@
   return ordered;
 }
 
+// Size limit of the changes that a watch returns, if only the newest version
+// matters: one version of all keys, which may have grown by a quarter, or this
+// many bytes if that is more.
+constexpr std::size_t kMinWatchBytes = std::size_t{ 256 } * 1024;
+constexpr std::size_t kMaxGrowth = 4;
+// A check shares its connection with the renewal of leases, which its answer
+// must not delay longer than this.
+constexpr std::chrono::milliseconds kMaxCheckTransfer{ 200 };
+
 // Whether the store cannot return the changes after the known revision.
 bool
 IsHistoryLost(std::error_code aError)
@@ -66,6 +76,16 @@
   return aError == errc::kHistoryCompacted || aError == errc::kStaleEra;
 }
 
+// Whether asking for the same changes again would fail for the same reason. A
+// read of the keys is then the only call that can succeed.
+bool
+IsUnrepeatable(std::error_code aError)
+{
+  return IsHistoryLost(aError) || aError == errc::kTooLarge ||
+         aError == errc::kIncomplete || aError == errc::kMalformed ||
+         aError == errc::kRejected;
+}
+
 } // namespace
 
 std::string_view
@@ -251,7 +271,7 @@
                  mMayBeStale = true;
                  mMayHaveMissedChanges = false;
                  mSource = change_source::kRead;
-                 OnSuccess(false, aInfo.at);
+                 OnSuccess(std::exchange(mReadsChanges, false), aInfo.at);
                  if (isApplied) {
                    mListener.changed(aInfo.at);
                  } else {
@@ -269,8 +289,7 @@
   }
   mIsChecking = true;
   mStore.ChangesSince(
-    mPrefix,
-    mSeen,
+    { mPrefix, mSeen, MaxCheckBytes() },
     [this, alive = mAlive, sentAt = aNow, done = std::move(aDone)](
       std::error_code aError,
       std::vector<key_change> aChanges,
@@ -280,7 +299,8 @@
         return;
       }
       mIsChecking = false;
-      if (!aError && aRevision.era != mSeen.era) {
+      const bool isOtherEra = !aError && aRevision.era != mSeen.era;
+      if (isOtherEra || IsUnrepeatable(aError)) {
         ReadImmediately(aInfo.at);
         done(false, aInfo.at);
         return;
@@ -325,8 +345,7 @@
 {
   mLaggingSince.reset();
   mStore.Watch(
-    mPrefix,
-    mSeen,
+    { mPrefix, mSeen, MaxWatchBytes() },
     mSettings.wait,
     [this, alive = mAlive, sentAt = aNow](std::error_code aError,
                                           std::vector<key_change> aChanges,
@@ -341,14 +360,13 @@
         return;
       }
       if (aError) {
-        // Changes made while there was no watch may no longer be available.
-        mMustRead = mMustRead || IsHistoryLost(aError);
-        OnFailure(aError, aInfo.at);
+        OnWatchFailure(aError, aInfo.at);
         return;
       }
       if (aRevision.era != mSeen.era) {
         // The changes between the known revision and the start of the watch are
         // unknown.
+        mReadsChanges = mSettings.skipsVersions && !aChanges.empty();
         ReadImmediately(aInfo.at);
         return;
       }
@@ -456,7 +474,16 @@
   mForwardedUntil = {};
   ReadAgain();
   mMustRead = true;
+  CallImmediately(aNow);
+}
+
+void
+prefix_view::CallImmediately(clock::time_point aNow)
+{
   mNotBefore = aNow;
+  if (mListener.callDue) {
+    mListener.callDue();
+  }
 }
 
 // Discarding the same revision repeatedly is reported only once.
@@ -671,12 +698,32 @@
   return isWaiting ? std::max(mAnsweredAt, aLastAnswer) : mAnsweredAt;
 }
 
+// Changes that the store cannot return, or not in an answer that arrives, are
+// not asked for again: the keys are read.
+void
+prefix_view::OnWatchFailure(std::error_code aError, clock::time_point aNow)
+{
+  if (!IsUnrepeatable(aError)) {
+    OnFailure(aError, aNow);
+    return;
+  }
+  mMustRead = true;
+  mReadsChanges = mSettings.skipsVersions || !IsHistoryLost(aError);
+  if (aError == errc::kTooLarge) {
+    // The store has answered; only the answer is of no use.
+    mMayHaveMissedChanges = true;
+    CallImmediately(aNow);
+    return;
+  }
+  OnFailure(aError, aNow);
+}
+
 void
 prefix_view::OnFailure(std::error_code aError, clock::time_point aNow)
 {
   mMayHaveMissedChanges = true;
   if (IsHistoryLost(aError)) {
-    mNotBefore = aNow;
+    CallImmediately(aNow);
     return;
   }
   mNotBefore = aNow + mBackoff.Next(mRandom);
@@ -699,6 +746,25 @@
   return std::min(TransferTime() * kPausePerTransferTime, mSettings.maxPause);
 }
 
+std::size_t
+prefix_view::MaxWatchBytes() const
+{
+  return mSettings.skipsVersions
+           ? std::max(kMinWatchBytes, mBytes + mBytes / kMaxGrowth)
+           : std::numeric_limits<std::size_t>::max();
+}
+
+std::size_t
+prefix_view::MaxCheckBytes() const
+{
+  if (mSettings.timePerByte <= std::chrono::nanoseconds::zero()) {
+    return MaxWatchBytes();
+  }
+  const auto most = static_cast<std::size_t>(
+    std::chrono::nanoseconds(kMaxCheckTransfer) / mSettings.timePerByte);
+  return std::min(MaxWatchBytes(), most);
+}
+
 std::chrono::milliseconds
 prefix_view::Pause() const
 {
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -46,8 +46,10 @@
   /// The same while a forwarder sends the changes, if that is longer. The store
   /// cannot send large values to all VMs in place of slow forwarders.
   std::chrono::milliseconds maxForwardingLag{ 0 };
-  /// Whether a view that lags reads the keys rather than all changes of them:
-  /// a large value that is overwritten again and again is sent only once.
+  /// Whether only the newest version of a key matters. The view then reads the
+  /// keys, rather than all changes of them, if it lags or if the changes are
+  /// larger than a few versions: a large value that is overwritten again and
+  /// again is sent only once.
   bool skipsVersions = false;
   /// Backoff after failed calls, since every call has a cost. Short enough that
   /// a configuration written during an outage is applied in time after it.
@@ -131,6 +133,8 @@
     std::function<void(revision, revision)> staleReadIgnored = {};
     /// The view begins a read or a watch.
     std::function<void(call_reason)> callBegun = {};
+    /// NextTick now returns an earlier time than before.
+    std::function<void()> callDue = {};
   };
 
   prefix_view(key_value& aStore,
@@ -276,10 +280,14 @@
   [[nodiscard]] bool ApplyChanges(std::vector<key_change> aChanges,
                                   revision aUpTo);
   void StartWatch(clock::time_point aNow);
+  void OnWatchFailure(std::error_code aError, clock::time_point aNow);
+  void CallImmediately(clock::time_point aNow);
   void OnFailure(std::error_code aError, clock::time_point aNow);
   void OnSuccess(bool aChanged, clock::time_point aNow);
   [[nodiscard]] std::chrono::milliseconds TransferTime() const;
   [[nodiscard]] std::chrono::milliseconds Pause() const;
+  [[nodiscard]] std::size_t MaxWatchBytes() const;
+  [[nodiscard]] std::size_t MaxCheckBytes() const;
   [[nodiscard]] std::chrono::milliseconds MaxLag(clock::time_point aNow) const;
 
   key_value& mStore;
@@ -293,6 +301,8 @@
   std::optional<clock::time_point> mLaggingSince;
   bool mIsKnown = false;
   bool mMustRead = true;
+  // The next read replaces a watch that had changes.
+  bool mReadsChanges = false;
   bool mIsReachable = false;
   bool mMayBeStale = true;
   change_source mSource = change_source::kNone;
--- a/standin/fleet/main.cpp
+++ b/standin/fleet/main.cpp
@@ -232,7 +232,8 @@
       { "version", aVersion },
       { "routes", std::move(routes) },
       { "services", std::move(services) },
-      { "limits", json::object{ { "tx_idle_ms", 3000 } } }
+      { "limits", json::object{ { "tx_idle_ms", 3000 } } },
+      { "filler", std::string(mFiller, 'x') }
     };
     mKeys.Put("op/config", json::serialize(configuration));
   }
@@ -320,7 +321,22 @@
     return { 404, {} };
   }
 
-  // Executes a test command: sets the version of the configuration, restores
+  // Writes that many versions of the configuration, one after the other.
+  void WriteVersions(std::uint64_t aFirst,
+                     std::uint64_t aCount,
+                     milliseconds aGap)
+  {
+    if (aCount == 0) {
+      return;
+    }
+    PublishConfiguration(aFirst);
+    RunAfter(aGap, [this, aFirst, aCount, aGap] {
+      WriteVersions(aFirst + 1, aCount - 1, aGap);
+    });
+  }
+
+  // Executes a test command: sets the version of the configuration, writes many
+  // large ones in quick succession, restores
   // the store from an older snapshot, or stops, starts, drains, restarts (with
   // an empty log) or overloads servers. Commands other than /test/primary
   // return the numbers of duplicate changes, of statements answered BUSY and of
@@ -330,6 +346,12 @@
     if (aPath == "/test/configure") {
       PublishConfiguration(Number(Parameter("version")));
     }
+    if (aPath == "/test/storm") {
+      mFiller = Number(Parameter("bytes"));
+      WriteVersions(Number(Parameter("version")),
+                    Number(Parameter("count")),
+                    milliseconds{ Number(Parameter("gap_ms")) });
+    }
     if (aPath == "/test/lose") {
       LoseRecentWrites(milliseconds{ Number(Parameter("span_ms")) },
                        milliseconds{ Number(Parameter("away_ms")) });
@@ -414,6 +436,8 @@
   boost::asio::steady_timer mSnapshotTimer;
   fleet::keys mKeys;
   std::uint64_t mVersion = 0;
+  // Size that is added to configurations, in bytes.
+  std::size_t mFiller = 0;
   bool mIsUnavailable = false;
   std::list<fleet::group> mGroups;
   // By service, the highest fencing token of an order to promote, and the
--- a/standin/proxy/main.cpp
+++ b/standin/proxy/main.cpp
@@ -32,7 +32,8 @@
 };
 
 /// The tunnels of one process and the control port, which takes one command per
-/// connection: "PORT FAULT [MILLISECONDS]".
+/// connection: "PORT FAULT [AMOUNT]". The amount is a delay in milliseconds, or
+/// a rate in kilobits a second.
 class proxy
 {
 public:
@@ -89,19 +90,23 @@
     std::istream in(&aOrder.line);
     std::uint16_t port = 0;
     std::string name;
-    long delay = 0;
-    in >> port >> name >> delay;
+    long amount = 0;
+    in >> port >> name >> amount;
     const auto what = FindFault(name);
     const auto found =
       std::find_if(mTunnels.begin(), mTunnels.end(), [port](const auto& aOne) {
         return aOne.Port() == port;
       });
-    if (!what || found == mTunnels.end()) {
+    if (!what || found == mTunnels.end() || amount < 0) {
       std::cerr << "unknown fault or port: " << port << ' ' << name << '\n';
       return;
     }
-    found->SetCondition({ *what, std::chrono::milliseconds{ delay } });
-    std::cout << port << ' ' << name << ' ' << delay << '\n' << std::flush;
+    constexpr long kNanosecondsPerByte = 8'000'000;
+    found->SetCondition({ *what,
+                          std::chrono::milliseconds{ amount },
+                          std::chrono::nanoseconds{ kNanosecondsPerByte /
+                                                    std::max(amount, 1L) } });
+    std::cout << port << ' ' << name << ' ' << amount << '\n' << std::flush;
   }
 
   tcp::acceptor mAcceptor;
@@ -116,8 +121,8 @@
   options chosen;
   currantshed::settings::parser parser(
     "currantshed-standin-proxy",
-    "Forwards connections to ports of 127.0.0.1, and delays, holds, silences "
-    "or resets them on command.");
+    "Forwards connections to ports of 127.0.0.1, and delays, paces, holds, "
+    "silences or resets them on command.");
   parser.Port(chosen.control, "control", "Control port for faults", true);
   parser.Port(chosen.first, "first", "First port to listen on", true);
   parser.Port(chosen.target, "target", "First port to forward to", true);
--- a/standin/proxy/tunnel.cpp
+++ b/standin/proxy/tunnel.cpp
@@ -21,9 +21,13 @@
 };
 
 constexpr named_fault kNames[] = {
-  { "pass", fault::kNone },       { "delay", fault::kDelay },
-  { "hold", fault::kHold },       { "hold_answers", fault::kHoldAnswers },
-  { "silence", fault::kSilence }, { "reset", fault::kReset },
+  { "pass", fault::kNone },
+  { "delay", fault::kDelay },
+  { "pace", fault::kPace },
+  { "hold", fault::kHold },
+  { "hold_answers", fault::kHoldAnswers },
+  { "silence", fault::kSilence },
+  { "reset", fault::kReset },
 };
 
 } // namespace
@@ -41,8 +45,10 @@
 
 connection_pair::connection_pair(boost::asio::io_context& aContext,
                                  const condition& aCondition,
+                                 paced_link& aLink,
                                  tcp::socket aClient)
   : mCondition(aCondition)
+  , mLink(aLink)
   , mClient(std::move(aClient))
   , mServer(aContext)
   , mToTarget(aContext, false)
@@ -98,9 +104,7 @@
         self->Close();
         return;
       }
-      const bool isDelayed = self->mCondition.now == fault::kDelay;
-      aDirection.timer.expires_after(isDelayed ? self->mCondition.delay
-                                               : milliseconds{ 0 });
+      aDirection.timer.expires_at(self->ForwardAt(aDirection, aSize));
       aDirection.timer.async_wait([self, &aFrom, &aTo, &aDirection, aSize](
                                     const boost::system::error_code&) {
         self->Forward(aFrom, aTo, aDirection, aSize);
@@ -108,6 +112,19 @@
     });
 }
 
+// When data that have just arrived are passed on.
+std::chrono::steady_clock::time_point
+connection_pair::ForwardAt(const direction& aDirection, std::size_t aSize)
+{
+  const auto now = std::chrono::steady_clock::now();
+  if (mCondition.now == fault::kPace && aDirection.answers) {
+    mLink.freeAt = std::max(mLink.freeAt, now) +
+                   mCondition.timePerByte * static_cast<std::int64_t>(aSize);
+    return mLink.freeAt;
+  }
+  return mCondition.now == fault::kDelay ? now + mCondition.delay : now;
+}
+
 void
 connection_pair::Forward(tcp::socket& aFrom,
                          tcp::socket& aTo,
@@ -187,7 +204,7 @@
       std::erase_if(mConnections,
                     [](const auto& aOne) { return !aOne->IsOpen(); });
       mConnections.push_back(std::make_shared<connection_pair>(
-        mContext, mCondition, std::move(aSocket)));
+        mContext, mCondition, mLink, std::move(aSocket)));
       mConnections.back()->Start(mTarget);
       Accept();
     });
--- a/standin/proxy/tunnel.hpp
+++ b/standin/proxy/tunnel.hpp
@@ -23,6 +23,8 @@
   kNone,
   /// Each chunk is delayed.
   kDelay,
+  /// Data from the target come at a limited rate, for all connections together.
+  kPace,
   /// Nothing is forwarded, on existing or new connections, until the fault
   /// ends.
   kHold,
@@ -41,7 +43,16 @@
 struct condition
 {
   fault now = fault::kNone;
+  /// For kDelay.
   std::chrono::milliseconds delay{ 0 };
+  /// For kPace.
+  std::chrono::nanoseconds timePerByte{ 0 };
+};
+
+/// The link that the connections of one tunnel share.
+struct paced_link
+{
+  std::chrono::steady_clock::time_point freeAt{};
 };
 
 /// An accepted connection and its connection to the target.
@@ -51,6 +62,7 @@
 public:
   connection_pair(boost::asio::io_context& aContext,
                   const condition& aCondition,
+                  paced_link& aLink,
                   tcp::socket aClient);
 
   void Start(std::uint16_t aTarget);
@@ -81,11 +93,15 @@
                tcp::socket& aTo,
                direction& aDirection,
                std::size_t aSize);
+  [[nodiscard]] std::chrono::steady_clock::time_point ForwardAt(
+    const direction& aDirection,
+    std::size_t aSize);
   [[nodiscard]] bool IsHeld(const direction& aDirection) const noexcept;
   [[nodiscard]] static bool IsReset(tcp::socket& aFrom);
   void Close();
 
   const condition& mCondition;
+  paced_link& mLink;
   tcp::socket mClient;
   tcp::socket mServer;
   direction mToTarget;
@@ -113,6 +129,7 @@
   std::uint16_t mPort;
   std::uint16_t mTarget;
   condition mCondition;
+  paced_link mLink;
   std::vector<std::shared_ptr<connection_pair>> mConnections;
 };
 
--- a/test/currantshed/store/era_guard.cpp
+++ b/test/currantshed/store/era_guard.cpp
@@ -89,9 +89,9 @@
       made.inner.era = row.responseEra;
       const store::revision after{ row.callEra, 1 };
       if (isWatch) {
-        made.guard.Watch("a/", after, 1s, made.onWatch);
+        made.guard.Watch({ "a/", after }, 1s, made.onWatch);
       } else {
-        made.guard.ChangesSince("a/", after, made.onWatch);
+        made.guard.ChangesSince({ "a/", after }, made.onWatch);
       }
       CHECK_TEXT(!made.error, row.name);
       made.Answer();
--- a/test/currantshed/store/era_model.cpp
+++ b/test/currantshed/store/era_model.cpp
@@ -127,19 +127,16 @@
     });
   }
 
-  void Watch(std::string aPrefix,
-             store::revision aAfter,
+  void Watch(store::changes_request aWhat,
              std::chrono::milliseconds aMaxWait,
              watch_callback aDone) override
   {
-    mWatches[aPrefix] = Follow(aPrefix, aAfter, aMaxWait, aDone);
+    mWatches[aWhat.prefix] = Follow(aWhat.prefix, aWhat.after, aMaxWait, aDone);
   }
 
-  void ChangesSince(std::string aPrefix,
-                    store::revision aAfter,
-                    watch_callback aDone) override
+  void ChangesSince(store::changes_request aWhat, watch_callback aDone) override
   {
-    (void)Follow(aPrefix, aAfter, 1ms, aDone);
+    (void)Follow(aWhat.prefix, aWhat.after, 1ms, aDone);
   }
 
   void CancelWatch(const std::string& aPrefix) override
--- a/test/currantshed/store/fake_key_value.hpp
+++ b/test/currantshed/store/fake_key_value.hpp
@@ -166,21 +166,21 @@
     });
   }
 
-  void Watch(std::string aPrefix,
-             store::revision aAfter,
+  void Watch(store::changes_request aWhat,
              std::chrono::milliseconds,
              watch_callback aDone) override
   {
-    watches.push_back({ aPrefix, aAfter, aDone });
+    watches.push_back({ aWhat.prefix, aWhat.after, aDone });
   }
 
-  void ChangesSince(std::string aPrefix,
-                    store::revision aAfter,
-                    watch_callback aDone) override
+  void ChangesSince(store::changes_request aWhat, watch_callback aDone) override
   {
     ++checks;
-    mCalls.push_back([this, aPrefix, aAfter, aDone] {
-      aDone(HistoryError(aAfter), Changes(aPrefix, aAfter), At(), Reply());
+    mCalls.push_back([this, aWhat, aDone] {
+      aDone(HistoryError(aWhat.after),
+            Changes(aWhat.prefix, aWhat.after),
+            At(),
+            Reply());
     });
   }
 
--- a/test/process/support/node.sh
+++ b/test/process/support/node.sh
@@ -11,6 +11,9 @@
 # If set before node_start, a proxy is put before each server and on each VM's
 # path to the store.
 proxied=
+# Of the VMs' settings.
+link_mbps=1000
+config_apply_ms=3000
 # If set before node_start, the first port of the servers that the store lists
 # in place of the stand-in's.
 listed_servers=
@@ -91,8 +94,8 @@
 }
 path_to_server() { echo $((base + 70 + $1)); }
 
-# Sets the fault of a path's proxy: "pass", "delay MS", "hold", "hold_answers",
-# "silence" or "reset".
+# Sets the fault of a path's proxy: "pass", "delay MS", "pace KBIT_PER_S",
+# "hold", "hold_answers", "silence" or "reset".
 fault() {
   local port=$1 control=$((base + 80))
   [ "$port" -ge "$((base + 70))" ] && control=$((base + 81))
@@ -119,8 +122,8 @@
 {"node_name": "vm-$vm", "zone": "here", "ip": "127.0.0.1",
  "internal_ports": [$((first + 2)), $((first + 4))],
  "listen": {"front": "127.0.0.1:$first", "ready": "127.0.0.1:$((first + 1))"},
- "limits": {"max_fds": 1024},
- "bounds": {"grace_s": 4, "config_apply_ms": 3000},
+ "limits": {"max_fds": 1024, "link_mbps": $link_mbps.0},
+ "bounds": {"grace_s": 4, "config_apply_ms": $config_apply_ms},
  "platform": {"address": "127.0.0.1:$(path_to_store "$vm")", "ttl_min_ms": 1000},
  "cloud_api": {"address": "127.0.0.1:$(path_to_promotion "$vm")"}}
 END
