An answer of the store that keeps coming is not given up

What callers saw: none by itself so far; with the storm of configurations of 1,040,000 bytes and 10 Mbit/s, no VM had the newest one.

Cause: a call was given up after one second, however much of its answer had arrived, and made again from the start. A configuration of the largest size takes 1.1 s on the slowest link of the settings, so that its read could never end. The read also held up the renewal of the lease, which waits behind it on the same connection.

Change: a call's timeout holds until the answer begins; one that has begun is given up only when it pauses for a second. Orders to promote keep their time limit as a whole, since their right ends.

Ruled out: a longer timeout, since a call that is not answered at all would then be noticed later; a timeout by size and link, since other traffic shares the link.

Tests, each of which failed with the former client: slow_answers ("slowly, but without a pause"; "a read of watched keys delays no renewal"). process.large_configurations now also writes versions of 1,040,000 bytes.

--- a/src/currantshed/http/channel.cpp
+++ b/src/currantshed/http/channel.cpp
@@ -201,6 +201,10 @@
       OnResponse();
       return;
     }
+    const auto stall = mCalls.front().what.stallTimeout;
+    if (stall > std::chrono::milliseconds::zero()) {
+      mStream.expires_after(stall);
+    }
     ReadMore();
   }
 
--- a/src/currantshed/http/channel.hpp
+++ b/src/currantshed/http/channel.hpp
@@ -39,6 +39,10 @@
   std::string body;
   /// Timeout for the complete response.
   std::chrono::milliseconds timeout{ 1000 };
+  /// How long a response that has begun may pause. As long as it goes on, the
+  /// timeout does not end it: a repetition would begin anew, and on a slow link
+  /// never be complete. Zero: the timeout holds all the same.
+  std::chrono::milliseconds stallTimeout{ 0 };
   /// A response with a larger body fails, if possible before it is transferred.
   std::uint64_t maxBodyBytes = kMaxBodyBytes;
   /// Name of the response header that the caller needs, if any.
--- a/test/platform/slow_answers.cpp
+++ b/test/platform/slow_answers.cpp
@@ -181,6 +181,7 @@
 
 const answer_row kRows[] = {
   { "at once", { { Header(kBody.size()) + kBody } }, {} },
+  { "slowly, but without a pause", InPieces(kBody), {} },
   { "a pause without an end",
     WithoutEnd(kBody, false),
     store::errc::kIncomplete },
@@ -294,3 +295,27 @@
   made.Await([&errors] { return !errors.empty(); });
   CHECK(errors == std::vector<std::error_code>{ store::errc::kTooLarge });
 }
+
+// A read of large keys held up the renewal of the lease, which is sent on the
+// same connection.
+TEST(slow_answers, a_read_of_watched_keys_delays_no_renewal)
+{
+  fixture made;
+  made.store.script = [](const std::string& aRequest) {
+    const bool isRange = aRequest.find("range") != std::string::npos;
+    return isRange ? InPieces(kBody)
+                   : answer_script{ { Header(kBody.size()) + kBody } };
+  };
+  std::vector<std::string> done;
+  made.client->Watch(
+    { "a/", { 0, 1 } }, kCallTimeout, [&](auto, auto, auto, auto) {
+      done.emplace_back("watch");
+    });
+  made.Await([&done] { return done.size() == 1; });
+  made.client->Range(
+    "a/", [&](auto, auto, auto, auto) { done.emplace_back("range"); });
+  made.client->KeepAlive({ 0, 1 },
+                         [&](auto, auto) { done.emplace_back("renewal"); });
+  made.Await([&done] { return done.size() == 3; });
+  CHECK(done == std::vector<std::string>({ "watch", "renewal", "range" }));
+}
--- a/test/process/large_configurations.sh
+++ b/test/process/large_configurations.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Several versions of a large configuration in quick succession were never in
-# force: together they exceed what one answer may hold, and the same call was
-# repeated. Each VM's connections to the store share a link of 10 Mbit/s.
+# force: together they exceed what one answer may hold, or what a slow link
+# transfers in time, and the same call was repeated. Each VM's connections to
+# the store share a link of 10 Mbit/s.
 source "$(dirname "$0")/support/node.sh"
 proxied=1
 link_mbps=10
@@ -39,3 +40,7 @@
 storm 101 1 420000 0
 sleep 3
 storm 149 25 420000 60
+sleep 3
+storm 201 1 1040000 0
+sleep 3
+storm 249 25 1040000 60
