The pause after a change leaves room for two transfers within the bound

What callers would see: a configuration in force later than the settings allow, where its transfer takes more than a quarter of that time. Found while the cause of the storm's late configurations was sought on related paths.

Cause: a change that is written right after a transfer began waits for the end of that transfer, for the pause after it, up to 1.5 s, and for its own transfer. The pause did not know the bound: 3.7 s for 1,040,000 bytes at 10 Mbit/s, where settings may say 3 s.

Change: the pause of the configuration's view is at most what is left of the bound after two transfers and half a second. It changes nothing where the transfer takes less than a sixth of the bound or the bound is 4.3 s or more at the largest size.

--- a/src/currantshed/node/control.cpp
+++ b/src/currantshed/node/control.cpp
@@ -95,6 +95,7 @@
       { .wait = store::WatchWait(aSettings.storeHistory),
         .pauseAfterChange = kConfigurationPause,
         .timePerByte = TimePerByte(aSettings),
+        .changeBound = aSettings.configurationBound,
         .maxForwardingLag =
           internal::forwarding_timeouts(aSettings.configurationBound)
             .MaxLag(absl::Uniform<double>(mRandom, 0, 1)),
--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -33,6 +33,11 @@
 // Allowance for the transfer of a change, in multiples of the time that it
 // takes if nothing else uses the link.
 constexpr int kTransfersPerLag = 2;
+// A change waits for at most this many transfers, the one under way and its
+// own, beside the pause between them.
+constexpr int kTransfersPerChange = 2;
+// Left of the bound for the calls themselves and for other traffic on the link.
+constexpr std::chrono::milliseconds kBoundMargin{ 500 };
 // How long a watch is kept after a forwarder has taken over. A forwarder that
 // fails again in that time costs no new watch.
 constexpr std::chrono::milliseconds kRedundantWatchLife{ 2000 };
@@ -743,7 +748,14 @@
 std::chrono::milliseconds
 prefix_view::TransferPause() const
 {
-  return std::min(TransferTime() * kPausePerTransferTime, mSettings.maxPause);
+  const auto usual =
+    std::min(TransferTime() * kPausePerTransferTime, mSettings.maxPause);
+  if (mSettings.changeBound <= std::chrono::milliseconds::zero()) {
+    return usual;
+  }
+  const auto left =
+    mSettings.changeBound - kTransfersPerChange * TransferTime() - kBoundMargin;
+  return std::clamp(left, std::chrono::milliseconds::zero(), usual);
 }
 
 std::size_t
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -39,6 +39,10 @@
   /// frequent changes of large values leave the link to the callers.
   std::chrono::nanoseconds timePerByte{ 0 };
   std::chrono::milliseconds maxPause{ 1500 };
+  /// Within this time a change should be seen. The pause leaves room for the
+  /// transfer that is under way when it is made, and for its own. Zero: no
+  /// bound.
+  std::chrono::milliseconds changeBound{ 0 };
   /// How long the view may lag behind a revision that another VM has announced
   /// before its own watch is considered hung. The transfer of all keys is
   /// allowed for in addition.
--- a/test/currantshed/store/slow_view.hpp
+++ b/test/currantshed/store/slow_view.hpp
@@ -19,11 +19,12 @@
 /// A view of one key over a slow link.
 struct slow_view
 {
-  slow_view()
+  explicit slow_view(std::chrono::milliseconds aBound)
     : view(store,
            "a/",
            { .pauseAfterChange = 300ms,
              .timePerByte = kSlowLinkTimePerByte,
+             .changeBound = aBound,
              .skipsVersions = true },
            { [](clock::time_point) {}, [](bool, std::error_code) {} })
   {
--- a/test/currantshed/store/unrepeatable_calls.cpp
+++ b/test/currantshed/store/unrepeatable_calls.cpp
@@ -101,7 +101,7 @@
 TEST(unrepeatable_calls, are_replaced_by_a_read_of_the_newest_version)
 {
   for (const auto& row : kStorms) {
-    test::slow_view made;
+    test::slow_view made(kBound);
     made.store.Put(std::string(row.bytes, 'x'));
     made.Run(5s);
     made.store.fault = row.fault;
