--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -123,6 +123,8 @@
       return "forwarding_ended";
     case call_reason::kLagging:
       return "lagging";
+    case call_reason::kChangesUnavailable:
+      return "changes_unavailable";
   }
   return "unknown";
 }
@@ -306,6 +308,7 @@
       mIsChecking = false;
       const bool isOtherEra = !aError && aRevision.era != mSeen.era;
       if (isOtherEra || IsUnrepeatable(aError)) {
+        mNextCall = call_reason::kChangesUnavailable;
         ReadImmediately(aInfo.at);
         done(false, aInfo.at);
         return;
@@ -713,6 +716,7 @@
     return;
   }
   mMustRead = true;
+  mNextCall = call_reason::kChangesUnavailable;
   mReadsChanges = mSettings.skipsVersions || !IsHistoryLost(aError);
   if (aError == errc::kTooLarge) {
     // The store has answered; only the answer is of no use.
--- a/src/currantshed/store/prefix_view.hpp
+++ b/src/currantshed/store/prefix_view.hpp
@@ -111,6 +111,9 @@
   kForwardingEnded,
   /// A change that another VM has announced did not arrive in time.
   kLagging,
+  /// The store could not return the changes, or not in an answer that arrived:
+  /// the keys are read.
+  kChangesUnavailable,
 };
 
 [[nodiscard]] std::string_view
--- a/standin/fleet/main.cpp
+++ b/standin/fleet/main.cpp
@@ -321,12 +321,13 @@
     return { 404, {} };
   }
 
-  // Writes that many versions of the configuration, one after the other.
+  // Writes that many versions of the configuration, one after the other. Ends
+  // when a later one has been written meanwhile.
   void WriteVersions(std::uint64_t aFirst,
                      std::uint64_t aCount,
                      milliseconds aGap)
   {
-    if (aCount == 0) {
+    if (aCount == 0 || aFirst <= mVersion) {
       return;
     }
     PublishConfiguration(aFirst);
--- a/test/currantshed/store/unrepeatable_calls.cpp
+++ b/test/currantshed/store/unrepeatable_calls.cpp
@@ -73,13 +73,14 @@
        { test::watch_fault::kNone, test::watch_fault::kHistoryGone }) {
     test::slow_store store;
     int due = 0;
+    auto reason = store::call_reason::kContinued;
     store::prefix_view view(store,
                             "a/",
                             { .skipsVersions = true },
                             { [](clock::time_point) {},
                               [](bool, std::error_code) {},
                               {},
-                              {},
+                              [&reason](auto aWhy) { reason = aWhy; },
                               [&due] { ++due; } });
     store.Put("x");
     for (int step = 0; step < 2; ++step) {
@@ -92,6 +93,8 @@
     store.Answer();
     LONGS_EQUAL(1, due);
     CHECK(view.NextTick() <= store.now);
+    view.Tick(store.now, 0.5);
+    CHECK(reason == store::call_reason::kChangesUnavailable);
   }
 }
 
--- a/test/process/node_soak.sh
+++ b/test/process/node_soak.sh
@@ -9,10 +9,15 @@
 # server that goes down and up by turns, or a burst of further callers. Path
 # faults overlap with later faults. From seed 3000 on half of all faults hold up
 # the orders of a VM to promote a server while a primary leaves and the VM stops.
+# From seed 4000 on half of all faults are a storm of large configurations, over
+# links of 10 Mbit/s, into which the next faults fall.
 # SEEDS names the seeds to run; if empty, those that CI runs each time. SOAK_BASE
 # names the first port, so that several runs can share a machine.
 source "$(dirname "$0")/support/node.sh"
 proxied=yes
+version=1
+read -r first_seed _ <<<"${SEEDS:-1}"
+[ "$first_seed" -lt 4000 ] || link_mbps=10
 node_start "${SOAK_BASE:-28400}" 4
 
 random_path() {
@@ -96,7 +101,24 @@
   tell "/test/start?server=$old" >/dev/null
 }
 
+# Several large versions of the configuration, while the VMs' links to the store
+# are slow. Later faults happen meanwhile.
+configuration_storm() {
+  local count=$((RANDOM % 25 + 5)) bytes=$((RANDOM * 28 + 100000))
+  local gap=$((RANDOM % 80 + 20)) lasts=$((RANDOM % 3 + 3)) vm
+  echo "$count versions of $bytes bytes, one each $gap ms, links slow for $lasts s"
+  for vm in 1 2 3 4; do
+    temporary_fault "$(path_to_store "$vm")" "$lasts" pace 10000 >/dev/null
+  done
+  tell "/test/storm?version=$((version + 1))&count=$count&bytes=$bytes&gap_ms=$gap" >/dev/null
+  version=$((version + count))
+}
+
 one_fault() {
+  if [ "$seed" -ge 4000 ] && ((RANDOM % 2)); then
+    configuration_storm
+    return
+  fi
   if [ "$seed" -ge 3000 ] && ((RANDOM % 2)); then
     orders_held
     return
@@ -128,7 +150,6 @@
   esac
 }
 
-version=1
 for seed in ${SEEDS:-1 1001}; do
   RANDOM=$seed
   # From seed 1000 on a third of all faults are store restores; the sequences of
@@ -148,8 +169,9 @@
   # All faults have ended: all requests are served again, and new configurations
   # take effect in time.
   sleep 3
+  check "seed $seed: version $version is not in force" await 8 in_force "$version"
   version=$((version + 1))
-  tell "/test/configure?version=$version" >/dev/null
+  tell "/test/storm?version=$version&count=1&bytes=0" >/dev/null
   check "seed $seed: version $version is not in force" await 3 in_force "$version"
   callers_start 3000 $((seed + 100000))
   callers_end
