A check that could not be answered leaves a forwarded view to its forwarder

What would be seen: in a fleet, VMs that check their configuration each read it from the store where the store had dropped its history, though a forwarder sends them the changes.

Change: a check that fails for good is replaced by a read only where no forwarder sends the changes.

--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -307,7 +307,11 @@
       }
       mIsChecking = false;
       const bool isOtherEra = !aError && aRevision.era != mSeen.era;
-      if (isOtherEra || IsUnrepeatable(aError)) {
+      // A forwarder sends the changes that a check could not have. The store
+      // cannot send all keys to every VM that asks.
+      const bool mustRead =
+        IsUnrepeatable(aError) && aInfo.at >= mForwardedUntil;
+      if (isOtherEra || mustRead) {
         mNextCall = call_reason::kChangesUnavailable;
         ReadImmediately(aInfo.at);
         done(false, aInfo.at);
--- a/test/currantshed/store/verified_view.cpp
+++ b/test/currantshed/store/verified_view.cpp
@@ -165,3 +165,37 @@
   store.Answer();
   CHECK(view.VerifiedAt() == sentAt);
 }
+
+namespace {
+
+struct lost_history_row
+{
+  const char* name;
+  bool isForwarded;
+  int reads;
+};
+
+constexpr lost_history_row kLostHistoryRows[] = {
+  { "a view that follows the store", false, 1 },
+  { "a view with a forwarder", true, 0 },
+};
+
+} // namespace
+
+// A check whose changes the store had dropped was repeated for good; a read by
+// each VM that checks would put the load of all on the store.
+TEST(verified_view, A_check_without_history_is_replaced_by_a_read)
+{
+  for (const auto& row : kLostHistoryRows) {
+    verified_fixture one;
+    if (row.isForwarded) {
+      one.view.ForwardedUntil(one.store.now + 1h);
+    }
+    const auto before = one.store.ranges;
+    one.store.failing = store::make_error_code(store::errc::kHistoryCompacted);
+    one.Check();
+    one.store.failing = {};
+    one.view.Tick(one.store.now, 0);
+    LONGS_EQUAL_TEXT(before + row.reads, one.store.ranges, row.name);
+  }
+}
