--- a/src/currantshed/store/prefix_view.cpp
+++ b/src/currantshed/store/prefix_view.cpp
@@ -309,8 +309,8 @@
       const bool isOtherEra = !aError && aRevision.era != mSeen.era;
       // A forwarder sends the changes that a check could not have. The store
       // cannot send all keys to every VM that asks.
-      const bool mustRead =
-        IsUnrepeatable(aError) && aInfo.at >= mForwardedUntil;
+      const bool mustRead = IsUnrepeatable(aError) && !IsHistoryLost(aError) &&
+                            aInfo.at >= mForwardedUntil;
       if (isOtherEra || mustRead) {
         mNextCall = call_reason::kChangesUnavailable;
         ReadImmediately(aInfo.at);
